--- /dev/null
+++ b/crates/fleet/src/event.rs
@@ -0,0 +1,56 @@
+//! Numbered events: what the decision services report for the log.
+//!
+//! Each crate lists its kinds in a table named `EVENTS`; docs/EVENTS.md is the
+//! catalogue of all tables. Numbers are never used again for another meaning.
+
+use std::fmt;
+
+use smol_str::SmolStr;
+
+/// A kind of event. The hundreds of the number name the crate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// Number in the catalogue.
+    pub number: u16,
+    /// Name in the catalogue, lower case with hyphens.
+    pub name: &'static str,
+    /// What the event tells, one sentence.
+    pub meaning: &'static str,
+}
+
+/// One event with its fields.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// What kind of event it is.
+    pub kind: &'static EventKind,
+    /// Fields in order of writing, with fixed names (`request`, `attempt`, `target`,
+    /// `organisation`, `preset`, `reason`, ...).
+    pub fields: Vec<(&'static str, SmolStr)>,
+}
+
+impl Event {
+    /// Starts an event without fields.
+    pub fn new(kind: &'static EventKind) -> Self {
+        Self { kind, fields: Vec::new() }
+    }
+
+    /// Adds a field.
+    pub fn with(mut self, name: &'static str, value: impl fmt::Display) -> Self {
+        self.fields.push((name, smol_str::format_smolstr!("{value}")));
+        self
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event={} name={}", self.kind.number, self.kind.name)?;
+        for (name, value) in &self.fields {
+            if value.is_empty() || value.contains([' ', '"', '=', '\n']) {
+                write!(f, " {name}={value:?}")?;
+            } else {
+                write!(f, " {name}={value}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/layers.rs
@@ -0,0 +1,54 @@
+//! Ranges of model layers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Layer;
+
+/// A half-open range of layers `[start, end)`, written as a pair in JSON.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "(Layer, Layer)", into = "(Layer, Layer)")]
+pub struct Layers {
+    /// First layer of the range.
+    pub start: Layer,
+    /// First layer after the range.
+    pub end: Layer,
+}
+
+impl Layers {
+    /// Returns the range `[start, end)`.
+    pub fn new(start: Layer, end: Layer) -> Self {
+        Self { start, end }
+    }
+
+    /// Number of layers in the range; zero for a range that ends before it starts.
+    pub fn len(self) -> u16 {
+        self.end.saturating_sub(self.start)
+    }
+
+    /// Whether the range holds no layer.
+    pub fn is_empty(self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether every layer of `other` is in this range.
+    pub fn contains(self, other: Layers) -> bool {
+        self.start <= other.start && other.end <= self.end
+    }
+
+    /// Whether the two ranges share a layer.
+    pub fn overlaps(self, other: Layers) -> bool {
+        self.start < other.end && other.start < self.end
+    }
+}
+
+impl From<(Layer, Layer)> for Layers {
+    fn from((start, end): (Layer, Layer)) -> Self {
+        Self { start, end }
+    }
+}
+
+impl From<Layers> for (Layer, Layer) {
+    fn from(layers: Layers) -> Self {
+        (layers.start, layers.end)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,29 @@
+//! Domain types that every other crate speaks: targets, VMs, failure domains,
+//! organisations, models, layer ranges, links, plans and layer trails.
+//!
+//! The types are plain data. They carry no clock, no socket and no lock, and
+//! whatever must hold for them is checked by a verifier that stands beside the
+//! type (for example [`Plan::verify`] and [`Trail::verify`]).
+
+mod event;
+mod id;
+mod layers;
+mod link;
+mod plan;
+mod request;
+mod target;
+mod trail;
+mod vm;
+
+pub use event::{Event, EventKind};
+pub use id::{
+    AttemptId, Depth, DomainName, Layer, ModelName, NodeName, OrganisationName, RequestId,
+    TargetId, TargetName, TokenIndex, Version,
+};
+pub use layers::Layers;
+pub use link::Link;
+pub use plan::{Plan, Stage};
+pub use request::{Request, Shape};
+pub use target::{Engine, Kind, Service, Target};
+pub use trail::{Fault, Hop, Trail};
+pub use vm::{Role, Standing, Vm};
--- /dev/null
+++ b/crates/fleet/src/target.rs
@@ -0,0 +1,70 @@
+//! Targets: model engines and plain services.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{Depth, DomainName, Layers, ModelName, Standing, TargetName};
+
+/// A back end that the system routes to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Unique name.
+    pub name: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain that it stands in.
+    pub domain: DomainName,
+    /// Rack inside the failure domain; targets of one rack fail together.
+    #[serde(default)]
+    pub rack: SmolStr,
+    /// Live or leaving, as the platform's list says.
+    pub standing: Standing,
+    /// What it does.
+    pub kind: Kind,
+}
+
+/// What a target does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Holds a range of a model's layers.
+    Engine(Engine),
+    /// Answers plain calls.
+    Service(Service),
+}
+
+/// A model engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Model that it has loaded.
+    pub model: ModelName,
+    /// Number of layers of the whole model.
+    pub depth: Depth,
+    /// Layers that it holds.
+    pub layers: Layers,
+    /// Tokens per second that it passes through all of its layers, over all streams.
+    pub tokens_per_second: f64,
+    /// Streams that it runs at once.
+    pub slots: u32,
+    /// Kind of accelerator.
+    pub accelerator: SmolStr,
+    /// Whether it refuses an order that carries an old fencing number.
+    #[serde(default)]
+    pub checks_orders: bool,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name in the path `/services/NAME/`.
+    pub name: SmolStr,
+    /// Whether its calls may be repeated.
+    pub idempotent: bool,
+    /// Calls that it runs at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent requests.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: urgency, fair shares, queues, retry budget.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of nodes and targets, and spreading of small facts.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry node: composition of all services, and its shells.
--- /dev/null
+++ b/crates/order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to engines.
--- /dev/null
+++ b/crates/preset/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' configuration: validation, version, propagation.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pipeline plans, target choice, recovery of streams, quarantine.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runner of the scenario language, and the measures.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
