--- /dev/null
+++ b/crates/ledger/src/message.rs
@@ -0,0 +1,171 @@
+//! What the ledger hears and what it asks for.
+
+use std::time::Duration;
+
+use fleet::{Event, OrganisationName, RequestId};
+use smol_str::SmolStr;
+
+/// Number of a shard.
+pub type ShardId = u32;
+
+/// Names one non-idempotent request for as long as it is kept.
+#[derive(
+    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub struct Key {
+    /// Organisation that sent it.
+    pub organisation: OrganisationName,
+    /// Plain service that it is for.
+    pub service: SmolStr,
+    /// The caller's `Idempotency-Key`.
+    pub text: SmolStr,
+}
+
+/// What the ledger hears.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// A request wants to run.
+    Claim {
+        /// The request.
+        request: RequestId,
+        /// Its key.
+        key: Key,
+        /// Digest of method, path and body: the same key with another digest is a conflict.
+        digest: u64,
+    },
+    /// The call has ended; the outcome is to be kept before the caller sees it.
+    Settle {
+        /// The key.
+        key: Key,
+        /// The request that holds the claim.
+        request: RequestId,
+        /// What came of it.
+        outcome: Outcome,
+    },
+    /// The store answered a read or a write of this node.
+    Store(Reply),
+    /// Live nodes by name, this node's own included: they decide which is preferred for a shard.
+    Nodes(Vec<SmolStr>),
+    /// The time asked for by [`Action::Wake`] has come.
+    Wake,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The target's answer, given again to every repeat.
+    Answer {
+        /// Status code.
+        status: u16,
+        /// Content type.
+        content_type: SmolStr,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// The call truly was not run; the key may be claimed again.
+    NotRun,
+    /// The call began and its answer is lost.
+    Unknown,
+}
+
+/// Number of a store operation of this node.
+pub type Ticket = u64;
+
+/// What the store answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The operation.
+    pub ticket: Ticket,
+    /// Its result.
+    pub result: Stored,
+}
+
+/// Result of a store operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stored {
+    /// The value and its revision; revision 0 when there is none.
+    Value {
+        /// Revision of the last change of the key.
+        revision: u64,
+        /// The value.
+        value: Vec<u8>,
+    },
+    /// The write took effect.
+    Written {
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// The key has another revision than expected; nothing was written.
+    Conflict,
+    /// The answer was lost: a write may have taken effect.
+    Lost,
+    /// The store did not take the call: nothing was written.
+    Down,
+}
+
+/// What the ledger asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read a shard.
+    Read {
+        /// Number of the operation.
+        ticket: Ticket,
+        /// The shard.
+        shard: ShardId,
+    },
+    /// Write a shard if its revision is still the expected one.
+    Write {
+        /// Number of the operation.
+        ticket: Ticket,
+        /// The shard.
+        shard: ShardId,
+        /// Expected revision; 0 when there is none yet.
+        revision: u64,
+        /// New value.
+        value: Vec<u8>,
+    },
+    /// The verdict on a claim.
+    Verdict {
+        /// The request.
+        request: RequestId,
+        /// What is to be done.
+        verdict: Verdict,
+    },
+    /// The outcome is kept (or cannot be kept now); the caller may see it.
+    Settled {
+        /// The request.
+        request: RequestId,
+        /// Whether the store has it.
+        kept: bool,
+    },
+    /// Send [`Message::Wake`] after this time.
+    Wake(Duration),
+    /// Write a log line.
+    Log(Event),
+}
+
+/// Verdict on a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The claim is recorded: run it, once.
+    Run,
+    /// It ran: give its answer again.
+    Replay(Outcome),
+    /// It has been claimed and its outcome is not known (it may still run elsewhere).
+    Unknown,
+    /// The key was used with another body.
+    Mismatch,
+    /// The store did not answer: this sending is not run.
+    Down {
+        /// Whether an earlier sending under the key can be excluded.
+        never_ran: bool,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+    /// The shard is full of claims that are still kept: not run.
+    Full {
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
