--- a/crates/preset/src/message.rs
+++ b/crates/preset/src/message.rs
@@ -10,10 +10,28 @@
 /// What the preset service hears.
 #[derive(Clone, Debug)]
 pub enum Message {
-    /// The store's value, by watch or poll; `None` when the key does not exist.
+    /// The store's value, as the answer to [`Action::Poll`]; `None` when the key does not
+    /// exist. Each poll has exactly one answer, this or [`Message::StoreDown`].
     Stored(Option<Vec<u8>>),
-    /// The store did not answer a watch or poll.
+    /// The store's value as a watch told it. It may be old and proves no freshness.
+    Watched(Option<Vec<u8>>),
+    /// The store did not answer the poll in time.
     StoreDown,
+    /// The store's version was not above `version` at `at`, as another node could prove.
+    Proved {
+        /// The version that the other node has in force.
+        version: Version,
+        /// When it held at the latest that can be vouched for, by this node's clock.
+        at: Duration,
+    },
+    /// At `at`, a majority of all known nodes had `version` or a lower one in force. Only
+    /// nodes that have proved their freshness at some time since they started count.
+    Agreed {
+        /// The highest version in force among them.
+        version: Version,
+        /// When the oldest of their answers was asked for, by this node's clock.
+        at: Duration,
+    },
     /// The full stored value, as another node has it in force.
     Peer {
         /// The node.
@@ -42,7 +60,7 @@
 }
 
 /// What the preset service asks for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// This preset is in force from now on. Versions only grow.
     InForce {
@@ -53,6 +71,11 @@
     },
     /// Whether the node can prove its freshness; when it cannot it takes no new work.
     Fresh(bool),
+    /// When this node's freshness was last proved by the store, at first or second hand;
+    /// `None` for a node that has learned its version from a majority during an outage.
+    Proof(Option<Duration>),
+    /// Whether to hold a watch on the store's value.
+    Watch(bool),
     /// Read the store's value now.
     Poll,
     /// Ask a node for the value that it has in force.
