Membership: heartbeats, facts, leaving targets, demand by sampling

Contract: member::Message gains Proof and Demand; member::Action gains Proved, Agreed and Demand; member::Heartbeat gains proof_age and demand (peer.proto: fields 11 and 12). member::Settings needs name, address and incarnation (Settings::builder). fleet gains Alarm, which keeps a machine that is stepped often from asking for a wake with each step. Demand that is published is answered by Action::Demand with totals over all live nodes, and not by Learned. No tests yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! whatever must hold for them is checked by a verifier that stands beside the
 //! type (for example [`Plan::verify`] and [`Trail::verify`]).
 
+mod alarm;
 mod event;
 mod id;
 mod layers;
@@ -15,6 +16,7 @@
 mod trail;
 mod vm;
 
+pub use alarm::Alarm;
 pub use event::{Event, EventKind};
 pub use id::{
     AttemptId, Depth, DomainName, Layer, ModelName, NodeName, OrganisationName, RequestId,
--- /dev/null
+++ b/crates/member/src/demand.rs
@@ -0,0 +1,88 @@
+//! Demand by organisation, estimated from samples that ride on heartbeats.
+//!
+//! Each heartbeat holds at most a fixed number of entries, drawn with a probability in
+//! proportion to the demand and weighted by its inverse. The mean over the samples of all
+//! nodes is then an unbiased estimate of the mean demand at a node. Where all organisations
+//! fit into a heartbeat, the entries are exact.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use fleet::OrganisationName;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+/// How long a sample counts.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// An organisation's demand, in tokens per second.
+type Share = (OrganisationName, f64);
+
+/// This node's demand and the samples of the others'.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Demand {
+    own: BTreeMap<OrganisationName, f64>,
+    samples: VecDeque<(Duration, Vec<Share>)>,
+}
+
+impl Demand {
+    /// Replaces this node's demand.
+    pub(crate) fn set(&mut self, own: Vec<Share>) {
+        self.own = own.into_iter().filter(|(_, cost)| *cost > 0.0).collect();
+    }
+
+    /// Replaces this node's demand of one organisation.
+    pub(crate) fn set_one(&mut self, organisation: OrganisationName, cost: f64) {
+        if cost > 0.0 {
+            self.own.insert(organisation, cost);
+        } else {
+            self.own.remove(&organisation);
+        }
+    }
+
+    /// Draws at most `max` entries of this node's demand.
+    pub(crate) fn sample(&self, max: usize, rng: &mut SmallRng) -> Vec<Share> {
+        if self.own.len() <= max {
+            return self.own.iter().map(|(name, cost)| (name.clone(), *cost)).collect();
+        }
+        // Systematic sampling: marks stand `step` apart on the line of all demand.
+        let sum: f64 = self.own.values().sum();
+        let step = sum / max as f64;
+        let mut mark = rng.random_range(0.0..1.0) * step;
+        let mut end = 0.0;
+        let mut shares = Vec::with_capacity(max);
+        for (name, cost) in &self.own {
+            end += cost;
+            let mut hits = 0.0;
+            while mark < end {
+                hits += 1.0;
+                mark += step;
+            }
+            if hits > 0.0 {
+                shares.push((name.clone(), hits * step));
+            }
+        }
+        shares
+    }
+
+    /// Takes another node's sample.
+    pub(crate) fn hear(&mut self, now: Duration, shares: Vec<Share>) {
+        self.samples.push_back((now, shares));
+    }
+
+    /// Demand by organisation over `live` nodes, this one included.
+    pub(crate) fn totals(&mut self, now: Duration, live: u32) -> Vec<Share> {
+        while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
+            self.samples.pop_front();
+        }
+        let mut totals = self.own.clone();
+        if self.samples.is_empty() {
+            return totals.into_iter().collect();
+        }
+        let weight = f64::from(live.saturating_sub(1)) / self.samples.len() as f64;
+        for (name, cost) in self.samples.iter().flat_map(|(_, shares)| shares) {
+            *totals.entry(name.clone()).or_default() += cost * weight;
+        }
+        totals.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/member/src/evidence.rs
@@ -0,0 +1,76 @@
+//! Which other nodes answered lately, and what follows from that for this node's own view.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use fleet::Version;
+
+use crate::peer::Reply;
+
+/// Outcomes that are kept above the full mesh.
+const KEPT: usize = 16;
+/// Fewer outcomes than this say nothing.
+const ENOUGH: usize = 4;
+
+/// Outcomes of this node's last heartbeats, above the full mesh.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcomes {
+    last: VecDeque<(Duration, Option<Reply>)>,
+}
+
+/// A majority that agrees on a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Agreement {
+    /// The highest version among them.
+    pub(crate) version: Version,
+    /// When the oldest of their replies was asked for.
+    pub(crate) at: Duration,
+}
+
+impl Outcomes {
+    /// Notes the outcome of a heartbeat sent at `asked`.
+    pub(crate) fn push(&mut self, asked: Duration, reply: Option<Reply>) {
+        self.last.push_back((asked, reply));
+        if self.last.len() > KEPT {
+            self.last.pop_front();
+        }
+    }
+
+    /// Forgets everything, as after a pause.
+    pub(crate) fn clear(&mut self) {
+        self.last.clear();
+    }
+
+    /// Whether most heartbeats sent since `since` were answered.
+    pub(crate) fn most_answered(&self, since: Duration) -> bool {
+        let recent = self.last.iter().filter(|(asked, _)| *asked >= since);
+        let (mut total, mut answered) = (0, 0);
+        for (_, reply) in recent {
+            total += 1;
+            answered += usize::from(reply.is_some());
+        }
+        total >= ENOUGH && answered * 2 > total
+    }
+
+    /// Whether most of the last heartbeats were answered by nodes that may vouch.
+    pub(crate) fn agreement(&self) -> Option<Agreement> {
+        let voters: Vec<Reply> =
+            self.last.iter().filter_map(|(_, reply)| *reply).filter(|reply| reply.voter).collect();
+        if self.last.len() < KEPT || voters.len() * 2 <= self.last.len() {
+            return None;
+        }
+        let version = voters.iter().map(|reply| reply.preset).max()?;
+        let at = voters.iter().map(|reply| reply.asked).min()?;
+        Some(Agreement { version, at })
+    }
+}
+
+/// Finds the majority of `known` nodes (this one included) with the newest replies.
+pub(crate) fn majority(known: usize, voter: bool, replies: &mut [Reply]) -> Option<Agreement> {
+    let needed = known / 2 + 1 - usize::from(voter);
+    replies.sort_by_key(|reply| std::cmp::Reverse(reply.asked));
+    let newest = replies.get(..needed)?;
+    let version = newest.iter().map(|reply| reply.preset).max()?;
+    let at = newest.iter().map(|reply| reply.asked).min()?;
+    Some(Agreement { version, at })
+}
--- /dev/null
+++ b/crates/member/src/fact.rs
@@ -0,0 +1,209 @@
+//! The facts that a node holds, with versions, expiry and a digest.
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use fleet::{NodeName, TargetName};
+use siphasher::sip::SipHasher13;
+
+use crate::{Fact, Incarnation, News, State};
+
+/// Less than this left, a fact is not taken over any more.
+const TTL_MIN: Duration = Duration::from_millis(200);
+
+/// What a fact is about; there is one fact for each key.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) enum Key {
+    Leaving(TargetName),
+    Quarantine(u64),
+    Standing(NodeName),
+}
+
+impl Key {
+    /// The key of a piece of news; `None` for news that is not kept as a fact.
+    pub(crate) fn of(news: &News) -> Option<Self> {
+        match news {
+            News::Standing { node, .. } => Some(Self::Standing(node.clone())),
+            News::Quarantine { fingerprint, .. } => Some(Self::Quarantine(*fingerprint)),
+            News::Leaving { target } => Some(Self::Leaving(target.clone())),
+            News::Demand { .. } => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    version: u64,
+    news: News,
+    expires: Option<Duration>,
+    hash: u64,
+}
+
+/// The facts of one node.
+#[derive(Clone, Debug)]
+pub(crate) struct Facts {
+    entries: BTreeMap<Key, Entry>,
+    /// Facts still to be sent, with the number of heartbeats left for each.
+    hot: Vec<(Key, u32)>,
+    /// Exclusive or of the entries' hashes.
+    digest: u64,
+    kept: usize,
+    /// When the last change came in.
+    changed: Duration,
+    /// Where the last answer to a node that asked for all ended.
+    cursor: Option<Key>,
+}
+
+impl Facts {
+    pub(crate) fn new(kept: usize) -> Self {
+        let cursor = None;
+        let (entries, hot) = (BTreeMap::new(), Vec::new());
+        Self { entries, hot, digest: 0, kept, changed: Duration::ZERO, cursor }
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// When the last change came in.
+    pub(crate) fn changed(&self) -> Duration {
+        self.changed
+    }
+
+    /// Version of the next change to `key`.
+    pub(crate) fn next(&self, key: &Key) -> u64 {
+        self.entries.get(key).map_or(1, |entry| entry.version + 1)
+    }
+
+    /// Takes a fact over when it is newer than the one held, to be sent `sends` times.
+    pub(crate) fn merge(&mut self, now: Duration, fact: &Fact, sends: u32) -> bool {
+        let Some(key) = Key::of(&fact.news) else { return false };
+        if fact.ttl.is_some_and(|ttl| ttl < TTL_MIN) {
+            return false;
+        }
+        let held = self.entries.get(&key);
+        if held.is_some_and(|held| !supersedes(fact, held)) {
+            return false;
+        }
+        self.remove(&key);
+        if self.entries.len() >= self.kept {
+            self.evict();
+        }
+        let hash = hash(&key, fact.version, &fact.news);
+        let expires = fact.ttl.map(|ttl| now + ttl);
+        let entry = Entry { version: fact.version, news: fact.news.clone(), expires, hash };
+        self.digest ^= hash;
+        self.entries.insert(key.clone(), entry);
+        self.hot.push((key, sends));
+        self.changed = now;
+        true
+    }
+
+    /// Drops what has expired.
+    pub(crate) fn expire(&mut self, now: Duration) {
+        let over = |entry: &Entry| entry.expires.is_some_and(|expires| expires <= now);
+        let keys: Vec<Key> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| over(entry))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Picks up to `max` facts that have been sent least, and counts them as sent.
+    pub(crate) fn pick(&mut self, now: Duration, max: usize) -> Vec<Fact> {
+        self.hot.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+        let mut facts = Vec::new();
+        for (key, left) in self.hot.iter_mut().take(max) {
+            *left -= 1;
+            if let Some(entry) = self.entries.get(key) {
+                facts.push(entry.fact(now));
+            }
+        }
+        self.hot.retain(|(_, left)| *left > 0);
+        facts
+    }
+
+    /// The next `max` facts in order of their keys, for a node that asks for all.
+    pub(crate) fn chunk(&mut self, now: Duration, max: usize) -> Vec<Fact> {
+        use std::ops::Bound;
+        let start = self.cursor.take().map_or(Bound::Unbounded, Bound::Excluded);
+        let mut facts = Vec::new();
+        let mut last = None;
+        for (key, entry) in self.entries.range((start, Bound::Unbounded)).take(max) {
+            facts.push(entry.fact(now));
+            last = Some(key.clone());
+        }
+        self.cursor = if facts.len() == max { last } else { None };
+        facts
+    }
+
+    /// The fact about `key`.
+    pub(crate) fn get(&self, now: Duration, key: &Key) -> Option<Fact> {
+        self.entries.get(key).map(|entry| entry.fact(now))
+    }
+
+    fn remove(&mut self, key: &Key) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.digest ^= entry.hash;
+            self.hot.retain(|(hot, _)| hot != key);
+        }
+    }
+
+    /// Drops the fact that would expire first.
+    fn evict(&mut self) {
+        let first = self
+            .entries
+            .iter()
+            .min_by_key(|(_, entry)| entry.expires.unwrap_or(Duration::MAX))
+            .map(|(key, _)| key.clone());
+        if let Some(key) = first {
+            self.remove(&key);
+        }
+    }
+}
+
+impl Entry {
+    fn fact(&self, now: Duration) -> Fact {
+        let ttl = self.expires.map(|expires| expires.saturating_sub(now));
+        Fact { version: self.version, ttl, news: self.news.clone() }
+    }
+}
+
+/// Version of a standing: a higher incarnation goes first, then the worse state.
+pub(crate) fn standing_version(incarnation: Incarnation, state: State) -> u64 {
+    incarnation.saturating_mul(4).saturating_add(state as u64)
+}
+
+/// Higher versions win. Two nodes may give one version to different news about a request;
+/// then the stricter news wins, so that all nodes choose the same.
+fn supersedes(fact: &Fact, held: &Entry) -> bool {
+    if fact.version != held.version {
+        return fact.version > held.version;
+    }
+    match (&fact.news, &held.news) {
+        (
+            News::Quarantine { condemned, target, .. },
+            News::Quarantine { condemned: held_condemned, target: held_target, .. },
+        ) => (condemned, target) > (held_condemned, held_target),
+        _ => false,
+    }
+}
+
+fn hash(key: &Key, version: u64, news: &News) -> u64 {
+    let mut hasher = SipHasher13::new();
+    key.hash(&mut hasher);
+    version.hash(&mut hasher);
+    if let News::Quarantine { target, condemned, .. } = news {
+        (target, condemned).hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,9 +1,20 @@
 //! Membership of nodes and targets, and spreading of small facts.
+//!
+//! The platform's lagging list seeds the view and direct heartbeats correct it. Up to a few
+//! nodes form a full mesh; above that each node sends to a fixed number of others in turn.
+//! Facts ride on heartbeats; urgent ones and new configuration versions are pushed at once.
 
+mod demand;
+mod event;
+mod evidence;
+mod fact;
 mod message;
+mod peer;
 mod service;
 mod settings;
+mod target;
 
+pub use event::EVENTS;
 pub use message::*;
 pub use service::Membership;
-pub use settings::Settings;
+pub use settings::{Builder, Settings};
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -25,6 +25,12 @@
     Publish(News),
     /// The version of the configuration in force here.
     Preset(Version),
+    /// When this node's freshness was last proved, as `preset::Action::Proof` says; `None`
+    /// for a version learned from a majority.
+    Proof(Option<Duration>),
+    /// What the callers of this node ask, by organisation, in tokens per second; replaces
+    /// what was told before.
+    Demand(Vec<(OrganisationName, f64)>),
     /// A target has refused work because it is leaving, or an operator drains it.
     Leaving(TargetName),
     /// This node is about to stop.
@@ -52,6 +58,11 @@
     pub digest: u64,
     /// Asks for all facts of the receiver.
     pub wants_facts: bool,
+    /// Age of the sender's last proof that its configuration is current; `Duration::MAX` when
+    /// it has learned it from a majority, `None` when it has had no proof since its start.
+    pub proof_age: Option<Duration>,
+    /// Sample of the demand at the sender, see [`Action::Demand`].
+    pub demand: Vec<(OrganisationName, f64)>,
 }
 
 /// A piece of news with its version.
@@ -144,7 +155,7 @@
     },
     /// Reply to the heartbeat just heard.
     Reply(Heartbeat),
-    /// The nodes have changed.
+    /// The other nodes have changed.
     Nodes(Vec<Node>),
     /// The targets have changed; their standing joins list, refusals, drains and news.
     Targets(Vec<Target>),
@@ -166,6 +177,28 @@
         /// Its version.
         version: Version,
     },
+    /// The store's version was not above `version` at `at`, as another node could prove.
+    Proved {
+        /// The other node's version.
+        version: Version,
+        /// When, by this node's clock.
+        at: Duration,
+    },
+    /// A majority of the known nodes had `version` or a lower one in force at `at`.
+    Agreed {
+        /// The highest version among them.
+        version: Version,
+        /// When the oldest of their answers was asked for, by this node's clock.
+        at: Duration,
+    },
+    /// Demand by organisation over all live nodes, this one included: exact where each
+    /// heartbeat holds all organisations, else an unbiased estimate.
+    Demand {
+        /// Number of live nodes, this one included.
+        live: u32,
+        /// Tokens per second by organisation.
+        totals: Vec<(OrganisationName, f64)>,
+    },
     /// Whether this node trusts its own view; it does not after a pause or alone in a partition.
     Confident(bool),
     /// Send [`Message::Wake`] after this time.
--- a/crates/preset/src/service.rs
+++ b/crates/preset/src/service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::{Event, NodeName, Version};
+use fleet::{Alarm, Event, NodeName, Version};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
@@ -31,6 +31,7 @@
     watching: bool,
     asked: Option<(NodeName, Version, Duration)>,
     fresh: bool,
+    alarm: Alarm,
 }
 
 /// What the last poll showed of the store.
@@ -61,6 +62,7 @@
             watching: false,
             asked: None,
             fresh: false,
+            alarm: Alarm::default(),
         }
     }
 
@@ -100,7 +102,8 @@
         self.watch(rng, actions);
         self.poll(now, rng, actions);
         self.report(now, actions);
-        actions.push(Action::Wake(self.wait(now)));
+        let due = now + self.wait(now);
+        actions.extend(self.alarm.arm(now, due).map(Action::Wake));
     }
 
     fn handle(&mut self, now: Duration, message: Message, actions: &mut Vec<Action>) {
@@ -124,7 +127,8 @@
             Message::Agreed { version, at } => self.agree(version, at, actions),
             Message::Nodes { known, .. } => self.known = known.max(1),
             Message::Confident(false) => self.agreed = None,
-            Message::Confident(true) | Message::Watched(None) | Message::Wake => {}
+            Message::Wake => self.alarm.rang(now),
+            Message::Confident(true) | Message::Watched(None) => {}
         }
     }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -29,6 +29,22 @@
     /// Asks the receiver for all of its facts.
     #[prost(bool, tag = "10")]
     pub wants_facts: bool,
+    /// Age of the sender's last proof that its configuration is current; the largest value when it
+    /// learned it from a majority, absent when it has had no proof since its start.
+    #[prost(uint64, optional, tag = "11")]
+    pub proof_age_ms: ::core::option::Option<u64>,
+    /// Sample of the demand at the sender.
+    #[prost(message, repeated, tag = "12")]
+    pub demand: ::prost::alloc::vec::Vec<Share>,
+}
+/// Demand of an organisation at the sender, weighted so that its mean over all samples is right.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Share {
+    #[prost(string, tag = "1")]
+    pub organisation: ::prost::alloc::string::String,
+    /// Tokens per second.
+    #[prost(float, tag = "2")]
+    pub cost: f32,
 }
 /// One piece of news: a key, a version that only grows, and a typed body.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,5 +11,5 @@
 pub use generated::peer_client::PeerClient as Client;
 pub use generated::peer_server::{Peer, PeerServer as Server};
 pub use generated::{
-    Claims, Demand, Fact, Heartbeat, Leaving, Quarantine, Standing, Verdicts, fact, standing,
+    Claims, Demand, Fact, Heartbeat, Leaving, Quarantine, Share, Standing, Verdicts, fact, standing,
 };
