--- a/crates/preset/src/commit.rs
+++ b/crates/preset/src/commit.rs
@@ -18,6 +18,10 @@
     pub document: Preset,
     /// Name of the change; the same in a repeated call.
     pub change: Change,
+    /// Time since 1970 at the zero of the command's clock. Versions are milliseconds since
+    /// 1970, or one more than the highest where that is higher, so that a version that the
+    /// store has lost is not given again.
+    pub epoch: Duration,
     /// Version that the operator has seen in force; `None` to follow whatever is in force.
     pub base: Option<Version>,
     /// How long a proof of freshness holds in the nodes.
@@ -30,10 +34,10 @@
 
 impl Request {
     /// Makes a request with the freshness of the nodes' defaults and 20 s of patience.
-    pub fn new(document: Preset, change: Change) -> Self {
+    pub fn new(document: Preset, change: Change, epoch: Duration) -> Self {
         let freshness = crate::Settings::default().freshness;
         let patience = Duration::from_secs(20);
-        Self { document, change, base: None, freshness, patience, read_back: true }
+        Self { document, change, epoch, base: None, freshness, patience, read_back: true }
     }
 }
 
@@ -260,15 +264,22 @@
                 wants.push(Want::Write { value: written.value, expected: written.expected });
             }
             Some(written) => self.conflict(found, written.base, wants),
-            None => self.first(found, revision, wants),
+            None => self.first(now, found, revision, wants),
         }
     }
 
-    fn first(&mut self, found: Option<Stored>, revision: Revision, wants: &mut Vec<Want>) {
+    fn first(
+        &mut self,
+        now: Duration,
+        found: Option<Stored>,
+        revision: Revision,
+        wants: &mut Vec<Want>,
+    ) {
         if let Some(base) = self.request.base.filter(|base| *base != self.stored) {
             return self.conflict(found, base, wants);
         }
-        let version = self.stored.max(self.highest) + 1;
+        let clock = (self.request.epoch + now).as_millis() as Version;
+        let version = clock.max(self.stored.max(self.highest) + 1);
         let Request { document, change, .. } = &self.request;
         let stored = Stored::following(found.as_ref(), document, change, version);
         let value = stored.encode();
