Admission: fair shares, learned patience, slack with ageing, early refusal

Callers never state urgency, so patience is learned per organisation and shape from hang-ups and repeats, by the product limit so that served callers count only while they were at risk.

Cause: bursts of one organisation's urgent requests wait for its turn among ten organisations. Ruled out: learning of patience (no hang-ups after the warm-up).

--- /dev/null
+++ b/crates/limit/examples/measure.rs
@@ -0,0 +1,123 @@
+//! Measures of admission, one JSON line each: median and worst over the seeds.
+//!
+//! `cargo run --release -p limit --example measure`
+
+use std::time::Duration;
+
+use limit::Settings;
+
+#[path = "../tests/fake/mod.rs"]
+mod fake;
+#[path = "../tests/loads/mod.rs"]
+mod loads;
+
+use fake::{Callers, Tally, World};
+
+const SEEDS: u64 = 20;
+
+struct Variant {
+    name: &'static str,
+    settings: Settings,
+}
+
+fn variants() -> Vec<Variant> {
+    let on = Settings::default();
+    let fcfs =
+        Settings { fair: false, urgency: false, early_refusal: false, ..Settings::default() };
+    vec![
+        Variant { name: "limiter", settings: on.clone() },
+        Variant { name: "first-come-first-served", settings: fcfs },
+        Variant { name: "no-urgency", settings: Settings { urgency: false, ..on.clone() } },
+        Variant { name: "no-shares", settings: Settings { fair: false, ..on.clone() } },
+        Variant { name: "no-early-refusal", settings: Settings { early_refusal: false, ..on } },
+    ]
+}
+
+struct Row {
+    name: &'static str,
+    run: fn(&Settings, u64) -> f64,
+    bound: Option<f64>,
+    source: &'static str,
+}
+
+const ROWS: &[Row] = &[
+    Row {
+        name: "urgent-in-time",
+        run: urgent,
+        bound: Some(0.99),
+        source: "urgent work in time at 1.5 times the capacity: 99 in 100",
+    },
+    Row {
+        name: "isolation",
+        run: isolation,
+        bound: Some(0.95),
+        source: "one organisation offers 10 times its share: others keep 0.95",
+    },
+    Row { name: "node-lost", run: node_lost, bound: None, source: "none stated" },
+    Row { name: "come-back-served", run: come_back, bound: None, source: "none stated" },
+];
+
+fn print(row: &Row, variant: &str, mut values: Vec<f64>) {
+    values.sort_by(f64::total_cmp);
+    let (name, source) = (row.name, row.source);
+    let median = values[values.len() / 2];
+    let worst = values[0];
+    let bound = row.bound.map_or("null".to_owned(), |bound| bound.to_string());
+    println!(
+        "{{\"name\":\"{name}\",\"variant\":\"{variant}\",\"seeds\":{SEEDS},\
+         \"median\":{median:.4},\"worst\":{worst:.4},\"unit\":\"share\",\
+         \"bound\":{bound},\"source\":\"{source}\"}}"
+    );
+}
+
+fn share(tally: Tally) -> f64 {
+    f64::from(tally.in_time) / f64::from(tally.offered.max(1))
+}
+
+fn urgent(settings: &Settings, seed: u64) -> f64 {
+    let callers = loads::urgent_and_patient(1.5);
+    let tallies = World { nodes: 4, ..World::new(100, seed) }.run(settings, &callers);
+    let urgent: Vec<&Tally> = tallies.iter().step_by(2).collect();
+    let in_time: u32 = urgent.iter().map(|tally| tally.in_time).sum();
+    let offered: u32 = urgent.iter().map(|tally| tally.offered).sum();
+    f64::from(in_time) / f64::from(offered)
+}
+
+fn isolation(settings: &Settings, seed: u64) -> f64 {
+    let world = World { nodes: 4, ..World::new(100, seed) };
+    let crowd = world.run(settings, &loads::one_greedy(10.0));
+    let alone = world.run(settings, &loads::one_greedy(0.0001));
+    let others = 1..crowd.len();
+    others.map(|index| share(crowd[index]) / share(alone[index])).fold(f64::MAX, f64::min)
+}
+
+fn node_lost(settings: &Settings, seed: u64) -> f64 {
+    let callers: Vec<Callers> = loads::urgent_and_patient(0.9);
+    let world = World {
+        nodes: 4,
+        node_lost: Some(Duration::from_secs(60)),
+        warm_up: Duration::from_secs(65),
+        ..World::new(100, seed)
+    };
+    let tallies = world.run(settings, &callers);
+    let in_time: u32 = tallies.iter().map(|tally| tally.in_time).sum();
+    let offered: u32 = tallies.iter().map(|tally| tally.offered).sum();
+    f64::from(in_time) / f64::from(offered)
+}
+
+fn come_back(settings: &Settings, seed: u64) -> f64 {
+    let callers = loads::returning(1.3);
+    let tallies = World { nodes: 4, ..World::new(100, seed) }.run(settings, &callers);
+    let back: u32 = tallies.iter().map(|tally| tally.came_back).sum();
+    let served: u32 = tallies.iter().map(|tally| tally.came_back_served).sum();
+    f64::from(served) / f64::from(back.max(1))
+}
+
+fn main() {
+    for row in ROWS {
+        for variant in variants() {
+            let values = (1..=SEEDS).map(|seed| (row.run)(&variant.settings, seed)).collect();
+            print(row, variant.name, values);
+        }
+    }
+}
--- /dev/null
+++ b/crates/limit/src/class.rs
@@ -0,0 +1,28 @@
+//! Classes of requests that are taken to be alike.
+
+use fleet::{Request, Shape};
+
+/// Requests of one organisation for one service, of about one size and form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Class {
+    /// Dense id of the organisation.
+    pub organisation: u32,
+    /// Binary logarithm of the tokens of the prompt.
+    pub prompt: u8,
+    /// Binary logarithm of the most tokens of the answer.
+    pub answer: u8,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+impl Class {
+    /// Returns the class of a request of the organisation with this dense id.
+    pub fn of(organisation: u32, request: &Request) -> Self {
+        let Shape { prompt_tokens, max_tokens, stream } = request.shape;
+        Self { organisation, prompt: log2(prompt_tokens), answer: log2(max_tokens), stream }
+    }
+}
+
+fn log2(value: u32) -> u8 {
+    value.checked_ilog2().map_or(0, |log| log as u8 + 1)
+}
--- a/crates/limit/src/message.rs
+++ b/crates/limit/src/message.rs
@@ -63,7 +63,7 @@
     pub node: NodeName,
     /// The organisation.
     pub organisation: OrganisationName,
-    /// Predicted cost offered, in tokens per second.
+    /// Predicted cost offered, in slots: arrivals per second times seconds of a slot each.
     pub cost: f64,
 }
 
@@ -97,7 +97,7 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
-    /// This node's demand, for the other nodes.
+    /// This node's demand in slots, for the other nodes.
     Demand(Vec<(OrganisationName, f64)>),
     /// Send [`Message::Wake`] after this time.
     Wake(Duration),
--- a/crates/limit/src/service.rs
+++ b/crates/limit/src/service.rs
@@ -1,29 +1,525 @@
-//! The service: a state machine without clock, thread or socket.
+//! The limiter: a state machine without clock, thread or socket.
 
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use fleet::{Event, OrganisationName, Request, RequestId};
 use rand::rngs::SmallRng;
+use smol_str::SmolStr;
 
-use crate::{Action, Message, Settings};
+use crate::lane::{Lane, Running};
+use crate::organisation::OrganisationId;
+use crate::waiting::Waiting;
+use crate::{
+    Action, Bounds, Capacity, Class, Demand, Ending, Message, Reason, Settings, event, refusal,
+};
+
+/// Time between looks at the queues while something waits.
+const BUSY_WAKE: Duration = Duration::from_millis(50);
+/// Time between looks while nothing waits.
+const IDLE_WAKE: Duration = Duration::from_millis(500);
+/// Time between reports of this node's demand.
+const DEMAND_PERIOD: Duration = Duration::from_secs(1);
+/// Demand in slots that is not worth a report.
+const DEMAND_LEAST: f64 = 0.01;
+/// Priorities that engines know.
+const PRIORITIES: f64 = 10.0;
 
 /// Decides which request runs when, and which is refused.
 pub struct Limiter {
-    _settings: Settings,
+    settings: Settings,
+    live: u32,
+    names: Vec<OrganisationName>,
+    ids: HashMap<OrganisationName, OrganisationId>,
+    weights: Vec<f64>,
+    named_weights: HashMap<OrganisationName, f64>,
+    lanes: BTreeMap<SmolStr, Lane>,
+    /// Lane of each request that waits or runs.
+    places: HashMap<RequestId, SmolStr>,
+    /// When a body that is still in this node first came in.
+    bodies: HashMap<u64, (RequestId, Duration)>,
+    sequence: u64,
+    next_wake: Option<Duration>,
+    next_demand: Duration,
 }
 
 impl Limiter {
     /// Makes the service.
     pub fn new(settings: Settings) -> Self {
-        Self { _settings: settings }
+        Self {
+            settings,
+            live: 1,
+            names: Vec::new(),
+            ids: HashMap::new(),
+            weights: Vec::new(),
+            named_weights: HashMap::new(),
+            lanes: BTreeMap::new(),
+            places: HashMap::new(),
+            bodies: HashMap::new(),
+            sequence: 0,
+            next_wake: None,
+            next_demand: Duration::ZERO,
+        }
+    }
+
+    /// Requests that wait, over all services.
+    pub fn waiting(&self) -> usize {
+        self.lanes.values().map(Lane::waiting).sum()
+    }
+
+    /// Requests that run, over all services.
+    pub fn running(&self) -> usize {
+        self.lanes.values().map(|lane| lane.running.len()).sum()
     }
 
     /// Handles one message at `now` and appends the actions that it asks for.
     pub fn step(
         &mut self,
-        _now: Duration,
-        _message: Message,
-        _rng: &mut SmallRng,
-        _actions: &mut Vec<Action>,
+        now: Duration,
+        message: Message,
+        rng: &mut SmallRng,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Arrive(request) => self.arrive(now, request, rng, actions),
+            Message::Started(request) => self.started(now, request),
+            Message::Finished { request, ending } => self.finished(now, request, ending, actions),
+            Message::HungUp(request) => self.hung_up(now, request, actions),
+            Message::Capacity(capacity) => self.capacity(now, capacity, actions),
+            Message::Peers { live, demand } => self.peers(now, live, &demand, actions),
+            Message::Bounds(bounds) => self.bounds(bounds),
+            Message::Wake => self.wake(now, rng, actions),
+        }
+        self.arm(now, actions);
+    }
+
+    fn arrive(
+        &mut self,
+        now: Duration,
+        request: Request,
+        rng: &mut SmallRng,
+        actions: &mut Vec<Action>,
+    ) {
+        debug_assert!(!self.places.contains_key(&request.id), "a request arrives once");
+        let organisation = self.organisation(&request.organisation);
+        self.note_repeat(now, &request);
+        let service = request.service.clone();
+        if !self.lanes.contains_key(&service) {
+            self.lanes.insert(service.clone(), Lane::new(service.clone()));
+        }
+        let waiting = self.measure(now, organisation, request);
+        let Some(lane) = self.lanes.get_mut(&service) else { return };
+        lane.organisations.entry(waiting.class.organisation).or_default().offer(
+            now,
+            waiting.cost,
+            waiting.patience,
+        );
+        if lane.slots == 0 {
+            self.refuse(now, waiting, Reason::NoCapacity, rng, actions);
+            return;
+        }
+        if lane.has_free_slot() && lane.waiting() == 0 {
+            lane.charge(waiting.class.organisation, waiting.cost, &self.weights);
+            self.admit(now, waiting, actions);
+            return;
+        }
+        let wait = lane.predicted_wait(&waiting, now, &self.settings);
+        if self.settings.early_refusal && wait + waiting.answer > waiting.patience {
+            let reason = self.reason(now, &waiting);
+            self.refuse(now, waiting, reason, rng, actions);
+            return;
+        }
+        self.enqueue(now, waiting, wait, rng, actions);
+    }
+
+    /// Puts a request into the queue; a full queue loses the last request of the
+    /// organisation with the largest backlog.
+    fn enqueue(
+        &mut self,
+        now: Duration,
+        waiting: Waiting,
+        wait: Duration,
+        rng: &mut SmallRng,
+        actions: &mut Vec<Action>,
     ) {
+        let service = waiting.request.service.clone();
+        let Some(lane) = self.lanes.get_mut(&service) else { return };
+        actions.push(Action::Log(
+            Event::new(&event::QUEUED)
+                .with("request", format_args!("{:032x}", waiting.request.id))
+                .with("organisation", &waiting.request.organisation)
+                .with("service", &service)
+                .with("patience_ms", waiting.patience.as_millis())
+                .with("wait_ms", wait.as_millis()),
+        ));
+        self.places.insert(waiting.request.id, service.clone());
+        self.bodies.entry(waiting.request.fingerprint).or_insert((waiting.request.id, now));
+        let organisation = waiting.class.organisation;
+        lane.organisations.entry(organisation).or_default().queue.push(waiting);
+        if lane.waiting() > self.settings.queue {
+            let largest = lane.largest_backlog(&self.weights);
+            let last = largest
+                .and_then(|id| lane.organisations.get_mut(&id))
+                .and_then(|organisation| organisation.queue.pop_last());
+            if let Some(last) = last {
+                self.refuse(now, last, Reason::QueueFull, rng, actions);
+            }
+        }
+        self.dispatch(now, &service, actions);
+    }
+
+    /// Works out what is known of a request before it is decided on.
+    fn measure(
+        &mut self,
+        now: Duration,
+        organisation: OrganisationId,
+        request: Request,
+    ) -> Waiting {
+        let class = Class::of(organisation, &request);
+        let settings = &self.settings;
+        let stream = request.shape.stream;
+        let (cost, patience, answer) = match self.lanes.get_mut(&request.service) {
+            Some(lane) => {
+                let estimate = lane.estimate(class, now);
+                let answer = Duration::from_secs_f64(estimate.answer_seconds(stream));
+                (estimate.hold_seconds(settings), estimate.patience(stream, settings), answer)
+            }
+            None => (settings.hold.as_secs_f64(), settings.stream_patience, Duration::ZERO),
+        };
+        let patience = patience.min(settings.wait);
+        let slack = patience.saturating_sub(answer).as_micros() as f64;
+        let arrived = now.as_micros() as f64;
+        let rank = if settings.urgency { slack + settings.ageing * arrived } else { arrived };
+        let mut class = class;
+        if !settings.fair {
+            // One queue for all: every request counts as the first organisation's.
+            class.organisation = 0;
+        }
+        self.sequence += 1;
+        Waiting {
+            request,
+            class,
+            sequence: self.sequence,
+            arrived: now,
+            cost,
+            patience,
+            answer,
+            rank: rank as i64,
+        }
+    }
+
+    fn reason(&self, now: Duration, waiting: &Waiting) -> Reason {
+        let organisation = self
+            .lanes
+            .get(&waiting.request.service)
+            .and_then(|lane| lane.organisations.get(&waiting.class.organisation));
+        match organisation {
+            Some(organisation) if organisation.offered.get(now) > organisation.slots => {
+                Reason::OverShare
+            }
+            _ => Reason::TooLate,
+        }
+    }
+
+    fn admit(&mut self, now: Duration, waiting: Waiting, actions: &mut Vec<Action>) {
+        let request = waiting.request.id;
+        let service = waiting.request.service.clone();
+        let priority = priority(waiting.patience, self.settings.wait);
+        actions.push(Action::Log(
+            Event::new(&event::ADMITTED)
+                .with("request", format_args!("{request:032x}"))
+                .with("organisation", &waiting.request.organisation)
+                .with("service", &service)
+                .with("priority", priority)
+                .with("waited_ms", now.saturating_sub(waiting.arrived).as_millis()),
+        ));
+        actions.push(Action::Admit { request, priority });
+        self.places.insert(request, service.clone());
+        self.bodies.entry(waiting.request.fingerprint).or_insert((request, waiting.arrived));
+        if let Some(lane) = self.lanes.get_mut(&service) {
+            lane.running.insert(request, Running { waiting, admitted: now, started: false });
+            debug_assert!(lane.running.len() <= lane.slots as usize, "slots bound what runs");
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: Duration,
+        waiting: Waiting,
+        reason: Reason,
+        rng: &mut SmallRng,
+        actions: &mut Vec<Action>,
+    ) {
+        self.forget(&waiting);
+        let mut retry_after = Duration::from_secs(1);
+        if let Some(lane) = self.lanes.get_mut(&waiting.request.service) {
+            let waited = now.saturating_sub(waiting.arrived);
+            if waited > Duration::ZERO {
+                lane.estimate(waiting.class, now).patience.served(waited);
+            }
+            if let Some(organisation) = lane.organisations.get_mut(&waiting.class.organisation) {
+                retry_after = refusal::next_return(organisation, now, waiting.cost, rng);
+            }
+        }
+        let request = waiting.request.id;
+        actions.push(Action::Log(
+            Event::new(&event::REFUSED)
+                .with("request", format_args!("{request:032x}"))
+                .with("organisation", &waiting.request.organisation)
+                .with("service", &waiting.request.service)
+                .with("reason", format_args!("{reason:?}"))
+                .with("retry_after_ms", retry_after.as_millis()),
+        ));
+        actions.push(Action::Refuse { request, reason, retry_after });
+    }
+
+    fn started(&mut self, now: Duration, request: RequestId) {
+        let Some(lane) = self.places.get(&request).and_then(|name| self.lanes.get_mut(name)) else {
+            return;
+        };
+        let Some(running) = lane.running.get_mut(&request) else { return };
+        if running.started {
+            return;
+        }
+        running.started = true;
+        let class = running.waiting.class;
+        let arrived = running.waiting.arrived;
+        let admitted = running.admitted;
+        let estimate = lane.estimate(class, now);
+        estimate.started(now.saturating_sub(admitted));
+        if class.stream {
+            estimate.patience.served(now.saturating_sub(arrived));
+        }
+    }
+
+    fn finished(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        ending: Ending,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(service) = self.places.get(&request).cloned() else { return };
+        let Some(lane) = self.lanes.get_mut(&service) else { return };
+        let Some(running) = lane.running.remove(&request) else { return };
+        lane.adapt(ending == Ending::Complete);
+        lane.correct(&running, now, &self.weights);
+        if ending == Ending::Complete {
+            let class = running.waiting.class;
+            let waited = now.saturating_sub(running.waiting.arrived);
+            let estimate = lane.estimate(class, now);
+            estimate.finished(now.saturating_sub(running.admitted));
+            if !class.stream {
+                estimate.patience.served(waited);
+            }
+        }
+        self.forget(&running.waiting);
+        self.dispatch(now, &service, actions);
+    }
+
+    fn hung_up(&mut self, now: Duration, request: RequestId, actions: &mut Vec<Action>) {
+        let Some(service) = self.places.get(&request).cloned() else { return };
+        let Some(lane) = self.lanes.get_mut(&service) else { return };
+        let (waiting, began) = match lane.running.remove(&request) {
+            Some(running) => {
+                lane.correct(&running, now, &self.weights);
+                let began = running.started && running.waiting.class.stream;
+                (running.waiting, began)
+            }
+            None => {
+                let queues = lane.organisations.values_mut();
+                let found = queues.into_iter().find_map(|o| o.queue.remove(request));
+                let Some(waiting) = found else { return };
+                (waiting, false)
+            }
+        };
+        let waited = now.saturating_sub(waiting.arrived);
+        if !began {
+            lane.estimate(waiting.class, now).patience.left(waited);
+            actions.push(Action::Log(
+                Event::new(&event::HUNG_UP)
+                    .with("request", format_args!("{request:032x}"))
+                    .with("organisation", &waiting.request.organisation)
+                    .with("waited_ms", waited.as_millis()),
+            ));
+        }
+        self.forget(&waiting);
+        self.dispatch(now, &service, actions);
+    }
+
+    fn capacity(&mut self, now: Duration, capacity: Capacity, actions: &mut Vec<Action>) {
+        let service = capacity.service.clone();
+        let lane = self.lanes.entry(service.clone()).or_insert_with(|| Lane::new(service.clone()));
+        lane.fleet_slots = capacity.slots;
+        self.divide(now, &service, actions);
+        self.dispatch(now, &service, actions);
+    }
+
+    fn peers(&mut self, now: Duration, live: u32, demand: &[Demand], actions: &mut Vec<Action>) {
+        self.live = live.max(1);
+        let mut elsewhere: BTreeMap<OrganisationId, f64> = BTreeMap::new();
+        for report in demand {
+            if report.node == self.settings.node {
+                continue;
+            }
+            let id = self.organisation(&report.organisation);
+            *elsewhere.entry(id).or_default() += report.cost;
+        }
+        let parts = self.lane_parts(now);
+        let fair = self.settings.fair;
+        for (lane, part) in self.lanes.values_mut().zip(parts) {
+            for organisation in lane.organisations.values_mut() {
+                organisation.elsewhere = 0.0;
+            }
+            for (&id, &cost) in &elsewhere {
+                let id = if fair { id } else { 0 };
+                lane.organisations.entry(id).or_default().elsewhere += cost * part;
+            }
+        }
+        self.divide_all(now, actions);
+    }
+
+    /// Each lane's part of the cost offered here: reports from other nodes name no
+    /// service, and their callers are taken to ask for the same mix.
+    fn lane_parts(&self, now: Duration) -> Vec<f64> {
+        let costs: Vec<f64> = self
+            .lanes
+            .values()
+            .map(|lane| lane.organisations.values().map(|o| o.offered.get(now)).sum())
+            .collect();
+        let total: f64 = costs.iter().sum();
+        costs.iter().map(|cost| if total > 0.0 { cost / total } else { 0.0 }).collect()
+    }
+
+    fn bounds(&mut self, bounds: Bounds) {
+        self.settings.queue = bounds.queue;
+        self.settings.wait = bounds.wait;
+        self.named_weights = bounds.weights.into_iter().collect();
+        for (name, weight) in self.names.iter().zip(&mut self.weights) {
+            *weight = self.named_weights.get(name).copied().unwrap_or(1.0);
+        }
+    }
+
+    fn wake(&mut self, now: Duration, rng: &mut SmallRng, actions: &mut Vec<Action>) {
+        if self.next_wake.is_some_and(|at| at <= now) {
+            self.next_wake = None;
+        }
+        if self.settings.early_refusal {
+            self.refuse_late(now, rng, actions);
+        }
+        self.divide_all(now, actions);
+        if now >= self.next_demand {
+            self.next_demand = now + DEMAND_PERIOD;
+            let demand = self.demand(now);
+            actions.push(Action::Demand(demand));
+        }
+    }
+
+    /// Refuses what cannot be answered in time any more.
+    fn refuse_late(&mut self, now: Duration, rng: &mut SmallRng, actions: &mut Vec<Action>) {
+        let mut late = Vec::new();
+        for lane in self.lanes.values_mut() {
+            for organisation in lane.organisations.values_mut() {
+                late.extend(organisation.queue.take_late(now));
+            }
+        }
+        for waiting in late {
+            let reason = self.reason(now, &waiting);
+            self.refuse(now, waiting, reason, rng, actions);
+        }
+    }
+
+    fn demand(&self, now: Duration) -> Vec<(OrganisationName, f64)> {
+        let mut costs = vec![0.0; self.names.len()];
+        for lane in self.lanes.values() {
+            for (&id, organisation) in &lane.organisations {
+                costs[id as usize] += organisation.offered.get(now);
+            }
+        }
+        let named = self.names.iter().cloned().zip(costs);
+        named.filter(|(_, cost)| *cost >= DEMAND_LEAST).collect()
     }
+
+    fn divide_all(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let services: Vec<SmolStr> = self.lanes.keys().cloned().collect();
+        for service in services {
+            self.divide(now, &service, actions);
+            self.dispatch(now, &service, actions);
+        }
+    }
+
+    fn divide(&mut self, now: Duration, service: &SmolStr, actions: &mut Vec<Action>) {
+        let Some(lane) = self.lanes.get_mut(service) else { return };
+        let before = lane.slots;
+        lane.divide(now, self.live, &self.weights);
+        if before != lane.slots {
+            actions.push(Action::Log(
+                Event::new(&event::SLOTS)
+                    .with("service", &lane.service)
+                    .with("slots", lane.slots)
+                    .with("fleet_slots", lane.fleet_slots)
+                    .with("nodes", self.live),
+            ));
+        }
+    }
+
+    /// Admits as many waiting requests as there are free slots.
+    fn dispatch(&mut self, now: Duration, service: &SmolStr, actions: &mut Vec<Action>) {
+        loop {
+            let Some(lane) = self.lanes.get_mut(service) else { return };
+            if !lane.has_free_slot() {
+                return;
+            }
+            let Some(waiting) = lane.next(now, &self.settings, &self.weights) else { return };
+            self.admit(now, waiting, actions);
+        }
+    }
+
+    /// A body that comes again while its first sending is still here: that caller has
+    /// stopped waiting for it.
+    fn note_repeat(&mut self, now: Duration, request: &Request) {
+        let Some(&(first, arrived)) = self.bodies.get(&request.fingerprint) else { return };
+        let Some(lane) = self.places.get(&first).and_then(|name| self.lanes.get_mut(name)) else {
+            return;
+        };
+        if let Some(class) = lane.class_of(first) {
+            lane.estimate(class, now).patience.left(now.saturating_sub(arrived));
+        }
+    }
+
+    fn forget(&mut self, waiting: &Waiting) {
+        self.places.remove(&waiting.request.id);
+        let first = self.bodies.get(&waiting.request.fingerprint);
+        if first.is_some_and(|(request, _)| *request == waiting.request.id) {
+            self.bodies.remove(&waiting.request.fingerprint);
+        }
+    }
+
+    fn organisation(&mut self, name: &OrganisationName) -> OrganisationId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = self.names.len() as OrganisationId;
+        self.names.push(name.clone());
+        self.ids.insert(name.clone(), id);
+        self.weights.push(self.named_weights.get(name).copied().unwrap_or(1.0));
+        id
+    }
+
+    /// Keeps one wake-up ahead: soon while something waits.
+    fn arm(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let after = if self.waiting() > 0 { BUSY_WAKE } else { IDLE_WAKE };
+        if self.next_wake.is_none_or(|at| at > now + after) {
+            self.next_wake = Some(now + after);
+            actions.push(Action::Wake(after));
+        }
+    }
+}
+
+/// Urgency for engines on a logarithmic scale, from 0.25 s of patience to `longest`.
+fn priority(patience: Duration, longest: Duration) -> u8 {
+    let least = 0.25;
+    let ratio = (patience.as_secs_f64() / least).max(1.0).ln();
+    let whole = (longest.as_secs_f64() / least).max(2.0).ln();
+    (ratio / whole * PRIORITIES).min(PRIORITIES - 1.0) as u8
 }
