--- /dev/null
+++ b/crates/standin/src/event.rs
@@ -0,0 +1,27 @@
+//! Numbered events of the stand-ins.
+
+use fleet::EventKind;
+
+/// A stand-in listens.
+pub(crate) const STARTED: EventKind = EventKind {
+    number: 1001,
+    name: "standin-started",
+    meaning: "A stand-in listens on its address.",
+};
+
+/// A command changed what a stand-in does.
+pub(crate) const COMMANDED: EventKind = EventKind {
+    number: 1002,
+    name: "standin-commanded",
+    meaning: "A control command was taken by a stand-in.",
+};
+
+/// A stand-in crashed as commanded.
+pub(crate) const CRASHED: EventKind = EventKind {
+    number: 1003,
+    name: "standin-crashed",
+    meaning: "A stand-in met its crash marker and ends at once.",
+};
+
+/// All events of this crate.
+pub const EVENTS: &[&EventKind] = &[&STARTED, &COMMANDED, &CRASHED];
--- /dev/null
+++ b/crates/standin/src/http/mod.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 for the stand-ins: a server whose connections can be cut at any
+//! moment, and a client with persistent connections.
+
+mod body;
+mod call;
+mod client;
+mod gate;
+mod reply;
+mod server;
+
+pub(crate) use body::{Body, Part, Stream};
+pub(crate) use call::Call;
+pub(crate) use client::{Client, ClientError};
+pub(crate) use gate::Gate;
+pub(crate) use reply::{Cut, Reply};
+pub(crate) use server::{Answer, Background, Handler, Server, Stop};
--- /dev/null
+++ b/crates/standin/src/platform/state.rs
@@ -0,0 +1,120 @@
+//! What the platform's handlers share.
+
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::command::{Command, Outage};
+use super::counter::{Counter, Counters, Operation};
+use super::list::List;
+use super::rate::Rate;
+use super::store::Store;
+
+/// Answer of `GET /control/counters`.
+#[derive(Debug, Serialize)]
+pub(super) struct Counts {
+    pub(super) counters: Vec<Counter>,
+    pub(super) open_watches: u32,
+}
+
+/// Writes whose answers are to be lost.
+#[derive(Debug)]
+struct Loss {
+    prefix: SmolStr,
+    count: u32,
+    applied: bool,
+}
+
+/// State of the platform, behind one lock.
+#[derive(Debug)]
+pub(super) struct State {
+    started: Instant,
+    pub(super) store: Store,
+    pub(super) list: List,
+    pub(super) counters: Counters,
+    pub(super) open_watches: u32,
+    pub(super) outage: Outage,
+    pub(super) list_outage: Outage,
+    pub(super) delay: Duration,
+    reads: Rate,
+    writes: Rate,
+    losses: Vec<Loss>,
+    /// Grows when watches are cut.
+    pub(super) watch_epoch: u64,
+}
+
+impl State {
+    /// Makes an empty store with the given rates and lag.
+    pub(super) fn new(reads: f64, writes: f64, lag: Duration) -> Self {
+        Self {
+            started: Instant::now(),
+            store: Store::default(),
+            list: List::new(lag),
+            counters: Counters::default(),
+            open_watches: 0,
+            outage: Outage::Off,
+            list_outage: Outage::Off,
+            delay: Duration::ZERO,
+            reads: Rate::new(reads),
+            writes: Rate::new(writes),
+            losses: Vec::new(),
+            watch_epoch: 0,
+        }
+    }
+
+    /// Time since the platform began.
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Takes a call from the rate of its kind; `false` when the rate is exceeded.
+    pub(super) fn admit(&mut self, operation: Operation) -> bool {
+        let now = self.now();
+        match operation {
+            Operation::Put | Operation::Txn | Operation::Delete => self.writes.take(now),
+            Operation::Range | Operation::Watch | Operation::Lease => self.reads.take(now),
+            Operation::Vms => true,
+        }
+    }
+
+    /// Whether the answer of a write of `key` is to be lost, and if so, whether the
+    /// write takes effect.
+    pub(super) fn lose(&mut self, key: &[u8]) -> Option<bool> {
+        let matches = |loss: &&mut Loss| loss.count > 0 && key.starts_with(loss.prefix.as_bytes());
+        let loss = self.losses.iter_mut().find(matches)?;
+        loss.count -= 1;
+        Some(loss.applied)
+    }
+
+    /// Carries out a command.
+    pub(super) fn command(&mut self, command: Command) {
+        let now = self.now();
+        match command {
+            Command::Outage(outage) => self.set_outage(outage),
+            Command::ListOutage(outage) => self.list_outage = outage,
+            Command::DelayMs(delay) => self.delay = Duration::from_millis(delay),
+            Command::Lose { prefix, count, applied } => {
+                self.losses.push(Loss { prefix, count, applied });
+            }
+            Command::CutWatches => self.watch_epoch += 1,
+            Command::Compact => self.store.compact(self.store.revision()),
+            Command::SetVms(vms) => self.list.reset(vms),
+            Command::Join(vm) => self.list.join(now, *vm),
+            Command::Leaving(name) => self.list.leave(now, &name),
+            Command::Remove(name) => self.list.remove(now, &name),
+            Command::LagMs(lag) => self.list.set_lag(Duration::from_millis(lag)),
+            Command::Rates { reads, writes } => {
+                self.reads = Rate::new(reads);
+                self.writes = Rate::new(writes);
+            }
+        }
+    }
+
+    fn set_outage(&mut self, outage: Outage) {
+        self.outage = outage;
+        if outage == Outage::Refuse {
+            self.watch_epoch += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,402 @@
+//! The key-value store: a state machine that is told the time.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::fmt;
+use std::ops::Bound;
+use std::time::Duration;
+
+/// Grows by one with each change of the store.
+pub type Revision = i64;
+/// Identifier of a lease; 0 is no lease.
+pub type Lease = i64;
+
+/// Largest value, in bytes.
+pub const VALUE_LIMIT: usize = 1024 * 1024;
+/// Changes that are kept for watches that begin in the past.
+const HISTORY_LIMIT: usize = 10_000;
+
+/// A key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The key.
+    pub key: Vec<u8>,
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision at which the key was created.
+    pub created: Revision,
+    /// Revision of its last change.
+    pub modified: Revision,
+    /// Number of changes since it was created.
+    pub version: i64,
+    /// Lease that it hangs on.
+    pub lease: Lease,
+}
+
+/// One change, as watches see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The entry after the change; for a deletion only key and revision count.
+    pub entry: Entry,
+    /// Whether the key was deleted.
+    pub deleted: bool,
+}
+
+/// Keys from `start` up to `end`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Range {
+    /// First key.
+    pub start: Vec<u8>,
+    /// First key after the range; empty for the single key `start`, one zero byte for no end.
+    pub end: Vec<u8>,
+}
+
+impl Range {
+    /// Whether `key` is in the range.
+    pub fn contains(&self, key: &[u8]) -> bool {
+        if self.end.is_empty() {
+            return key == self.start;
+        }
+        key >= self.start.as_slice() && (self.end == [0] || key < self.end.as_slice())
+    }
+
+    fn upper(&self) -> Bound<Vec<u8>> {
+        match self.end.as_slice() {
+            [] => Bound::Included(self.start.clone()),
+            [0] => Bound::Unbounded,
+            _ => Bound::Excluded(self.end.clone()),
+        }
+    }
+}
+
+/// What a transaction compares.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Comparison {
+    /// Revision of creation; 0 for an absent key.
+    Created(Revision),
+    /// Revision of the last change; 0 for an absent key.
+    Modified(Revision),
+    /// Version; 0 for an absent key.
+    Version(i64),
+    /// Lease; 0 for none.
+    Lease(Lease),
+    /// Value; an absent key never compares.
+    Value(Vec<u8>),
+}
+
+/// One condition of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Compare {
+    /// The key.
+    pub key: Vec<u8>,
+    /// What the key has on the left, compared with this on the right.
+    pub comparison: Comparison,
+    /// The orderings that satisfy the condition.
+    pub accepts: &'static [std::cmp::Ordering],
+}
+
+/// One operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Op {
+    /// Reads keys.
+    Range {
+        /// Which.
+        range: Range,
+        /// Most entries to return; 0 for all.
+        limit: usize,
+    },
+    /// Writes a key.
+    Put {
+        /// The key.
+        key: Vec<u8>,
+        /// The value.
+        value: Vec<u8>,
+        /// Lease to hang it on; 0 for none.
+        lease: Lease,
+    },
+    /// Deletes keys.
+    Delete(Range),
+}
+
+/// What came of one operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Entries read, and the number of keys in the range.
+    Entries {
+        /// Entries, up to the limit.
+        entries: Vec<Entry>,
+        /// Keys in the range.
+        count: usize,
+    },
+    /// Written.
+    Put,
+    /// Number of keys deleted.
+    Deleted(usize),
+}
+
+/// Why an operation was refused. Nothing was changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The value exceeds [`VALUE_LIMIT`].
+    TooLarge,
+    /// The lease does not exist, or has lapsed.
+    NoLease,
+    /// The revision asked for has been compacted.
+    Compacted(Revision),
+    /// The key is empty.
+    NoKey,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::TooLarge => write!(f, "etcdserver: request is too large"),
+            Failure::NoLease => write!(f, "etcdserver: requested lease not found"),
+            Failure::Compacted(_) => {
+                write!(f, "etcdserver: mvcc: required revision has been compacted")
+            }
+            Failure::NoKey => write!(f, "etcdserver: key is not provided"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    ttl: Duration,
+    deadline: Duration,
+}
+
+/// The store. `now` is the time since it began and never decreases.
+#[derive(Debug)]
+pub struct Store {
+    revision: Revision,
+    compacted: Revision,
+    entries: BTreeMap<Vec<u8>, Entry>,
+    history: VecDeque<Change>,
+    leases: HashMap<Lease, Grant>,
+    next_lease: Lease,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            revision: 1,
+            compacted: 0,
+            entries: BTreeMap::new(),
+            history: VecDeque::new(),
+            leases: HashMap::new(),
+            next_lease: 1,
+        }
+    }
+}
+
+impl Store {
+    /// Revision of the last change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Runs `then` if all conditions hold, else `otherwise`, as one change.
+    ///
+    /// Returns whether the conditions held, and the outcomes in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails without any change when an operation is not valid.
+    pub fn transact(
+        &mut self,
+        now: Duration,
+        conditions: &[Compare],
+        then: &[Op],
+        otherwise: &[Op],
+    ) -> Result<(bool, Vec<Outcome>), Failure> {
+        self.expire(now);
+        let succeeded = conditions.iter().all(|condition| self.holds(condition));
+        let ops = if succeeded { then } else { otherwise };
+        for op in ops {
+            self.check(op)?;
+        }
+        let revision = self.revision + 1;
+        let outcomes = ops.iter().map(|op| self.apply(op, revision)).collect();
+        Ok((succeeded, outcomes))
+    }
+
+    /// Runs a single operation.
+    ///
+    /// # Errors
+    ///
+    /// Fails without any change when the operation is not valid.
+    pub fn run(&mut self, now: Duration, op: &Op) -> Result<Outcome, Failure> {
+        self.expire(now);
+        self.check(op)?;
+        Ok(self.apply(op, self.revision + 1))
+    }
+
+    /// Grants a lease; `id` 0 chooses one. Returns its identifier.
+    pub fn grant(&mut self, now: Duration, id: Lease, ttl: Duration) -> Lease {
+        self.expire(now);
+        let id = if id == 0 { self.next_lease } else { id };
+        self.next_lease = self.next_lease.max(id) + 1;
+        self.leases.insert(id, Grant { ttl, deadline: now + ttl });
+        id
+    }
+
+    /// Renews a lease and returns its time to live; `None` when it has lapsed.
+    pub fn renew(&mut self, now: Duration, id: Lease) -> Option<Duration> {
+        self.expire(now);
+        let grant = self.leases.get_mut(&id)?;
+        grant.deadline = now + grant.ttl;
+        Some(grant.ttl)
+    }
+
+    /// Ends a lease and deletes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the lease does not exist.
+    pub fn revoke(&mut self, now: Duration, id: Lease) -> Result<(), Failure> {
+        self.expire(now);
+        self.leases.remove(&id).ok_or(Failure::NoLease)?;
+        self.drop_lease(id);
+        Ok(())
+    }
+
+    /// Deletes the keys of leases that have lapsed by `now`.
+    pub fn expire(&mut self, now: Duration) {
+        let mut lapsed: Vec<Lease> = self
+            .leases
+            .iter()
+            .filter(|(_, grant)| grant.deadline <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        lapsed.sort_unstable();
+        for id in lapsed {
+            self.leases.remove(&id);
+            self.drop_lease(id);
+        }
+    }
+
+    /// Changes in `range` from revision `from` on, in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails when some of them are no longer kept.
+    pub fn changes(&self, range: &Range, from: Revision) -> Result<Vec<Change>, Failure> {
+        if from < self.compacted {
+            return Err(Failure::Compacted(self.compacted));
+        }
+        let first = self.history.partition_point(|change| change.entry.modified < from);
+        let kept = self.history.range(first..);
+        Ok(kept.filter(|change| range.contains(&change.entry.key)).cloned().collect())
+    }
+
+    /// Forgets the changes before `revision`.
+    pub fn compact(&mut self, revision: Revision) {
+        self.compacted = self.compacted.max(revision.min(self.revision));
+        let compacted = self.compacted;
+        self.history.retain(|change| change.entry.modified >= compacted);
+    }
+
+    fn holds(&self, condition: &Compare) -> bool {
+        let entry = self.entries.get(&condition.key);
+        let number = |field: fn(&Entry) -> i64| entry.map_or(0, field);
+        let ordering = match &condition.comparison {
+            Comparison::Created(right) => number(|entry| entry.created).cmp(right),
+            Comparison::Modified(right) => number(|entry| entry.modified).cmp(right),
+            Comparison::Version(right) => number(|entry| entry.version).cmp(right),
+            Comparison::Lease(right) => number(|entry| entry.lease).cmp(right),
+            Comparison::Value(right) => match entry {
+                Some(entry) => entry.value.cmp(right),
+                None => return false,
+            },
+        };
+        condition.accepts.contains(&ordering)
+    }
+
+    fn check(&self, op: &Op) -> Result<(), Failure> {
+        match op {
+            Op::Put { key, .. } if key.is_empty() => Err(Failure::NoKey),
+            Op::Put { value, .. } if value.len() > VALUE_LIMIT => Err(Failure::TooLarge),
+            Op::Put { lease, .. } if *lease != 0 && !self.leases.contains_key(lease) => {
+                Err(Failure::NoLease)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn apply(&mut self, op: &Op, revision: Revision) -> Outcome {
+        match op {
+            Op::Range { range, limit } => self.read(range, *limit),
+            Op::Put { key, value, lease } => {
+                self.put(key.clone(), value.clone(), *lease, revision);
+                Outcome::Put
+            }
+            Op::Delete(range) => Outcome::Deleted(self.delete(range, revision)),
+        }
+    }
+
+    fn keys(&self, range: &Range) -> impl Iterator<Item = &Entry> {
+        let bounds = (Bound::Included(range.start.clone()), range.upper());
+        // An end before the start selects nothing; the map's own range would panic on it.
+        let empty = matches!(&bounds.1, Bound::Excluded(end) if *end <= range.start);
+        let bounds = if empty { None } else { Some(bounds) };
+        bounds.into_iter().flat_map(|bounds| self.entries.range(bounds)).map(|(_, entry)| entry)
+    }
+
+    fn read(&self, range: &Range, limit: usize) -> Outcome {
+        let count = self.keys(range).count();
+        let limit = if limit == 0 { usize::MAX } else { limit };
+        Outcome::Entries { entries: self.keys(range).take(limit).cloned().collect(), count }
+    }
+
+    fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: Lease, revision: Revision) {
+        let (created, version) =
+            self.entries.get(&key).map_or((revision, 0), |entry| (entry.created, entry.version));
+        let entry = Entry {
+            key: key.clone(),
+            value,
+            created,
+            modified: revision,
+            version: version + 1,
+            lease,
+        };
+        self.entries.insert(key, entry.clone());
+        self.record(Change { entry, deleted: false }, revision);
+    }
+
+    fn delete(&mut self, range: &Range, revision: Revision) -> usize {
+        let keys: Vec<Vec<u8>> = self.keys(range).map(|entry| entry.key.clone()).collect();
+        for key in &keys {
+            if let Some(mut entry) = self.entries.remove(key) {
+                entry.modified = revision;
+                entry.value.clear();
+                self.record(Change { entry, deleted: true }, revision);
+            }
+        }
+        keys.len()
+    }
+
+    fn drop_lease(&mut self, id: Lease) {
+        let keys: Vec<Vec<u8>> = self
+            .entries
+            .values()
+            .filter(|entry| entry.lease == id)
+            .map(|entry| entry.key.clone())
+            .collect();
+        let revision = self.revision + 1;
+        for key in keys {
+            self.delete(&Range { start: key, end: Vec::new() }, revision);
+        }
+    }
+
+    fn record(&mut self, change: Change, revision: Revision) {
+        debug_assert!(revision >= self.revision, "revisions never decrease");
+        self.revision = revision;
+        self.history.push_back(change);
+        if self.history.len() > HISTORY_LIMIT {
+            let oldest = self.history[0].entry.modified;
+            self.compact(oldest + 1);
+        }
+    }
+}
