--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod layers;
 mod link;
 mod plan;
+mod prefix;
 mod request;
 mod target;
 mod trail;
@@ -23,6 +24,7 @@
 pub use layers::Layers;
 pub use link::Link;
 pub use plan::{Plan, Stage};
+pub use prefix::{PREFIX_BYTES, prefixes};
 pub use request::{Request, Shape};
 pub use target::{Engine, Kind, Service, Target};
 pub use trail::{Fault, Hop, Trail};
--- /dev/null
+++ b/crates/standin/src/engine/builder.rs
@@ -0,0 +1,270 @@
+//! Settings of an engine, and its handle.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use error_stack::Report;
+use fleet::{Depth, DomainName, Event, Kind, Layers, ModelName, Role, Standing, Target, Vm};
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+use super::command::Command;
+use super::compute;
+use super::execution::Execution;
+use super::server::Shared;
+use super::state::{Initial, State};
+use crate::StartError;
+use crate::event::STARTED;
+use crate::http::{Client, Gate, Server, Stop};
+
+/// Waiting streams per slot before the engine refuses more.
+const QUEUE_PER_SLOT: usize = 4;
+/// Samples of the load in one lag.
+const SAMPLES_PER_LAG: u32 = 4;
+/// Shortest time between two samples of the load.
+const SAMPLE_LEAST: Duration = Duration::from_millis(20);
+
+/// What a crash ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Crash {
+    /// The engine alone: its listener and connections are closed at once.
+    #[default]
+    Stop,
+    /// The whole process.
+    Abort,
+}
+
+/// Settings of an engine.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    name: SmolStr,
+    listen: SocketAddr,
+    domain: DomainName,
+    rack: SmolStr,
+    model: ModelName,
+    depth: Depth,
+    layers: Layers,
+    tokens_per_second: f64,
+    slots: u32,
+    accelerator: SmolStr,
+    checks_orders: bool,
+    cache: usize,
+    load_lag: Duration,
+    event_lag: Duration,
+    load_time: Duration,
+    crash: Crash,
+}
+
+impl Builder {
+    /// Starts from an engine that holds all of a small model.
+    pub fn new(name: impl Into<SmolStr>) -> Self {
+        Self {
+            name: name.into(),
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            domain: SmolStr::new_static("a"),
+            rack: SmolStr::default(),
+            model: SmolStr::new_static("plank"),
+            depth: 48,
+            layers: Layers::new(0, 48),
+            tokens_per_second: 1_000.0,
+            slots: 16,
+            accelerator: SmolStr::new_static("a100"),
+            checks_orders: true,
+            cache: 256,
+            load_lag: Duration::from_millis(200),
+            event_lag: Duration::from_millis(300),
+            load_time: Duration::from_millis(500),
+            crash: Crash::Stop,
+        }
+    }
+
+    /// Address to listen on; port 0 takes a free one.
+    pub fn listen(mut self, address: SocketAddr) -> Self {
+        self.listen = address;
+        self
+    }
+
+    /// Failure domain and rack that it stands in.
+    pub fn place(mut self, domain: impl Into<SmolStr>, rack: impl Into<SmolStr>) -> Self {
+        self.domain = domain.into();
+        self.rack = rack.into();
+        self
+    }
+
+    /// Model and number of its layers.
+    pub fn model(mut self, model: impl Into<SmolStr>, depth: Depth) -> Self {
+        self.model = model.into();
+        self.depth = depth;
+        self
+    }
+
+    /// Layers that it holds.
+    pub fn layers(mut self, start: u16, end: u16) -> Self {
+        self.layers = Layers::new(start, end);
+        self
+    }
+
+    /// Tokens per second that it passes through all of its layers, over all streams.
+    pub fn tokens_per_second(mut self, rate: f64) -> Self {
+        self.tokens_per_second = rate;
+        self
+    }
+
+    /// Streams that it runs at once as the first stage.
+    pub fn slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Kind of accelerator.
+    pub fn accelerator(mut self, accelerator: impl Into<SmolStr>) -> Self {
+        self.accelerator = accelerator.into();
+        self
+    }
+
+    /// Whether it refuses orders that carry an old fencing number.
+    pub fn checks_orders(mut self, checks: bool) -> Self {
+        self.checks_orders = checks;
+        self
+    }
+
+    /// Prefixes that its cache holds.
+    pub fn cache(mut self, prefixes: usize) -> Self {
+        self.cache = prefixes;
+        self
+    }
+
+    /// How late its load report and its cache events are.
+    pub fn lags(mut self, load: Duration, events: Duration) -> Self {
+        self.load_lag = load;
+        self.event_lag = events;
+        self
+    }
+
+    /// How long it takes to load layers.
+    pub fn load_time(mut self, time: Duration) -> Self {
+        self.load_time = time;
+        self
+    }
+
+    /// What a crash ends.
+    pub fn crash(mut self, crash: Crash) -> Self {
+        self.crash = crash;
+        self
+    }
+
+    /// Starts the engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or there is no thread to be had.
+    pub fn start(self) -> Result<Engine, Report<StartError>> {
+        let stop = Stop::default();
+        let shared = Arc::new(self.shared(stop.clone()));
+        let server = Server::start(
+            &self.name,
+            self.listen,
+            stop,
+            Arc::clone(&shared),
+            vec![
+                Box::pin(compute::run(Arc::clone(&shared))),
+                Box::pin(compute::sample(Arc::clone(&shared))),
+            ],
+        )?;
+        let event = Event::new(&STARTED).with("target", &self.name);
+        log::info!("{}", event.with("address", server.address()));
+        let vm = self.vm(server.address());
+        Ok(Engine { shared, server, vm })
+    }
+
+    fn shared(&self, stop: Stop) -> Shared {
+        let state = State::new(Initial {
+            name: self.name.clone(),
+            model: self.model.clone(),
+            layers: self.layers,
+            tokens_per_second: self.tokens_per_second,
+            slots: self.slots as usize,
+            queue_limit: self.slots as usize * QUEUE_PER_SLOT,
+            checks_orders: self.checks_orders,
+            cache: self.cache,
+            load_lag: self.load_lag,
+        });
+        Shared {
+            state: Mutex::new(state),
+            work: Notify::new(),
+            gate: Gate::new(),
+            client: Client::default(),
+            stop,
+            crash: self.crash,
+            load_time: self.load_time,
+            event_lag: self.event_lag,
+            sample_interval: (self.load_lag / SAMPLES_PER_LAG).max(SAMPLE_LEAST),
+        }
+    }
+
+    fn vm(&self, address: SocketAddr) -> Vm {
+        let engine = fleet::Engine {
+            model: self.model.clone(),
+            depth: self.depth,
+            layers: self.layers,
+            tokens_per_second: self.tokens_per_second,
+            slots: self.slots,
+            accelerator: self.accelerator.clone(),
+            checks_orders: self.checks_orders,
+        };
+        let target = Target {
+            name: self.name.clone(),
+            address,
+            domain: self.domain.clone(),
+            rack: self.rack.clone(),
+            standing: Standing::Live,
+            kind: Kind::Engine(engine),
+        };
+        Vm {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+            standing: Standing::Live,
+            role: Role::Target(target),
+        }
+    }
+}
+
+/// A running engine. Dropping it ends it.
+pub struct Engine {
+    shared: Arc<Shared>,
+    server: Server,
+    vm: Vm,
+}
+
+impl Engine {
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Its row in the platform's list.
+    pub fn vm(&self) -> &Vm {
+        &self.vm
+    }
+
+    /// Whether it still runs; `false` after a crash.
+    pub fn is_running(&self) -> bool {
+        self.server.is_running()
+    }
+
+    /// Carries out a command.
+    pub fn command(&self, command: Command) {
+        self.shared.command(command);
+    }
+
+    /// What it has executed, in order; also after a crash.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.shared.executions()
+    }
+
+    /// Waits until it has ended.
+    pub fn join(mut self) {
+        self.server.join();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/compute.rs
@@ -0,0 +1,183 @@
+//! The compute loop: one step executes all tokens that are ready, together.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{Event, Hop, Trail};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::Instant;
+
+use super::decode;
+use super::deliver::settle;
+use super::execution::Execution;
+use super::server::Shared;
+use super::state::{Sink, State, Token, touch};
+use super::wire::{Activation, Batch, Passage, Passages, Run};
+use crate::event::CRASHED;
+
+/// Time by which the loop may run ahead to make up for late timers.
+const TIMER_SLACK: Duration = Duration::from_millis(3);
+
+/// Tokens that travel to the same later stages.
+type Group = Vec<(Activation, Sink)>;
+
+/// Executes tokens until the engine ends.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let mut busy_until = Instant::now();
+    loop {
+        shared.gate.pass().await;
+        let (tokens, cost) = take_step(&mut shared.state());
+        if tokens.is_empty() {
+            shared.work.notified().await;
+            continue;
+        }
+        let earliest = Instant::now().checked_sub(TIMER_SLACK).unwrap_or(busy_until);
+        busy_until = busy_until.max(earliest) + cost;
+        if busy_until > Instant::now() {
+            tokio::time::sleep_until(busy_until).await;
+        }
+        shared.gate.pass().await;
+        if meets_marker(&shared.state(), &tokens) {
+            crash(&shared);
+            return;
+        }
+        finish_step(&shared, tokens);
+    }
+}
+
+/// Ends the engine as a crash does.
+pub(super) fn crash(shared: &Shared) {
+    log::warn!("{}", Event::new(&CRASHED).with("target", &shared.state().name));
+    shared.crash();
+}
+
+/// Samples the load again and again.
+pub(super) async fn sample(shared: Arc<Shared>) {
+    loop {
+        shared.state().sample();
+        tokio::time::sleep(shared.sample_interval).await;
+    }
+}
+
+fn take_step(state: &mut State) -> (Vec<Token>, Duration) {
+    state.fill_slots();
+    let tokens = std::mem::take(&mut state.ready);
+    let mut cost = Duration::ZERO;
+    for token in &tokens {
+        if let Some(session) = state.sessions.get_mut(&token.run) {
+            touch(session);
+            cost += session.cost + std::mem::take(&mut session.prefill);
+        }
+    }
+    (tokens, cost.mul_f64(state.faults.slow))
+}
+
+fn meets_marker(state: &State, tokens: &[Token]) -> bool {
+    let Some((mark, index)) = &state.faults.crash_on else {
+        return false;
+    };
+    tokens.iter().any(|token| {
+        let session = state.sessions.get(&token.run);
+        token.index >= *index && session.is_some_and(|session| session.marks.contains(mark))
+    })
+}
+
+fn finish_step(shared: &Arc<Shared>, tokens: Vec<Token>) {
+    let mut groups: BTreeMap<Vec<SocketAddr>, (SmolStr, Group)> = BTreeMap::new();
+    for token in tokens {
+        let (run, index) = (token.run, token.index);
+        let Some((trail, chain)) = execute(&mut shared.state(), run, index, token.trail) else {
+            let target = shared.state().name.clone();
+            let passage = Passage::Failed { target, reason: "cancelled".into() };
+            settle(shared, run, index, token.sink, passage);
+            continue;
+        };
+        let next = next(&mut shared.state(), run, index, trail);
+        match next {
+            Next::Done(passage) => settle(shared, run, index, token.sink, passage),
+            Next::Forward(target, activation) => {
+                let (_, group) = groups.entry(chain).or_insert_with(|| (target, Vec::new()));
+                group.push((activation, token.sink));
+            }
+        }
+    }
+    for (chain, (target, group)) in groups {
+        tokio::spawn(forward(Arc::clone(shared), target, chain[0], group));
+    }
+}
+
+/// Executes the layers of a token that run here. `None` when its attempt has ended.
+fn execute(
+    state: &mut State,
+    run: Run,
+    index: u32,
+    mut trail: Trail,
+) -> Option<(Trail, Vec<SocketAddr>)> {
+    let session = state.sessions.get(&run)?;
+    let (layers, chain) = (session.layers, session.chain());
+    state.executed += 1;
+    state.log.push(Execution { request: run.request, attempt: run.attempt, index, layers });
+    trail.hops.push(Hop { target: state.name.clone(), layers });
+    Some((trail, chain))
+}
+
+enum Next {
+    /// The last layer has run.
+    Done(Passage),
+    /// The token goes to this stage.
+    Forward(SmolStr, Activation),
+}
+
+fn next(state: &mut State, run: Run, index: u32, trail: Trail) -> Next {
+    let Some(session) = state.sessions.get_mut(&run) else {
+        let reason = SmolStr::new_static("cancelled");
+        return Next::Done(Passage::Failed { target: state.name.clone(), reason });
+    };
+    let Some(stage) = session.rest.first() else {
+        return Next::Done(Passage::Passed { text: decode::text(session.seed, index), trail });
+    };
+    let target = stage.target.clone();
+    Next::Forward(target, Activation { run, index, open: session.forward.take(), trail })
+}
+
+/// Sends tokens to the next stage and waits until they have passed all later ones.
+async fn forward(shared: Arc<Shared>, target: SmolStr, address: SocketAddr, group: Group) {
+    let delay = shared.state().faults.links.get(&target).copied().unwrap_or_default();
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+    let (tokens, sinks): (Vec<_>, Vec<_>) = group.into_iter().unzip();
+    let names: Vec<(Run, u32)> = tokens.iter().map(|token| (token.run, token.index)).collect();
+    let passages = send(&shared, address, tokens).await;
+    shared.gate.pass().await;
+    let mut passages = passages.map(Vec::into_iter);
+    for ((run, index), sink) in names.into_iter().zip(sinks) {
+        let passage = match &mut passages {
+            Ok(passages) => passages.next(),
+            Err(reason) => Some(failed(&target, reason.clone())),
+        };
+        let passage = passage.unwrap_or_else(|| failed(&target, "short answer".into()));
+        settle(&shared, run, index, sink, passage);
+    }
+}
+
+async fn send(
+    shared: &Shared,
+    address: SocketAddr,
+    tokens: Vec<Activation>,
+) -> Result<Vec<Passage>, SmolStr> {
+    let batch = Batch { tokens, ends: Vec::new() };
+    let body = Bytes::from(serde_json::to_vec(&batch).unwrap_or_default());
+    let answer = shared.client.post(address, "/stage", body).await;
+    let answer = answer.map_err(|error| format_smolstr!("{error}"))?;
+    let passages: Passages =
+        serde_json::from_slice(&answer).map_err(|error| format_smolstr!("{error}"))?;
+    Ok(passages.passages)
+}
+
+fn failed(target: &SmolStr, reason: SmolStr) -> Passage {
+    Passage::Failed { target: target.clone(), reason }
+}
--- /dev/null
+++ b/crates/standin/src/engine/server.rs
@@ -0,0 +1,282 @@
+//! The engine's calls over HTTP.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use fleet::{Event, Trail};
+use hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::{Notify, oneshot};
+
+use super::builder::Crash;
+use super::command::Command;
+use super::compute::crash;
+use super::deliver::end;
+use super::execution::Execution;
+use super::order;
+use super::session;
+use super::state::{Phase, Sink, State, Token, touch};
+use super::wire::{Activation, Batch, CacheImage, Passage, Passages, Run};
+use crate::event::COMMANDED;
+use crate::http::{Answer, Call, Client, Cut, Gate, Handler, Reply, Stop};
+
+/// What connections and the compute loop share.
+pub(super) struct Shared {
+    pub(super) state: Mutex<State>,
+    /// Woken when a token is ready or a stream waits.
+    pub(super) work: Notify,
+    pub(super) gate: Gate,
+    pub(super) client: Client,
+    pub(super) stop: Stop,
+    pub(super) crash: Crash,
+    pub(super) load_time: Duration,
+    pub(super) event_lag: Duration,
+    pub(super) sample_interval: Duration,
+}
+
+impl Shared {
+    /// Locks the state.
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Ends this process, or the server when the engine lives in a test's process.
+    pub(super) fn crash(&self) {
+        match self.crash {
+            Crash::Abort => std::process::abort(),
+            Crash::Stop => self.stop.stop(),
+        }
+    }
+
+    /// Carries out a command.
+    pub(super) fn command(&self, command: Command) {
+        log::info!("{}", Event::new(&COMMANDED).with("command", format_args!("{command:?}")));
+        let millis = Duration::from_millis;
+        let mut state = self.state();
+        match command {
+            Command::CrashOn { mark, index } => state.faults.crash_on = Some((mark, index)),
+            Command::Crash => {
+                drop(state);
+                crash(self);
+            }
+            Command::Freeze => self.gate.freeze(true),
+            Command::Thaw => self.gate.freeze(false),
+            Command::Slow(factor) => state.faults.slow = factor.max(0.0),
+            Command::Link { target, delay_ms } => {
+                state.faults.links.insert(target, millis(delay_ms));
+            }
+            Command::CutNext { tokens } => state.faults.cut_next = Some(tokens),
+            Command::LateNext { delay_ms } => state.faults.late_next = Some(millis(delay_ms)),
+            Command::Cross { count } => state.faults.cross = count,
+            Command::Leaving(leaving) => {
+                state.leaving = leaving;
+                state.settle_phase();
+            }
+            Command::Full { count } => state.faults.full = count,
+        }
+    }
+
+    /// All executions kept.
+    pub(super) fn executions(&self) -> Vec<Execution> {
+        self.state().log.list()
+    }
+
+    async fn route(self: Arc<Self>, call: Call) -> Result<Reply, Cut> {
+        if call.path.starts_with("/control") {
+            return Ok(self.control(&call));
+        }
+        self.gate.pass().await;
+        let reply = match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                super::open::completion(&self, &call)
+            }
+            (&Method::POST, "/stage") => self.stage(&call).await,
+            (&Method::POST, "/cancel") => self.cancel(&call),
+            (&Method::GET, "/load") => Reply::json(StatusCode::OK, &self.state().history.read()),
+            (&Method::GET, "/events") => self.events(&call),
+            (&Method::POST, "/orders") => self.orders(&call),
+            (&Method::GET, "/state") => Reply::json(StatusCode::OK, &order::report(&self.state())),
+            (&Method::POST, "/cache/export") => self.export(&call),
+            (&Method::POST, "/cache/import") => self.import(&call),
+            _ => Reply::not_run(StatusCode::NOT_FOUND, "not-found", "no such call"),
+        };
+        self.gate.pass().await;
+        Ok(reply)
+    }
+
+    fn control(&self, call: &Call) -> Reply {
+        if call.method == Method::GET {
+            let lines = self.executions().iter().map(line).collect::<String>();
+            return Reply::whole(StatusCode::OK, "application/jsonl", lines);
+        }
+        match parse(call) {
+            Ok(command) => {
+                self.command(command);
+                done()
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    /// Takes tokens from the stage before and answers when they have passed all later stages.
+    async fn stage(&self, call: &Call) -> Reply {
+        let batch: Batch = match parse(call) {
+            Ok(batch) => batch,
+            Err(reply) => return reply,
+        };
+        let mut waiting = Vec::with_capacity(batch.tokens.len());
+        {
+            let mut state = self.state();
+            for run in batch.ends {
+                state.sessions.remove(&run);
+            }
+            for activation in batch.tokens {
+                waiting.push(enqueue(&mut state, activation));
+            }
+        }
+        self.work.notify_one();
+        let mut passages = Vec::with_capacity(waiting.len());
+        for token in waiting {
+            passages.push(match token {
+                Ok(receiver) => receiver.await.unwrap_or_else(|_| self.failed("dropped")),
+                Err(reason) => self.failed(reason),
+            });
+        }
+        Reply::json(StatusCode::OK, &Passages { passages })
+    }
+
+    fn failed(&self, reason: &str) -> Passage {
+        Passage::Failed { target: self.state().name.clone(), reason: reason.into() }
+    }
+
+    fn cancel(self: &Arc<Self>, call: &Call) -> Reply {
+        let run: Run = match parse(call) {
+            Ok(run) => run,
+            Err(reply) => return reply,
+        };
+        let ended = self.state().cancel(run);
+        let name = self.state().name.clone();
+        for run in ended {
+            end(self, run, Some((name.clone(), SmolStr::new_static("cancelled"))));
+        }
+        done()
+    }
+
+    fn events(&self, call: &Call) -> Reply {
+        let from = call.number("from").unwrap_or(0);
+        Reply::json(StatusCode::OK, &self.state().cache.events(from, self.event_lag))
+    }
+
+    fn orders(self: &Arc<Self>, call: &Call) -> Reply {
+        let fenced = match parse(call) {
+            Ok(fenced) => fenced,
+            Err(reply) => return reply,
+        };
+        match order::carry_out(&mut self.state(), fenced) {
+            Ok(false) => done(),
+            Ok(true) => {
+                tokio::spawn(finish_load(Arc::clone(self)));
+                done()
+            }
+            Err(order::OldFence) => {
+                Reply::error(StatusCode::CONFLICT, "old-fence", "an older fencing number")
+            }
+        }
+    }
+
+    fn export(&self, call: &Call) -> Reply {
+        let run: Run = match parse(call) {
+            Ok(run) => run,
+            Err(reply) => return reply,
+        };
+        let state = self.state();
+        let own = state.owns.get(&run).map(|own| own.next);
+        let Some(index) = own.or_else(|| state.kept_index(run.request)) else {
+            return Reply::error(StatusCode::NOT_FOUND, "not-found", "no cache of this request");
+        };
+        let image = CacheImage {
+            request: run.request,
+            model: state.model.clone().unwrap_or_default(),
+            layers: state.layers,
+            index,
+            prefixes: state.cache.list(),
+        };
+        Reply::json(StatusCode::OK, &image)
+    }
+
+    fn import(&self, call: &Call) -> Reply {
+        let image: CacheImage = match parse(call) {
+            Ok(image) => image,
+            Err(reply) => return reply,
+        };
+        let mut state = self.state();
+        if state.model.as_ref() != Some(&image.model) || state.layers != image.layers {
+            return Reply::error(StatusCode::CONFLICT, "other-layers", "other layers are held");
+        }
+        state.cache.store(&image.prefixes);
+        state.keep(image.request, image.index);
+        done()
+    }
+}
+
+impl Handler for Shared {
+    fn call(self: Arc<Self>, call: Call) -> Answer {
+        Box::pin(self.route(call))
+    }
+}
+
+/// Ends a load after its time.
+async fn finish_load(shared: Arc<Shared>) {
+    tokio::time::sleep(shared.load_time).await;
+    let mut state = shared.state();
+    state.loading = false;
+    state.settle_phase();
+}
+
+/// Makes a token from the stage before ready, or tells why it fails here.
+fn enqueue(
+    state: &mut State,
+    activation: Activation,
+) -> Result<oneshot::Receiver<Passage>, &'static str> {
+    let Activation { run, index, open, trail } = activation;
+    if let Some(open) = open {
+        match state.phase {
+            Phase::Leaving => return Err("leaving"),
+            Phase::Loading => return Err("loading"),
+            Phase::Live => {}
+        }
+        if let Some(lower) = run.lower() {
+            state.cancel(lower);
+        }
+        session::open(state, run, *open).map_err(session::OpenError::reason)?;
+    }
+    let session = state.sessions.get_mut(&run).ok_or("unknown-session")?;
+    touch(session);
+    if end_of(&trail) != session.layers.start {
+        return Err("astray");
+    }
+    let (sender, receiver) = oneshot::channel();
+    state.ready.push(Token { run, index, trail, sink: Sink::Upstream(sender) });
+    Ok(receiver)
+}
+
+fn end_of(trail: &Trail) -> fleet::Layer {
+    trail.hops.last().map_or(0, |hop| hop.layers.end)
+}
+
+fn line(execution: &Execution) -> String {
+    let mut line = serde_json::to_string(execution).unwrap_or_default();
+    line.push('\n');
+    line
+}
+
+fn parse<T: DeserializeOwned>(call: &Call) -> Result<T, Reply> {
+    call.json()
+        .map_err(|error| Reply::not_run(StatusCode::BAD_REQUEST, "invalid", &error.to_string()))
+}
+
+fn done() -> Reply {
+    Reply::json(StatusCode::OK, &json!({}))
+}
--- /dev/null
+++ b/crates/standin/src/engine/wire.rs
@@ -0,0 +1,227 @@
+//! JSON that engines take and give.
+
+use fleet::{AttemptId, Depth, Layers, Plan, RequestId, Stage, TokenIndex, Trail};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use super::decode::Finish;
+
+/// Words of a prompt that begin so may be set as crash markers.
+pub const MARK_PREFIX: &str = "crash:";
+/// Limit of tokens when the body gives none.
+const DEFAULT_MAX_TOKENS: u32 = 64;
+
+/// Request ids as 32 hex digits.
+pub(crate) mod hex {
+    use fleet::RequestId;
+    use serde::{Deserialize, Deserializer, Serializer};
+    use smol_str::SmolStr;
+
+    pub(crate) fn serialize<S: Serializer>(
+        request: &RequestId,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{request:032x}"))
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<RequestId, D::Error> {
+        let text = SmolStr::deserialize(deserializer)?;
+        RequestId::from_str_radix(&text, 16).map_err(serde::de::Error::custom)
+    }
+}
+
+/// One message of a chat.
+#[derive(Clone, Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: Value,
+}
+
+/// Body of a completion.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct Completion {
+    #[serde(default)]
+    pub(super) model: SmolStr,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    prompt: Value,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    pub(super) plan: PlanMember,
+}
+
+/// The `plan` member.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct PlanMember {
+    #[serde(with = "hex")]
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptId,
+    pub(super) seed: u64,
+    #[serde(default)]
+    pub(super) priority: u8,
+    pub(super) depth: Depth,
+    pub(super) stages: Plan,
+    #[serde(default)]
+    pub(super) resume: Resume,
+}
+
+/// Where a stream goes on.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub(super) struct Resume {
+    pub(super) index: TokenIndex,
+    #[serde(default)]
+    pub(super) text: Vec<SmolStr>,
+}
+
+impl Completion {
+    /// The prompt as one text, in the form of docs/PROTOCOLS.md.
+    pub(super) fn prompt_text(&self) -> String {
+        let mut text = String::new();
+        for message in &self.messages {
+            text.push_str(&message.role);
+            text.push('\n');
+            push_content(&mut text, &message.content);
+            text.push('\n');
+        }
+        push_content(&mut text, &self.prompt);
+        text
+    }
+
+    /// Most tokens of the answer.
+    pub(super) fn max_tokens(&self) -> u32 {
+        self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)
+    }
+}
+
+fn push_content(text: &mut String, content: &Value) {
+    match content {
+        Value::Null => {}
+        Value::String(content) => text.push_str(content),
+        other => text.push_str(&other.to_string()),
+    }
+}
+
+/// The crash markers in a prompt.
+pub(super) fn marks(prompt: &str) -> Vec<SmolStr> {
+    prompt.split_whitespace().filter(|word| word.starts_with(MARK_PREFIX)).map(Into::into).collect()
+}
+
+/// A token event to the caller of an engine.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct TokenEvent {
+    #[serde(with = "hex")]
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptId,
+    pub(super) index: TokenIndex,
+    pub(super) text: SmolStr,
+    pub(super) trail: Trail,
+}
+
+/// The closing event.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct FinishEvent {
+    #[serde(with = "hex")]
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptId,
+    pub(super) finish: Finish,
+    pub(super) tokens: TokenIndex,
+}
+
+/// The event of a failed stage.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct FailureEvent {
+    #[serde(with = "hex")]
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptId,
+    pub(super) failed: SmolStr,
+    pub(super) reason: SmolStr,
+}
+
+/// Body of `POST /cancel`, and the name of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub(super) struct Run {
+    #[serde(with = "hex")]
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptId,
+}
+
+impl Run {
+    /// The attempt before; `None` for the first one.
+    pub(super) fn lower(self) -> Option<Self> {
+        (self.attempt > 1).then(|| Self { attempt: self.attempt - 1, ..self })
+    }
+}
+
+/// What a stage has to know about an attempt before its first token.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Open {
+    pub(super) seed: u64,
+    /// Stages from the receiver on.
+    pub(super) stages: Vec<Stage>,
+    pub(super) prefixes: Vec<u64>,
+    pub(super) prompt_tokens: u32,
+    pub(super) from: TokenIndex,
+    pub(super) marks: Vec<SmolStr>,
+}
+
+/// One token on its way from stage to stage.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Activation {
+    #[serde(flatten)]
+    pub(super) run: Run,
+    pub(super) index: TokenIndex,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) open: Option<Box<Open>>,
+    pub(super) trail: Trail,
+}
+
+/// Body of `POST /stage`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(super) struct Batch {
+    pub(super) tokens: Vec<Activation>,
+    pub(super) ends: Vec<Run>,
+}
+
+/// What became of one token in the later stages.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Passage {
+    /// It passed the last layer.
+    Passed {
+        /// Its text.
+        text: SmolStr,
+        /// Its way.
+        trail: Trail,
+    },
+    /// A stage failed.
+    Failed {
+        /// The stage.
+        target: SmolStr,
+        /// Why.
+        reason: SmolStr,
+    },
+}
+
+/// Answer of `POST /stage`, in the order of the tokens.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Passages {
+    pub(super) passages: Vec<Passage>,
+}
+
+/// Body of the cache calls.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct CacheImage {
+    #[serde(with = "hex")]
+    pub(super) request: RequestId,
+    pub(super) model: SmolStr,
+    pub(super) layers: Layers,
+    pub(super) index: TokenIndex,
+    pub(super) prefixes: Vec<u64>,
+}
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -8,9 +8,9 @@
 mod reply;
 mod server;
 
-pub(crate) use body::{Body, Part, Stream};
+pub(crate) use body::{Body, Stream};
 pub(crate) use call::Call;
-pub(crate) use client::{Client, ClientError};
+pub(crate) use client::Client;
 pub(crate) use gate::Gate;
 pub(crate) use reply::{Cut, Reply};
-pub(crate) use server::{Answer, Background, Handler, Server, Stop};
+pub(crate) use server::{Answer, Handler, Server, Stop};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,10 +12,12 @@
 //! Faults are commands: `POST /control` takes one as JSON, and each handle has a
 //! `command` method that takes the same type.
 
+pub mod engine;
 mod error;
 mod event;
 mod http;
 pub mod platform;
+pub mod service;
 
 pub use error::StartError;
 pub use event::EVENTS;
--- /dev/null
+++ b/crates/standin/src/service/server.rs
@@ -0,0 +1,225 @@
+//! The calls of a plain service.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use fleet::{AttemptId, Event, RequestId};
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol_str::SmolStr;
+
+use super::command::Command;
+use crate::engine::{Crash, hex};
+use crate::event::{COMMANDED, CRASHED};
+use crate::http::{Answer, Call, Cut, Gate, Handler, Reply, Stop};
+
+/// One run of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// The request, 0 when the call named none.
+    #[serde(with = "hex")]
+    pub request: RequestId,
+    /// The attempt, 0 when the call named none.
+    pub attempt: AttemptId,
+    /// Method.
+    pub method: SmolStr,
+    /// Path.
+    pub path: SmolStr,
+    /// Body, as far as it is text.
+    pub body: SmolStr,
+}
+
+/// State of a service, behind one lock.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    runs: Vec<Run>,
+    running: u32,
+    leaving: bool,
+    delay: Duration,
+    crash_on: Option<SmolStr>,
+    lose: u32,
+    cut: u32,
+    fail: (u32, u16),
+}
+
+/// What connections share.
+pub(super) struct Shared {
+    pub(super) name: SmolStr,
+    pub(super) slots: u32,
+    pub(super) state: Mutex<State>,
+    pub(super) gate: Gate,
+    pub(super) stop: Stop,
+    pub(super) crash: Crash,
+}
+
+/// Answer of a booking.
+#[derive(Serialize)]
+struct Booking<'a> {
+    service: &'a str,
+    booking: String,
+    run: usize,
+}
+
+impl Shared {
+    /// Locks the state.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// All runs in order.
+    pub(super) fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+
+    /// Sets how long each call takes.
+    pub(super) fn set_delay(&self, delay: Duration) {
+        self.state().delay = delay;
+    }
+
+    /// Carries out a command.
+    pub(super) fn command(&self, command: Command) {
+        log::info!("{}", Event::new(&COMMANDED).with("command", format_args!("{command:?}")));
+        let mut state = self.state();
+        match command {
+            Command::LoseNext { count } => state.lose = count,
+            Command::CutNext { count } => state.cut = count,
+            Command::FailNext { count, status } => state.fail = (count, status),
+            Command::DelayMs(delay) => state.delay = Duration::from_millis(delay),
+            Command::CrashOn { mark } => state.crash_on = Some(mark),
+            Command::Crash => self.crash(),
+            Command::Freeze => self.gate.freeze(true),
+            Command::Thaw => self.gate.freeze(false),
+            Command::Leaving(leaving) => state.leaving = leaving,
+        }
+    }
+
+    fn crash(&self) {
+        log::warn!("{}", Event::new(&CRASHED).with("target", &self.name));
+        match self.crash {
+            Crash::Abort => std::process::abort(),
+            Crash::Stop => self.stop.stop(),
+        }
+    }
+
+    async fn route(self: Arc<Self>, call: Call) -> Result<Reply, Cut> {
+        if call.path.starts_with("/control") {
+            return Ok(self.control(&call));
+        }
+        self.gate.pass().await;
+        if (&call.method, call.path.as_str()) == (&Method::GET, "/load") {
+            let running = self.state().running;
+            let load = json!({"running": running, "queued": 0, "slots": self.slots,
+                "tokens_per_second": 0.0, "age_ms": 0});
+            return Ok(Reply::json(StatusCode::OK, &load));
+        }
+        self.run(&call).await
+    }
+
+    async fn run(&self, call: &Call) -> Result<Reply, Cut> {
+        if let Some(refusal) = self.begin()? {
+            return Ok(refusal);
+        }
+        // A caller that hangs up does not undo the run, but its place is free again.
+        let place = Place(self);
+        let run = self.record(call);
+        let delay = self.state().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        self.gate.pass().await;
+        drop(place);
+        let mut state = self.state();
+        if state.lose > 0 {
+            state.lose -= 1;
+            return Err(Cut);
+        }
+        if state.fail.0 > 0 {
+            state.fail.0 -= 1;
+            let status = StatusCode::from_u16(state.fail.1);
+            let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            return Ok(Reply::error(status, "failed", "failed as commanded"));
+        }
+        let booking = format!("{}-{run}", self.name);
+        Ok(Reply::json(StatusCode::OK, &Booking { service: &self.name, booking, run }))
+    }
+
+    /// Takes a place, or refuses the call before it runs.
+    fn begin(&self) -> Result<Option<Reply>, Cut> {
+        let mut state = self.state();
+        if state.leaving {
+            let message = "takes no new calls";
+            return Ok(Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving", message)));
+        }
+        if state.running >= self.slots {
+            return Ok(Some(refuse(StatusCode::TOO_MANY_REQUESTS, "full", "no place is free")));
+        }
+        if state.cut > 0 {
+            state.cut -= 1;
+            return Err(Cut);
+        }
+        state.running += 1;
+        Ok(None)
+    }
+
+    /// Records the run, and crashes when its body has the marker. Returns its number.
+    fn record(&self, call: &Call) -> usize {
+        let body = SmolStr::from(String::from_utf8_lossy(&call.body));
+        let mut state = self.state();
+        let crashes = state.crash_on.as_ref().is_some_and(|mark| body.contains(mark.as_str()));
+        state.runs.push(Run {
+            request: RequestId::from_str_radix(call.header("magnolia-request"), 16).unwrap_or(0),
+            attempt: call.header("magnolia-attempt").parse().unwrap_or(0),
+            method: call.method.as_str().into(),
+            path: call.path.as_str().into(),
+            body,
+        });
+        let number = state.runs.len();
+        drop(state);
+        if crashes {
+            self.crash();
+        }
+        number
+    }
+
+    fn control(&self, call: &Call) -> Reply {
+        if call.method == Method::GET {
+            let lines = self.runs().iter().map(line).collect::<String>();
+            return Reply::whole(StatusCode::OK, "application/jsonl", lines);
+        }
+        match call.json() {
+            Ok(command) => {
+                self.command(command);
+                Reply::json(StatusCode::OK, &json!({}))
+            }
+            Err(error) => Reply::error(StatusCode::BAD_REQUEST, "invalid", &error.to_string()),
+        }
+    }
+}
+
+/// A taken place; free again on drop.
+struct Place<'a>(&'a Shared);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.state().running -= 1;
+    }
+}
+
+impl Handler for Shared {
+    fn call(self: Arc<Self>, call: Call) -> Answer {
+        Box::pin(self.route(call))
+    }
+}
+
+fn line(run: &Run) -> String {
+    let mut line = serde_json::to_string(run).unwrap_or_default();
+    line.push('\n');
+    line
+}
+
+fn refuse(status: StatusCode, kind: &str, message: &str) -> Reply {
+    let mut reply = Reply::not_run(status, kind, message);
+    reply.headers.push(("retry-after", "1".to_owned()));
+    reply
+}
