--- /dev/null
+++ b/crates/standin/src/deployment/builder.rs
@@ -0,0 +1,144 @@
+//! Builder and handle of a deployment.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use error_stack::Report;
+use fleet::{Depth, DomainName, ModelName, NodeName, OrganisationName, Role, Standing, Vm};
+use smol_str::format_smolstr;
+
+use crate::engine::{self, Engine};
+use crate::platform::{self, Platform};
+use crate::service::{self, Service};
+use crate::{StartError, platform::Command};
+
+/// An organisation whose callers send requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organisation {
+    /// Its name.
+    pub name: OrganisationName,
+    /// Its share of the load, of 1.
+    pub share: f64,
+}
+
+/// Settings of a deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Builder {
+    model: ModelName,
+    depth: Depth,
+    engines: Vec<engine::Builder>,
+    services: Vec<service::Builder>,
+    organisations: Vec<Organisation>,
+    platform: platform::Builder,
+}
+
+impl Builder {
+    /// Starts from a deployment without targets for one model.
+    pub fn new(model: impl Into<ModelName>, depth: Depth) -> Self {
+        Self { model: model.into(), depth, ..Self::default() }
+    }
+
+    /// Adds an engine; it loads the deployment's model.
+    pub fn engine(mut self, engine: engine::Builder) -> Self {
+        self.engines.push(engine.model(self.model.clone(), self.depth));
+        self
+    }
+
+    /// Adds `chains` chains of engines `c0s0`, `c0s1`, ... that split the model evenly into
+    /// `stages` ranges, each chain in the next of `domains`.
+    pub fn chains(
+        mut self,
+        chains: u16,
+        stages: u16,
+        domains: &[DomainName],
+        set: impl Fn(engine::Builder) -> engine::Builder,
+    ) -> Self {
+        for chain in 0..chains {
+            let domain = domains[usize::from(chain) % domains.len()].clone();
+            for stage in 0..stages {
+                let name = format_smolstr!("c{chain}s{stage}");
+                let start = self.depth * stage / stages;
+                let end = self.depth * (stage + 1) / stages;
+                let engine = engine::Builder::new(name).layers(start, end);
+                self = self.engine(set(engine.place(domain.clone(), format_smolstr!("r{chain}"))));
+            }
+        }
+        self
+    }
+
+    /// Adds a plain service.
+    pub fn service(mut self, service: service::Builder) -> Self {
+        self.services.push(service);
+        self
+    }
+
+    /// Adds an organisation with its share of the load.
+    pub fn organisation(mut self, name: impl Into<OrganisationName>, share: f64) -> Self {
+        self.organisations.push(Organisation { name: name.into(), share });
+        self
+    }
+
+    /// Sets the platform's own settings.
+    pub fn platform(mut self, set: impl FnOnce(platform::Builder) -> platform::Builder) -> Self {
+        self.platform = set(self.platform);
+        self
+    }
+
+    /// How long readers of the list of VMs lag behind.
+    pub fn lag(self, lag: Duration) -> Self {
+        self.platform(|platform| platform.lag(lag))
+    }
+
+    /// Starts all stand-ins and lists the targets at the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a stand-in does not start; those started before end.
+    pub fn start(self) -> Result<Deployment, Report<StartError>> {
+        let engines = self.engines.into_iter().map(engine::Builder::start);
+        let engines: Vec<Engine> = engines.collect::<Result<_, _>>()?;
+        let services = self.services.into_iter().map(service::Builder::start);
+        let services: Vec<Service> = services.collect::<Result<_, _>>()?;
+        let listed = engines.iter().map(Engine::vm).chain(services.iter().map(Service::vm));
+        let platform = self.platform.vms(listed.cloned().collect()).start()?;
+        let organisations = self.organisations;
+        Ok(Deployment { platform, engines, services, organisations, depth: self.depth })
+    }
+}
+
+/// A running deployment. Dropping it ends all of its stand-ins.
+pub struct Deployment {
+    /// The platform.
+    pub platform: Platform,
+    /// The engines, in the order in which they were added.
+    pub engines: Vec<Engine>,
+    /// The plain services, in the order in which they were added.
+    pub services: Vec<Service>,
+    /// The organisations.
+    pub organisations: Vec<Organisation>,
+    /// Layers of the model.
+    pub depth: Depth,
+}
+
+impl Deployment {
+    /// The engine of this name.
+    pub fn engine(&self, name: &str) -> Option<&Engine> {
+        self.engines.iter().find(|engine| engine.vm().name == name)
+    }
+
+    /// The plain service of this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.vm().name == name)
+    }
+
+    /// Lists a node at the platform, where other nodes learn of it.
+    pub fn join_node(&self, name: impl Into<NodeName>, domain: &str, peer: SocketAddr) {
+        let vm = Vm {
+            name: name.into(),
+            domain: domain.into(),
+            standing: Standing::Live,
+            role: Role::Entry { peer },
+        };
+        self.platform.command(Command::Join(Box::new(vm)));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/deployment/ready.rs
@@ -0,0 +1,137 @@
+//! The two deployments of today, in three failure domains each.
+
+use std::time::Duration;
+
+use smol_str::format_smolstr;
+
+use super::builder::Builder;
+use crate::{engine, service};
+
+/// Layers of the models.
+const DEPTH: u16 = 48;
+/// How long a booking takes.
+const BOOKING_TIME: Duration = Duration::from_millis(20);
+
+/// Engines of one kind in a failure domain: each row loads the whole model once.
+struct Row {
+    accelerator: &'static str,
+    tokens_per_second: f64,
+    slots: u32,
+    /// Layer borders from 0 to the depth; one engine for each range between.
+    borders: &'static [u16],
+    checks_orders: bool,
+}
+
+/// Rows of each failure domain of pnw: 14, 14 and 12 engines.
+const PNW: [&[Row]; 3] = [
+    &[WIDE, WIDE, EVEN, NARROW, SKEWED],
+    &[WIDE, WIDE, EVEN, NARROW, SKEWED],
+    &[WIDE, EVEN, NARROW, SKEWED],
+];
+/// Rows of each failure domain of dar: 13, 13 and 14 engines.
+const DAR: [&[Row]; 3] = [
+    &[EVEN, EVEN, NARROW, SKEWED],
+    &[EVEN, EVEN, NARROW, SKEWED],
+    &[WIDE, WIDE, EVEN, NARROW, SKEWED],
+];
+
+const WIDE: Row = Row {
+    accelerator: "h100",
+    tokens_per_second: 1_200.0,
+    slots: 32,
+    borders: &[0, 24, 48],
+    checks_orders: true,
+};
+const EVEN: Row = Row {
+    accelerator: "a100",
+    tokens_per_second: 900.0,
+    slots: 24,
+    borders: &[0, 16, 32, 48],
+    checks_orders: true,
+};
+const NARROW: Row = Row {
+    accelerator: "l4",
+    tokens_per_second: 400.0,
+    slots: 16,
+    borders: &[0, 12, 24, 36, 48],
+    checks_orders: false,
+};
+const SKEWED: Row = Row {
+    accelerator: "a10",
+    tokens_per_second: 600.0,
+    slots: 16,
+    borders: &[0, 20, 34, 48],
+    checks_orders: false,
+};
+
+/// Organisations of pnw with their shares of the load; the first three are large.
+const PNW_ORGANISATIONS: [(&str, f64); 10] = [
+    ("cascade-crews", 0.28),
+    ("cascade-office", 0.22),
+    ("harbor-builders", 0.18),
+    ("tacoma-interiors", 0.06),
+    ("olympic-homes", 0.06),
+    ("bend-remodel", 0.05),
+    ("spokane-floors", 0.05),
+    ("eugene-restoration", 0.04),
+    ("yakima-contracting", 0.03),
+    ("astoria-cottages", 0.03),
+];
+/// Organisations of dar with their shares of the load; the first three are large.
+const DAR_ORGANISATIONS: [(&str, f64); 10] = [
+    ("exhibitor-desk", 0.30),
+    ("buyer-desk", 0.24),
+    ("kilimanjaro-brewing", 0.14),
+    ("dodoma-juices", 0.06),
+    ("arusha-spirits", 0.06),
+    ("mwanza-bottlers", 0.05),
+    ("zanzibar-spices", 0.05),
+    ("tanga-coconut", 0.04),
+    ("mbeya-coffee", 0.03),
+    ("moshi-cider", 0.03),
+];
+
+/// Cascade Plank & Finish: 40 drafting engines and three booking engines.
+pub fn pnw() -> Builder {
+    ready("plank", ["pnw-a", "pnw-b", "pnw-c"], &PNW, &PNW_ORGANISATIONS)
+}
+
+/// The fair desk: 40 assistant engines and three booking engines.
+pub fn dar() -> Builder {
+    ready("maonesho", ["dar-a", "dar-b", "dar-c"], &DAR, &DAR_ORGANISATIONS)
+}
+
+fn ready(
+    model: &str,
+    domains: [&str; 3],
+    rows: &[&[Row]; 3],
+    organisations: &[(&str, f64)],
+) -> Builder {
+    let mut builder = Builder::new(model, DEPTH);
+    for (domain, rows) in domains.into_iter().zip(rows) {
+        for (number, row) in rows.iter().enumerate() {
+            builder = add_row(builder, domain, number, row);
+        }
+        let booking = service::Builder::new(format_smolstr!("{domain}-booking"));
+        builder = builder.service(booking.domain(domain).delay(BOOKING_TIME));
+    }
+    for (name, share) in organisations {
+        builder = builder.organisation(*name, *share);
+    }
+    builder
+}
+
+fn add_row(mut builder: Builder, domain: &str, number: usize, row: &Row) -> Builder {
+    for (stage, range) in row.borders.windows(2).enumerate() {
+        let name = format_smolstr!("{domain}-{}-{number}-{stage}", row.accelerator);
+        let engine = engine::Builder::new(name)
+            .place(domain, format_smolstr!("{domain}-r{number}"))
+            .layers(range[0], range[1])
+            .tokens_per_second(row.tokens_per_second)
+            .slots(row.slots)
+            .accelerator(row.accelerator)
+            .checks_orders(row.checks_orders);
+        builder = builder.engine(engine);
+    }
+    builder
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 //! Faults are commands: `POST /control` takes one as JSON, and each handle has a
 //! `command` method that takes the same type.
 
+pub mod deployment;
 pub mod engine;
 mod error;
 mod event;
