Routing: plans by maximum flow, attempts, recovery, budget, quarantine

First version of the whole decision service. Cause: the node composes it. Shown by cargo test -p route: 13 tests of attempts, endings and verdicts. Not measured yet: throughput, recovery times, quarantine.

--- /dev/null
+++ b/crates/route/src/finish.rs
@@ -0,0 +1,90 @@
+//! Verdicts.
+
+use fleet::{Event, RequestId, TargetName};
+
+use crate::launch::hex;
+use crate::state::{State, Step};
+use crate::{Action, Quarantine, Reason, Verdict, event};
+
+/// Gives a request its verdict and forgets it.
+pub(crate) fn finish(state: &mut State, step: &mut Step<'_>, id: RequestId, verdict: Verdict) {
+    let Some(mut entry) = state.table.remove(&id) else { return };
+    entry.release(&mut state.view, step.now);
+    state.held.remove(&id);
+    let name = match verdict {
+        Verdict::Complete => "complete",
+        Verdict::NotRun { .. } => "not-run",
+        Verdict::Incomplete { .. } => "incomplete",
+        Verdict::Unknown => "unknown",
+        Verdict::Quarantined { .. } => "quarantined",
+    };
+    step.log(
+        Event::new(event::FINISHED)
+            .with("request", hex(id))
+            .with("attempt", entry.attempt)
+            .with("reason", name),
+    );
+    step.act(Action::Finish { request: id, verdict });
+}
+
+/// Gives a request up, truthfully about whether any of it ran.
+pub(crate) fn give_up(state: &mut State, step: &mut Step<'_>, id: RequestId, reason: Reason) {
+    let Some(entry) = state.table.get(&id) else { return };
+    let least = state.settings.retry_after;
+    let retry_after = entry.retry_after.map_or(least, |asked| asked.max(least));
+    let verdict = if !entry.began {
+        Verdict::NotRun { retry_after, reason }
+    } else if entry.request.idempotent {
+        Verdict::Incomplete { retry_after, reason }
+    } else {
+        Verdict::Unknown
+    };
+    finish(state, step, id, verdict);
+}
+
+/// Condemns a fingerprint for the loss of `targets`, here and on all nodes.
+pub(crate) fn condemn(
+    state: &mut State,
+    step: &mut Step<'_>,
+    fingerprint: u64,
+    targets: &[TargetName],
+) {
+    let ttl = state.settings.quarantine_ttl;
+    let mut line = Event::new(event::CONDEMNED).with("fingerprint", fingerprint);
+    for target in targets {
+        line = line.with("target", target);
+        let target = target.clone();
+        step.act(Action::Quarantine(Quarantine { fingerprint, target, condemned: true, ttl }));
+    }
+    step.log(line);
+    end_condemned(state, step, fingerprint, ttl);
+}
+
+/// Ends the requests of a condemned fingerprint that this node has. A running call that may
+/// not be repeated is left alone: its outcome still counts.
+pub(crate) fn end_condemned(
+    state: &mut State,
+    step: &mut Step<'_>,
+    fingerprint: u64,
+    retry_after: std::time::Duration,
+) {
+    let same = state.table.iter().filter(|(_, entry)| {
+        let ends = entry.request.idempotent || !entry.running;
+        entry.request.fingerprint == fingerprint && ends
+    });
+    let ids: Vec<RequestId> = same.map(|(id, _)| *id).collect();
+    for id in ids {
+        cancel(state, step, id);
+        finish(state, step, id, Verdict::Quarantined { retry_after });
+    }
+}
+
+/// Tells the stages of the running attempt to end it.
+pub(crate) fn cancel(state: &mut State, step: &mut Step<'_>, id: RequestId) {
+    let Some(entry) = state.table.get_mut(&id) else { return };
+    let is_model = entry.plan.stages.iter().any(|stage| !stage.layers.is_empty());
+    if is_model {
+        let (attempt, plan) = (entry.attempt, entry.plan.clone());
+        step.act(Action::Cancel { request: id, attempt, plan });
+    }
+}
--- /dev/null
+++ b/crates/route/src/flow.rs
@@ -0,0 +1,343 @@
+//! Maximum flow of tokens through the line of a model's layers.
+//!
+//! A supply (targets of one failure domain that hold the same layers) passes `rate`
+//! tokens per second through all of its layers, and proportionally more through a
+//! part of them. A link passes so many tokens per second over all hops that cross it.
+//! The maximum token rate is a linear programme with one column for each chain that
+//! covers the line:
+//!
+//! ```text
+//! maximise    sum of x[chain]
+//! such that   sum of x[chain] * len(chain in supply) / len(supply) <= rate(supply)
+//!             sum of x[chain] * hops(chain over link)              <= rate(link)
+//! ```
+//!
+//! It is solved exactly by the revised simplex method. Columns are not listed but
+//! generated: under the current prices the cheapest chain is a shortest path over the
+//! cut points of the line. The prices also prove the result: no flow exceeds
+//! [`Flow::bound`], whatever the solver did.
+
+use fleet::{Depth, Layer, Layers};
+
+use crate::simplex::{Column, Tableau};
+
+/// Capacity for one range of layers in one failure domain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Supply {
+    /// Dense number of the failure domain.
+    pub domain: u16,
+    /// Layers held.
+    pub layers: Layers,
+    /// Tokens per second through all of these layers.
+    pub rate: f64,
+    /// Number of targets. One target alone serves at most one stage of a chain.
+    pub targets: u32,
+}
+
+/// Capacity between two failure domains.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pipe {
+    /// Dense number of the sender's failure domain.
+    pub from: u16,
+    /// Dense number of the receiver's failure domain.
+    pub to: u16,
+    /// Tokens per second.
+    pub rate: f64,
+}
+
+/// The line of a model's layers with all that serves it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Line {
+    /// Number of layers.
+    pub depth: Depth,
+    /// Who runs layers.
+    pub supplies: Vec<Supply>,
+    /// Links of finite rate; pairs not named have no bound.
+    pub pipes: Vec<Pipe>,
+}
+
+/// One stage of a chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// Index into [`Line::supplies`].
+    pub supply: usize,
+    /// Layers run there.
+    pub layers: Layers,
+}
+
+/// A way through the whole line and the token rate that it carries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chain {
+    /// Stages in order.
+    pub spans: Vec<Span>,
+    /// Tokens per second.
+    pub rate: f64,
+}
+
+/// A flow through the line.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Flow {
+    /// Chains of positive rate.
+    pub chains: Vec<Chain>,
+    /// Tokens per second of all chains.
+    pub rate: f64,
+    /// Tokens per second that no flow exceeds, proved by the prices.
+    pub bound: f64,
+}
+
+/// What is wrong with a flow.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Violation {
+    /// A chain does not cover the line exactly.
+    Cover {
+        /// Index of the chain.
+        chain: usize,
+    },
+    /// A chain uses layers that a supply does not hold.
+    Held {
+        /// Index of the chain.
+        chain: usize,
+    },
+    /// A supply or link is used beyond its rate.
+    Rate {
+        /// Row: supplies first, then links.
+        row: usize,
+        /// Use as a share of the rate.
+        use_share: f64,
+    },
+}
+
+/// Rounding that a verified flow may show.
+const TOLERANCE: f64 = 1e-6;
+/// Cheapest chains within this of the price limit end the search.
+const PRICE_TOLERANCE: f64 = 1e-7;
+/// Chains that carry less than this share of the flow are dropped.
+const DUST: f64 = 1e-9;
+/// Most pivots, as a multiple of the number of rows.
+const PIVOTS_PER_ROW: usize = 40;
+
+/// Computes the maximum flow.
+pub fn solve(line: &Line) -> Flow {
+    let scale = line.supplies.iter().map(|supply| supply.rate).fold(0.0, f64::max);
+    if line.depth == 0 || scale <= 0.0 {
+        return Flow::default();
+    }
+    let rows = line.supplies.len() + line.pipes.len();
+    let mut tableau = Tableau::new(rows);
+    let mut chains: Vec<Vec<Span>> = Vec::new();
+    let mut pricing = Pricing::new(line);
+    let mut bound = f64::INFINITY;
+    for _ in 0..rows * PIVOTS_PER_ROW + 16 {
+        let prices = tableau.prices();
+        if let Some(row) = tableau.negative_price(&prices) {
+            if !tableau.enter(Column::Slack(row)) {
+                break;
+            }
+            continue;
+        }
+        let Some((spans, length)) = pricing.cheapest(line, &prices, scale) else {
+            return Flow::default();
+        };
+        if length > PRICE_TOLERANCE {
+            bound = bound.min(prices.iter().sum::<f64>() / length);
+        }
+        let spans = without_repeats(line, spans);
+        let column = usage(line, &spans, scale);
+        let cost: f64 = column.iter().map(|&(row, share)| prices[row] * share).sum();
+        if cost >= 1.0 - PRICE_TOLERANCE {
+            break;
+        }
+        chains.push(spans);
+        if !tableau.enter(Column::Chain(chains.len() - 1, column)) {
+            break;
+        }
+    }
+    collect(&tableau, chains, bound, scale)
+}
+
+/// Checks a flow against its line.
+///
+/// # Errors
+///
+/// Returns the first [`Violation`] found.
+pub fn verify(line: &Line, flow: &Flow) -> Result<(), Violation> {
+    let mut used = vec![0.0; line.supplies.len() + line.pipes.len()];
+    for (index, chain) in flow.chains.iter().enumerate() {
+        let mut next: Layer = 0;
+        for span in &chain.spans {
+            if span.layers.start != next || span.layers.is_empty() {
+                return Err(Violation::Cover { chain: index });
+            }
+            if !line.supplies[span.supply].layers.contains(span.layers) {
+                return Err(Violation::Held { chain: index });
+            }
+            next = span.layers.end;
+        }
+        if next != line.depth {
+            return Err(Violation::Cover { chain: index });
+        }
+        for (row, share) in usage(line, &chain.spans, 1.0) {
+            used[row] += share * chain.rate;
+        }
+    }
+    match used.iter().position(|&share| share > 1.0 + TOLERANCE) {
+        Some(row) => Err(Violation::Rate { row, use_share: used[row] }),
+        None => Ok(()),
+    }
+}
+
+/// Chains of positive rate in the tableau's solution.
+fn collect(tableau: &Tableau, mut chains: Vec<Vec<Span>>, bound: f64, scale: f64) -> Flow {
+    let mut flow = Flow::default();
+    for (index, value) in tableau.solution() {
+        if value > DUST {
+            let spans = std::mem::take(&mut chains[index]);
+            flow.rate += value * scale;
+            flow.chains.push(Chain { spans, rate: value * scale });
+        }
+    }
+    flow.bound = (bound * scale).max(flow.rate);
+    flow
+}
+
+/// Share of each row's rate that one unit of token rate on the chain uses.
+fn usage(line: &Line, spans: &[Span], scale: f64) -> Vec<(usize, f64)> {
+    let mut column: Vec<(usize, f64)> = Vec::with_capacity(spans.len() * 2);
+    let mut add = |row: usize, share: f64| match column.iter_mut().find(|(r, _)| *r == row) {
+        Some((_, sum)) => *sum += share,
+        None => column.push((row, share)),
+    };
+    for (index, span) in spans.iter().enumerate() {
+        let supply = &line.supplies[span.supply];
+        let part = f64::from(span.layers.len()) / f64::from(supply.layers.len());
+        add(span.supply, part * scale / supply.rate);
+        let Some(next) = spans.get(index + 1) else { continue };
+        let to = line.supplies[next.supply].domain;
+        let crossed = line.pipes.iter().position(|p| p.from == supply.domain && p.to == to);
+        if let Some(pipe) = crossed {
+            add(line.supplies.len() + pipe, scale / line.pipes[pipe].rate);
+        }
+    }
+    column
+}
+
+/// Lets a supply of too few targets keep the layers between two of its stages.
+fn without_repeats(line: &Line, mut spans: Vec<Span>) -> Vec<Span> {
+    let mut index = 0;
+    while index < spans.len() {
+        let supply = spans[index].supply;
+        let visits: Vec<usize> =
+            (index..spans.len()).filter(|&i| spans[i].supply == supply).collect();
+        if visits.len() > line.supplies[supply].targets.max(1) as usize {
+            let last = visits[visits.len() - 1];
+            spans[index].layers.end = spans[last].layers.end;
+            spans.drain(index + 1..=last);
+        }
+        index += 1;
+    }
+    spans
+}
+
+/// Marks the beginning of the line, or a stage that goes on.
+const NONE: u32 = u32::MAX;
+const SAME: u32 = u32::MAX - 1;
+
+/// Shortest paths over the cut points of a line.
+struct Pricing {
+    cuts: Vec<Layer>,
+    domains: usize,
+    /// For each segment and supply: the supply before it.
+    before: Vec<u32>,
+}
+
+impl Pricing {
+    fn new(line: &Line) -> Self {
+        let mut cuts = vec![0, line.depth];
+        for supply in &line.supplies {
+            cuts.push(supply.layers.start.min(line.depth));
+            cuts.push(supply.layers.end.min(line.depth));
+        }
+        cuts.sort_unstable();
+        cuts.dedup();
+        let domains = line.supplies.iter().map(|s| usize::from(s.domain) + 1).max().unwrap_or(0);
+        let before = vec![NONE; (cuts.len() - 1) * line.supplies.len()];
+        Self { cuts, domains, before }
+    }
+
+    /// Cheapest chain under the prices and its price, if any chain covers the line.
+    fn cheapest(&mut self, line: &Line, prices: &[f64], scale: f64) -> Option<(Vec<Span>, f64)> {
+        let supplies = line.supplies.len();
+        let toll = self.tolls(line, prices, scale);
+        let mut running = vec![f64::INFINITY; supplies];
+        let mut best: Vec<(f64, u32)> = Vec::new();
+        for segment in 0..self.cuts.len() - 1 {
+            let range = Layers::new(self.cuts[segment], self.cuts[segment + 1]);
+            let entry = self.entries(segment, &best, &toll);
+            let mut reached = vec![(f64::INFINITY, NONE); self.domains];
+            for (index, supply) in line.supplies.iter().enumerate() {
+                if supply.rate <= 0.0 || !supply.layers.contains(range) {
+                    running[index] = f64::INFINITY;
+                    continue;
+                }
+                let part = f64::from(range.len()) / f64::from(supply.layers.len());
+                let (enter, from) = entry[usize::from(supply.domain)];
+                let (cost, before) =
+                    if running[index] <= enter { (running[index], SAME) } else { (enter, from) };
+                let cost = cost + part * scale / supply.rate * prices[index];
+                running[index] = cost;
+                self.before[segment * supplies + index] = before;
+                let slot = &mut reached[usize::from(supply.domain)];
+                if cost < slot.0 {
+                    *slot = (cost, u32::try_from(index).unwrap_or(NONE));
+                }
+            }
+            best = reached;
+        }
+        let &(cost, last) = best.iter().min_by(|a, b| a.0.total_cmp(&b.0))?;
+        cost.is_finite().then(|| (self.path(supplies, last), cost))
+    }
+
+    /// Price of a hop between each two failure domains.
+    fn tolls(&self, line: &Line, prices: &[f64], scale: f64) -> Vec<f64> {
+        let mut toll = vec![0.0; self.domains * self.domains];
+        for (index, pipe) in line.pipes.iter().enumerate() {
+            let (from, to) = (usize::from(pipe.from), usize::from(pipe.to));
+            if from < self.domains && to < self.domains {
+                toll[from * self.domains + to] +=
+                    scale / pipe.rate * prices[line.supplies.len() + index];
+            }
+        }
+        toll
+    }
+
+    /// Cheapest way into each failure domain at the start of a segment.
+    fn entries(&self, segment: usize, best: &[(f64, u32)], toll: &[f64]) -> Vec<(f64, u32)> {
+        if segment == 0 {
+            return vec![(0.0, NONE); self.domains];
+        }
+        let into = |to: usize| {
+            let ways = best.iter().enumerate();
+            let priced = ways.map(|(from, way)| (way.0 + toll[from * self.domains + to], way.1));
+            priced.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or((f64::INFINITY, NONE))
+        };
+        (0..self.domains).map(into).collect()
+    }
+
+    /// The chain that ends at supply `last`.
+    fn path(&self, supplies: usize, last: u32) -> Vec<Span> {
+        let mut spans: Vec<Span> = Vec::new();
+        let mut supply = last as usize;
+        let mut end = self.cuts[self.cuts.len() - 1];
+        for segment in (0..self.cuts.len() - 1).rev() {
+            let before = self.before[segment * supplies + supply];
+            if before == SAME {
+                continue;
+            }
+            spans.push(Span { supply, layers: Layers::new(self.cuts[segment], end) });
+            end = self.cuts[segment];
+            supply = before as usize;
+        }
+        spans.reverse();
+        spans
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,9 +1,32 @@
 //! Pipeline plans, target choice, recovery of streams, quarantine.
+//!
+//! [`Router`] is a state machine: it hears [`Message`]s and asks for [`Action`]s, in
+//! virtual time and with a seeded generator. [`flow`] computes the maximum flow through a
+//! model's layers, from which chains of targets are sampled for each request.
 
+mod budget;
+mod choose;
+mod cumulative;
+mod event;
+mod finish;
+pub mod flow;
+mod launch;
+mod load;
 mod message;
+mod outlier;
+mod pace;
+mod pool;
+mod prefix;
+mod recover;
 mod service;
 mod settings;
+mod simplex;
+mod state;
+mod suspect;
+mod table;
+mod view;
 
+pub use event::EVENTS;
 pub use message::*;
 pub use service::Router;
-pub use settings::Settings;
+pub use settings::{Builder, Mechanism, Settings};
--- /dev/null
+++ b/crates/route/tests/attempts.rs
@@ -0,0 +1,242 @@
+//! Attempts, endings and verdicts of single requests, message by message.
+
+use std::time::Duration;
+
+use fleet::{Engine, Kind, Layers, Request, Service, Shape, Standing, Target};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{Action, Dispatch, Ending, Message, Reason, Router, Settings, Verdict};
+use yare::parameterized;
+
+const DEPTH: u16 = 48;
+
+fn engine(name: &str, domain: &str, layers: (u16, u16), rate: f64) -> Target {
+    let kind = Kind::Engine(Engine {
+        model: "plank".into(),
+        depth: DEPTH,
+        layers: Layers::from(layers),
+        tokens_per_second: rate,
+        slots: 16,
+        accelerator: "a100".into(),
+        checks_orders: true,
+    });
+    target(name, domain, kind)
+}
+
+fn booking(name: &str, domain: &str) -> Target {
+    let kind = Kind::Service(Service { name: "booking".into(), idempotent: false, slots: 8 });
+    target(name, domain, kind)
+}
+
+fn target(name: &str, domain: &str, kind: Kind) -> Target {
+    Target {
+        name: name.into(),
+        address: "127.0.0.1:9001".parse().expect("constant address"),
+        domain: domain.into(),
+        rack: "".into(),
+        standing: Standing::Live,
+        kind,
+    }
+}
+
+fn fleet() -> Vec<Target> {
+    vec![
+        engine("e1", "a", (0, 20), 900.0),
+        engine("e2", "b", (0, 20), 900.0),
+        engine("e3", "a", (20, 48), 800.0),
+        engine("e4", "b", (12, 48), 800.0),
+        booking("b1", "a"),
+        booking("b2", "b"),
+    ]
+}
+
+struct Bench {
+    router: Router,
+    rng: SmallRng,
+    now: Duration,
+}
+
+impl Bench {
+    fn new(targets: Vec<Target>) -> Self {
+        let router = Router::new(Settings::default());
+        let mut bench = Self { router, rng: SmallRng::seed_from_u64(1), now: Duration::ZERO };
+        bench.hear(Message::Fleet { targets, links: Vec::new() });
+        bench
+    }
+
+    fn hear(&mut self, message: Message) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.now += Duration::from_millis(1);
+        self.router.step(self.now, message, &mut self.rng, &mut actions);
+        actions.retain(|action| !matches!(action, Action::Log(_) | Action::Wake(_)));
+        actions
+    }
+
+    fn start(&mut self, id: u128, service: &str, idempotent: bool) -> Vec<Action> {
+        let shape = Shape { prompt_tokens: 100, max_tokens: 50, stream: true };
+        let request = Request {
+            id,
+            organisation: "cascade".into(),
+            service: service.into(),
+            shape,
+            fingerprint: u64::try_from(id).expect("small id"),
+            idempotent,
+        };
+        self.hear(Message::Start { request, priority: 3, prefixes: Vec::new() })
+    }
+
+    fn end(&mut self, dispatch: &Dispatch, next: u32, ending: Ending) -> Vec<Action> {
+        let (request, attempt) = (dispatch.request, dispatch.attempt);
+        self.hear(Message::Ended { request, attempt, next, ending })
+    }
+}
+
+fn dispatch(actions: &[Action]) -> Dispatch {
+    let found = actions.iter().find_map(|action| match action {
+        Action::Dispatch(dispatch) => Some(dispatch.clone()),
+        _ => None,
+    });
+    found.expect("a dispatch")
+}
+
+fn verdict(actions: &[Action]) -> Option<Verdict> {
+    actions.iter().find_map(|action| match action {
+        Action::Finish { verdict, .. } => Some(verdict.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn plan_covers_the_model_and_completes() {
+    let mut bench = Bench::new(fleet());
+    for id in 0..100 {
+        let sent = dispatch(&bench.start(id, "plank", true));
+        assert_eq!(sent.plan.verify(DEPTH), Ok(()));
+        assert_eq!((sent.attempt, sent.from), (1, 0));
+        let end = bench.end(&sent, 50, Ending::Complete);
+        assert_eq!(verdict(&end), Some(Verdict::Complete));
+    }
+    assert_eq!(bench.router.open_requests(), 0);
+}
+
+#[test]
+fn next_attempt_resumes_and_keeps_the_surviving_stage() {
+    let mut bench = Bench::new(fleet());
+    let first = dispatch(&bench.start(1, "plank", true));
+    let lost = first.plan.stages[0].target.clone();
+    let actions = bench.end(&first, 12, Ending::Broken { target: None });
+    let second = dispatch(&actions);
+    let cancelled = actions.iter().any(|action| {
+        matches!(action, Action::Cancel { request: 1, attempt: 1, plan } if *plan == first.plan)
+    });
+    assert!(cancelled, "the old attempt is cancelled");
+    assert_eq!((second.attempt, second.from), (2, 12));
+    assert!(second.plan.stages.iter().all(|stage| stage.target != lost));
+    assert_eq!(second.plan.stages.last(), first.plan.stages.last());
+    assert_eq!(second.reuse, vec![first.plan.stages[1].target.clone()]);
+    assert_eq!(second.plan.verify(DEPTH), Ok(()));
+}
+
+#[test]
+fn endings_of_replaced_attempts_are_ignored() {
+    let mut bench = Bench::new(fleet());
+    let first = dispatch(&bench.start(1, "plank", true));
+    let second = dispatch(&bench.end(&first, 5, Ending::Broken { target: None }));
+    assert_eq!(bench.end(&first, 6, Ending::Complete), vec![]);
+    assert_eq!(verdict(&bench.end(&second, 50, Ending::Complete)), Some(Verdict::Complete));
+}
+
+struct Call {
+    ending: fn(&Dispatch) -> Ending,
+    tried_again: bool,
+}
+
+fn named(dispatch: &Dispatch) -> fleet::TargetName {
+    dispatch.plan.stages[0].target.clone()
+}
+
+#[parameterized(
+    refused = { Call {
+        ending: |d| Ending::Refused { target: named(d), leaving: false, retry_after: None },
+        tried_again: true,
+    } },
+    unreachable = { Call {
+        ending: |d| Ending::Unreachable { target: named(d) },
+        tried_again: true,
+    } },
+    broken = { Call { ending: |d| Ending::Broken { target: Some(named(d)) }, tried_again: false } },
+    stalled = { Call { ending: |_| Ending::Stalled, tried_again: false } },
+    failed = { Call { ending: |_| Ending::Failed, tried_again: false } },
+)]
+fn call_that_may_not_be_repeated(call: Call) {
+    let mut bench = Bench::new(fleet());
+    let first = dispatch(&bench.start(1, "booking", false));
+    let actions = bench.end(&first, 0, (call.ending)(&first));
+    if call.tried_again {
+        assert_ne!(named(&dispatch(&actions)), named(&first));
+    } else {
+        assert_eq!(verdict(&actions), Some(Verdict::Unknown));
+    }
+}
+
+#[test]
+fn refusal_by_all_is_not_run_with_the_longest_retry_after() {
+    let mut bench = Bench::new(fleet());
+    let mut actions = bench.start(1, "booking", false);
+    for seconds in [3, 7] {
+        let sent = dispatch(&actions);
+        let retry_after = Some(Duration::from_secs(seconds));
+        let ending = Ending::Refused { target: named(&sent), leaving: false, retry_after };
+        actions = bench.end(&sent, 0, ending);
+    }
+    let retry_after = Duration::from_secs(7);
+    let expected = Verdict::NotRun { retry_after, reason: Reason::Refused };
+    assert_eq!(verdict(&actions), Some(expected));
+}
+
+#[test]
+fn refusal_by_a_later_stage_is_not_called_not_run() {
+    let mut bench =
+        Bench::new(vec![engine("e1", "a", (0, 20), 900.0), engine("e3", "a", (20, 48), 800.0)]);
+    let sent = dispatch(&bench.start(1, "plank", true));
+    let target = sent.plan.stages[1].target.clone();
+    let ending = Ending::Refused { target, leaving: false, retry_after: None };
+    let actions = bench.end(&sent, 0, ending);
+    assert!(matches!(verdict(&actions), Some(Verdict::Incomplete { .. })), "{actions:?}");
+}
+
+#[test]
+fn target_that_refuses_as_leaving_is_told_on_and_gets_nothing_more() {
+    let mut bench = Bench::new(fleet());
+    let first = dispatch(&bench.start(1, "booking", false));
+    let target = named(&first);
+    let ending = Ending::Refused { target: target.clone(), leaving: true, retry_after: None };
+    let actions = bench.end(&first, 0, ending);
+    assert!(actions.contains(&Action::Leaving(target.clone())));
+    for id in 2..50 {
+        assert_ne!(named(&dispatch(&bench.start(id, "booking", false))), target);
+    }
+}
+
+#[test]
+fn unknown_service_is_not_run() {
+    let mut bench = Bench::new(fleet());
+    let actions = bench.start(1, "nothing", true);
+    let expected = Some(Reason::UnknownService);
+    let reason = match verdict(&actions) {
+        Some(Verdict::NotRun { reason, .. }) => Some(reason),
+        _ => None,
+    };
+    assert_eq!(reason, expected);
+}
+
+#[test]
+fn hang_up_cancels_and_forgets() {
+    let mut bench = Bench::new(fleet());
+    let sent = dispatch(&bench.start(1, "plank", true));
+    let actions = bench.hear(Message::HungUp(1));
+    let cancel = Action::Cancel { request: 1, attempt: 1, plan: sent.plan.clone() };
+    assert_eq!(actions, vec![cancel]);
+    assert_eq!(bench.router.open_requests(), 0);
+    assert_eq!(bench.end(&sent, 3, Ending::Broken { target: None }), vec![]);
+}
