--- /dev/null
+++ b/crates/store/src/counts.rs
@@ -0,0 +1,48 @@
+//! Counts of the calls made, by purpose.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::Purpose;
+
+/// Calls made since the client was made.
+#[derive(Debug, Default)]
+pub struct Counts {
+    reads: [AtomicU64; Purpose::COUNT],
+    writes: [AtomicU64; Purpose::COUNT],
+    failed: [AtomicU64; Purpose::COUNT],
+}
+
+/// Calls made for one purpose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spent {
+    /// Reads and watches.
+    pub reads: u64,
+    /// Writes and lease calls.
+    pub writes: u64,
+    /// Calls of either kind that failed, those that the budget refused included.
+    pub failed: u64,
+}
+
+impl Counts {
+    /// Calls made for `purpose`.
+    pub fn spent(&self, purpose: Purpose) -> Spent {
+        let index = purpose.index();
+        Spent {
+            reads: self.reads[index].load(Ordering::Relaxed),
+            writes: self.writes[index].load(Ordering::Relaxed),
+            failed: self.failed[index].load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn read(&self, purpose: Purpose) {
+        self.reads[purpose.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn write(&self, purpose: Purpose) {
+        self.writes[purpose.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn fail(&self, purpose: Purpose) {
+        self.failed[purpose.index()].fetch_add(1, Ordering::Relaxed);
+    }
+}
