--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -9,6 +9,8 @@
 pub type ShardId = u32;
 
 /// Names one non-idempotent request for as long as it is kept.
+///
+/// A caller that sends the same request again uses the same key.
 #[derive(
     Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
 )]
@@ -26,14 +28,16 @@
 pub enum Message {
     /// A request wants to run.
     Claim {
-        /// The request.
+        /// This sending of the request: each sending has an identifier of its own, also when
+        /// its key is that of an earlier one.
         request: RequestId,
         /// Its key.
         key: Key,
         /// Digest of method, path and body: the same key with another digest is a conflict.
         digest: u64,
     },
-    /// The call has ended; the outcome is to be kept before the caller sees it.
+    /// The call has ended; the outcome is to be kept before the caller sees it. Every
+    /// [`Verdict::Run`] is followed by exactly one of these.
     Settle {
         /// The key.
         key: Key,
@@ -63,6 +67,14 @@
         /// Body.
         body: Vec<u8>,
     },
+    /// It ran and was answered, but the answer is too large to be kept. The ledger itself makes
+    /// this of an [`Outcome::Answer`].
+    Oversize {
+        /// Status code.
+        status: u16,
+        /// Size of the body in bytes.
+        bytes: u64,
+    },
     /// The call truly was not run; the key may be claimed again.
     NotRun,
     /// The call began and its answer is lost.
@@ -84,7 +96,8 @@
 /// Result of a store operation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stored {
-    /// The value and its revision; revision 0 when there is none.
+    /// The value and its revision; revision 0 when there is none. As the answer to a write it
+    /// means [`Stored::Conflict`] and says what is there instead, which saves a read.
     Value {
         /// Revision of the last change of the key.
         revision: u64,
@@ -98,10 +111,12 @@
     },
     /// The key has another revision than expected; nothing was written.
     Conflict,
-    /// The answer was lost: a write may have taken effect.
+    /// The answer was lost: a write may have taken effect, or may still do so.
     Lost,
-    /// The store did not take the call: nothing was written.
+    /// The store did not take the call: nothing was written and never will be.
     Down,
+    /// The rate of calls is spent: nothing was written and never will be. Not an outage.
+    Limited,
 }
 
 /// What the ledger asks for.
@@ -132,11 +147,12 @@
         /// What is to be done.
         verdict: Verdict,
     },
-    /// The outcome is kept (or cannot be kept now); the caller may see it.
+    /// The outcome is kept, or cannot be kept now; the caller may see it in either case. Given
+    /// once for each [`Message::Settle`].
     Settled {
         /// The request.
         request: RequestId,
-        /// Whether the store has it.
+        /// Whether the store has it; if not, the ledger goes on trying.
         kept: bool,
     },
     /// Send [`Message::Wake`] after this time.
@@ -148,8 +164,13 @@
 /// Verdict on a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// The claim is recorded: run it, once.
-    Run,
+    /// The claim is recorded: run it, once. Only the receiver of this verdict can ever run it.
+    Run {
+        /// Last moment, on the clock of [`Ledger::step`](crate::Ledger::step), at which the first
+        /// byte may go to a target. After it the request is not sent but settled as
+        /// [`Outcome::NotRun`].
+        until: Duration,
+    },
     /// It ran: give its answer again.
     Replay(Outcome),
     /// It has been claimed and its outcome is not known (it may still run elsewhere).
@@ -158,7 +179,9 @@
     Mismatch,
     /// The store did not answer: this sending is not run.
     Down {
-        /// Whether an earlier sending under the key can be excluded.
+        /// Whether an earlier sending under the key can be excluded. It never can while the
+        /// store is silent, since another node may hold a claim under the key; so this is
+        /// `false` in all answers of today.
         never_ran: bool,
         /// When the caller may come back.
         retry_after: Duration,
@@ -169,3 +192,17 @@
         retry_after: Duration,
     },
 }
+
+impl Verdict {
+    /// Name in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Run { .. } => "run",
+            Verdict::Replay(_) => "replay",
+            Verdict::Unknown => "unknown",
+            Verdict::Mismatch => "mismatch",
+            Verdict::Down { .. } => "down",
+            Verdict::Full { .. } => "full",
+        }
+    }
+}
