Patience: early answers no longer fade what is known of longer waits

Cause: each sample faded all buckets; once patience is respected nobody leaves, so it was forgotten within some hundred answers and had to be learned anew. Ruled out: credit too small (refusals came in waves, not evenly).

--- a/crates/limit/examples/measure.rs
+++ b/crates/limit/examples/measure.rs
@@ -53,6 +53,12 @@
         bound: Some(0.95),
         source: "one organisation offers 10 times its share: others keep 0.95",
     },
+    Row {
+        name: "goodput-in-overload",
+        run: goodput,
+        bound: Some(0.95),
+        source: "completed tokens over the bound, saturated: 0.95",
+    },
     Row { name: "node-lost", run: node_lost, bound: None, source: "none stated" },
     Row { name: "come-back-served", run: come_back, bound: None, source: "none stated" },
 ];
@@ -74,9 +80,19 @@
     f64::from(tally.in_time) / f64::from(tally.offered.max(1))
 }
 
+/// Long enough for the queues of the most patient callers to reach their length.
+fn steady(seed: u64) -> World {
+    World {
+        nodes: 4,
+        warm_up: Duration::from_secs(250),
+        length: Duration::from_secs(450),
+        ..World::new(100, seed)
+    }
+}
+
 fn urgent(settings: &Settings, seed: u64) -> f64 {
     let callers = loads::urgent_and_patient(1.5);
-    let tallies = World { nodes: 4, ..World::new(100, seed) }.run(settings, &callers);
+    let tallies = steady(seed).run(settings, &callers);
     let urgent: Vec<&Tally> = tallies.iter().step_by(2).collect();
     let in_time: u32 = urgent.iter().map(|tally| tally.in_time).sum();
     let offered: u32 = urgent.iter().map(|tally| tally.offered).sum();
@@ -105,6 +121,18 @@
     f64::from(in_time) / f64::from(offered)
 }
 
+/// Slots kept busy with answers that came in time, of all slots.
+fn goodput(settings: &Settings, seed: u64) -> f64 {
+    let callers = loads::urgent_and_patient(1.5);
+    let world = steady(seed);
+    let tallies = world.run(settings, &callers);
+    let busy = tallies.iter().zip(&callers).map(|(tally, callers)| {
+        let counted = world.length - world.warm_up - callers.patience;
+        f64::from(tally.in_time) * callers.hold.as_secs_f64() / counted.as_secs_f64()
+    });
+    busy.sum::<f64>() / f64::from(world.slots)
+}
+
 fn come_back(settings: &Settings, seed: u64) -> f64 {
     let callers = loads::returning(1.3);
     let tallies = World { nodes: 4, ..World::new(100, seed) }.run(settings, &callers);
--- a/crates/limit/src/patience.rs
+++ b/crates/limit/src/patience.rs
@@ -8,7 +8,7 @@
 const FIRST_SECONDS: f64 = 0.05;
 /// Ratio of the bounds of neighbouring buckets.
 const GROWTH: f64 = 1.3;
-/// Weight that all samples keep when a new one comes.
+/// Weight that samples of a wait keep when a new one of it or a longer one comes.
 const KEEP: f64 = 0.995;
 /// Share of callers that must still be waiting at the learned patience.
 const STAYING: f64 = 0.95;
@@ -36,14 +36,16 @@
 impl Patience {
     /// Notes a caller that left after `waited`.
     pub fn left(&mut self, waited: Duration) {
-        self.decay();
-        self.left[bucket(waited)] += 1.0;
+        let bucket = bucket(waited);
+        self.decay(bucket);
+        self.left[bucket] += 1.0;
     }
 
     /// Notes a caller that was still there when its answer came after `waited`.
     pub fn served(&mut self, waited: Duration) {
-        self.decay();
-        self.served[bucket(waited)] += 1.0;
+        let bucket = bucket(waited);
+        self.decay(bucket);
+        self.served[bucket] += 1.0;
     }
 
     /// Returns the time for which nearly all callers wait, or `None` when too few have
@@ -68,8 +70,12 @@
         None
     }
 
-    fn decay(&mut self) {
-        for weight in self.left.iter_mut().chain(&mut self.served) {
+    /// Fades what is known of waits up to `last`.
+    ///
+    /// A caller that was served early says nothing about longer waits: were those to
+    /// fade as well, patience would be forgotten as soon as it is respected.
+    fn decay(&mut self, last: usize) {
+        for weight in self.left[..=last].iter_mut().chain(&mut self.served[..=last]) {
             *weight *= KEEP as f32;
         }
     }
--- a/crates/limit/tests/decisions.rs
+++ b/crates/limit/tests/decisions.rs
@@ -60,6 +60,34 @@
     }
 }
 
+/// Once patience is respected nobody leaves any more; that must not undo the learning.
+#[test]
+fn patience_outlasts_its_success() {
+    let mut patience = Patience::default();
+    for _ in 0..5 {
+        patience.left(Duration::from_secs(3));
+    }
+    let learned = patience.learned();
+    for _ in 0..10_000 {
+        patience.served(Duration::from_millis(200));
+    }
+    assert!(learned.is_some());
+    assert_eq!(patience.learned(), learned);
+}
+
+/// Callers who stay longer than those before them replace what was learned.
+#[test]
+fn patience_is_learned_anew() {
+    let mut patience = Patience::default();
+    for _ in 0..5 {
+        patience.left(Duration::from_secs(3));
+    }
+    for _ in 0..1_000 {
+        patience.served(Duration::from_secs(6));
+    }
+    assert_eq!(patience.learned(), None);
+}
+
 fn request(id: u128) -> Request {
     Request {
         id,
