--- a/crates/standin/src/platform/rate.rs
+++ b/crates/standin/src/platform/rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// A token bucket that holds at most one second's worth of calls.
+/// A token bucket that holds one second's worth of calls, at least one.
 #[derive(Debug)]
 pub(super) struct Rate {
     per_second: f64,
@@ -13,7 +13,7 @@
 impl Rate {
     /// Makes a full bucket.
     pub(super) fn new(per_second: f64) -> Self {
-        Self { per_second, tokens: per_second, filled: Duration::ZERO }
+        Self { per_second, tokens: per_second.max(1.0), filled: Duration::ZERO }
     }
 
     /// Takes one call at `now`; `false` when the rate is exceeded.
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::{Layers, Plan, Stage, Trail};
 use serde::Deserialize;
@@ -143,3 +143,12 @@
         answer.tokens.push(serde_json::from_value(value).expect("a token event"));
     }
 }
+
+/// Polls until `condition` holds; fails after ten seconds.
+pub(crate) fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !condition() {
+        assert!(Instant::now() < deadline, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
