Faults of engines and plain services under test

Two faults found by the tests and mended: a service that crashed after a run began could still answer before its server ended (now the connection is cut), and the prefix cache evicted the shortest prefixes first, which made the longer ones useless.

--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -56,7 +56,9 @@
 
     /// Holds all of `prefixes`, and evicts what is then too much.
     pub(super) fn store(&mut self, prefixes: &[u64]) {
-        for prefix in prefixes {
+        // The longest goes in first: it is of use only together with all shorter ones, and
+        // is evicted before them.
+        for prefix in prefixes.iter().rev() {
             let held = self.prefixes.len();
             self.prefixes.retain(|other| other != prefix);
             self.prefixes.push_back(*prefix);
--- a/crates/standin/src/service/server.rs
+++ b/crates/standin/src/service/server.rs
@@ -122,7 +122,7 @@
         }
         // A caller that hangs up does not undo the run, but its place is free again.
         let place = Place(self);
-        let run = self.record(call);
+        let run = self.record(call)?;
         let delay = self.state().delay;
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
@@ -163,7 +163,7 @@
     }
 
     /// Records the run, and crashes when its body has the marker. Returns its number.
-    fn record(&self, call: &Call) -> usize {
+    fn record(&self, call: &Call) -> Result<usize, Cut> {
         let body = SmolStr::from(String::from_utf8_lossy(&call.body));
         let mut state = self.state();
         let crashes = state.crash_on.as_ref().is_some_and(|mark| body.contains(mark.as_str()));
@@ -178,8 +178,9 @@
         drop(state);
         if crashes {
             self.crash();
+            return Err(Cut);
         }
-        number
+        Ok(number)
     }
 
     fn control(&self, call: &Call) -> Reply {
