--- /dev/null
+++ b/crates/node/src/services.rs
@@ -0,0 +1,399 @@
+//! The decision services under their names: each wrapper hands a message to its
+//! state machine and sends what comes back to the services that it concerns.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fleet::{Link, NodeName, OrganisationName, Target};
+use kernel::{Context, Name, Service};
+
+use crate::fallback;
+use crate::{Action, Message, Request};
+
+/// Name of the service that follows requests.
+pub(crate) const REQUESTS: Name = "requests";
+/// Name of admission.
+pub(crate) const LIMIT: Name = "limit";
+/// Name of routing.
+pub(crate) const ROUTE: Name = "route";
+/// Name of the ledger.
+pub(crate) const LEDGER: Name = "ledger";
+/// Name of membership.
+pub(crate) const MEMBER: Name = "member";
+/// Name of the preset service.
+pub(crate) const PRESET: Name = "preset";
+
+/// How long a quarantine told without an end holds.
+const QUARANTINE_TTL: Duration = Duration::from_secs(600);
+
+type Ctx<'a> = Context<'a, Message, Action>;
+
+/// Name of the service that a message is for.
+pub(crate) fn receiver(message: &Message) -> Name {
+    match message {
+        Message::Request(_) => REQUESTS,
+        Message::Limit(_) | Message::Live(_) | Message::Demand(_) => LIMIT,
+        Message::Route(_) | Message::Targets(_) | Message::Links(_) => ROUTE,
+        Message::Ledger(_) => LEDGER,
+        Message::Member(_) => MEMBER,
+        Message::Preset(_) => PRESET,
+    }
+}
+
+fn send(ctx: &mut Ctx<'_>, message: Message) {
+    ctx.send(receiver(&message), message);
+}
+
+/// Admission.
+pub(crate) struct LimitService {
+    name: NodeName,
+    machine: fallback::Limiter,
+    live: u32,
+    demand: BTreeMap<(NodeName, OrganisationName), f64>,
+    actions: Vec<limit::Action>,
+}
+
+impl LimitService {
+    pub(crate) fn new(name: NodeName, settings: limit::Settings) -> Self {
+        Self {
+            name,
+            machine: fallback::Limiter::new(settings),
+            live: 1,
+            demand: BTreeMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    fn peers(&self) -> limit::Message {
+        let demand = self.demand.iter().map(|((node, organisation), cost)| limit::Demand {
+            node: node.clone(),
+            organisation: organisation.clone(),
+            cost: *cost,
+        });
+        limit::Message::Peers { live: self.live, demand: demand.collect() }
+    }
+}
+
+impl Service<Message, Action> for LimitService {
+    fn name(&self) -> Name {
+        LIMIT
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let message = match message {
+            Message::Limit(message) => message,
+            Message::Live(live) => {
+                self.live = live;
+                self.peers()
+            }
+            Message::Demand(demand) => {
+                self.demand.insert((demand.node, demand.organisation), demand.cost);
+                self.peers()
+            }
+            _ => return,
+        };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                limit::Action::Admit { request, priority } => {
+                    send(ctx, Message::Request(Request::Admit { request, priority }));
+                }
+                limit::Action::Refuse { request, reason, retry_after } => {
+                    send(ctx, Message::Request(Request::Refuse { request, reason, retry_after }));
+                }
+                limit::Action::Demand(costs) => {
+                    for (organisation, cost) in costs {
+                        let node = self.name.clone();
+                        let news = member::News::Demand { node, organisation, cost };
+                        send(ctx, Message::Member(member::Message::Publish(news)));
+                    }
+                }
+                limit::Action::Wake(after) => {
+                    ctx.send_after(after, LIMIT, Message::Limit(limit::Message::Wake));
+                }
+                limit::Action::Log(event) => ctx.act(Action::Log(event)),
+            }
+        }
+    }
+}
+
+/// Routing.
+pub(crate) struct RouteService {
+    machine: fallback::Router,
+    targets: Vec<Target>,
+    links: Vec<Link>,
+    actions: Vec<route::Action>,
+}
+
+impl RouteService {
+    pub(crate) fn new(settings: route::Settings) -> Self {
+        Self {
+            machine: fallback::Router::new(settings),
+            targets: Vec::new(),
+            links: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    fn fleet(&self) -> route::Message {
+        route::Message::Fleet { targets: self.targets.clone(), links: self.links.clone() }
+    }
+}
+
+impl Service<Message, Action> for RouteService {
+    fn name(&self) -> Name {
+        ROUTE
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let message = match message {
+            Message::Route(message) => message,
+            Message::Targets(targets) => {
+                self.targets = targets;
+                self.fleet()
+            }
+            Message::Links(links) => {
+                self.links = links;
+                self.fleet()
+            }
+            _ => return,
+        };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            route_action(action, ctx);
+        }
+    }
+}
+
+fn route_action(action: route::Action, ctx: &mut Ctx<'_>) {
+    match action {
+        route::Action::Dispatch(dispatch) => ctx.act(Action::Dispatch(dispatch)),
+        route::Action::Cancel { request, attempt, plan } => {
+            ctx.act(Action::Cancel { request, attempt, plan });
+        }
+        route::Action::Finish { request, verdict } => {
+            send(ctx, Message::Request(Request::Finish { request, verdict }));
+        }
+        route::Action::Quarantine(quarantine) => {
+            let news = member::News::Quarantine {
+                fingerprint: quarantine.fingerprint,
+                target: quarantine.target,
+                condemned: quarantine.condemned,
+            };
+            send(ctx, Message::Member(member::Message::Publish(news)));
+        }
+        route::Action::Leaving(target) => {
+            send(ctx, Message::Member(member::Message::Leaving(target)));
+        }
+        route::Action::Capacity { service, tokens_per_second, slots } => {
+            let capacity = limit::Capacity { service, tokens_per_second, slots };
+            send(ctx, Message::Limit(limit::Message::Capacity(capacity)));
+        }
+        route::Action::Wake(after) => {
+            ctx.send_after(after, ROUTE, Message::Route(route::Message::Wake));
+        }
+        route::Action::Log(event) => ctx.act(Action::Log(event)),
+    }
+}
+
+/// The ledger.
+pub(crate) struct LedgerService {
+    machine: fallback::Ledger,
+    actions: Vec<ledger::Action>,
+}
+
+impl LedgerService {
+    pub(crate) fn new(settings: ledger::Settings) -> Self {
+        Self { machine: fallback::Ledger::new(settings), actions: Vec::new() }
+    }
+}
+
+impl Service<Message, Action> for LedgerService {
+    fn name(&self) -> Name {
+        LEDGER
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let Message::Ledger(message) = message else { return };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                ledger::Action::Read { ticket, shard } => ctx.act(Action::Read { ticket, shard }),
+                ledger::Action::Write { ticket, shard, revision, value } => {
+                    ctx.act(Action::Write { ticket, shard, revision, value });
+                }
+                ledger::Action::Verdict { request, verdict } => {
+                    send(ctx, Message::Request(Request::Verdict { request, verdict }));
+                }
+                ledger::Action::Settled { request, kept: _ } => {
+                    send(ctx, Message::Request(Request::Settled(request)));
+                }
+                ledger::Action::Wake(after) => {
+                    ctx.send_after(after, LEDGER, Message::Ledger(ledger::Message::Wake));
+                }
+                ledger::Action::Log(event) => ctx.act(Action::Log(event)),
+            }
+        }
+    }
+}
+
+/// Membership.
+pub(crate) struct MemberService {
+    name: NodeName,
+    machine: fallback::Membership,
+    actions: Vec<member::Action>,
+}
+
+impl MemberService {
+    pub(crate) fn new(name: NodeName, settings: member::Settings) -> Self {
+        Self { name, machine: fallback::Membership::new(settings), actions: Vec::new() }
+    }
+
+    fn nodes(&self, nodes: Vec<member::Node>, ctx: &mut Ctx<'_>) {
+        let mut alive: Vec<NodeName> = nodes
+            .iter()
+            .filter(|node| node.state == member::State::Alive && node.name != self.name)
+            .map(|node| node.name.clone())
+            .collect();
+        alive.push(self.name.clone());
+        alive.sort();
+        let count = u32::try_from(alive.len()).unwrap_or(u32::MAX);
+        let others = nodes.iter().filter(|node| node.name != self.name);
+        let known = 1 + others
+            .clone()
+            .filter(|node| node.state != member::State::Left)
+            .count();
+        let known = u32::try_from(known).unwrap_or(u32::MAX);
+        send(ctx, Message::Preset(preset::Message::Nodes { alive: count, known }));
+        for node in others.filter(|node| node.state == member::State::Alive) {
+            let (node, version) = (node.name.clone(), node.preset);
+            send(ctx, Message::Preset(preset::Message::PeerVersion { node, version }));
+        }
+        send(ctx, Message::Ledger(ledger::Message::Nodes(alive)));
+        send(ctx, Message::Live(count));
+        ctx.act(Action::Nodes(nodes));
+    }
+
+    fn act(&self, action: member::Action, ctx: &mut Ctx<'_>) {
+        match action {
+            member::Action::Send { to, address, heartbeat } => {
+                ctx.act(Action::Heartbeat { to, address, heartbeat });
+            }
+            member::Action::Reply(heartbeat) => ctx.act(Action::Reply(heartbeat)),
+            member::Action::Nodes(nodes) => self.nodes(nodes, ctx),
+            member::Action::Targets(targets) => {
+                let services = targets.iter().map(service_of).collect();
+                send(ctx, Message::Request(Request::Services(services)));
+                send(ctx, Message::Targets(targets.clone()));
+                ctx.act(Action::Targets(targets));
+            }
+            member::Action::Lost(targets) => {
+                send(ctx, Message::Route(route::Message::Lost { targets }));
+            }
+            member::Action::Learned { news, ttl } => learned(news, ttl, ctx),
+            member::Action::Behind { node, address: _, version } => {
+                send(ctx, Message::Preset(preset::Message::PeerVersion { node, version }));
+            }
+            member::Action::Confident(confident) => {
+                send(ctx, Message::Preset(preset::Message::Confident(confident)));
+            }
+            member::Action::Wake(after) => {
+                ctx.send_after(after, MEMBER, Message::Member(member::Message::Wake));
+            }
+            member::Action::Log(event) => ctx.act(Action::Log(event)),
+        }
+    }
+}
+
+/// Model or plain service of a target.
+fn service_of(target: &Target) -> smol_str::SmolStr {
+    match &target.kind {
+        fleet::Kind::Engine(engine) => engine.model.clone(),
+        fleet::Kind::Service(service) => service.name.clone(),
+    }
+}
+
+/// Hands news from another node to the service that it concerns.
+fn learned(news: member::News, ttl: Option<Duration>, ctx: &mut Ctx<'_>) {
+    match news {
+        member::News::Quarantine { fingerprint, target, condemned } => {
+            let ttl = ttl.unwrap_or(QUARANTINE_TTL);
+            let quarantine = route::Quarantine { fingerprint, target, condemned, ttl };
+            send(ctx, Message::Route(route::Message::Quarantine(quarantine)));
+        }
+        member::News::Demand { node, organisation, cost } => {
+            send(ctx, Message::Demand(limit::Demand { node, organisation, cost }));
+        }
+        member::News::Standing { .. } | member::News::Leaving { .. } => {}
+    }
+}
+
+impl Service<Message, Action> for MemberService {
+    fn name(&self) -> Name {
+        MEMBER
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let Message::Member(message) = message else { return };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.act(action, ctx);
+        }
+    }
+}
+
+/// The preset service.
+pub(crate) struct PresetService {
+    machine: fallback::Follower,
+    actions: Vec<preset::Action>,
+}
+
+impl PresetService {
+    pub(crate) fn new(settings: preset::Settings) -> Self {
+        Self { machine: fallback::Follower::new(settings), actions: Vec::new() }
+    }
+}
+
+impl Service<Message, Action> for PresetService {
+    fn name(&self) -> Name {
+        PRESET
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let Message::Preset(message) = message else { return };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                preset::Action::InForce { preset, value } => in_force(preset, value, ctx),
+                preset::Action::Fresh(fresh) => {
+                    send(ctx, Message::Request(Request::Fresh(fresh)));
+                    ctx.act(Action::Fresh(fresh));
+                }
+                preset::Action::Poll => ctx.act(Action::Poll),
+                preset::Action::Ask(node) => ctx.act(Action::Ask(node)),
+                preset::Action::Wake(after) => {
+                    ctx.send_after(after, PRESET, Message::Preset(preset::Message::Wake));
+                }
+                preset::Action::Log(event) => ctx.act(Action::Log(event)),
+            }
+        }
+    }
+}
+
+/// Tells every service what the preset sets for it.
+fn in_force(preset: Arc<preset::Preset>, value: Arc<[u8]>, ctx: &mut Ctx<'_>) {
+    let weights = preset.organisations.iter();
+    let weights = weights.map(|organisation| (organisation.name.clone(), organisation.weight));
+    let bounds =
+        limit::Bounds { weights: weights.collect(), queue: preset.queue, wait: preset.wait };
+    send(ctx, Message::Limit(limit::Message::Bounds(bounds)));
+    send(ctx, Message::Links(preset.links.clone()));
+    send(ctx, Message::Member(member::Message::Preset(preset.version)));
+    ctx.act(Action::InForce { preset, value });
+}
--- /dev/null
+++ b/crates/node/src/shell/relay.rs
@@ -0,0 +1,557 @@
+//! The relay of one request: takes the events of its attempts, checks each token,
+//! hands it to the caller and reports only samples and endings to the decisions.
+//!
+//! A token is delivered only when its request, attempt and number are the ones
+//! due and its trail follows the plan of that attempt. The text delivered so far
+//! goes along with the next attempt, so that the caller's stream goes on where
+//! the last one broke.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{AttemptId, Depth, Event as LogEvent, Plan, RequestId, TokenIndex};
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::attempt::{self, Event, Plain, Report, Token};
+use super::reply::{self, Reply};
+use super::shared::{Command, Input, Shared, hex};
+use crate::api::{Completion, Header};
+use crate::identity::{Digest, EventId};
+use crate::{Answer, End, Message, Request, event};
+
+/// Events of attempts that wait for the relay.
+const EVENTS_WAITING: usize = 64;
+/// Pieces of an answer that wait for the caller.
+const PIECES_WAITING: usize = 32;
+/// Tokens between samples of progress.
+const SAMPLE_TOKENS: TokenIndex = 16;
+/// Longest time for one call that tells a target to cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Added to the timeouts of a blocking read, so that the relay's own come first.
+const READ_MARGIN: Duration = Duration::from_millis(500);
+
+/// A caller's call.
+pub(crate) enum Call {
+    /// To a model.
+    Model(Box<Model>),
+    /// To a plain service.
+    Plain(Box<Service>),
+}
+
+/// A call to a model.
+pub(crate) struct Model {
+    pub(crate) completion: Completion,
+    pub(crate) header: Header,
+    /// Seed of the decoding.
+    pub(crate) seed: u64,
+    /// Last event that the caller has.
+    pub(crate) last: Option<EventId>,
+    /// Whether the caller gave a key, so that earlier sendings are possible.
+    pub(crate) keyed: bool,
+}
+
+/// A call to a plain service.
+pub(crate) struct Service {
+    pub(crate) method: hyper::Method,
+    /// Path and query at the target.
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(hyper::header::HeaderName, hyper::header::HeaderValue)>,
+    pub(crate) body: Bytes,
+    pub(crate) keyed: bool,
+}
+
+/// The attempt that runs.
+struct Current {
+    id: AttemptId,
+    plan: Plan,
+    depth: Depth,
+    stall: Duration,
+    abandoned: Arc<AtomicBool>,
+}
+
+/// The way to the caller.
+enum Caller {
+    /// Nothing has been sent.
+    Waiting(oneshot::Sender<Reply>),
+    /// The answer streams.
+    Streaming(mpsc::Sender<Bytes>),
+    /// Gone, or answered.
+    Gone,
+}
+
+/// Relays one request.
+pub(crate) struct Relay {
+    shared: Arc<Shared>,
+    agent: ureq::Agent,
+    request: RequestId,
+    call: Call,
+    caller: Caller,
+    current: Option<Current>,
+    deadline: Option<Instant>,
+    events: mpsc::Sender<(AttemptId, Event)>,
+    texts: Vec<SmolStr>,
+    digest: Digest,
+    finish: SmolStr,
+    answer: Option<Answer>,
+    sampled: TokenIndex,
+    started: bool,
+    began: Instant,
+}
+
+/// What a relay is made of.
+pub(crate) struct Parts {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) agent: ureq::Agent,
+    pub(crate) request: RequestId,
+    pub(crate) call: Call,
+    pub(crate) caller: oneshot::Sender<Reply>,
+}
+
+/// Counts a request as in flight for as long as it lives.
+struct InFlight(Arc<Shared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Runs the relay of a request to its end.
+pub(crate) async fn run(parts: Parts, mut commands: mpsc::UnboundedReceiver<Command>) {
+    let shared = Arc::clone(&parts.shared);
+    shared.in_flight.fetch_add(1, Ordering::SeqCst);
+    let _in_flight = InFlight(Arc::clone(&shared));
+    let (events, mut incoming) = mpsc::channel(EVENTS_WAITING);
+    let mut relay = Relay {
+        digest: shared.secret.digest(),
+        shared,
+        agent: parts.agent,
+        request: parts.request,
+        call: parts.call,
+        caller: Caller::Waiting(parts.caller),
+        current: None,
+        deadline: None,
+        events,
+        texts: Vec::new(),
+        finish: SmolStr::default(),
+        answer: None,
+        sampled: 0,
+        started: false,
+        began: Instant::now(),
+    };
+    loop {
+        let deadline = relay.deadline.unwrap_or_else(Instant::now);
+        let timed = relay.deadline.is_some();
+        tokio::select! {
+            biased;
+            command = commands.recv() => match command {
+                Some(Command::Dispatch(dispatch)) => relay.dispatch(dispatch),
+                Some(Command::Finish(end)) => break relay.end(end).await,
+                None => break,
+            },
+            () = relay.caller.gone() => relay.hung_up(),
+            Some((attempt, event)) = incoming.recv() => relay.event(attempt, event).await,
+            () = sleep_until(deadline), if timed => relay.ended(route::Ending::Stalled),
+        }
+    }
+    relay.abandon();
+}
+
+impl Caller {
+    /// Waits until the caller has gone; forever once that is known.
+    async fn gone(&mut self) {
+        match self {
+            Caller::Waiting(head) => head.closed().await,
+            Caller::Streaming(body) => body.closed().await,
+            Caller::Gone => std::future::pending().await,
+        }
+    }
+}
+
+impl Relay {
+    fn tell(&self, request: Request) {
+        self.shared.inbox.tell(Message::Request(request));
+    }
+
+    fn log(&self, event: LogEvent) {
+        self.shared.inbox.send(Input::Log(event));
+    }
+
+    fn next(&self) -> TokenIndex {
+        TokenIndex::try_from(self.texts.len()).unwrap_or(TokenIndex::MAX)
+    }
+
+    /// Lets the reader of the current attempt go.
+    fn abandon(&mut self) {
+        self.deadline = None;
+        if let Some(current) = self.current.take() {
+            current.abandoned.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn dispatch(&mut self, dispatch: route::Dispatch) {
+        self.abandon();
+        let Some(first) = dispatch.plan.stages.first() else {
+            debug_assert!(false, "a plan has a stage");
+            return;
+        };
+        let abandoned = Arc::new(AtomicBool::new(false));
+        let report = Report {
+            attempt: dispatch.attempt,
+            events: self.events.clone(),
+            abandoned: Arc::clone(&abandoned),
+        };
+        let agent = self.agent.clone();
+        let first_timeout = dispatch.first_timeout;
+        let mut depth = 0;
+        match &self.call {
+            Call::Model(model) => {
+                let name = &model.completion.model;
+                let last = dispatch.plan.stages.last().map_or(0, |stage| stage.layers.end);
+                depth = self.shared.offers().models.get(name).copied().unwrap_or(last);
+                let url = format!("http://{}{}", first.address, model.completion.form.path());
+                let body = self.engine_body(model, &dispatch, depth);
+                let silence = first_timeout.max(dispatch.stall_timeout) + READ_MARGIN;
+                tokio::task::spawn_blocking(move || {
+                    attempt::stream(&agent, &url, &body, silence, &report);
+                });
+            }
+            Call::Plain(service) => {
+                let plain = Plain {
+                    method: service.method.clone(),
+                    url: format!("http://{}{}", first.address, service.path),
+                    headers: service.headers.clone(),
+                    body: service.body.clone(),
+                    request: self.request,
+                    answer_bytes: self.shared.settings.answer_bytes,
+                };
+                let limit = first_timeout + READ_MARGIN;
+                tokio::task::spawn_blocking(move || {
+                    attempt::call(&agent, plain, limit, &report);
+                });
+            }
+        }
+        self.deadline = Some(Instant::now() + first_timeout);
+        self.current = Some(Current {
+            id: dispatch.attempt,
+            plan: dispatch.plan,
+            depth,
+            stall: dispatch.stall_timeout,
+            abandoned,
+        });
+    }
+
+    /// The body for the first stage: the caller's members and the plan.
+    fn engine_body(&self, model: &Model, dispatch: &route::Dispatch, depth: Depth) -> Vec<u8> {
+        let mut plan = json!({
+            "request": hex(self.request), "attempt": dispatch.attempt, "seed": model.seed,
+            "priority": dispatch.priority, "depth": depth, "stages": dispatch.plan,
+        });
+        if !self.texts.is_empty() {
+            plan["resume"] = json!({"index": self.texts.len(), "text": self.texts});
+        }
+        let mut members = model.completion.members.clone();
+        members.insert("stream".to_owned(), json!(true));
+        members.insert("plan".to_owned(), plan);
+        serde_json::Value::Object(members).to_string().into_bytes()
+    }
+
+    async fn event(&mut self, attempt: AttemptId, event: Event) {
+        let Some(current) = &self.current else { return };
+        if attempt != current.id {
+            self.drop_event("older_attempt", attempt);
+            return;
+        }
+        let first = current.plan.stages.first().map(|stage| stage.target.clone());
+        let first = first.unwrap_or_default();
+        match event {
+            Event::Token(token) => self.token(token).await,
+            Event::Closed { request, attempt, finish, tokens } => {
+                self.closed(&request, attempt, finish, tokens);
+            }
+            Event::Failed { target } => {
+                self.ended(route::Ending::Broken { target: Some(target) });
+            }
+            Event::Refused { leaving, retry_after } => {
+                self.ended(route::Ending::Refused { target: first, leaving, retry_after });
+            }
+            Event::Unreachable => self.ended(route::Ending::Unreachable { target: first }),
+            Event::Broken => {
+                let target = matches!(self.call, Call::Plain(_)).then_some(first);
+                self.ended(route::Ending::Broken { target });
+            }
+            Event::Answer(answer) => self.answered(answer),
+        }
+    }
+
+    fn drop_event(&self, reason: &str, attempt: AttemptId) {
+        metrics::counter!("magnolia_tokens_dropped", "reason" => reason.to_owned()).increment(1);
+        self.log(
+            LogEvent::new(&event::DROPPED)
+                .with("request", hex(self.request))
+                .with("attempt", attempt)
+                .with("reason", reason),
+        );
+    }
+
+    async fn token(&mut self, token: Token) {
+        let Some(current) = &self.current else { return };
+        if token.request != hex(self.request) {
+            self.drop_event("other_request", token.attempt);
+            return;
+        }
+        if token.attempt != current.id {
+            self.drop_event("older_attempt", token.attempt);
+            return;
+        }
+        if token.index < self.next() {
+            self.drop_event("already_delivered", token.attempt);
+            return;
+        }
+        if token.index > self.next() {
+            self.ended(route::Ending::Broken { target: None });
+            return;
+        }
+        if let Err(fault) = token.trail.verify(&current.plan, current.depth) {
+            self.log(
+                LogEvent::new(&event::ASTRAY)
+                    .with("request", hex(self.request))
+                    .with("attempt", token.attempt)
+                    .with("reason", fault),
+            );
+            self.ended(route::Ending::Astray);
+            return;
+        }
+        self.deadline = Some(Instant::now() + current.stall);
+        self.accept(token.text).await;
+    }
+
+    /// Takes a checked token and delivers it unless the caller has it already.
+    async fn accept(&mut self, text: SmolStr) {
+        if self.texts.is_empty() && !self.matches_last() {
+            self.conflict();
+            return;
+        }
+        self.digest.add(&text);
+        self.texts.push(text.clone());
+        self.sample();
+        if !self.started {
+            self.started = true;
+            self.tell(Request::Started(self.request));
+            metrics::histogram!("magnolia_first_token_seconds")
+                .record(self.began.elapsed().as_secs_f64());
+        }
+        let Call::Model(model) = &self.call else { return };
+        if model.last.is_some_and(|last| self.next() <= last.index) {
+            if !self.matches_last() {
+                self.conflict();
+            }
+            return;
+        }
+        if !model.completion.shape.stream {
+            return;
+        }
+        let piece = reply::event(&self.event_id(model), &model.header.token(&text));
+        metrics::counter!("magnolia_tokens").increment(1);
+        self.deliver(piece).await;
+    }
+
+    /// Whether the text up to the caller's last event is the one that the caller has.
+    fn matches_last(&self) -> bool {
+        let Call::Model(model) = &self.call else { return true };
+        model.last.is_none_or(|last| {
+            last.index != self.next() || last.digest == self.digest.value()
+        })
+    }
+
+    fn event_id(&self, model: &Model) -> EventId {
+        EventId {
+            answer: model.header.answer,
+            index: self.next(),
+            digest: self.digest.value(),
+        }
+    }
+
+    fn sample(&mut self) {
+        let next = self.next();
+        if next != 1 && next - self.sampled < SAMPLE_TOKENS {
+            return;
+        }
+        self.sampled = next;
+        if let Some(current) = &self.current {
+            let (request, attempt) = (self.request, current.id);
+            let progress = route::Message::Progress { request, attempt, next };
+            self.shared.inbox.tell(Message::Route(progress));
+        }
+    }
+
+    /// Sends a piece of the stream, and its head before the first.
+    async fn deliver(&mut self, piece: Bytes) {
+        if let Caller::Waiting(_) = self.caller {
+            let (sender, receiver) = mpsc::channel(PIECES_WAITING);
+            let head = Reply::stream(self.request, receiver);
+            let caller = std::mem::replace(&mut self.caller, Caller::Streaming(sender));
+            if let Caller::Waiting(caller) = caller
+                && caller.send(head).is_err()
+            {
+                self.hung_up();
+                return;
+            }
+        }
+        if let Caller::Streaming(body) = &self.caller {
+            let sent = timeout(self.shared.settings.write, body.send(piece)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                self.hung_up();
+            }
+        }
+        // The time that the caller took is not the engine's.
+        if let Some(current) = &self.current
+            && self.deadline.is_some()
+        {
+            self.deadline = Some(Instant::now() + current.stall);
+        }
+    }
+
+    fn hung_up(&mut self) {
+        if matches!(self.caller, Caller::Gone) {
+            return;
+        }
+        self.caller = Caller::Gone;
+        let hung_up = LogEvent::new(&event::HUNG_UP)
+            .with("request", hex(self.request))
+            .with("tokens", self.texts.len());
+        self.log(hung_up);
+        self.tell(Request::HungUp(self.request));
+    }
+
+    /// The caller's last event is not of this answer.
+    fn conflict(&mut self) {
+        let text = "the answer computed again differs from the one that Last-Event-ID names";
+        let reply = Reply::error(409, "last_event_mismatch", text, Some(self.request))
+            .run("attempt-not-run")
+            .retry_after(Duration::from_secs(1));
+        self.answer_with(reply);
+        self.tell(Request::HungUp(self.request));
+    }
+
+    fn answer_with(&mut self, reply: Reply) {
+        if let Caller::Waiting(caller) = std::mem::replace(&mut self.caller, Caller::Gone)
+            && caller.send(reply).is_err()
+        {
+            log::debug!("the caller of {} has gone", hex(self.request));
+        }
+    }
+
+    fn closed(&mut self, request: &str, attempt: AttemptId, finish: SmolStr, tokens: TokenIndex) {
+        let Some(current) = &self.current else { return };
+        if request != hex(self.request) {
+            self.drop_event("other_request", attempt);
+            self.ended(route::Ending::Broken { target: None });
+        } else if attempt != current.id || tokens != self.next() {
+            self.ended(route::Ending::Broken { target: None });
+        } else {
+            self.finish = finish;
+            self.ended(route::Ending::Complete);
+        }
+    }
+
+    fn answered(&mut self, answer: Answer) {
+        if !self.started {
+            self.started = true;
+            self.tell(Request::Started(self.request));
+        }
+        let Call::Plain(service) = &self.call else { return };
+        let safe = service.method.is_safe();
+        let failed = answer.status >= 500 && safe;
+        self.answer = Some(answer);
+        self.ended(if failed { route::Ending::Failed } else { route::Ending::Complete });
+    }
+
+    /// Reports the end of the current attempt.
+    fn ended(&mut self, ending: route::Ending) {
+        let Some(attempt) = self.current.as_ref().map(|current| current.id) else { return };
+        self.abandon();
+        let (request, next) = (self.request, self.next());
+        let answer = self.answer.clone();
+        self.tell(Request::Ended { request, attempt, next, ending, answer });
+    }
+
+    /// Tells the caller how the request ended.
+    async fn end(&mut self, end: End) {
+        let name = reply::name(&end);
+        metrics::counter!("magnolia_requests", "end" => name).increment(1);
+        self.log(
+            LogEvent::new(&event::FINISHED)
+                .with("request", hex(self.request))
+                .with("end", name)
+                .with("reason", reply::reason(&end))
+                .with("tokens", self.texts.len())
+                .with("ms", self.began.elapsed().as_millis()),
+        );
+        if end == End::Complete {
+            self.complete().await;
+            return;
+        }
+        let keyed = match &self.call {
+            Call::Model(model) => model.keyed,
+            // The ledger, or the method, speaks for earlier sendings.
+            Call::Plain(service) => service.keyed && service.method.is_safe(),
+        };
+        match &self.caller {
+            Caller::Streaming(_) => {
+                let piece = reply::failure_event(&end, self.request);
+                self.deliver(piece).await;
+            }
+            Caller::Waiting(_) => self.answer_with(reply::of_end(&end, self.request, keyed)),
+            Caller::Gone => {}
+        }
+    }
+
+    async fn complete(&mut self) {
+        let model = match &self.call {
+            Call::Plain(_) => {
+                let reply = match self.answer.take() {
+                    Some(answer) => Reply::answer(answer, self.request),
+                    None => reply::of_end(&End::Unknown, self.request, true),
+                };
+                self.answer_with(reply.run("complete"));
+                return;
+            }
+            Call::Model(model) => model,
+        };
+        let short = model.last.is_some_and(|last| self.next() < last.index);
+        if short || !self.matches_last() {
+            self.conflict();
+            return;
+        }
+        if model.completion.shape.stream {
+            let closing = model.header.closing(&self.finish);
+            let piece = reply::closing_event(&self.event_id(model), &closing);
+            self.deliver(piece).await;
+            return;
+        }
+        let text = self.texts.concat();
+        let shape = model.completion.shape;
+        let whole = model.header.whole(&text, &self.finish, shape, self.texts.len());
+        let reply = Reply::json(200, &whole, self.request).run("complete");
+        self.answer_with(reply);
+    }
+}
+
+/// Tells all stages of a plan to end an attempt.
+pub(crate) fn cancel(agent: &ureq::Agent, request: RequestId, attempt: AttemptId, plan: &Plan) {
+    let body = json!({"request": hex(request), "attempt": attempt}).to_string();
+    for stage in plan.stages.iter().filter(|stage| !stage.layers.is_empty()) {
+        let agent = agent.clone();
+        let url = format!("http://{}/cancel", stage.address);
+        let body = body.clone();
+        tokio::task::spawn_blocking(move || {
+            attempt::cancel(&agent, &url, body.as_bytes(), CANCEL_TIMEOUT);
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/shell/shared.rs
@@ -0,0 +1,190 @@
+//! What the shells of one node share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use fleet::{Depth, Kind, ModelName, RequestId, Target};
+use smol_str::SmolStr;
+use tokio::sync::{mpsc as async_mpsc, oneshot};
+
+use crate::api::Directory;
+use crate::identity::Secret;
+use crate::{Arrival, End, Message, Settings};
+
+/// What the decision thread hears.
+pub(crate) enum Input {
+    /// A caller's request, and the way back to its relay.
+    Arrive { arrival: Box<Arrival>, commands: async_mpsc::UnboundedSender<Command> },
+    /// A message to a service.
+    Message(Message),
+    /// A heartbeat that wants a reply.
+    Exchange { heartbeat: member::Heartbeat, reply: oneshot::Sender<member::Heartbeat> },
+    /// A question for the decisions made on a request.
+    Explain { request: String, reply: mpsc::Sender<Vec<String>> },
+    /// A log line of a shell, kept with the decisions.
+    Log(fleet::Event),
+    /// Take nothing new.
+    Close,
+    /// End.
+    Stop,
+}
+
+/// What a request's relay hears.
+pub(crate) enum Command {
+    /// Send an attempt.
+    Dispatch(route::Dispatch),
+    /// Answer the caller and end.
+    Finish(End),
+}
+
+/// The way to the decision thread.
+#[derive(Clone)]
+pub(crate) struct Inbox(mpsc::Sender<Input>);
+
+impl Inbox {
+    pub(crate) fn new(sender: mpsc::Sender<Input>) -> Self {
+        Self(sender)
+    }
+
+    /// Sends an input. After the decision thread has ended there is nobody to hear it.
+    pub(crate) fn send(&self, input: Input) {
+        if self.0.send(input).is_err() {
+            log::debug!("an input came after the decision thread had ended");
+        }
+    }
+
+    /// Sends a message to a service.
+    pub(crate) fn tell(&self, message: Message) {
+        self.send(Input::Message(message));
+    }
+}
+
+/// What the callers' port needs to know of the fleet.
+#[derive(Default)]
+pub(crate) struct Offers {
+    /// Layers of each model.
+    pub(crate) models: HashMap<ModelName, Depth>,
+    /// Whether the calls of each plain service may be repeated.
+    pub(crate) services: HashMap<SmolStr, bool>,
+    /// All targets.
+    pub(crate) targets: Vec<Target>,
+}
+
+impl Offers {
+    /// Reads a fleet; what an earlier fleet offered stays known.
+    pub(crate) fn updated(&self, targets: Vec<Target>) -> Self {
+        let mut models = self.models.clone();
+        let mut services = self.services.clone();
+        for target in &targets {
+            match &target.kind {
+                Kind::Engine(engine) => {
+                    models.insert(engine.model.clone(), engine.depth);
+                }
+                Kind::Service(service) => {
+                    services.insert(service.name.clone(), service.idempotent);
+                }
+            }
+        }
+        Self { models, services, targets }
+    }
+}
+
+/// The preset in force and its stored value.
+pub(crate) type InForce = (Arc<preset::Preset>, Arc<[u8]>);
+
+/// What the shells of one node share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) secret: Secret,
+    pub(crate) inbox: Inbox,
+    directory: RwLock<Arc<Directory>>,
+    offers: RwLock<Arc<Offers>>,
+    in_force: RwLock<Option<InForce>>,
+    nodes: RwLock<Vec<member::Node>>,
+    /// Whether the configuration in force is proved.
+    pub(crate) fresh: AtomicBool,
+    /// Whether a planned stop has begun.
+    pub(crate) draining: AtomicBool,
+    /// Whether all threads are to end.
+    pub(crate) stopping: AtomicBool,
+    /// Requests whose answer is not given yet.
+    pub(crate) in_flight: AtomicUsize,
+    /// Connections of callers.
+    pub(crate) connections: AtomicUsize,
+}
+
+fn read<T: Clone>(lock: &RwLock<T>) -> T {
+    lock.read().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
+fn write<T>(lock: &RwLock<T>, value: T) {
+    *lock.write().unwrap_or_else(PoisonError::into_inner) = value;
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, inbox: Inbox) -> Self {
+        Self {
+            secret: Secret::new(&settings.secret),
+            settings,
+            inbox,
+            directory: RwLock::default(),
+            offers: RwLock::default(),
+            in_force: RwLock::default(),
+            nodes: RwLock::default(),
+            fresh: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+        }
+    }
+
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        read(&self.directory)
+    }
+
+    pub(crate) fn offers(&self) -> Arc<Offers> {
+        read(&self.offers)
+    }
+
+    pub(crate) fn in_force(&self) -> Option<InForce> {
+        read(&self.in_force)
+    }
+
+    pub(crate) fn nodes(&self) -> Vec<member::Node> {
+        read(&self.nodes)
+    }
+
+    pub(crate) fn set_in_force(&self, preset: Arc<preset::Preset>, value: Arc<[u8]>) {
+        write(&self.directory, Arc::new(Directory::new(&preset)));
+        write(&self.in_force, Some((preset, value)));
+    }
+
+    pub(crate) fn set_targets(&self, targets: Vec<Target>) {
+        let offers = self.offers().updated(targets);
+        write(&self.offers, Arc::new(offers));
+    }
+
+    pub(crate) fn set_nodes(&self, nodes: Vec<member::Node>) {
+        write(&self.nodes, nodes);
+    }
+
+    /// Whether the balancer may send requests here.
+    pub(crate) fn ready(&self) -> bool {
+        self.fresh.load(Ordering::Relaxed)
+            && !self.draining.load(Ordering::Relaxed)
+            && self.in_force().is_some()
+            && !self.offers().targets.is_empty()
+    }
+
+    pub(crate) fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// Text of a request id in logs and headers.
+pub(crate) fn hex(request: RequestId) -> String {
+    format!("{request:032x}")
+}
