--- /dev/null
+++ b/crates/node/src/bin/magnoliactl.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/bin/magnoliarun.rs
@@ -0,0 +1,56 @@
+//! The node's process. `magnoliarun --help` lists all settings.
+
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use node::settings::{EXIT_CUT, EXIT_FAILED, EXIT_PORT, EXIT_SETTINGS, EXIT_STOPPED, options};
+use node::shell::{Process, StartError, logging};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+fn main() -> ExitCode {
+    let text = match options().run_inner(bpaf::Args::current_args()) {
+        Ok(text) => text,
+        Err(failure) => {
+            failure.print_message(80);
+            let code = failure.exit_code();
+            return ExitCode::from(if code == 0 { EXIT_STOPPED } else { EXIT_SETTINGS });
+        }
+    };
+    let settings = match text.check() {
+        Ok(settings) => settings,
+        Err(invalid) => {
+            eprintln!("Error: {invalid}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    logging::install(settings.log_level);
+    let Ok(mut signals) = Signals::new([SIGTERM, SIGINT]) else {
+        eprintln!("Error: signals cannot be received");
+        return ExitCode::from(EXIT_FAILED);
+    };
+    let process = match Process::start(settings) {
+        Ok(process) => process,
+        Err(report) => {
+            let error = report.current_context();
+            eprintln!("Error: {error}");
+            let port = matches!(error, StartError::Port { .. });
+            return ExitCode::from(if port { EXIT_PORT } else { EXIT_FAILED });
+        }
+    };
+    let hurry = process.hurry();
+    signals.forever().next();
+    let handle = signals.handle();
+    let second = thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            hurry.store(true, Ordering::Relaxed);
+        }
+    });
+    let cut = process.stop();
+    handle.close();
+    if second.join().is_err() {
+        return ExitCode::from(EXIT_FAILED);
+    }
+    ExitCode::from(if cut == 0 { EXIT_STOPPED } else { EXIT_CUT })
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,70 +3,70 @@
 use fleet::EventKind;
 
 /// The process has started.
-pub const STARTED: EventKind =
+pub(crate) const STARTED: EventKind =
     EventKind { number: 901, name: "node-started", meaning: "The node has opened its ports." };
 /// A request has come in.
-pub const ARRIVED: EventKind = EventKind {
+pub(crate) const ARRIVED: EventKind = EventKind {
     number: 902,
     name: "request-arrived",
     meaning: "A caller's request has come in; `answer` is the identifier in its event ids.",
 };
 /// A request has ended.
-pub const FINISHED: EventKind = EventKind {
+pub(crate) const FINISHED: EventKind = EventKind {
     number: 903,
     name: "request-finished",
     meaning: "The caller has been told how the request ended.",
 };
 /// A token was dropped.
-pub const DROPPED: EventKind = EventKind {
+pub(crate) const DROPPED: EventKind = EventKind {
     number: 904,
     name: "token-dropped",
     meaning: "A token of another request, an older attempt or a number already delivered was dropped.",
 };
 /// A token's trail does not follow the plan.
-pub const ASTRAY: EventKind = EventKind {
+pub(crate) const ASTRAY: EventKind = EventKind {
     number: 905,
     name: "token-astray",
     meaning: "A token's layer trail does not follow the plan; the attempt is ended.",
 };
 /// A request was turned away before any decision.
-pub const REJECTED: EventKind = EventKind {
+pub(crate) const REJECTED: EventKind = EventKind {
     number: 906,
     name: "request-rejected",
     meaning: "A caller's request is malformed, too large, too slow or of no known organisation.",
 };
 /// The caller has gone.
-pub const HUNG_UP: EventKind = EventKind {
+pub(crate) const HUNG_UP: EventKind = EventKind {
     number: 907,
     name: "caller-hung-up",
     meaning: "The caller closed its connection before the answer was whole.",
 };
 /// The node drains.
-pub const DRAINING: EventKind = EventKind {
+pub(crate) const DRAINING: EventKind = EventKind {
     number: 908,
     name: "node-draining",
     meaning: "A planned stop has begun: not ready, and soon no new requests.",
 };
 /// The node has stopped.
-pub const STOPPED: EventKind = EventKind {
+pub(crate) const STOPPED: EventKind = EventKind {
     number: 909,
     name: "node-stopped",
     meaning: "The node has stopped; `cut` requests were cut off.",
 };
 /// The platform's list cannot be read.
-pub const LIST_DOWN: EventKind = EventKind {
+pub(crate) const LIST_DOWN: EventKind = EventKind {
     number: 910,
     name: "list-down",
     meaning: "The platform's list of VMs could not be read.",
 };
 /// An operator drains a target.
-pub const DRAIN_ASKED: EventKind = EventKind {
+pub(crate) const DRAIN_ASKED: EventKind = EventKind {
     number: 911,
     name: "drain-asked",
     meaning: "An operator has asked that a target takes no new work.",
 };
 /// The preset has come into force.
-pub const PRESET: EventKind = EventKind {
+pub(crate) const PRESET: EventKind = EventKind {
     number: 912,
     name: "preset-in-force",
     meaning: "The shells follow this preset from now on.",
@@ -74,6 +74,16 @@
 
 /// All events of this crate.
 pub const EVENTS: &[&EventKind] = &[
-    &STARTED, &ARRIVED, &FINISHED, &DROPPED, &ASTRAY, &REJECTED, &HUNG_UP, &DRAINING, &STOPPED,
-    &LIST_DOWN, &DRAIN_ASKED, &PRESET,
+    &STARTED,
+    &ARRIVED,
+    &FINISHED,
+    &DROPPED,
+    &ASTRAY,
+    &REJECTED,
+    &HUNG_UP,
+    &DRAINING,
+    &STOPPED,
+    &LIST_DOWN,
+    &DRAIN_ASKED,
+    &PRESET,
 ];
--- a/crates/node/src/fallback.rs
+++ b/crates/node/src/fallback.rs
@@ -1,7 +1,6 @@
 //! Pass-through stand-ins for decision services that are not filled yet.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use fleet::{Kind, Layer, Plan, RequestId, Stage, Standing, Target};
@@ -98,16 +97,17 @@
         let mut stages = Vec::new();
         let mut next: Layer = 0;
         loop {
-            let step = self.targets.iter().filter(|t| t.standing == Standing::Live).find_map(|t| {
-                match &t.kind {
+            let step =
+                self.targets.iter().filter(|t| t.standing == Standing::Live).find_map(|t| match &t
+                    .kind
+                {
                     Kind::Service(plain) if plain.name == service => Some((t, None)),
                     Kind::Engine(e) if e.model == service => {
                         let held = e.layers.start <= next && next < e.layers.end;
                         held.then_some((t, Some(e)))
                     }
                     _ => None,
-                }
-            });
+                });
             let (target, engine) = step?;
             let end = engine.map_or(0, |engine| engine.layers.end);
             stages.push(Stage {
@@ -175,31 +175,3 @@
         }
     }
 }
-
-/// Puts any stored preset that can be read into force.
-pub(crate) struct Follower {
-    version: fleet::Version,
-}
-
-impl Follower {
-    pub(crate) fn new(_settings: preset::Settings) -> Self {
-        Self { version: 0 }
-    }
-
-    pub(crate) fn step(
-        &mut self,
-        _now: Duration,
-        message: preset::Message,
-        _rng: &mut SmallRng,
-        actions: &mut Vec<preset::Action>,
-    ) {
-        let preset::Message::Stored(Some(value)) = message else { return };
-        let Ok(preset) = serde_json::from_slice::<preset::Preset>(&value) else { return };
-        if preset.version < self.version {
-            return;
-        }
-        self.version = preset.version;
-        actions.push(preset::Action::InForce { preset: Arc::new(preset), value: value.into() });
-        actions.push(preset::Action::Fresh(true));
-    }
-}
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -165,6 +165,8 @@
     },
     /// Reply to the heartbeat just heard.
     Reply(member::Heartbeat),
+    /// Whether to hold a watch on the stored preset.
+    Watch(bool),
     /// Read the stored preset now.
     Poll,
     /// Ask another node for the preset that it has in force.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -60,11 +60,14 @@
     /// Delivers a message and all that follows from it until `now`.
     pub fn step(&mut self, now: Duration, message: Message) -> Vec<Action> {
         let to = crate::services::receiver(&message);
-        match &mut self.life {
+        // What became due while the process was paused comes before anything new.
+        let mut actions = self.tick(now);
+        actions.extend(match &mut self.life {
             Some(Life::Running(kernel)) => kernel.step(now, to, message),
             Some(Life::Draining(kernel)) => kernel.step(now, to, message),
             None => Vec::new(),
-        }
+        });
+        actions
     }
 
     /// Delivers what has become due until `now`.
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -211,13 +211,7 @@
     }
 
     /// Tells the caller, after the ledger has kept the outcome when there is a claim.
-    fn close(
-        &mut self,
-        request: RequestId,
-        end: End,
-        outcome: ledger::Outcome,
-        ctx: &mut Ctx<'_>,
-    ) {
+    fn close(&mut self, request: RequestId, end: End, outcome: ledger::Outcome, ctx: &mut Ctx<'_>) {
         let Some(entry) = self.entries.get(&request) else { return };
         if entry.arrival.claim.is_some() {
             self.settle(request, outcome, end, ctx);
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -1,7 +1,7 @@
 //! The decision services under their names: each wrapper hands a message to its
 //! state machine and sends what comes back to the services that it concerns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +41,27 @@
     }
 }
 
+/// The times at which a service will be woken. A service may ask for the same time
+/// again with each message; it is woken once.
+#[derive(Default)]
+struct Alarm {
+    /// Milliseconds since the process began.
+    dues: BTreeSet<u64>,
+}
+
+impl Alarm {
+    fn ask(&mut self, after: Duration, message: Message, ctx: &mut Ctx<'_>) {
+        let now = ctx.now();
+        let passed = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.dues = self.dues.split_off(&passed);
+        let due = u64::try_from((now + after).as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+        if self.dues.insert(due) {
+            let after = Duration::from_millis(due).saturating_sub(now);
+            ctx.send_after(after, receiver(&message), message);
+        }
+    }
+}
+
 fn send(ctx: &mut Ctx<'_>, message: Message) {
     ctx.send(receiver(&message), message);
 }
@@ -52,6 +73,7 @@
     live: u32,
     demand: BTreeMap<(NodeName, OrganisationName), f64>,
     actions: Vec<limit::Action>,
+    alarm: Alarm,
 }
 
 impl LimitService {
@@ -62,6 +84,7 @@
             live: 1,
             demand: BTreeMap::new(),
             actions: Vec::new(),
+            alarm: Alarm::default(),
         }
     }
 
@@ -111,7 +134,7 @@
                     }
                 }
                 limit::Action::Wake(after) => {
-                    ctx.send_after(after, LIMIT, Message::Limit(limit::Message::Wake));
+                    self.alarm.ask(after, Message::Limit(limit::Message::Wake), ctx);
                 }
                 limit::Action::Log(event) => ctx.act(Action::Log(event)),
             }
@@ -125,6 +148,7 @@
     targets: Vec<Target>,
     links: Vec<Link>,
     actions: Vec<route::Action>,
+    alarm: Alarm,
 }
 
 impl RouteService {
@@ -134,12 +158,44 @@
             targets: Vec::new(),
             links: Vec::new(),
             actions: Vec::new(),
+            alarm: Alarm::default(),
         }
     }
 
     fn fleet(&self) -> route::Message {
         route::Message::Fleet { targets: self.targets.clone(), links: self.links.clone() }
     }
+
+    fn act(&mut self, action: route::Action, ctx: &mut Ctx<'_>) {
+        match action {
+            route::Action::Dispatch(dispatch) => ctx.act(Action::Dispatch(dispatch)),
+            route::Action::Cancel { request, attempt, plan } => {
+                ctx.act(Action::Cancel { request, attempt, plan });
+            }
+            route::Action::Finish { request, verdict } => {
+                send(ctx, Message::Request(Request::Finish { request, verdict }));
+            }
+            route::Action::Quarantine(quarantine) => {
+                let news = member::News::Quarantine {
+                    fingerprint: quarantine.fingerprint,
+                    target: quarantine.target,
+                    condemned: quarantine.condemned,
+                };
+                send(ctx, Message::Member(member::Message::Publish(news)));
+            }
+            route::Action::Leaving(target) => {
+                send(ctx, Message::Member(member::Message::Leaving(target)));
+            }
+            route::Action::Capacity { service, tokens_per_second, slots } => {
+                let capacity = limit::Capacity { service, tokens_per_second, slots };
+                send(ctx, Message::Limit(limit::Message::Capacity(capacity)));
+            }
+            route::Action::Wake(after) => {
+                self.alarm.ask(after, Message::Route(route::Message::Wake), ctx);
+            }
+            route::Action::Log(event) => ctx.act(Action::Log(event)),
+        }
+    }
 }
 
 impl Service<Message, Action> for RouteService {
@@ -163,39 +219,8 @@
         let now = ctx.now();
         self.machine.step(now, message, ctx.rng(), &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
-            route_action(action, ctx);
-        }
-    }
-}
-
-fn route_action(action: route::Action, ctx: &mut Ctx<'_>) {
-    match action {
-        route::Action::Dispatch(dispatch) => ctx.act(Action::Dispatch(dispatch)),
-        route::Action::Cancel { request, attempt, plan } => {
-            ctx.act(Action::Cancel { request, attempt, plan });
-        }
-        route::Action::Finish { request, verdict } => {
-            send(ctx, Message::Request(Request::Finish { request, verdict }));
-        }
-        route::Action::Quarantine(quarantine) => {
-            let news = member::News::Quarantine {
-                fingerprint: quarantine.fingerprint,
-                target: quarantine.target,
-                condemned: quarantine.condemned,
-            };
-            send(ctx, Message::Member(member::Message::Publish(news)));
-        }
-        route::Action::Leaving(target) => {
-            send(ctx, Message::Member(member::Message::Leaving(target)));
-        }
-        route::Action::Capacity { service, tokens_per_second, slots } => {
-            let capacity = limit::Capacity { service, tokens_per_second, slots };
-            send(ctx, Message::Limit(limit::Message::Capacity(capacity)));
-        }
-        route::Action::Wake(after) => {
-            ctx.send_after(after, ROUTE, Message::Route(route::Message::Wake));
+            self.act(action, ctx);
         }
-        route::Action::Log(event) => ctx.act(Action::Log(event)),
     }
 }
 
@@ -203,11 +228,16 @@
 pub(crate) struct LedgerService {
     machine: fallback::Ledger,
     actions: Vec<ledger::Action>,
+    alarm: Alarm,
 }
 
 impl LedgerService {
     pub(crate) fn new(settings: ledger::Settings) -> Self {
-        Self { machine: fallback::Ledger::new(settings), actions: Vec::new() }
+        Self {
+            machine: fallback::Ledger::new(settings),
+            actions: Vec::new(),
+            alarm: Alarm::default(),
+        }
     }
 }
 
@@ -233,7 +263,7 @@
                     send(ctx, Message::Request(Request::Settled(request)));
                 }
                 ledger::Action::Wake(after) => {
-                    ctx.send_after(after, LEDGER, Message::Ledger(ledger::Message::Wake));
+                    self.alarm.ask(after, Message::Ledger(ledger::Message::Wake), ctx);
                 }
                 ledger::Action::Log(event) => ctx.act(Action::Log(event)),
             }
@@ -246,11 +276,17 @@
     name: NodeName,
     machine: fallback::Membership,
     actions: Vec<member::Action>,
+    alarm: Alarm,
 }
 
 impl MemberService {
     pub(crate) fn new(name: NodeName, settings: member::Settings) -> Self {
-        Self { name, machine: fallback::Membership::new(settings), actions: Vec::new() }
+        Self {
+            name,
+            machine: fallback::Membership::new(settings),
+            actions: Vec::new(),
+            alarm: Alarm::default(),
+        }
     }
 
     fn nodes(&self, nodes: Vec<member::Node>, ctx: &mut Ctx<'_>) {
@@ -263,10 +299,7 @@
         alive.sort();
         let count = u32::try_from(alive.len()).unwrap_or(u32::MAX);
         let others = nodes.iter().filter(|node| node.name != self.name);
-        let known = 1 + others
-            .clone()
-            .filter(|node| node.state != member::State::Left)
-            .count();
+        let known = 1 + others.clone().filter(|node| node.state != member::State::Left).count();
         let known = u32::try_from(known).unwrap_or(u32::MAX);
         send(ctx, Message::Preset(preset::Message::Nodes { alive: count, known }));
         for node in others.filter(|node| node.state == member::State::Alive) {
@@ -278,7 +311,7 @@
         ctx.act(Action::Nodes(nodes));
     }
 
-    fn act(&self, action: member::Action, ctx: &mut Ctx<'_>) {
+    fn act(&mut self, action: member::Action, ctx: &mut Ctx<'_>) {
         match action {
             member::Action::Send { to, address, heartbeat } => {
                 ctx.act(Action::Heartbeat { to, address, heartbeat });
@@ -302,7 +335,7 @@
                 send(ctx, Message::Preset(preset::Message::Confident(confident)));
             }
             member::Action::Wake(after) => {
-                ctx.send_after(after, MEMBER, Message::Member(member::Message::Wake));
+                self.alarm.ask(after, Message::Member(member::Message::Wake), ctx);
             }
             member::Action::Log(event) => ctx.act(Action::Log(event)),
         }
@@ -349,13 +382,18 @@
 
 /// The preset service.
 pub(crate) struct PresetService {
-    machine: fallback::Follower,
+    machine: preset::Follower,
     actions: Vec<preset::Action>,
+    alarm: Alarm,
 }
 
 impl PresetService {
     pub(crate) fn new(settings: preset::Settings) -> Self {
-        Self { machine: fallback::Follower::new(settings), actions: Vec::new() }
+        Self {
+            machine: preset::Follower::new(settings),
+            actions: Vec::new(),
+            alarm: Alarm::default(),
+        }
     }
 }
 
@@ -375,10 +413,12 @@
                     send(ctx, Message::Request(Request::Fresh(fresh)));
                     ctx.act(Action::Fresh(fresh));
                 }
+                preset::Action::Watch(watch) => ctx.act(Action::Watch(watch)),
+                preset::Action::Proof(_) => {}
                 preset::Action::Poll => ctx.act(Action::Poll),
                 preset::Action::Ask(node) => ctx.act(Action::Ask(node)),
                 preset::Action::Wake(after) => {
-                    ctx.send_after(after, PRESET, Message::Preset(preset::Message::Wake));
+                    self.alarm.ask(after, Message::Preset(preset::Message::Wake), ctx);
                 }
                 preset::Action::Log(event) => ctx.act(Action::Log(event)),
             }
--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -171,9 +171,8 @@
     if !matches!(status, 429 | 503) || header(RUN_HEADER) != Some("not-run") {
         return None;
     }
-    let retry_after = header("retry-after")
-        .and_then(|seconds| seconds.parse().ok())
-        .map(Duration::from_secs);
+    let retry_after =
+        header("retry-after").and_then(|seconds| seconds.parse().ok()).map(Duration::from_secs);
     Some(move |answer: Answered| {
         let body = answer.into_body().into_with_config().limit(LINE_BYTES).read_to_string();
         let body: serde_json::Value =
@@ -207,10 +206,7 @@
         report.send(Event::Unreachable);
         return;
     };
-    let request = agent
-        .configure_request(request)
-        .timeout_global(Some(timeout))
-        .build();
+    let request = agent.configure_request(request).timeout_global(Some(timeout)).build();
     let answer = match agent.run(request) {
         Ok(answer) => answer,
         Err(error) => {
--- /dev/null
+++ b/crates/node/src/shell/convert.rs
@@ -0,0 +1,107 @@
+//! Membership's types as they pass between nodes, and back.
+
+use std::time::Duration;
+
+use member::{Fact, Heartbeat, News, State};
+use wire::{fact, standing};
+
+/// A heartbeat for the wire.
+pub(crate) fn to_wire(heartbeat: Heartbeat) -> wire::Heartbeat {
+    wire::Heartbeat {
+        from: heartbeat.from.to_string(),
+        incarnation: heartbeat.incarnation,
+        sequence: heartbeat.sequence,
+        preset_version: heartbeat.preset,
+        facts: heartbeat.facts.into_iter().map(fact_to_wire).collect(),
+        leaving: heartbeat.leaving,
+        digest: heartbeat.digest,
+        wants_facts: heartbeat.wants_facts,
+        ..wire::Heartbeat::default()
+    }
+}
+
+/// A heartbeat from the wire. Facts that cannot be read are left out.
+pub(crate) fn from_wire(heartbeat: wire::Heartbeat) -> Heartbeat {
+    Heartbeat {
+        from: heartbeat.from.into(),
+        incarnation: heartbeat.incarnation,
+        sequence: heartbeat.sequence,
+        preset: heartbeat.preset_version,
+        facts: heartbeat.facts.into_iter().filter_map(fact_from_wire).collect(),
+        leaving: heartbeat.leaving,
+        digest: heartbeat.digest,
+        wants_facts: heartbeat.wants_facts,
+    }
+}
+
+fn fact_to_wire(fact: Fact) -> wire::Fact {
+    let ttl_ms = fact.ttl.map_or(0, |ttl| {
+        // Zero means without end, so a fact about to end keeps its last millisecond.
+        u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX).max(1)
+    });
+    let (key, body) = match fact.news {
+        News::Standing { node, incarnation, address, state } => {
+            let state = state_to_wire(state) as i32;
+            let (key, address) = (format!("standing/{node}"), address.to_string());
+            let node = node.to_string();
+            (key, fact::Body::Standing(wire::Standing { node, incarnation, state, address }))
+        }
+        News::Quarantine { fingerprint, target, condemned } => {
+            let key = format!("quarantine/{fingerprint:016x}/{target}");
+            let target = target.to_string();
+            (key, fact::Body::Quarantine(wire::Quarantine { fingerprint, target, condemned }))
+        }
+        News::Demand { node, organisation, cost } => {
+            let key = format!("demand/{node}/{organisation}");
+            let (node, organisation) = (node.to_string(), organisation.to_string());
+            (key, fact::Body::Demand(wire::Demand { node, organisation, cost }))
+        }
+        News::Leaving { target } => {
+            let key = format!("leaving/{target}");
+            (key, fact::Body::Leaving(wire::Leaving { target: target.to_string() }))
+        }
+    };
+    wire::Fact { key, version: fact.version, ttl_ms, body: Some(body) }
+}
+
+fn fact_from_wire(fact: wire::Fact) -> Option<Fact> {
+    let news = match fact.body? {
+        fact::Body::Standing(standing) => News::Standing {
+            state: state_from_wire(standing.state()),
+            node: standing.node.into(),
+            incarnation: standing.incarnation,
+            address: standing.address.parse().ok()?,
+        },
+        fact::Body::Quarantine(quarantine) => News::Quarantine {
+            fingerprint: quarantine.fingerprint,
+            target: quarantine.target.into(),
+            condemned: quarantine.condemned,
+        },
+        fact::Body::Demand(demand) => News::Demand {
+            node: demand.node.into(),
+            organisation: demand.organisation.into(),
+            cost: demand.cost,
+        },
+        fact::Body::Leaving(leaving) => News::Leaving { target: leaving.target.into() },
+    };
+    let ttl = (fact.ttl_ms > 0).then(|| Duration::from_millis(fact.ttl_ms));
+    Some(Fact { version: fact.version, ttl, news })
+}
+
+fn state_to_wire(state: State) -> standing::State {
+    match state {
+        State::Alive => standing::State::Alive,
+        State::Suspect => standing::State::Suspect,
+        State::Dead => standing::State::Dead,
+        State::Left => standing::State::Left,
+    }
+}
+
+fn state_from_wire(state: standing::State) -> State {
+    match state {
+        standing::State::Alive => State::Alive,
+        standing::State::Suspect => State::Suspect,
+        standing::State::Dead => State::Dead,
+        standing::State::Left => State::Left,
+    }
+}
--- /dev/null
+++ b/crates/node/src/shell/core.rs
@@ -0,0 +1,151 @@
+//! The decision thread: drains the inbox, steps the node and performs what it asks.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use fleet::{Event, RequestId};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc as async_mpsc, oneshot};
+
+use super::explain::Explain;
+use super::peers::Peers;
+use super::relay;
+use super::shared::{Command, Input, Shared};
+use super::store::{Job, Jobs};
+use crate::{Action, Message, Node, Request, event};
+
+/// Longest wait for an input.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// What the decision thread works with.
+pub(crate) struct Core {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) node: Node,
+    pub(crate) inputs: Receiver<Input>,
+    pub(crate) began: Instant,
+    pub(crate) runtime: Handle,
+    pub(crate) agent: ureq::Agent,
+    pub(crate) jobs: Jobs,
+    pub(crate) peers: Peers,
+    pub(crate) explain: Explain,
+    pub(crate) relays: HashMap<RequestId, async_mpsc::UnboundedSender<Command>>,
+}
+
+impl Core {
+    /// Runs until [`Input::Stop`].
+    pub(crate) fn run(mut self) {
+        let _entered = self.runtime.clone().enter();
+        loop {
+            let now = self.began.elapsed();
+            let due = self.node.next_due().map_or(IDLE, |due| due.saturating_sub(now));
+            match self.inputs.recv_timeout(due.min(IDLE)) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(input) => self.input(input),
+                Err(RecvTimeoutError::Timeout) => {
+                    let actions = self.node.tick(self.began.elapsed());
+                    self.perform(actions, &mut None);
+                }
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = self.began.elapsed();
+        let mut reply = None;
+        let actions = match input {
+            Input::Arrive { arrival, commands } => {
+                self.relays.insert(arrival.request.id, commands);
+                self.node.step(now, Message::Request(Request::Arrive(*arrival)))
+            }
+            Input::Message(message) => self.node.step(now, message),
+            Input::Exchange { heartbeat, reply: sender } => {
+                reply = Some(sender);
+                self.node.step(now, Message::Member(member::Message::Heard(heartbeat)))
+            }
+            Input::Explain { request, reply } => {
+                if reply.send(self.explain.find(&request)).is_err() {
+                    log::debug!("nobody waits for the explanation any more");
+                }
+                return;
+            }
+            Input::Log(event) => {
+                self.log(&event);
+                return;
+            }
+            Input::Close => self.node.drain(now),
+            Input::Stop => return,
+        };
+        self.perform(actions, &mut reply);
+    }
+
+    fn log(&mut self, event: &Event) {
+        log::info!("{event}");
+        self.explain.keep(self.began.elapsed(), event);
+    }
+
+    fn perform(
+        &mut self,
+        actions: Vec<Action>,
+        reply: &mut Option<oneshot::Sender<member::Heartbeat>>,
+    ) {
+        for action in actions {
+            self.act(action, reply);
+        }
+    }
+
+    fn command(&mut self, request: RequestId, command: Command) {
+        let Some(relay) = self.relays.get(&request) else { return };
+        if relay.send(command).is_err() {
+            log::debug!("the relay of {request:032x} has ended");
+        }
+    }
+
+    fn act(&mut self, action: Action, reply: &mut Option<oneshot::Sender<member::Heartbeat>>) {
+        match action {
+            Action::Dispatch(dispatch) => {
+                self.command(dispatch.request, Command::Dispatch(dispatch));
+            }
+            Action::Cancel { request, attempt, plan } => {
+                relay::cancel(&self.agent, request, attempt, &plan);
+            }
+            Action::Finish { request, end } => {
+                self.command(request, Command::Finish(end));
+                self.relays.remove(&request);
+            }
+            Action::Read { ticket, shard } => self.jobs.push(Job::Read { ticket, shard }),
+            Action::Write { ticket, shard, revision, value } => {
+                self.jobs.push(Job::Write { ticket, shard, revision, value });
+            }
+            Action::Heartbeat { to, address, heartbeat } => {
+                self.peers.send(to, address, heartbeat);
+            }
+            Action::Reply(heartbeat) => {
+                if let Some(reply) = reply.take()
+                    && reply.send(heartbeat).is_err()
+                {
+                    log::debug!("the sender of a heartbeat did not wait for its reply");
+                }
+            }
+            Action::Poll => self.jobs.push(Job::Poll),
+            Action::Watch(watch) => self.shared.unwatched.store(!watch, Ordering::Relaxed),
+            Action::Ask(node) => self.peers.ask(&node),
+            Action::InForce { preset, value } => {
+                self.log(
+                    &Event::new(&event::PRESET)
+                        .with("preset", &preset.name)
+                        .with("version", preset.version)
+                        .with("change", &preset.change),
+                );
+                metrics::gauge!("magnolia_preset_version").set(preset.version as f64);
+                self.shared.set_in_force(preset, value);
+            }
+            Action::Fresh(fresh) => self.shared.fresh.store(fresh, Ordering::Relaxed),
+            Action::Nodes(nodes) => self.shared.set_nodes(nodes),
+            Action::Targets(targets) => self.shared.set_targets(targets),
+            Action::Log(event) => self.log(&event),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/shell/process.rs
@@ -0,0 +1,331 @@
+//! One node as a process: starts all shells, and stops them in order.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt as _};
+use fleet::Event;
+use kernel::Threads;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+
+use super::core::Core;
+use super::explain::Explain;
+use super::peers::{Answers, Peers};
+use super::shared::{Inbox, Input, Shared};
+use super::{attempt, callers, loads, logging, operators, store as calls};
+use crate::{Config, Message, Node, Settings, event};
+
+/// Threads that run the tasks of connections and relays.
+const WORKERS: usize = 2;
+/// Step in which a planned stop looks for the end of the last requests.
+const STOP_CHECK: Duration = Duration::from_millis(20);
+/// Longest wait for tasks that do not end by themselves.
+const LAST_WAIT: Duration = Duration::from_secs(2);
+/// Time for the other nodes to hear that this one leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(200);
+/// Longest time for one read of the platform's watch.
+const WATCH_IDLE: Duration = Duration::from_millis(1500);
+
+/// The node could not start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StartError {
+    /// A port is not free.
+    Port {
+        /// The setting that names it.
+        setting: &'static str,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// The operating system gave no thread or runtime.
+    System,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Port { setting, address } => {
+                let variable = setting.to_uppercase();
+                write!(
+                    f,
+                    "setting --{setting} (MAGNOLIA_{variable}) is `{address}`, which cannot be \
+                     opened; allowed: a free port of this VM"
+                )
+            }
+            StartError::System => write!(f, "the operating system gave no thread"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Addresses of a node's ports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ports {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// A node that runs.
+pub struct Process {
+    shared: Arc<Shared>,
+    ports: Ports,
+    runtime: Option<Runtime>,
+    stop: watch::Sender<bool>,
+    hurry: Arc<AtomicBool>,
+    threads: Option<Threads>,
+    decisions: Option<Threads>,
+}
+
+fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    let error = StartError::Port { setting, address };
+    let listener = TcpListener::bind(address).change_context(error.clone())?;
+    listener.set_nonblocking(true).change_context(error)?;
+    Ok(listener)
+}
+
+fn address(listener: &TcpListener) -> Result<SocketAddr, Report<StartError>> {
+    listener.local_addr().change_context(StartError::System)
+}
+
+impl Process {
+    /// Opens the ports and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// Names the port that is not free.
+    pub fn start(settings: Settings) -> Result<Self, Report<StartError>> {
+        logging::install_metrics();
+        let callers = bind("callers", settings.callers)?;
+        let peers = bind("peers", settings.peers)?;
+        let (inputs, received) = mpsc::channel();
+        let shared = Arc::new(Shared::new(settings, Inbox::new(inputs)));
+        let operators = operators_port(&shared)?;
+        let ports = Ports {
+            callers: address(&callers)?,
+            peers: address(&peers)?,
+            operators: operators.server_addr(),
+        };
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(WORKERS)
+            .max_blocking_threads(shared.settings.target_threads)
+            .thread_stack_size(512 * 1024)
+            .enable_all()
+            .build()
+            .change_context(StartError::System)?;
+        let agent = attempt::agent(shared.settings.connect);
+        let (stop, stopped) = watch::channel(false);
+        let mut process = Self {
+            shared,
+            ports,
+            runtime: Some(runtime),
+            stop,
+            hurry: Arc::default(),
+            threads: Some(Threads::default()),
+            decisions: Some(Threads::default()),
+        };
+        process.start_tasks(callers, peers, &agent, &stopped)?;
+        process.start_threads(received, operators, agent).change_context(StartError::System)?;
+        log::info!(
+            "{}",
+            Event::new(&event::STARTED)
+                .with("node", &process.shared.settings.name)
+                .with("callers", ports.callers)
+                .with("peers", ports.peers)
+                .with("operators", ports.operators)
+        );
+        Ok(process)
+    }
+
+    fn start_tasks(
+        &self,
+        callers: TcpListener,
+        peers: TcpListener,
+        agent: &ureq::Agent,
+        stopped: &watch::Receiver<bool>,
+    ) -> Result<(), Report<StartError>> {
+        let Some(runtime) = &self.runtime else { return Ok(()) };
+        let _entered = runtime.enter();
+        let callers =
+            tokio::net::TcpListener::from_std(callers).change_context(StartError::System)?;
+        let peers = tokio::net::TcpListener::from_std(peers).change_context(StartError::System)?;
+        let shared = Arc::clone(&self.shared);
+        runtime.spawn(callers::serve(callers, shared, agent.clone(), stopped.clone()));
+        let answers = wire::Server::new(Answers::new(Arc::clone(&self.shared)));
+        let mut stopped = stopped.clone();
+        let ended = async move {
+            if stopped.changed().await.is_err() {
+                log::debug!("the node ended before its peers' port");
+            }
+        };
+        let incoming = tonic::transport::server::TcpIncoming::from(peers);
+        runtime.spawn(async move {
+            let server = tonic::transport::Server::builder();
+            let served = server.serve_with_incoming_shutdown(answers, incoming, ended).await;
+            if let Err(error) = served {
+                log::error!("the peers' port failed: {error}");
+            }
+        });
+        Ok(())
+    }
+
+    fn start_threads(
+        &mut self,
+        received: mpsc::Receiver<Input>,
+        operators: Operators,
+        agent: ureq::Agent,
+    ) -> std::io::Result<()> {
+        let (Some(runtime), Some(threads), Some(decisions)) =
+            (&self.runtime, &mut self.threads, &mut self.decisions)
+        else {
+            return Ok(());
+        };
+        let began = Instant::now();
+        let shared = Arc::clone(&self.shared);
+        let platform = shared.settings.platform.to_string();
+        let client = store::Settings::builder(&platform)
+            .deadline(shared.settings.platform_call)
+            .watch_idle(WATCH_IDLE)
+            .seed(shared.settings.seed)
+            .build();
+        let client = Arc::new(store::Client::new(client));
+        let jobs = calls::start_pool(threads, &shared, &client)?;
+        let core = Core {
+            shared: Arc::clone(&shared),
+            node: Node::new(config(&shared.settings)),
+            inputs: received,
+            began,
+            runtime: runtime.handle().clone(),
+            agent,
+            jobs,
+            peers: Peers::new(Arc::clone(&shared), runtime.handle().clone()),
+            explain: Explain::new(shared.settings.explained),
+            relays: HashMap::new(),
+        };
+        decisions.spawn("decisions", move || core.run())?;
+        shared.inbox.tell(Message::Preset(preset::Message::Wake));
+        shared.inbox.tell(Message::Member(member::Message::Wake));
+        let watcher = Arc::clone(&shared);
+        threads.spawn("preset-watch", move || calls::watch(&watcher, &client))?;
+        let lister = Arc::clone(&shared);
+        threads.spawn("list", move || calls::poll_list(&lister))?;
+        let lost = Arc::new(AtomicUsize::new(0));
+        for part in 0..loads::READERS {
+            let (shared, lost) = (Arc::clone(&shared), Arc::clone(&lost));
+            threads.spawn(&format!("load-{part}"), move || loads::poll(&shared, part, &lost))?;
+        }
+        threads.spawn("operators", move || {
+            while !shared.stopping() {
+                operators.poll_timeout(STOP_CHECK);
+            }
+        })
+    }
+
+    /// Addresses of the ports.
+    pub fn ports(&self) -> Ports {
+        self.ports
+    }
+
+    /// Whether the balancer may send requests here.
+    pub fn ready(&self) -> bool {
+        self.shared.ready()
+    }
+
+    /// Requests whose answer is not given yet.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// A flag that makes a planned stop end at once when it is set.
+    pub fn hurry(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.hurry)
+    }
+
+    /// Planned stop: not ready, waits until the balancer has taken notice, takes nothing new,
+    /// finishes all in flight, tells the other nodes, ends. Returns the number of requests
+    /// that were cut off because the limit had passed or somebody was in a hurry.
+    pub fn stop(mut self) -> usize {
+        let settings = self.shared.settings.clone();
+        self.shared.draining.store(true, Ordering::SeqCst);
+        log::info!("{}", Event::new(&event::DRAINING).with("in_flight", self.in_flight()));
+        self.wait(settings.stop_lag, || false);
+        self.shared.inbox.send(Input::Close);
+        let shared = Arc::clone(&self.shared);
+        self.wait(settings.stop_limit, || shared.in_flight.load(Ordering::SeqCst) == 0);
+        self.shared.inbox.tell(Message::Member(member::Message::Leave));
+        thread::sleep(LEAVE_TIME);
+        let cut = self.in_flight();
+        self.end();
+        log::info!("{}", Event::new(&event::STOPPED).with("node", &settings.name).with("cut", cut));
+        cut
+    }
+
+    /// Ends at once, as the loss of the process would: nothing in flight is finished.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn wait(&self, limit: Duration, done: impl Fn() -> bool) {
+        let end = Instant::now() + limit;
+        while Instant::now() < end && !done() && !self.hurry.load(Ordering::Relaxed) {
+            thread::sleep(STOP_CHECK);
+        }
+    }
+
+    fn end(&mut self) {
+        self.shared.unwatched.store(true, Ordering::SeqCst);
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.stop.send_replace(true);
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_timeout(LAST_WAIT);
+        }
+        self.shared.inbox.send(Input::Stop);
+        // The decision thread holds the way to the store's pool, so it ends first.
+        for threads in [self.decisions.take(), self.threads.take()].into_iter().flatten() {
+            if let Err(panicked) = threads.join() {
+                log::error!("{panicked}");
+            }
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+type Operators = rouille::Server<Box<dyn Fn(&rouille::Request) -> rouille::Response + Send + Sync>>;
+
+fn operators_port(shared: &Arc<Shared>) -> Result<Operators, Report<StartError>> {
+    let address = shared.settings.operators;
+    let operators = Arc::clone(shared);
+    let handler: Box<dyn Fn(&rouille::Request) -> rouille::Response + Send + Sync> =
+        Box::new(move |request| operators::answer(request, &operators));
+    rouille::Server::new(address, handler).map_err(|error| {
+        Report::new(StartError::Port { setting: "operators", address }).attach(error.to_string())
+    })
+}
+
+fn config(settings: &Settings) -> Config {
+    let seed = if settings.seed == 0 { rand::random() } else { settings.seed };
+    Config {
+        name: settings.name.clone(),
+        seed,
+        limit: limit::Settings::default(),
+        route: route::Settings::default(),
+        ledger: ledger::Settings::default(),
+        member: member::Settings::default(),
+        preset: preset::Settings::default(),
+    }
+}
--- a/crates/node/src/shell/relay.rs
+++ b/crates/node/src/shell/relay.rs
@@ -364,17 +364,13 @@
     /// Whether the text up to the caller's last event is the one that the caller has.
     fn matches_last(&self) -> bool {
         let Call::Model(model) = &self.call else { return true };
-        model.last.is_none_or(|last| {
-            last.index != self.next() || last.digest == self.digest.value()
-        })
+        model
+            .last
+            .is_none_or(|last| last.index != self.next() || last.digest == self.digest.value())
     }
 
     fn event_id(&self, model: &Model) -> EventId {
-        EventId {
-            answer: model.header.answer,
-            index: self.next(),
-            digest: self.digest.value(),
-        }
+        EventId { answer: model.header.answer, index: self.next(), digest: self.digest.value() }
     }
 
     fn sample(&mut self) {
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -105,6 +105,8 @@
     nodes: RwLock<Vec<member::Node>>,
     /// Whether the configuration in force is proved.
     pub(crate) fresh: AtomicBool,
+    /// Whether no watch on the preset is to be held.
+    pub(crate) unwatched: AtomicBool,
     /// Whether a planned stop has begun.
     pub(crate) draining: AtomicBool,
     /// Whether all threads are to end.
@@ -134,6 +136,7 @@
             in_force: RwLock::default(),
             nodes: RwLock::default(),
             fresh: AtomicBool::new(false),
+            unwatched: AtomicBool::new(true),
             draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
