--- a/crates/node/src/fallback.rs
+++ b/crates/node/src/fallback.rs
@@ -123,34 +123,6 @@
     }
 }
 
-/// Lets everything run and keeps nothing.
-pub(crate) struct Ledger;
-
-impl Ledger {
-    pub(crate) fn new(_settings: ledger::Settings) -> Self {
-        Self
-    }
-
-    pub(crate) fn step(
-        &mut self,
-        _now: Duration,
-        message: ledger::Message,
-        _rng: &mut SmallRng,
-        actions: &mut Vec<ledger::Action>,
-    ) {
-        match message {
-            ledger::Message::Claim { request, .. } => {
-                let verdict = ledger::Verdict::Run;
-                actions.push(ledger::Action::Verdict { request, verdict });
-            }
-            ledger::Message::Settle { request, .. } => {
-                actions.push(ledger::Action::Settled { request, kept: false });
-            }
-            _ => {}
-        }
-    }
-}
-
 /// Believes the platform's list.
 pub(crate) struct Membership;
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -72,6 +72,8 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
+    /// Routing wants to send an attempt.
+    Dispatch(route::Dispatch),
     /// Its first token or byte went to the caller.
     Started(RequestId),
     /// One of its attempts has ended.
@@ -119,7 +121,12 @@
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Send an attempt to the first stage of its plan.
-    Dispatch(route::Dispatch),
+    Dispatch {
+        /// The attempt.
+        dispatch: route::Dispatch,
+        /// Last moment at which the first byte may go out; `None` when there is no bound.
+        until: Option<Duration>,
+    },
     /// Tell all stages of an attempt to end it.
     Cancel {
         /// The request.
@@ -242,6 +249,8 @@
     StoreDown,
     /// Too many claims are kept.
     LedgerFull,
+    /// The claim was not used in time.
+    ClaimExpired,
 }
 
 impl Reason {
@@ -261,6 +270,7 @@
             Reason::Closing => "closing",
             Reason::StoreDown => "store_down",
             Reason::LedgerFull => "ledger_full",
+            Reason::ClaimExpired => "claim_expired",
         }
     }
 }
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -36,6 +36,8 @@
     phase: Phase,
     /// The caller has gone.
     gone: bool,
+    /// Last moment at which the first byte of a claimed call may go to a target.
+    until: Option<Duration>,
     /// The answer to a plain call.
     answer: Option<Answer>,
     /// What the caller will be told once the outcome is kept.
@@ -66,6 +68,7 @@
             Request::Refuse { request, reason, retry_after } => {
                 self.refuse(request, Reason::Limit(reason), retry_after, ctx);
             }
+            Request::Dispatch(dispatch) => self.dispatch(dispatch, ctx),
             Request::Started(request) => self.started(request, ctx),
             Request::Ended { request, attempt, next, ending, answer } => {
                 let Some(entry) = self.entries.get_mut(&request) else { return };
@@ -89,7 +92,7 @@
         let request = arrival.request.id;
         let claim = arrival.claim.clone();
         let phase = if claim.is_some() { Phase::Claiming } else { Phase::Waiting };
-        let entry = Entry { arrival, phase, gone: false, answer: None, end: None };
+        let entry = Entry { arrival, phase, gone: false, until: None, answer: None, end: None };
         self.entries.insert(request, entry);
         match claim {
             Some((key, digest)) => {
@@ -122,13 +125,14 @@
     }
 
     fn verdict(&mut self, request: RequestId, verdict: ledger::Verdict, ctx: &mut Ctx<'_>) {
-        let Some(entry) = self.entries.get(&request) else { return };
+        let Some(entry) = self.entries.get_mut(&request) else { return };
         let end = match verdict {
-            ledger::Verdict::Run if entry.gone => {
+            ledger::Verdict::Run { .. } if entry.gone => {
                 self.settle(request, ledger::Outcome::NotRun, End::Abandoned, ctx);
                 return;
             }
-            ledger::Verdict::Run => {
+            ledger::Verdict::Run { until } => {
+                entry.until = Some(until);
                 self.offer(request, ctx);
                 return;
             }
@@ -162,6 +166,25 @@
         ctx.send(ROUTE, Message::Route(start));
     }
 
+    /// Lets an attempt go out, unless the claim of its request has expired.
+    fn dispatch(&mut self, dispatch: route::Dispatch, ctx: &mut Ctx<'_>) {
+        let request = dispatch.request;
+        let Some(entry) = self.entries.get(&request) else { return };
+        if entry.phase != Phase::Running {
+            return;
+        }
+        let until = entry.until;
+        if until.is_none_or(|until| ctx.now() <= until) {
+            ctx.act(Action::Dispatch { dispatch, until });
+            return;
+        }
+        // Routing sends a claimed call again only when no target ran it, so this one never ran.
+        ctx.send(ROUTE, Message::Route(route::Message::HungUp(request)));
+        let ending = limit::Ending::Failed;
+        ctx.send(LIMIT, Message::Limit(limit::Message::Finished { request, ending }));
+        self.refuse(request, Reason::ClaimExpired, RETRY_AFTER, ctx);
+    }
+
     fn refuse(
         &mut self,
         request: RequestId,
@@ -253,6 +276,13 @@
         ledger::Outcome::Answer { status, content_type, body } => {
             End::Stored(Answer { status, content_type, body })
         }
+        ledger::Outcome::Oversize { status, bytes } => {
+            let message =
+                format!("the call ran once; its answer of {bytes} bytes was too large to be kept");
+            let body = crate::api::error("answer_not_kept", &message, None).to_string();
+            let content_type = "application/json".into();
+            End::Stored(Answer { status, content_type, body: body.into_bytes() })
+        }
         ledger::Outcome::NotRun => {
             debug_assert!(false, "a call that was not run is claimed anew");
             End::Unknown
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -168,7 +168,9 @@
 
     fn act(&mut self, action: route::Action, ctx: &mut Ctx<'_>) {
         match action {
-            route::Action::Dispatch(dispatch) => ctx.act(Action::Dispatch(dispatch)),
+            route::Action::Dispatch(dispatch) => {
+                send(ctx, Message::Request(Request::Dispatch(dispatch)));
+            }
             route::Action::Cancel { request, attempt, plan } => {
                 ctx.act(Action::Cancel { request, attempt, plan });
             }
@@ -226,7 +228,7 @@
 
 /// The ledger.
 pub(crate) struct LedgerService {
-    machine: fallback::Ledger,
+    machine: ledger::Ledger,
     actions: Vec<ledger::Action>,
     alarm: Alarm,
 }
@@ -234,7 +236,7 @@
 impl LedgerService {
     pub(crate) fn new(settings: ledger::Settings) -> Self {
         Self {
-            machine: fallback::Ledger::new(settings),
+            machine: ledger::Ledger::new(settings),
             actions: Vec::new(),
             alarm: Alarm::default(),
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -77,7 +77,7 @@
     #[bpaf(long("write-ms"), env("MAGNOLIA_WRITE_MS"), argument("MS"), fallback("30000".into()), display_fallback)]
     pub write_ms: String,
     /// Largest answer of a plain service, in bytes
-    #[bpaf(long("answer-bytes"), env("MAGNOLIA_ANSWER_BYTES"), argument("BYTES"), fallback("65536".into()), display_fallback)]
+    #[bpaf(long("answer-bytes"), env("MAGNOLIA_ANSWER_BYTES"), argument("BYTES"), fallback("1048576".into()), display_fallback)]
     pub answer_bytes: String,
     /// Longest time for a target to take a connection, in milliseconds
     #[bpaf(long("connect-ms"), env("MAGNOLIA_CONNECT_MS"), argument("MS"), fallback("500".into()), display_fallback)]
--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Read};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::{AttemptId, RequestId, TokenIndex, Trail};
 use serde::Deserialize;
@@ -190,6 +190,8 @@
     pub(crate) body: bytes::Bytes,
     pub(crate) request: RequestId,
     pub(crate) answer_bytes: usize,
+    /// Last moment at which the first byte may go out.
+    pub(crate) until: Option<Instant>,
 }
 
 /// Sends a plain call and reports its answer. `timeout` bounds the whole call.
@@ -207,6 +209,11 @@
         return;
     };
     let request = agent.configure_request(request).timeout_global(Some(timeout)).build();
+    // The thread may have waited, or the process may have been paused, since the decision.
+    if plain.until.is_some_and(|until| Instant::now() > until) {
+        report.send(Event::Unreachable);
+        return;
+    }
     let answer = match agent.run(request) {
         Ok(answer) => answer,
         Err(error) => {
--- a/crates/node/src/shell/core.rs
+++ b/crates/node/src/shell/core.rs
@@ -105,8 +105,9 @@
 
     fn act(&mut self, action: Action, reply: &mut Option<oneshot::Sender<member::Heartbeat>>) {
         match action {
-            Action::Dispatch(dispatch) => {
-                self.command(dispatch.request, Command::Dispatch(dispatch));
+            Action::Dispatch { dispatch, until } => {
+                let until = until.map(|until| self.began + until);
+                self.command(dispatch.request, Command::Dispatch { dispatch, until });
             }
             Action::Cancel { request, attempt, plan } => {
                 relay::cancel(&self.agent, request, attempt, &plan);
--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -324,7 +324,7 @@
         seed,
         limit: limit::Settings::default(),
         route: route::Settings::default(),
-        ledger: ledger::Settings::default(),
+        ledger: ledger::Settings::builder(&settings.name, rand::random()).build(),
         member: member::Settings::default(),
         preset: preset::Settings::default(),
     }
--- a/crates/node/src/shell/relay.rs
+++ b/crates/node/src/shell/relay.rs
@@ -150,7 +150,7 @@
         tokio::select! {
             biased;
             command = commands.recv() => match command {
-                Some(Command::Dispatch(dispatch)) => relay.dispatch(dispatch),
+                Some(Command::Dispatch { dispatch, until }) => relay.dispatch(dispatch, until),
                 Some(Command::Finish(end)) => break relay.end(end).await,
                 None => break,
             },
@@ -194,7 +194,7 @@
         }
     }
 
-    fn dispatch(&mut self, dispatch: route::Dispatch) {
+    fn dispatch(&mut self, dispatch: route::Dispatch, until: Option<std::time::Instant>) {
         self.abandon();
         let Some(first) = dispatch.plan.stages.first() else {
             debug_assert!(false, "a plan has a stage");
@@ -229,6 +229,7 @@
                     body: service.body.clone(),
                     request: self.request,
                     answer_bytes: self.shared.settings.answer_bytes,
+                    until,
                 };
                 let limit = first_timeout + READ_MARGIN;
                 tokio::task::spawn_blocking(move || {
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Instant;
 
 use fleet::{Depth, Kind, ModelName, RequestId, Target};
 use smol_str::SmolStr;
@@ -33,8 +34,8 @@
 
 /// What a request's relay hears.
 pub(crate) enum Command {
-    /// Send an attempt.
-    Dispatch(route::Dispatch),
+    /// Send an attempt, if its first byte can go out before `until`.
+    Dispatch { dispatch: route::Dispatch, until: Option<Instant> },
     /// Answer the caller and end.
     Finish(End),
 }
--- a/crates/node/src/shell/store.rs
+++ b/crates/node/src/shell/store.rs
@@ -11,15 +11,13 @@
 use kernel::Threads;
 use ledger::{Reply, ShardId, Stored, Ticket};
 use serde::Deserialize;
-use store::{Cas, Client, Effect, Entry, Follower, Purpose, Update, Write};
+use store::{Cas, Cause, Client, Effect, Entry, Follower, Purpose, Update, Write};
 
 use super::shared::{Inbox, Input, Shared};
 use crate::{Message, event};
 
 /// Key of the preset.
 pub const PRESET_KEY: &str = "magnolia/preset";
-/// Prefix of the keys of the ledger's shards.
-const LEDGER_PREFIX: &str = "magnolia/ledger/";
 /// Calls that wait for a thread of the pool.
 const WAITING: usize = 4096;
 /// Step in which a wait looks for the end of the process.
@@ -94,7 +92,7 @@
 fn perform(client: &Client, job: Job) -> Message {
     match job {
         Job::Read { ticket, shard } => {
-            let key = format!("{LEDGER_PREFIX}{shard}");
+            let key = ledger::store_key(shard);
             answer(
                 ticket,
                 match client.range(Purpose::Ledger, &key) {
@@ -102,12 +100,12 @@
                         Stored::Value { revision: entry.revision, value: entry.value }
                     }
                     Ok(None) => Stored::Value { revision: 0, value: Vec::new() },
-                    Err(_) => Stored::Down,
+                    Err(error) => failed(&error),
                 },
             )
         }
         Job::Write { ticket, shard, revision, value } => {
-            let key = format!("{LEDGER_PREFIX}{shard}");
+            let key = ledger::store_key(shard);
             let write = Write {
                 key: &key,
                 expected: revision,
@@ -132,6 +130,15 @@
     }
 }
 
+/// What a failed call means to the ledger.
+fn failed(error: &store::Error) -> Stored {
+    match (error.effect, &error.cause) {
+        (Effect::Possible, _) => Stored::Lost,
+        (Effect::None, Cause::Budget | Cause::RateLimited) => Stored::Limited,
+        (Effect::None, _) => Stored::Down,
+    }
+}
+
 /// Follows the preset's key until the process stops.
 pub(crate) fn watch(shared: &Shared, client: &Client) {
     let value = |entry: Entry| Some(entry.value);
