--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -49,8 +49,8 @@
     pub model: SmolStr,
     /// Size and form for decisions.
     pub shape: Shape,
-    /// Prompt as bytes, for prefix hashes.
-    pub prompt: Vec<u8>,
+    /// Text of the prompt, for prefix hashes.
+    pub prompt: String,
     /// All members of the body, as they go to the engine.
     pub members: Map<String, Value>,
 }
@@ -108,14 +108,14 @@
     Ok(Completion { form, model, shape, prompt, members })
 }
 
-fn prompt(form: Form, members: &Map<String, Value>) -> Result<Vec<u8>, Malformed> {
+fn prompt(form: Form, members: &Map<String, Value>) -> Result<String, Malformed> {
     let name = form.prompt_member();
     let value = members.get(name).ok_or(Malformed::Missing(name))?;
     match (form, value) {
-        (Form::Text, Value::String(text)) => Ok(text.clone().into_bytes()),
+        (Form::Text, Value::String(text)) => Ok(text.clone()),
         (Form::Text, _) => Err(Malformed::Member { name, allowed: "a text" }),
         (Form::Chat, Value::Array(messages)) if !messages.is_empty() => {
-            let mut prompt = Vec::new();
+            let mut prompt = String::new();
             for message in messages {
                 let (Some(role), Some(content)) =
                     (message.get("role").and_then(Value::as_str), message.get("content"))
@@ -123,13 +123,13 @@
                     let allowed = "a list of messages with role and content";
                     return Err(Malformed::Member { name, allowed });
                 };
-                prompt.extend_from_slice(role.as_bytes());
-                prompt.push(b'\n');
+                prompt.push_str(role);
+                prompt.push('\n');
                 match content {
-                    Value::String(text) => prompt.extend_from_slice(text.as_bytes()),
-                    other => prompt.extend_from_slice(other.to_string().as_bytes()),
+                    Value::String(text) => prompt.push_str(text),
+                    other => prompt.push_str(&other.to_string()),
                 }
-                prompt.push(b'\n');
+                prompt.push('\n');
             }
             Ok(prompt)
         }
--- a/crates/node/src/identity.rs
+++ b/crates/node/src/identity.rs
@@ -15,11 +15,6 @@
 /// Identifies an answer in its event ids.
 pub type AnswerId = u128;
 
-/// Length of the prompt pieces whose growing prefixes are hashed, in bytes.
-pub const PREFIX_STEP: usize = 256;
-/// Most prefixes of one prompt.
-pub const PREFIXES: usize = 64;
-
 /// The deployment's key for all hashes; the same on all nodes.
 #[derive(Clone, Copy, Debug)]
 pub struct Secret(u64, u64);
@@ -135,14 +130,3 @@
         })
     }
 }
-
-/// Hashes of the growing prefixes of a prompt, shortest first.
-pub fn prefixes(prompt: &[u8]) -> Vec<u64> {
-    let mut hasher = SipHasher24::new_with_keys(0, 0);
-    let mut hashes = Vec::new();
-    for piece in prompt.chunks_exact(PREFIX_STEP).take(PREFIXES) {
-        hasher.write(piece);
-        hashes.push(hasher.finish());
-    }
-    hashes
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,6 @@
 
 pub mod api;
 mod event;
-mod fallback;
 pub mod identity;
 mod message;
 mod node;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -13,10 +13,13 @@
     Request(Request),
     /// To admission.
     Limit(limit::Message),
-    /// To admission: number of live nodes.
-    Live(u32),
-    /// To admission: what an organisation's callers ask of another node.
-    Demand(limit::Demand),
+    /// To admission: what the callers of all live nodes ask, this node's included.
+    Demand {
+        /// Number of live nodes, this one included.
+        live: u32,
+        /// Slots by organisation.
+        totals: Vec<(fleet::OrganisationName, f64)>,
+    },
     /// To routing.
     Route(route::Message),
     /// To routing: the targets of the fleet.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -47,7 +47,7 @@
     pub fn new(config: Config) -> Self {
         let kernel = Builder::new(config.seed)
             .service(Requests::default())
-            .service(LimitService::new(config.name.clone(), config.limit))
+            .service(LimitService::new(config.limit))
             .service(RouteService::new(config.route))
             .service(LedgerService::new(config.ledger))
             .service(MemberService::new(config.name, config.member))
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -8,7 +8,6 @@
 use fleet::{Link, NodeName, OrganisationName, Target};
 use kernel::{Context, Name, Service};
 
-use crate::fallback;
 use crate::{Action, Message, Request};
 
 /// Name of the service that follows requests.
@@ -27,13 +26,16 @@
 /// How long a quarantine told without an end holds.
 const QUARANTINE_TTL: Duration = Duration::from_secs(600);
 
+/// Stands for all other nodes where what they ask is summed up.
+const ELSEWHERE: NodeName = NodeName::new_static("");
+
 type Ctx<'a> = Context<'a, Message, Action>;
 
 /// Name of the service that a message is for.
 pub(crate) fn receiver(message: &Message) -> Name {
     match message {
         Message::Request(_) => REQUESTS,
-        Message::Limit(_) | Message::Live(_) | Message::Demand(_) => LIMIT,
+        Message::Limit(_) | Message::Demand { .. } => LIMIT,
         Message::Route(_) | Message::Targets(_) | Message::Links(_) => ROUTE,
         Message::Ledger(_) => LEDGER,
         Message::Member(_) => MEMBER,
@@ -68,33 +70,31 @@
 
 /// Admission.
 pub(crate) struct LimitService {
-    name: NodeName,
-    machine: fallback::Limiter,
-    live: u32,
-    demand: BTreeMap<(NodeName, OrganisationName), f64>,
+    machine: limit::Limiter,
+    /// What this node's callers asked when it was last told.
+    own: BTreeMap<OrganisationName, f64>,
     actions: Vec<limit::Action>,
     alarm: Alarm,
 }
 
 impl LimitService {
-    pub(crate) fn new(name: NodeName, settings: limit::Settings) -> Self {
+    pub(crate) fn new(settings: limit::Settings) -> Self {
         Self {
-            name,
-            machine: fallback::Limiter::new(settings),
-            live: 1,
-            demand: BTreeMap::new(),
+            machine: limit::Limiter::new(settings),
+            own: BTreeMap::new(),
             actions: Vec::new(),
             alarm: Alarm::default(),
         }
     }
 
-    fn peers(&self) -> limit::Message {
-        let demand = self.demand.iter().map(|((node, organisation), cost)| limit::Demand {
-            node: node.clone(),
-            organisation: organisation.clone(),
-            cost: *cost,
+    /// What the callers of all other nodes ask.
+    fn elsewhere(&self, live: u32, totals: Vec<(OrganisationName, f64)>) -> limit::Message {
+        let demand = totals.into_iter().map(|(organisation, total)| {
+            let own = self.own.get(&organisation).copied().unwrap_or_default();
+            let cost = (total - own).max(0.0);
+            limit::Demand { node: ELSEWHERE, organisation, cost }
         });
-        limit::Message::Peers { live: self.live, demand: demand.collect() }
+        limit::Message::Peers { live, demand: demand.collect() }
     }
 }
 
@@ -106,14 +106,7 @@
     fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
         let message = match message {
             Message::Limit(message) => message,
-            Message::Live(live) => {
-                self.live = live;
-                self.peers()
-            }
-            Message::Demand(demand) => {
-                self.demand.insert((demand.node, demand.organisation), demand.cost);
-                self.peers()
-            }
+            Message::Demand { live, totals } => self.elsewhere(live, totals),
             _ => return,
         };
         let now = ctx.now();
@@ -127,11 +120,8 @@
                     send(ctx, Message::Request(Request::Refuse { request, reason, retry_after }));
                 }
                 limit::Action::Demand(costs) => {
-                    for (organisation, cost) in costs {
-                        let node = self.name.clone();
-                        let news = member::News::Demand { node, organisation, cost };
-                        send(ctx, Message::Member(member::Message::Publish(news)));
-                    }
+                    self.own = costs.iter().cloned().collect();
+                    send(ctx, Message::Member(member::Message::Demand(costs)));
                 }
                 limit::Action::Wake(after) => {
                     self.alarm.ask(after, Message::Limit(limit::Message::Wake), ctx);
@@ -144,7 +134,7 @@
 
 /// Routing.
 pub(crate) struct RouteService {
-    machine: fallback::Router,
+    machine: route::Router,
     targets: Vec<Target>,
     links: Vec<Link>,
     actions: Vec<route::Action>,
@@ -154,7 +144,7 @@
 impl RouteService {
     pub(crate) fn new(settings: route::Settings) -> Self {
         Self {
-            machine: fallback::Router::new(settings),
+            machine: route::Router::new(settings),
             targets: Vec::new(),
             links: Vec::new(),
             actions: Vec::new(),
@@ -276,7 +266,7 @@
 /// Membership.
 pub(crate) struct MemberService {
     name: NodeName,
-    machine: fallback::Membership,
+    machine: member::Membership,
     actions: Vec<member::Action>,
     alarm: Alarm,
 }
@@ -285,7 +275,7 @@
     pub(crate) fn new(name: NodeName, settings: member::Settings) -> Self {
         Self {
             name,
-            machine: fallback::Membership::new(settings),
+            machine: member::Membership::new(settings),
             actions: Vec::new(),
             alarm: Alarm::default(),
         }
@@ -309,7 +299,6 @@
             send(ctx, Message::Preset(preset::Message::PeerVersion { node, version }));
         }
         send(ctx, Message::Ledger(ledger::Message::Nodes(alive)));
-        send(ctx, Message::Live(count));
         ctx.act(Action::Nodes(nodes));
     }
 
@@ -326,6 +315,15 @@
                 send(ctx, Message::Targets(targets.clone()));
                 ctx.act(Action::Targets(targets));
             }
+            member::Action::Proved { version, at } => {
+                send(ctx, Message::Preset(preset::Message::Proved { version, at }));
+            }
+            member::Action::Agreed { version, at } => {
+                send(ctx, Message::Preset(preset::Message::Agreed { version, at }));
+            }
+            member::Action::Demand { live, totals } => {
+                send(ctx, Message::Demand { live, totals });
+            }
             member::Action::Lost(targets) => {
                 send(ctx, Message::Route(route::Message::Lost { targets }));
             }
@@ -360,10 +358,9 @@
             let quarantine = route::Quarantine { fingerprint, target, condemned, ttl };
             send(ctx, Message::Route(route::Message::Quarantine(quarantine)));
         }
-        member::News::Demand { node, organisation, cost } => {
-            send(ctx, Message::Demand(limit::Demand { node, organisation, cost }));
-        }
-        member::News::Standing { .. } | member::News::Leaving { .. } => {}
+        member::News::Standing { .. }
+        | member::News::Leaving { .. }
+        | member::News::Demand { .. } => {}
     }
 }
 
@@ -416,7 +413,9 @@
                     ctx.act(Action::Fresh(fresh));
                 }
                 preset::Action::Watch(watch) => ctx.act(Action::Watch(watch)),
-                preset::Action::Proof(_) => {}
+                preset::Action::Proof(proof) => {
+                    send(ctx, Message::Member(member::Message::Proof(proof)));
+                }
                 preset::Action::Poll => ctx.act(Action::Poll),
                 preset::Action::Ask(node) => ctx.act(Action::Ask(node)),
                 preset::Action::Wake(after) => {
@@ -436,6 +435,12 @@
         limit::Bounds { weights: weights.collect(), queue: preset.queue, wait: preset.wait };
     send(ctx, Message::Limit(limit::Message::Bounds(bounds)));
     send(ctx, Message::Links(preset.links.clone()));
+    let bounds = route::Bounds {
+        retry_share: preset.retry_share,
+        attempts: preset.attempts,
+        quarantine: preset.quarantine,
+    };
+    send(ctx, Message::Route(route::Message::Bounds(bounds)));
     send(ctx, Message::Member(member::Message::Preset(preset.version)));
     ctx.act(Action::InForce { preset, value });
 }
--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -27,6 +27,8 @@
 use crate::identity::{self, EventId};
 use crate::{Arrival, event};
 
+/// Most prefixes of one prompt that count in routing.
+const PREFIXES: usize = 64;
 /// Longest `Idempotency-Key`, in bytes.
 const KEY_BYTES: usize = 255;
 /// Wait after a failed accept.
@@ -333,7 +335,8 @@
     log_arrival(shared, &request, answer);
     let created = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
     let header = Header { form, answer, model: completion.model.clone(), created };
-    let prefixes = identity::prefixes(&completion.prompt);
+    let mut prefixes = fleet::prefixes(&completion.prompt);
+    prefixes.truncate(PREFIXES);
     // Seeds stay within what every JSON reader takes as a whole number.
     let seed = (answer as u64) >> 11;
     let last = caller.last;
--- a/crates/node/src/shell/convert.rs
+++ b/crates/node/src/shell/convert.rs
@@ -16,6 +16,8 @@
         leaving: heartbeat.leaving,
         digest: heartbeat.digest,
         wants_facts: heartbeat.wants_facts,
+        proof_age_ms: heartbeat.proof_age.map(millis),
+        demand: heartbeat.demand.into_iter().map(share_to_wire).collect(),
         ..wire::Heartbeat::default()
     }
 }
@@ -31,9 +33,31 @@
         leaving: heartbeat.leaving,
         digest: heartbeat.digest,
         wants_facts: heartbeat.wants_facts,
+        proof_age: heartbeat.proof_age_ms.map(age),
+        demand: heartbeat.demand.into_iter().map(share_from_wire).collect(),
     }
 }
 
+/// An age in milliseconds, rounded up; the largest value stands for the longest time.
+fn millis(age: Duration) -> u64 {
+    if age == Duration::MAX {
+        return u64::MAX;
+    }
+    u64::try_from(age.as_millis()).map_or(u64::MAX, |millis| millis.saturating_add(1))
+}
+
+fn age(millis: u64) -> Duration {
+    if millis == u64::MAX { Duration::MAX } else { Duration::from_millis(millis) }
+}
+
+fn share_to_wire((organisation, cost): (fleet::OrganisationName, f64)) -> wire::Share {
+    wire::Share { organisation: organisation.to_string(), cost: cost as f32 }
+}
+
+fn share_from_wire(share: wire::Share) -> (fleet::OrganisationName, f64) {
+    (share.organisation.into(), f64::from(share.cost))
+}
+
 fn fact_to_wire(fact: Fact) -> wire::Fact {
     let ttl_ms = fact.ttl.map_or(0, |ttl| {
         // Zero means without end, so a fact about to end keeps its last millisecond.
--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt as _};
 use fleet::Event;
@@ -191,6 +191,7 @@
             return Ok(());
         };
         let began = Instant::now();
+        let ports = self.ports;
         let shared = Arc::clone(&self.shared);
         let platform = shared.settings.platform.to_string();
         let client = store::Settings::builder(&platform)
@@ -202,7 +203,7 @@
         let jobs = calls::start_pool(threads, &shared, &client)?;
         let core = Core {
             shared: Arc::clone(&shared),
-            node: Node::new(config(&shared.settings)),
+            node: Node::new(config(&shared.settings, ports.peers)),
             inputs: received,
             began,
             runtime: runtime.handle().clone(),
@@ -317,15 +318,19 @@
     })
 }
 
-fn config(settings: &Settings) -> Config {
+fn config(settings: &Settings, peers: SocketAddr) -> Config {
     let seed = if settings.seed == 0 { rand::random() } else { settings.seed };
+    let name = settings.name.clone();
+    // Higher than in all earlier lives of a node of this name, also without a disk.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
     Config {
-        name: settings.name.clone(),
+        name: name.clone(),
         seed,
-        limit: limit::Settings::default(),
-        route: route::Settings::default(),
-        ledger: ledger::Settings::builder(&settings.name, rand::random()).build(),
-        member: member::Settings::default(),
+        limit: limit::Builder::new(&name).build(),
+        route: route::Settings { node: name.clone(), ..route::Settings::default() },
+        ledger: ledger::Settings::builder(&name, rand::random()).build(),
+        member: member::Settings::builder(name, peers, incarnation).build(),
         preset: preset::Settings::default(),
     }
 }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -20,6 +20,11 @@
         Self { share, reserve, left: reserve, refilled: Duration::ZERO }
     }
 
+    /// Changes the retries per success.
+    pub(crate) fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
     /// A request has completed. `running` streams may each break once, so that the loss of
     /// a failure domain is paid from what was saved up while all went well.
     pub(crate) fn deposit(&mut self, running: usize) {
--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -62,10 +62,23 @@
         /// Targets that went together.
         targets: Vec<TargetName>,
     },
+    /// Bounds set by the operators' preset.
+    Bounds(Bounds),
     /// The time asked for by [`Action::Wake`] has come.
     Wake,
 }
 
+/// Bounds of routing, from the preset in force.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Retries as a share of recent successes, 0 to 1.
+    pub retry_share: f64,
+    /// Most attempts at one request.
+    pub attempts: u32,
+    /// How long a condemned request stays quarantined.
+    pub quarantine: Duration,
+}
+
 /// A target's report of its load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Load {
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -110,6 +110,12 @@
         Message::HungUp(request) => hung_up(state, step, request),
         Message::Quarantine(quarantine) => quarantined(state, step, quarantine),
         Message::Lost { targets } => lost(state, step, &targets),
+        Message::Bounds(bounds) => {
+            state.settings.retry_share = bounds.retry_share;
+            state.budget.set_share(bounds.retry_share);
+            state.settings.max_attempts = bounds.attempts;
+            state.settings.quarantine_ttl = bounds.quarantine;
+        }
         Message::Wake => wake(state, step),
     }
 }
