Membership tests and measures in virtual time

Found on the way: at 90 nodes word of a leaving target took more than 2 s behind the standing of 90 nodes that had just started; urgent facts now go first. At 620 nodes the standings of a start of all were spread for minutes; word that a known node is alive is no longer spread nor counted in the digest (it rides on that node's own first heartbeats).

--- a/crates/member/src/fact.rs
+++ b/crates/member/src/fact.rs
@@ -1,6 +1,7 @@
 //! The facts that a node holds, with versions, expiry and a digest.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -38,14 +39,24 @@
     news: News,
     expires: Option<Duration>,
     hash: u64,
+    /// Heartbeats that are still to carry it.
+    left: u32,
+}
+
+/// Place of a fact in the order of sending: word of nodes last, because it is plentiful when
+/// many start and must not hold up the rest; then by the number of heartbeats left.
+type Turn = (bool, Reverse<u32>, Key);
+
+fn turn(key: &Key, left: u32) -> Turn {
+    (matches!(key, Key::Standing(_)), Reverse(left), key.clone())
 }
 
 /// The facts of one node.
 #[derive(Clone, Debug)]
 pub(crate) struct Facts {
     entries: BTreeMap<Key, Entry>,
-    /// Facts still to be sent, with the number of heartbeats left for each.
-    hot: Vec<(Key, u32)>,
+    /// Facts still to be sent, in the order of sending.
+    hot: BTreeSet<Turn>,
     /// Exclusive or of the entries' hashes.
     digest: u64,
     kept: usize,
@@ -58,7 +69,7 @@
 impl Facts {
     pub(crate) fn new(kept: usize) -> Self {
         let cursor = None;
-        let (entries, hot) = (BTreeMap::new(), Vec::new());
+        let (entries, hot) = (BTreeMap::new(), BTreeSet::new());
         Self { entries, hot, digest: 0, kept, changed: Duration::ZERO, cursor }
     }
 
@@ -96,10 +107,13 @@
         }
         let hash = hash(&key, fact.version, &fact.news);
         let expires = fact.ttl.map(|ttl| now + ttl);
-        let entry = Entry { version: fact.version, news: fact.news.clone(), expires, hash };
+        let (version, news) = (fact.version, fact.news.clone());
+        let entry = Entry { version, news, expires, hash, left: sends };
         self.digest ^= hash;
-        self.entries.insert(key.clone(), entry);
-        self.hot.push((key, sends));
+        if sends > 0 {
+            self.hot.insert(turn(&key, sends));
+        }
+        self.entries.insert(key, entry);
         self.changed = now;
         true
     }
@@ -118,17 +132,21 @@
         }
     }
 
-    /// Picks up to `max` facts that have been sent least, and counts them as sent.
+    /// Picks up to `max` facts, urgent ones and those sent least first, and counts them as
+    /// sent.
     pub(crate) fn pick(&mut self, now: Duration, max: usize) -> Vec<Fact> {
-        self.hot.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
-        let mut facts = Vec::new();
-        for (key, left) in self.hot.iter_mut().take(max) {
-            *left -= 1;
-            if let Some(entry) = self.entries.get(key) {
-                facts.push(entry.fact(now));
+        let picked: Vec<Turn> = self.hot.iter().take(max).cloned().collect();
+        let mut facts = Vec::with_capacity(picked.len());
+        for place in picked {
+            self.hot.remove(&place);
+            let (_, _, key) = place;
+            let Some(entry) = self.entries.get_mut(&key) else { continue };
+            entry.left -= 1;
+            if entry.left > 0 {
+                self.hot.insert(turn(&key, entry.left));
             }
+            facts.push(entry.fact(now));
         }
-        self.hot.retain(|(_, left)| *left > 0);
         facts
     }
 
@@ -154,7 +172,7 @@
     fn remove(&mut self, key: &Key) {
         if let Some(entry) = self.entries.remove(key) {
             self.digest ^= entry.hash;
-            self.hot.retain(|(hot, _)| hot != key);
+            self.hot.remove(&turn(key, entry.left));
         }
     }
 
@@ -198,7 +216,11 @@
     }
 }
 
+/// Word that a node is alive counts for nothing: most nodes are, and know it first-hand.
 fn hash(key: &Key, version: u64, news: &News) -> u64 {
+    if matches!(news, News::Standing { state: State::Alive, .. }) {
+        return 0;
+    }
     let mut hasher = SipHasher13::new();
     key.hash(&mut hasher);
     version.hash(&mut hasher);
--- a/crates/member/src/service.rs
+++ b/crates/member/src/service.rs
@@ -129,7 +129,7 @@
             self.started = Some(now);
             self.next_round = now;
             self.stepped = now;
-            self.publish_own(now, State::Alive);
+            self.publish_own(now, State::Alive, 0);
         }
         let gap = now.saturating_sub(self.stepped);
         self.stepped = now;
@@ -324,6 +324,14 @@
 
     /// Takes one fact from another node.
     fn learn(&mut self, now: Duration, fact: &Fact, actions: &mut Vec<Action>) {
+        if let News::Standing { node, incarnation, address, state: State::Alive } = &fact.news
+            && self.peers.contains_key(node)
+            && self.facts.get(now, &Key::Standing(node.clone())).is_none()
+        {
+            // Nothing to correct: that a known node is alive needs no spreading.
+            let told = (*incarnation, State::Alive);
+            return self.told(now, node, told, *address, actions);
+        }
         let sends = self.sends();
         if !self.facts.merge(now, fact, sends) {
             return;
@@ -400,7 +408,7 @@
             return;
         }
         self.incarnation = incarnation + 1;
-        self.publish_own(now, State::Alive);
+        self.publish_own(now, State::Alive, self.sends());
         self.push(now);
         let event = Event::new(&event::REFUTED).with("incarnation", self.incarnation);
         actions.push(Action::Log(event));
@@ -445,7 +453,8 @@
         }
         let (incarnation, address) = (peer.incarnation, peer.address);
         self.note_state(name, state, actions);
-        self.publish_standing(now, name.clone(), incarnation, address, state);
+        let sends = self.sends();
+        self.publish_standing(now, name.clone(), (incarnation, state), address, sends);
     }
 
     fn note_state(&mut self, name: &NodeName, state: State, actions: &mut Vec<Action>) {
@@ -454,25 +463,26 @@
         actions.push(Action::Log(event.with("state", format_args!("{state:?}"))));
     }
 
-    fn publish_own(&mut self, now: Duration, state: State) {
+    /// Tells this node's standing; with no sends it only rides on this node's own first
+    /// heartbeats.
+    fn publish_own(&mut self, now: Duration, state: State, sends: u32) {
         let Settings { name, address, .. } = &self.settings;
         let (name, address) = (name.clone(), *address);
-        self.publish_standing(now, name, self.incarnation, address, state);
+        self.publish_standing(now, name, (self.incarnation, state), address, sends);
     }
 
     fn publish_standing(
         &mut self,
         now: Duration,
         node: NodeName,
-        incarnation: Incarnation,
+        (incarnation, state): (Incarnation, State),
         address: std::net::SocketAddr,
-        state: State,
+        sends: u32,
     ) {
         let ttl = if state == State::Alive { ALIVE_TTL } else { STANDING_TTL };
         let version = standing_version(incarnation, state);
         let news = News::Standing { node, incarnation, address, state };
         let fact = Fact { version, ttl: Some(ttl), news };
-        let sends = self.sends();
         self.facts.merge(now, &fact, sends);
     }
 
@@ -537,7 +547,7 @@
 
     fn leave(&mut self, now: Duration) {
         self.leaving = true;
-        self.publish_own(now, State::Left);
+        self.publish_own(now, State::Left, self.sends());
         self.push(now);
     }
 
--- /dev/null
+++ b/crates/member/tests/common/mod.rs
@@ -0,0 +1,378 @@
+//! Nodes on a fake network in virtual time. Only calls between nodes are faked: delay, loss,
+//! timeout, partition, pause and kill.
+
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::{Role, Standing, Target, TargetName, Vm};
+use member::{Action, Heartbeat, Membership, Message, News, Node, Settings, State};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(400);
+
+pub(crate) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(crate) fn name(index: usize) -> String {
+    format!("n{index:03}")
+}
+
+pub(crate) fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 7000))
+}
+
+pub(crate) fn entry(index: usize) -> Vm {
+    Vm {
+        name: name(index).into(),
+        domain: "a".into(),
+        standing: Standing::Live,
+        role: Role::Entry { peer: address(index) },
+    }
+}
+
+pub(crate) fn target(name: &str, rack: &str, standing: Standing) -> Vm {
+    let service = fleet::Service { name: "book".into(), idempotent: false, slots: 1 };
+    let target = Target {
+        name: name.into(),
+        address: SocketAddr::from(([10, 1, 0, 1], 9000)),
+        domain: "a".into(),
+        rack: rack.into(),
+        standing,
+        kind: fleet::Kind::Service(service),
+    };
+    Vm { name: name.into(), domain: "a".into(), standing, role: Role::Target(target) }
+}
+
+/// What a node has said.
+#[derive(Default)]
+pub(crate) struct View {
+    pub(crate) nodes: BTreeMap<String, (State, Duration)>,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) leaving: BTreeMap<TargetName, Duration>,
+    pub(crate) quarantined: BTreeMap<u64, Duration>,
+    pub(crate) lost: Vec<Vec<TargetName>>,
+    pub(crate) confident: Vec<(Duration, bool)>,
+    pub(crate) agreed: Option<(u64, Duration)>,
+    pub(crate) proved: Option<Duration>,
+    pub(crate) demand: BTreeMap<String, f64>,
+    /// Nodes that this one has held for suspect or dead, with the number of times.
+    pub(crate) accused: BTreeMap<String, usize>,
+    pub(crate) died: BTreeMap<String, Duration>,
+    pub(crate) preset: u64,
+    pub(crate) preset_at: Duration,
+    pub(crate) events: BTreeSet<u16>,
+}
+
+pub(crate) struct Seat {
+    pub(crate) member: Membership,
+    rng: SmallRng,
+    pub(crate) view: View,
+    pub(crate) up: bool,
+    pub(crate) paused: Duration,
+    pub(crate) group: usize,
+    /// Other nodes by address, to find the receiver of a heartbeat.
+    pub(crate) sent_bytes: u64,
+    pub(crate) received_bytes: u64,
+    pub(crate) messages: u64,
+}
+
+enum Event {
+    Wake(usize),
+    Call { from: usize, to: usize, heartbeat: Heartbeat, call: u64 },
+    Reply { from: usize, to: usize, heartbeat: Heartbeat, call: u64 },
+    Timeout { node: usize, to: String, call: u64 },
+    Learn { node: usize, version: u64 },
+}
+
+pub(crate) struct Net {
+    pub(crate) now: Duration,
+    pub(crate) seats: Vec<Seat>,
+    pub(crate) loss: f64,
+    pub(crate) delay: Duration,
+    pub(crate) size: Option<fn(&Heartbeat) -> u64>,
+    rng: SmallRng,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: HashMap<u64, Event>,
+    /// Calls without an outcome, with their callers.
+    open: HashMap<u64, usize>,
+    by_address: HashMap<SocketAddr, usize>,
+    next: u64,
+    pub(crate) steps: u64,
+    /// Processor time of all steps; for measures, no verdict depends on it.
+    pub(crate) spent: Duration,
+}
+
+impl Net {
+    /// Starts `count` nodes that all have the whole list.
+    pub(crate) fn new(count: usize, seed: u64, settings: impl Fn(Settings) -> Settings) -> Self {
+        let mut net = Self {
+            now: Duration::ZERO,
+            seats: vec![],
+            loss: 0.0,
+            delay: ms(1),
+            size: None,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            open: HashMap::new(),
+            by_address: HashMap::new(),
+            next: 0,
+            steps: 0,
+            spent: Duration::ZERO,
+        };
+        let list: Vec<Vm> = (0..count).map(entry).collect();
+        for index in 0..count {
+            net.start(index, 1, &settings);
+        }
+        for index in 0..count {
+            // Nodes do not start in step.
+            net.now = ms(net.rng.random_range(0..500));
+            net.step(index, Message::Listed(list.clone()));
+        }
+        net.now = ms(500);
+        net
+    }
+
+    /// Starts a node in a seat, new or taken, at the address of that seat.
+    pub(crate) fn start(
+        &mut self,
+        index: usize,
+        incarnation: u64,
+        settings: &impl Fn(Settings) -> Settings,
+    ) {
+        let plain = Settings::builder(name(index).into(), address(index), incarnation).build();
+        let settings = settings(plain);
+        self.by_address.insert(settings.address, index);
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let seat = Seat {
+            member: Membership::new(settings),
+            rng,
+            view: View::default(),
+            up: true,
+            paused: Duration::ZERO,
+            group: 0,
+            sent_bytes: 0,
+            received_bytes: 0,
+            messages: 0,
+        };
+        if index < self.seats.len() { self.seats[index] = seat } else { self.seats.push(seat) }
+    }
+
+    pub(crate) fn pause(&mut self, index: usize, span: Duration) {
+        self.seats[index].paused = self.now + span;
+    }
+
+    /// Gives a node a message now and carries out what it asks for.
+    pub(crate) fn step(&mut self, index: usize, message: Message) {
+        self.step_call(index, message, None);
+    }
+
+    fn step_call(&mut self, index: usize, message: Message, reply_to: Option<(usize, u64)>) {
+        self.steps += 1;
+        let mut actions = Vec::new();
+        let seat = &mut self.seats[index];
+        let begun = std::time::Instant::now();
+        seat.member.step(self.now, message, &mut seat.rng, &mut actions);
+        self.spent += begun.elapsed();
+        for action in actions {
+            self.act(index, action, reply_to);
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action, reply_to: Option<(usize, u64)>) {
+        let now = self.now;
+        match action {
+            Action::Send { to, address, heartbeat } => self.send(index, &to, address, heartbeat),
+            Action::Reply(heartbeat) => {
+                let Some((to, call)) = reply_to else { return };
+                self.count(index, &heartbeat);
+                let at = now + self.transit();
+                self.push(at, Event::Reply { from: index, to, heartbeat, call });
+            }
+            Action::Wake(span) => self.push(now + span, Event::Wake(index)),
+            Action::Behind { version, .. } => {
+                // The other node answers the question for its value after a round trip.
+                let at = now + self.transit() + self.transit();
+                self.push(at, Event::Learn { node: index, version });
+            }
+            Action::Proved { at, .. } => {
+                let proved = &mut self.seats[index].view.proved;
+                if *proved < Some(at) {
+                    *proved = Some(at);
+                    self.step(index, Message::Proof(Some(at)));
+                }
+            }
+            action => self.seats[index].view.note(now, action),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, address: SocketAddr, heartbeat: Heartbeat) {
+        self.next += 1;
+        let call = self.next;
+        self.open.insert(call, from);
+        self.count(from, &heartbeat);
+        let timeout = Event::Timeout { node: from, to: to.into(), call };
+        self.push(self.now + TIMEOUT, timeout);
+        let Some(&to) = self.by_address.get(&address) else { return };
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let at = self.now + self.transit();
+        self.push(at, Event::Call { from, to, heartbeat, call });
+    }
+
+    fn count(&mut self, from: usize, heartbeat: &Heartbeat) {
+        if let Some(size) = self.size {
+            self.seats[from].sent_bytes += size(heartbeat);
+            self.seats[from].messages += 1;
+        }
+    }
+
+    fn transit(&mut self) -> Duration {
+        self.delay.mul_f64(self.rng.random_range(0.5..1.5))
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    /// Runs until `until`.
+    pub(crate) fn run(&mut self, until: Duration) {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            if let Some(event) = self.events.remove(&id) {
+                self.happen(event);
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Runs until a node waits for a reply.
+    pub(crate) fn run_to_call(&mut self, node: usize) {
+        while !self.open.values().any(|caller| *caller == node) {
+            self.run(self.now + Duration::from_micros(100));
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let index = match &event {
+            Event::Wake(index) => *index,
+            Event::Call { to, .. } | Event::Reply { to, .. } => *to,
+            Event::Timeout { node, .. } | Event::Learn { node, .. } => *node,
+        };
+        if !self.seats[index].up {
+            return;
+        }
+        if self.seats[index].paused > self.now {
+            // Timers that are due go off before anything is read from a socket.
+            let timer = matches!(event, Event::Wake(_) | Event::Timeout { .. });
+            let at = self.seats[index].paused + if timer { ms(0) } else { ms(1) };
+            return self.push(at, event);
+        }
+        match event {
+            Event::Wake(index) => self.step(index, Message::Wake),
+            Event::Call { from, to, heartbeat, call } => {
+                if self.joined(from, to) {
+                    self.receive(to, &heartbeat);
+                    self.step_call(to, Message::Heard(heartbeat), Some((from, call)));
+                }
+            }
+            Event::Reply { from, to, heartbeat, call } => {
+                if self.joined(from, to) && self.open.remove(&call).is_some() {
+                    self.receive(to, &heartbeat);
+                    self.step(to, Message::Replied(heartbeat));
+                }
+            }
+            Event::Timeout { node, to, call } => {
+                if self.open.remove(&call).is_some() {
+                    self.step(node, Message::Silent(to.into()));
+                }
+            }
+            Event::Learn { node, version } => self.put(node, version),
+        }
+    }
+
+    /// Puts a configuration version in force at a node.
+    pub(crate) fn put(&mut self, node: usize, version: u64) {
+        if self.seats[node].view.preset < version {
+            self.seats[node].view.preset = version;
+            self.seats[node].view.preset_at = self.now;
+            self.step(node, Message::Preset(version));
+        }
+    }
+
+    fn receive(&mut self, to: usize, heartbeat: &Heartbeat) {
+        if let Some(size) = self.size {
+            self.seats[to].received_bytes += size(heartbeat);
+        }
+    }
+
+    fn joined(&self, one: usize, two: usize) -> bool {
+        self.seats[one].group == self.seats[two].group
+    }
+
+    pub(crate) fn state(&self, of: usize, at: usize) -> Option<State> {
+        self.seats[at].view.nodes.get(&name(of)).map(|(state, _)| *state)
+    }
+}
+
+impl View {
+    fn note(&mut self, now: Duration, action: Action) {
+        match action {
+            Action::Nodes(nodes) => self.note_nodes(now, nodes),
+            Action::Targets(targets) => {
+                for target in &targets {
+                    if target.standing == Standing::Leaving {
+                        self.leaving.entry(target.name.clone()).or_insert(now);
+                    }
+                }
+                self.targets = targets;
+            }
+            Action::Lost(targets) => self.lost.push(targets),
+            Action::Learned { news: News::Quarantine { fingerprint, .. }, .. } => {
+                self.quarantined.entry(fingerprint).or_insert(now);
+            }
+            Action::Learned { news: News::Leaving { target }, .. } => {
+                self.leaving.entry(target).or_insert(now);
+            }
+            Action::Confident(confident) => self.confident.push((now, confident)),
+            Action::Agreed { version, at } => self.agreed = Some((version, at)),
+            Action::Demand { totals, .. } => {
+                self.demand =
+                    totals.into_iter().map(|(name, cost)| (name.to_string(), cost)).collect();
+            }
+            Action::Log(event) => {
+                self.events.insert(event.kind.number);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_nodes(&mut self, now: Duration, nodes: Vec<Node>) {
+        for node in &nodes {
+            let name = node.name.to_string();
+            let state = node.state;
+            let before = self.nodes.get(&name).map(|(state, _)| *state);
+            if before != Some(state) && matches!(state, State::Suspect | State::Dead) {
+                *self.accused.entry(name.clone()).or_default() += 1;
+            }
+            if state == State::Dead {
+                self.died.entry(name).or_insert(now);
+            }
+        }
+        self.nodes =
+            nodes.into_iter().map(|node| (node.name.to_string(), (node.state, now))).collect();
+    }
+}
