Membership: demand in replies only, service split by job, trial of set reconciliation

It now rides on replies only. Reply to a node that asks for all facts is cut from 128 to 24 facts, so that healing stays within the budget too.

--- a/crates/member/examples/measure.rs
+++ b/crates/member/examples/measure.rs
@@ -54,7 +54,7 @@
 }
 
 fn round(value: f64) -> f64 {
-    (value * 10_000.0).round() / 10_000.0
+    (value * 1e6).round() / 1e6
 }
 
 fn seeds(count: usize) -> u64 {
@@ -135,9 +135,12 @@
     learns.sort();
     for (at, node) in learns {
         net.run(at);
+        if net.seats.iter().all(|seat| seat.view.preset == 1) {
+            break;
+        }
         net.put(node, 1);
     }
-    net.run(begun + ms(6_000));
+    net.run(net.now + ms(3_000));
     let at = net.seats.iter().map(|seat| seat.view.preset_at).max().unwrap_or_default();
     assert!(net.seats.iter().all(|seat| seat.view.preset == 1));
     (at - begun).as_secs_f64()
--- /dev/null
+++ b/crates/member/examples/reconcile.rs
@@ -0,0 +1,207 @@
+//! Trial: bytes and processor time to find the differences of two nodes' sets of facts, by
+//! digests of buckets, by one counter for each origin, and by rateless coded symbols as in
+//! Yang, Gilad, Alizadeh, "Practical Rateless Set Reconciliation" (SIGCOMM 2024).
+//!
+//! `cargo run --release -p member --example reconcile`. An item is an 8-byte hash of a fact's key
+//! and version; the bytes of the missing facts themselves are the same for all and left out.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const ITEM_BYTES: usize = 8;
+/// Sum, checksum and a count of one byte.
+const SYMBOL_BYTES: usize = 17;
+/// A node's index and its counter.
+const COUNTER_BYTES: usize = 12;
+const SEEDS: u64 = 20;
+
+fn main() {
+    for (nodes, common) in [(4, 100), (620, 1_000), (620, 10_000)] {
+        for differences in [1, 10, 100, 1_000, 10_000] {
+            let mut rows = [vec![], vec![], vec![]];
+            for seed in 0..SEEDS {
+                let (one, two) = sets(common, differences, seed);
+                rows[0].push(timed(|| buckets(&one, &two)));
+                rows[1].push(timed(|| coded(&one, &two, differences)));
+                rows[2].push((one.len().max(two.len()) * ITEM_BYTES, 0.0));
+            }
+            report("bucket digests", nodes, common, differences, &rows[0]);
+            report("rateless symbols", nodes, common, differences, &rows[1]);
+            report("all items", nodes, common, differences, &rows[2]);
+        }
+        println!(
+            "{}",
+            serde_json::json!({"name": "counters by origin", "nodes": nodes,
+                "bytes": nodes * COUNTER_BYTES, "measured": false})
+        );
+    }
+}
+
+fn report(name: &str, nodes: usize, common: usize, differences: usize, rows: &[(usize, f64)]) {
+    let mut bytes: Vec<usize> = rows.iter().map(|(bytes, _)| *bytes).collect();
+    let mut micros: Vec<f64> = rows.iter().map(|(_, micros)| *micros).collect();
+    bytes.sort_unstable();
+    micros.sort_by(f64::total_cmp);
+    let line = serde_json::json!({
+        "name": name, "nodes": nodes, "common": common, "differences": differences,
+        "seeds": rows.len(), "median_bytes": bytes[bytes.len() / 2],
+        "worst_bytes": bytes[bytes.len() - 1],
+        "median_us": micros[micros.len() / 2].round(),
+        "worst_us": micros[micros.len() - 1].round(),
+    });
+    println!("{line}");
+}
+
+fn timed(run: impl FnOnce() -> usize) -> (usize, f64) {
+    let begun = Instant::now();
+    let bytes = run();
+    (bytes, begun.elapsed().as_secs_f64() * 1e6)
+}
+
+/// Two sets that share `common` items and differ in `differences`, half on each side.
+fn sets(common: usize, differences: usize, seed: u64) -> (Vec<u64>, Vec<u64>) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut one: Vec<u64> = (0..common).map(|_| rng.random()).collect();
+    let mut two = one.clone();
+    for index in 0..differences {
+        if index % 2 == 0 { one.push(rng.random()) } else { two.push(rng.random()) }
+    }
+    (one, two)
+}
+
+/// Digests of buckets, about 16 items each, then the items of the buckets that differ.
+fn buckets(one: &[u64], two: &[u64]) -> usize {
+    let count = (one.len().max(two.len()) / 16).next_power_of_two().max(4);
+    let split = |items: &[u64]| {
+        let mut buckets = vec![Vec::new(); count];
+        for item in items {
+            buckets[(item >> 32) as usize % count].push(*item);
+        }
+        buckets
+    };
+    let digest = |items: &Vec<u64>| items.iter().fold(0, |sum, item| sum ^ item);
+    let (one, two) = (split(one), split(two));
+    let mut bytes = count * ITEM_BYTES;
+    let mut missing = 0;
+    for (ours, theirs) in one.iter().zip(&two) {
+        if digest(ours) != digest(theirs) {
+            // One side sends its items, the other answers with those it lacks.
+            bytes += ours.len() * ITEM_BYTES;
+            missing += ours.iter().filter(|item| !theirs.contains(item)).count();
+        }
+    }
+    bytes + missing * ITEM_BYTES
+}
+
+#[derive(Clone, Copy, Default)]
+struct Symbol {
+    sum: u64,
+    checksum: u64,
+    count: i64,
+}
+
+impl Symbol {
+    fn add(&mut self, item: u64, sign: i64) {
+        self.sum ^= item;
+        self.checksum ^= check(item);
+        self.count += sign;
+    }
+
+    fn pure(&self) -> bool {
+        self.count.abs() == 1 && check(self.sum) == self.checksum
+    }
+}
+
+/// The indices of the coded symbols that an item is mapped to, with probability
+/// 1 / (1 + index / 2).
+struct Mapping {
+    state: u64,
+    index: u64,
+}
+
+impl Mapping {
+    fn new(item: u64) -> Self {
+        Self { state: item, index: 0 }
+    }
+
+    fn advance(&mut self) {
+        self.state = mix(self.state);
+        let random = (self.state >> 11) as f64 / (1_u64 << 53) as f64;
+        let place = 1.5 + self.index as f64;
+        let gap = ((place * place - random / 4.0) / (1.0 - random)).sqrt() - place;
+        self.index += (gap.ceil() as u64).max(1);
+    }
+}
+
+/// Items with their signs, by the next index that they are mapped to.
+type Due = BTreeMap<u64, Vec<(u64, i64, Mapping)>>;
+
+/// Sends coded symbols until the other side has decoded all differences; the set's items are
+/// kept in buckets by the next index that they are mapped to.
+fn coded(one: &[u64], two: &[u64], differences: usize) -> usize {
+    let mut due = Due::new();
+    let signed = one.iter().map(|item| (*item, 1)).chain(two.iter().map(|item| (*item, -1)));
+    due.insert(0, signed.map(|(item, sign)| (item, sign, Mapping::new(item))).collect());
+    let mut symbols: Vec<Symbol> = Vec::new();
+    let mut found: Vec<(u64, i64)> = Vec::new();
+    let mut wanted = 0;
+    loop {
+        let index = symbols.len() as u64;
+        let mut symbol = Symbol::default();
+        for (item, sign, mut mapping) in due.remove(&index).unwrap_or_default() {
+            symbol.add(item, sign);
+            mapping.advance();
+            due.entry(mapping.index).or_default().push((item, sign, mapping));
+        }
+        symbols.push(symbol);
+        // Peeling is tried when as many symbols are there as could be enough.
+        let tried = symbols.len() >= wanted;
+        if tried {
+            peel(&mut symbols, &mut found, &mut due);
+            wanted = symbols.len() + symbols.len() / 32 + 1;
+        }
+        if tried && symbols[0].count == 0 && symbols[0].sum == 0 && symbols[0].checksum == 0 {
+            assert_eq!(found.len(), differences);
+            let lacking = found.iter().filter(|(_, sign)| *sign < 0).count();
+            return symbols.len() * SYMBOL_BYTES + lacking * ITEM_BYTES;
+        }
+    }
+}
+
+/// Finds items in symbols that hold just one, and takes them out of all others, those yet to
+/// come included.
+fn peel(symbols: &mut [Symbol], found: &mut Vec<(u64, i64)>, due: &mut Due) {
+    let mut pure: Vec<usize> = (0..symbols.len()).filter(|at| symbols[*at].pure()).collect();
+    while let Some(at) = pure.pop() {
+        if !symbols[at].pure() {
+            continue;
+        }
+        let (item, sign) = (symbols[at].sum, symbols[at].count);
+        found.push((item, sign));
+        let mut mapping = Mapping::new(item);
+        while (mapping.index as usize) < symbols.len() {
+            let index = mapping.index as usize;
+            symbols[index].add(item, -sign);
+            if symbols[index].pure() {
+                pure.push(index);
+            }
+            mapping.advance();
+        }
+        due.entry(mapping.index).or_default().push((item, -sign, mapping));
+    }
+}
+
+/// SplitMix64.
+fn mix(state: u64) -> u64 {
+    let mut mixed = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+fn check(item: u64) -> u64 {
+    mix(item ^ 0x5bd1_e995)
+}
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -61,7 +61,7 @@
     /// Age of the sender's last proof that its configuration is current; `Duration::MAX` when
     /// it has learned it from a majority, `None` when it has had no proof since its start.
     pub proof_age: Option<Duration>,
-    /// Sample of the demand at the sender, see [`Action::Demand`].
+    /// Sample of the demand at the sender, in replies only; see [`Action::Demand`].
     pub demand: Vec<(OrganisationName, f64)>,
 }
 
--- a/crates/member/src/service.rs
+++ b/crates/member/src/service.rs
@@ -1,43 +1,29 @@
 //! The service: a state machine without clock, thread or socket.
 
+mod exchange;
+mod news;
+mod round;
+
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::{Alarm, Event, NodeName, Role, TargetName, Version, Vm};
+use fleet::{Alarm, Event, NodeName, Role, Version, Vm};
 use rand::rngs::SmallRng;
-use rand::seq::{IndexedRandom, SliceRandom};
 
 use crate::demand::Demand;
 use crate::evidence::{self, Agreement, Outcomes};
-use crate::fact::{Facts, Key, standing_version};
-use crate::peer::{Peer, Reply};
+use crate::fact::Facts;
+use crate::peer::Peer;
 use crate::target::Targets;
-use crate::{Action, Fact, Heartbeat, Incarnation, Message, News, Settings, State, event};
+use crate::{Action, Incarnation, Message, Settings, State, event};
 
 /// Rounds after which an unanswered node no longer speaks for this node's view.
 const WINDOW_ROUNDS: u32 = 4;
 /// Rounds for which a node judges no other after a pause.
 const DOUBT_ROUNDS: u32 = 2;
-/// Delay of a push, so that changes that come together go together.
-const PUSH_DELAY: Duration = Duration::from_millis(10);
-/// Shortest time between two pushes.
-const PUSH_PERIOD: Duration = Duration::from_millis(100);
-/// Time between two totals of demand.
-const DEMAND_PERIOD: Duration = Duration::from_secs(1);
-/// Time without a change to the facts before a difference counts.
-const QUIET: Duration = Duration::from_secs(3);
-/// Shortest time between two requests for all facts.
-const HEALING_PERIOD: Duration = Duration::from_millis(500);
-/// Time after the start in which each heartbeat tells this node's address.
-const YOUTH: Duration = Duration::from_secs(60);
-/// How long word of a node's standing holds.
-const STANDING_TTL: Duration = Duration::from_secs(600);
-/// How long word that a node is alive holds.
-const ALIVE_TTL: Duration = Duration::from_secs(60);
 /// Heartbeats that carry a fact, for each doubling of the number of nodes.
 const SENDS: u32 = 3;
-/// A heartbeat without an outcome for this long is taken as lost.
-const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Decides which nodes and targets are alive or leaving.
 #[derive(Clone, Debug)]
@@ -165,8 +151,8 @@
             Message::Listed(vms) => self.listed(now, vms, actions),
             Message::ListDown => self.list_is(true, actions),
             Message::Heard(heartbeat) => self.heard(now, heartbeat, rng, actions),
-            Message::Replied(heartbeat) => self.replied(now, heartbeat, rng, actions),
-            Message::Silent(node) => self.silent(now, &node, rng, actions),
+            Message::Replied(heartbeat) => self.replied(now, heartbeat, actions),
+            Message::Silent(node) => self.silent(now, &node, actions),
             Message::Publish(news) => self.publish(now, news, actions),
             Message::Preset(version) => self.preset_is(now, version),
             Message::Proof(at) => self.proof = Some(at.max(self.proof.flatten())),
@@ -211,7 +197,7 @@
         }
     }
 
-    fn list_node(&mut self, now: Duration, name: NodeName, address: std::net::SocketAddr) {
+    fn list_node(&mut self, now: Duration, name: NodeName, address: SocketAddr) {
         let peer = self.peers.entry(name).or_insert_with(|| {
             self.nodes_changed = true;
             Peer::new(now, address, true)
@@ -231,489 +217,6 @@
         }
     }
 
-    fn heard(
-        &mut self,
-        now: Duration,
-        heartbeat: Heartbeat,
-        rng: &mut SmallRng,
-        actions: &mut Vec<Action>,
-    ) {
-        let (from, wants, digest) =
-            (heartbeat.from.clone(), heartbeat.wants_facts, heartbeat.digest);
-        self.take(now, heartbeat, actions);
-        let mut reply = self.heartbeat(now, rng);
-        if wants {
-            reply.facts.extend(self.facts.chunk(now, self.settings.healing));
-        }
-        // A node learns first-hand what is said of it, so that it can refute.
-        if let Some(fact) = self.facts.get(now, &Key::Standing(from.clone()))
-            && matches!(fact.news, News::Standing { state: State::Suspect | State::Dead, .. })
-        {
-            reply.facts.push(fact);
-        }
-        actions.push(Action::Reply(reply));
-        self.heal(now, &from, digest, rng, actions);
-    }
-
-    fn replied(
-        &mut self,
-        now: Duration,
-        heartbeat: Heartbeat,
-        rng: &mut SmallRng,
-        actions: &mut Vec<Action>,
-    ) {
-        let (from, digest) = (heartbeat.from.clone(), heartbeat.digest);
-        let asked = self.peers.get_mut(&from).and_then(|peer| peer.asked.take());
-        let age = heartbeat.proof_age;
-        let preset = heartbeat.preset;
-        self.take(now, heartbeat, actions);
-        if let Some(asked) = asked {
-            let reply = Reply { asked, preset, voter: age.is_some() };
-            self.outcomes.push(asked, Some(reply));
-            if let Some(peer) = self.peers.get_mut(&from) {
-                peer.reply = Some(reply);
-            }
-            // The reply was made after `asked`, so the proof is at least this new.
-            if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
-                actions.push(Action::Proved { version: preset, at });
-            }
-            self.agree(now, actions);
-        }
-        self.heal(now, &from, digest, rng, actions);
-    }
-
-    /// Takes what a heartbeat or reply says.
-    fn take(&mut self, now: Duration, heartbeat: Heartbeat, actions: &mut Vec<Action>) {
-        if heartbeat.from == self.settings.name {
-            return;
-        }
-        let was = self.peers.get(&heartbeat.from).map(|peer| peer.state);
-        for fact in &heartbeat.facts {
-            self.learn(now, fact, actions);
-        }
-        let Some(peer) = self.peers.get_mut(&heartbeat.from) else { return };
-        let preset = peer.preset;
-        let changed = peer.hear(now, &heartbeat);
-        let (state, address) = (peer.state, peer.address);
-        self.presets_changed |= peer.preset != preset;
-        if changed || was != Some(state) {
-            self.note_state(&heartbeat.from, state, actions);
-        }
-        self.take_over(now, &heartbeat.from, actions);
-        if heartbeat.preset > self.preset {
-            let node = heartbeat.from.clone();
-            actions.push(Action::Behind { node, address, version: heartbeat.preset });
-        }
-        self.demand.hear(now, heartbeat.demand);
-    }
-
-    /// A node at the address of another has replaced it.
-    fn take_over(&mut self, now: Duration, name: &NodeName, actions: &mut Vec<Action>) {
-        let Some(address) = self.peers.get(name).map(|peer| peer.address) else { return };
-        let replaced: Vec<NodeName> = self
-            .peers
-            .iter()
-            .filter(|(other, peer)| *other != name && peer.address == address)
-            .filter(|(_, peer)| matches!(peer.state, State::Alive | State::Suspect))
-            .map(|(other, _)| other.clone())
-            .collect();
-        for other in replaced {
-            self.set_state(now, &other, State::Dead, actions);
-        }
-    }
-
-    /// Takes one fact from another node.
-    fn learn(&mut self, now: Duration, fact: &Fact, actions: &mut Vec<Action>) {
-        if let News::Standing { node, incarnation, address, state: State::Alive } = &fact.news
-            && self.peers.contains_key(node)
-            && self.facts.get(now, &Key::Standing(node.clone())).is_none()
-        {
-            // Nothing to correct: that a known node is alive needs no spreading.
-            let told = (*incarnation, State::Alive);
-            return self.told(now, node, told, *address, actions);
-        }
-        let sends = self.sends();
-        if !self.facts.merge(now, fact, sends) {
-            return;
-        }
-        match &fact.news {
-            News::Standing { node, incarnation, address, state } => {
-                if *node == self.settings.name {
-                    self.refute(now, *incarnation, *state, actions);
-                } else {
-                    let told = (*incarnation, *state);
-                    self.told(now, node, told, *address, actions);
-                }
-                return;
-            }
-            News::Leaving { target } => {
-                let hold = fact.ttl.unwrap_or(self.settings.leaving);
-                if self.targets.mark(target, now + hold) {
-                    self.targets_changed = true;
-                    self.push(now);
-                    let event = Event::new(&event::LEAVING).with("target", target);
-                    actions.push(Action::Log(event.with("reason", "node")));
-                }
-            }
-            News::Quarantine { condemned, .. } => {
-                if *condemned {
-                    self.push(now);
-                }
-            }
-            News::Demand { .. } => return,
-        }
-        actions.push(Action::Learned { news: fact.news.clone(), ttl: fact.ttl });
-    }
-
-    /// Takes another's word on how a node stands.
-    fn told(
-        &mut self,
-        now: Duration,
-        node: &NodeName,
-        (incarnation, state): (Incarnation, State),
-        address: std::net::SocketAddr,
-        actions: &mut Vec<Action>,
-    ) {
-        let peer = self.peers.entry(node.clone()).or_insert_with(|| {
-            self.nodes_changed = true;
-            Peer::new(now, address, false)
-        });
-        if (incarnation, state) <= (peer.incarnation, peer.state) {
-            return;
-        }
-        // What this node has heard itself goes before what others suspect.
-        let lately = peer.heard.is_some_and(|heard| now < heard + self.settings.period * 3);
-        let suspected = matches!(state, State::Suspect | State::Dead);
-        if lately && suspected && incarnation == peer.incarnation {
-            return;
-        }
-        if incarnation > peer.incarnation && peer.address != address {
-            peer.address = address;
-            self.nodes_changed = true;
-        }
-        peer.incarnation = incarnation;
-        if peer.become_state(now, state) {
-            self.note_state(node, state, actions);
-        }
-    }
-
-    fn refute(
-        &mut self,
-        now: Duration,
-        incarnation: Incarnation,
-        state: State,
-        actions: &mut Vec<Action>,
-    ) {
-        if state == State::Alive || incarnation < self.incarnation || self.leaving {
-            return;
-        }
-        self.incarnation = incarnation + 1;
-        self.publish_own(now, State::Alive, self.sends());
-        self.push(now);
-        let event = Event::new(&event::REFUTED).with("incarnation", self.incarnation);
-        actions.push(Action::Log(event));
-    }
-
-    fn silent(
-        &mut self,
-        now: Duration,
-        name: &NodeName,
-        rng: &mut SmallRng,
-        actions: &mut Vec<Action>,
-    ) {
-        let doubting = now < self.doubt_until;
-        let Some(peer) = self.peers.get_mut(name) else { return };
-        let Some(asked) = peer.asked.take() else { return };
-        self.outcomes.push(asked, None);
-        if doubting {
-            return;
-        }
-        peer.silences += 1;
-        if peer.state != State::Alive {
-            return;
-        }
-        if peer.silences < self.settings.silences {
-            self.send(now, name, false, rng, actions);
-        } else if self.confident == Some(true) {
-            self.set_state(now, name, State::Suspect, actions);
-        }
-    }
-
-    /// Puts a node into a state by this node's own judgement, and tells the others.
-    fn set_state(
-        &mut self,
-        now: Duration,
-        name: &NodeName,
-        state: State,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(peer) = self.peers.get_mut(name) else { return };
-        if !peer.become_state(now, state) {
-            return;
-        }
-        let (incarnation, address) = (peer.incarnation, peer.address);
-        self.note_state(name, state, actions);
-        let sends = self.sends();
-        self.publish_standing(now, name.clone(), (incarnation, state), address, sends);
-    }
-
-    fn note_state(&mut self, name: &NodeName, state: State, actions: &mut Vec<Action>) {
-        self.nodes_changed = true;
-        let event = Event::new(&event::NODE).with("node", name);
-        actions.push(Action::Log(event.with("state", format_args!("{state:?}"))));
-    }
-
-    /// Tells this node's standing; with no sends it only rides on this node's own first
-    /// heartbeats.
-    fn publish_own(&mut self, now: Duration, state: State, sends: u32) {
-        let Settings { name, address, .. } = &self.settings;
-        let (name, address) = (name.clone(), *address);
-        self.publish_standing(now, name, (self.incarnation, state), address, sends);
-    }
-
-    fn publish_standing(
-        &mut self,
-        now: Duration,
-        node: NodeName,
-        (incarnation, state): (Incarnation, State),
-        address: std::net::SocketAddr,
-        sends: u32,
-    ) {
-        let ttl = if state == State::Alive { ALIVE_TTL } else { STANDING_TTL };
-        let version = standing_version(incarnation, state);
-        let news = News::Standing { node, incarnation, address, state };
-        let fact = Fact { version, ttl: Some(ttl), news };
-        self.facts.merge(now, &fact, sends);
-    }
-
-    fn publish(&mut self, now: Duration, news: News, actions: &mut Vec<Action>) {
-        match news {
-            News::Leaving { target } => self.target_leaves(now, &target, "here", actions),
-            News::Demand { node, organisation, cost } if node == self.settings.name => {
-                self.demand.set_one(organisation, cost);
-            }
-            News::Quarantine { .. } => self.publish_quarantine(now, news),
-            News::Demand { .. } | News::Standing { .. } => {}
-        }
-    }
-
-    fn publish_quarantine(&mut self, now: Duration, news: News) {
-        let Some(key) = Key::of(&news) else { return };
-        let ttl = self.settings.quarantine;
-        let held = self.facts.get(now, &key);
-        let lasts = held
-            .is_some_and(|held| held.news == news && held.ttl.is_none_or(|left| left > ttl / 2));
-        if lasts {
-            return;
-        }
-        let urgent = matches!(news, News::Quarantine { condemned: true, .. });
-        let fact = Fact { version: self.facts.next(&key), ttl: Some(ttl), news };
-        let sends = self.sends();
-        self.facts.merge(now, &fact, sends);
-        if urgent {
-            self.push(now);
-        }
-    }
-
-    fn target_leaves(
-        &mut self,
-        now: Duration,
-        target: &TargetName,
-        reason: &str,
-        actions: &mut Vec<Action>,
-    ) {
-        let hold = self.settings.leaving;
-        let new = self.targets.mark(target, now + hold);
-        let news = News::Leaving { target: target.clone() };
-        let key = Key::Leaving(target.clone());
-        if !new && (reason != "list" || self.facts.get(now, &key).is_some()) {
-            return;
-        }
-        self.targets_changed = true;
-        let fact = Fact { version: self.facts.next(&key), ttl: Some(hold), news };
-        let sends = self.sends();
-        self.facts.merge(now, &fact, sends);
-        self.push(now);
-        let event = Event::new(&event::LEAVING).with("target", target).with("reason", reason);
-        actions.push(Action::Log(event));
-    }
-
-    fn preset_is(&mut self, now: Duration, version: Version) {
-        if version > self.preset {
-            self.preset = version;
-            self.push(now);
-        }
-    }
-
-    fn leave(&mut self, now: Duration) {
-        self.leaving = true;
-        self.publish_own(now, State::Left, self.sends());
-        self.push(now);
-    }
-
-    fn push(&mut self, now: Duration) {
-        if !self.settings.push {
-            return;
-        }
-        let earliest = self.pushed.map_or(now, |pushed| pushed + PUSH_PERIOD);
-        let at = earliest.max(now + PUSH_DELAY);
-        self.push_at = Some(self.push_at.map_or(at, |set| set.min(at)));
-    }
-
-    fn run_due(&mut self, now: Duration, rng: &mut SmallRng, actions: &mut Vec<Action>) {
-        if now >= self.next_round {
-            self.round(now, rng, actions);
-        }
-        if self.push_at.is_some_and(|at| now >= at) {
-            self.push_at = None;
-            self.pushed = Some(now);
-            for name in self.push_receivers(rng) {
-                self.send(now, &name, false, rng, actions);
-            }
-        }
-        if now >= self.next_demand {
-            self.next_demand = now + DEMAND_PERIOD;
-            let live = self.live();
-            let totals = self.demand.totals(now, live);
-            actions.push(Action::Demand { live, totals });
-        }
-    }
-
-    fn round(&mut self, now: Duration, rng: &mut SmallRng, actions: &mut Vec<Action>) {
-        self.next_round = now + self.settings.period.mul_f64(jitter(rng));
-        self.facts.expire(now);
-        for target in self.targets.expire(now) {
-            self.targets_changed = true;
-            actions.push(Action::Log(Event::new(&event::RETURNED).with("target", target)));
-        }
-        self.end_suspicions(now, actions);
-        let unlisted = self.settings.unlisted;
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| !peer.forgotten(now, unlisted));
-        self.nodes_changed |= self.peers.len() != before || self.presets_changed;
-        self.presets_changed = false;
-        for name in self.round_receivers(rng) {
-            self.send(now, &name, false, rng, actions);
-        }
-    }
-
-    /// Suspects that have not refuted in time are dead, for a node that trusts its view.
-    fn end_suspicions(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if self.confident != Some(true) {
-            return;
-        }
-        let over: Vec<NodeName> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.state == State::Suspect)
-            .filter(|(_, peer)| now >= peer.since + self.settings.suspicion)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in over {
-            self.set_state(now, &name, State::Dead, actions);
-        }
-    }
-
-    fn meshed(&self) -> bool {
-        self.peers.len() <= self.settings.mesh
-    }
-
-    fn round_receivers(&mut self, rng: &mut SmallRng) -> Vec<NodeName> {
-        let reachable = |peer: &Peer| peer.state != State::Left;
-        if self.meshed() {
-            let all = self.peers.iter().filter(|(_, peer)| reachable(peer));
-            return all.map(|(name, _)| name.clone()).collect();
-        }
-        let mut receivers = Vec::new();
-        while receivers.len() < self.settings.fanout {
-            if self.turn.is_empty() {
-                let all = self.peers.iter().filter(|(_, peer)| reachable(peer));
-                self.turn = all.map(|(name, _)| name.clone()).collect();
-                self.turn.shuffle(rng);
-            }
-            let Some(name) = self.turn.pop() else { break };
-            if self.peers.get(&name).is_some_and(reachable) && !receivers.contains(&name) {
-                receivers.push(name);
-            }
-        }
-        receivers
-    }
-
-    fn push_receivers(&self, rng: &mut SmallRng) -> Vec<NodeName> {
-        let alive: Vec<&NodeName> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.state == State::Alive)
-            .map(|(name, _)| name)
-            .collect();
-        if self.meshed() {
-            return alive.into_iter().cloned().collect();
-        }
-        let count = self.settings.fanout + 1;
-        alive.sample(rng, count).map(|name| (*name).clone()).collect()
-    }
-
-    fn send(
-        &mut self,
-        now: Duration,
-        name: &NodeName,
-        wants_facts: bool,
-        rng: &mut SmallRng,
-        actions: &mut Vec<Action>,
-    ) {
-        let heartbeat = Heartbeat { wants_facts, ..self.heartbeat(now, rng) };
-        let Some(peer) = self.peers.get_mut(name) else { return };
-        // With two heartbeats out, the reply is dated by the older one.
-        let outstanding = peer.asked.filter(|asked| now < *asked + OUTCOME_TIMEOUT);
-        peer.asked = Some(outstanding.unwrap_or(now));
-        actions.push(Action::Send { to: name.clone(), address: peer.address, heartbeat });
-    }
-
-    fn heartbeat(&mut self, now: Duration, rng: &mut SmallRng) -> Heartbeat {
-        self.sequence += 1;
-        let mut facts = self.facts.pick(now, self.settings.facts);
-        let young = self.started.is_some_and(|started| now < started + YOUTH);
-        let key = Key::Standing(self.settings.name.clone());
-        if young
-            && let Some(own) = self.facts.get(now, &key)
-            && !facts.contains(&own)
-        {
-            facts.push(own);
-        }
-        let proof_age = self.proof.map(|at| at.map_or(Duration::MAX, |at| now.saturating_sub(at)));
-        Heartbeat {
-            from: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            preset: self.preset,
-            facts,
-            leaving: self.leaving,
-            digest: self.facts.digest(),
-            wants_facts: false,
-            proof_age,
-            demand: self.demand.sample(self.settings.shares, rng),
-        }
-    }
-
-    /// Asks a node whose facts differ for all of them, unless news is still spreading.
-    fn heal(
-        &mut self,
-        now: Duration,
-        node: &NodeName,
-        digest: u64,
-        rng: &mut SmallRng,
-        actions: &mut Vec<Action>,
-    ) {
-        let spreading = !self.facts.is_empty() && now < self.facts.changed() + QUIET;
-        let differs = digest != self.facts.digest();
-        if !differs || spreading || now < self.next_healing || !self.peers.contains_key(node) {
-            return;
-        }
-        self.next_healing = now + HEALING_PERIOD;
-        actions.push(Action::Log(Event::new(&event::HEALING).with("node", node)));
-        self.send(now, node, true, rng, actions);
-    }
-
     /// Reports the majority that agrees with this node, when there is a newer one.
     fn agree(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if self.confident != Some(true) {
@@ -788,8 +291,3 @@
         SENDS * (self.peers.len() + 2).ilog2().max(1)
     }
 }
-
-fn jitter(rng: &mut SmallRng) -> f64 {
-    use rand::RngExt;
-    rng.random_range(0.9..1.1)
-}
--- /dev/null
+++ b/crates/member/src/service/news.rs
@@ -0,0 +1,121 @@
+//! News of this node's own: standings, leaving targets, quarantines, new versions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::{Event, NodeName, TargetName, Version};
+
+use super::Membership;
+use crate::fact::{Key, standing_version};
+use crate::{Action, Fact, Incarnation, News, Settings, State, event};
+
+/// Delay of a push, so that changes that come together go together.
+const PUSH_DELAY: Duration = Duration::from_millis(10);
+
+/// Shortest time between two pushes.
+const PUSH_PERIOD: Duration = Duration::from_millis(100);
+
+/// How long word of a node's standing holds.
+const STANDING_TTL: Duration = Duration::from_secs(600);
+
+/// How long word that a node is alive holds.
+const ALIVE_TTL: Duration = Duration::from_secs(60);
+
+impl Membership {
+    /// Tells this node's standing; with no sends it only rides on this node's own first
+    /// heartbeats.
+    pub(super) fn publish_own(&mut self, now: Duration, state: State, sends: u32) {
+        let Settings { name, address, .. } = &self.settings;
+        let (name, address) = (name.clone(), *address);
+        self.publish_standing(now, name, (self.incarnation, state), address, sends);
+    }
+
+    pub(super) fn publish_standing(
+        &mut self,
+        now: Duration,
+        node: NodeName,
+        (incarnation, state): (Incarnation, State),
+        address: SocketAddr,
+        sends: u32,
+    ) {
+        let ttl = if state == State::Alive { ALIVE_TTL } else { STANDING_TTL };
+        let version = standing_version(incarnation, state);
+        let news = News::Standing { node, incarnation, address, state };
+        let fact = Fact { version, ttl: Some(ttl), news };
+        self.facts.merge(now, &fact, sends);
+    }
+
+    pub(super) fn publish(&mut self, now: Duration, news: News, actions: &mut Vec<Action>) {
+        match news {
+            News::Leaving { target } => self.target_leaves(now, &target, "here", actions),
+            News::Demand { node, organisation, cost } if node == self.settings.name => {
+                self.demand.set_one(organisation, cost);
+            }
+            News::Quarantine { .. } => self.publish_quarantine(now, news),
+            News::Demand { .. } | News::Standing { .. } => {}
+        }
+    }
+
+    pub(super) fn publish_quarantine(&mut self, now: Duration, news: News) {
+        let Some(key) = Key::of(&news) else { return };
+        let ttl = self.settings.quarantine;
+        let held = self.facts.get(now, &key);
+        let lasts = held
+            .is_some_and(|held| held.news == news && held.ttl.is_none_or(|left| left > ttl / 2));
+        if lasts {
+            return;
+        }
+        let urgent = matches!(news, News::Quarantine { condemned: true, .. });
+        let fact = Fact { version: self.facts.next(&key), ttl: Some(ttl), news };
+        let sends = self.sends();
+        self.facts.merge(now, &fact, sends);
+        if urgent {
+            self.push(now);
+        }
+    }
+
+    pub(super) fn target_leaves(
+        &mut self,
+        now: Duration,
+        target: &TargetName,
+        reason: &str,
+        actions: &mut Vec<Action>,
+    ) {
+        let hold = self.settings.leaving;
+        let new = self.targets.mark(target, now + hold);
+        let news = News::Leaving { target: target.clone() };
+        let key = Key::Leaving(target.clone());
+        if !new && (reason != "list" || self.facts.get(now, &key).is_some()) {
+            return;
+        }
+        self.targets_changed = true;
+        let fact = Fact { version: self.facts.next(&key), ttl: Some(hold), news };
+        let sends = self.sends();
+        self.facts.merge(now, &fact, sends);
+        self.push(now);
+        let event = Event::new(&event::LEAVING).with("target", target).with("reason", reason);
+        actions.push(Action::Log(event));
+    }
+
+    pub(super) fn preset_is(&mut self, now: Duration, version: Version) {
+        if version > self.preset {
+            self.preset = version;
+            self.push(now);
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: Duration) {
+        self.leaving = true;
+        self.publish_own(now, State::Left, self.sends());
+        self.push(now);
+    }
+
+    pub(super) fn push(&mut self, now: Duration) {
+        if !self.settings.push {
+            return;
+        }
+        let earliest = self.pushed.map_or(now, |pushed| pushed + PUSH_PERIOD);
+        let at = earliest.max(now + PUSH_DELAY);
+        self.push_at = Some(self.push_at.map_or(at, |set| set.min(at)));
+    }
+}
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -68,7 +68,7 @@
             quarantine: Duration::from_secs(600),
             together: Duration::from_secs(10),
             facts: 8,
-            healing: 128,
+            healing: 24,
             kept: 20_000,
             shares: 12,
             push: true,
