--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,281 @@
+//! The operators' command, `magnoliactl`: its settings and what each part does.
+
+mod commit;
+mod error;
+mod nodes;
+mod table;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use preset::Preset;
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+
+pub use error::Error;
+use nodes::Nodes;
+use table::Table;
+
+/// Exit code when all was done.
+pub const EXIT_DONE: u8 = 0;
+/// Exit code when something could not be reached or found.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of a command line or document that is not allowed.
+pub const EXIT_INVALID: u8 = 2;
+/// Exit code when another change came first.
+pub const EXIT_CONFLICT: u8 = 3;
+/// Exit code when the outcome of a change is not known, or it is not in force everywhere yet.
+pub const EXIT_UNSETTLED: u8 = 4;
+
+/// Pause between two looks of `watch`.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+const FOOTER: &str = "Exit codes: 0 done, 1 not reached or not found, 2 command line or document \
+                      not allowed, 3 another change came first, 4 outcome not known or not in \
+                      force everywhere yet.";
+
+/// magnoliactl: drives magnoliarun
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(options), footer(FOOTER))]
+pub struct Command {
+    /// Operators' ports of the nodes; repeat it, or separate by commas in the variable
+    #[bpaf(external(node_list))]
+    nodes: Vec<SocketAddr>,
+    /// Address of the platform's key-value service
+    #[bpaf(long, env("MAGNOLIA_PLATFORM"), argument("IP:PORT"), fallback(SocketAddr::from(([127, 0, 0, 1], 2379))), display_fallback)]
+    platform: SocketAddr,
+    /// Print JSON for programs
+    json: bool,
+    #[bpaf(external)]
+    action: Action,
+}
+
+fn node_list() -> impl bpaf::Parser<Vec<SocketAddr>> {
+    use bpaf::Parser as _;
+    bpaf::long("nodes")
+        .env("MAGNOLIA_NODES")
+        .help("Operators' ports of the nodes, separated by commas")
+        .argument::<String>("IP:PORT,...")
+        .fallback("127.0.0.1:9090".to_owned())
+        .display_fallback()
+        .parse(|text| text.split(',').map(|one| one.trim().parse()).collect::<Result<Vec<_>, _>>())
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Action {
+    /// Check a preset document without touching anything
+    #[bpaf(command)]
+    Validate {
+        /// The document
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Put a preset document in force
+    #[bpaf(command)]
+    Put {
+        #[bpaf(external(change))]
+        change: Change,
+        /// The document
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Put the preset of this name in force, from a folder of documents
+    #[bpaf(command)]
+    Switch {
+        #[bpaf(external(change))]
+        change: Change,
+        /// Folder of the documents
+        #[bpaf(long, env("MAGNOLIA_PRESETS"), argument("FOLDER"))]
+        presets: PathBuf,
+        /// Name, such as ordinary, peak or maintenance
+        #[bpaf(positional("NAME"))]
+        name: SmolStr,
+    },
+    /// Show the preset in force
+    #[bpaf(command)]
+    Show,
+    /// Show each change of the preset in force on the nodes, until interrupted
+    #[bpaf(command)]
+    Watch {
+        /// End after this many changes
+        #[bpaf(long, argument("NUMBER"), optional)]
+        changes: Option<usize>,
+    },
+    /// Show nodes and targets
+    #[bpaf(command)]
+    Status,
+    /// Give a target no new work
+    #[bpaf(command)]
+    Drain {
+        /// The target
+        #[bpaf(positional("TARGET"))]
+        target: SmolStr,
+    },
+    /// Show the decisions made on a request
+    #[bpaf(command)]
+    Explain {
+        /// Request id (header Magnolia-Request) or the first part of an event id
+        #[bpaf(positional("REQUEST"))]
+        request: SmolStr,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+struct Change {
+    /// Name of this change; the same name again is the same change, so that a command
+    /// that was cut off can be repeated
+    #[bpaf(long, argument("NAME"), optional)]
+    change: Option<SmolStr>,
+    /// Refuse unless this version is in force
+    #[bpaf(long, argument("VERSION"), optional)]
+    base: Option<u64>,
+}
+
+/// What a command prints, and its exit code.
+pub struct Printed {
+    /// Text for standard output.
+    pub text: String,
+    /// Exit code.
+    pub code: u8,
+}
+
+impl Command {
+    /// Runs the command; `print` takes lines that come before the end.
+    ///
+    /// # Errors
+    ///
+    /// Says what could not be read, reached or found.
+    pub fn run(&self, print: &mut dyn FnMut(String)) -> Result<Printed, Error> {
+        let nodes = Nodes::new(self.nodes.clone());
+        match &self.action {
+            Action::Validate { file } => self.validate(file),
+            Action::Put { change, file } => self.put(&nodes, change, document(file)?, print),
+            Action::Switch { change, presets, name } => {
+                let preset = document(&presets.join(format!("{name}.toml")))?;
+                if preset.name != *name {
+                    return Err(Error::Name { wanted: name.clone(), found: preset.name });
+                }
+                self.put(&nodes, change, preset, print)
+            }
+            Action::Show => self.show(&nodes),
+            Action::Watch { changes } => self.watch(&nodes, *changes, print),
+            Action::Status => self.status(&nodes),
+            Action::Drain { target } => self.drain(&nodes, target),
+            Action::Explain { request } => self.explain(&nodes, request),
+        }
+    }
+
+    fn printed(&self, text: String, value: &Value) -> Printed {
+        let text = if self.json { value.to_string() } else { text };
+        Printed { text, code: EXIT_DONE }
+    }
+
+    fn validate(&self, file: &std::path::Path) -> Result<Printed, Error> {
+        let preset = document(file)?;
+        let organisations = preset.organisations.len();
+        let text = format!("preset {} is valid: {organisations} organisations", preset.name);
+        let value = json!({"name": preset.name, "organisations": organisations, "valid": true});
+        Ok(self.printed(text, &value))
+    }
+
+    fn put(
+        &self,
+        nodes: &Nodes,
+        change: &Change,
+        preset: Preset,
+        print: &mut dyn FnMut(String),
+    ) -> Result<Printed, Error> {
+        let name = change
+            .change
+            .clone()
+            .unwrap_or_else(|| smol_str::format_smolstr!("{:016x}", rand::random::<u64>()));
+        let mut request = preset::Request::new(preset, name);
+        request.base = change.base;
+        let json = self.json;
+        let mut last = None;
+        commit::run(request, nodes, self.platform, &mut |outcome| {
+            if last.as_ref() != Some(outcome) {
+                print(commit::line(outcome, json));
+                last = Some(outcome.clone());
+            }
+        });
+        let code = last.as_ref().map_or(EXIT_UNSETTLED, commit::code);
+        Ok(Printed { text: String::new(), code })
+    }
+
+    fn show(&self, nodes: &Nodes) -> Result<Printed, Error> {
+        let value = nodes.first("/preset")?;
+        let preset: Preset = serde_json::from_value(value.clone()).map_err(Error::answer)?;
+        let text = preset.document().map_err(|report| Error::Document(format!("{report}")))?;
+        Ok(self.printed(text, &value))
+    }
+
+    fn watch(
+        &self,
+        nodes: &Nodes,
+        changes: Option<usize>,
+        print: &mut dyn FnMut(String),
+    ) -> Result<Printed, Error> {
+        let mut seen = std::collections::BTreeMap::new();
+        let mut shown = 0;
+        loop {
+            for (node, status) in nodes.statuses() {
+                let preset = status.map_or(Value::Null, |status| status["preset"].clone());
+                if seen.get(&node) == Some(&preset) {
+                    continue;
+                }
+                print(watch_line(&node, &preset, self.json));
+                seen.insert(node, preset);
+                shown += 1;
+                if changes.is_some_and(|changes| shown >= changes) {
+                    return Ok(Printed { text: String::new(), code: EXIT_DONE });
+                }
+            }
+            std::thread::sleep(WATCH_PAUSE);
+        }
+    }
+
+    fn status(&self, nodes: &Nodes) -> Result<Printed, Error> {
+        let statuses = nodes.statuses();
+        if statuses.iter().all(|(_, status)| status.is_none()) {
+            return Err(Error::Unreachable);
+        }
+        let value: Value = statuses
+            .iter()
+            .map(|(node, status)| (node.clone(), status.clone().unwrap_or(Value::Null)))
+            .collect::<serde_json::Map<_, _>>()
+            .into();
+        Ok(self.printed(table::status(&statuses), &value))
+    }
+
+    fn drain(&self, nodes: &Nodes, target: &str) -> Result<Printed, Error> {
+        let value = nodes.drain(target)?;
+        Ok(self.printed(format!("target {target} takes no new work"), &value))
+    }
+
+    fn explain(&self, nodes: &Nodes, request: &str) -> Result<Printed, Error> {
+        let (node, value) = nodes.explain(request)?;
+        let mut table = Table::new(&["node", "decision"]);
+        for decision in value["decisions"].as_array().into_iter().flatten() {
+            table.row([node.clone(), decision.as_str().unwrap_or_default().to_owned()]);
+        }
+        Ok(self.printed(table.to_string(), &json!({"node": node, "explanation": value})))
+    }
+}
+
+fn watch_line(node: &str, preset: &Value, json: bool) -> String {
+    if json {
+        return json!({"node": node, "preset": preset}).to_string();
+    }
+    match preset["name"].as_str() {
+        Some(name) => format!("node {node}: preset {name}, version {}", preset["version"]),
+        None => format!("node {node}: no preset known"),
+    }
+}
+
+fn document(file: &std::path::Path) -> Result<Preset, Error> {
+    let read = std::fs::read_to_string(file);
+    let text = read.map_err(|error| Error::File { file: file.to_owned(), kind: error.kind() })?;
+    Preset::parse(&text).map_err(|report| Error::Document(format!("{report}")))
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -72,6 +72,13 @@
     meaning: "The shells follow this preset from now on.",
 };
 
+/// A request was cut off.
+pub(crate) const CUT: EventKind = EventKind {
+    number: 913,
+    name: "request-cut",
+    meaning: "A planned stop ended before this request did.",
+};
+
 /// All events of this crate.
 pub const EVENTS: &[&EventKind] = &[
     &STARTED,
@@ -86,4 +93,5 @@
     &LIST_DOWN,
     &DRAIN_ASKED,
     &PRESET,
+    &CUT,
 ];
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! time.
 
 pub mod api;
+pub mod control;
 mod event;
 pub mod identity;
 mod message;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -21,15 +21,19 @@
 /// Exit code of a planned stop that had to cut off requests.
 pub const EXIT_CUT: u8 = 4;
 
+/// Usage line of the help text.
+const USAGE: &str = "Usage: magnoliarun --name NAME --domain NAME [OPTION]...";
+/// Head of the help text.
+const HEADER: &str = "One process runs on each entry VM; all are equal. Every setting is a flag or \
+                      an environment variable; a flag wins. A start for tests: magnoliarun \
+                      --name n1 --domain a --platform 127.0.0.1:2379";
+/// End of the help text.
+const FOOTER: &str = "Exit codes: 0 planned stop, 1 internal failure, 2 settings not allowed, \
+                      3 port not free, 4 planned stop that had to cut off requests.";
+
 /// magnoliarun: routes callers' requests to model pipelines and plain services
-///
-/// One process runs on each entry VM; all are equal. Every setting is a flag or
-/// an environment variable; a flag wins.
-///
-/// Exit codes: 0 planned stop, 1 internal failure, 2 settings not allowed,
-/// 3 port not free, 4 planned stop that had to cut off requests.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, generate(options))]
+#[bpaf(options, version, generate(options), usage(USAGE), header(HEADER), footer(FOOTER))]
 pub struct Text {
     /// Name of this node, unique in the deployment
     #[bpaf(long, env("MAGNOLIA_NAME"), argument("NAME"))]
--- a/crates/node/src/shell/operators.rs
+++ b/crates/node/src/shell/operators.rs
@@ -53,7 +53,7 @@
 }
 
 fn metrics_page(shared: &Shared) -> Response {
-    metrics::gauge!("magnolia_in_flight").set(shared.in_flight.load(Ordering::Relaxed) as f64);
+    metrics::gauge!("magnolia_in_flight").set(shared.in_flight_count() as f64);
     metrics::gauge!("magnolia_connections").set(shared.connections.load(Ordering::Relaxed) as f64);
     metrics::gauge!("magnolia_ready").set(f64::from(u8::from(shared.ready())));
     match super::logging::prometheus() {
@@ -85,7 +85,7 @@
         "node": shared.settings.name, "domain": shared.settings.domain,
         "ready": shared.ready(), "fresh": shared.fresh.load(Ordering::Relaxed),
         "draining": shared.draining.load(Ordering::Relaxed),
-        "in_flight": shared.in_flight.load(Ordering::Relaxed),
+        "in_flight": shared.in_flight_count(),
         "connections": shared.connections.load(Ordering::Relaxed),
         "preset": in_force, "nodes": nodes, "targets": targets,
     })
--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -18,7 +18,7 @@
 use super::core::Core;
 use super::explain::Explain;
 use super::peers::{Answers, Peers};
-use super::shared::{Inbox, Input, Shared};
+use super::shared::{Inbox, Input, Shared, hex};
 use super::{attempt, callers, loads, logging, operators, store as calls};
 use crate::{Config, Message, Node, Settings, event};
 
@@ -244,7 +244,7 @@
 
     /// Requests whose answer is not given yet.
     pub fn in_flight(&self) -> usize {
-        self.shared.in_flight.load(Ordering::SeqCst)
+        self.shared.in_flight_count()
     }
 
     /// A flag that makes a planned stop end at once when it is set.
@@ -261,11 +261,22 @@
         log::info!("{}", Event::new(&event::DRAINING).with("in_flight", self.in_flight()));
         self.wait(settings.stop_lag, || false);
         self.shared.inbox.send(Input::Close);
+        let limit = Instant::now() + settings.stop_limit;
         let shared = Arc::clone(&self.shared);
-        self.wait(settings.stop_limit, || shared.in_flight.load(Ordering::SeqCst) == 0);
+        self.wait(settings.stop_limit, || shared.in_flight_count() == 0);
+        let cut = shared.in_flight();
+        for request in &cut {
+            let event = Event::new(&event::CUT).with("request", hex(*request));
+            log::warn!("{event}");
+        }
+        // The last bytes of answers may still be on their way to slow callers.
+        self.stop.send_replace(true);
+        let left = limit.saturating_duration_since(Instant::now());
+        self.wait(left, || !cut.is_empty() || shared.connections.load(Ordering::SeqCst) == 0);
         self.shared.inbox.tell(Message::Member(member::Message::Leave));
         thread::sleep(LEAVE_TIME);
-        let cut = self.in_flight();
+        let unread = shared.connections.load(Ordering::SeqCst);
+        let cut = cut.len().max(unread);
         self.end();
         log::info!("{}", Event::new(&event::STOPPED).with("node", &settings.name).with("cut", cut));
         cut
--- a/crates/node/src/shell/relay.rs
+++ b/crates/node/src/shell/relay.rs
@@ -112,20 +112,10 @@
     pub(crate) caller: oneshot::Sender<Reply>,
 }
 
-/// Counts a request as in flight for as long as it lives.
-struct InFlight(Arc<Shared>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Runs the relay of a request to its end.
 pub(crate) async fn run(parts: Parts, mut commands: mpsc::UnboundedReceiver<Command>) {
     let shared = Arc::clone(&parts.shared);
-    shared.in_flight.fetch_add(1, Ordering::SeqCst);
-    let _in_flight = InFlight(Arc::clone(&shared));
+    let _in_flight = shared.enter(parts.request);
     let (events, mut incoming) = mpsc::channel(EVENTS_WAITING);
     let mut relay = Relay {
         digest: shared.secret.digest(),
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -1,9 +1,9 @@
 //! What the shells of one node share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Instant;
 
 use fleet::{Depth, Kind, ModelName, RequestId, Target};
@@ -113,7 +113,7 @@
     /// Whether all threads are to end.
     pub(crate) stopping: AtomicBool,
     /// Requests whose answer is not given yet.
-    pub(crate) in_flight: AtomicUsize,
+    in_flight: Mutex<BTreeSet<RequestId>>,
     /// Connections of callers.
     pub(crate) connections: AtomicUsize,
 }
@@ -140,7 +140,7 @@
             unwatched: AtomicBool::new(true),
             draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            in_flight: AtomicUsize::new(0),
+            in_flight: Mutex::default(),
             connections: AtomicUsize::new(0),
         }
     }
@@ -183,11 +183,43 @@
             && !self.offers().targets.is_empty()
     }
 
+    fn lock_in_flight(&self) -> MutexGuard<'_, BTreeSet<RequestId>> {
+        self.in_flight.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests whose answer is not given yet.
+    pub(crate) fn in_flight(&self) -> Vec<RequestId> {
+        self.lock_in_flight().iter().copied().collect()
+    }
+
+    /// Number of requests whose answer is not given yet.
+    pub(crate) fn in_flight_count(&self) -> usize {
+        self.lock_in_flight().len()
+    }
+
+    /// Counts a request as in flight until the returned value is dropped.
+    pub(crate) fn enter(self: &Arc<Self>, request: RequestId) -> InFlight {
+        self.lock_in_flight().insert(request);
+        InFlight { shared: Arc::clone(self), request }
+    }
+
     pub(crate) fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
 }
 
+/// Counts a request as in flight for as long as it lives.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    request: RequestId,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.lock_in_flight().remove(&self.request);
+    }
+}
+
 /// Text of a request id in logs and headers.
 pub(crate) fn hex(request: RequestId) -> String {
     format!("{request:032x}")
--- /dev/null
+++ b/crates/node/tests/failure.rs
@@ -0,0 +1,360 @@
+//! Failures between node and target. Each test causes its failure.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use common::{Back, Bench, Call, Scripted, engine, service, text, wait_for};
+use serde_json::json;
+use yare::parameterized;
+
+const TOKENS: usize = 6;
+
+/// Two engines that each hold the whole model; `first` is played on the first call of
+/// either, all later calls are answered in full.
+fn pair(first: fn(&Call, &mut Back)) -> (Bench, [Scripted; 2]) {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let start = || {
+        let calls = Arc::clone(&calls);
+        Scripted::start(move |call, back| {
+            if calls.fetch_add(1, Ordering::SeqCst) == 0 {
+                first(call, back);
+                return;
+            }
+            back.open();
+            back.tokens(call, call.from(), TOKENS, true);
+        })
+    };
+    let targets = [start(), start()];
+    let vms = vec![
+        engine("e1", targets[0].address, [0, 8], 8),
+        engine("e2", targets[1].address, [0, 8], 8),
+    ];
+    (Bench::start(vms), targets)
+}
+
+fn calls(targets: &[Scripted; 2]) -> Vec<Call> {
+    let mut calls: Vec<Call> = targets.iter().flat_map(|target| target.calls("/v1")).collect();
+    calls.sort_by_key(|call| call.json()["plan"]["attempt"].as_u64());
+    calls
+}
+
+fn breaks_off(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+}
+
+fn freezes(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    back.until_closed();
+}
+
+fn names_failed_stage(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    let plan = &call.json()["plan"];
+    let target = &plan["stages"][0]["target"];
+    back.event(&json!({
+        "request": plan["request"], "attempt": 1, "failed": target, "reason": "test",
+    }));
+}
+
+fn goes_astray(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    let mut token = call.token(3);
+    token["trail"] = json!([{"target": "e9", "layers": [0, 8]}]);
+    token["text"] = json!("astray ");
+    back.event(&token);
+    back.until_closed();
+}
+
+fn skips_layers(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    let mut token = call.token(3);
+    token["trail"][0]["layers"] = json!([0, 7]);
+    token["text"] = json!("short ");
+    back.event(&token);
+    back.until_closed();
+}
+
+fn leaves_out_a_token(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    back.event(&call.token(4));
+    back.until_closed();
+}
+
+fn closes_too_early(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    back.event(&call.closed(2));
+    back.until_closed();
+}
+
+#[parameterized(
+    ends_without_closing_event = { breaks_off },
+    frozen = { freezes },
+    first_stage_names_the_failed_one = { names_failed_stage },
+    trail_of_another_target = { goes_astray },
+    layers_left_out = { skips_layers },
+    token_left_out = { leaves_out_a_token },
+    closing_event_with_wrong_count = { closes_too_early },
+)]
+fn stream_goes_on_where_it_broke(first: fn(&Call, &mut Back)) {
+    let (bench, targets) = pair(first);
+    let answer = bench.chat(true, &[]);
+    assert_eq!(answer.text(), text(TOKENS), "{}", answer.body);
+    assert!(answer.whole(), "{}", answer.body);
+    let calls = calls(&targets);
+    assert_eq!(calls.len(), 2);
+    let plan = &calls[1].json()["plan"];
+    let resumed = json!({"index": 3, "text": ["w0 ", "w1 ", "w2 "]});
+    assert_eq!((&plan["attempt"], &plan["resume"]), (&json!(2), &resumed));
+    assert_eq!(plan["seed"], calls[0].json()["plan"]["seed"]);
+}
+
+fn crosses(call: &Call, back: &mut Back) {
+    back.open();
+    back.event(&call.token(0));
+    let mut crossed = call.token(1);
+    crossed["request"] = json!("ffffffffffffffffffffffffffffffff");
+    crossed["text"] = json!("another caller's ");
+    back.event(&crossed);
+    back.tokens(call, 1, TOKENS, true);
+}
+
+fn repeats(call: &Call, back: &mut Back) {
+    back.open();
+    back.tokens(call, 0, 3, false);
+    back.tokens(call, 1, TOKENS, true);
+}
+
+fn sends_an_older_attempt(call: &Call, back: &mut Back) {
+    back.open();
+    back.event(&call.token(0));
+    let mut late = call.token(1);
+    late["attempt"] = json!(0);
+    late["text"] = json!("late ");
+    back.event(&late);
+    back.tokens(call, 1, TOKENS, true);
+}
+
+#[parameterized(
+    of_another_request = { crosses },
+    delivered_before = { repeats },
+    of_an_older_attempt = { sends_an_older_attempt },
+)]
+fn tokens_are_dropped(first: fn(&Call, &mut Back)) {
+    let (bench, targets) = pair(first);
+    let answer = bench.chat(true, &[]);
+    assert_eq!(answer.text(), text(TOKENS), "{}", answer.body);
+    assert!(answer.whole());
+    assert_eq!(calls(&targets).len(), 1);
+}
+
+/// The first attempt freezes and sends the rest only after it has been replaced.
+#[test]
+fn late_tokens_of_a_replaced_attempt_are_dropped() {
+    let release = Arc::new(AtomicUsize::new(0));
+    let start = || {
+        let release = Arc::clone(&release);
+        Scripted::start(move |call, back| {
+            back.open();
+            if call.json()["plan"]["attempt"] == 1 {
+                back.tokens(call, 0, 2, false);
+                wait_for("second attempt", || release.load(Ordering::SeqCst) > 0);
+                for index in 2..TOKENS {
+                    let mut late = call.token(index);
+                    late["text"] = json!("late ");
+                    back.event(&late);
+                }
+                back.event(&call.closed(TOKENS));
+                return;
+            }
+            release.store(1, Ordering::SeqCst);
+            back.tokens(call, call.from(), TOKENS, true);
+        })
+    };
+    let (one, two) = (start(), start());
+    let bench = Bench::start(vec![
+        engine("e1", one.address, [0, 8], 8),
+        engine("e2", two.address, [0, 8], 8),
+    ]);
+    let answer = bench.chat(true, &[]);
+    assert_eq!(answer.text(), text(TOKENS), "{}", answer.body);
+    assert!(answer.whole());
+}
+
+#[parameterized(
+    streamed = { true },
+    whole = { false },
+)]
+fn an_answer_that_stays_broken_is_never_whole(stream: bool) {
+    let target = Scripted::start(|call, back| {
+        back.open();
+        let from = call.from();
+        back.tokens(call, from, from + 1, false);
+    });
+    let bench = Bench::start(vec![engine("e1", target.address, [0, 8], 8)]);
+    let answer = bench.chat(stream, &[]);
+    assert!(!answer.whole(), "{}", answer.body);
+    if stream {
+        let last = answer.events().pop().expect("an event");
+        assert_eq!(last["error"]["run"], "incomplete", "{last}");
+    } else {
+        assert_eq!(answer.header("magnolia-run"), "incomplete", "{}", answer.body);
+        assert!(answer.json().get("choices").is_none());
+        assert!(!answer.header("retry-after").is_empty());
+    }
+}
+
+#[test]
+fn a_refusal_before_running_is_not_run() {
+    let target = Scripted::start(|_, back| {
+        let body = r#"{"error":{"type":"full"}}"#;
+        back.answer(503, "magnolia-run: not-run\r\nretry-after: 1\r\n", body);
+    });
+    let bench = Bench::start(vec![engine("e1", target.address, [0, 8], 8)]);
+    let answer = bench.chat(false, &[]);
+    assert_eq!((answer.status, answer.header("magnolia-run")), (503, "not-run"));
+    assert!(!answer.header("retry-after").is_empty());
+}
+
+/// A booking engine whose first call plays `first`.
+fn booking(first: fn(&mut Back)) -> (Bench, Scripted) {
+    let calls = AtomicUsize::new(0);
+    let target = Scripted::start(move |_, back| {
+        if calls.fetch_add(1, Ordering::SeqCst) == 0 {
+            first(back);
+        } else {
+            back.answer(200, "", r#"{"booked":2}"#);
+        }
+    });
+    let bench = Bench::start(vec![service("b1", target.address, "booking", false)]);
+    (bench, target)
+}
+
+#[test]
+fn a_booking_whose_answer_is_lost_is_unknown_and_never_sent_again() {
+    let (bench, target) = booking(|_| {});
+    for _ in 0..2 {
+        let answer = bench.post("/services/booking/book", "x", &[("idempotency-key", "k")]);
+        assert_eq!((answer.status, answer.header("magnolia-run")), (502, "unknown"));
+    }
+    assert_eq!(target.calls("/book").len(), 1);
+}
+
+#[test]
+fn a_booking_refused_by_its_target_may_be_sent_again() {
+    let (bench, target) = booking(|back| {
+        let body = r#"{"error":{"type":"full"}}"#;
+        back.answer(429, "magnolia-run: not-run\r\nretry-after: 1\r\n", body);
+    });
+    let key = [("idempotency-key", "k")];
+    let mut answer = bench.post("/services/booking/book", "x", &key);
+    if answer.status != 200 {
+        assert_eq!(answer.header("magnolia-run"), "not-run", "{}", answer.body);
+        wait_for("the booking", || {
+            answer = bench.post("/services/booking/book", "x", &key);
+            answer.status == 200
+        });
+    }
+    assert_eq!(answer.body, r#"{"booked":2}"#);
+    assert_eq!(target.calls("/book").len(), 2);
+}
+
+#[test]
+fn a_booking_goes_to_another_target_when_no_connection_came_about() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("port");
+    let closed = gone.local_addr().expect("address");
+    drop(gone);
+    let target = Scripted::start(|_, back| back.answer(200, "", r#"{"booked":1}"#));
+    let bench = Bench::start(vec![
+        service("b1", closed, "booking", false),
+        service("b2", target.address, "booking", false),
+    ]);
+    for number in 0..4 {
+        let body = number.to_string();
+        let answer = bench.post("/services/booking/book", &body, &[]);
+        assert_eq!((answer.status, answer.header("magnolia-run")), (200, "complete"));
+    }
+    assert_eq!(target.calls("/book").len(), 4);
+}
+
+/// The store has the outcome before the caller sees it: another node gives it again at once.
+#[test]
+fn the_outcome_is_kept_before_the_caller_sees_it() {
+    let (bench, target) = booking(|back| back.answer(201, "", r#"{"booked":1}"#));
+    let other = common::node(bench.platform.address(), "n2", |_| {});
+    wait_for("readiness", || other.ready());
+    let key = [("idempotency-key", "k")];
+    let first = bench.post("/services/booking/book", "x", &key);
+    let second = Bench { platform: bench.platform, node: other };
+    let again = second.post("/services/booking/book", "x", &key);
+    assert_eq!((first.status, &first.body), (201, &again.body));
+    assert_eq!((again.status, again.header("magnolia-run")), (201, "complete"));
+    assert_eq!(target.calls("/book").len(), 1);
+}
+
+#[test]
+fn a_repeat_of_a_booking_that_ran_never_hears_not_run() {
+    let (bench, _target) = booking(|back| back.answer(200, "", r#"{"booked":1}"#));
+    let key = [("idempotency-key", "k")];
+    let first = bench.post("/services/booking/book", "x", &key);
+    assert_eq!(first.status, 200);
+    // The only target leaves the list, so that a new booking is refused.
+    bench.platform.command(standin::platform::Command::SetVms(Vec::new()));
+    wait_for("refusal of new bookings", || {
+        bench.post("/services/booking/book", "y", &[]).status != 200
+    });
+    let other = common::node(bench.platform.address(), "n2", |_| {});
+    wait_for("a preset", || {
+        let status = format!("http://{}/status", other.ports().operators);
+        let status = common::Answer::read(common::agent().get(status).call().expect("status"));
+        status.json()["fresh"] == true
+    });
+    let again = bench.post("/services/booking/book", "x", &key);
+    assert_eq!((again.status, again.body.as_str()), (200, r#"{"booked":1}"#));
+    let outage = standin::platform::Outage::Refuse;
+    bench.platform.command(standin::platform::Command::Outage(outage));
+    // The node that has never heard of the booking cannot exclude that it ran.
+    let blind = Bench { platform: bench.platform, node: other };
+    let answer = blind.post("/services/booking/book", "x", &key);
+    assert_eq!((answer.status, answer.header("magnolia-run")), (503, "attempt-not-run"));
+    assert!(!answer.header("retry-after").is_empty());
+}
+
+#[test]
+fn a_caller_that_hangs_up_ends_the_work() {
+    let target = Scripted::start(|call, back| {
+        back.open();
+        back.event(&call.token(0));
+        back.until_closed();
+    });
+    let bench = Bench::start(vec![engine("e1", target.address, [0, 8], 8)]);
+    let body = json!({"model": "plank", "messages": [{"role": "user", "content": "x"}],
+                      "stream": true})
+    .to_string();
+    let mut caller = TcpStream::connect(bench.node.ports().callers).expect("connection");
+    let length = body.len();
+    write!(
+        caller,
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nopenai-organization: cascade\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    )
+    .expect("sent");
+    let mut first = [0; 512];
+    assert!(caller.read(&mut first).expect("an answer begins") > 0);
+    drop(caller);
+    wait_for("cancel", || !target.calls("/cancel").is_empty());
+    wait_for("the end of the work", || bench.node.in_flight() == 0);
+    let cancel = target.calls("/cancel")[0].json();
+    let plan = target.calls("/v1")[0].json()["plan"].clone();
+    assert_eq!(cancel["request"], plan["request"]);
+}
--- /dev/null
+++ b/crates/node/tests/input.rs
@@ -0,0 +1,216 @@
+//! Bad input gets a clear answer and leaves the node sound.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+use common::{Bench, Scripted, engine, wait_for};
+use serde_json::json;
+use yare::parameterized;
+
+const ORGANISATION: (&str, &str) = ("openai-organization", "cascade");
+
+fn bench(adjust: impl FnOnce(&mut node::settings::Text)) -> (Bench, Scripted) {
+    let target = Scripted::start(|call, back| {
+        back.open();
+        back.tokens(call, call.from(), 3, true);
+    });
+    let bench = Bench::with(vec![engine("e1", target.address, [0, 8], 8)], adjust);
+    (bench, target)
+}
+
+/// The node still answers a good call.
+fn sound(bench: &Bench) {
+    assert!(bench.chat(true, &[]).whole(), "the node is not sound");
+}
+
+fn body(model: &str) -> String {
+    json!({"model": model, "messages": [{"role": "user", "content": "x"}], "stream": true})
+        .to_string()
+}
+
+struct Bad {
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: String,
+    status: u16,
+    kind: &'static str,
+}
+
+fn bad(
+    headers: &'static [(&'static str, &'static str)],
+    body: impl Into<String>,
+    status: u16,
+    kind: &'static str,
+) -> Bad {
+    Bad { path: "/v1/chat/completions", headers, body: body.into(), status, kind }
+}
+
+const LAST: &str = "00000000000000000000000000000001.3.0000000000000001";
+const LONG_KEY: &str = "kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk\
+kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk\
+kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk\
+kkkkkkkkkkkkkkkkkkkkkkkkk";
+
+#[parameterized(
+    broken_json = { bad(&[ORGANISATION], "{\"model\": \"pl", 400, "bad_request") },
+    no_object = { bad(&[ORGANISATION], "[1, 2]", 400, "bad_request") },
+    no_model = { bad(&[ORGANISATION], "{\"messages\": []}", 400, "bad_request") },
+    no_messages = { bad(&[ORGANISATION], "{\"model\": \"plank\"}", 400, "bad_request") },
+    bad_max_tokens = {
+        bad(&[ORGANISATION], "{\"model\":\"plank\",\"messages\":[{\"role\":\"user\",\
+             \"content\":\"x\"}],\"max_tokens\":-1}", 400, "bad_request")
+    },
+    no_organisation = { bad(&[], body("plank"), 401, "no_organisation") },
+    unknown_organisation = {
+        bad(&[("openai-organization", "nobody")], body("plank"), 403, "unknown_organisation")
+    },
+    unknown_key = {
+        bad(&[("authorization", "Bearer nobody")], body("plank"), 403, "unknown_organisation")
+    },
+    key_of_another = {
+        bad(&[ORGANISATION, ("authorization", "Bearer fair-key")], body("plank"), 403,
+            "unknown_organisation")
+    },
+    unknown_model = { bad(&[ORGANISATION], body("oak"), 404, "unknown_service") },
+    long_key = {
+        bad(&[ORGANISATION, ("idempotency-key", LONG_KEY)], body("plank"), 400, "bad_key")
+    },
+    no_event_id = {
+        bad(&[ORGANISATION, ("idempotency-key", "k"), ("last-event-id", "7")], body("plank"),
+            400, "bad_last_event_id")
+    },
+    event_id_without_key = {
+        bad(&[ORGANISATION, ("last-event-id", LAST)], body("plank"), 400, "bad_last_event_id")
+    },
+    event_id_of_another_request = {
+        bad(&[ORGANISATION, ("idempotency-key", "k"), ("last-event-id", LAST)], body("plank"),
+            409, "last_event_mismatch")
+    },
+    no_such_path = {
+        Bad { path: "/v2/chat", headers: &[ORGANISATION], body: String::new(), status: 404,
+              kind: "no_such_path" }
+    },
+    body_too_large = { bad(&[ORGANISATION], "x".repeat(70_000), 413, "body_too_large") },
+)]
+fn bad_call_is_told_clearly(bad: Bad) {
+    let (bench, target) = bench(|text| text.body_bytes = "65536".to_owned());
+    let mut request = common::agent().post(bench.url(bad.path));
+    for (name, value) in bad.headers {
+        request = request.header(*name, *value);
+    }
+    let answer = common::Answer::read(request.send(&bad.body).expect("an answer"));
+    let kind = answer.json()["error"]["type"].clone();
+    assert_eq!((answer.status, kind), (bad.status, json!(bad.kind)), "{}", answer.body);
+    assert!(!answer.json()["error"]["message"].as_str().unwrap_or_default().is_empty());
+    assert!(answer.header("magnolia-run").ends_with("not-run"));
+    assert!(target.calls("/v1").is_empty());
+    sound(&bench);
+}
+
+/// The digest of the caller's last event belongs to other text: told so, and nothing delivered.
+#[test]
+fn an_event_id_with_another_digest_is_a_conflict() {
+    let (bench, _target) = bench(|_| {});
+    let whole = bench.chat(true, &[("idempotency-key", "k")]);
+    let id = whole.ids()[1];
+    let (front, _) = id.rsplit_once('.').expect("an id");
+    for (last, status) in [(format!("{front}.0000000000000000"), 409), (id.to_owned(), 200)] {
+        let headers = [("idempotency-key", "k"), ("last-event-id", last.as_str())];
+        let answer = bench.chat(true, &headers);
+        assert_eq!(answer.status, status, "{}", answer.body);
+    }
+    let beyond = id.replace(".2.", ".9.");
+    let headers = [("idempotency-key", "k"), ("last-event-id", beyond.as_str())];
+    assert_eq!(bench.chat(true, &headers).status, 409);
+}
+
+#[test]
+fn a_bearer_key_names_its_organisation() {
+    let (bench, _target) = bench(|_| {});
+    let request = common::agent().post(bench.url("/v1/chat/completions"));
+    let request = request.header("authorization", "Bearer fair-key");
+    let answer = common::Answer::read(request.send(body("plank")).expect("an answer"));
+    assert!(answer.whole(), "{}", answer.body);
+}
+
+fn connect(bench: &Bench) -> TcpStream {
+    let stream = TcpStream::connect(bench.node.ports().callers).expect("connection");
+    stream.set_read_timeout(Some(common::PATIENCE)).expect("timeout");
+    stream
+}
+
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn an_oversized_head_is_refused() {
+    let (bench, _target) = bench(|_| {});
+    let mut stream = connect(&bench);
+    let head = format!("GET / HTTP/1.1\r\nhost: x\r\nx: {}\r\n\r\n", "y".repeat(40_000));
+    stream.write_all(head.as_bytes()).ok();
+    let answer = read_all(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    sound(&bench);
+}
+
+#[test]
+fn a_slow_head_is_cut() {
+    let (bench, _target) = bench(|text| text.head_ms = "100".to_owned());
+    let mut stream = connect(&bench);
+    stream.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nhost:").expect("sent");
+    read_all(&mut stream);
+    wait_for("the end of the connection", || {
+        stream.write_all(b" x").and_then(|()| stream.flush()).is_err()
+    });
+    sound(&bench);
+}
+
+#[test]
+fn a_slow_body_is_told_so() {
+    let (bench, target) = bench(|text| text.body_ms = "100".to_owned());
+    let mut stream = connect(&bench);
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nopenai-organization: cascade\r\n\
+                content-length: 100\r\n\r\n{\"mod";
+    stream.write_all(head.as_bytes()).expect("sent");
+    let answer = read_all(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(target.calls("/v1").is_empty());
+    sound(&bench);
+}
+
+#[test]
+fn a_half_closed_connection_runs_nothing() {
+    let (bench, target) = bench(|_| {});
+    let mut stream = connect(&bench);
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nopenai-organization: cascade\r\n\
+                content-length: 100\r\n\r\n{\"mod";
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.shutdown(Shutdown::Write).expect("half closed");
+    read_all(&mut stream);
+    assert!(target.calls("/v1").is_empty());
+    sound(&bench);
+}
+
+#[test]
+fn idle_connections_are_bounded_and_leave_room_again() {
+    let (bench, _target) = bench(|text| {
+        text.connections = "50".to_owned();
+        text.head_ms = "1000".to_owned();
+    });
+    let mut idle: Vec<TcpStream> = (0..200).map(|_| connect(&bench)).collect();
+    let last = idle.last_mut().expect("a connection");
+    let answer = read_all(last);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.ends_with("are open\"}}"), "{answer}");
+    wait_for("room", || {
+        let request = common::agent().post(bench.url("/v1/chat/completions"));
+        let request = request.header(ORGANISATION.0, ORGANISATION.1);
+        request.send(body("plank")).is_ok_and(|answer| answer.status().as_u16() == 200)
+    });
+    sound(&bench);
+}
--- /dev/null
+++ b/crates/node/tests/stop.rs
@@ -0,0 +1,72 @@
+//! A planned stop cuts off nothing and takes nothing new; a hurried one says what it cut.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use common::{Bench, Scripted, engine, text, wait_for};
+
+/// An engine that sends its first token, waits for `go`, and then sends the others.
+fn held(go: &Arc<AtomicBool>) -> Scripted {
+    let go = Arc::clone(go);
+    Scripted::start(move |call, back| {
+        back.open();
+        back.tokens(call, 0, 1, false);
+        wait_for("the rest", || go.load(Ordering::SeqCst));
+        for index in 1..4 {
+            back.event(&call.token(index));
+        }
+        back.event(&call.closed(4));
+    })
+}
+
+fn chat(url: String) -> thread::JoinHandle<common::Answer> {
+    thread::spawn(move || {
+        let body = r#"{"model":"plank","messages":[{"role":"user","content":"x"}],"stream":true}"#;
+        let request = common::agent().post(url).header("openai-organization", "cascade");
+        common::Answer::read(request.send(body).expect("an answer"))
+    })
+}
+
+#[test]
+fn what_is_in_flight_is_finished_and_nothing_new_is_taken() {
+    let go = Arc::new(AtomicBool::new(false));
+    let target = held(&go);
+    let vms = vec![engine("e1", target.address, [0, 8], 8)];
+    let Bench { platform: _platform, node } = Bench::start(vms);
+    let (callers, operators) = (node.ports().callers, node.ports().operators);
+    let url = format!("http://{callers}/v1/chat/completions");
+    let running = chat(url.clone());
+    wait_for("the call", || !target.calls("/v1").is_empty());
+    let stopping = thread::spawn(move || node.stop());
+    wait_for("unreadiness", || {
+        let ready = common::agent().get(format!("http://{operators}/readyz")).call();
+        ready.is_ok_and(|answer| answer.status().as_u16() == 503)
+    });
+    wait_for("refusal", || {
+        let answer = chat(url.clone()).join().expect("caller");
+        answer.status == 503 && answer.header("magnolia-run") == "not-run"
+    });
+    assert_eq!(target.calls("/v1").len(), 1);
+    go.store(true, Ordering::SeqCst);
+    let answer = running.join().expect("caller");
+    assert_eq!(answer.text(), text(4));
+    assert!(answer.whole());
+    assert_eq!(stopping.join().expect("stop"), 0);
+}
+
+#[test]
+fn a_hurried_stop_counts_what_it_cut() {
+    let go = Arc::new(AtomicBool::new(false));
+    let target = held(&go);
+    let vms = vec![engine("e1", target.address, [0, 8], 8)];
+    let Bench { platform: _platform, node } = Bench::start(vms);
+    let running = chat(format!("http://{}/v1/chat/completions", node.ports().callers));
+    wait_for("the call", || !target.calls("/v1").is_empty());
+    node.hurry().store(true, Ordering::SeqCst);
+    assert_eq!(node.stop(), 1);
+    go.store(true, Ordering::SeqCst);
+    assert!(!running.join().expect("caller").whole());
+}
