--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -207,7 +207,11 @@
     fn show(&self, nodes: &Nodes) -> Result<Printed, Error> {
         let value = nodes.first("/preset")?;
         let preset: Preset = serde_json::from_value(value.clone()).map_err(Error::answer)?;
-        let text = preset.document().map_err(|report| Error::Document(format!("{report}")))?;
+        let head = format!("# version {}, change {}", preset.version, preset.change);
+        // Version and change are the commit's to set, so the document can be put again.
+        let bare = Preset { version: 0, change: SmolStr::default(), ..preset };
+        let text = bare.document().map_err(|report| Error::Document(format!("{report}")))?;
+        let text = format!("{head}\n{text}");
         Ok(self.printed(text, &value))
     }
 
