Node: a planned stop waits for kept outcomes; shares of the store's rates; bounds

- claims whose outcome the store lacks hold up a planned stop (Action::Held)
- call budget of the store divided by live nodes
- load reads take turns above 64 engines
- a relay that ends with the process tells unknown or incomplete, never not-run

--- a/crates/node/examples/demo.rs
+++ b/crates/node/examples/demo.rs
@@ -184,7 +184,7 @@
          {ORGANISATION}' -H 'Idempotency-Key: k1' -d '{{\"crew\": 8}}'"
     );
     let platform = deployment.platform.address();
-    let control = format!("magnoliactl --platform {platform} --nodes {}", operators(nodes));
+    let control = format!("magnoliactl -- --platform {platform} --nodes {}", operators(nodes));
     println!("cargo run -q --release -p node --bin {control} status");
     println!(
         "cargo run -q --release -p node --bin {control} switch maintenance --presets presets/pnw"
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -164,6 +164,8 @@
         /// New value.
         value: Vec<u8>,
     },
+    /// Number of claims held here whose outcome the store does not have.
+    Held(usize),
     /// Send a heartbeat to another node.
     Heartbeat {
         /// The receiver.
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -219,6 +219,8 @@
 /// The ledger.
 pub(crate) struct LedgerService {
     machine: ledger::Ledger,
+    /// Claims without kept outcome, as the shell was last told.
+    held: usize,
     actions: Vec<ledger::Action>,
     alarm: Alarm,
 }
@@ -227,6 +229,7 @@
     pub(crate) fn new(settings: ledger::Settings) -> Self {
         Self {
             machine: ledger::Ledger::new(settings),
+            held: 0,
             actions: Vec::new(),
             alarm: Alarm::default(),
         }
@@ -260,6 +263,10 @@
                 ledger::Action::Log(event) => ctx.act(Action::Log(event)),
             }
         }
+        if self.machine.held() != self.held {
+            self.held = self.machine.held();
+            ctx.act(Action::Held(self.held));
+        }
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -107,6 +107,12 @@
     /// Threads that call the platform's store
     #[bpaf(long("store-threads"), env("MAGNOLIA_STORE_THREADS"), argument("NUMBER"), fallback("4".into()), display_fallback)]
     pub store_threads: String,
+    /// Writes per second that the store takes from all nodes together
+    #[bpaf(long("store-writes"), env("MAGNOLIA_STORE_WRITES"), argument("NUMBER"), fallback("300".into()), display_fallback)]
+    pub store_writes: String,
+    /// Reads per second that the store takes from all nodes together
+    #[bpaf(long("store-reads"), env("MAGNOLIA_STORE_READS"), argument("NUMBER"), fallback("2000".into()), display_fallback)]
+    pub store_reads: String,
     /// Threads that read answers of targets, one for each attempt that runs
     #[bpaf(long("target-threads"), env("MAGNOLIA_TARGET_THREADS"), argument("NUMBER"), fallback("2048".into()), display_fallback)]
     pub target_threads: String,
@@ -187,6 +193,10 @@
     pub stop_limit: Duration,
     /// Threads that call the platform's store.
     pub store_threads: usize,
+    /// Writes per second that the store takes from all nodes together.
+    pub store_writes: u32,
+    /// Reads per second that the store takes from all nodes together.
+    pub store_reads: u32,
     /// Threads that read answers of targets.
     pub target_threads: usize,
     /// Requests whose decisions are kept.
@@ -231,6 +241,8 @@
             stop_lag: millis("stop-lag-ms", &self.stop_lag_ms, 0, 600_000)?,
             stop_limit: millis("stop-limit-ms", &self.stop_limit_ms, 0, 86_400_000)?,
             store_threads: size("store-threads", &self.store_threads, 1, 64)?,
+            store_writes: rate("store-writes", &self.store_writes)?,
+            store_reads: rate("store-reads", &self.store_reads)?,
             target_threads: size("target-threads", &self.target_threads, 1, 32_768)?,
             explained: size("explained", &self.explained, 0, 1_000_000)?,
         })
@@ -277,6 +289,11 @@
     usize::try_from(number).map_err(|_| invalid(setting, value, "a smaller number"))
 }
 
+fn rate(setting: &'static str, value: &str) -> Result<u32, Invalid> {
+    let number = number(setting, value, 1, 1_000_000)?;
+    u32::try_from(number).map_err(|_| invalid(setting, value, "a smaller number"))
+}
+
 fn millis(setting: &'static str, value: &str, least: u64, most: u64) -> Result<Duration, Invalid> {
     number(setting, value, least, most).map(Duration::from_millis)
 }
--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -105,7 +105,8 @@
     silence: Duration,
     report: &Report,
 ) {
-    let request = agent.post(url).config().timeout_per_read(Some(silence)).build();
+    let request = agent.post(url).config();
+    let request = request.timeout_per_read(Some(silence)).timeout_per_write(Some(silence)).build();
     let answer = request.content_type("application/json").send(body);
     let answer = match answer {
         Ok(answer) => answer,
--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use fleet::OrganisationName;
@@ -32,7 +32,7 @@
 /// Longest `Idempotency-Key`, in bytes.
 const KEY_BYTES: usize = 255;
 /// Wait after a failed accept.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a caller turned away for the number of connections may come back, in seconds.
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
 retry-after: 1\r\nmagnolia-run: attempt-not-run\r\ncontent-type: application/json\r\n\
@@ -172,7 +172,7 @@
                 Reply::error(rejection.status, rejection.kind, &rejection.message, None)
                     .run(if keyed { "attempt-not-run" } else { "not-run" });
             if rejection.status == 503 {
-                reply = reply.retry_after(std::time::Duration::from_secs(1));
+                reply = reply.retry_after(Duration::from_secs(1));
             }
             let mut response = reply.into_response();
             if matches!(rejection.status, 408 | 413) {
@@ -210,7 +210,7 @@
         (None, Some(service)) => service_call(service, caller, head, body, shared)?,
         (None, None) => return Err(reject(404, "no_such_path", "no such path")),
     };
-    let reply = run(parts, arrival, shared, agent).await?;
+    let reply = run(parts, arrival, shared, agent).await;
     Ok(match given {
         Some(key) => reply.key(&key),
         None => reply,
@@ -218,19 +218,20 @@
 }
 
 /// Starts the relay of a request and waits for the head of its answer.
-async fn run(
-    call: Call,
-    arrival: Arrival,
-    shared: &Arc<Shared>,
-    agent: ureq::Agent,
-) -> Result<Reply, Rejection> {
+async fn run(call: Call, arrival: Arrival, shared: &Arc<Shared>, agent: ureq::Agent) -> Reply {
     let (caller, head) = oneshot::channel();
     let (commands, received) = mpsc::unbounded_channel();
     let request = arrival.request.id;
+    let run = if arrival.claim.is_some() { "unknown" } else { "incomplete" };
     let parts = Parts { shared: Arc::clone(shared), agent, request, call, caller };
     tokio::spawn(relay::run(parts, received));
     shared.inbox.send(Input::Arrive { arrival: Box::new(arrival), commands });
-    head.await.map_err(|_| reject(503, "stopped", "the node has stopped"))
+    // The relay ends without an answer only when the process does; the call may have run.
+    head.await.unwrap_or_else(|_| {
+        Reply::error(503, "stopped", "the node has stopped", Some(request))
+            .run(run)
+            .retry_after(Duration::from_secs(1))
+    })
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Rejection> {
@@ -394,7 +395,7 @@
         (!repeatable).then(|| (ledger::Key { organisation, service, text: key.clone() }, digest));
     let given = claim.is_some().then_some(key);
     let headers = handed_on(&head.headers);
-    let call = Service { method: head.method, path, headers, body, keyed };
+    let call = Service { method: head.method, path, headers, body, repeatable, keyed };
     let arrival = Arrival { request, prefixes: Vec::new(), claim };
     Ok((Call::Plain(Box::new(call)), arrival, given))
 }
--- a/crates/node/src/shell/core.rs
+++ b/crates/node/src/shell/core.rs
@@ -29,6 +29,7 @@
     pub(crate) runtime: Handle,
     pub(crate) agent: ureq::Agent,
     pub(crate) jobs: Jobs,
+    pub(crate) client: Arc<store::Client>,
     pub(crate) peers: Peers,
     pub(crate) explain: Explain,
     pub(crate) relays: HashMap<RequestId, async_mpsc::UnboundedSender<Command>>,
@@ -96,6 +97,16 @@
         }
     }
 
+    /// Takes this node's part of the calls that the store takes from all nodes.
+    fn share_rates(&self, others: &[member::Node]) {
+        let alive = others.iter().filter(|node| node.state == member::State::Alive).count();
+        let nodes = (alive + 1) as f64;
+        let settings = &self.shared.settings;
+        let writes = f64::from(settings.store_writes) / nodes;
+        let reads = f64::from(settings.store_reads) / nodes;
+        self.client.set_rates(store::Rates { writes, reads });
+    }
+
     fn command(&mut self, request: RequestId, command: Command) {
         let Some(relay) = self.relays.get(&request) else { return };
         if relay.send(command).is_err() {
@@ -143,8 +154,12 @@
                 metrics::gauge!("magnolia_preset_version").set(preset.version as f64);
                 self.shared.set_in_force(preset, value);
             }
+            Action::Held(held) => self.shared.held.store(held, Ordering::SeqCst),
             Action::Fresh(fresh) => self.shared.fresh.store(fresh, Ordering::Relaxed),
-            Action::Nodes(nodes) => self.shared.set_nodes(nodes),
+            Action::Nodes(nodes) => {
+                self.share_rates(&nodes);
+                self.shared.set_nodes(nodes);
+            }
             Action::Targets(targets) => self.shared.set_targets(targets),
             Action::Log(event) => self.log(&event),
         }
--- a/crates/node/src/shell/loads.rs
+++ b/crates/node/src/shell/loads.rs
@@ -16,6 +16,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer, in bytes.
 const ANSWER_BYTES: u64 = 1 << 20;
+/// Most targets that one thread reads in one round; with more, rounds take turns.
+const TARGETS_PER_ROUND: usize = 16;
 /// Threads that read at once.
 pub(crate) const READERS: usize = 4;
 
@@ -72,10 +74,13 @@
         .build();
     let agent = ureq::Agent::new_with_config(config);
     let mut next: HashMap<TargetName, u64> = HashMap::new();
+    let mut turn = 0;
     while !shared.stopping() {
         let offers = shared.offers();
         let engines = offers.targets.iter().filter(|target| matches!(target.kind, Kind::Engine(_)));
-        for target in engines.skip(part).step_by(READERS) {
+        let mine: Vec<&Target> = engines.skip(part).step_by(READERS).collect();
+        let round = mine.len().min(TARGETS_PER_ROUND);
+        for target in mine.iter().cycle().skip(turn % mine.len().max(1)).take(round) {
             if shared.stopping() {
                 return;
             }
@@ -83,6 +88,7 @@
                 lost.fetch_add(1, Ordering::Relaxed);
             }
         }
+        turn += round;
         pause(shared, shared.settings.load);
     }
 }
--- a/crates/node/src/shell/operators.rs
+++ b/crates/node/src/shell/operators.rs
@@ -86,6 +86,7 @@
         "ready": shared.ready(), "fresh": shared.fresh.load(Ordering::Relaxed),
         "draining": shared.draining.load(Ordering::Relaxed),
         "in_flight": shared.in_flight_count(),
+        "claims_held": shared.held.load(Ordering::Relaxed),
         "connections": shared.connections.load(Ordering::Relaxed),
         "preset": in_force, "nodes": nodes, "targets": targets,
     })
--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -209,6 +209,7 @@
             runtime: runtime.handle().clone(),
             agent,
             jobs,
+            client: Arc::clone(&client),
             peers: Peers::new(Arc::clone(&shared), runtime.handle().clone()),
             explain: Explain::new(shared.settings.explained),
             relays: HashMap::new(),
@@ -263,7 +264,9 @@
         self.shared.inbox.send(Input::Close);
         let limit = Instant::now() + settings.stop_limit;
         let shared = Arc::clone(&self.shared);
-        self.wait(settings.stop_limit, || shared.in_flight_count() == 0);
+        self.wait(settings.stop_limit, || {
+            shared.in_flight_count() == 0 && shared.held.load(Ordering::SeqCst) == 0
+        });
         let cut = shared.in_flight();
         for request in &cut {
             let event = Event::new(&event::CUT).with("request", hex(*request));
--- a/crates/node/src/shell/relay.rs
+++ b/crates/node/src/shell/relay.rs
@@ -62,6 +62,8 @@
     pub(crate) path: String,
     pub(crate) headers: Vec<(hyper::header::HeaderName, hyper::header::HeaderValue)>,
     pub(crate) body: Bytes,
+    /// Whether it may run more than once.
+    pub(crate) repeatable: bool,
     pub(crate) keyed: bool,
 }
 
@@ -227,6 +229,7 @@
                 });
             }
         }
+        metrics::counter!("magnolia_attempts").increment(1);
         self.deadline = Some(Instant::now() + first_timeout);
         self.current = Some(Current {
             id: dispatch.attempt,
@@ -453,8 +456,7 @@
             self.tell(Request::Started(self.request));
         }
         let Call::Plain(service) = &self.call else { return };
-        let safe = service.method.is_safe();
-        let failed = answer.status >= 500 && safe;
+        let failed = answer.status >= 500 && service.repeatable;
         self.answer = Some(answer);
         self.ended(if failed { route::Ending::Failed } else { route::Ending::Complete });
     }
@@ -486,8 +488,8 @@
         }
         let keyed = match &self.call {
             Call::Model(model) => model.keyed,
-            // The ledger, or the method, speaks for earlier sendings.
-            Call::Plain(service) => service.keyed && service.method.is_safe(),
+            // For a call that may not be repeated the ledger speaks for earlier sendings.
+            Call::Plain(service) => service.keyed && service.repeatable,
         };
         match &self.caller {
             Caller::Streaming(_) => {
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -114,6 +114,8 @@
     pub(crate) stopping: AtomicBool,
     /// Requests whose answer is not given yet.
     in_flight: Mutex<BTreeSet<RequestId>>,
+    /// Claims held here whose outcome the store does not have.
+    pub(crate) held: AtomicUsize,
     /// Connections of callers.
     pub(crate) connections: AtomicUsize,
 }
@@ -141,6 +143,7 @@
             draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             in_flight: Mutex::default(),
+            held: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
         }
     }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
-use common::{Bench, Scripted, engine, text, wait_for};
+use common::{Bench, Scripted, engine, service, text, wait_for};
+use standin::platform::{Command, Outage, Platform};
 
 /// An engine that sends its first token, waits for `go`, and then sends the others.
 fn held(go: &Arc<AtomicBool>) -> Scripted {
@@ -70,3 +71,44 @@
     go.store(true, Ordering::SeqCst);
     assert!(!running.join().expect("caller").whole());
 }
+
+/// The store fails between claim and outcome: the caller has its answer, and the stop waits
+/// until the store has it too, so that a repeat through another node hears the same.
+#[test]
+fn a_stop_waits_until_all_outcomes_are_kept() {
+    let platform = Arc::new(Mutex::new(None::<Arc<Platform>>));
+    let failing = Arc::clone(&platform);
+    let target = Scripted::start(move |_, back| {
+        if let Some(platform) = &*failing.lock().expect("platform") {
+            platform.command(Command::Outage(Outage::Refuse));
+        }
+        back.answer(200, "", r#"{"booked":1}"#);
+    });
+    let vms = vec![service("b1", target.address, "booking", false)];
+    let Bench { platform: running, node } = Bench::start(vms);
+    let running = Arc::new(running);
+    *platform.lock().expect("platform") = Some(Arc::clone(&running));
+    let book = |callers: std::net::SocketAddr| {
+        let request = common::agent().post(format!("http://{callers}/services/booking/book"));
+        let request = request.header("openai-organization", "cascade");
+        common::Answer::read(request.header("idempotency-key", "k").send("x").expect("an answer"))
+    };
+    let first = book(node.ports().callers);
+    assert_eq!((first.status, first.body.as_str()), (200, r#"{"booked":1}"#));
+    let status = format!("http://{}/status", node.ports().operators);
+    let stopping = thread::spawn(move || node.stop());
+    wait_for("the stop to begin", || {
+        let status = common::agent().get(&status).call().expect("status");
+        let status = common::Answer::read(status).json();
+        assert_eq!(status["claims_held"], 1, "the store cannot have the outcome");
+        status["draining"] == true
+    });
+    running.command(Command::Outage(Outage::Off));
+    assert_eq!(stopping.join().expect("stop"), 0);
+    *platform.lock().expect("platform") = None;
+    let other = common::node(running.address(), "n2", |_| {});
+    wait_for("readiness", || other.ready());
+    let again = book(other.ports().callers);
+    assert_eq!((again.status, again.body.as_str()), (200, r#"{"booked":1}"#));
+    assert_eq!(target.calls("/book").len(), 1);
+}
