--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
 use preset::Preset;
@@ -190,7 +190,8 @@
             .change
             .clone()
             .unwrap_or_else(|| smol_str::format_smolstr!("{:016x}", rand::random::<u64>()));
-        let mut request = preset::Request::new(preset, name);
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut request = preset::Request::new(preset, name, epoch);
         request.base = change.base;
         let json = self.json;
         let mut last = None;
