--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -72,6 +72,10 @@
     }
 }
 
+/// Buffers of a connection to a target, each way, in bytes; there is one connection for
+/// each open stream.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// Makes the agent for calls to targets.
 pub(crate) fn agent(connect: Duration) -> ureq::Agent {
     let config = ureq::Agent::config_builder()
@@ -83,6 +87,8 @@
         .max_idle_connections(0)
         .max_idle_connections_per_host(0)
         .allow_non_standard_methods(true)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .build();
     ureq::Agent::new_with_config(config)
 }
