A conflict found by computing the answer again no longer hears not-run

Cause: the relay answers 409 last_event_mismatch after engines have run tokens to compare the digest, and called that attempt-not-run. Told not-run must be truly not run. The test fails before (magnolia-run: attempt-not-run), passes after (incomplete).

--- a/crates/node/src/shell/relay.rs
+++ b/crates/node/src/shell/relay.rs
@@ -423,7 +423,7 @@
     fn conflict(&mut self) {
         let text = "the answer computed again differs from the one that Last-Event-ID names";
         let reply = Reply::error(409, "last_event_mismatch", text, Some(self.request))
-            .run("attempt-not-run")
+            .run("incomplete")
             .retry_after(Duration::from_secs(1));
         self.answer_with(reply);
         self.tell(Request::HungUp(self.request));
--- a/crates/node/tests/input.rs
+++ b/crates/node/tests/input.rs
@@ -120,6 +120,8 @@
         let headers = [("idempotency-key", "k"), ("last-event-id", last.as_str())];
         let answer = bench.chat(true, &headers);
         assert_eq!(answer.status, status, "{}", answer.body);
+        // Engines have run it to compare: it must not hear that it was not run.
+        assert!(status != 409 || answer.header("magnolia-run") == "incomplete");
     }
     let beyond = id.replace(".2.", ".9.");
     let headers = [("idempotency-key", "k"), ("last-event-id", beyond.as_str())];
