--- /dev/null
+++ b/crates/scenario/examples/measure.rs
@@ -0,0 +1,54 @@
+//! Prints measures, one JSON line each.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use scenario::measure::{MEASURES, find};
+
+/// Prints measures, one JSON line for each name and seed
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Settings {
+    /// List the measures with unit, bound and its source
+    list: bool,
+    /// First seed
+    #[bpaf(argument("NUMBER"), fallback(1))]
+    seed: u64,
+    /// Number of seeds, from the first one on
+    #[bpaf(argument("NUMBER"), fallback(1))]
+    seeds: u64,
+    /// Names of measures; all when none is given
+    #[bpaf(positional("NAME"), many)]
+    names: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    let settings = settings().run();
+    if settings.list {
+        for measure in MEASURES {
+            let name = measure.name;
+            println!("{name}\t{}\t{}\t{}", measure.unit, measure.bound, measure.source);
+        }
+        return ExitCode::SUCCESS;
+    }
+    let names: Vec<&str> = match settings.names.as_slice() {
+        [] => MEASURES.iter().map(|measure| measure.name).collect(),
+        names => names.iter().map(String::as_str).collect(),
+    };
+    for name in names {
+        let measure = match find(name) {
+            Ok(measure) => measure,
+            Err(unknown) => {
+                eprintln!("Error: {unknown}");
+                return ExitCode::FAILURE;
+            }
+        };
+        for seed in settings.seed..settings.seed.saturating_add(settings.seeds) {
+            match serde_json::to_string(&measure.line(seed)) {
+                Ok(line) => println!("{line}"),
+                Err(error) => eprintln!("Error: {error}"),
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/scenario/src/process/caller.rs
@@ -0,0 +1,162 @@
+//! Callers: each sends one request on a thread of its own.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+
+use fleet::RequestId;
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use ureq::http::Response;
+
+use super::PATIENCE;
+use super::answer::Answer;
+use crate::Error;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ask {
+    /// A chat completion.
+    Chat,
+    /// A text completion.
+    Text,
+    /// A call of the booking service.
+    Booking,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) ask: Ask,
+    pub(crate) model: SmolStr,
+    pub(crate) organisation: SmolStr,
+    pub(crate) key: Option<SmolStr>,
+    pub(crate) max_tokens: u32,
+    pub(crate) stream: bool,
+    pub(crate) content: String,
+}
+
+impl Request {
+    fn path(&self) -> &'static str {
+        match self.ask {
+            Ask::Chat => "/v1/chat/completions",
+            Ask::Text => "/v1/completions",
+            Ask::Booking => "/services/booking/book",
+        }
+    }
+
+    fn body(&self) -> String {
+        let mut body = match self.ask {
+            Ask::Booking => return self.content.clone(),
+            Ask::Chat => json!({"messages": [{"role": "user", "content": self.content}]}),
+            Ask::Text => json!({"prompt": self.content}),
+        };
+        body["model"] = json!(self.model);
+        body["max_tokens"] = json!(self.max_tokens);
+        body["stream"] = json!(self.stream);
+        body.to_string()
+    }
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub(crate) request: Request,
+    pub(crate) answer: Answer,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Caller {
+    /// Sends `request` to a node; `last` is the last event already received of it.
+    pub(crate) fn send(
+        node: SocketAddr,
+        request: Request,
+        last: Option<SmolStr>,
+    ) -> Result<Self, Error> {
+        let answer = Answer::default();
+        let (sent, received) = (request.clone(), answer.clone());
+        let work = move || {
+            receive(node, &sent, last, &received);
+            received.lock().ended = true;
+        };
+        let thread = thread::Builder::new().name("caller".to_owned()).spawn(work);
+        Ok(Self { request, answer, thread: Some(thread.map_err(Error::world)?) })
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            // A panic has been printed; the answer then never ends and the script fails.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A client that takes every status as an answer.
+pub(crate) fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_global(Some(PATIENCE))
+        .build();
+    ureq::Agent::new_with_config(config)
+}
+
+fn receive(node: SocketAddr, request: &Request, last: Option<SmolStr>, answer: &Answer) {
+    let mut call = agent()
+        .post(format!("http://{node}{}", request.path()))
+        .header("OpenAI-Organization", request.organisation.as_str())
+        .header("Content-Type", "application/json");
+    if let Some(key) = &request.key {
+        call = call.header("Idempotency-Key", key.as_str());
+    }
+    if let Some(last) = last {
+        call = call.header("Last-Event-ID", last.as_str());
+    }
+    let Ok(response) = call.send(request.body()) else {
+        return;
+    };
+    read_head(&response, answer);
+    let is_stream = header(&response, "content-type").starts_with("text/event-stream");
+    let reader = BufReader::new(response.into_body().into_reader());
+    if is_stream { read_stream(reader, answer) } else { read_whole(reader, request, answer) }
+}
+
+fn header(response: &Response<ureq::Body>, name: &str) -> SmolStr {
+    let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().into()
+}
+
+fn read_head(response: &Response<ureq::Body>, answer: &Answer) {
+    let mut received = answer.lock();
+    received.status = response.status().as_u16();
+    received.run = header(response, "magnolia-run");
+    received.request = RequestId::from_str_radix(&header(response, "magnolia-request"), 16).ok();
+    received.retry_after = response.headers().contains_key("retry-after");
+}
+
+fn read_stream(reader: impl BufRead, answer: &Answer) {
+    for line in reader.lines() {
+        let Ok(line) = line else {
+            return;
+        };
+        answer.lock().take_line(&line);
+    }
+}
+
+fn read_whole(mut reader: impl Read, request: &Request, answer: &Answer) {
+    let mut body = String::new();
+    if reader.read_to_string(&mut body).is_err() {
+        return;
+    }
+    let mut received = answer.lock();
+    received.closed = true;
+    if let Ok(value) = serde_json::from_str::<Value>(&body) {
+        received.take_value(&value);
+    }
+    if request.ask == Ask::Booking && received.error.is_none() {
+        received.finish = Some("answer".into());
+        received.text = body;
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/process/mod.rs
@@ -0,0 +1,54 @@
+//! Scripts against processes: nodes are children of the test, the platform and the
+//! targets are stand-ins in the test's own process.
+//!
+//! | directive | arguments | does |
+//! | --- | --- | --- |
+//! | `deployment` | `name=pnw` or `dar`, or `chains=2 stages=3 domains=(a,b) rate=500 bookings=1` | starts platform and targets |
+//! | `preset` | `name=peak` | puts a preset and prints its version |
+//! | `nodes` | `count=4` | starts nodes `n1`, ... and waits until they are ready |
+//! | `send` | `as=r1 node=n1 kind=chat`, `text` or `booking`, `org`, `key`, `max`, `whole`, `like=r0`, `after=r0`, `count=3` | sends the input; several get numbered keys and contents |
+//! | `read` | `as=r1` | waits for the end of an answer and prints it |
+//! | `wait` | `until=CONDITION ...` | polls until the condition holds |
+//! | `signal` | `node=n1 with=kill`, `stop`, `cont` or `term` | sends a signal to a node |
+//! | `exit` | `node=n1` | waits for a node's end and prints its exit code |
+//! | `fault` | `platform`, `target=NAME` or `answer=r1 stage=1` | carries out the command in the input |
+//! | `leave` | `target=NAME` or `answer=r1 stage=1` | lists a target as leaving, which then refuses new work |
+//! | `crash-on` | `mark=WORD` | makes all engines crash on prompts with the word `crash:WORD` |
+//! | `crashed` | | counts the engines that have crashed |
+//! | `mark`, `began` | `target=NAME` or `answer=r1 stage=1` | counts attempts that began on an engine since the mark |
+//! | `same` | `first=r1 second=r2` | compares two answers |
+//! | `joined` | `first=r1 rest=r2 whole=r3` | compares an answer in two parts with a whole one |
+//! | `executions` | | checks that in each attempt the layers of a token ran once and in order, as far as they ran |
+//! | `runs` | | prints the bookings that ran, and how often each |
+//! | `calls` | `prefix=magnolia.ledger` | prints which kinds of calls the platform counted |
+
+mod answer;
+mod caller;
+mod check;
+mod condition;
+mod directive;
+mod node;
+mod world;
+
+use std::path::Path;
+use std::time::Duration;
+
+use datadriven::walk;
+
+use world::World;
+
+/// Longest wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Runs all scripts of a directory, each in a world of its own. `binary` is the node.
+///
+/// # Panics
+///
+/// When the output of a directive is not the expected one.
+pub fn run(scripts: &Path, binary: &Path) {
+    let scripts = scripts.to_str().expect("the path of the scripts is text");
+    walk(scripts, |file| {
+        let mut world = World::new(binary);
+        file.run(|case| directive::run(&mut world, case));
+    });
+}
--- /dev/null
+++ b/crates/scenario/src/process/node.rs
@@ -0,0 +1,96 @@
+//! Nodes: children of the test's process.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use super::caller::agent;
+use crate::Error;
+
+/// Set to see the logs of the nodes.
+const LOG_VARIABLE: &str = "SCENARIO_LOG";
+
+/// A node as a process.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) name: SmolStr,
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    operators: SocketAddr,
+    child: Child,
+}
+
+impl Node {
+    /// Starts the node binary on free ports.
+    pub(crate) fn start(
+        binary: &Path,
+        name: &str,
+        domain: &str,
+        platform: SocketAddr,
+    ) -> Result<Self, Error> {
+        let [callers, peers, operators] = free_addresses()?;
+        let logged = std::env::var_os(LOG_VARIABLE).is_some();
+        let output = || if logged { Stdio::inherit() } else { Stdio::null() };
+        let child = Command::new(binary)
+            .args(["--name", name, "--domain", domain])
+            .args(["--callers", &callers.to_string()])
+            .args(["--peers", &peers.to_string()])
+            .args(["--operators", &operators.to_string()])
+            .args(["--platform", &platform.to_string()])
+            .args(["--list-ms", "100", "--load-ms", "100", "--stop-lag-ms", "100"])
+            .stdin(Stdio::null())
+            .stdout(output())
+            .stderr(output())
+            .spawn()
+            .map_err(Error::world)?;
+        Ok(Self { name: name.into(), callers, peers, operators, child })
+    }
+
+    /// Whether it says that it is ready.
+    pub(crate) fn is_ready(&self) -> bool {
+        let answer = agent().get(format!("http://{}/readyz", self.operators)).call();
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// What it tells operators.
+    pub(crate) fn status(&self) -> Option<Value> {
+        let mut answer = agent().get(format!("http://{}/status", self.operators)).call().ok()?;
+        answer.body_mut().read_json().ok()
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let id = i32::try_from(self.child.id()).map_err(Error::world)?;
+        let pid = Pid::from_raw(id).ok_or_else(|| Error::unknown("process", &self.name))?;
+        kill_process(pid, signal).map_err(Error::world)
+    }
+
+    /// Its exit code when it has ended; -1 after a signal.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().ok()??;
+        Some(status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Three addresses that are free now; all are held until all are known.
+fn free_addresses() -> Result<[SocketAddr; 3], Error> {
+    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let listeners: Result<Vec<TcpListener>, _> = (0..3).map(bind).collect();
+    let listeners = listeners.map_err(Error::world)?;
+    let addresses: Result<Vec<SocketAddr>, _> =
+        listeners.iter().map(TcpListener::local_addr).collect();
+    let addresses = addresses.map_err(Error::world)?;
+    addresses.try_into().map_err(|_| Error::world("three addresses"))
+}
--- /dev/null
+++ b/crates/scenario/src/words.rs
@@ -0,0 +1,28 @@
+//! Arguments of directives.
+
+use std::error::Error as StdError;
+use std::str::FromStr;
+
+use datadriven::TestCase;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// An argument, or its default.
+pub(crate) fn or<T>(case: &mut TestCase, name: &str, default: T) -> Result<T, Error>
+where
+    T: FromStr,
+    T::Err: StdError + Send + Sync + 'static,
+{
+    Ok(case.try_take_arg(name)?.unwrap_or(default))
+}
+
+/// A list of words, or an empty one.
+pub(crate) fn list(case: &mut TestCase, name: &str) -> Result<Vec<String>, Error> {
+    Ok(case.try_take_args(name)?.unwrap_or_default())
+}
+
+/// The input as one JSON value.
+pub(crate) fn json<T: DeserializeOwned>(case: &TestCase) -> Result<T, Error> {
+    serde_json::from_str(&case.input).map_err(Error::script)
+}
--- a/crates/standin/src/deployment/builder.rs
+++ b/crates/standin/src/deployment/builder.rs
@@ -101,8 +101,14 @@
         let services: Vec<Service> = services.collect::<Result<_, _>>()?;
         let listed = engines.iter().map(Engine::vm).chain(services.iter().map(Service::vm));
         let platform = self.platform.vms(listed.cloned().collect()).start()?;
-        let organisations = self.organisations;
-        Ok(Deployment { platform, engines, services, organisations, depth: self.depth })
+        Ok(Deployment {
+            platform,
+            engines,
+            services,
+            organisations: self.organisations,
+            model: self.model,
+            depth: self.depth,
+        })
     }
 }
 
@@ -116,6 +122,8 @@
     pub services: Vec<Service>,
     /// The organisations.
     pub organisations: Vec<Organisation>,
+    /// The model.
+    pub model: ModelName,
     /// Layers of the model.
     pub depth: Depth,
 }
