--- a/crates/standin/src/http/client.rs
+++ b/crates/standin/src/http/client.rs
@@ -28,8 +28,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ClientError::Unreachable => write!(f, "unreachable"),
-            ClientError::Broken => write!(f, "connection broken"),
-            ClientError::Status(status) => write!(f, "status {status}"),
+            ClientError::Broken => write!(f, "broken"),
+            ClientError::Status(status) => write!(f, "status-{status}"),
         }
     }
 }
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -10,7 +10,7 @@
 
 pub(crate) use body::{Body, Stream};
 pub(crate) use call::Call;
-pub(crate) use client::Client;
+pub(crate) use client::{Client, ClientError};
 pub(crate) use gate::Gate;
 pub(crate) use reply::{Cut, Reply};
 pub(crate) use server::{Answer, Handler, Server, Stop};
