--- a/crates/ledger/src/drive.rs
+++ b/crates/ledger/src/drive.rs
@@ -85,7 +85,7 @@
         };
         self.outage = Outage::default();
         let anchor = (scope.now, content.clock);
-        let fresh_at = flight.started;
+        let fresh_at = flight.step;
         let known = Known { revision, shard: content, fresh_at, anchor };
         self.lanes[shard as usize].known = Some(known);
     }
@@ -93,7 +93,7 @@
     fn written(&mut self, shard: ShardId, flight: Flight, revision: u64, scope: &mut Scope<'_>) {
         self.outage = Outage::default();
         let Some(write) = flight.write else { return };
-        let fresh_at = flight.started;
+        let fresh_at = flight.step;
         let known = Known { revision, shard: write.shard, fresh_at, anchor: write.anchor };
         self.lanes[shard as usize].known = Some(known);
         self.finish(shard, scope);
@@ -190,7 +190,7 @@
     fn read(&mut self, index: usize, scope: &mut Scope<'_>) {
         let shard = index as ShardId;
         let ticket = self.ticket(shard);
-        let flight = Flight { ticket, started: scope.now, write: None };
+        let flight = Flight { ticket, step: self.steps, write: None };
         self.lanes[index].flight = Some(flight);
         scope.actions.push(Action::Read { ticket, shard });
     }
@@ -208,7 +208,7 @@
             entry.attempted.get_or_insert(scope.now);
         }
         let (revision, value) = (write.revision, write.shard.encode());
-        lane.flight = Some(Flight { ticket, started: scope.now, write: Some(write) });
+        lane.flight = Some(Flight { ticket, step: self.steps, write: Some(write) });
         scope.actions.push(Action::Write { ticket, shard, revision, value });
     }
 
--- a/crates/ledger/src/entry.rs
+++ b/crates/ledger/src/entry.rs
@@ -13,6 +13,8 @@
     pub(crate) id: KeyId,
     /// When it arrived.
     pub(crate) arrived: Duration,
+    /// Number of the step in which it arrived.
+    pub(crate) step: u64,
     /// What is to be done.
     pub(crate) work: Work,
     /// When a write with its claim was first sent.
@@ -76,8 +78,8 @@
 
 impl Entry {
     /// Work that has not been tried.
-    pub(crate) fn new(id: KeyId, arrived: Duration, work: Work) -> Self {
-        Self { id, arrived, work, attempted: None, late: None, flight: None }
+    pub(crate) fn new(id: KeyId, arrived: Duration, step: u64, work: Work) -> Self {
+        Self { id, arrived, step, work, attempted: None, late: None, flight: None }
     }
 
     /// Turns a claim that has been refused into its release; says whether one is needed.
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -7,7 +7,7 @@
 use crate::{Settings, Shard, Ticket};
 
 /// State of one shard at this node.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Lane {
     /// Value last seen.
     pub(crate) known: Option<Known>,
@@ -20,18 +20,18 @@
 }
 
 /// An operation in flight.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Flight {
     /// Its number.
     pub(crate) ticket: Ticket,
-    /// When it was begun.
-    pub(crate) started: Duration,
+    /// Number of the step in which it was begun.
+    pub(crate) step: u64,
     /// What it writes; `None` for a read.
     pub(crate) write: Option<Written>,
 }
 
 /// A write in flight.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Written {
     /// Expected revision.
     pub(crate) revision: u64,
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -16,9 +16,9 @@
     pub(crate) revision: u64,
     /// The value.
     pub(crate) shard: Shard,
-    /// A moment at which it was certainly the present one: every claim that arrived later may
-    /// have been recorded unseen.
-    pub(crate) fresh_at: Duration,
+    /// Number of a step since which it was certainly the present one at some moment: what
+    /// happened elsewhere before that step is in it.
+    pub(crate) fresh_at: u64,
     /// Moment of this node's clock, and the shard's clock then, from which the shard's time is
     /// measured. Both stay while only this node writes.
     pub(crate) anchor: (Duration, Duration),
@@ -145,7 +145,7 @@
         return Step::Wait;
     }
     let life = context.settings.life;
-    let fresh = context.known.fresh_at >= entry.arrived;
+    let fresh = context.known.fresh_at >= entry.step;
     let Some(record) = shard.get(&entry.id) else {
         return match (shard.has_room(context.settings), fresh) {
             (true, _) => record_claim(entry, request, digest, shard, context),
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -1,6 +1,7 @@
 //! The service: a state machine without clock, thread or socket.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 
 use fleet::{Event, RequestId};
@@ -17,6 +18,7 @@
 };
 
 /// Decides whether a non-idempotent request may run.
+#[derive(Clone)]
 pub struct Ledger {
     pub(crate) settings: Settings,
     pub(crate) lanes: Vec<Lane>,
@@ -27,6 +29,8 @@
     /// Shard at which the next round of operations begins.
     pub(crate) cursor: usize,
     pub(crate) outage: Outage,
+    /// Number of the present step. Unlike time it tells apart what happens at one moment.
+    pub(crate) steps: u64,
     nodes: Vec<SmolStr>,
     wake_at: Option<Duration>,
 }
@@ -39,7 +43,7 @@
 }
 
 /// Failures of the store in a row, over all shards.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Outage {
     pub(crate) failures: u32,
     pub(crate) retry_at: Duration,
@@ -61,6 +65,7 @@
             next_ticket: 1,
             cursor: 0,
             outage: Outage::default(),
+            steps: 0,
             nodes: Vec::new(),
             wake_at: None,
         }
@@ -74,6 +79,7 @@
         rng: &mut SmallRng,
         actions: &mut Vec<Action>,
     ) {
+        self.steps += 1;
         let scope = &mut Scope { now, rng, actions };
         match message {
             Message::Claim { request, key, digest } => self.claim(request, &key, digest, scope),
@@ -116,7 +122,7 @@
             tell(request, self.down(), scope);
             return;
         }
-        let entry = Entry::new(id, scope.now, Work::Claim { request, digest });
+        let entry = Entry::new(id, scope.now, self.steps, Work::Claim { request, digest });
         self.lane(&id).entries.push(entry);
     }
 
@@ -145,7 +151,8 @@
             held.pending = Some(outcome.clone());
         }
         let work = Work::Settle { request, digest, outcome, told: false };
-        self.lane(&id).entries.push(Entry::new(id, scope.now, work));
+        let entry = Entry::new(id, scope.now, self.steps, work);
+        self.lane(&id).entries.push(entry);
     }
 
     fn lane(&mut self, id: &KeyId) -> &mut Lane {
@@ -235,6 +242,20 @@
     }
 }
 
+impl fmt::Debug for Ledger {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let busy = |lane: &&Lane| lane.known.is_some() || !lane.entries.is_empty();
+        let lanes: Vec<&Lane> = self.lanes.iter().filter(busy).collect();
+        f.debug_struct("Ledger")
+            .field("lanes", &lanes)
+            .field("held", &self.held)
+            .field("tickets", &self.tickets)
+            .field("outage", &self.outage)
+            .field("wake_at", &self.wake_at)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Lets go of the caller of a piece of work; says whether the work itself goes on.
 fn let_go(entry: &mut Entry, down: &Verdict, scope: &mut Scope<'_>) -> bool {
     match &mut entry.work {
