--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,16 +5,19 @@
 //! whatever must hold for them is checked by a verifier that stands beside the
 //! type (for example [`Plan::verify`] and [`Trail::verify`]).
 
+mod alarm;
 mod event;
 mod id;
 mod layers;
 mod link;
 mod plan;
+mod prefix;
 mod request;
 mod target;
 mod trail;
 mod vm;
 
+pub use alarm::Alarm;
 pub use event::{Event, EventKind};
 pub use id::{
     AttemptId, Depth, DomainName, Layer, ModelName, NodeName, OrganisationName, RequestId,
@@ -23,6 +26,7 @@
 pub use layers::Layers;
 pub use link::Link;
 pub use plan::{Plan, Stage};
+pub use prefix::{PREFIX_BYTES, prefixes};
 pub use request::{Request, Shape};
 pub use target::{Engine, Kind, Service, Target};
 pub use trail::{Fault, Hop, Trail};
