--- /dev/null
+++ b/crates/node/src/services/member.rs
@@ -0,0 +1,128 @@
+//! Membership under its name.
+
+use std::time::Duration;
+
+use fleet::{NodeName, Target};
+use kernel::{Name, Service};
+
+use super::{Alarm, Ctx, MEMBER, send};
+use crate::{Action, Message, Request};
+
+/// How long a quarantine told without an end holds.
+const QUARANTINE_TTL: Duration = Duration::from_secs(600);
+
+/// Membership.
+pub(crate) struct MemberService {
+    name: NodeName,
+    machine: member::Membership,
+    actions: Vec<member::Action>,
+    alarm: Alarm,
+}
+
+impl MemberService {
+    pub(crate) fn new(name: NodeName, settings: member::Settings) -> Self {
+        Self {
+            name,
+            machine: member::Membership::new(settings),
+            actions: Vec::new(),
+            alarm: Alarm::default(),
+        }
+    }
+
+    fn nodes(&self, nodes: Vec<member::Node>, ctx: &mut Ctx<'_>) {
+        let mut alive: Vec<NodeName> = nodes
+            .iter()
+            .filter(|node| node.state == member::State::Alive && node.name != self.name)
+            .map(|node| node.name.clone())
+            .collect();
+        alive.push(self.name.clone());
+        alive.sort();
+        let count = u32::try_from(alive.len()).unwrap_or(u32::MAX);
+        let others = nodes.iter().filter(|node| node.name != self.name);
+        let known = 1 + others.clone().filter(|node| node.state != member::State::Left).count();
+        let known = u32::try_from(known).unwrap_or(u32::MAX);
+        send(ctx, Message::Preset(preset::Message::Nodes { alive: count, known }));
+        for node in others.filter(|node| node.state == member::State::Alive) {
+            let (node, version) = (node.name.clone(), node.preset);
+            send(ctx, Message::Preset(preset::Message::PeerVersion { node, version }));
+        }
+        send(ctx, Message::Ledger(ledger::Message::Nodes(alive)));
+        ctx.act(Action::Nodes(nodes));
+    }
+
+    fn act(&mut self, action: member::Action, ctx: &mut Ctx<'_>) {
+        match action {
+            member::Action::Send { to, address, heartbeat } => {
+                ctx.act(Action::Heartbeat { to, address, heartbeat });
+            }
+            member::Action::Reply(heartbeat) => ctx.act(Action::Reply(heartbeat)),
+            member::Action::Nodes(nodes) => self.nodes(nodes, ctx),
+            member::Action::Targets(targets) => {
+                let services = targets.iter().map(service_of).collect();
+                send(ctx, Message::Request(Request::Services(services)));
+                send(ctx, Message::Targets(targets.clone()));
+                ctx.act(Action::Targets(targets));
+            }
+            member::Action::Proved { version, at } => {
+                send(ctx, Message::Preset(preset::Message::Proved { version, at }));
+            }
+            member::Action::Agreed { version, at } => {
+                send(ctx, Message::Preset(preset::Message::Agreed { version, at }));
+            }
+            member::Action::Demand { live, totals } => {
+                send(ctx, Message::Demand { live, totals });
+            }
+            member::Action::Lost(targets) => {
+                send(ctx, Message::Route(route::Message::Lost { targets }));
+            }
+            member::Action::Learned { news, ttl } => learned(news, ttl, ctx),
+            member::Action::Behind { node, address: _, version } => {
+                send(ctx, Message::Preset(preset::Message::PeerVersion { node, version }));
+            }
+            member::Action::Confident(confident) => {
+                send(ctx, Message::Preset(preset::Message::Confident(confident)));
+            }
+            member::Action::Wake(after) => {
+                self.alarm.ask(after, Message::Member(member::Message::Wake), ctx);
+            }
+            member::Action::Log(event) => ctx.act(Action::Log(event)),
+        }
+    }
+}
+
+/// Model or plain service of a target.
+fn service_of(target: &Target) -> smol_str::SmolStr {
+    match &target.kind {
+        fleet::Kind::Engine(engine) => engine.model.clone(),
+        fleet::Kind::Service(service) => service.name.clone(),
+    }
+}
+
+/// Hands news from another node to the service that it concerns.
+fn learned(news: member::News, ttl: Option<Duration>, ctx: &mut Ctx<'_>) {
+    match news {
+        member::News::Quarantine { fingerprint, target, condemned } => {
+            let ttl = ttl.unwrap_or(QUARANTINE_TTL);
+            let quarantine = route::Quarantine { fingerprint, target, condemned, ttl };
+            send(ctx, Message::Route(route::Message::Quarantine(quarantine)));
+        }
+        member::News::Standing { .. }
+        | member::News::Leaving { .. }
+        | member::News::Demand { .. } => {}
+    }
+}
+
+impl Service<Message, Action> for MemberService {
+    fn name(&self) -> Name {
+        MEMBER
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let Message::Member(message) = message else { return };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.act(action, ctx);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/services/preset.rs
@@ -0,0 +1,74 @@
+//! The preset service under its name.
+
+use std::sync::Arc;
+
+use kernel::{Name, Service};
+
+use super::{Alarm, Ctx, PRESET, send};
+use crate::{Action, Message, Request};
+
+/// The preset service.
+pub(crate) struct PresetService {
+    machine: preset::Follower,
+    actions: Vec<preset::Action>,
+    alarm: Alarm,
+}
+
+impl PresetService {
+    pub(crate) fn new(settings: preset::Settings) -> Self {
+        Self {
+            machine: preset::Follower::new(settings),
+            actions: Vec::new(),
+            alarm: Alarm::default(),
+        }
+    }
+}
+
+impl Service<Message, Action> for PresetService {
+    fn name(&self) -> Name {
+        PRESET
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let Message::Preset(message) = message else { return };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                preset::Action::InForce { preset, value } => in_force(preset, value, ctx),
+                preset::Action::Fresh(fresh) => {
+                    send(ctx, Message::Request(Request::Fresh(fresh)));
+                    ctx.act(Action::Fresh(fresh));
+                }
+                preset::Action::Watch(watch) => ctx.act(Action::Watch(watch)),
+                preset::Action::Proof(proof) => {
+                    send(ctx, Message::Member(member::Message::Proof(proof)));
+                }
+                preset::Action::Poll => ctx.act(Action::Poll),
+                preset::Action::Ask(node) => ctx.act(Action::Ask(node)),
+                preset::Action::Wake(after) => {
+                    self.alarm.ask(after, Message::Preset(preset::Message::Wake), ctx);
+                }
+                preset::Action::Log(event) => ctx.act(Action::Log(event)),
+            }
+        }
+    }
+}
+
+/// Tells every service what the preset sets for it.
+fn in_force(preset: Arc<preset::Preset>, value: Arc<[u8]>, ctx: &mut Ctx<'_>) {
+    let weights = preset.organisations.iter();
+    let weights = weights.map(|organisation| (organisation.name.clone(), organisation.weight));
+    let bounds =
+        limit::Bounds { weights: weights.collect(), queue: preset.queue, wait: preset.wait };
+    send(ctx, Message::Limit(limit::Message::Bounds(bounds)));
+    send(ctx, Message::Links(preset.links.clone()));
+    let bounds = route::Bounds {
+        retry_share: preset.retry_share,
+        attempts: preset.attempts,
+        quarantine: preset.quarantine,
+    };
+    send(ctx, Message::Route(route::Message::Bounds(bounds)));
+    send(ctx, Message::Member(member::Message::Preset(preset.version)));
+    ctx.act(Action::InForce { preset, value });
+}
--- /dev/null
+++ b/crates/node/src/services/route.rs
@@ -0,0 +1,91 @@
+//! Routing under its name.
+
+use fleet::{Link, Target};
+use kernel::{Name, Service};
+
+use super::{Alarm, Ctx, ROUTE, send};
+use crate::{Action, Message, Request};
+
+/// Routing.
+pub(crate) struct RouteService {
+    machine: route::Router,
+    targets: Vec<Target>,
+    links: Vec<Link>,
+    actions: Vec<route::Action>,
+    alarm: Alarm,
+}
+
+impl RouteService {
+    pub(crate) fn new(settings: route::Settings) -> Self {
+        Self {
+            machine: route::Router::new(settings),
+            targets: Vec::new(),
+            links: Vec::new(),
+            actions: Vec::new(),
+            alarm: Alarm::default(),
+        }
+    }
+
+    fn fleet(&self) -> route::Message {
+        route::Message::Fleet { targets: self.targets.clone(), links: self.links.clone() }
+    }
+
+    fn act(&mut self, action: route::Action, ctx: &mut Ctx<'_>) {
+        match action {
+            route::Action::Dispatch(dispatch) => {
+                send(ctx, Message::Request(Request::Dispatch(dispatch)));
+            }
+            route::Action::Cancel { request, attempt, plan } => {
+                ctx.act(Action::Cancel { request, attempt, plan });
+            }
+            route::Action::Finish { request, verdict } => {
+                send(ctx, Message::Request(Request::Finish { request, verdict }));
+            }
+            route::Action::Quarantine(quarantine) => {
+                let news = member::News::Quarantine {
+                    fingerprint: quarantine.fingerprint,
+                    target: quarantine.target,
+                    condemned: quarantine.condemned,
+                };
+                send(ctx, Message::Member(member::Message::Publish(news)));
+            }
+            route::Action::Leaving(target) => {
+                send(ctx, Message::Member(member::Message::Leaving(target)));
+            }
+            route::Action::Capacity { service, tokens_per_second, slots } => {
+                let capacity = limit::Capacity { service, tokens_per_second, slots };
+                send(ctx, Message::Limit(limit::Message::Capacity(capacity)));
+            }
+            route::Action::Wake(after) => {
+                self.alarm.ask(after, Message::Route(route::Message::Wake), ctx);
+            }
+            route::Action::Log(event) => ctx.act(Action::Log(event)),
+        }
+    }
+}
+
+impl Service<Message, Action> for RouteService {
+    fn name(&self) -> Name {
+        ROUTE
+    }
+
+    fn handle(&mut self, message: Message, ctx: &mut Ctx<'_>) {
+        let message = match message {
+            Message::Route(message) => message,
+            Message::Targets(targets) => {
+                self.targets = targets;
+                self.fleet()
+            }
+            Message::Links(links) => {
+                self.links = links;
+                self.fleet()
+            }
+            _ => return,
+        };
+        let now = ctx.now();
+        self.machine.step(now, message, ctx.rng(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.act(action, ctx);
+        }
+    }
+}
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod core;
 mod explain;
+mod intake;
 mod loads;
 pub mod logging;
 mod operators;
--- /dev/null
+++ b/crates/node/src/shell/relay/answer.rs
@@ -0,0 +1,91 @@
+//! What the caller is told at the end.
+
+use std::time::Duration;
+
+use fleet::Event as LogEvent;
+
+use super::{Call, Caller, Relay};
+use crate::shell::reply::{self, Reply};
+use crate::shell::shared::hex;
+use crate::{End, Request, event};
+
+impl Relay {
+    /// The caller's last event is not of this answer.
+    pub(super) fn conflict(&mut self) {
+        let text = "the answer computed again differs from the one that Last-Event-ID names";
+        let reply = Reply::error(409, "last_event_mismatch", text, Some(self.request))
+            .run("attempt-not-run")
+            .retry_after(Duration::from_secs(1));
+        self.answer_with(reply);
+        self.tell(Request::HungUp(self.request));
+    }
+
+    pub(super) fn answer_with(&mut self, reply: Reply) {
+        if let Caller::Waiting(caller) = std::mem::replace(&mut self.caller, Caller::Gone)
+            && caller.send(reply).is_err()
+        {
+            log::debug!("the caller of {} has gone", hex(self.request));
+        }
+    }
+
+    /// Tells the caller how the request ended.
+    pub(super) async fn end(&mut self, end: End) {
+        let name = reply::name(&end);
+        metrics::counter!("magnolia_requests", "end" => name).increment(1);
+        self.log(
+            LogEvent::new(&event::FINISHED)
+                .with("request", hex(self.request))
+                .with("end", name)
+                .with("reason", reply::reason(&end))
+                .with("tokens", self.texts.len())
+                .with("ms", self.began.elapsed().as_millis()),
+        );
+        if end == End::Complete {
+            self.complete().await;
+            return;
+        }
+        let keyed = match &self.call {
+            Call::Model(model) => model.keyed,
+            // For a call that may not be repeated the ledger speaks for earlier sendings.
+            Call::Plain(service) => service.keyed && service.repeatable,
+        };
+        match &self.caller {
+            Caller::Streaming(_) => {
+                let piece = reply::failure_event(&end, self.request);
+                self.deliver(piece).await;
+            }
+            Caller::Waiting(_) => self.answer_with(reply::of_end(&end, self.request, keyed)),
+            Caller::Gone => {}
+        }
+    }
+
+    pub(super) async fn complete(&mut self) {
+        let model = match &self.call {
+            Call::Plain(_) => {
+                let reply = match self.answer.take() {
+                    Some(answer) => Reply::answer(answer, self.request),
+                    None => reply::of_end(&End::Unknown, self.request, true),
+                };
+                self.answer_with(reply.run("complete"));
+                return;
+            }
+            Call::Model(model) => model,
+        };
+        let short = model.last.is_some_and(|last| self.next() < last.index);
+        if short || !self.matches_last() {
+            self.conflict();
+            return;
+        }
+        if model.completion.shape.stream {
+            let closing = model.header.closing(&self.finish);
+            let piece = reply::closing_event(&self.event_id(model), &closing);
+            self.deliver(piece).await;
+            return;
+        }
+        let text = self.texts.concat();
+        let shape = model.completion.shape;
+        let whole = model.header.whole(&text, &self.finish, shape, self.texts.len());
+        let reply = Reply::json(200, &whole, self.request).run("complete");
+        self.answer_with(reply);
+    }
+}
--- a/crates/node/src/shell/relay.rs
+++ b/crates/node/src/shell/relay/mod.rs
@@ -6,6 +6,9 @@
 //! goes along with the next attempt, so that the caller's stream goes on where
 //! the last one broke.
 
+mod answer;
+mod token;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -17,12 +20,12 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::attempt::{self, Event, Plain, Report, Token};
-use super::reply::{self, Reply};
+use super::attempt::{self, Event, Plain, Report};
+use super::reply::Reply;
 use super::shared::{Command, Input, Shared, hex};
 use crate::api::{Completion, Header};
 use crate::identity::{Digest, EventId};
-use crate::{Answer, End, Message, Request, event};
+use crate::{Answer, Message, Request, event};
 
 /// Events of attempts that wait for the relay.
 const EVENTS_WAITING: usize = 64;
@@ -283,103 +286,6 @@
         }
     }
 
-    fn drop_event(&self, reason: &str, attempt: AttemptId) {
-        metrics::counter!("magnolia_tokens_dropped", "reason" => reason.to_owned()).increment(1);
-        self.log(
-            LogEvent::new(&event::DROPPED)
-                .with("request", hex(self.request))
-                .with("attempt", attempt)
-                .with("reason", reason),
-        );
-    }
-
-    async fn token(&mut self, token: Token) {
-        let Some(current) = &self.current else { return };
-        if token.request != hex(self.request) {
-            self.drop_event("other_request", token.attempt);
-            return;
-        }
-        if token.attempt != current.id {
-            self.drop_event("older_attempt", token.attempt);
-            return;
-        }
-        if token.index < self.next() {
-            self.drop_event("already_delivered", token.attempt);
-            return;
-        }
-        if token.index > self.next() {
-            self.ended(route::Ending::Broken { target: None });
-            return;
-        }
-        if let Err(fault) = token.trail.verify(&current.plan, current.depth) {
-            self.log(
-                LogEvent::new(&event::ASTRAY)
-                    .with("request", hex(self.request))
-                    .with("attempt", token.attempt)
-                    .with("reason", fault),
-            );
-            self.ended(route::Ending::Astray);
-            return;
-        }
-        self.deadline = Some(Instant::now() + current.stall);
-        self.accept(token.text).await;
-    }
-
-    /// Takes a checked token and delivers it unless the caller has it already.
-    async fn accept(&mut self, text: SmolStr) {
-        if self.texts.is_empty() && !self.matches_last() {
-            self.conflict();
-            return;
-        }
-        self.digest.add(&text);
-        self.texts.push(text.clone());
-        self.sample();
-        if !self.started {
-            self.started = true;
-            self.tell(Request::Started(self.request));
-            metrics::histogram!("magnolia_first_token_seconds")
-                .record(self.began.elapsed().as_secs_f64());
-        }
-        let Call::Model(model) = &self.call else { return };
-        if model.last.is_some_and(|last| self.next() <= last.index) {
-            if !self.matches_last() {
-                self.conflict();
-            }
-            return;
-        }
-        if !model.completion.shape.stream {
-            return;
-        }
-        let piece = reply::event(&self.event_id(model), &model.header.token(&text));
-        metrics::counter!("magnolia_tokens").increment(1);
-        self.deliver(piece).await;
-    }
-
-    /// Whether the text up to the caller's last event is the one that the caller has.
-    fn matches_last(&self) -> bool {
-        let Call::Model(model) = &self.call else { return true };
-        model
-            .last
-            .is_none_or(|last| last.index != self.next() || last.digest == self.digest.value())
-    }
-
-    fn event_id(&self, model: &Model) -> EventId {
-        EventId { answer: model.header.answer, index: self.next(), digest: self.digest.value() }
-    }
-
-    fn sample(&mut self) {
-        let next = self.next();
-        if next != 1 && next - self.sampled < SAMPLE_TOKENS {
-            return;
-        }
-        self.sampled = next;
-        if let Some(current) = &self.current {
-            let (request, attempt) = (self.request, current.id);
-            let progress = route::Message::Progress { request, attempt, next };
-            self.shared.inbox.tell(Message::Route(progress));
-        }
-    }
-
     /// Sends a piece of the stream, and its head before the first.
     async fn deliver(&mut self, piece: Bytes) {
         if let Caller::Waiting(_) = self.caller {
@@ -419,37 +325,6 @@
         self.tell(Request::HungUp(self.request));
     }
 
-    /// The caller's last event is not of this answer.
-    fn conflict(&mut self) {
-        let text = "the answer computed again differs from the one that Last-Event-ID names";
-        let reply = Reply::error(409, "last_event_mismatch", text, Some(self.request))
-            .run("attempt-not-run")
-            .retry_after(Duration::from_secs(1));
-        self.answer_with(reply);
-        self.tell(Request::HungUp(self.request));
-    }
-
-    fn answer_with(&mut self, reply: Reply) {
-        if let Caller::Waiting(caller) = std::mem::replace(&mut self.caller, Caller::Gone)
-            && caller.send(reply).is_err()
-        {
-            log::debug!("the caller of {} has gone", hex(self.request));
-        }
-    }
-
-    fn closed(&mut self, request: &str, attempt: AttemptId, finish: SmolStr, tokens: TokenIndex) {
-        let Some(current) = &self.current else { return };
-        if request != hex(self.request) {
-            self.drop_event("other_request", attempt);
-            self.ended(route::Ending::Broken { target: None });
-        } else if attempt != current.id || tokens != self.next() {
-            self.ended(route::Ending::Broken { target: None });
-        } else {
-            self.finish = finish;
-            self.ended(route::Ending::Complete);
-        }
-    }
-
     fn answered(&mut self, answer: Answer) {
         if !self.started {
             self.started = true;
@@ -469,67 +344,6 @@
         let answer = self.answer.clone();
         self.tell(Request::Ended { request, attempt, next, ending, answer });
     }
-
-    /// Tells the caller how the request ended.
-    async fn end(&mut self, end: End) {
-        let name = reply::name(&end);
-        metrics::counter!("magnolia_requests", "end" => name).increment(1);
-        self.log(
-            LogEvent::new(&event::FINISHED)
-                .with("request", hex(self.request))
-                .with("end", name)
-                .with("reason", reply::reason(&end))
-                .with("tokens", self.texts.len())
-                .with("ms", self.began.elapsed().as_millis()),
-        );
-        if end == End::Complete {
-            self.complete().await;
-            return;
-        }
-        let keyed = match &self.call {
-            Call::Model(model) => model.keyed,
-            // For a call that may not be repeated the ledger speaks for earlier sendings.
-            Call::Plain(service) => service.keyed && service.repeatable,
-        };
-        match &self.caller {
-            Caller::Streaming(_) => {
-                let piece = reply::failure_event(&end, self.request);
-                self.deliver(piece).await;
-            }
-            Caller::Waiting(_) => self.answer_with(reply::of_end(&end, self.request, keyed)),
-            Caller::Gone => {}
-        }
-    }
-
-    async fn complete(&mut self) {
-        let model = match &self.call {
-            Call::Plain(_) => {
-                let reply = match self.answer.take() {
-                    Some(answer) => Reply::answer(answer, self.request),
-                    None => reply::of_end(&End::Unknown, self.request, true),
-                };
-                self.answer_with(reply.run("complete"));
-                return;
-            }
-            Call::Model(model) => model,
-        };
-        let short = model.last.is_some_and(|last| self.next() < last.index);
-        if short || !self.matches_last() {
-            self.conflict();
-            return;
-        }
-        if model.completion.shape.stream {
-            let closing = model.header.closing(&self.finish);
-            let piece = reply::closing_event(&self.event_id(model), &closing);
-            self.deliver(piece).await;
-            return;
-        }
-        let text = self.texts.concat();
-        let shape = model.completion.shape;
-        let whole = model.header.whole(&text, &self.finish, shape, self.texts.len());
-        let reply = Reply::json(200, &whole, self.request).run("complete");
-        self.answer_with(reply);
-    }
 }
 
 /// Tells all stages of a plan to end an attempt.
--- /dev/null
+++ b/crates/node/src/shell/relay/token.rs
@@ -0,0 +1,130 @@
+//! The checks of each token, and its way to the caller's answer.
+
+use fleet::{AttemptId, Event as LogEvent, TokenIndex};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::{Call, Model, Relay, SAMPLE_TOKENS};
+use crate::identity::EventId;
+use crate::shell::attempt::Token;
+use crate::shell::reply;
+use crate::shell::shared::hex;
+use crate::{Message, Request, event};
+
+impl Relay {
+    pub(super) fn drop_event(&self, reason: &str, attempt: AttemptId) {
+        metrics::counter!("magnolia_tokens_dropped", "reason" => reason.to_owned()).increment(1);
+        self.log(
+            LogEvent::new(&event::DROPPED)
+                .with("request", hex(self.request))
+                .with("attempt", attempt)
+                .with("reason", reason),
+        );
+    }
+
+    pub(super) async fn token(&mut self, token: Token) {
+        let Some(current) = &self.current else { return };
+        if token.request != hex(self.request) {
+            self.drop_event("other_request", token.attempt);
+            return;
+        }
+        if token.attempt != current.id {
+            self.drop_event("older_attempt", token.attempt);
+            return;
+        }
+        if token.index < self.next() {
+            self.drop_event("already_delivered", token.attempt);
+            return;
+        }
+        if token.index > self.next() {
+            self.ended(route::Ending::Broken { target: None });
+            return;
+        }
+        if let Err(fault) = token.trail.verify(&current.plan, current.depth) {
+            self.log(
+                LogEvent::new(&event::ASTRAY)
+                    .with("request", hex(self.request))
+                    .with("attempt", token.attempt)
+                    .with("reason", fault),
+            );
+            self.ended(route::Ending::Astray);
+            return;
+        }
+        self.deadline = Some(Instant::now() + current.stall);
+        self.accept(token.text).await;
+    }
+
+    /// Takes a checked token and delivers it unless the caller has it already.
+    pub(super) async fn accept(&mut self, text: SmolStr) {
+        if self.texts.is_empty() && !self.matches_last() {
+            self.conflict();
+            return;
+        }
+        self.digest.add(&text);
+        self.texts.push(text.clone());
+        self.sample();
+        if !self.started {
+            self.started = true;
+            self.tell(Request::Started(self.request));
+            metrics::histogram!("magnolia_first_token_seconds")
+                .record(self.began.elapsed().as_secs_f64());
+        }
+        let Call::Model(model) = &self.call else { return };
+        if model.last.is_some_and(|last| self.next() <= last.index) {
+            if !self.matches_last() {
+                self.conflict();
+            }
+            return;
+        }
+        if !model.completion.shape.stream {
+            return;
+        }
+        let piece = reply::event(&self.event_id(model), &model.header.token(&text));
+        metrics::counter!("magnolia_tokens").increment(1);
+        self.deliver(piece).await;
+    }
+
+    /// Whether the text up to the caller's last event is the one that the caller has.
+    pub(super) fn matches_last(&self) -> bool {
+        let Call::Model(model) = &self.call else { return true };
+        model
+            .last
+            .is_none_or(|last| last.index != self.next() || last.digest == self.digest.value())
+    }
+
+    pub(super) fn event_id(&self, model: &Model) -> EventId {
+        EventId { answer: model.header.answer, index: self.next(), digest: self.digest.value() }
+    }
+
+    pub(super) fn sample(&mut self) {
+        let next = self.next();
+        if next != 1 && next - self.sampled < SAMPLE_TOKENS {
+            return;
+        }
+        self.sampled = next;
+        if let Some(current) = &self.current {
+            let (request, attempt) = (self.request, current.id);
+            let progress = route::Message::Progress { request, attempt, next };
+            self.shared.inbox.tell(Message::Route(progress));
+        }
+    }
+
+    pub(super) fn closed(
+        &mut self,
+        request: &str,
+        attempt: AttemptId,
+        finish: SmolStr,
+        tokens: TokenIndex,
+    ) {
+        let Some(current) = &self.current else { return };
+        if request != hex(self.request) {
+            self.drop_event("other_request", attempt);
+            self.ended(route::Ending::Broken { target: None });
+        } else if attempt != current.id || tokens != self.next() {
+            self.ended(route::Ending::Broken { target: None });
+        } else {
+            self.finish = finish;
+            self.ended(route::Ending::Complete);
+        }
+    }
+}
