Node: listen queue of 4,096 connections

Cause of a test that failed one time in six (idle connections bounded): 200 quick connections overflowed the default listen queue of 128, the system asked again after one second, and the last one found room where it should have been turned away. Ruled out: the accept loop (it drains at once).

--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -12,6 +12,7 @@
 use error_stack::{Report, ResultExt as _};
 use fleet::Event;
 use kernel::Threads;
+use socket2::SockRef;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 
@@ -87,9 +88,14 @@
     decisions: Option<Threads>,
 }
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 4_096;
+
 fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     let error = StartError::Port { setting, address };
     let listener = TcpListener::bind(address).change_context(error.clone())?;
+    // A full queue costs a caller a second until its system asks again.
+    SockRef::from(&listener).listen(LISTEN_BACKLOG).change_context(error.clone())?;
     listener.set_nonblocking(true).change_context(error)?;
     Ok(listener)
 }
