--- a/crates/scenario/examples/support/mod.rs
+++ b/crates/scenario/examples/support/mod.rs
@@ -15,6 +15,8 @@
 use node::shell::PRESET_KEY;
 use serde_json::{Value, json};
 
+/// Set to see the nodes' log lines.
+const LOG_VARIABLE: &str = "MEASURE_LOG";
 /// Clock ticks of a processor time in `/proc/PID/stat`.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -34,15 +36,19 @@
             .and_then(|path| Some(path.parent()?.parent()?.join("magnoliarun")))
             .expect("the node's binary stands beside the examples");
         let [callers, operators, peers] = [(); 3].map(|()| free_address());
+        let logged = match std::env::var_os(LOG_VARIABLE) {
+            Some(_) => ("--log-level=info", Stdio::inherit()),
+            None => ("--log-level=warn", Stdio::null()),
+        };
         let child = Command::new(binary)
-            .args(["--secret=measurement", "--log-level=warn"])
+            .args(["--secret=measurement", logged.0])
             .arg(format!("--name={name}"))
             .arg(format!("--domain={domain}"))
             .arg(format!("--callers={callers}"))
             .arg(format!("--operators={operators}"))
             .arg(format!("--peers={peers}"))
             .arg(format!("--platform={platform}"))
-            .stdout(Stdio::null())
+            .stdout(logged.1)
             .spawn()
             .expect("the node starts: cargo build --release -p node");
         Self { child, callers, peers, operators }
