Orders: desired state asserted under a lease, each order with a higher fencing number

One number for each holder was the first idea; it lets a late order of the same holder undo a newer one at an engine that checks.

--- /dev/null
+++ b/crates/order/src/settings.rs
@@ -0,0 +1,102 @@
+//! Settings of the service.
+
+use std::time::Duration;
+
+/// Settings; made by [`Settings::builder`].
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    pub(crate) ttl: Duration,
+    pub(crate) margin: Duration,
+    pub(crate) window: Duration,
+    pub(crate) renew: Duration,
+    pub(crate) compare: Duration,
+    pub(crate) concurrency: usize,
+    pub(crate) weakness: Weakness,
+}
+
+/// A mechanism that is left out, so that tests can show that they notice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Weakness {
+    /// Nothing is left out.
+    #[default]
+    None,
+    /// Engines are compared once and not again.
+    NoRepeat,
+    /// Orders are sent without a look at the lease.
+    NoLeaseCheck,
+    /// All orders of one holder carry the same fencing number.
+    SameFence,
+}
+
+impl Settings {
+    /// Starts settings.
+    pub fn builder() -> Builder {
+        Builder {
+            settings: Settings {
+                ttl: Duration::from_secs(10),
+                margin: Duration::from_secs(2),
+                window: Duration::from_secs(1),
+                renew: Duration::from_secs(3),
+                compare: Duration::from_secs(5),
+                concurrency: 16,
+                weakness: Weakness::None,
+            },
+        }
+    }
+}
+
+/// Builder of [`Settings`].
+#[derive(Clone, Copy, Debug)]
+pub struct Builder {
+    settings: Settings,
+}
+
+impl Builder {
+    /// Time to live of the lease.
+    pub fn ttl(mut self, ttl: Duration) -> Self {
+        self.settings.ttl = ttl;
+        self
+    }
+
+    /// Part at the end of the lease in which no order is sent any more.
+    pub fn margin(mut self, margin: Duration) -> Self {
+        self.settings.margin = margin;
+        self
+    }
+
+    /// Longest time from the decision to send an order to its last byte.
+    pub fn window(mut self, window: Duration) -> Self {
+        self.settings.window = window;
+        self
+    }
+
+    /// Interval at which the lease is renewed, or asked for by the other nodes.
+    pub fn renew(mut self, interval: Duration) -> Self {
+        self.settings.renew = interval;
+        self
+    }
+
+    /// Interval at which each engine is compared with its desired state.
+    pub fn compare(mut self, interval: Duration) -> Self {
+        self.settings.compare = interval;
+        self
+    }
+
+    /// Calls to engines at one time.
+    pub fn concurrency(mut self, calls: usize) -> Self {
+        self.settings.concurrency = calls.max(1);
+        self
+    }
+
+    /// Leaves a mechanism out; for tests only.
+    pub fn weakness(mut self, weakness: Weakness) -> Self {
+        self.settings.weakness = weakness;
+        self
+    }
+
+    /// Finishes the settings.
+    pub fn build(self) -> Settings {
+        debug_assert!(self.settings.margin < self.settings.ttl);
+        self.settings
+    }
+}
