--- a/crates/scenario/examples/measure.rs
+++ b/crates/scenario/examples/measure.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use scenario::measure::{MEASURES, find};
+use scenario::measure::{MEASURES, Measure, find};
 
 /// Prints measures, one JSON line for each name and seed
 #[derive(Clone, Debug, Bpaf)]
@@ -44,11 +44,16 @@
             }
         };
         for seed in settings.seed..settings.seed.saturating_add(settings.seeds) {
-            match serde_json::to_string(&measure.line(seed)) {
-                Ok(line) => println!("{line}"),
-                Err(error) => eprintln!("Error: {error}"),
+            if let Err(failure) = print(measure, seed) {
+                eprintln!("Error: {name}, seed {seed}: {failure}");
+                return ExitCode::FAILURE;
             }
         }
     }
     ExitCode::SUCCESS
 }
+
+fn print(measure: &Measure, seed: u64) -> Result<(), Box<dyn std::error::Error>> {
+    println!("{}", serde_json::to_string(&measure.line(seed)?)?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/scenario/src/measure/bench.rs
@@ -0,0 +1,90 @@
+//! What measures on processes share.
+
+use std::env;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::{SmolStr, format_smolstr};
+use standin::deployment::Builder;
+
+use crate::Error;
+use crate::process::caller::{Ask, Caller, Request};
+use crate::process::start;
+use crate::process::world::World;
+
+/// Name of the node's binary.
+const BINARY: &str = "magnoliarun";
+/// Nodes of a bench.
+pub(super) const NODES: usize = 4;
+/// Lag of the list of VMs.
+pub(super) const LIST_LAG: Duration = Duration::from_millis(200);
+
+/// Starts a deployment with four nodes and a preset in force.
+pub(super) fn start(builder: Builder) -> Result<World, Error> {
+    let mut world = World::new(&binary()?);
+    world.deployment = Some(builder.lag(LIST_LAG).start().map_err(Error::world)?);
+    start::put_preset(&mut world, "ordinary".into())?;
+    start::start_nodes(&mut world, NODES)?;
+    Ok(world)
+}
+
+/// The generator of a measure's choices.
+pub(super) fn rng(seed: u64) -> SmallRng {
+    SmallRng::seed_from_u64(seed)
+}
+
+/// A streamed chat request with contents and a key of its own.
+pub(super) fn chat(world: &World, name: &str, max_tokens: u32) -> Result<Request, Error> {
+    let deployment = world.deployment()?;
+    let organisation = deployment.organisations.first();
+    Ok(Request {
+        ask: Ask::Chat,
+        model: deployment.model.clone(),
+        organisation: organisation.map(|one| one.name.clone()).unwrap_or_default(),
+        key: Some(name.into()),
+        max_tokens,
+        stream: true,
+        content: format!("Refinish notes for {name}."),
+    })
+}
+
+/// Sends `count` streams, spread over the nodes, as `PREFIX-0`, ...
+pub(super) fn send(
+    world: &mut World,
+    prefix: &str,
+    count: usize,
+    max_tokens: u32,
+) -> Result<Vec<SmolStr>, Error> {
+    let nodes: Vec<_> = world.nodes.values().map(|node| node.callers).collect();
+    let mut names = Vec::with_capacity(count);
+    for number in 0..count {
+        let name = format_smolstr!("{prefix}-{number}");
+        let request = chat(world, &name, max_tokens)?;
+        let caller = Caller::send(nodes[number % nodes.len()], request, None)?;
+        world.callers.insert(name.clone(), caller);
+        names.push(name);
+    }
+    Ok(names)
+}
+
+/// The value below which 95 in 100 lie, in milliseconds.
+pub(super) fn percentile_95(mut gaps: Vec<Duration>) -> Result<f64, Error> {
+    gaps.sort();
+    let rank = (gaps.len() * 95).div_ceil(100);
+    let value = gaps.get(rank.saturating_sub(1));
+    value.map(|gap| millis(*gap)).ok_or_else(|| Error::world("nothing was measured"))
+}
+
+/// Milliseconds of a duration.
+pub(super) fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn binary() -> Result<PathBuf, Error> {
+    let program = env::current_exe().map_err(Error::world)?;
+    let places = program.ancestors().skip(1).take(3).map(|folder| folder.join(BINARY));
+    let mut found = places.filter(|path| path.is_file());
+    found.next().ok_or_else(|| Error::world("build the node first: cargo build --release -p node"))
+}
--- a/crates/scenario/src/process/answer.rs
+++ b/crates/scenario/src/process/answer.rs
@@ -1,6 +1,7 @@
 //! An answer as a caller receives it.
 
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 
 use fleet::RequestId;
 use serde_json::Value;
@@ -19,6 +20,8 @@
     pub(crate) retry_after: bool,
     /// Ids of the events.
     pub(crate) ids: Vec<SmolStr>,
+    /// When each event came.
+    pub(crate) arrivals: Vec<Instant>,
     /// Text of the answer.
     pub(crate) text: String,
     /// Why the model ended, when it did.
@@ -41,6 +44,7 @@
     pub(crate) fn take_line(&mut self, line: &str) {
         if let Some(id) = line.strip_prefix("id: ") {
             self.ids.push(id.into());
+            self.arrivals.push(Instant::now());
         } else if let Some(data) = line.strip_prefix("data: ") {
             if data == "[DONE]" {
                 self.closed = true;
--- a/crates/scenario/src/process/condition.rs
+++ b/crates/scenario/src/process/condition.rs
@@ -39,8 +39,7 @@
 /// Waits until all nodes are ready.
 pub(crate) fn all_ready(world: &World) -> Result<(), Error> {
     for node in world.nodes.values() {
-        let not = || format_smolstr!("{} is not ready", node.name);
-        poll("readiness", || node.is_ready().then_some(()).ok_or_else(not))?;
+        poll("readiness", || node.ready())?;
     }
     Ok(())
 }
@@ -81,7 +80,7 @@
 }
 
 /// `until=preset`: the last preset put is in force on all nodes.
-fn preset_in_force(world: &World) -> Result<(), Error> {
+pub(crate) fn preset_in_force(world: &World) -> Result<(), Error> {
     for node in world.nodes.values() {
         poll("the preset in force", || {
             let status = node.status().unwrap_or_default();
--- a/crates/scenario/src/process/directive.rs
+++ b/crates/scenario/src/process/directive.rs
@@ -5,25 +5,20 @@
 
 use datadriven::TestCase;
 use fleet::DomainName;
-use preset::{Organisation, Preset, Stored};
 use rustix::process::Signal;
 use smol_str::{SmolStr, format_smolstr};
-use standin::deployment::{self, Builder, Deployment};
+use standin::deployment::{self, Builder};
 use standin::{engine, platform, service};
 
 use super::caller::{Ask, Caller, Request};
-use super::node::Node;
 use super::world::{World, poll};
-use super::{check, condition};
+use super::{check, condition, start};
 use crate::{Error, words};
 
 /// Layers of the models of deployments that a script describes.
 const DEPTH: u16 = 24;
 /// Lag of the list of VMs.
 const LIST_LAG: Duration = Duration::from_millis(200);
-/// Renewals after which a write to the store is given up.
-const PUT_ATTEMPTS: u32 = 100;
-
 /// Runs one directive and returns its output.
 pub(crate) fn run(world: &mut World, case: &mut TestCase) -> Result<String, Error> {
     let output = match case.directive.as_str() {
@@ -88,73 +83,16 @@
 }
 
 fn put_preset(world: &mut World, case: &mut TestCase) -> Result<String, Error> {
-    let name: SmolStr = words::or(case, "name", "ordinary".into())?;
-    let deployment = world.deployment()?;
-    let document = document(deployment, name);
-    let address = deployment.platform.address().to_string();
-    let client = store::Client::new(store::Settings::builder(&address).build());
-    let key = node::shell::PRESET_KEY;
-    for _ in 0..PUT_ATTEMPTS {
-        let entry = client.range(store::Purpose::Preset, key).map_err(Error::world)?;
-        let before = entry.as_ref().and_then(|entry| Stored::decode(&entry.value).ok());
-        let version = before.as_ref().map_or(1, |stored| stored.preset.version + 1);
-        let change = format_smolstr!("change-{version}");
-        let value = Stored::following(before.as_ref(), &document, &change, version).encode();
-        let expected = entry.map_or(0, |entry| entry.revision);
-        let write = store::Write { key, expected, value: Some(&value), lease: None, guard: None };
-        if client.cas(store::Purpose::Preset, write).is_ok() {
-            world.version = version;
-            return Ok(format!("version {version}\n"));
-        }
-    }
-    Err(Error::world("the preset could not be written"))
-}
-
-fn document(deployment: &Deployment, name: SmolStr) -> Preset {
-    let organisation = |organisation: &deployment::Organisation| Organisation {
-        name: organisation.name.clone(),
-        weight: organisation.share * 10.0,
-        keys: Vec::new(),
-    };
-    Preset {
-        version: 0,
-        change: SmolStr::default(),
-        name,
-        queue: 1_000,
-        wait: Duration::from_secs(20),
-        retry_share: 0.5,
-        attempts: 8,
-        quarantine: Duration::from_secs(60),
-        organisations: deployment.organisations.iter().map(organisation).collect(),
-        links: Vec::new(),
-    }
+    let name = words::or(case, "name", "ordinary".into())?;
+    Ok(format!("version {}\n", start::put_preset(world, name)?))
 }
 
 fn nodes(world: &mut World, case: &mut TestCase) -> Result<String, Error> {
-    let count: usize = words::or(case, "count", 4)?;
-    let first = world.nodes.len() + 1;
-    let domains: Vec<DomainName> = domains(world.deployment()?);
-    let platform = world.deployment()?.platform.address();
-    for number in first..first + count {
-        let name = format_smolstr!("n{number}");
-        let domain = &domains[number % domains.len()];
-        let node = Node::start(&world.binary, &name, domain, platform)?;
-        world.deployment()?.join_node(name.clone(), domain, node.peers);
-        world.nodes.insert(name, node);
-    }
-    condition::all_ready(world)?;
+    start::start_nodes(world, words::or(case, "count", 4)?)?;
     let names: Vec<&str> = world.nodes.keys().map(SmolStr::as_str).collect();
     Ok(format!("ready: {}\n", names.join(" ")))
 }
 
-fn domains(deployment: &Deployment) -> Vec<DomainName> {
-    let mut domains: Vec<DomainName> =
-        deployment.engines.iter().map(|engine| engine.vm().domain.clone()).collect();
-    domains.sort();
-    domains.dedup();
-    domains
-}
-
 fn send(world: &mut World, case: &mut TestCase) -> Result<String, Error> {
     let name: SmolStr = case.take_arg("as")?;
     let node: SmolStr = case.take_arg("node")?;
--- a/crates/scenario/src/process/mod.rs
+++ b/crates/scenario/src/process/mod.rs
@@ -22,13 +22,14 @@
 //! | `runs` | | prints the bookings that ran, and how often each |
 //! | `calls` | `prefix=magnolia.ledger` | prints which kinds of calls the platform counted |
 
-mod answer;
-mod caller;
+pub(crate) mod answer;
+pub(crate) mod caller;
 mod check;
-mod condition;
+pub(crate) mod condition;
 mod directive;
 mod node;
-mod world;
+pub(crate) mod start;
+pub(crate) mod world;
 
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
--- a/crates/scenario/src/process/node.rs
+++ b/crates/scenario/src/process/node.rs
@@ -6,7 +6,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::caller::agent;
 use crate::Error;
@@ -50,10 +50,21 @@
         Ok(Self { name: name.into(), callers, peers, operators, child })
     }
 
-    /// Whether it says that it is ready.
-    pub(crate) fn is_ready(&self) -> bool {
+    /// Whether it answers at all.
+    pub(crate) fn answers(&self) -> Result<(), SmolStr> {
+        let answer = agent().get(format!("http://{}/livez", self.operators)).call();
+        answer.map(|_| ()).map_err(|error| format_smolstr!("{}: {error}", self.name))
+    }
+
+    /// Asks whether it is ready; else what it says instead.
+    pub(crate) fn ready(&self) -> Result<(), SmolStr> {
         let answer = agent().get(format!("http://{}/readyz", self.operators)).call();
-        answer.is_ok_and(|answer| answer.status() == 200)
+        let mut answer = answer.map_err(|error| format_smolstr!("{}: {error}", self.name))?;
+        if answer.status() == 200 {
+            return Ok(());
+        }
+        let reason = answer.body_mut().read_to_string().unwrap_or_default();
+        Err(format_smolstr!("{}: {}", self.name, reason.trim()))
     }
 
     /// What it tells operators.
--- a/crates/scenario/src/process/world.rs
+++ b/crates/scenario/src/process/world.rs
@@ -24,7 +24,10 @@
     pub(crate) callers: BTreeMap<SmolStr, Caller>,
     pub(crate) nodes: BTreeMap<SmolStr, Node>,
     pub(crate) deployment: Option<Deployment>,
+    /// Version of the last preset put.
     pub(crate) version: Version,
+    /// Nodes started so far.
+    pub(crate) started: usize,
     /// Attempts that had begun on each engine at the last `mark`.
     pub(crate) marked: BTreeMap<SmolStr, BTreeSet<(RequestId, AttemptId)>>,
 }
@@ -38,6 +41,7 @@
             nodes: BTreeMap::new(),
             deployment: None,
             version: 0,
+            started: 0,
             marked: BTreeMap::new(),
         }
     }
--- a/crates/standin/src/deployment/builder.rs
+++ b/crates/standin/src/deployment/builder.rs
@@ -66,6 +66,12 @@
         self
     }
 
+    /// Multiplies the token rates of all engines added so far.
+    pub fn scale(mut self, factor: f64) -> Self {
+        self.engines = self.engines.into_iter().map(|engine| engine.scale(factor)).collect();
+        self
+    }
+
     /// Adds a plain service.
     pub fn service(mut self, service: service::Builder) -> Self {
         self.services.push(service);
--- a/crates/standin/src/engine/builder.rs
+++ b/crates/standin/src/engine/builder.rs
@@ -111,6 +111,12 @@
         self
     }
 
+    /// Multiplies its token rate.
+    pub fn scale(mut self, factor: f64) -> Self {
+        self.tokens_per_second *= factor;
+        self
+    }
+
     /// Streams that it runs at once as the first stage.
     pub fn slots(mut self, slots: u32) -> Self {
         self.slots = slots;
