--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -12,13 +12,14 @@
 use error_stack::{Report, ResultExt as _};
 use fleet::Event;
 use kernel::Threads;
+use socket2::SockRef;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 
 use super::core::Core;
 use super::explain::Explain;
 use super::peers::{Answers, Peers};
-use super::shared::{Inbox, Input, Shared};
+use super::shared::{Inbox, Input, Shared, hex};
 use super::{attempt, callers, loads, logging, operators, store as calls};
 use crate::{Config, Message, Node, Settings, event};
 
@@ -87,9 +88,14 @@
     decisions: Option<Threads>,
 }
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 4_096;
+
 fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     let error = StartError::Port { setting, address };
     let listener = TcpListener::bind(address).change_context(error.clone())?;
+    // A full queue costs a caller a second until its system asks again.
+    SockRef::from(&listener).listen(LISTEN_BACKLOG).change_context(error.clone())?;
     listener.set_nonblocking(true).change_context(error)?;
     Ok(listener)
 }
@@ -209,6 +215,7 @@
             runtime: runtime.handle().clone(),
             agent,
             jobs,
+            client: Arc::clone(&client),
             peers: Peers::new(Arc::clone(&shared), runtime.handle().clone()),
             explain: Explain::new(shared.settings.explained),
             relays: HashMap::new(),
@@ -244,7 +251,7 @@
 
     /// Requests whose answer is not given yet.
     pub fn in_flight(&self) -> usize {
-        self.shared.in_flight.load(Ordering::SeqCst)
+        self.shared.in_flight_count()
     }
 
     /// A flag that makes a planned stop end at once when it is set.
@@ -254,20 +261,36 @@
 
     /// Planned stop: not ready, waits until the balancer has taken notice, takes nothing new,
     /// finishes all in flight, tells the other nodes, ends. Returns the number of requests
-    /// that were cut off because the limit had passed or somebody was in a hurry.
+    /// that were cut off, or whose outcome is not kept, because the limit had passed or somebody
+    /// was in a hurry.
     pub fn stop(mut self) -> usize {
         let settings = self.shared.settings.clone();
         self.shared.draining.store(true, Ordering::SeqCst);
         log::info!("{}", Event::new(&event::DRAINING).with("in_flight", self.in_flight()));
         self.wait(settings.stop_lag, || false);
         self.shared.inbox.send(Input::Close);
+        let limit = Instant::now() + settings.stop_limit;
         let shared = Arc::clone(&self.shared);
-        self.wait(settings.stop_limit, || shared.in_flight.load(Ordering::SeqCst) == 0);
+        self.wait(settings.stop_limit, || {
+            shared.in_flight_count() == 0 && shared.held.load(Ordering::SeqCst) == 0
+        });
+        let cut = shared.in_flight();
+        for request in &cut {
+            let event = Event::new(&event::CUT).with("request", hex(*request));
+            log::warn!("{event}");
+        }
+        // The last bytes of answers may still be on their way to slow callers.
+        self.stop.send_replace(true);
+        let left = limit.saturating_duration_since(Instant::now());
+        self.wait(left, || !cut.is_empty() || shared.connections.load(Ordering::SeqCst) == 0);
         self.shared.inbox.tell(Message::Member(member::Message::Leave));
         thread::sleep(LEAVE_TIME);
-        let cut = self.in_flight();
+        let unread = shared.connections.load(Ordering::SeqCst);
+        let held = shared.held.load(Ordering::SeqCst);
+        let cut = cut.len().max(unread).max(held);
         self.end();
-        log::info!("{}", Event::new(&event::STOPPED).with("node", &settings.name).with("cut", cut));
+        let stopped = Event::new(&event::STOPPED).with("node", &settings.name).with("cut", cut);
+        log::info!("{}", stopped.with("outcomes_not_kept", held));
         cut
     }
 
