--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -3,7 +3,7 @@
 //! A script is a text file of directives, each with an input and the output that is
 //! expected of it, run by the `datadriven` crate. [`process`] runs scripts against
 //! nodes that are processes of their own, with stand-ins for the platform and the
-//! targets; `virtual_time` will run them against single decision services without any
+//! targets; [`virtual_time`] runs them against single decision services without any
 //! clock. [`measure`] lists what is measured, with the bounds that hold.
 //!
 //! Output never contains addresses or times, so that a script's verdict is the same
@@ -12,6 +12,7 @@
 mod error;
 pub mod measure;
 pub mod process;
+pub mod virtual_time;
 mod words;
 
 pub use error::Error;
--- a/crates/scenario/src/measure/throughput.rs
+++ b/crates/scenario/src/measure/throughput.rs
@@ -20,7 +20,7 @@
 /// stand on one machine.
 const SCALE: f64 = 0.1;
 /// Callers, each of which sends its next request when the last has ended.
-const CALLERS: usize = 320;
+const CALLERS: usize = 480;
 /// Most tokens of an answer.
 const MAX_TOKENS: u32 = 48;
 /// Time before the measurement.
--- /dev/null
+++ b/crates/scenario/src/virtual_time/ledgers.rs
@@ -0,0 +1,231 @@
+//! Ledgers of several nodes that share a store.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use datadriven::TestCase;
+use fleet::RequestId;
+use ledger::{Action, Key, Ledger, Message, Outcome, Reply, Settings, Stored, Verdict, Weakness};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::{SmolStr, format_smolstr};
+
+use super::store::{CALL_TIME, FakeStore, Written};
+use super::timeline::{NodeIndex, Timeline};
+use crate::{Error, words};
+
+/// A world of ledgers.
+pub(super) struct Ledgers {
+    names: Vec<SmolStr>,
+    ledgers: Vec<Ledger>,
+    pub(super) store: FakeStore,
+    timeline: Timeline<Message>,
+    rng: SmallRng,
+    /// Keys of the claims, to name them in the output.
+    keys: BTreeMap<RequestId, SmolStr>,
+    /// Requests that were told to run, by key.
+    runs: BTreeMap<SmolStr, Vec<RequestId>>,
+    output: String,
+}
+
+impl Ledgers {
+    /// Makes the world of a `ledger` directive.
+    pub(super) fn new(case: &mut TestCase) -> Result<Self, Error> {
+        let count: usize = words::or(case, "nodes", 3)?;
+        let seed: u64 = words::or(case, "seed", 1)?;
+        let weakness = weakness(&words::or(case, "weakness", "none".to_owned())?)?;
+        let names: Vec<SmolStr> = (1..=count).map(|number| format_smolstr!("n{number}")).collect();
+        let settings = |(name, life): (&SmolStr, u64)| {
+            Settings::builder(name, life).weakness(weakness).build()
+        };
+        let ledgers = names.iter().zip(1..).map(settings).map(Ledger::new).collect();
+        let mut world = Self {
+            names,
+            ledgers,
+            store: FakeStore::default(),
+            timeline: Timeline::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            keys: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            output: String::new(),
+        };
+        for node in 0..count {
+            world.step(node, Message::Nodes(world.names.clone()))?;
+        }
+        Ok(world)
+    }
+
+    /// Runs one directive.
+    pub(super) fn directive(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        match case.directive.as_str() {
+            "claim" => self.claim(case)?,
+            "settle" => self.settle(case)?,
+            "advance" => self.advance(Duration::from_millis(case.take_arg("ms")?))?,
+            "pause" => {
+                let node = self.node(case)?;
+                self.timeline.pause(node, true);
+            }
+            "resume" => {
+                let node = self.node(case)?;
+                self.timeline.pause(node, false);
+            }
+            "lost" => {
+                let node = self.node(case)?;
+                self.timeline.lose(node);
+            }
+            "records" => self.records()?,
+            other => return Err(Error::unknown("directive", other)),
+        }
+        Ok(std::mem::take(&mut self.output))
+    }
+
+    fn node(&self, case: &mut TestCase) -> Result<NodeIndex, Error> {
+        let name: SmolStr = case.take_arg("node")?;
+        let found = self.names.iter().position(|other| *other == name);
+        found.ok_or_else(|| Error::unknown("node", &name))
+    }
+
+    fn key(case: &mut TestCase) -> Result<Key, Error> {
+        let text = case.take_arg("key")?;
+        Ok(Key { organisation: "cascade".into(), service: "booking".into(), text })
+    }
+
+    fn claim(&mut self, case: &mut TestCase) -> Result<(), Error> {
+        let node = self.node(case)?;
+        let key = Self::key(case)?;
+        let request = case.take_arg("request")?;
+        let body: String = words::or(case, "body", "house".to_owned())?;
+        let digest = body.bytes().fold(0, |sum: u64, byte| sum.wrapping_mul(31) + u64::from(byte));
+        self.keys.insert(request, key.text.clone());
+        self.timeline.after(Duration::ZERO, node, Message::Claim { request, key, digest });
+        self.advance(Duration::ZERO)
+    }
+
+    fn settle(&mut self, case: &mut TestCase) -> Result<(), Error> {
+        let node = self.node(case)?;
+        let key = Self::key(case)?;
+        let request = case.take_arg("request")?;
+        let answer: Option<String> = case.try_take_arg("answer")?;
+        let outcome = match answer {
+            Some(body) => Outcome::Answer {
+                status: 200,
+                content_type: "text/plain".into(),
+                body: body.into_bytes(),
+            },
+            None if case.take_flag("not-run")? => Outcome::NotRun,
+            None if case.take_flag("unknown")? => Outcome::Unknown,
+            None => return Err(Error::script("settle needs answer=, not-run or unknown")),
+        };
+        let message = Message::Settle { key, request, outcome };
+        self.timeline.after(Duration::ZERO, node, message);
+        self.advance(Duration::ZERO)
+    }
+
+    fn advance(&mut self, time: Duration) -> Result<(), Error> {
+        let end = self.timeline.now + time;
+        while let Some((node, message)) = self.timeline.next(end) {
+            self.step(node, message)?;
+        }
+        self.timeline.now = end.max(self.timeline.now);
+        Ok(())
+    }
+
+    fn step(&mut self, node: NodeIndex, message: Message) -> Result<(), Error> {
+        let mut actions = Vec::new();
+        let now = self.timeline.now;
+        self.ledgers[node].step(now, message, &mut self.rng, &mut actions);
+        for action in actions {
+            self.perform(node, action)?;
+        }
+        Ok(())
+    }
+
+    fn perform(&mut self, node: NodeIndex, action: Action) -> Result<(), Error> {
+        let now = self.timeline.now;
+        let reply = match action {
+            Action::Read { ticket, shard } => {
+                let result = match self.store.read(now, &ledger::store_key(shard)) {
+                    None => Stored::Down,
+                    Some(None) => Stored::Value { revision: 0, value: Vec::new() },
+                    Some(Some(entry)) => Stored::Value {
+                        revision: u64::try_from(entry.modified).unwrap_or_default(),
+                        value: entry.value,
+                    },
+                };
+                Reply { ticket, result }
+            }
+            Action::Write { ticket, shard, revision, value } => {
+                let key = ledger::store_key(shard);
+                let result = match self.store.write(now, &key, revision, value) {
+                    Written::At(revision) => Stored::Written { revision },
+                    Written::Conflict => Stored::Conflict,
+                    Written::Lost => Stored::Lost,
+                    Written::Down => Stored::Down,
+                };
+                Reply { ticket, result }
+            }
+            Action::Verdict { request, verdict } => return self.verdict(node, request, &verdict),
+            Action::Settled { request, kept } => {
+                let kept = if kept { "kept" } else { "not kept yet" };
+                return self.tell(node, request, &format!("outcome {kept}"));
+            }
+            Action::Wake(delay) => {
+                self.timeline.after(delay, node, Message::Wake);
+                return Ok(());
+            }
+            Action::Log(_) => return Ok(()),
+        };
+        self.timeline.after(CALL_TIME, node, Message::Store(reply));
+        Ok(())
+    }
+
+    fn verdict(
+        &mut self,
+        node: NodeIndex,
+        request: RequestId,
+        verdict: &Verdict,
+    ) -> Result<(), Error> {
+        let text = match verdict {
+            Verdict::Run { .. } => {
+                let key = self.keys.get(&request).cloned().unwrap_or_default();
+                self.runs.entry(key).or_default().push(request);
+                "run".to_owned()
+            }
+            Verdict::Replay(Outcome::Answer { body, .. }) => {
+                format!("replay {}", String::from_utf8_lossy(body))
+            }
+            Verdict::Replay(other) => format!("replay {other:?}").to_lowercase(),
+            Verdict::Unknown => "unknown".to_owned(),
+            Verdict::Mismatch => "mismatch".to_owned(),
+            Verdict::Down { never_ran: true, .. } => "down, never ran".to_owned(),
+            Verdict::Down { never_ran: false, .. } => "down, this sending not run".to_owned(),
+            Verdict::Full { .. } => "full".to_owned(),
+        };
+        self.tell(node, request, &text)
+    }
+
+    fn tell(&mut self, node: NodeIndex, request: RequestId, text: &str) -> Result<(), Error> {
+        let (now, name) = (self.timeline.now.as_millis(), &self.names[node]);
+        writeln!(self.output, "{now} ms {name} request {request}: {text}").map_err(Error::world)
+    }
+
+    fn records(&mut self) -> Result<(), Error> {
+        for (key, requests) in &self.runs {
+            writeln!(self.output, "{key}: told to run {} time(s)", requests.len())
+                .map_err(Error::world)?;
+        }
+        Ok(())
+    }
+}
+
+fn weakness(name: &str) -> Result<Weakness, Error> {
+    Ok(match name {
+        "none" => Weakness::None,
+        "lost-is-written" => Weakness::LostIsWritten,
+        "lost-is-failed" => Weakness::LostIsFailed,
+        "no-bump" => Weakness::NoBump,
+        "any-holder" => Weakness::AnyHolder,
+        other => return Err(Error::unknown("weakness", other)),
+    })
+}
