--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -8,6 +8,7 @@
 
 use fleet::{Layer, Layers, TargetId};
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 
 use crate::outlier::Admission;
 use crate::pool::{Group, Pool};
@@ -135,8 +136,41 @@
     best.map(|(reach, _, _, target)| (target, reach))
 }
 
+/// Stage after stage, each to the end of its target's layers: the way of a router that knows
+/// no flow. With two choices the least loaded of all targets is taken, else any.
+fn walk(view: &View, pool: &Pool, wish: &Wish<'_>, rng: &mut SmallRng) -> Option<Vec<Pick>> {
+    let mut picks: Vec<Pick> = Vec::new();
+    let mut at: Layer = 0;
+    loop {
+        let able = |id: &TargetId| {
+            let held = view.entry(*id).layers();
+            let reaches = pool.depth == 0 || (held.start <= at && held.end > at);
+            reaches && is_usable(view, *id, wish) && picks.iter().all(|pick| pick.target != *id)
+        };
+        let able: Vec<TargetId> = pool.targets.iter().copied().filter(able).collect();
+        let pick = |target: TargetId| Pick {
+            target,
+            layers: Layers::new(at, view.entry(target).layers().end),
+        };
+        let cost = |id: &TargetId| stage_delay(view, pick(*id), wish);
+        let chosen = if wish.mechanism().two_choices {
+            able.iter().copied().min_by(|a, b| cost(a).total_cmp(&cost(b)))?
+        } else {
+            able.iter().copied().choose(rng)?
+        };
+        picks.push(pick(chosen));
+        at = view.entry(chosen).layers().end;
+        if at >= pool.depth {
+            return Some(picks);
+        }
+    }
+}
+
 /// Fills a sampled chain with members.
 fn sample(view: &View, pool: &Pool, wish: &Wish<'_>, rng: &mut SmallRng) -> Option<Vec<Pick>> {
+    if !wish.mechanism().flow {
+        return walk(view, pool, wish, rng);
+    }
     let chain = pool.sample(rng)?;
     let mut picks = Vec::with_capacity(chain.spans.len());
     for span in &chain.spans {
@@ -207,11 +241,24 @@
 }
 
 /// Expected seconds for one token through the stages.
+///
+/// The stages' own work and the hops add up. Of the waiting at the stages the mean is
+/// taken, weighted by work: a sum would favour chains of few stages against the weights of
+/// the plan, and so leave others idle.
 pub(crate) fn delay(view: &View, picks: &[Pick], wish: &Wish<'_>) -> f64 {
-    let stages: f64 = picks.iter().map(|&pick| stage_delay(view, pick, wish)).sum();
+    if !wish.mechanism().delay {
+        return picks.iter().map(|&pick| stage_delay(view, pick, wish)).sum();
+    }
+    let mut work = 0.0;
+    let mut waiting = 0.0;
+    for &pick in picks {
+        let cost = view.entry(pick.target).cost(pick.layers);
+        work += cost;
+        waiting += cost * stage_delay(view, pick, wish);
+    }
     let pairs = picks.windows(2);
     let hops: f64 = pairs.map(|pair| hop_delay(view, pair[0].target, pair[1].target)).sum();
-    stages + if wish.mechanism().delay { hops } else { 0.0 }
+    work + waiting / work.max(f64::MIN_POSITIVE) + hops
 }
 
 /// Expected seconds for one token at one stage.
@@ -231,7 +278,8 @@
     };
     let slots = f64::from(entry.slots().max(1));
     let waiting = (streams + 1.0 - slots).max(0.0) / slots * FULL_DELAY;
-    let busy = (round + cost) * entry.health.factor() + waiting;
+    let prompts = entry.load.prompts(view.mirror);
+    let busy = (round + cost + prompts) * entry.health.factor() + waiting;
     if !mechanism.affinity || wish.prefixes.is_empty() {
         return busy;
     }
--- a/crates/route/src/flow.rs
+++ b/crates/route/src/flow.rs
@@ -12,7 +12,7 @@
 //!             sum of x[chain] * hops(chain over link)              <= rate(link)
 //! ```
 //!
-//! It is solved exactly by the revised simplex method. Columns are not listed but
+//! It is solved by the revised simplex method. Columns are not listed but
 //! generated: under the current prices the cheapest chain is a shortest path over the
 //! cut points of the line. The prices also prove the result: no flow exceeds
 //! [`Flow::bound`], whatever the solver did.
@@ -113,46 +113,87 @@
 const PRICE_TOLERANCE: f64 = 1e-7;
 /// Chains that carry less than this share of the flow are dropped.
 const DUST: f64 = 1e-9;
+/// What a stage costs, as a share of the token rate. The flow is at most this share times
+/// the number of stages below the maximum.
+pub const HOP_COST: f64 = 0.002;
 /// Most pivots, as a multiple of the number of rows.
 const PIVOTS_PER_ROW: usize = 40;
 
-/// Computes the maximum flow.
+/// Computes the maximum flow, of whatever chains.
+pub fn maximum(line: &Line) -> Flow {
+    search(line, &[0.0])
+}
+
+/// Computes a flow of nearly the maximum rate. Among flows of nearly this rate one of few hops is taken:
+/// each stage of a chain holds a slot for every stream.
+///
+/// The rate is at most `HOP_COST` times the stages of the longest chain below the maximum.
 pub fn solve(line: &Line) -> Flow {
+    search(line, &[0.0, HOP_COST])
+}
+
+fn search(line: &Line, hop_costs: &[f64]) -> Flow {
     let scale = line.supplies.iter().map(|supply| supply.rate).fold(0.0, f64::max);
     if line.depth == 0 || scale <= 0.0 {
         return Flow::default();
     }
-    let rows = line.supplies.len() + line.pipes.len();
-    let mut tableau = Tableau::new(rows);
-    let mut chains: Vec<Vec<Span>> = Vec::new();
-    let mut pricing = Pricing::new(line);
-    let mut bound = f64::INFINITY;
-    for _ in 0..rows * PIVOTS_PER_ROW + 16 {
-        let prices = tableau.prices();
-        if let Some(row) = tableau.negative_price(&prices) {
-            if !tableau.enter(Column::Slack(row)) {
-                break;
+    let mut search = Search {
+        tableau: Tableau::new(line.supplies.len() + line.pipes.len()),
+        chains: Vec::new(),
+        pricing: Pricing::new(line),
+        bound: f64::INFINITY,
+    };
+    for &hop_cost in hop_costs {
+        let chains = &search.chains;
+        search.tableau.revalue(|chain| 1.0 - hop_cost * chains[chain].len() as f64);
+        search.improve(line, scale, hop_cost);
+    }
+    if search.chains.is_empty() {
+        return Flow::default();
+    }
+    collect(&search.tableau, search.chains, search.bound, scale)
+}
+
+/// A search for a better basis.
+struct Search {
+    tableau: Tableau,
+    chains: Vec<Vec<Span>>,
+    pricing: Pricing,
+    bound: f64,
+}
+
+impl Search {
+    /// Lets columns enter until none is worth it, or no chain covers the line. A chain is
+    /// worth 1 less `hop_cost` for each of its stages.
+    fn improve(&mut self, line: &Line, scale: f64, hop_cost: f64) {
+        let rows = line.supplies.len() + line.pipes.len();
+        for _ in 0..rows * PIVOTS_PER_ROW + 16 {
+            let prices = self.tableau.prices();
+            if let Some(row) = self.tableau.negative_price(&prices) {
+                if !self.tableau.enter(Column::Slack(row)) {
+                    return;
+                }
+                continue;
+            }
+            let cheapest = self.pricing.cheapest(line, &prices, scale, hop_cost);
+            let Some((spans, length)) = cheapest else { return };
+            if hop_cost == 0.0 && length > PRICE_TOLERANCE {
+                self.bound = self.bound.min(prices.iter().sum::<f64>() / length);
+            }
+            let spans = without_repeats(line, spans);
+            let entries = usage(line, &spans, scale);
+            let cost: f64 = entries.iter().map(|&(row, share)| prices[row] * share).sum();
+            let value = 1.0 - hop_cost * spans.len() as f64;
+            if cost >= value - PRICE_TOLERANCE {
+                return;
+            }
+            self.chains.push(spans);
+            let chain = self.chains.len() - 1;
+            if !self.tableau.enter(Column::Chain { chain, value, entries }) {
+                return;
             }
-            continue;
-        }
-        let Some((spans, length)) = pricing.cheapest(line, &prices, scale) else {
-            return Flow::default();
-        };
-        if length > PRICE_TOLERANCE {
-            bound = bound.min(prices.iter().sum::<f64>() / length);
-        }
-        let spans = without_repeats(line, spans);
-        let column = usage(line, &spans, scale);
-        let cost: f64 = column.iter().map(|&(row, share)| prices[row] * share).sum();
-        if cost >= 1.0 - PRICE_TOLERANCE {
-            break;
-        }
-        chains.push(spans);
-        if !tableau.enter(Column::Chain(chains.len() - 1, column)) {
-            break;
         }
     }
-    collect(&tableau, chains, bound, scale)
 }
 
 /// Checks a flow against its line.
@@ -265,7 +306,13 @@
     }
 
     /// Cheapest chain under the prices and its price, if any chain covers the line.
-    fn cheapest(&mut self, line: &Line, prices: &[f64], scale: f64) -> Option<(Vec<Span>, f64)> {
+    fn cheapest(
+        &mut self,
+        line: &Line,
+        prices: &[f64],
+        scale: f64,
+        hop_cost: f64,
+    ) -> Option<(Vec<Span>, f64)> {
         let supplies = line.supplies.len();
         let toll = self.tolls(line, prices, scale);
         let mut running = vec![f64::INFINITY; supplies];
@@ -280,7 +327,8 @@
                     continue;
                 }
                 let part = f64::from(range.len()) / f64::from(supply.layers.len());
-                let (enter, from) = entry[usize::from(supply.domain)];
+                let (way, from) = entry[usize::from(supply.domain)];
+                let enter = way + hop_cost;
                 let (cost, before) =
                     if running[index] <= enter { (running[index], SAME) } else { (enter, from) };
                 let cost = cost + part * scale / supply.rate * prices[index];
--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -172,9 +172,10 @@
     debug_assert!(pool.depth == 0 || plan.verify(pool.depth).is_ok(), "{plan:?}");
     let (first_timeout, stall_timeout) =
         timeouts(&state.settings, pool, entry.request.shape.prompt_tokens);
-    let kept = entry.survivors.iter().filter(|pick| picks.contains(pick));
+    let kept: Vec<Pick> =
+        entry.survivors.iter().copied().filter(|pick| picks.contains(pick)).collect();
     let reuse: Vec<TargetName> =
-        kept.map(|pick| view.entry(pick.target).target.name.clone()).collect();
+        kept.iter().map(|pick| view.entry(pick.target).target.name.clone()).collect();
     for pick in &picks {
         let health = &mut view.entry_mut(pick.target).health;
         if health.admission(step.now) == Admission::Probe {
@@ -189,7 +190,8 @@
     entry.held = None;
     entry.survivors.clear();
     entry.clear_from = suspect.then_some(entry.next + CLEAR_MARGIN);
-    entry.occupy(view, step.now);
+    let tokens = f64::from(entry.request.shape.prompt_tokens) + f64::from(entry.next);
+    entry.occupy(view, step.now, &kept, tokens / state.settings.prompt_speedup);
     state.held.remove(&id);
     let line = Event::new(event::DISPATCHED)
         .with("request", hex(id))
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -17,6 +17,8 @@
     own: u32,
     /// Seconds that one token of each own stream takes at the target.
     own_cost: f64,
+    /// Seconds of own prompts that are still to be computed.
+    prompts: f64,
     /// Time of each own dispatch or ending, and own streams from then on.
     history: VecDeque<(Duration, u32)>,
     report: Option<Report>,
@@ -35,10 +37,11 @@
 }
 
 impl View {
-    /// Counts a dispatch.
-    pub(crate) fn add(&mut self, now: Duration, cost: f64) {
+    /// Counts a dispatch. `prompt` are the seconds that its prompt takes.
+    pub(crate) fn add(&mut self, now: Duration, cost: f64, prompt: f64) {
         self.own += 1;
         self.own_cost += cost;
+        self.prompts += prompt;
         self.remember(now);
     }
 
@@ -50,6 +53,16 @@
         self.remember(now);
     }
 
+    /// The first token has come, or the stream has ended before: the prompt waits no more.
+    pub(crate) fn prompt_done(&mut self, prompt: f64) {
+        self.prompts = (self.prompts - prompt).max(0.0);
+    }
+
+    /// Seconds of prompts that wait, of all nodes.
+    pub(crate) fn prompts(&self, mirror: f64) -> f64 {
+        self.prompts * (1.0 + mirror)
+    }
+
     /// Takes in a report; one taken before the last is dropped.
     pub(crate) fn report(&mut self, now: Duration, streams: u32, age: Duration) {
         let taken = now.saturating_sub(age);
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -89,9 +89,7 @@
             pool.chains = flow.chains;
             pool.slots = pool.stream_slots(view, &planned);
         }
-        let flat = !settings.mechanism.flow;
-        let rates = pool.chains.iter().map(|chain| if flat { 1.0 } else { chain.rate });
-        pool.weights = cumulative::sums(rates);
+        pool.weights = cumulative::sums(pool.chains.iter().map(|chain| chain.rate));
         pool
     }
 
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -8,7 +8,7 @@
 use crate::launch::{hex, launch};
 use crate::outlier::Cause;
 use crate::state::{State, Step, eject};
-use crate::suspect::{Loss, Place, Standing};
+use crate::suspect::{Loss, Place};
 use crate::{Action, Ending, Quarantine, Reason, Verdict, event};
 
 /// Stalls of different requests on a target that eject it, where others may be the cause.
@@ -209,10 +209,6 @@
     let ttl = state.settings.suspect_ttl;
     step.log(Event::new(event::SUSPECTED).with("fingerprint", fingerprint).with("target", &target));
     step.act(Action::Quarantine(Quarantine { fingerprint, target, condemned: false, ttl }));
-    let standing = state.suspects.standing(fingerprint, step.now, &state.settings);
-    if let Standing::Pending(at) = standing {
-        state.wake = state.wake.map(|wake| wake.min(at));
-    }
 }
 
 /// Blames the stages of a stalled attempt that have shown no life since.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -16,6 +16,8 @@
 
 /// Time between two looks through the files of suspects.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
+/// Shortest wake-up asked for.
+const LEAST_WAKE: Duration = Duration::from_millis(1);
 /// Capacity is told again when it changed by more than this share.
 const CAPACITY_CHANGE: f64 = 0.001;
 /// Repeats of a suspect wait this many confirmation times for the run under way elsewhere.
@@ -135,6 +137,9 @@
     entry.began = true;
     let before = entry.moved.replace((step.now, next));
     let first = before.is_none().then(|| step.now.saturating_sub(entry.sent));
+    if before.is_none() {
+        entry.prompt_done(&mut state.view);
+    }
     let tokens = before.map_or(0, |(_, number)| next.saturating_sub(number));
     let gap = before
         .filter(|_| tokens > 0)
@@ -251,7 +256,8 @@
 }
 
 fn wake(state: &mut State, step: &mut Step<'_>) {
-    state.wake = None;
+    // A wake-up that an earlier one has overtaken must not start a chain of its own.
+    state.wake = state.wake.filter(|wake| *wake > step.now);
     if step.now >= state.expired + EXPIRE_INTERVAL {
         state.expired = step.now;
         state.suspects.expire(step.now, &state.settings);
@@ -319,8 +325,9 @@
     if state.wake.is_some_and(|wake| wake <= next && wake >= step.now) {
         return;
     }
+    let next = next.max(step.now + LEAST_WAKE);
     state.wake = Some(next);
-    step.act(Action::Wake(next.saturating_sub(step.now).max(Duration::from_millis(1))));
+    step.act(Action::Wake(next - step.now));
 }
 
 impl State {
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -23,6 +23,8 @@
     pub stall_factor: f64,
     /// Longest time for the answer of a plain call.
     pub call_timeout: Duration,
+    /// Tokens of a prompt that a target computes in the time of one token of an answer.
+    pub prompt_speedup: f64,
     /// Retries allowed per success.
     pub retry_share: f64,
     /// Retries allowed without any success before them; also the most that are saved up.
@@ -59,7 +61,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Mechanism {
-    /// Chains are weighted by the maximum flow; off, all chains found weigh the same.
+    /// Chains are sampled by the maximum flow; off, stages are chosen one after the other,
+    /// each to the end of its target's layers.
     pub flow: bool,
     /// Two candidates are compared; off, the first is taken.
     pub two_choices: bool,
@@ -117,6 +120,7 @@
             stall_max: Duration::from_millis(700),
             stall_factor: 4.0,
             call_timeout: Duration::from_secs(10),
+            prompt_speedup: 16.0,
             retry_share: 0.2,
             retry_reserve: 100.0,
             retry_after: Duration::from_secs(1),
@@ -171,6 +175,7 @@
     stall_max: Duration,
     stall_factor: f64,
     call_timeout: Duration,
+    prompt_speedup: f64,
     retry_share: f64,
     retry_reserve: f64,
     retry_after: Duration,
--- a/crates/route/src/simplex.rs
+++ b/crates/route/src/simplex.rs
@@ -1,6 +1,6 @@
 //! Revised simplex method for packing programmes whose columns are generated.
 //!
-//! The programme is: maximise the sum of all `x`, with `A x <= 1` and `x >= 0`, where
+//! The programme is: maximise the worth of all `x`, with `A x <= 1` and `x >= 0`, where
 //! `A` has no negative entry. The slack basis is feasible, so no first phase is needed.
 
 /// Pivots smaller than this are refused.
@@ -14,8 +14,15 @@
 pub(crate) enum Column {
     /// The slack of a row.
     Slack(usize),
-    /// A chain: its number and its sparse entries.
-    Chain(usize, Vec<(usize, f64)>),
+    /// A chain.
+    Chain {
+        /// Its number.
+        chain: usize,
+        /// What a unit of it is worth.
+        value: f64,
+        /// Its sparse entries.
+        entries: Vec<(usize, f64)>,
+    },
 }
 
 /// The basis, as its dense inverse.
@@ -23,8 +30,8 @@
     rows: usize,
     inverse: Vec<f64>,
     values: Vec<f64>,
-    /// For each basis position: the chain there, or `None` for a slack.
-    basis: Vec<Option<usize>>,
+    /// For each basis position: the chain there and its worth, or `None` for a slack.
+    basis: Vec<Option<(usize, f64)>>,
 }
 
 impl Tableau {
@@ -41,10 +48,11 @@
     /// Price of each row under the current basis.
     pub(crate) fn prices(&self) -> Vec<f64> {
         let mut prices = vec![0.0; self.rows];
-        for (position, _) in self.basis.iter().enumerate().filter(|(_, chain)| chain.is_some()) {
+        for (position, member) in self.basis.iter().enumerate() {
+            let Some((_, worth)) = member else { continue };
             let row = &self.inverse[position * self.rows..(position + 1) * self.rows];
             for (price, value) in prices.iter_mut().zip(row) {
-                *price += value;
+                *price += worth * value;
             }
         }
         prices
@@ -60,7 +68,7 @@
     pub(crate) fn enter(&mut self, column: Column) -> bool {
         let (chain, entries) = match column {
             Column::Slack(row) => (None, vec![(row, 1.0)]),
-            Column::Chain(chain, entries) => (Some(chain), entries),
+            Column::Chain { chain, value, entries } => (Some((chain, value)), entries),
         };
         let direction = self.direction(&entries);
         let Some(leaving) = self.ratio_test(&direction) else { return false };
@@ -69,10 +77,17 @@
         true
     }
 
+    /// Changes what the chains are worth. The basis stays feasible.
+    pub(crate) fn revalue(&mut self, worth: impl Fn(usize) -> f64) {
+        for (chain, value) in self.basis.iter_mut().flatten() {
+            *value = worth(*chain);
+        }
+    }
+
     /// Chains in the basis with their values.
     pub(crate) fn solution(&self) -> impl Iterator<Item = (usize, f64)> {
         let pairs = self.basis.iter().zip(&self.values);
-        pairs.filter_map(|(chain, &value)| chain.map(|chain| (chain, value)))
+        pairs.filter_map(|(chain, &value)| chain.map(|(chain, _)| (chain, value)))
     }
 
     fn direction(&self, entries: &[(usize, f64)]) -> Vec<f64> {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -22,6 +22,8 @@
     pub(crate) began: bool,
     /// Stages of the attempt that runs, or of the last one.
     pub(crate) picks: Vec<Pick>,
+    /// Seconds that each stage needs for the prompt; empty once the first token has come.
+    pub(crate) prompts: Vec<f64>,
     /// The same as sent.
     pub(crate) plan: Plan,
     /// Targets that failed it.
@@ -53,6 +55,7 @@
             next: 0,
             began: false,
             picks: Vec::new(),
+            prompts: Vec::new(),
             plan: Plan { stages: Vec::new() },
             failed: Vec::new(),
             survivors: Vec::new(),
@@ -70,14 +73,25 @@
         self.running && self.picks.iter().any(|pick| pick.target == target)
     }
 
-    /// Counts the attempt's streams at its targets.
-    pub(crate) fn occupy(&mut self, view: &mut View, now: Duration) {
+    /// Counts the attempt's streams at its targets. `kept` need not compute the prompt again,
+    /// which costs each other stage `prompt` tokens.
+    pub(crate) fn occupy(&mut self, view: &mut View, now: Duration, kept: &[Pick], prompt: f64) {
         debug_assert!(!self.running, "one attempt runs at a time");
         self.running = true;
+        self.prompts.clear();
         for pick in &self.picks {
             let entry = view.entry_mut(pick.target);
             let cost = entry.cost(pick.layers);
-            entry.load.add(now, cost);
+            let prompt = if kept.contains(pick) { 0.0 } else { prompt * cost };
+            entry.load.add(now, cost, prompt);
+            self.prompts.push(prompt);
+        }
+    }
+
+    /// The first token of the attempt has come.
+    pub(crate) fn prompt_done(&mut self, view: &mut View) {
+        for (pick, prompt) in self.picks.iter().zip(self.prompts.drain(..)) {
+            view.entry_mut(pick.target).load.prompt_done(prompt);
         }
     }
 
@@ -86,6 +100,7 @@
         if !std::mem::take(&mut self.running) {
             return;
         }
+        self.prompt_done(view);
         for pick in &self.picks {
             let entry = view.entry_mut(pick.target);
             let cost = entry.cost(pick.layers);
