--- a/crates/node/src/bin/magnoliarun.rs
+++ b/crates/node/src/bin/magnoliarun.rs
@@ -25,7 +25,10 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    logging::install(settings.log_level);
+    let Ok(_writer) = logging::install(settings.log_level) else {
+        eprintln!("Error: the operating system gave no thread");
+        return ExitCode::from(EXIT_FAILED);
+    };
     let Ok(mut signals) = Signals::new([SIGTERM, SIGINT]) else {
         eprintln!("Error: signals cannot be received");
         return ExitCode::from(EXIT_FAILED);
