--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -79,6 +79,13 @@
     meaning: "A planned stop ended before this request did.",
 };
 
+/// A desired state cannot be read.
+pub(crate) const DESIRED_MALFORMED: EventKind = EventKind {
+    number: 914,
+    name: "desired-malformed",
+    meaning: "The stored desired state of a target cannot be read and is left out.",
+};
+
 /// All events of this crate.
 pub const EVENTS: &[&EventKind] = &[
     &STARTED,
@@ -94,4 +101,5 @@
     &DRAIN_ASKED,
     &PRESET,
     &CUT,
+    &DESIRED_MALFORMED,
 ];
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -30,6 +30,8 @@
     Ledger(ledger::Message),
     /// To membership.
     Member(member::Message),
+    /// To the order service.
+    Order(order::Message),
     /// To the preset service.
     Preset(preset::Message),
 }
@@ -177,6 +179,8 @@
     },
     /// Reply to the heartbeat just heard.
     Reply(member::Heartbeat),
+    /// Make a call of the order service; never its wake or log.
+    Order(order::Action),
     /// Whether to hold a watch on the stored preset.
     Watch(bool),
     /// Read the stored preset now.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,9 @@
 use kernel::{Builder, Draining, Kernel, Running};
 
 use crate::requests::Requests;
-use crate::services::{LedgerService, LimitService, MemberService, PresetService, RouteService};
+use crate::services::{
+    LedgerService, LimitService, MemberService, OrderService, PresetService, RouteService,
+};
 use crate::{Action, Message};
 
 /// Settings of the decision services.
@@ -24,6 +26,8 @@
     pub ledger: ledger::Settings,
     /// Settings of membership.
     pub member: member::Settings,
+    /// Settings of the order service.
+    pub order: order::Settings,
     /// Settings of the preset service.
     pub preset: preset::Settings,
 }
@@ -51,6 +55,7 @@
             .service(RouteService::new(config.route))
             .service(LedgerService::new(config.ledger))
             .service(MemberService::new(config.name, config.member))
+            .service(OrderService::new(config.order))
             .service(PresetService::new(config.preset))
             .build()
             .expect("service names differ");
--- a/crates/node/src/services/mod.rs
+++ b/crates/node/src/services/mod.rs
@@ -4,6 +4,7 @@
 mod ledger;
 mod limit;
 mod member;
+mod order;
 mod preset;
 mod route;
 
@@ -17,6 +18,7 @@
 pub(crate) use ledger::LedgerService;
 pub(crate) use limit::LimitService;
 pub(crate) use member::MemberService;
+pub(crate) use order::OrderService;
 pub(crate) use preset::PresetService;
 pub(crate) use route::RouteService;
 
@@ -30,6 +32,8 @@
 pub(crate) const LEDGER: Name = "ledger";
 /// Name of membership.
 pub(crate) const MEMBER: Name = "member";
+/// Name of the order service.
+pub(crate) const ORDER: Name = "order";
 /// Name of the preset service.
 pub(crate) const PRESET: Name = "preset";
 
@@ -43,6 +47,7 @@
         Message::Route(_) | Message::Targets(_) | Message::Links(_) => ROUTE,
         Message::Ledger(_) => LEDGER,
         Message::Member(_) => MEMBER,
+        Message::Order(_) => ORDER,
         Message::Preset(_) => PRESET,
     }
 }
--- a/crates/node/src/shell/core.rs
+++ b/crates/node/src/shell/core.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
 use super::explain::Explain;
+use super::orders::Calls;
 use super::peers::Peers;
 use super::relay;
 use super::shared::{Command, Input, Shared};
@@ -29,6 +30,7 @@
     pub(crate) runtime: Handle,
     pub(crate) agent: ureq::Agent,
     pub(crate) jobs: Jobs,
+    pub(crate) orders: Calls,
     pub(crate) client: Arc<store::Client>,
     pub(crate) peers: Peers,
     pub(crate) explain: Explain,
@@ -154,6 +156,7 @@
                 metrics::gauge!("magnolia_preset_version").set(preset.version as f64);
                 self.shared.set_in_force(preset, value);
             }
+            Action::Order(call) => self.orders.push(call),
             Action::Held(held) => self.shared.held.store(held, Ordering::SeqCst),
             Action::Fresh(fresh) => self.shared.fresh.store(fresh, Ordering::Relaxed),
             Action::Nodes(nodes) => {
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -9,6 +9,7 @@
 mod loads;
 pub mod logging;
 mod operators;
+mod orders;
 mod peers;
 mod process;
 mod relay;
--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -20,7 +20,7 @@
 use super::explain::Explain;
 use super::peers::{Answers, Peers};
 use super::shared::{Inbox, Input, Shared, hex};
-use super::{attempt, callers, loads, logging, operators, store as calls};
+use super::{attempt, callers, loads, logging, operators, orders, store as calls};
 use crate::{Config, Message, Node, Settings, event};
 
 /// Threads that run the tasks of connections and relays.
@@ -207,6 +207,7 @@
             .build();
         let client = Arc::new(store::Client::new(client));
         let jobs = calls::start_pool(threads, &shared, &client)?;
+        let orders = orders::start(threads, &shared, &client, began)?;
         let core = Core {
             shared: Arc::clone(&shared),
             node: Node::new(config(&shared.settings, ports.peers)),
@@ -215,6 +216,7 @@
             runtime: runtime.handle().clone(),
             agent,
             jobs,
+            orders,
             client: Arc::clone(&client),
             peers: Peers::new(Arc::clone(&shared), runtime.handle().clone()),
             explain: Explain::new(shared.settings.explained),
@@ -223,6 +225,7 @@
         decisions.spawn("decisions", move || core.run())?;
         shared.inbox.tell(Message::Preset(preset::Message::Wake));
         shared.inbox.tell(Message::Member(member::Message::Wake));
+        shared.inbox.tell(Message::Order(order::Message::Wake));
         let watcher = Arc::clone(&shared);
         threads.spawn("preset-watch", move || calls::watch(&watcher, &client))?;
         let lister = Arc::clone(&shared);
@@ -354,6 +357,7 @@
         route: route::Settings { node: name.clone(), ..route::Settings::default() },
         ledger: ledger::Settings::builder(&name, rand::random()).build(),
         member: member::Settings::builder(name, peers, incarnation).build(),
+        order: order::Settings::builder().build(),
         preset: preset::Settings::default(),
     }
 }
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -16,6 +16,7 @@
     ("limit", 400, 499, limit::EVENTS),
     ("ledger", 500, 599, ledger::EVENTS),
     ("preset", 600, 699, preset::EVENTS),
+    ("order", 700, 799, order::EVENTS),
     ("store", 800, 899, store::EVENTS),
     ("node", 900, 999, node::EVENTS),
     ("standin", 1000, 1099, standin::EVENTS),
@@ -24,8 +25,8 @@
 const HEAD: &str = "# Events
 
 Each log line is one event: time, level, `event=NUMBER name=NAME`, then fields as `key=value`. \
-Numbers are never used again for another meaning. The hundreds name the crate; 1xx (kernel) and \
-7xx (order) are not in use. Stand-ins (10xx) run in tests and demos only.
+Numbers are never used again for another meaning. The hundreds name the crate; 1xx (kernel) is not in \
+use. Stand-ins (10xx) run in tests and demos only.
 
 Written from the tables in the code by `MAGNOLIA_WRITE=1 cargo test -p node --test events`.
 ";
--- a/crates/node/tests/library.rs
+++ b/crates/node/tests/library.rs
@@ -35,6 +35,7 @@
             route: route::Settings::default(),
             ledger: ledger::Settings::builder(name, 1).build(),
             member: member::Settings::builder(name.into(), address, 1).build(),
+            order: order::Settings::builder().build(),
             preset: preset::Settings::default(),
         };
         let value = preset::Stored::following(None, &common::preset("ordinary"), &"c".into(), 1);
