--- a/crates/scenario/src/process/directive.rs
+++ b/crates/scenario/src/process/directive.rs
@@ -32,6 +32,7 @@
         "exit" => exit(world, case)?,
         "fault" => fault(world, case)?,
         "leave" => leave(world, case)?,
+        "lose-domain" => lose_domain(world, case)?,
         "crash-on" => crash_on(world, case)?,
         "crashed" => check::crashed(world)?,
         "mark" => check::mark(world)?,
@@ -224,6 +225,24 @@
     Ok("done\n".to_owned())
 }
 
+/// Crashes all targets of a failure domain.
+fn lose_domain(world: &World, case: &mut TestCase) -> Result<String, Error> {
+    let domain: DomainName = case.take_arg("name")?;
+    let deployment = world.deployment()?;
+    let engines = deployment.engines.iter().filter(|engine| engine.vm().domain == domain);
+    let mut lost = 0;
+    for engine in engines {
+        engine.command(engine::Command::Crash);
+        lost += 1;
+    }
+    let services = deployment.services.iter().filter(|service| service.vm().domain == domain);
+    for service in services {
+        service.command(service::Command::Crash);
+        lost += 1;
+    }
+    Ok(format!("{lost} targets lost\n"))
+}
+
 fn leave(world: &World, case: &mut TestCase) -> Result<String, Error> {
     let name = target(world, case)?;
     let silent = case.take_flag("listed-only")?;
--- a/crates/scenario/src/process/mod.rs
+++ b/crates/scenario/src/process/mod.rs
@@ -16,6 +16,7 @@
 //! | `crash-on` | `mark=WORD` | makes all engines crash on prompts with the word `crash:WORD` |
 //! | `crashed` | | counts the engines that have crashed |
 //! | `mark`, `began` | `target=NAME` or `answer=r1 stage=1` | counts attempts that began on an engine since the mark |
+//! | `lose-domain` | `name=a` | crashes all targets of a failure domain |
 //! | `same` | `first=r1 second=r2` | compares two answers |
 //! | `joined` | `first=r1 rest=r2 whole=r3` | compares an answer in two parts with a whole one |
 //! | `executions` | | checks that in each attempt the layers of a token ran once and in order, as far as they ran |
