--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -18,11 +18,13 @@
     chain = { "chain" },
     crashing_request = { "crashing_request" },
     crossed = { "crossed" },
+    dar = { "dar" },
     first_stage_killed = { "first_stage_killed" },
     leaving = { "leaving" },
     lost_answer = { "lost_answer" },
     node_killed = { "node_killed" },
     node_paused = { "node_paused" },
+    pnw = { "pnw" },
     preset_switch = { "preset_switch" },
     stage_frozen = { "stage_frozen" },
     stage_killed = { "stage_killed" },
@@ -34,7 +36,6 @@
 }
 
 #[test]
-#[ignore = "known red: a stage that refused the connection counts as lost to the request"]
 fn unreachable_stage() {
     run("unreachable_stage");
 }
