--- a/crates/preset/src/message.rs
+++ b/crates/preset/src/message.rs
@@ -72,7 +72,9 @@
     /// Whether the node can prove its freshness; when it cannot it takes no new work.
     Fresh(bool),
     /// When this node's freshness was last proved by the store, at first or second hand;
-    /// `None` for a node that has learned its version from a majority during an outage.
+    /// `None` for a node that has learned its version from a majority during an outage. It
+    /// speaks for the version of the last [`Action::InForce`]: membership must be told of the
+    /// two in their order.
     Proof(Option<Duration>),
     /// Whether to hold a watch on the store's value.
     Watch(bool),
