Presets over membership: expired proofs make no node vouch

The test of nodes that forgot (two of four restart during an outage, the last holder of version 2 is gone, the third has version 1) failed: all three worked under version 1. Cause: the third told a proof from before the outage, and the restarted nodes took it for having been fresh since their start, which lets them vouch for a majority. Ruled out: the count of known nodes. A proof that has expired when it comes now counts for nothing; the test passes. A proof or agreement from another node also counts as having met one.

--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -10,6 +10,7 @@
 
 use fleet::{Role, Standing, Target, TargetName, Vm};
 use member::{Action, Heartbeat, Membership, Message, News, Node, Settings, State};
+use preset::Follower;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -76,7 +77,10 @@
     pub(crate) up: bool,
     pub(crate) paused: Duration,
     pub(crate) group: usize,
-    /// Other nodes by address, to find the receiver of a heartbeat.
+    /// The real follower, where a test is about presets.
+    pub(crate) follower: Option<Follower>,
+    /// Whether the store answers this node.
+    pub(crate) store: bool,
     pub(crate) sent_bytes: u64,
     pub(crate) received_bytes: u64,
     pub(crate) messages: u64,
@@ -88,6 +92,7 @@
     Reply { from: usize, to: usize, heartbeat: Heartbeat, call: u64 },
     Timeout { node: usize, to: String, call: u64 },
     Learn { node: usize, version: u64 },
+    Follow { node: usize, message: preset::Message },
 }
 
 pub(crate) struct Net {
@@ -96,6 +101,8 @@
     pub(crate) loss: f64,
     pub(crate) delay: Duration,
     pub(crate) size: Option<fn(&Heartbeat) -> u64>,
+    /// The store's preset.
+    pub(crate) stored: Option<Vec<u8>>,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(Duration, u64)>>,
     events: HashMap<u64, Event>,
@@ -117,6 +124,7 @@
             loss: 0.0,
             delay: ms(1),
             size: None,
+            stored: None,
             rng: SmallRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             events: HashMap::new(),
@@ -157,6 +165,8 @@
             up: true,
             paused: Duration::ZERO,
             group: 0,
+            follower: None,
+            store: true,
             sent_bytes: 0,
             received_bytes: 0,
             messages: 0,
@@ -187,6 +197,9 @@
 
     fn act(&mut self, index: usize, action: Action, reply_to: Option<(usize, u64)>) {
         let now = self.now;
+        if self.seats[index].follower.is_some() && self.tell_follower(index, &action) {
+            return;
+        }
         match action {
             Action::Send { to, address, heartbeat } => self.send(index, &to, address, heartbeat),
             Action::Reply(heartbeat) => {
@@ -270,7 +283,9 @@
         let index = match &event {
             Event::Wake(index) => *index,
             Event::Call { to, .. } | Event::Reply { to, .. } => *to,
-            Event::Timeout { node, .. } | Event::Learn { node, .. } => *node,
+            Event::Timeout { node, .. }
+            | Event::Learn { node, .. }
+            | Event::Follow { node, .. } => *node,
         };
         if !self.seats[index].up {
             return;
@@ -301,6 +316,7 @@
                 }
             }
             Event::Learn { node, version } => self.put(node, version),
+            Event::Follow { node, message } => self.follow(node, message),
         }
     }
 
@@ -313,6 +329,69 @@
         }
     }
 
+    /// Gives the follower what membership says; whether that is all that is to be done.
+    fn tell_follower(&mut self, index: usize, action: &Action) -> bool {
+        let (message, all) = match action.clone() {
+            Action::Behind { node, version, .. } => {
+                (preset::Message::PeerVersion { node, version }, true)
+            }
+            Action::Proved { version, at } => (preset::Message::Proved { version, at }, true),
+            Action::Agreed { version, at } => (preset::Message::Agreed { version, at }, false),
+            Action::Confident(confident) => (preset::Message::Confident(confident), false),
+            _ => return false,
+        };
+        self.follow(index, message);
+        all
+    }
+
+    /// Steps a node's follower and carries out what it asks for.
+    pub(crate) fn follow(&mut self, index: usize, message: preset::Message) {
+        let now = self.now;
+        let mut actions = Vec::new();
+        let seat = &mut self.seats[index];
+        let Some(follower) = &mut seat.follower else { return };
+        follower.step(now, message, &mut seat.rng, &mut actions);
+        for action in actions {
+            self.act_follower(index, action);
+        }
+    }
+
+    fn act_follower(&mut self, index: usize, action: preset::Action) {
+        let now = self.now;
+        match action {
+            preset::Action::InForce { preset, .. } => self.put(index, preset.version),
+            preset::Action::Proof(at) => self.step(index, Message::Proof(at)),
+            preset::Action::Wake(span) => {
+                let message = preset::Message::Wake;
+                self.push(now + span, Event::Follow { node: index, message });
+            }
+            preset::Action::Poll => {
+                let (after, message) = if self.seats[index].store {
+                    (ms(2), preset::Message::Stored(self.stored.clone()))
+                } else {
+                    (ms(500), preset::Message::StoreDown)
+                };
+                self.push(now + after, Event::Follow { node: index, message });
+            }
+            preset::Action::Ask(node) => {
+                let from = (0..self.seats.len()).find(|other| name(*other) == node);
+                let Some(from) = from.filter(|from| self.joined(*from, index)) else { return };
+                let follower = self.seats[from].follower.as_ref();
+                let value = follower.and_then(|follower| follower.in_force());
+                let Some(value) = value.map(|(_, value)| value.to_vec()) else { return };
+                let message = preset::Message::Peer { node, value };
+                self.push(now + ms(2), Event::Follow { node: index, message });
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a node takes new work.
+    pub(crate) fn fresh(&self, index: usize) -> bool {
+        let follower = self.seats[index].follower.as_ref();
+        follower.is_some_and(|follower| follower.fresh(self.now))
+    }
+
     fn receive(&mut self, to: usize, heartbeat: &Heartbeat) {
         if let Some(size) = self.size {
             self.seats[to].received_bytes += size(heartbeat);
--- a/crates/preset/src/service.rs
+++ b/crates/preset/src/service.rs
@@ -24,6 +24,7 @@
     proof: Option<Duration>,
     /// Latest time for which a majority is known to agree with this node.
     agreed: Option<Duration>,
+    /// Whether another node has been heard since the start.
     met: bool,
     known: u32,
     /// This node's draw in [0, 1) that decides whether it is one of those that watch.
@@ -120,8 +121,9 @@
             }
             Message::PeerVersion { node, version } => self.told(now, node, version, actions),
             Message::Proved { version, at } => {
+                self.met = true;
                 if version <= self.version() {
-                    self.prove(at, actions);
+                    self.prove(now, at, actions);
                 }
             }
             Message::Agreed { version, at } => self.agree(version, at, actions),
@@ -154,7 +156,7 @@
         }
         self.store_is(store, actions);
         if let (Store::Current, Some(date)) = (store, date) {
-            self.prove(date, actions);
+            self.prove(now, date, actions);
         }
     }
 
@@ -228,7 +230,12 @@
         actions.push(Action::Ask(node));
     }
 
-    fn prove(&mut self, at: Duration, actions: &mut Vec<Action>) {
+    /// An expired proof is no proof, also not for vouching in an outage: a node that has
+    /// restarted would otherwise vouch for the version of one that is behind.
+    fn prove(&mut self, now: Duration, at: Duration, actions: &mut Vec<Action>) {
+        if now > at + self.settings.freshness {
+            return;
+        }
         if self.proof.is_none_or(|proof| proof < at) {
             self.proof = Some(at);
             actions.push(Action::Proof(Some(at)));
@@ -238,6 +245,7 @@
     /// While the store cannot prove anything, a majority that agrees can: nothing was
     /// accepted without a majority having it in force (see docs/design/presets.md).
     fn agree(&mut self, version: Version, at: Duration, actions: &mut Vec<Action>) {
+        self.met = true;
         if self.in_force.is_none() || version > self.version() {
             return;
         }
