--- a/crates/route/examples/measure/rows.rs
+++ b/crates/route/examples/measure/rows.rs
@@ -21,7 +21,7 @@
 }
 
 const TARGETS: &str = "architecture, numbers to beat";
-const ROUTING: &[&str] = &["all"];
+const ROUTING: &[&str] = &["all", "random_target", "least_in_flight"];
 
 /// All rows.
 pub(crate) const ROWS: &[Row] = &[
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -34,6 +34,7 @@
 }
 
 /// What a choice depends on.
+#[derive(Clone, Copy)]
 pub(crate) struct Wish<'a> {
     /// Time.
     pub(crate) now: Duration,
--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -34,7 +34,10 @@
     };
     match standing {
         Standing::Clear => send(state, step, id, false),
-        Standing::Suspect => send(state, step, id, true),
+        Standing::Suspect => match state.suspects.turn(fingerprint, &state.settings) {
+            Some(turn) if step.now < turn => hold(state, step, id, turn, "turn"),
+            _ => send(state, step, id, true),
+        },
         Standing::Condemned(until) => {
             let retry_after = until.saturating_sub(step.now);
             finish(state, step, id, Verdict::Quarantined { retry_after });
@@ -42,7 +45,7 @@
         Standing::Pending(at) if step.now < at => hold(state, step, id, at, "judgement"),
         Standing::Pending(_) => {
             match state.suspects.judge(fingerprint, step.now, &state.settings) {
-                Judgement::Dropped => send(state, step, id, true),
+                Judgement::Dropped => launch(state, step, id),
                 Judgement::Condemned(targets) => condemn(state, step, fingerprint, &targets),
             }
         }
@@ -107,10 +110,12 @@
     step: &mut Step<'_>,
 ) -> Option<Vec<Pick>> {
     let view = &state.view;
+    // A survivor may be claimed by another suspect: it has run this request already.
+    let usable = Wish { avoid: &[], ..*wish };
     let kept: Vec<Pick> = survivors
         .iter()
         .copied()
-        .filter(|pick| choose::is_usable(view, pick.target, wish))
+        .filter(|pick| choose::is_usable(view, pick.target, &usable))
         .collect();
     if kept.is_empty() || !state.settings.mechanism.reuse {
         return choose::chain(view, pool, wish, step.rng);
@@ -132,13 +137,16 @@
     Some(picks)
 }
 
-/// Targets that run other suspects.
+/// Targets that other suspects have newly come to.
 fn claimed(state: &State, id: RequestId) -> Vec<TargetId> {
     let running = state
         .table
         .iter()
         .filter(|(other, entry)| **other != id && entry.running && entry.clear_from.is_some());
-    running.flat_map(|(_, entry)| entry.picks.iter().map(|pick| pick.target)).collect()
+    let fresh = running.flat_map(|(_, entry)| {
+        entry.picks.iter().filter(|pick| !entry.kept.contains(pick)).map(|pick| pick.target)
+    });
+    fresh.collect()
 }
 
 /// Whether the line is covered when no suspect claims a target.
@@ -185,13 +193,15 @@
     entry.attempt += 1;
     entry.picks = picks;
     entry.plan = plan.clone();
+    entry.from = entry.next;
     entry.sent = step.now;
     entry.moved = None;
     entry.held = None;
     entry.survivors.clear();
     entry.clear_from = suspect.then_some(entry.next + CLEAR_MARGIN);
     let tokens = f64::from(entry.request.shape.prompt_tokens) + f64::from(entry.next);
-    entry.occupy(view, step.now, &kept, tokens / state.settings.prompt_speedup);
+    entry.kept = kept;
+    entry.occupy(view, step.now, tokens / state.settings.prompt_speedup);
     state.held.remove(&id);
     let line = Event::new(event::DISPATCHED)
         .with("request", hex(id))
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -177,7 +177,7 @@
     fail(state, id, Some(target));
     let loss = lose(state, step, target);
     eject(state, step, target, Cause::Failed);
-    suspect(state, step, id, loss);
+    suspect(state, step, id, target, loss);
 }
 
 /// Notes that some target may have run the request.
@@ -196,19 +196,28 @@
 }
 
 /// Holds a loss against the request that ran there.
-fn suspect(state: &mut State, step: &mut Step<'_>, id: RequestId, loss: Loss) {
+///
+/// A stage kept from the attempt before has run the request already without being lost, so
+/// its loss is no evidence. Only evidence of full weight is told to the other nodes.
+fn suspect(state: &mut State, step: &mut Step<'_>, id: RequestId, target: TargetId, loss: Loss) {
     if !state.settings.mechanism.quarantine {
         return;
     }
     let Some(entry) = state.table.get(&id) else { return };
+    if entry.kept.iter().any(|pick| pick.target == target) {
+        return;
+    }
+    let fresh = entry.moved.is_none() && entry.next == entry.from;
     let fingerprint = entry.request.fingerprint;
     let target = loss.target.clone();
-    if !state.suspects.suspect(fingerprint, loss, &state.settings) {
+    if !state.suspects.suspect(fingerprint, loss, fresh, &state.settings) {
         return;
     }
     let ttl = state.settings.suspect_ttl;
     step.log(Event::new(event::SUSPECTED).with("fingerprint", fingerprint).with("target", &target));
-    step.act(Action::Quarantine(Quarantine { fingerprint, target, condemned: false, ttl }));
+    if fresh {
+        step.act(Action::Quarantine(Quarantine { fingerprint, target, condemned: false, ttl }));
+    }
 }
 
 /// Blames the stages of a stalled attempt that have shown no life since.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -235,7 +235,7 @@
     };
     let loss = Loss { target, place: Place { domain, rack }, at: step.now };
     let loss = state.suspects.lose(loss, &state.settings);
-    state.suspects.suspect(fingerprint, loss, &state.settings);
+    state.suspects.suspect(fingerprint, loss, true, &state.settings);
 }
 
 /// Until when a request waits whose fingerprint another node has just suspected.
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -1,8 +1,9 @@
 //! Which requests are suspected of crashing targets, and which are condemned.
 //!
 //! A file is kept for each fingerprint that ran on a target when it was lost. Evidence
-//! is a lost target. Two different targets condemn, once the confirmation time has
-//! passed without a sign that the losses had another cause.
+//! is a lost target. It weighs full where the request had just come there, and half where
+//! it had passed tokens there before. Two full weights condemn, once the confirmation time
+//! has passed without a sign that the losses had another cause.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -12,8 +13,12 @@
 
 use crate::Settings;
 
-/// Different lost targets that condemn.
-const CONDEMNING: usize = 2;
+/// Weight of lost targets that condemns.
+const CONDEMNING: f64 = 2.0;
+/// Weight of a target that was lost after it had passed tokens of the request.
+const HALF: f64 = 0.5;
+/// Most turns waited for, half a confirmation time each.
+const MOST_TURNS: u32 = 5;
 /// Other losses in one rack at one time that explain a loss.
 const RACK_LOSSES: usize = 1;
 /// Other losses in one failure domain at one time that explain a loss.
@@ -55,6 +60,11 @@
 struct Evidence {
     loss: Loss,
     until: Duration,
+    weight: f64,
+}
+
+fn weight<'a>(evidence: impl Iterator<Item = &'a Evidence>) -> f64 {
+    evidence.map(|evidence| evidence.weight).sum()
 }
 
 /// What is held against a fingerprint.
@@ -101,16 +111,32 @@
             return Standing::Condemned(until);
         }
         let live = || file.evidence.iter().filter(|evidence| evidence.until > now);
-        match live().count() {
-            0 => Standing::Clear,
-            count if count < CONDEMNING => Standing::Suspect,
-            _ => {
-                let last = live().map(|evidence| evidence.loss.at).max().unwrap_or(now);
-                Standing::Pending(last + settings.confirm)
-            }
+        let Some(last) = live().map(|evidence| evidence.loss.at).max() else {
+            return Standing::Clear;
+        };
+        if weight(live()) < CONDEMNING {
+            Standing::Suspect
+        } else {
+            Standing::Pending(last + settings.confirm)
         }
     }
 
+    /// Until when a suspect waits for its turn. Those that had just come to the same lost
+    /// target take turns over all nodes, the lowest fingerprint first, so that no two of them
+    /// meet at a target and the next loss names one.
+    pub(crate) fn turn(&self, fingerprint: u64, settings: &Settings) -> Option<Duration> {
+        let file = self.files.get(&fingerprint)?;
+        let fresh = file.evidence.iter().filter(|evidence| evidence.weight > HALF);
+        let last = fresh.max_by_key(|evidence| evidence.loss.at)?;
+        let same = |file: &File| {
+            let mut fresh = file.evidence.iter().filter(|evidence| evidence.weight > HALF);
+            fresh.any(|evidence| evidence.loss.target == last.loss.target)
+        };
+        let before = self.files.range(..fingerprint).filter(|(_, file)| same(file)).count();
+        let turns = u32::try_from(before).unwrap_or(MOST_TURNS).min(MOST_TURNS);
+        Some(last.loss.at + settings.confirm + settings.confirm * turns / 2)
+    }
+
     /// Places of the targets lost to a fingerprint.
     pub(crate) fn places(&self, fingerprint: u64, now: Duration) -> Vec<(u16, SmolStr)> {
         let file = self.files.get(&fingerprint);
@@ -149,8 +175,15 @@
         loss
     }
 
-    /// Holds a loss against a fingerprint; true if it is news.
-    pub(crate) fn suspect(&mut self, fingerprint: u64, loss: Loss, settings: &Settings) -> bool {
+    /// Holds a loss against a fingerprint, in full where the request was `fresh` there; true
+    /// if it is news.
+    pub(crate) fn suspect(
+        &mut self,
+        fingerprint: u64,
+        loss: Loss,
+        fresh: bool,
+        settings: &Settings,
+    ) -> bool {
         if self.explained.iter().any(|(name, until)| *name == loss.target && *until > loss.at) {
             return false;
         }
@@ -161,7 +194,8 @@
         let file = self.files.entry(fingerprint).or_default();
         let known = file.evidence.iter().any(|evidence| evidence.loss.target == loss.target);
         if !known {
-            file.evidence.push(Evidence { loss, until });
+            let weight = if fresh { 1.0 } else { HALF };
+            file.evidence.push(Evidence { loss, until, weight });
         }
         !known
     }
@@ -210,11 +244,12 @@
         evidence.retain(|evidence| evidence.until > now);
         if settings.mechanism.correlation {
             let all = evidence.clone();
-            evidence.retain(|one| !self.is_explained(one, &all, settings.correlation));
+            evidence.retain(|one| !self.is_explained(one, &all, settings));
         }
         let targets: Vec<TargetName> =
             evidence.iter().map(|evidence| evidence.loss.target.clone()).collect();
-        let guilty = targets.len() >= CONDEMNING && !self.is_shared(fingerprint, &targets, now);
+        let guilty =
+            weight(evidence.iter()) >= CONDEMNING && !self.is_shared(fingerprint, &targets, now);
         if !guilty {
             // Only the oldest loss stays: the request is run again apart from all others.
             evidence.truncate(1);
@@ -257,7 +292,8 @@
     }
 
     /// Whether a loss came together with others that the request had no part in.
-    fn is_explained(&self, one: &Evidence, all: &[Evidence], window: Duration) -> bool {
+    fn is_explained(&self, one: &Evidence, all: &[Evidence], settings: &Settings) -> bool {
+        let window = settings.correlation;
         let near = |loss: &&Loss| loss.at.abs_diff(one.loss.at) < window;
         let foreign =
             |loss: &&Loss| !all.iter().any(|evidence| evidence.loss.target == loss.target);
@@ -269,7 +305,7 @@
             !place.rack.is_empty()
                 && other.loss.place == *place
                 && other.loss.at < one.loss.at
-                && other.loss.at + window > one.loss.at
+                && other.loss.at + settings.confirm > one.loss.at
         });
         earlier
             || others.iter().filter(racked).count() >= RACK_LOSSES
@@ -280,7 +316,8 @@
     fn is_shared(&self, fingerprint: u64, targets: &[TargetName], now: Duration) -> bool {
         let holds = |file: &File| {
             let live = file.evidence.iter().filter(|evidence| evidence.until > now);
-            live.filter(|evidence| targets.contains(&evidence.loss.target)).count() >= CONDEMNING
+            let same = live.filter(|evidence| targets.contains(&evidence.loss.target));
+            weight(same) >= CONDEMNING
         };
         self.files.iter().any(|(other, file)| *other != fingerprint && holds(file))
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -18,6 +18,8 @@
     pub(crate) attempt: AttemptId,
     /// First token not delivered.
     pub(crate) next: TokenIndex,
+    /// First token of the last attempt.
+    pub(crate) from: TokenIndex,
     /// Whether a target may have run any of it.
     pub(crate) began: bool,
     /// Stages of the attempt that runs, or of the last one.
@@ -30,6 +32,8 @@
     pub(crate) failed: Vec<TargetId>,
     /// Stages of the last attempt that survived it.
     pub(crate) survivors: Vec<Pick>,
+    /// Stages that the running attempt kept from the one before.
+    pub(crate) kept: Vec<Pick>,
     /// When the last attempt was sent.
     pub(crate) sent: Duration,
     /// When the last token is known to have come, and its successor's number.
@@ -53,12 +57,14 @@
             prefixes,
             attempt: 0,
             next: 0,
+            from: 0,
             began: false,
             picks: Vec::new(),
             prompts: Vec::new(),
             plan: Plan { stages: Vec::new() },
             failed: Vec::new(),
             survivors: Vec::new(),
+            kept: Vec::new(),
             sent: Duration::ZERO,
             moved: None,
             clear_from: None,
@@ -73,16 +79,16 @@
         self.running && self.picks.iter().any(|pick| pick.target == target)
     }
 
-    /// Counts the attempt's streams at its targets. `kept` need not compute the prompt again,
-    /// which costs each other stage `prompt` tokens.
-    pub(crate) fn occupy(&mut self, view: &mut View, now: Duration, kept: &[Pick], prompt: f64) {
+    /// Counts the attempt's streams at its targets. Kept stages need not compute the prompt
+    /// again, which costs each other stage the time of `prompt` tokens.
+    pub(crate) fn occupy(&mut self, view: &mut View, now: Duration, prompt: f64) {
         debug_assert!(!self.running, "one attempt runs at a time");
         self.running = true;
         self.prompts.clear();
         for pick in &self.picks {
             let entry = view.entry_mut(pick.target);
             let cost = entry.cost(pick.layers);
-            let prompt = if kept.contains(pick) { 0.0 } else { prompt * cost };
+            let prompt = if self.kept.contains(pick) { 0.0 } else { prompt * cost };
             entry.load.add(now, cost, prompt);
             self.prompts.push(prompt);
         }
