Routing: a target that was only silent is tried again where nothing else covers

Cause: the script on a leaving target failed one time in three on a busy machine with 502 no_plan: one chain was leaving, the other stalled once (the machine was slow), and both its stages were excluded. Ruled out: ejection (ejected targets are already used when nothing else is left). A target that broke its connection stays excluded. Test the_only_chain_after_a_failure fails before, passes after.

--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -88,6 +88,13 @@
         wish.desperate = true;
         picks = choose(state, pool, &entry.survivors, &wish, step);
     }
+    let patient: Vec<TargetId>;
+    if picks.is_none() && !suspect && !entry.silent.is_empty() {
+        // Nothing else covers the layers: what was only silent may be slow.
+        patient = avoid.iter().copied().filter(|id| !entry.silent.contains(id)).collect();
+        wish.avoid = &patient;
+        picks = choose(state, pool, &[], &wish, step);
+    }
     match picks {
         Some(picks) => dispatch(state, step, id, picks, suspect),
         None if suspect && is_covered(state, pool, step, &entry.failed) => {
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -175,6 +175,9 @@
     let Some(target) = named.or_else(|| first_stage(state, id)) else { return };
     begin(state, id);
     fail(state, id, Some(target));
+    if let Some(entry) = state.table.get_mut(&id) {
+        entry.silent.retain(|silent| *silent != target);
+    }
     let loss = lose(state, step, target);
     eject(state, step, target, Cause::Failed);
     suspect(state, step, id, target, loss);
@@ -235,7 +238,11 @@
     }
     let alone = blamed.len() == 1;
     for target in blamed {
+        let before = state.table.get(&id).is_some_and(|entry| entry.failed.contains(&target));
         fail(state, id, Some(target));
+        if !before && let Some(entry) = state.table.get_mut(&id) {
+            entry.silent.push(target);
+        }
         let stalls = state.view.entry_mut(target).health.stalled();
         if alone || stalls >= STALLS_EJECT {
             eject(state, step, target, Cause::Failed);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -30,6 +30,8 @@
     pub(crate) plan: Plan,
     /// Targets that failed it.
     pub(crate) failed: Vec<TargetId>,
+    /// Those of them that were only silent, and may be slow rather than gone.
+    pub(crate) silent: Vec<TargetId>,
     /// Stages of the last attempt that survived it.
     pub(crate) survivors: Vec<Pick>,
     /// Stages that the running attempt kept from the one before.
@@ -63,6 +65,7 @@
             prompts: Vec::new(),
             plan: Plan { stages: Vec::new() },
             failed: Vec::new(),
+            silent: Vec::new(),
             survivors: Vec::new(),
             kept: Vec::new(),
             sent: Duration::ZERO,
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -240,3 +240,31 @@
     assert_eq!(bench.router.open_requests(), 0);
     assert_eq!(bench.end(&sent, 3, Ending::Broken { target: None }), vec![]);
 }
+
+struct LastChain {
+    ending: Ending,
+    /// Whether the only chain is tried again.
+    again: bool,
+}
+
+/// A target that was only silent may be slow: where nothing else covers the layers, it is
+/// tried again. One that broke the connection is gone.
+#[parameterized(
+    silent = { LastChain { ending: Ending::Stalled, again: true } },
+    gone = { LastChain { ending: Ending::Broken { target: Some("e3".into()) }, again: false } },
+)]
+fn the_only_chain_after_a_failure(case: LastChain) {
+    let only = vec![engine("e1", "a", (0, 20), 900.0), engine("e3", "a", (20, 48), 800.0)];
+    let mut bench = Bench::new(only);
+    let first = dispatch(&bench.start(1, "plank", true));
+    let actions = bench.end(&first, 3, case.ending);
+    if case.again {
+        let second = dispatch(&actions);
+        assert_eq!((second.attempt, second.from), (2, 3));
+        assert_eq!(second.plan, first.plan);
+        assert_eq!(verdict(&bench.end(&second, 50, Ending::Complete)), Some(Verdict::Complete));
+    } else {
+        let given_up = verdict(&actions);
+        assert!(matches!(given_up, Some(Verdict::Incomplete { reason: Reason::NoPlan, .. })));
+    }
+}
