--- a/crates/route/examples/measure/main.rs
+++ b/crates/route/examples/measure/main.rs
@@ -5,7 +5,7 @@
 
 #[path = "../../tests/fake/mod.rs"]
 mod fake;
-#[path = "../../tests/fake/fleets.rs"]
+#[path = "../../tests/fleets/mod.rs"]
 mod fleets;
 mod policy;
 mod rows;
--- a/crates/route/examples/measure/rows.rs
+++ b/crates/route/examples/measure/rows.rs
@@ -136,7 +136,7 @@
 fn domain_lost(seed: u64, settings: &Settings) -> f64 {
     let mut world = loaded(seed, settings, SATURATED_GAP);
     world.run_for(seconds(10));
-    let lost = in_domain(&world, "a");
+    let lost = world.in_domain("a");
     for target in &lost {
         world.set_health(target, Health::Dead);
     }
@@ -147,11 +147,6 @@
     rate(&mut world, seconds(20))
 }
 
-fn in_domain(world: &World, domain: &str) -> Vec<TargetName> {
-    let inside = world.servers.values().filter(|server| server.target.domain == domain);
-    inside.map(|server| server.target.name.clone()).collect()
-}
-
 fn any_engine(world: &mut World) -> TargetName {
     let is_engine = |kind: &Kind| matches!(kind, Kind::Engine(_));
     let up = world.servers.values().filter(|s| s.health == Health::Up && is_engine(&s.target.kind));
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -44,6 +44,9 @@
     pub(crate) prefixes: &'a [u64],
     /// Targets that are not to be used.
     pub(crate) avoid: &'a [TargetId],
+    /// Drawn once for the request between 0 and 1: a new target is used where its share of
+    /// work is above it. Drawn for each sample, several samples would add up.
+    pub(crate) luck: f64,
     /// Whether ejected targets may be used: nothing else is left.
     pub(crate) desperate: bool,
     /// Racks that are used only where nothing else is left.
@@ -201,7 +204,7 @@
     let mut found = 0;
     for _ in 0..MEMBER_SAMPLES {
         let id = group.sample(rng);
-        if !free(id) || is_cold(view, id, wish, rng) {
+        if !free(id) || is_cold(view, id, wish) {
             continue;
         }
         let cost = stage_delay(view, Pick { target: id, layers }, wish);
@@ -231,14 +234,13 @@
 }
 
 /// Whether a new target is passed over this time.
-fn is_cold(view: &View, id: TargetId, wish: &Wish<'_>, rng: &mut SmallRng) -> bool {
-    use rand::RngExt;
+fn is_cold(view: &View, id: TargetId, wish: &Wish<'_>) -> bool {
     let Some(joined) = view.entry(id).joined.filter(|_| wish.mechanism().warm_up) else {
         return false;
     };
     let age = wish.now.saturating_sub(joined).as_secs_f64();
     let share = (age / wish.settings.warm_up.as_secs_f64()).max(COLD_SHARE);
-    share < 1.0 && rng.random::<f64>() >= share
+    wish.luck >= share
 }
 
 /// Expected seconds for one token through the stages.
--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -4,6 +4,8 @@
 
 use fleet::{Event, Layers, Plan, RequestId, Stage, TargetId, TargetName};
 
+use rand::RngExt;
+
 use crate::choose::{self, Pick, Wish};
 use crate::finish::{condemn, finish, give_up};
 use crate::outlier::Admission;
@@ -81,6 +83,7 @@
         prefixes: &entry.prefixes,
         avoid: &avoid,
         shun: &shun,
+        luck: step.rng.random(),
         desperate: false,
     };
     let mut picks = choose(state, pool, &entry.survivors, &wish, step);
@@ -157,6 +160,7 @@
         prefixes: &[],
         avoid: failed,
         shun: &[],
+        luck: 0.0,
         desperate: true,
     };
     choose::chain(&state.view, pool, &wish, step.rng).is_some()
--- a/crates/route/tests/fake/mod.rs
+++ b/crates/route/tests/fake/mod.rs
@@ -38,6 +38,20 @@
     pub(crate) busy: f64,
 }
 
+impl Server {
+    fn new(target: Target) -> Self {
+        Self {
+            target,
+            health: Health::Up,
+            leaving: false,
+            free_at: Duration::ZERO,
+            began: BTreeSet::new(),
+            tokens: 0,
+            busy: 0.0,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Job {
     request: RequestId,
@@ -113,6 +127,13 @@
     /// Work of the tokens delivered and of the prompts of first attempts, in tokens.
     pub(crate) useful: f64,
     pub(crate) attempts: u64,
+    /// Prompts computed at a stage by second and later attempts.
+    pub(crate) prompts: usize,
+    /// Streams broken by the death of a target.
+    pub(crate) broken: usize,
+    /// Attempts that met a dead target at once.
+    pub(crate) refused: usize,
+    crasher_ids: BTreeSet<RequestId>,
     pub(crate) capacity: BTreeMap<smol_str::SmolStr, (f64, u32)>,
     pub(crate) violations: Vec<String>,
     next_request: RequestId,
@@ -126,16 +147,8 @@
             let rng = SmallRng::seed_from_u64(seed * 31 + index as u64);
             Node { router: Router::new(settings), rng, alive: true }
         };
-        let server = |target: &Target| Server {
-            target: target.clone(),
-            health: Health::Up,
-            leaving: false,
-            free_at: Duration::ZERO,
-            began: BTreeSet::new(),
-            tokens: 0,
-            busy: 0.0,
-        };
-        let servers = targets.iter().map(|target| (target.name.clone(), server(target)));
+        let servers =
+            targets.iter().map(|target| (target.name.clone(), Server::new(target.clone())));
         let mut world = Self {
             now: Duration::ZERO,
             sequence: 0,
@@ -155,6 +168,10 @@
             jitter: Duration::from_millis(1),
             useful: 0.0,
             attempts: 0,
+            prompts: 0,
+            broken: 0,
+            refused: 0,
+            crasher_ids: BTreeSet::new(),
             capacity: BTreeMap::new(),
             violations: Vec::new(),
             next_request: 1,
@@ -219,22 +236,54 @@
             waiting: false,
             timeouts: (Duration::ZERO, Duration::ZERO),
         };
+        if self.crashers.contains(&request.fingerprint) {
+            self.crasher_ids.insert(id);
+        }
         self.streams.insert(id, stream);
         self.hear(node, Message::Start { request, priority: 3, prefixes: Vec::new() });
         id
     }
 
+    pub(crate) fn is_crasher(&self, id: RequestId) -> bool {
+        self.crasher_ids.contains(&id)
+    }
+
+    pub(crate) fn in_domain(&self, domain: &str) -> Vec<TargetName> {
+        let inside = self.servers.values().filter(|server| server.target.domain == domain);
+        inside.map(|server| server.target.name.clone()).collect()
+    }
+
+    /// Adds a target and tells all nodes.
+    pub(crate) fn add(&mut self, target: Target) {
+        let name = target.name.clone();
+        self.servers.insert(name, Server::new(target));
+        self.tell_fleet();
+    }
+
+    pub(crate) fn tell(&mut self, node: usize, message: Message) {
+        self.hear(node, message);
+    }
+
     pub(crate) fn start_refill(&mut self, node: usize) {
         let Some(refill) = self.refill.clone() else { return };
+        // Admission lets no more in than the fleet carries now.
+        let slots = self.capacity.get(refill.service).map_or(0, |capacity| capacity.1);
+        if self.streams.len() >= slots as usize {
+            return;
+        }
         let prompt = self.rng.random_range(refill.prompt.0..=refill.prompt.1);
         let tokens = self.rng.random_range(refill.tokens.0..=refill.tokens.1);
         self.start(node, refill.service, (prompt, tokens), None);
     }
 
     pub(crate) fn hang_up(&mut self, id: RequestId) {
-        if let Some(stream) = self.streams.remove(&id) {
-            self.hear(stream.node, Message::HungUp(id));
+        let Some(stream) = self.streams.get(&id) else { return };
+        let node = stream.node;
+        // A call that may not be repeated goes on without its caller.
+        if stream.request.idempotent {
+            self.streams.remove(&id);
         }
+        self.hear(node, Message::HungUp(id));
     }
 
     pub(crate) fn set_health(&mut self, target: &str, health: Health) {
@@ -414,6 +463,7 @@
             .filter(|(_, run)| through(run))
             .map(|(key, run)| (key.0, key.1, run.dispatch.plan.stages[0].target == target))
             .collect();
+        self.broken += broken.len();
         for (request, attempt, first) in broken {
             let named = (!first).then(|| target.into());
             let job = Job { request, attempt, stage: 0, index: 0 };
@@ -429,12 +479,13 @@
         let (target, layers) = (stage.target.clone(), stage.layers);
         let first = job.index == run.dispatch.from;
         let reused = run.dispatch.reuse.contains(&target);
-        let stream = &self.streams[&job.request];
+        let Some(stream) = self.streams.get(&job.request) else { return };
         let prompt = stream.request.shape.prompt_tokens + run.dispatch.from;
         let crashes = self.crashers.contains(&stream.request.fingerprint);
         let server = self.servers.get_mut(&target).expect("known target");
         match server.health {
             Health::Dead if job.stage == 0 && first => {
+                self.refused += 1;
                 return self.ended(job, Ending::Unreachable { target });
             }
             Health::Dead => {
@@ -458,6 +509,7 @@
         let mut cost = part / rate * slow;
         if first && !reused && !layers.is_empty() {
             cost += f64::from(prompt) * cost / PREFILL_SPEEDUP;
+            self.prompts += usize::from(job.attempt > 1);
         }
         server.tokens += 1;
         server.busy += cost;
@@ -489,7 +541,7 @@
         }
         let jitter = self.jitter();
         self.at(jitter, Event::Token(job));
-        let stream = &self.streams[&job.request];
+        let Some(stream) = self.streams.get(&job.request) else { return };
         if job.index + 1 < stream.request.shape.max_tokens {
             self.at(hop, Event::Arrive(Job { stage: 0, index: job.index + 1, ..job }));
         }
--- a/crates/route/tests/fake/fleets.rs
+++ b/crates/route/tests/fleets/mod.rs
@@ -1,5 +1,7 @@
 //! Fleets for tests and measures.
 
+#![allow(dead_code)]
+
 use fleet::{Engine, Kind, Layers, Service, Standing, Target};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- /dev/null
+++ b/crates/route/tests/mechanisms.rs
@@ -0,0 +1,257 @@
+//! Each mechanism on and off over the same fake fleet: the promise holds only with it on.
+
+mod fake;
+mod fleets;
+
+use std::time::Duration;
+
+use fake::{Health, World};
+use fleet::TargetName;
+use fleets::{MODEL, booking, engine, mixed};
+use route::{Mechanism, Message, Quarantine, Settings, Verdict};
+use yare::parameterized;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settings(change: fn(&mut Mechanism)) -> Settings {
+    let mut mechanism = Mechanism::default();
+    change(&mut mechanism);
+    Settings::builder().mechanism(mechanism).build()
+}
+
+/// Two engines for each half of the model in each of three failure domains.
+fn halves() -> Vec<fleet::Target> {
+    let mut targets = Vec::new();
+    for domain in ["a", "b", "c"] {
+        for number in 0..2 {
+            let rack = format!("{domain}{number}");
+            let name = |half: &str| format!("{domain}{number}{half}");
+            targets.push(engine(&name("low"), (domain, &rack), (0, 24), 500.0));
+            targets.push(engine(&name("high"), (domain, &rack), (24, 48), 500.0));
+        }
+        targets.push(booking(&format!("{domain}b"), (domain, &format!("{domain}0"))));
+    }
+    targets
+}
+
+fn trickle(world: &mut World, count: usize, every: Duration) {
+    for number in 0..count {
+        world.start(number % world.nodes.len(), MODEL, (50, 60), None);
+        world.run_for(every);
+    }
+}
+
+fn given_up(world: &World) -> usize {
+    world.verdicts.values().filter(|(_, verdict)| *verdict != Verdict::Complete).count()
+}
+
+struct Case {
+    off: fn(&mut Mechanism),
+    holds: fn(Settings) -> bool,
+}
+
+#[parameterized(
+    stall_timeout_learned = { Case { off: |m| m.learned_stall = false, holds: frozen_is_short } },
+    failed_stage_excluded = { Case {
+        off: |m| (m.exclude, m.outlier) = (false, false),
+        holds: frozen_is_left,
+    } },
+    surviving_stage_kept = { Case { off: |m| m.reuse = false, holds: survivor_is_kept } },
+    failed_target_ejected = { Case { off: |m| m.outlier = false, holds: dead_is_asked_seldom } },
+    retries_bounded = { Case { off: |m| m.budget = false, holds: retries_are_bounded } },
+    new_target_warmed_up = { Case { off: |m| m.warm_up = false, holds: new_gets_less } },
+    crashing_request_condemned = { Case {
+        off: |m| m.quarantine = false,
+        holds: crasher_costs_two,
+    } },
+    rack_loss_condemns_nobody = { Case {
+        off: |m| m.correlation = false,
+        holds: rack_losses_condemn_nobody,
+    } },
+    load_expected = { Case {
+        off: |m| (m.flow, m.two_choices, m.delay) = (false, false, false),
+        holds: slow_accelerators_get_less,
+    } },
+    report_joined_with_own_work = { Case { off: |m| m.join = false, holds: burst_is_spread } },
+)]
+fn mechanism(case: Case) {
+    assert!((case.holds)(settings(|_| {})), "on: holds");
+    assert!(!(case.holds)(settings(case.off)), "off: does not hold");
+}
+
+/// A frozen stage is left within the second promised.
+fn frozen_is_short(settings: Settings) -> bool {
+    let settings = Settings { stall_max: 2 * SECOND, ..settings };
+    let mut world = World::new(1, 1, &halves(), &settings);
+    trickle(&mut world, 40, Duration::from_millis(20));
+    world.set_health("a0low", Health::Frozen);
+    trickle(&mut world, 40, Duration::from_millis(20));
+    world.run_for(5 * SECOND);
+    assert!(!world.resumed.is_empty(), "the failure hit streams");
+    world.resumed.iter().all(|time| *time <= SECOND)
+}
+
+/// All but one of the targets of one half frozen, still every answer comes whole.
+fn frozen_is_left(settings: Settings) -> bool {
+    let settings = Settings { retry_reserve: 1000.0, ..settings };
+    let mut world = World::new(2, 1, &halves(), &settings);
+    for name in ["a0low", "a1low", "b0low", "b1low", "c0low"] {
+        world.set_health(name, Health::Frozen);
+    }
+    trickle(&mut world, 40, Duration::from_millis(50));
+    world.run_for(60 * SECOND);
+    given_up(&world) == 0 && world.streams.is_empty()
+}
+
+/// After the loss of one stage the other computes no prompt again.
+fn survivor_is_kept(settings: Settings) -> bool {
+    let mut world = World::new(3, 1, &halves(), &settings);
+    trickle(&mut world, 40, Duration::from_millis(10));
+    let before = world.prompts;
+    let due = world.streams.len();
+    world.set_health("a0low", Health::Dead);
+    let hit = world.broken;
+    world.run_for(10 * SECOND);
+    assert!(hit > 0 && due >= hit, "the failure hit streams");
+    world.prompts - before <= hit
+}
+
+/// A dead target is asked a few times, not by each request.
+fn dead_is_asked_seldom(settings: Settings) -> bool {
+    let mut world = World::new(4, 1, &halves(), &settings);
+    world.set_health("a0low", Health::Dead);
+    trickle(&mut world, 200, Duration::from_millis(10));
+    world.refused <= 4
+}
+
+/// With nearly all frozen, retries stay within their share of the successes.
+fn retries_are_bounded(settings: Settings) -> bool {
+    let settings = Settings { retry_reserve: 5.0, eject_share: 0.0, ..settings };
+    let mut world = World::new(5, 1, &halves(), &settings);
+    for name in ["a0low", "a1low", "b0low", "b1low", "c0low"] {
+        world.set_health(name, Health::Frozen);
+    }
+    trickle(&mut world, 200, Duration::from_millis(20));
+    world.run_for(60 * SECOND);
+    let complete = world.verdicts.len() - given_up(&world);
+    let seconds = world.now.as_secs_f64();
+    let most = 0.2 * complete as f64 + 5.0 + 0.5 * seconds;
+    (world.attempts - 200) as f64 <= most
+}
+
+/// In its first second a new target gets less than its share.
+fn new_gets_less(settings: Settings) -> bool {
+    let mut world = World::new(6, 1, &halves(), &settings);
+    trickle(&mut world, 20, Duration::from_millis(10));
+    world.add(engine("new", ("a", "a9"), (0, 24), 500.0));
+    trickle(&mut world, 100, Duration::from_millis(10));
+    let began = world.servers["new"].began.len();
+    began <= 100 / 7 / 2
+}
+
+/// A request that crashes its targets costs two, and nobody else is given up.
+fn crasher_costs_two(settings: Settings) -> bool {
+    let mut world = World::new(7, 2, &halves(), &settings);
+    world.crashers.insert(u64::MAX);
+    for node in [0, 1, 0, 1] {
+        trickle(&mut world, 10, Duration::from_millis(10));
+        world.start(node, MODEL, (100, 50), Some(u64::MAX));
+        trickle(&mut world, 10, Duration::from_millis(100));
+    }
+    world.run_for(10 * SECOND);
+    let whole = |(id, (_, verdict)): (&u128, &(Duration, Verdict))| {
+        *verdict == Verdict::Complete || world.is_crasher(*id)
+    };
+    world.lost_to_crashers.len() <= 2 && world.verdicts.iter().all(whole)
+}
+
+/// Two racks go one after the other under streams that have just begun.
+fn rack_losses_condemn_nobody(settings: Settings) -> bool {
+    let mut world = World::new(8, 1, &halves(), &settings);
+    let mut condemned = 0;
+    for rack in ["a0", "b0"] {
+        for _ in 0..60 {
+            world.start(0, MODEL, (4000, 50), None);
+        }
+        world.run_for(Duration::from_millis(300));
+        let names: Vec<TargetName> =
+            ["low", "high"].map(|half| format!("{rack}{half}").into()).into();
+        for name in &names {
+            world.set_health(name, Health::Dead);
+        }
+        world.run_for(Duration::from_millis(600));
+        condemned += quarantined(&world);
+    }
+    world.run_for(60 * SECOND);
+    condemned + quarantined(&world) == 0
+}
+
+fn quarantined(world: &World) -> usize {
+    let hit = |verdict: &Verdict| matches!(verdict, Verdict::Quarantined { .. });
+    world.verdicts.values().filter(|(_, verdict)| hit(verdict)).count()
+}
+
+/// Work follows speed: the fast half does several times as much as the slow one.
+fn slow_accelerators_get_less(settings: Settings) -> bool {
+    let targets =
+        [engine("fast", ("a", "a0"), (0, 48), 900.0), engine("slow", ("b", "b0"), (0, 48), 100.0)];
+    let mut world = World::new(9, 1, &targets, &settings);
+    trickle(&mut world, 100, Duration::from_millis(40));
+    world.run_for(20 * SECOND);
+    let began = |name: &str| world.servers[name].began.len();
+    began("fast") >= 4 * began("slow")
+}
+
+/// Between two reports a burst does not all go to the target that was idle in the last.
+fn burst_is_spread(settings: Settings) -> bool {
+    let targets: Vec<_> =
+        ["x", "y", "z"].map(|name| engine(name, ("a", name), (0, 48), 500.0)).into();
+    let mut world = World::new(10, 1, &targets, &settings);
+    for (target, running) in [("x", 0), ("y", 20), ("z", 20)] {
+        let age = Duration::ZERO;
+        let target = target.into();
+        let load = route::Load { target, running, queued: 0, tokens_per_second: 0.0, age };
+        world.tell(0, Message::Load(load));
+    }
+    for _ in 0..90 {
+        world.start(0, MODEL, (10, 50), None);
+    }
+    world.run_for(Duration::from_millis(50));
+    let most = world.servers.values().map(|server| server.began.len()).max();
+    most.is_some_and(|most| most <= 50)
+}
+
+#[test]
+fn whole_domain_lost_at_once_loses_no_answer() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 4, &mixed(seed), &Settings::default());
+        trickle(&mut world, 100, Duration::from_millis(5));
+        let lost: Vec<TargetName> = world.in_domain("a");
+        for name in &lost {
+            world.set_health(name, Health::Dead);
+        }
+        trickle(&mut world, 50, Duration::from_millis(5));
+        world.tell_lost(&lost);
+        world.tell_fleet();
+        trickle(&mut world, 50, Duration::from_millis(5));
+        world.run_for(60 * SECOND);
+        assert_eq!(world.violations, Vec::<String>::new());
+        assert_eq!((given_up(&world), world.streams.len()), (0, 0), "seed {seed}");
+    }
+}
+
+#[test]
+fn condemned_elsewhere_is_final_at_once_and_forgotten_after_its_time() {
+    let mut world = World::new(1, 1, &halves(), &Settings::default());
+    let fact =
+        Quarantine { fingerprint: 77, target: "a0low".into(), condemned: true, ttl: 30 * SECOND };
+    world.tell(0, Message::Quarantine(fact));
+    let now = world.now;
+    let early = world.start(0, MODEL, (10, 10), Some(77));
+    let verdict = Verdict::Quarantined { retry_after: 30 * SECOND };
+    assert_eq!(world.verdicts[&early], (now, verdict));
+    world.run_for(31 * SECOND);
+    let late = world.start(0, MODEL, (10, 10), Some(77));
+    world.run_for(5 * SECOND);
+    assert_eq!(world.verdicts[&late].1, Verdict::Complete);
+}
