--- a/crates/ledger/src/drive.rs
+++ b/crates/ledger/src/drive.rs
@@ -18,7 +18,10 @@
 /// Largest exponent of the back-off.
 const BACKOFF_EXPONENT: u32 = 8;
 /// Longest wait after the rate of calls was spent.
-const LIMITED_WAIT: Duration = Duration::from_millis(30);
+const LIMITED_WAIT: Duration = Duration::from_millis(10);
+
+/// Age from which a value of a shard that other nodes write too is read anew before a write.
+const CONTENDED_AGE: Duration = Duration::from_millis(2);
 
 /// What is known of a write that has not succeeded.
 #[derive(Clone, Copy, Debug)]
@@ -53,7 +56,8 @@
             Stored::Limited => {
                 self.land(shard, Landing::Failed);
                 let wait = LIMITED_WAIT.mul_f64(scope.rng.random_range(0.3..=1.0));
-                self.lanes[shard as usize].retry_at = scope.now + wait;
+                self.limited_until = scope.now + wait;
+                self.window = 1;
             }
         }
     }
@@ -86,16 +90,24 @@
         self.outage = Outage::default();
         let anchor = (scope.now, content.clock);
         let fresh_at = flight.step;
-        let known = Known { revision, shard: content, fresh_at, anchor };
-        self.lanes[shard as usize].known = Some(known);
+        let learned_at = scope.now;
+        let known = Known { revision, shard: content, fresh_at, learned_at, anchor };
+        let lane = &mut self.lanes[shard as usize];
+        lane.contended = lane.seen.is_some_and(|seen| seen != revision);
+        lane.seen = Some(revision);
+        lane.known = Some(known);
     }
 
     fn written(&mut self, shard: ShardId, flight: Flight, revision: u64, scope: &mut Scope<'_>) {
         self.outage = Outage::default();
+        self.window = (self.window + 1).min(self.settings.concurrency);
         let Some(write) = flight.write else { return };
         let fresh_at = flight.step;
-        let known = Known { revision, shard: write.shard, fresh_at, anchor: write.anchor };
-        self.lanes[shard as usize].known = Some(known);
+        let (learned_at, anchor) = (scope.now, write.anchor);
+        let known = Known { revision, shard: write.shard, fresh_at, learned_at, anchor };
+        let lane = &mut self.lanes[shard as usize];
+        lane.seen = Some(revision);
+        lane.known = Some(known);
         self.finish(shard, scope);
     }
 
@@ -152,12 +164,15 @@
 
     /// Begins operations in the shards that have work, each shard in its turn.
     pub(crate) fn pump(&mut self, scope: &mut Scope<'_>) {
+        if scope.now < self.limited_until {
+            return;
+        }
         let count = self.lanes.len();
         let first = self.cursor;
         for offset in 0..count {
             let index = (first + offset) % count;
             while self.lanes[index].is_ready(scope.now) {
-                if self.tickets.len() >= self.settings.concurrency {
+                if self.tickets.len() >= self.window {
                     self.cursor = index;
                     return;
                 }
@@ -169,7 +184,11 @@
     /// Begins an operation on a shard, or finishes some of its work without one.
     fn begin(&mut self, index: usize, scope: &mut Scope<'_>) {
         let lane = &mut self.lanes[index];
-        let Some(known) = lane.known.take() else {
+        // Reads cost the store less than writes: where other nodes write too, a write from an
+        // old value would mostly be a conflict.
+        let old = |known: &Known| scope.now.saturating_sub(known.learned_at) > CONTENDED_AGE;
+        let stale = lane.contended && lane.known.as_ref().is_some_and(old);
+        let Some(known) = lane.known.take_if(|_| !stale) else {
             self.read(index, scope);
             return;
         };
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -15,6 +15,10 @@
     pub(crate) flight: Option<Flight>,
     /// Work that is not finished, in order of arrival.
     pub(crate) entries: Vec<Entry>,
+    /// Revision last seen.
+    pub(crate) seen: Option<u64>,
+    /// Whether another node has been seen to write this shard between two operations.
+    pub(crate) contended: bool,
     /// Time before which no operation is begun.
     pub(crate) retry_at: Duration,
 }
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -19,6 +19,8 @@
     /// Number of a step since which it was certainly the present one at some moment: what
     /// happened elsewhere before that step is in it.
     pub(crate) fresh_at: u64,
+    /// When it was learned.
+    pub(crate) learned_at: Duration,
     /// Moment of this node's clock, and the shard's clock then, from which the shard's time is
     /// measured. Both stay while only this node writes.
     pub(crate) anchor: (Duration, Duration),
@@ -87,11 +89,17 @@
     // Outcomes and releases come first: they make room and free keys for claims.
     let (claims, others): (Vec<Entry>, Vec<Entry>) =
         entries.drain(..).partition(|entry| matches!(entry.work, Work::Claim { .. }));
+    let mut written = 0;
     for mut entry in others.into_iter().chain(claims) {
+        if written >= settings.group {
+            entries.push(entry);
+            continue;
+        }
         let step = consider(&entry, &mut plan.shard, &mut context);
         match step {
             Step::Write(intent) => {
                 plan.write = true;
+                written += 1;
                 entry.flight = Some(intent);
                 entries.push(entry);
             }
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -29,6 +29,11 @@
     /// Shard at which the next round of operations begins.
     pub(crate) cursor: usize,
     pub(crate) outage: Outage,
+    /// Operations that may be in flight: falls to one when the rate is spent, and grows again
+    /// with each write that takes effect.
+    pub(crate) window: usize,
+    /// Time before which no operation is begun, since the rate is spent.
+    pub(crate) limited_until: Duration,
     /// Number of the present step. Unlike time it tells apart what happens at one moment.
     pub(crate) steps: u64,
     nodes: Vec<SmolStr>,
@@ -58,6 +63,8 @@
     /// Makes the service.
     pub fn new(settings: Settings) -> Self {
         Self {
+            window: settings.concurrency,
+            limited_until: Duration::ZERO,
             settings,
             lanes: (0..SHARDS).map(|_| Lane::default()).collect(),
             held: HashMap::new(),
@@ -233,7 +240,8 @@
         let now = scope.now;
         // A lane that is due already waits for an operation to end and needs no timer.
         let waits = self.lanes.iter().filter_map(|lane| lane.due(now, &self.settings));
-        let Some(due) = waits.min() else { return };
+        let limited = self.lanes.iter().any(|lane| lane.is_ready(now)) && self.limited_until > now;
+        let Some(due) = waits.chain(limited.then_some(self.limited_until)).min() else { return };
         if self.wake_at.is_some_and(|at| at <= due) {
             return;
         }
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -21,6 +21,7 @@
     pub(crate) max_answer: usize,
     pub(crate) reserve_bytes: usize,
     pub(crate) concurrency: usize,
+    pub(crate) group: usize,
     pub(crate) weakness: Weakness,
 }
 
@@ -61,6 +62,7 @@
                 max_answer: 64 << 10,
                 reserve_bytes: 2 << 10,
                 concurrency: 8,
+                group: usize::MAX,
                 weakness: Weakness::None,
             },
         }
@@ -147,6 +149,12 @@
         self
     }
 
+    /// Most claims and outcomes in one write.
+    pub fn group(mut self, entries: usize) -> Self {
+        self.settings.group = entries.max(1);
+        self
+    }
+
     /// Leaves a mechanism out; for tests only.
     pub fn weakness(mut self, weakness: Weakness) -> Self {
         self.settings.weakness = weakness;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -112,6 +112,7 @@
     /// Makes a client; nothing is sent yet.
     pub fn new(settings: Settings) -> Self {
         let config = ureq::Agent::config_builder()
+            .proxy(None)
             .http_status_as_error(false)
             .timeout_connect(Some(settings.connect))
             .timeout_global(Some(settings.deadline))
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -122,7 +122,10 @@
                 // The key came into being by another write, so the expected absence is over.
                 return Readback::Superseded(current);
             }
-            step = match self.range_at(purpose, write.key, entry.revision - 1) {
+            let before = entry.revision - 1;
+            step = match self.range_at(purpose, write.key, before) {
+                // A store that keeps no history answers with the present value.
+                Ok(Some(earlier)) if earlier.revision > before => break,
                 Ok(earlier) => earlier,
                 Err(error) => return Readback::Hidden(error),
             };
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -48,6 +48,16 @@
         Self { client, purpose, key, next: 0 }
     }
 
+    /// Follows `key` from the changes of `revision` on, for instance after a pause.
+    pub fn from_revision(
+        client: &'a Client,
+        purpose: Purpose,
+        key: &'a str,
+        revision: Revision,
+    ) -> Self {
+        Self { client, purpose, key, next: revision }
+    }
+
     /// Reports updates until `stop` is set. Blocks; after `stop` it returns within the idle time
     /// of a watch.
     pub fn run(&mut self, stop: &AtomicBool, sink: &mut dyn FnMut(Update)) {
