--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -12,6 +12,7 @@
 use error_stack::{Report, ResultExt as _};
 use fleet::Event;
 use kernel::Threads;
+use socket2::SockRef;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 
@@ -19,7 +20,7 @@
 use super::explain::Explain;
 use super::peers::{Answers, Peers};
 use super::shared::{Inbox, Input, Shared, hex};
-use super::{attempt, callers, loads, logging, operators, store as calls};
+use super::{attempt, callers, loads, logging, operators, orders, store as calls};
 use crate::{Config, Message, Node, Settings, event};
 
 /// Threads that run the tasks of connections and relays.
@@ -87,9 +88,14 @@
     decisions: Option<Threads>,
 }
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 4_096;
+
 fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     let error = StartError::Port { setting, address };
     let listener = TcpListener::bind(address).change_context(error.clone())?;
+    // A full queue costs a caller a second until its system asks again.
+    SockRef::from(&listener).listen(LISTEN_BACKLOG).change_context(error.clone())?;
     listener.set_nonblocking(true).change_context(error)?;
     Ok(listener)
 }
@@ -201,6 +207,7 @@
             .build();
         let client = Arc::new(store::Client::new(client));
         let jobs = calls::start_pool(threads, &shared, &client)?;
+        let orders = orders::start(threads, &shared, &client, began)?;
         let core = Core {
             shared: Arc::clone(&shared),
             node: Node::new(config(&shared.settings, ports.peers)),
@@ -209,6 +216,7 @@
             runtime: runtime.handle().clone(),
             agent,
             jobs,
+            orders,
             client: Arc::clone(&client),
             peers: Peers::new(Arc::clone(&shared), runtime.handle().clone()),
             explain: Explain::new(shared.settings.explained),
@@ -217,6 +225,7 @@
         decisions.spawn("decisions", move || core.run())?;
         shared.inbox.tell(Message::Preset(preset::Message::Wake));
         shared.inbox.tell(Message::Member(member::Message::Wake));
+        shared.inbox.tell(Message::Order(order::Message::Wake));
         let watcher = Arc::clone(&shared);
         threads.spawn("preset-watch", move || calls::watch(&watcher, &client))?;
         let lister = Arc::clone(&shared);
@@ -255,7 +264,8 @@
 
     /// Planned stop: not ready, waits until the balancer has taken notice, takes nothing new,
     /// finishes all in flight, tells the other nodes, ends. Returns the number of requests
-    /// that were cut off because the limit had passed or somebody was in a hurry.
+    /// that were cut off, or whose outcome is not kept, because the limit had passed or somebody
+    /// was in a hurry.
     pub fn stop(mut self) -> usize {
         let settings = self.shared.settings.clone();
         self.shared.draining.store(true, Ordering::SeqCst);
@@ -279,9 +289,11 @@
         self.shared.inbox.tell(Message::Member(member::Message::Leave));
         thread::sleep(LEAVE_TIME);
         let unread = shared.connections.load(Ordering::SeqCst);
-        let cut = cut.len().max(unread);
+        let held = shared.held.load(Ordering::SeqCst);
+        let cut = cut.len().max(unread).max(held);
         self.end();
-        log::info!("{}", Event::new(&event::STOPPED).with("node", &settings.name).with("cut", cut));
+        let stopped = Event::new(&event::STOPPED).with("node", &settings.name).with("cut", cut);
+        log::info!("{}", stopped.with("outcomes_not_kept", held));
         cut
     }
 
@@ -345,6 +357,7 @@
         route: route::Settings { node: name.clone(), ..route::Settings::default() },
         ledger: ledger::Settings::builder(&name, rand::random()).build(),
         member: member::Settings::builder(name, peers, incarnation).build(),
+        order: order::Settings::builder().build(),
         preset: preset::Settings::default(),
     }
 }
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -8,7 +8,7 @@
 use crate::launch::{hex, launch};
 use crate::outlier::Cause;
 use crate::state::{State, Step, eject};
-use crate::suspect::{Loss, Place, Standing};
+use crate::suspect::{Loss, Place};
 use crate::{Action, Ending, Quarantine, Reason, Verdict, event};
 
 /// Stalls of different requests on a target that eject it, where others may be the cause.
@@ -175,9 +175,12 @@
     let Some(target) = named.or_else(|| first_stage(state, id)) else { return };
     begin(state, id);
     fail(state, id, Some(target));
+    if let Some(entry) = state.table.get_mut(&id) {
+        entry.silent.retain(|silent| *silent != target);
+    }
     let loss = lose(state, step, target);
     eject(state, step, target, Cause::Failed);
-    suspect(state, step, id, loss);
+    suspect(state, step, id, target, loss);
 }
 
 /// Notes that some target may have run the request.
@@ -196,22 +199,27 @@
 }
 
 /// Holds a loss against the request that ran there.
-fn suspect(state: &mut State, step: &mut Step<'_>, id: RequestId, loss: Loss) {
+///
+/// A stage kept from the attempt before has run the request already without being lost, so
+/// its loss is no evidence. Only evidence of full weight is told to the other nodes.
+fn suspect(state: &mut State, step: &mut Step<'_>, id: RequestId, target: TargetId, loss: Loss) {
     if !state.settings.mechanism.quarantine {
         return;
     }
     let Some(entry) = state.table.get(&id) else { return };
+    if entry.kept.iter().any(|pick| pick.target == target) {
+        return;
+    }
+    let fresh = entry.moved.is_none() && entry.next == entry.from;
     let fingerprint = entry.request.fingerprint;
     let target = loss.target.clone();
-    if !state.suspects.suspect(fingerprint, loss, &state.settings) {
+    if !state.suspects.suspect(fingerprint, loss, fresh, &state.settings) {
         return;
     }
     let ttl = state.settings.suspect_ttl;
     step.log(Event::new(event::SUSPECTED).with("fingerprint", fingerprint).with("target", &target));
-    step.act(Action::Quarantine(Quarantine { fingerprint, target, condemned: false, ttl }));
-    let standing = state.suspects.standing(fingerprint, step.now, &state.settings);
-    if let Standing::Pending(at) = standing {
-        state.wake = state.wake.map(|wake| wake.min(at));
+    if fresh {
+        step.act(Action::Quarantine(Quarantine { fingerprint, target, condemned: false, ttl }));
     }
 }
 
@@ -230,7 +238,11 @@
     }
     let alone = blamed.len() == 1;
     for target in blamed {
+        let before = state.table.get(&id).is_some_and(|entry| entry.failed.contains(&target));
         fail(state, id, Some(target));
+        if !before && let Some(entry) = state.table.get_mut(&id) {
+            entry.silent.push(target);
+        }
         let stalls = state.view.entry_mut(target).health.stalled();
         if alone || stalls >= STALLS_EJECT {
             eject(state, step, target, Cause::Failed);
--- a/crates/standin/src/deployment/builder.rs
+++ b/crates/standin/src/deployment/builder.rs
@@ -66,6 +66,12 @@
         self
     }
 
+    /// Multiplies the token rates of all engines added so far.
+    pub fn scale(mut self, factor: f64) -> Self {
+        self.engines = self.engines.into_iter().map(|engine| engine.scale(factor)).collect();
+        self
+    }
+
     /// Adds a plain service.
     pub fn service(mut self, service: service::Builder) -> Self {
         self.services.push(service);
@@ -101,8 +107,14 @@
         let services: Vec<Service> = services.collect::<Result<_, _>>()?;
         let listed = engines.iter().map(Engine::vm).chain(services.iter().map(Service::vm));
         let platform = self.platform.vms(listed.cloned().collect()).start()?;
-        let organisations = self.organisations;
-        Ok(Deployment { platform, engines, services, organisations, depth: self.depth })
+        Ok(Deployment {
+            platform,
+            engines,
+            services,
+            organisations: self.organisations,
+            model: self.model,
+            depth: self.depth,
+        })
     }
 }
 
@@ -116,6 +128,8 @@
     pub services: Vec<Service>,
     /// The organisations.
     pub organisations: Vec<Organisation>,
+    /// The model.
+    pub model: ModelName,
     /// Layers of the model.
     pub depth: Depth,
 }
