--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -19,12 +19,14 @@
     crashing_request = { "crashing_request" },
     crossed = { "crossed" },
     dar = { "dar" },
+    dar_domain_lost = { "dar_domain_lost" },
     first_stage_killed = { "first_stage_killed" },
     leaving = { "leaving" },
     lost_answer = { "lost_answer" },
     node_killed = { "node_killed" },
     node_paused = { "node_paused" },
     pnw = { "pnw" },
+    pnw_domain_lost = { "pnw_domain_lost" },
     preset_switch = { "preset_switch" },
     stage_frozen = { "stage_frozen" },
     stage_killed = { "stage_killed" },
@@ -40,15 +42,6 @@
     run("unreachable_stage");
 }
 
-#[parameterized(
-    pnw = { "pnw_domain_lost" },
-    dar = { "dar_domain_lost" },
-)]
-#[ignore = "known red: targets that are lost but still listed use up attempts and condemn"]
-fn domain_lost(name: &str) {
-    run(name);
-}
-
 #[test]
 fn each_script_is_run() {
     let this_file = include_str!("process.rs");
