--- a/crates/route/src/flow.rs
+++ b/crates/route/src/flow.rs
@@ -116,23 +116,28 @@
 /// What a stage costs, as a share of the token rate. The flow is at most this share times
 /// the number of stages below the maximum.
 pub const HOP_COST: f64 = 0.002;
+/// Share of the rate that is given up to end the search early.
+pub const GAP: f64 = 0.01;
 /// Most pivots, as a multiple of the number of rows.
 const PIVOTS_PER_ROW: usize = 40;
 
 /// Computes the maximum flow, of whatever chains.
 pub fn maximum(line: &Line) -> Flow {
-    search(line, &[0.0])
+    search(line, &[(0.0, PRICE_TOLERANCE)])
 }
 
 /// Computes a flow of nearly the maximum rate. Among flows of nearly this rate one of few hops is taken:
 /// each stage of a chain holds a slot for every stream.
 ///
-/// The rate is at most `HOP_COST` times the stages of the longest chain below the maximum.
+/// The rate is at most [`GAP`] and [`HOP_COST`] times the stages of the longest chain below
+/// the maximum.
 pub fn solve(line: &Line) -> Flow {
-    search(line, &[0.0, HOP_COST])
+    search(line, &[(0.0, GAP / 2.0), (HOP_COST, GAP / 2.0)])
 }
 
-fn search(line: &Line, hop_costs: &[f64]) -> Flow {
+/// Searches under one hop cost after the other, each until no chain is worth more than the
+/// tolerance beside it.
+fn search(line: &Line, phases: &[(f64, f64)]) -> Flow {
     let scale = line.supplies.iter().map(|supply| supply.rate).fold(0.0, f64::max);
     if line.depth == 0 || scale <= 0.0 {
         return Flow::default();
@@ -143,10 +148,10 @@
         pricing: Pricing::new(line),
         bound: f64::INFINITY,
     };
-    for &hop_cost in hop_costs {
+    for &(hop_cost, tolerance) in phases {
         let chains = &search.chains;
         search.tableau.revalue(|chain| 1.0 - hop_cost * chains[chain].len() as f64);
-        search.improve(line, scale, hop_cost);
+        search.improve(line, scale, hop_cost, tolerance);
     }
     if search.chains.is_empty() {
         return Flow::default();
@@ -165,7 +170,7 @@
 impl Search {
     /// Lets columns enter until none is worth it, or no chain covers the line. A chain is
     /// worth 1 less `hop_cost` for each of its stages.
-    fn improve(&mut self, line: &Line, scale: f64, hop_cost: f64) {
+    fn improve(&mut self, line: &Line, scale: f64, hop_cost: f64, tolerance: f64) {
         let rows = line.supplies.len() + line.pipes.len();
         for _ in 0..rows * PIVOTS_PER_ROW + 16 {
             let prices = self.tableau.prices();
@@ -184,7 +189,7 @@
             let entries = usage(line, &spans, scale);
             let cost: f64 = entries.iter().map(|&(row, share)| prices[row] * share).sum();
             let value = 1.0 - hop_cost * spans.len() as f64;
-            if cost >= value - PRICE_TOLERANCE {
+            if cost >= value - tolerance {
                 return;
             }
             self.chains.push(spans);
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -50,6 +50,8 @@
     pub(crate) bound: f64,
     /// Streams or calls at once.
     pub(crate) slots: u32,
+    /// What the flow was computed from.
+    line: Line,
     /// All targets present, ejected and leaving ones too.
     pub(crate) targets: Vec<TargetId>,
     /// Seconds between tokens.
@@ -60,7 +62,13 @@
 
 impl Pool {
     /// Groups the targets and computes the chains.
-    pub(crate) fn build(view: &View, now: Duration, ids: &[TargetId], settings: &Settings) -> Self {
+    pub(crate) fn build(
+        view: &View,
+        now: Duration,
+        ids: &[TargetId],
+        settings: &Settings,
+        before: Option<&Pool>,
+    ) -> Self {
         let depth = depth(view, ids);
         let mut pool = Self { depth, targets: ids.to_vec(), ..Self::default() };
         let staying: Vec<TargetId> =
@@ -83,16 +91,31 @@
         if depth == 0 {
             pool.plain(view, &planned, &rate);
         } else {
-            let flow = flow::solve(&Line { depth, supplies, pipes: pipes(view) });
-            pool.rate = flow.rate;
-            pool.bound = flow.bound;
-            pool.chains = flow.chains;
+            pool.line = Line { depth, supplies, pipes: pipes(view) };
+            match before.filter(|before| before.line == pool.line) {
+                Some(before) => pool.keep_flow(before),
+                None => pool.solve(),
+            }
             pool.slots = pool.stream_slots(view, &planned);
         }
         pool.weights = cumulative::sums(pool.chains.iter().map(|chain| chain.rate));
         pool
     }
 
+    fn solve(&mut self) {
+        let flow = flow::solve(&self.line);
+        self.rate = flow.rate;
+        self.bound = flow.bound;
+        self.chains = flow.chains;
+    }
+
+    /// Takes over the flow of a pool with the same line.
+    fn keep_flow(&mut self, before: &Pool) {
+        self.rate = before.rate;
+        self.bound = before.bound;
+        self.chains.clone_from(&before.chains);
+    }
+
     /// Takes over what was learned before.
     pub(crate) fn keep_learned(&mut self, before: &Pool) {
         self.gap = before.gap;
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -269,9 +269,12 @@
         state.suspects.expire(step.now, &state.settings);
     }
     // An ejected target whose time is over comes back into the plans, to be probed.
-    let due = state.view.entries.iter().any(|entry| {
-        let solved = state.solved.unwrap_or_default();
-        entry.health.probe_at().is_some_and(|at| at <= step.now && at > solved)
+    let view = &state.view;
+    state.ejected.retain(|&id| view.entry(id).health.cause().is_some());
+    let solved = state.solved.unwrap_or_default();
+    let due = state.ejected.iter().any(|&id| {
+        let probe = view.entry(id).health.probe_at();
+        probe.is_some_and(|at| at <= step.now && at > solved)
     });
     state.dirty |= due;
 }
@@ -340,7 +343,8 @@
     /// When the next ejected target is to be probed.
     fn next_probe(&self) -> Option<Duration> {
         let solved = self.solved.unwrap_or_default();
-        let ejected = self.view.entries.iter().filter(|entry| entry.present);
-        ejected.filter_map(|entry| entry.health.probe_at()).filter(|at| *at > solved).min()
+        let ejected = self.ejected.iter().map(|&id| self.view.entry(id));
+        let present = ejected.filter(|entry| entry.present);
+        present.filter_map(|entry| entry.health.probe_at()).filter(|at| *at > solved).min()
     }
 }
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -21,6 +21,8 @@
     pub(crate) table: Table,
     pub(crate) budget: Budget,
     pub(crate) suspects: Suspects,
+    /// Targets that are or were left out, until they are found to be back.
+    pub(crate) ejected: Vec<TargetId>,
     /// Requests that wait.
     pub(crate) held: BTreeSet<RequestId>,
     /// Whether the plans do not follow the view any more.
@@ -43,6 +45,7 @@
             table: Table::new(),
             budget,
             suspects: Suspects::default(),
+            ejected: Vec::new(),
             held: BTreeSet::new(),
             dirty: false,
             solved: None,
@@ -85,6 +88,9 @@
         return;
     }
     state.dirty = true;
+    if !state.ejected.contains(&id) {
+        state.ejected.push(id);
+    }
     let reason = match cause {
         Cause::Failed => "failed",
         Cause::Slow => "slow",
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -205,7 +205,7 @@
             members.entry(entry.service().clone()).or_default().push(id);
         }
         for (service, ids) in members {
-            let mut pool = Pool::build(self, now, &ids, settings);
+            let mut pool = Pool::build(self, now, &ids, settings, old.get(&service));
             if let Some(before) = old.get(&service) {
                 pool.keep_learned(before);
             }
