--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -122,6 +122,17 @@
                 actions.clear();
             });
         });
+        let mut absent = 0;
+        criterion.bench_function(&format!("one target less, {count} targets"), |bench| {
+            bench.iter(|| {
+                absent = (absent + 1) % count;
+                let mut targets = targets.clone();
+                targets.remove(absent);
+                let fleet = Message::Fleet { targets, links: Vec::new() };
+                router.step(now, fleet, &mut rng, &mut actions);
+                actions.clear();
+            });
+        });
         criterion.bench_function(&format!("compute the plans, {count} targets"), |bench| {
             bench.iter(|| {
                 let mut router = Router::new(Settings::default());
--- a/crates/route/examples/measure/main.rs
+++ b/crates/route/examples/measure/main.rs
@@ -1,7 +1,7 @@
 //! Measures of routing in virtual time. Each row is one line of JSON: median and worst over
 //! the seeds, beside the bound and where the bound comes from.
 //!
-//! `cargo run --release -p route --example measure [SEEDS] [ROW]`
+//! `cargo run --release -p route --example measure [SEEDS] [ROW] [POLICY]`
 
 #[path = "../../tests/fake/mod.rs"]
 mod fake;
@@ -21,9 +21,11 @@
 fn main() {
     let seeds = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
     let only = std::env::args().nth(2);
+    let one = std::env::args().nth(3);
     let wanted = |row: &&Row| only.as_deref().is_none_or(|only| row.name.contains(only));
     for row in ROWS.iter().filter(wanted) {
-        for policy in POLICIES.iter().filter(|policy| row.policies.contains(&policy.name)) {
+        let listed = POLICIES.iter().filter(|policy| row.policies.contains(&policy.name));
+        for policy in listed.filter(|policy| one.as_deref().is_none_or(|one| one == policy.name)) {
             print(row, policy, seeds, &mut values(row, policy, seeds));
         }
     }
--- a/crates/route/src/flow.rs
+++ b/crates/route/src/flow.rs
@@ -116,6 +116,8 @@
 /// What a stage costs, as a share of the token rate. The flow is at most this share times
 /// the number of stages below the maximum.
 pub const HOP_COST: f64 = 0.002;
+/// Supplies and links up to which the search is not ended early.
+pub const EXACT_ROWS: usize = 64;
 /// Share of the rate that is given up to end the search early.
 pub const GAP: f64 = 0.01;
 /// Most pivots, as a multiple of the number of rows.
@@ -129,10 +131,12 @@
 /// Computes a flow of nearly the maximum rate. Among flows of nearly this rate one of few hops is taken:
 /// each stage of a chain holds a slot for every stream.
 ///
-/// The rate is at most [`GAP`] and [`HOP_COST`] times the stages of the longest chain below
-/// the maximum.
+/// The rate is at most [`HOP_COST`] times the stages of the longest chain below the maximum,
+/// and for lines of more than [`EXACT_ROWS`] supplies and links by [`GAP`] more.
 pub fn solve(line: &Line) -> Flow {
-    search(line, &[(0.0, GAP / 2.0), (HOP_COST, GAP / 2.0)])
+    let is_small = line.supplies.len() + line.pipes.len() <= EXACT_ROWS;
+    let tolerance = if is_small { PRICE_TOLERANCE } else { GAP / 2.0 };
+    search(line, &[(0.0, tolerance), (HOP_COST, tolerance)])
 }
 
 /// Searches under one hop cost after the other, each until no chain is worth more than the
