--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -256,8 +256,6 @@
     Closing,
     /// The platform's store does not answer.
     StoreDown,
-    /// Too many claims are kept.
-    LedgerFull,
     /// The claim was not used in time.
     ClaimExpired,
 }
@@ -278,7 +276,6 @@
             Reason::Stale => "configuration_not_proved",
             Reason::Closing => "closing",
             Reason::StoreDown => "store_down",
-            Reason::LedgerFull => "ledger_full",
             Reason::ClaimExpired => "claim_expired",
         }
     }
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -145,9 +145,8 @@
             ledger::Verdict::Down { never_ran: false, retry_after } => {
                 End::AttemptNotRun { retry_after }
             }
-            ledger::Verdict::Full { retry_after } => {
-                End::NotRun { reason: Reason::LedgerFull, retry_after }
-            }
+            // A full shard may already have dropped what it knew of the key.
+            ledger::Verdict::Full { retry_after } => End::AttemptNotRun { retry_after },
         };
         self.tell(request, end, ctx);
     }
--- a/crates/node/src/shell/store.rs
+++ b/crates/node/src/shell/store.rs
@@ -118,8 +118,7 @@
                 match client.cas(Purpose::Ledger, write) {
                     Ok(Cas::Written { revision }) => Stored::Written { revision },
                     Ok(Cas::Conflict { .. }) => Stored::Conflict,
-                    Err(error) if error.effect == Effect::None => Stored::Down,
-                    Err(_) => Stored::Lost,
+                    Err(error) => failed(&error),
                 },
             )
         }
