Admission: a burst from a quiet organisation is not refused for lack of a share

Cause: shares were divided every 50 to 500 ms, so an organisation that had just come had none, its predicted wait was without end, and the fifth waiting request was refused over_share although the slots would have been free in time. Also, requests of equal rank were not counted as ahead. Ruled out: patience (10 s assumed, wait 4 s). Test burst_of_a_quiet_organisation_waits: refused the 9th of 12 before; none after.

--- a/crates/limit/src/service.rs
+++ b/crates/limit/src/service.rs
@@ -123,6 +123,8 @@
             self.admit(now, waiting, actions);
             return;
         }
+        // The last division may not know of this organisation's demand yet.
+        lane.divide(now, self.live, &self.weights);
         let wait = lane.predicted_wait(&waiting, now, &self.settings);
         if self.settings.early_refusal && wait + waiting.answer > waiting.patience {
             let reason = self.reason(now, &waiting);
--- a/crates/limit/src/waiting.rs
+++ b/crates/limit/src/waiting.rs
@@ -64,9 +64,9 @@
         self.cost
     }
 
-    /// Predicted slot-seconds of those that go before `rank`.
+    /// Predicted slot-seconds of those that go before one that comes now with `rank`.
     pub(crate) fn cost_before(&self, rank: i64) -> f64 {
-        self.by_rank.range(..(rank, 0)).map(|(_, waiting)| waiting.cost).sum()
+        self.by_rank.range(..=(rank, Sequence::MAX)).map(|(_, waiting)| waiting.cost).sum()
     }
 
     pub(crate) fn first(&self) -> Option<&Waiting> {
--- a/crates/limit/tests/decisions.rs
+++ b/crates/limit/tests/decisions.rs
@@ -178,6 +178,17 @@
     assert_eq!(bench.refusals(10_002, Message::Wake).len(), 1);
 }
 
+/// A burst from an organisation that was quiet before: with 4 slots of 2 s each the last
+/// of 12 starts within 4 s, well before its caller leaves.
+#[test]
+fn burst_of_a_quiet_organisation_waits() {
+    let mut bench = Bench::new(Settings::default(), 4);
+    for id in 1..=12 {
+        assert_eq!(bench.refusals(1_000, Message::Arrive(request(id))), vec![]);
+    }
+    assert_eq!((bench.limiter.running(), bench.limiter.waiting()), (4, 8));
+}
+
 #[test]
 fn full_queue_loses_the_last() {
     let settings = Settings { queue: 2, early_refusal: false, ..Settings::default() };
