--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -35,6 +35,6 @@
 
 pub use context::Context;
 pub use error::{Duplicate, Panicked};
-pub use life::{Builder, Draining, Kernel, Ready, Running, Stopped};
+pub use life::{Builder, Delivering, Draining, Kernel, Ready, Running, Stopped};
 pub use service::{Name, Service};
 pub use threads::Threads;
--- a/crates/kernel/src/life.rs
+++ b/crates/kernel/src/life.rs
@@ -55,6 +55,12 @@
 /// Life-cycle state: delivers nothing any more.
 pub struct Stopped;
 
+/// Life-cycle states in which messages are delivered.
+pub trait Delivering {}
+
+impl Delivering for Running {}
+impl Delivering for Draining {}
+
 struct Core<M, A> {
     services: BTreeMap<Name, Box<dyn Service<M, A>>>,
     queue: Queue<M>,
@@ -85,7 +91,7 @@
     }
 }
 
-impl<M, A> Kernel<M, A, Running> {
+impl<M, A, S: Delivering> Kernel<M, A, S> {
     /// Delivers `message` to `to` and all that follows from it until `now`.
     pub fn step(&mut self, now: Duration, to: Name, message: M) -> Vec<A> {
         self.core.step(now, Some((to, message)))
@@ -100,7 +106,9 @@
     pub fn next_due(&self) -> Option<Duration> {
         self.core.queue.next_due()
     }
+}
 
+impl<M, A> Kernel<M, A, Running> {
     /// Goes on to the last work; the services are told by messages of their own.
     pub fn drain(self) -> Kernel<M, A, Draining> {
         self.become_state()
@@ -108,21 +116,6 @@
 }
 
 impl<M, A> Kernel<M, A, Draining> {
-    /// Delivers `message` to `to` and all that follows from it until `now`.
-    pub fn step(&mut self, now: Duration, to: Name, message: M) -> Vec<A> {
-        self.core.step(now, Some((to, message)))
-    }
-
-    /// Delivers what has become due until `now`.
-    pub fn tick(&mut self, now: Duration) -> Vec<A> {
-        self.core.step(now, None)
-    }
-
-    /// When the next delayed message is due.
-    pub fn next_due(&self) -> Option<Duration> {
-        self.core.queue.next_due()
-    }
-
     /// Ends; messages that still wait are dropped.
     pub fn stop(self) -> Kernel<M, A, Stopped> {
         self.become_state()
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -27,6 +27,7 @@
 mod service;
 mod settings;
 mod share;
+mod sharing;
 mod waiting;
 
 pub use class::Class;
--- a/crates/limit/src/service.rs
+++ b/crates/limit/src/service.rs
@@ -10,9 +10,7 @@
 use crate::lane::{Lane, Running};
 use crate::organisation::OrganisationId;
 use crate::waiting::Waiting;
-use crate::{
-    Action, Bounds, Capacity, Class, Demand, Ending, Message, Reason, Settings, event, refusal,
-};
+use crate::{Action, Class, Ending, Message, Reason, Settings, event, refusal};
 
 /// Time between looks at the queues while something waits.
 const BUSY_WAKE: Duration = Duration::from_millis(50);
@@ -20,20 +18,18 @@
 const IDLE_WAKE: Duration = Duration::from_millis(500);
 /// Time between reports of this node's demand.
 const DEMAND_PERIOD: Duration = Duration::from_secs(1);
-/// Demand in slots that is not worth a report.
-const DEMAND_LEAST: f64 = 0.01;
 /// Priorities that engines know.
 const PRIORITIES: f64 = 10.0;
 
 /// Decides which request runs when, and which is refused.
 pub struct Limiter {
-    settings: Settings,
-    live: u32,
-    names: Vec<OrganisationName>,
+    pub(crate) settings: Settings,
+    pub(crate) live: u32,
+    pub(crate) names: Vec<OrganisationName>,
     ids: HashMap<OrganisationName, OrganisationId>,
-    weights: Vec<f64>,
-    named_weights: HashMap<OrganisationName, f64>,
-    lanes: BTreeMap<SmolStr, Lane>,
+    pub(crate) weights: Vec<f64>,
+    pub(crate) named_weights: HashMap<OrganisationName, f64>,
+    pub(crate) lanes: BTreeMap<SmolStr, Lane>,
     /// Lane of each request that waits or runs.
     places: HashMap<RequestId, SmolStr>,
     /// When a body that is still in this node first came in.
@@ -349,59 +345,6 @@
         self.dispatch(now, &service, actions);
     }
 
-    fn capacity(&mut self, now: Duration, capacity: Capacity, actions: &mut Vec<Action>) {
-        let service = capacity.service.clone();
-        let lane = self.lanes.entry(service.clone()).or_insert_with(|| Lane::new(service.clone()));
-        lane.fleet_slots = capacity.slots;
-        self.divide(now, &service, actions);
-        self.dispatch(now, &service, actions);
-    }
-
-    fn peers(&mut self, now: Duration, live: u32, demand: &[Demand], actions: &mut Vec<Action>) {
-        self.live = live.max(1);
-        let mut elsewhere: BTreeMap<OrganisationId, f64> = BTreeMap::new();
-        for report in demand {
-            if report.node == self.settings.node {
-                continue;
-            }
-            let id = self.organisation(&report.organisation);
-            *elsewhere.entry(id).or_default() += report.cost;
-        }
-        let parts = self.lane_parts(now);
-        let fair = self.settings.fair;
-        for (lane, part) in self.lanes.values_mut().zip(parts) {
-            for organisation in lane.organisations.values_mut() {
-                organisation.elsewhere = 0.0;
-            }
-            for (&id, &cost) in &elsewhere {
-                let id = if fair { id } else { 0 };
-                lane.organisations.entry(id).or_default().elsewhere += cost * part;
-            }
-        }
-        self.divide_all(now, actions);
-    }
-
-    /// Each lane's part of the cost offered here: reports from other nodes name no
-    /// service, and their callers are taken to ask for the same mix.
-    fn lane_parts(&self, now: Duration) -> Vec<f64> {
-        let costs: Vec<f64> = self
-            .lanes
-            .values()
-            .map(|lane| lane.organisations.values().map(|o| o.offered.get(now)).sum())
-            .collect();
-        let total: f64 = costs.iter().sum();
-        costs.iter().map(|cost| if total > 0.0 { cost / total } else { 0.0 }).collect()
-    }
-
-    fn bounds(&mut self, bounds: Bounds) {
-        self.settings.queue = bounds.queue;
-        self.settings.wait = bounds.wait;
-        self.named_weights = bounds.weights.into_iter().collect();
-        for (name, weight) in self.names.iter().zip(&mut self.weights) {
-            *weight = self.named_weights.get(name).copied().unwrap_or(1.0);
-        }
-    }
-
     fn wake(&mut self, now: Duration, rng: &mut SmallRng, actions: &mut Vec<Action>) {
         if self.next_wake.is_some_and(|at| at <= now) {
             self.next_wake = None;
@@ -431,42 +374,8 @@
         }
     }
 
-    fn demand(&self, now: Duration) -> Vec<(OrganisationName, f64)> {
-        let mut costs = vec![0.0; self.names.len()];
-        for lane in self.lanes.values() {
-            for (&id, organisation) in &lane.organisations {
-                costs[id as usize] += organisation.offered.get(now);
-            }
-        }
-        let named = self.names.iter().cloned().zip(costs);
-        named.filter(|(_, cost)| *cost >= DEMAND_LEAST).collect()
-    }
-
-    fn divide_all(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let services: Vec<SmolStr> = self.lanes.keys().cloned().collect();
-        for service in services {
-            self.divide(now, &service, actions);
-            self.dispatch(now, &service, actions);
-        }
-    }
-
-    fn divide(&mut self, now: Duration, service: &SmolStr, actions: &mut Vec<Action>) {
-        let Some(lane) = self.lanes.get_mut(service) else { return };
-        let before = lane.slots;
-        lane.divide(now, self.live, &self.weights);
-        if before != lane.slots {
-            actions.push(Action::Log(
-                Event::new(&event::SLOTS)
-                    .with("service", &lane.service)
-                    .with("slots", lane.slots)
-                    .with("fleet_slots", lane.fleet_slots)
-                    .with("nodes", self.live),
-            ));
-        }
-    }
-
     /// Admits as many waiting requests as there are free slots.
-    fn dispatch(&mut self, now: Duration, service: &SmolStr, actions: &mut Vec<Action>) {
+    pub(crate) fn dispatch(&mut self, now: Duration, service: &SmolStr, actions: &mut Vec<Action>) {
         loop {
             let Some(lane) = self.lanes.get_mut(service) else { return };
             if !lane.has_free_slot() {
@@ -497,7 +406,7 @@
         }
     }
 
-    fn organisation(&mut self, name: &OrganisationName) -> OrganisationId {
+    pub(crate) fn organisation(&mut self, name: &OrganisationName) -> OrganisationId {
         if let Some(&id) = self.ids.get(name) {
             return id;
         }
