--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -112,6 +112,11 @@
     }
 }
 
+/// What a call without an answer is reported as.
+fn unanswered(error: &ureq::Error) -> Event {
+    if never_connected(error) { Event::Unreachable } else { Event::Broken }
+}
+
 /// Sends a model call and reports its tokens. `silence` bounds each read.
 pub(crate) fn stream(
     agent: &ureq::Agent,
@@ -126,8 +131,7 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
-            let never = never_connected(&error);
-            report.send(if never { Event::Unreachable } else { Event::Broken });
+            report.send(unanswered(&error));
             return;
         }
     };
@@ -233,8 +237,7 @@
     let answer = match agent.run(request) {
         Ok(answer) => answer,
         Err(error) => {
-            let never = never_connected(&error);
-            report.send(if never { Event::Unreachable } else { Event::Broken });
+            report.send(unanswered(&error));
             return;
         }
     };
