--- a/crates/limit/src/service.rs
+++ b/crates/limit/src/service.rs
@@ -100,9 +100,6 @@
         let organisation = self.organisation(&request.organisation);
         self.note_repeat(now, &request);
         let service = request.service.clone();
-        if !self.lanes.contains_key(&service) {
-            self.lanes.insert(service.clone(), Lane::new(service.clone()));
-        }
         let waiting = self.measure(now, organisation, request);
         let Some(lane) = self.lanes.get_mut(&service) else { return };
         lane.organisations.entry(waiting.class.organisation).or_default().offer(
@@ -176,14 +173,12 @@
         let class = Class::of(organisation, &request);
         let settings = &self.settings;
         let stream = request.shape.stream;
-        let (cost, patience, answer) = match self.lanes.get_mut(&request.service) {
-            Some(lane) => {
-                let estimate = lane.estimate(class, now);
-                let answer = Duration::from_secs_f64(estimate.answer_seconds(stream));
-                (estimate.hold_seconds(settings), estimate.patience(stream, settings), answer)
-            }
-            None => (settings.hold.as_secs_f64(), settings.stream_patience, Duration::ZERO),
-        };
+        let service = &request.service;
+        let lane = self.lanes.entry(service.clone()).or_insert_with(|| Lane::new(service.clone()));
+        let estimate = lane.estimate(class, now);
+        let cost = estimate.hold_seconds(settings);
+        let patience = estimate.patience(stream, settings);
+        let answer = Duration::from_secs_f64(estimate.answer_seconds(stream));
         let patience = patience.min(settings.wait);
         let slack = patience.saturating_sub(answer).as_micros() as f64;
         let arrived = now.as_micros() as f64;
