--- /dev/null
+++ b/crates/edge/src/answer.rs
@@ -0,0 +1,88 @@
+//! Bodies of answers to callers.
+
+use std::error::Error;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc::Receiver;
+
+/// An answer that ended before it was complete. The caller's connection is closed then, so
+/// that the answer does not look complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Broken;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer ended early")
+    }
+}
+
+impl Error for Broken {}
+
+/// Body of an answer.
+pub(crate) enum Answer {
+    /// All of it; `None` once it has been passed on.
+    Whole(Option<Bytes>),
+    /// Events as they come.
+    Events(Receiver<Result<Bytes, Broken>>),
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Answer::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Answer::Events(receiver) => {
+                receiver.poll_recv(context).map(|next| next.map(|result| result.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Answer::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Answer::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Answer::Events(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A short answer of our own.
+pub(crate) fn own(status: StatusCode, reason: &'static str) -> Response<Answer> {
+    let mut response = Response::new(Answer::Whole(Some(Bytes::from_static(reason.as_bytes()))));
+    *response.status_mut() = status;
+    let text = hyper::header::HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(CONTENT_TYPE, text);
+    response
+}
+
+/// An answer of our own that says when to come back.
+pub(crate) fn later(
+    status: StatusCode,
+    reason: &'static str,
+    after: Duration,
+) -> Response<Answer> {
+    let mut response = own(status, reason);
+    let seconds = format!("{:.2}", after.as_secs_f64());
+    // A decimal number is a valid header value.
+    if let Ok(value) = seconds.parse() {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/edge/src/call.rs
@@ -0,0 +1,154 @@
+//! A caller's request, ready to be sent to a target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{Layers, OrganisationName};
+use http_body_util::Full;
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Method, Request, Uri};
+use path::{Path, Stage};
+use platform::head;
+use site::Kind;
+use smol_str::SmolStr;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("proxy-authorization"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    EXPECT,
+];
+
+/// A request with what was found out about it.
+pub(crate) struct Call {
+    /// Id of this attempt of the caller.
+    pub(crate) id: SmolStr,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// Headers that are passed on.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Name of the route.
+    pub(crate) route: SmolStr,
+    pub(crate) kind: Kind,
+    /// Service that runs it.
+    pub(crate) service: SmolStr,
+    /// Most targets that it is sent to.
+    pub(crate) attempts: u32,
+    /// Urgency, 0 first.
+    pub(crate) priority: u8,
+    pub(crate) organisation: Option<OrganisationName>,
+    /// When its head had arrived.
+    pub(crate) begun: Duration,
+    /// When it must be answered: the caller's deadline or the route's timeout.
+    pub(crate) ends: Duration,
+    /// Prompt and expected answer, tokens.
+    pub(crate) tokens: f64,
+}
+
+impl Call {
+    /// The request as it goes to a target.
+    pub(crate) fn request(
+        &self,
+        now: Duration,
+        target: &str,
+        path: Option<&Path>,
+        last_event: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let left = self.ends.saturating_sub(now).as_millis().max(1);
+        set(headers, head::DEADLINE, &left.to_string());
+        set(headers, head::EXPECT_TARGET, target);
+        set(headers, head::URGENCY, &self.priority.min(9).to_string());
+        if let Some(organisation) = &self.organisation {
+            set(headers, head::ORGANISATION, organisation);
+        }
+        if let Some(path) = path {
+            set(headers, head::PATH, &hops(path));
+        }
+        if let Some(number) = last_event {
+            set(headers, head::LAST_EVENT, &number.to_string());
+        }
+        request
+    }
+}
+
+/// A path in the platform's notation: address and layers of each stage.
+fn hops(path: &Path) -> String {
+    let hop = |stage: &Stage| {
+        let Layers { start, end } = stage.layers;
+        format!("{}={start}-{end}", stage.address)
+    };
+    path.stages.iter().map(hop).collect::<Vec<_>>().join(",")
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    // Names and numbers from settings and the store; one that no header can carry is left out,
+    // and the target refuses the request.
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Headers of a caller that are passed on to a target.
+pub(crate) fn onward(mut headers: HeaderMap) -> HeaderMap {
+    remove_connection_headers(&mut headers);
+    headers.remove(AUTHORIZATION);
+    for name in head::OWN {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Headers of a target that are passed back to the caller.
+pub(crate) fn back(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    remove_connection_headers(&mut headers);
+    headers
+}
+
+fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in CONNECTION_HEADERS.into_iter().chain(named) {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+}
+
+/// Prompt and expected answer in tokens: the caller's estimate where there is one, else half
+/// of the most that it allows.
+pub(crate) fn tokens(headers: &HeaderMap) -> f64 {
+    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let number = |text: &str| text.trim().parse::<f64>().ok();
+    let Some((prompt, most)) = text(head::TOKENS).and_then(|counts| counts.split_once(',')) else {
+        return 0.0;
+    };
+    let most = number(most).unwrap_or(0.0);
+    let hint = text(head::LENGTH_HINT).and_then(number).map_or(most / 2.0, |hint| hint.min(most));
+    number(prompt).unwrap_or(0.0) + hint
+}
+
+/// The engine at fault that an answer names.
+pub(crate) fn at_fault(headers: &HeaderMap) -> Option<SocketAddr> {
+    headers.get(head::AT_FAULT)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/edge/src/diagnose.rs
@@ -0,0 +1,98 @@
+//! Finding out which engine keeps a request from going on.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use path::{Fault, Path};
+use site::Report;
+use tokio::time::timeout;
+
+use crate::node::Node;
+
+/// Longest wait for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A report is shared by all requests that ask within this time.
+const REPORT_AGE: Duration = Duration::from_millis(120);
+/// Interval of probes of targets that are left out.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Reports asked for lately.
+#[derive(Default)]
+pub(crate) struct Reports {
+    recent: RefCell<HashMap<SocketAddr, (Duration, Option<Rc<Report>>)>>,
+}
+
+impl Node {
+    /// Asks an engine for its report.
+    pub(crate) async fn ask(&self, address: SocketAddr) -> Option<Report> {
+        let exchange = async {
+            let call = platform::report_request(address);
+            let (response, connection) = self.pool.send(address, call).await.ok()?.split();
+            if !response.status().is_success() {
+                return None;
+            }
+            let body = response.into_body().collect().await.ok()?;
+            self.pool.give_back(connection);
+            platform::report(&body.to_bytes()).ok()
+        };
+        metrics::counter!("magnolia_reports").increment(1);
+        timeout(REPORT_TIMEOUT, exchange).await.ok().flatten()
+    }
+
+    /// Looks for the engine that keeps requests on `path` from going on, and notes the fault.
+    pub(crate) async fn diagnose(&self, path: &Path) {
+        let first = path.first().address;
+        let now = self.now();
+        let recent = self.reports.recent.borrow().get(&first).cloned();
+        if recent.is_some_and(|(at, _)| now.saturating_sub(at) < REPORT_AGE) {
+            return;
+        }
+        // Others that ask meanwhile wait for what this call finds.
+        self.reports.recent.borrow_mut().insert(first, (now, None));
+        let report = self.ask(first).await.map(Rc::new);
+        self.reports.recent.borrow_mut().insert(first, (self.now(), report.clone()));
+        match report {
+            None => self.fault(first, Fault::Silent, "no report"),
+            Some(report) => {
+                for stall in &report.stalls {
+                    self.fault(stall.address, Fault::Silent, "requests hang there");
+                }
+            }
+        }
+    }
+
+    /// Whether a path has an engine that is left out.
+    pub(crate) fn is_broken(&self, path: &Path) -> bool {
+        let now = self.now();
+        let table = self.table.borrow();
+        path.stages.iter().any(|stage| {
+            let entry = table.entry(&stage.target);
+            entry.is_none_or(|entry| entry.health.down_for(now).is_some())
+        })
+    }
+}
+
+/// Probes targets that are left out, for good.
+pub(crate) async fn probe(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        crate::follow::expire(&node);
+        let due = node.table.borrow_mut().take_probes(node.now());
+        for (id, address) in due {
+            let node = node.clone();
+            tokio::task::spawn_local(async move {
+                if node.is_engine(&id) {
+                    if let Some(report) = node.ask(address).await {
+                        node.report(&id, &report);
+                    }
+                } else if crate::link::connect(address).await.is_some() {
+                    node.revive(&id);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/events.rs
@@ -0,0 +1,64 @@
+//! Splitting a stream of server-sent events.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, if it has one.
+    pub id: Option<u64>,
+    /// Its bytes, with the empty line that ends it.
+    pub bytes: Bytes,
+}
+
+/// Gathers bytes and hands out whole events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    /// Bytes of the buffer that hold no end of an event.
+    searched: usize,
+}
+
+impl Splitter {
+    /// Takes more bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event, if there is one.
+    pub fn pop(&mut self) -> Option<Event> {
+        let from = self.searched.saturating_sub(3);
+        let Some(end) = end_of_event(&self.buffer, from) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        Some(Event { id: id(&bytes), bytes })
+    }
+
+    /// Whether an event has begun and is not complete.
+    pub fn is_torn(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+}
+
+/// Where the first event that ends at or after `from` ends.
+fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
+    (from..bytes.len()).find_map(|at| {
+        let rest = &bytes[at..];
+        if rest.starts_with(b"\n\n") {
+            Some(at + 2)
+        } else if rest.starts_with(b"\r\n\r\n") {
+            Some(at + 4)
+        } else {
+            None
+        }
+    })
+}
+
+fn id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|&byte| byte == b'\n');
+    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,209 @@
+//! Following the store: the configuration, the targets, and the nodes of this system.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::Event;
+use platform::kv::{Item, Revision};
+use platform::{CONFIG_KEY, TARGET_PREFIX};
+use tokio::time::sleep;
+
+use crate::event::{
+    CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE, UNDECODABLE,
+};
+use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
+use crate::node::Node;
+use crate::store::{Reply, Store};
+
+/// How long the store holds a watch that has nothing to tell. A connection gone silent is
+/// noticed no later than this after it should have answered.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// Pause before a failed call is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// An outage after which entries may have lapsed though their targets live.
+const OUTAGE: Duration = Duration::from_millis(2500);
+/// Within this time of the store's return, targets that live have registered again.
+const RETURN_TIME: Duration = Duration::from_millis(1900);
+
+/// What is known of the store.
+pub(crate) struct Follower {
+    node: Rc<Node>,
+    store: Rc<Store>,
+    leadership: Rc<Leadership>,
+    /// Revisions of the keys that are known.
+    known: HashMap<String, Revision>,
+    /// Nodes of this system that are alive.
+    nodes: HashSet<String>,
+    /// Until when a missing entry does not count as gone.
+    lenient_until: Duration,
+}
+
+impl Follower {
+    /// A follower that knows nothing yet.
+    pub(crate) fn new(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) -> Self {
+        let (known, nodes, lenient_until) = Default::default();
+        Self { node, store, leadership, known, nodes, lenient_until }
+    }
+
+    /// Follows for good.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let Some(revision) = self.list().await else {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            self.watch(revision).await;
+            log::warn!("{}", Event::new(&HISTORY_LOST));
+        }
+    }
+
+    /// Reads everything. Returns the revision from which changes are to be followed.
+    async fn list(&mut self) -> Option<Revision> {
+        let asked = self.node.now();
+        let mut first = None;
+        let mut seen = HashSet::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.store.range("", after.as_deref()).await?;
+            let revision = *first.get_or_insert(page.revision);
+            after = page.items.last().map(|item| item.key.clone());
+            for item in page.items {
+                seen.insert(item.key.clone());
+                self.take(item);
+            }
+            if !page.more || after.is_none() {
+                self.drop_missing(&seen, revision);
+                self.synced(asked);
+                return Some(revision);
+            }
+        }
+    }
+
+    /// Follows changes until the history is lost.
+    async fn watch(&mut self, mut revision: Revision) {
+        loop {
+            let asked = self.node.now();
+            match self.store.watch("", revision, WATCH_WAIT).await {
+                Ok(page) => {
+                    // An answer without changes was held for the whole wait.
+                    let held = if page.items.is_empty() { WATCH_WAIT } else { Duration::ZERO };
+                    self.synced(asked + held.min(self.node.now().saturating_sub(asked)));
+                    revision = revision.max(page.revision);
+                    for item in page.items {
+                        self.take(item);
+                    }
+                }
+                Err(Reply::HistoryLost) => return,
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Notes that everything up to the moment `at` is known.
+    fn synced(&mut self, at: Duration) {
+        let before = self.node.synced.get().unwrap_or_default();
+        let age = at.saturating_sub(before);
+        if age > OUTAGE {
+            self.lenient_until = self.node.now() + RETURN_TIME;
+            let event = Event::new(&STORE_BACK).with("purpose", "follow");
+            log::info!("{}", event.with("age_ms", age.as_millis()));
+        }
+        self.node.synced.set(Some(before.max(at)));
+    }
+
+    fn drop_missing(&mut self, seen: &HashSet<String>, revision: Revision) {
+        let missing: Vec<String> =
+            self.known.keys().filter(|key| !seen.contains(*key)).cloned().collect();
+        for key in missing {
+            self.take(Item { key, value: None, revision, created: 0 });
+        }
+    }
+
+    fn take(&mut self, item: Item) {
+        let known = self.known.get(&item.key).copied().unwrap_or(0);
+        if item.revision <= known {
+            return;
+        }
+        if item.value.is_some() {
+            self.known.insert(item.key.clone(), item.revision);
+        } else {
+            self.known.remove(&item.key);
+        }
+        if item.key == CONFIG_KEY {
+            self.take_config(&item);
+        } else if let Some(id) = item.key.strip_prefix(TARGET_PREFIX) {
+            self.take_target(id, &item);
+        } else if item.key == LEADER_KEY {
+            self.leadership.seen(&item);
+        } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+            match item.value {
+                Some(_) => self.nodes.insert(name.to_owned()),
+                None => self.nodes.remove(name),
+            };
+            self.node.table.borrow_mut().vms = self.nodes.len().max(1);
+        }
+    }
+
+    fn take_config(&self, item: &Item) {
+        let Some(value) = &item.value else { return };
+        let config = match platform::config(value) {
+            Ok(config) => config,
+            Err(error) => return undecodable(&item.key, &error),
+        };
+        let current = self.node.config().map_or(0, |config| config.version);
+        if config.version <= current && current > 0 {
+            return;
+        }
+        let event = Event::new(&CONFIGURED)
+            .with("version", config.version)
+            .with("before", current)
+            .with("revision", item.revision);
+        log::info!("{event}");
+        metrics::gauge!("magnolia_configuration_version").set(config.version as f64);
+        *self.node.config.borrow_mut() = Some(Rc::new(config));
+        self.node.changed.notify_waiters();
+    }
+
+    fn take_target(&self, id: &str, item: &Item) {
+        let now = self.node.now();
+        let Some(value) = &item.value else {
+            self.node.table.borrow_mut().lapse(id, now.max(self.lenient_until));
+            self.expire();
+            return;
+        };
+        match platform::target(id, value) {
+            Ok(target) => {
+                let event = Event::new(&TARGET_CHANGED)
+                    .with("target", id)
+                    .with("state", format_args!("{:?}", target.state))
+                    .with("layers", format_args!("{:?}", target.layers))
+                    .with("revision", item.revision);
+                if self.node.table.borrow_mut().set(target) {
+                    log::info!("{event}");
+                    self.node.changed.notify_waiters();
+                }
+            }
+            Err(error) => undecodable(&item.key, &error),
+        }
+    }
+
+    fn expire(&self) {
+        expire(&self.node);
+    }
+}
+
+/// Forgets targets that count as gone.
+pub(crate) fn expire(node: &Node) {
+    let gone = node.table.borrow_mut().expire(node.now());
+    for target in &gone {
+        log::info!("{}", Event::new(&TARGET_GONE).with("target", &target.id));
+    }
+    if !gone.is_empty() {
+        node.changed.notify_waiters();
+    }
+}
+
+fn undecodable(key: &str, error: &platform::Error) {
+    log::warn!("{}", Event::new(&UNDECODABLE).with("key", key).with("reason", error));
+}
--- /dev/null
+++ b/crates/edge/src/front.rs
@@ -0,0 +1,226 @@
+//! The callers' port.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::Event;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{AUTHORIZATION, HOST};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::head;
+use site::{Config, Kind, Organisation, Route};
+use smol_str::SmolStr;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::pin;
+use tokio::time::timeout;
+
+use crate::answer::{Answer, later, own};
+use crate::call::{self, Call};
+use crate::event::{ANSWERED, REFUSED};
+use crate::link::guard_silence;
+use crate::node::Node;
+use crate::{plain, stream};
+
+/// Smallest read buffer that the library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+/// When a caller that was turned away for the state of this node may come back.
+const ELSEWHERE: Duration = Duration::from_millis(500);
+
+/// Accepts callers for good.
+pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(node.clone(), stream));
+            }
+            // No descriptor is left for now; those in use are given back as callers go.
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+/// A connection of a caller, counted while it is open.
+struct Counted(Rc<Node>);
+
+impl Counted {
+    fn new(node: &Rc<Node>) -> Self {
+        node.callers.set(node.callers.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.callers.set(self.0.callers.get() - 1);
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let _counted = Counted::new(&node);
+    guard_silence(&stream);
+    let limits = node.config().map(|config| config.limits.clone()).unwrap_or_default();
+    let service = {
+        let node = node.clone();
+        service_fn(move |request| {
+            let node = node.clone();
+            async move { Ok::<_, Infallible>(handle(node, request).await) }
+        })
+    };
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .keep_alive(!node.stopping.get())
+        .serve_connection(TokioIo::new(stream), service);
+    pin!(connection);
+    tokio::select! {
+        // A caller whose connection failed has gone.
+        _ = connection.as_mut() => return,
+        () = node.stop.notified() => connection.as_mut().graceful_shutdown(),
+    }
+    // As above.
+    connection.await.ok();
+}
+
+/// Why a request is turned away before it is offered to a target.
+enum Refusal {
+    Own(StatusCode, &'static str),
+    Later(&'static str),
+}
+
+async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Answer> {
+    let begun = node.now();
+    let id = id(&request);
+    let (call, config) = match prepare(&node, request, begun).await {
+        Ok(prepared) => prepared,
+        Err(refusal) => return refuse(&id, refusal),
+    };
+    let model = config.service(&call.service).and_then(|service| service.model.clone());
+    node.count_request(&call.service);
+    if let (Kind::Stream { .. }, Some(model)) = (call.kind, model) {
+        let route = call.route.clone();
+        let response = stream::relay(&node, call, Rc::new(model)).await;
+        if response.status() != StatusCode::OK {
+            finish(&node, &id, &route, begun, response.status());
+        }
+        return response;
+    }
+    let response = plain::relay(&node, &call).await;
+    finish(&node, &id, &call.route, begun, response.status());
+    response
+}
+
+fn finish(node: &Node, id: &str, route: &str, begun: Duration, status: StatusCode) {
+    let event = Event::new(&ANSWERED)
+        .with("request", id)
+        .with("route", route)
+        .with("status", status.as_u16())
+        .with("ms", node.now().saturating_sub(begun).as_millis());
+    log::info!("{event}");
+    metrics::counter!("magnolia_answers", "status" => status.as_str().to_owned()).increment(1);
+}
+
+fn refuse(id: &str, refusal: Refusal) -> Response<Answer> {
+    let (response, reason) = match refusal {
+        Refusal::Own(status, reason) => (own(status, reason), reason),
+        Refusal::Later(reason) => {
+            (later(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE), reason)
+        }
+    };
+    let event = Event::new(&REFUSED)
+        .with("request", id)
+        .with("status", response.status().as_u16())
+        .with("reason", reason);
+    log::info!("{event}");
+    metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
+    response
+}
+
+fn id(request: &Request<Incoming>) -> SmolStr {
+    let id = request.headers().get(head::REQUEST_ID).and_then(|value| value.to_str().ok());
+    id.unwrap_or_default().into()
+}
+
+/// Finds the route and the holder of the key, and reads the body.
+async fn prepare(
+    node: &Node,
+    request: Request<Incoming>,
+    begun: Duration,
+) -> Result<(Call, Rc<Config>), Refusal> {
+    let config = node.config().ok_or(Refusal::Later("no configuration yet"))?;
+    let (parts, body) = request.into_parts();
+    let route = find(&config, &parts).ok_or(Refusal::Own(StatusCode::NOT_FOUND, "no route"))?;
+    let organisation = holder(node, &config, route, &parts.headers)?;
+    let id = parts.headers.get(head::REQUEST_ID).and_then(|value| value.to_str().ok());
+    let id = id.ok_or(Refusal::Own(StatusCode::BAD_REQUEST, "no request id"))?;
+    let deadline = parts.headers.get(head::DEADLINE).and_then(|value| value.to_str().ok());
+    let deadline = deadline.and_then(|text| text.trim().parse::<f64>().ok());
+    let deadline = deadline.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+    let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let service = route.backend(node.luck()).ok_or(Refusal::Later("no service"))?;
+    let body = read(body, &config, allowed).await?;
+    let priority = organisation.as_ref().and_then(|organisation| organisation.priority);
+    let call = Call {
+        id: id.into(),
+        method: parts.method,
+        uri: parts.uri.clone(),
+        body,
+        route: route.name.clone(),
+        kind: route.kind,
+        service: service.clone(),
+        attempts: route.attempts,
+        priority: priority.unwrap_or(route.priority),
+        organisation: organisation.map(|organisation| organisation.name.clone()),
+        begun,
+        ends: begun + allowed,
+        tokens: call::tokens(&parts.headers),
+        headers: call::onward(parts.headers),
+    };
+    Ok((call, config))
+}
+
+fn find<'a>(config: &'a Config, parts: &hyper::http::request::Parts) -> Option<&'a Route> {
+    let host = parts.uri.host().map(str::to_owned).or_else(|| {
+        let value = parts.headers.get(HOST)?.to_str().ok()?;
+        Some(value.split(':').next().unwrap_or_default().to_ascii_lowercase())
+    })?;
+    config.route(&host, parts.uri.path())
+}
+
+/// Who holds the key of a request; `None` where the route needs none.
+fn holder<'a>(
+    node: &Node,
+    config: &'a Config,
+    route: &Route,
+    headers: &hyper::HeaderMap,
+) -> Result<Option<&'a Organisation>, Refusal> {
+    if route.public || !config.is_keyed() {
+        return Ok(None);
+    }
+    if !node.may_honour_keys() {
+        return Err(Refusal::Later("keys cannot be checked"));
+    }
+    let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer ")).map(str::trim);
+    let holder = key.and_then(|key| config.holder(key));
+    holder.map(Some).ok_or(Refusal::Own(StatusCode::UNAUTHORIZED, "unknown key"))
+}
+
+async fn read(body: Incoming, config: &Config, allowed: Duration) -> Result<Bytes, Refusal> {
+    let limit = config.limits.body_bytes;
+    let large = Refusal::Own(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    if body.size_hint().lower() > limit as u64 {
+        return Err(large);
+    }
+    match timeout(allowed, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(large),
+        Ok(Err(_)) => Err(Refusal::Own(StatusCode::BAD_REQUEST, "body cut")),
+        Err(_) => Err(Refusal::Own(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lead.rs
@@ -0,0 +1,350 @@
+//! The one node that gives orders, and the orders.
+//!
+//! A node leads while a lease in the store holds the leader's key. The revision at which the
+//! key came into being is the fencing number of its orders.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::{Event, Layers};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use place::{Engine, Move};
+use platform::Order;
+use platform::kv::{Item, LeaseId, Revision, Write};
+use site::{Model, Service, State, TargetKey};
+use tokio::time::{sleep, timeout};
+
+use crate::event::{LEADING, ORDERED};
+use crate::node::Node;
+use crate::store::{Reply, Store};
+
+/// Key that the leading node holds.
+pub(crate) const LEADER_KEY: &str = "magnoliarun/leader";
+/// Prefix of the keys under which nodes register.
+pub(crate) const NODE_PREFIX: &str = "magnoliarun/nodes/";
+
+/// Time to live of a node's lease.
+const LEASE_TTL: Duration = Duration::from_millis(2400);
+/// Interval of renewals: two can be lost.
+const RENEW_INTERVAL: Duration = Duration::from_millis(700);
+/// How long before a lease ends its holder stops acting on it.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+/// Interval at which the leader looks at the layout.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for an engine's answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// An engine that has been left out this long is not waited for.
+const LOST_AFTER: Duration = Duration::from_millis(200);
+/// Pause before an engine whose order went wrong is ordered again.
+const REORDER_PAUSE: Duration = Duration::from_millis(500);
+/// How long an order is expected to take beyond the time to load.
+const LOAD_SLACK: Duration = Duration::from_millis(1500);
+
+/// Whether this node leads.
+pub(crate) struct Leadership {
+    /// The leader's key as last seen: its revision and creation; `None` when nobody leads.
+    holder: RefCell<Option<(String, Revision)>>,
+    /// Whether the store was listed since the start.
+    known: Cell<bool>,
+    lease: Cell<Option<LeaseId>>,
+    /// Until when the lease holds.
+    until: Cell<Duration>,
+}
+
+impl Leadership {
+    /// Nobody is known to lead.
+    pub(crate) fn new() -> Self {
+        Self {
+            holder: RefCell::new(None),
+            known: Cell::new(false),
+            lease: Cell::new(None),
+            until: Cell::new(Duration::ZERO),
+        }
+    }
+
+    /// Takes the leader's key as the store has it.
+    pub(crate) fn seen(&self, item: &Item) {
+        let holder = item.value.as_ref().map(|value| {
+            let name = String::from_utf8_lossy(value).into_owned();
+            (name, item.created)
+        });
+        *self.holder.borrow_mut() = holder;
+    }
+
+    /// The fencing number of this node's orders, while it leads.
+    fn fence(&self, node: &Node) -> Option<Revision> {
+        let holder = self.holder.borrow();
+        let (name, created) = holder.as_ref()?;
+        let holds = *name == identity(node) && node.now() + LEASE_MARGIN < self.until.get();
+        holds.then_some(*created)
+    }
+}
+
+/// Name of this start of the node: a restarted node does not take itself for the holder of
+/// what it held before.
+fn identity(node: &Node) -> String {
+    format!("{}/{}/{:x}", node.settings.node, node.settings.front, node.instance)
+}
+
+/// Gives up the lease, so that another node leads at once.
+pub(crate) async fn resign(store: &Store, leadership: &Leadership) {
+    leadership.until.set(Duration::ZERO);
+    if let Some(lease) = leadership.lease.take() {
+        // A lease that is not ended lapses by itself.
+        store.end(lease).await;
+    }
+}
+
+/// Keeps the node's lease and keys, and leads when nobody does.
+pub(crate) async fn keep_lease(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) {
+    while !node.stopping.get() {
+        let pause = match leadership.lease.get() {
+            None => begin(&node, &store, &leadership).await,
+            Some(lease) => renew(&node, &store, &leadership, lease).await,
+        };
+        let nobody_leads = leadership.known.get() && leadership.holder.borrow().is_none();
+        let lease = leadership.lease.get().filter(|_| nobody_leads && !node.stopping.get());
+        if let Some(lease) = lease {
+            claim(&node, &store, lease).await;
+        }
+        sleep(pause).await;
+    }
+}
+
+async fn begin(node: &Node, store: &Store, leadership: &Leadership) -> Duration {
+    let asked = node.now();
+    let Some(lease) = store.lease(LEASE_TTL.max(node.settings.least_lease)).await else {
+        return RENEW_INTERVAL / 2;
+    };
+    let key = format!("{NODE_PREFIX}{}", node.settings.front);
+    let write = Write { key: &key, expected: None, value: b"", lease: lease.id };
+    if !matches!(store.write(write).await, Reply::Done(_)) {
+        return RENEW_INTERVAL / 2;
+    }
+    leadership.lease.set(Some(lease.id));
+    leadership.until.set(asked + lease.ttl);
+    // The follower has listed the store by the time a watch can tell of the key.
+    leadership.known.set(node.synced.get().is_some());
+    RENEW_INTERVAL / 2
+}
+
+async fn renew(
+    node: &Node,
+    store: &Store,
+    leadership: &Leadership,
+    lease: LeaseId,
+) -> Duration {
+    leadership.known.set(node.synced.get().is_some());
+    let asked = node.now();
+    match store.renew(lease).await {
+        Reply::Done(_) => {
+            leadership.until.set(asked + LEASE_TTL.max(node.settings.least_lease));
+            RENEW_INTERVAL
+        }
+        Reply::Missing => {
+            leadership.lease.set(None);
+            Duration::ZERO
+        }
+        _ => RENEW_INTERVAL / 3,
+    }
+}
+
+async fn claim(node: &Node, store: &Store, lease: LeaseId) {
+    // Spread over nodes, so that most see the winner's key before they try.
+    sleep(Duration::from_millis(60).mul_f64(node.luck())).await;
+    let value = identity(node);
+    let write =
+        Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease };
+    let reply = store.write(write).await;
+    let event = Event::new(&LEADING).with("claimed", matches!(reply, Reply::Done(_)));
+    log::info!("{event}");
+}
+
+/// An order whose effect is not seen yet.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    /// Layers that the engine will hold.
+    layers: Layers,
+    /// When the engine is asked what became of it.
+    until: Duration,
+}
+
+/// Gives orders while this node leads.
+pub(crate) struct Orders {
+    node: Rc<Node>,
+    leadership: Rc<Leadership>,
+    pending: HashMap<TargetKey, Pending>,
+    /// Engines that are not ordered before a time.
+    paused: HashMap<TargetKey, Duration>,
+    leads: bool,
+}
+
+impl Orders {
+    /// Nothing is ordered yet.
+    pub(crate) fn new(node: Rc<Node>, leadership: Rc<Leadership>) -> Self {
+        Self { node, leadership, pending: HashMap::new(), paused: HashMap::new(), leads: false }
+    }
+
+    /// Gives orders for good.
+    pub(crate) async fn run(mut self) {
+        loop {
+            sleep(PLAN_INTERVAL).await;
+            let fence = self.leadership.fence(&self.node);
+            if self.leads != fence.is_some() {
+                self.leads = fence.is_some();
+                self.pending.clear();
+                let fence = fence.unwrap_or(0);
+                log::info!("{}", Event::new(&LEADING).with("leads", self.leads).with("fence", fence));
+            }
+            let Some(fence) = fence else { continue };
+            let Some(config) = self.node.config() else { continue };
+            for service in config.services() {
+                if let Some(model) = &service.model {
+                    self.settle().await;
+                    let moves = self.plan(service, model);
+                    self.give(&moves, model, fence).await;
+                }
+            }
+        }
+    }
+
+    /// Forgets orders whose effect shows, and asks about those that take too long.
+    async fn settle(&mut self) {
+        let now = self.node.now();
+        let mut overdue = Vec::new();
+        {
+            let table = self.node.table.borrow();
+            self.pending.retain(|id, pending| {
+                let Some(entry) = table.entry(id) else { return false };
+                if entry.layers == Some(pending.layers) {
+                    return false;
+                }
+                if pending.until <= now {
+                    overdue.push((id.clone(), entry.target.address));
+                }
+                true
+            });
+        }
+        for (id, address) in overdue {
+            self.pending.remove(&id);
+            if let Some(report) = self.node.ask(address).await {
+                self.node.report(&id, &report);
+                if report.busy {
+                    self.paused.insert(id, now + REORDER_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn plan(&self, service: &Service, model: &Model) -> Vec<Move> {
+        let now = self.node.now();
+        let table = self.node.table.borrow();
+        let usable = table.entries().filter(|entry| {
+            let lost = entry.health.down_for(now).is_some_and(|down| down > LOST_AFTER);
+            entry.target.service == service.name && entry.target.state == State::Ready && !lost
+        });
+        let engines: Vec<Engine> = usable
+            .map(|entry| {
+                let id = entry.target.id.clone();
+                let pending = self.pending.get(&id);
+                let paused = self.paused.get(&id).is_some_and(|until| *until > now);
+                let down = entry.health.down_for(now).is_some();
+                Engine {
+                    domain: entry.target.domain.clone(),
+                    card: entry.target.card.clone(),
+                    layers: pending.map(|pending| pending.layers).or(entry.layers),
+                    busy: pending.is_some() || paused || down,
+                    id,
+                }
+            })
+            .collect();
+        place::plan(&engines, model)
+    }
+
+    async fn give(&mut self, moves: &[Move], model: &Model, fence: Revision) {
+        let tasks: Vec<_> = moves
+            .iter()
+            .filter_map(|change| {
+                let table = self.node.table.borrow();
+                let entry = table.entry(&change.target)?;
+                let order =
+                    Order { layers: change.layers, fence, expected: entry.orders };
+                let node = self.node.clone();
+                let address = entry.target.address;
+                let task = tokio::task::spawn_local(async move { send(&node, address, order).await });
+                Some((change.clone(), order, task))
+            })
+            .collect();
+        for (change, order, task) in tasks {
+            let outcome = task.await.unwrap_or(Outcome::Unknown);
+            let event = Event::new(&ORDERED)
+                .with("target", &change.target)
+                .with("layers", format_args!("{:?}", order.layers))
+                .with("fence", order.fence)
+                .with("expected", order.expected)
+                .with("outcome", format_args!("{outcome:?}"));
+            log::info!("{event}");
+            metrics::counter!("magnolia_orders").increment(1);
+            let now = self.node.now();
+            let share = f64::from(change.layers.len()) / f64::from(model.depth.max(1));
+            let id = change.target;
+            match outcome {
+                Outcome::Accepted | Outcome::Unknown => {
+                    let accepted = outcome == Outcome::Accepted;
+                    if accepted {
+                        self.node.table.borrow_mut().ordered(&id);
+                    }
+                    let load = model.load.mul_f64(share);
+                    let until = now + if accepted { load + LOAD_SLACK } else { load };
+                    self.pending.insert(id, Pending { layers: order.layers, until });
+                }
+                Outcome::Refused => {
+                    self.paused.insert(id.clone(), now + REORDER_PAUSE);
+                    let address = self.node.table.borrow().entry(&id).map(|e| e.target.address);
+                    let Some(address) = address else { continue };
+                    if let Some(report) = self.node.ask(address).await {
+                        self.node.report(&id, &report);
+                    }
+                }
+                Outcome::Fenced => {
+                    self.leadership.until.set(Duration::ZERO);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// It has begun, or was done already.
+    Accepted,
+    /// The engine is in another state than was thought.
+    Refused,
+    /// Another node leads.
+    Fenced,
+    /// It may be carried out, now or later.
+    Unknown,
+}
+
+async fn send(node: &Node, address: SocketAddr, order: Order) -> Outcome {
+    let exchange = async {
+        let begun = node.pool.send(address, platform::order(address, order)).await.ok()?;
+        let (response, connection) = begun.split();
+        let status = response.status();
+        response.into_body().collect().await.ok()?;
+        node.pool.give_back(connection);
+        Some(status)
+    };
+    match timeout(ORDER_TIMEOUT, exchange).await {
+        Ok(Some(StatusCode::OK | StatusCode::ACCEPTED)) => Outcome::Accepted,
+        Ok(Some(StatusCode::PRECONDITION_FAILED)) => Outcome::Fenced,
+        Ok(Some(_)) => Outcome::Refused,
+        Ok(None) | Err(_) => Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,27 @@
+//! The entry process on the users' platform.
+//!
+//! One thread runs everything in turn: callers' connections, connections to targets, the
+//! store, and the decisions of `path` and `place`. Nothing is handed between threads but
+//! finished log lines.
+
+mod answer;
+mod call;
+mod clock;
+mod diagnose;
+mod event;
+mod events;
+mod follow;
+mod front;
+mod lead;
+mod link;
+mod lines;
+mod node;
+mod plain;
+mod process;
+mod ready;
+mod store;
+mod stream;
+
+pub use event::EVENTS;
+pub use events::{Event as StreamEvent, Splitter};
+pub use process::{Failure, run};
--- /dev/null
+++ b/crates/edge/src/lines.rs
@@ -0,0 +1,120 @@
+//! Log lines: gathered in memory, handed in batches to a thread that writes them.
+//!
+//! A reader that does not read costs lines, which are counted, and never time.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use fleet::Event;
+use log::LevelFilter;
+use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
+
+use crate::event::LINES_LOST;
+
+/// Bytes of lines that wait for the next batch.
+const WAITING_BYTES: usize = 128 << 10;
+/// Batches that wait for the writer.
+const BATCHES: usize = 4;
+/// Interval between batches.
+pub(crate) const BATCH_INTERVAL: Duration = Duration::from_millis(250);
+
+#[derive(Default)]
+struct Waiting {
+    bytes: Vec<u8>,
+    begun: Vec<u8>,
+    lost: u64,
+}
+
+#[derive(Clone, Default)]
+struct Buffer(Arc<Mutex<Waiting>>);
+
+impl Write for Buffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.begun.extend_from_slice(bytes);
+        if bytes.ends_with(b"\n") {
+            let line = std::mem::take(&mut waiting.begun);
+            if waiting.bytes.len() + line.len() > WAITING_BYTES {
+                waiting.lost += 1;
+            } else {
+                waiting.bytes.extend_from_slice(&line);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The log of the process.
+pub(crate) struct Lines {
+    buffer: Buffer,
+    sender: Option<SyncSender<Vec<u8>>>,
+    writer: Option<JoinHandle<()>>,
+}
+
+impl Lines {
+    /// Installs the logger and starts the writer.
+    pub(crate) fn install() -> io::Result<Self> {
+        let config = ConfigBuilder::new()
+            .set_time_format_rfc3339()
+            .set_target_level(LevelFilter::Off)
+            .set_thread_level(LevelFilter::Off)
+            .set_location_level(LevelFilter::Off)
+            .set_level_padding(LevelPadding::Off)
+            .add_filter_ignore_str("hyper")
+            .build();
+        let buffer = Buffer::default();
+        if WriteLogger::init(LevelFilter::Info, config, buffer.clone()).is_err() {
+            return Err(io::Error::other("a logger was installed before"));
+        }
+        let (sender, receiver) = sync_channel(BATCHES);
+        let writer = thread::Builder::new().name("log".into()).spawn(move || write(&receiver))?;
+        Ok(Self { buffer, sender: Some(sender), writer: Some(writer) })
+    }
+
+    /// Hands the lines so far to the writer, if it can take them.
+    pub(crate) fn pass_on(&self) {
+        let (bytes, lost) = {
+            let mut waiting = self.buffer.0.lock().unwrap_or_else(PoisonError::into_inner);
+            (std::mem::take(&mut waiting.bytes), std::mem::take(&mut waiting.lost))
+        };
+        if lost > 0 {
+            log::warn!("{}", Event::new(&LINES_LOST).with("lines", lost));
+        }
+        if bytes.is_empty() {
+            return;
+        }
+        let Some(sender) = &self.sender else { return };
+        if sender.try_send(bytes).is_err() {
+            let mut waiting = self.buffer.0.lock().unwrap_or_else(PoisonError::into_inner);
+            waiting.lost += 1;
+            metrics::counter!("magnolia_log_batches_lost").increment(1);
+        }
+    }
+}
+
+impl Drop for Lines {
+    fn drop(&mut self) {
+        self.pass_on();
+        self.sender = None;
+        if let Some(writer) = self.writer.take() {
+            // A writer that panicked has nothing left to write.
+            writer.join().ok();
+        }
+    }
+}
+
+fn write(receiver: &Receiver<Vec<u8>>) {
+    let mut out = io::stdout();
+    while let Ok(bytes) = receiver.recv() {
+        if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
+            metrics::counter!("magnolia_log_batches_lost").increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/link.rs
@@ -0,0 +1,191 @@
+//! Connections to targets, kept for reuse.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+
+/// Longest time to connect: domains are less than a millisecond apart, and a lost opening
+/// packet is sent again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long unacknowledged bytes may wait before a connection counts as dead.
+const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long an idle connection is kept when the target does not say.
+const IDLE: Duration = Duration::from_secs(4);
+/// How long before a target's own idle timeout a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(1500);
+/// Smallest read buffer that the library takes.
+const BUFFER_BYTES: usize = 8 << 10;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Why a call got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unanswered {
+    /// Nothing was sent.
+    NotSent,
+    /// It was sent and may have run.
+    Unknown,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    until: Duration,
+}
+
+/// Idle connections by address.
+pub(crate) struct Pool {
+    clock: Clock,
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+/// An answer that has begun, and the connection on which it comes.
+pub(crate) struct Begun {
+    pub(crate) response: Response<Incoming>,
+    connection: Connection,
+}
+
+/// A connection in use.
+pub(crate) struct Connection {
+    address: SocketAddr,
+    sender: Sender,
+    /// How long the target keeps it when idle; `None` when it is to be closed.
+    keep: Option<Duration>,
+}
+
+impl Begun {
+    /// The answer, and the connection to give back when the answer is complete.
+    pub(crate) fn split(self) -> (Response<Incoming>, Connection) {
+        (self.response, self.connection)
+    }
+}
+
+impl Pool {
+    /// An empty pool.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { clock, idle: RefCell::default() }
+    }
+
+    /// Sends a request and waits for the head of its answer. Dropping the call closes the
+    /// connection, which tells the target to give up.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Begun, Unanswered> {
+        while let Some(mut sender) = self.take(address) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(begun(address, sender, response)),
+                Err(mut failed) => match failed.take_message() {
+                    // The connection had been closed before anything was written.
+                    Some(unsent) => request = unsent,
+                    None => return Err(Unanswered::Unknown),
+                },
+            }
+        }
+        let mut sender = connect(address).await.ok_or(Unanswered::NotSent)?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(begun(address, sender, response)),
+            Err(mut failed) => match failed.take_message() {
+                Some(_) => Err(Unanswered::NotSent),
+                None => Err(Unanswered::Unknown),
+            },
+        }
+    }
+
+    /// Takes back a connection whose answer is complete.
+    pub(crate) fn give_back(&self, connection: Connection) {
+        let Some(keep) = connection.keep else { return };
+        if connection.sender.is_closed() {
+            return;
+        }
+        let until = self.clock.now() + keep;
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(connection.address).or_default();
+        list.push(Idle { sender: connection.sender, until });
+    }
+
+    /// Closes connections that have been idle too long.
+    pub(crate) fn tidy(&self) {
+        let now = self.clock.now();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            !list.is_empty()
+        });
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&address)?;
+        list.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        let newest = list.iter().rposition(|idle| idle.sender.is_ready())?;
+        Some(list.remove(newest).sender)
+    }
+}
+
+fn begun(address: SocketAddr, sender: Sender, response: Response<Incoming>) -> Begun {
+    let keep = keep(response.headers());
+    Begun { response, connection: Connection { address, sender, keep } }
+}
+
+/// How long a connection can be idle after an answer with these headers.
+fn keep(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let Some(value) = text(KEEP_ALIVE) else { return Some(IDLE) };
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let Some(seconds) = timeout.and_then(|seconds| seconds.parse().ok()) else {
+        return Some(IDLE);
+    };
+    Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
+}
+
+/// Opens a connection. Its driver ends when the connection does.
+pub(crate) async fn connect(address: SocketAddr) -> Option<Sender> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+    metrics::counter!("magnolia_connections").increment(1);
+    guard_silence(&stream);
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES * 4)
+        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .await;
+    let (sender, connection) = handshake.ok()?;
+    tokio::task::spawn_local(async move {
+        // What went wrong is told to the request that was on the connection.
+        connection.await.ok();
+    });
+    Some(sender)
+}
+
+/// Makes a connection whose other side has gone silent fail within seconds.
+pub(crate) fn guard_silence(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(Duration::from_secs(3))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
+    if set.is_err() {
+        metrics::counter!("magnolia_socket_options_refused").increment(1);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node.rs
@@ -0,0 +1,157 @@
+//! What the tasks of the process share. They run in one thread, in turn.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::Event;
+use path::{Budget, Fault, Table};
+use platform::Settings;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use site::Config;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::diagnose::Reports;
+use crate::event::{TARGET_DOWN, TARGET_UP};
+use crate::link::Pool;
+
+/// How long before the bound on withdrawn keys a node that cannot reach the store refuses
+/// keys: the request has to reach its target and begin within it.
+const REVOKE_MARGIN: Duration = Duration::from_millis(700);
+/// A node that has not heard from the store for this long asks for no new callers.
+const UNREADY_AFTER: Duration = Duration::from_millis(2500);
+
+/// State of the process.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) table: RefCell<Table>,
+    pub(crate) config: RefCell<Option<Rc<Config>>>,
+    pub(crate) budgets: RefCell<HashMap<SmolStr, Budget>>,
+    pub(crate) pool: Pool,
+    pub(crate) reports: Reports,
+    /// Up to when the store's state is known to be in force here.
+    pub(crate) synced: Cell<Option<Duration>>,
+    /// Whether a stop was asked for.
+    pub(crate) stopping: Cell<bool>,
+    /// Told when `stopping` is set.
+    pub(crate) stop: Notify,
+    /// Told when targets or the configuration change.
+    pub(crate) changed: Notify,
+    /// Connections of callers.
+    pub(crate) callers: Cell<usize>,
+    /// Tells this start of the process from others at the same address.
+    pub(crate) instance: u64,
+    rng: RefCell<SmallRng>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub(crate) fn new(settings: Settings) -> Self {
+        let clock = Clock::start();
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        Self {
+            table: RefCell::new(Table::new(settings.domain.clone())),
+            settings,
+            clock,
+            config: RefCell::default(),
+            budgets: RefCell::default(),
+            pool: Pool::new(clock),
+            reports: Reports::default(),
+            synced: Cell::new(None),
+            stopping: Cell::new(false),
+            stop: Notify::new(),
+            changed: Notify::new(),
+            callers: Cell::new(0),
+            instance: rng.random(),
+            rng: RefCell::new(rng),
+        }
+    }
+
+    /// Time since the process began.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// A draw from 0 to 1.
+    pub(crate) fn luck(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Whether the configuration is recent enough to honour keys.
+    pub(crate) fn may_honour_keys(&self) -> bool {
+        let bounds = &self.settings.bounds;
+        let Some(synced) = self.synced.get() else { return false };
+        let limit = bounds.revoke.saturating_sub(REVOKE_MARGIN);
+        !bounds.strict_revoke || self.now().saturating_sub(synced) < limit
+    }
+
+    /// Whether new callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let Some(synced) = self.synced.get() else { return false };
+        let heard = self.now().saturating_sub(synced) < UNREADY_AFTER;
+        heard && !self.stopping.get() && self.config.borrow().is_some()
+    }
+
+    /// Notes a fault of a target.
+    pub(crate) fn fault(&self, address: SocketAddr, fault: Fault, reason: &str) {
+        let now = self.now();
+        if let Some(target) = self.table.borrow_mut().fault(now, address, fault) {
+            let event = Event::new(&TARGET_DOWN)
+                .with("target", target)
+                .with("address", address)
+                .with("fault", format_args!("{fault:?}"))
+                .with("reason", reason);
+            log::warn!("{event}");
+            metrics::counter!("magnolia_targets_down").increment(1);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes a target's report.
+    pub(crate) fn report(&self, id: &str, report: &site::Report) {
+        if self.table.borrow_mut().report(id, report) {
+            log::info!("{}", Event::new(&TARGET_UP).with("target", id));
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Notes that a plain target takes connections again.
+    pub(crate) fn revive(&self, id: &str) {
+        if self.table.borrow_mut().revive(id) {
+            log::info!("{}", Event::new(&TARGET_UP).with("target", id));
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Whether a target runs layers of a model.
+    pub(crate) fn is_engine(&self, id: &str) -> bool {
+        let table = self.table.borrow();
+        table.entry(id).is_some_and(|entry| !entry.target.card.is_empty())
+    }
+
+    /// Counts a request of a caller in the retry budget of its service.
+    pub(crate) fn count_request(&self, service: &SmolStr) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.request(self.now(), &self.settings.bounds);
+    }
+
+    /// Takes one retry out of the budget, if any is left.
+    pub(crate) fn take_retry(&self, service: &SmolStr) -> bool {
+        let vms = self.table.borrow().vms;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.retry(self.now(), &self.settings.bounds, vms)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/plain.rs
@@ -0,0 +1,194 @@
+//! Requests that have one answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::Event;
+use http_body_util::BodyExt;
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use path::{Fault, Wish};
+use platform::head;
+use site::TargetKey;
+use tokio::time::timeout;
+
+use crate::answer::{Answer, later, own};
+use crate::call::{Call, back};
+use crate::event::RETRIED;
+use crate::link::Unanswered;
+use crate::node::Node;
+
+/// Most targets that a request is offered to, counting those that refused it.
+const MOST_OFFERS: u32 = 4;
+/// Share of the time left that one try of an idempotent request may take while another
+/// target can still be tried.
+const TRY_SHARE: f64 = 0.45;
+
+/// What came of one try.
+enum Tried {
+    /// The target's whole answer.
+    Answered { status: StatusCode, headers: HeaderMap, body: Bytes },
+    /// The target has not run it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A request counted as running at a target.
+struct Running {
+    node: Rc<Node>,
+    target: TargetKey,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.node.table.borrow_mut().end(&self.target, 0.0);
+    }
+}
+
+/// Sends a request to a target, and to another one where that is allowed.
+pub(crate) async fn relay(node: &Rc<Node>, call: &Call) -> Response<Answer> {
+    let mut avoid: Vec<SocketAddr> = Vec::new();
+    let mut ran = 0;
+    let mut offers = 0;
+    let mut failed: Option<Response<Answer>> = None;
+    loop {
+        let wish =
+            Wish { service: &call.service, avoid: &avoid, tokens: 0.0, luck: node.luck() };
+        let picked = node.table.borrow().plain(node.now(), &wish);
+        let Some((target, address)) = picked else { break };
+        let again = offers > 0;
+        if again && !node.take_retry(&call.service) {
+            break;
+        }
+        if again {
+            let event = Event::new(&RETRIED).with("request", &call.id).with("target", &target);
+            log::info!("{event}");
+        }
+        offers += 1;
+        let left = call.ends.saturating_sub(node.now());
+        if left.is_zero() {
+            break;
+        }
+        let may_repeat = call.kind.is_idempotent() && ran + 1 < call.attempts;
+        let limit = if may_repeat { left.mul_f64(TRY_SHARE) } else { left };
+        avoid.push(address);
+        let tried = match timeout(limit, offer(node, call, &target, address)).await {
+            Ok(tried) => tried,
+            Err(_) => {
+                node.fault(address, Fault::Failed, "no answer in time");
+                Tried::Unknown
+            }
+        };
+        match tried {
+            Tried::Answered { status, headers, body } => {
+                let response = answer(status, &headers, body);
+                if !status.is_server_error() {
+                    node.table.borrow_mut().success(address);
+                    return response;
+                }
+                node.fault(address, Fault::Failed, "server error");
+                failed = Some(response);
+                ran += 1;
+                if !call.kind.is_idempotent() || ran >= call.attempts {
+                    break;
+                }
+            }
+            Tried::NotRun => {
+                if offers >= MOST_OFFERS {
+                    break;
+                }
+            }
+            Tried::Unknown => {
+                ran += 1;
+                if !call.kind.is_idempotent() {
+                    return lost(node, call);
+                }
+                if ran >= call.attempts {
+                    break;
+                }
+            }
+        }
+    }
+    match failed {
+        Some(response) => response,
+        None if ran > 0 => lost(node, call),
+        None => later(StatusCode::SERVICE_UNAVAILABLE, "no target", node.comeback(call)),
+    }
+}
+
+/// The answer when a request may have run and what came of it is not known.
+fn lost(node: &Node, call: &Call) -> Response<Answer> {
+    if node.now() >= call.ends {
+        own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+    } else {
+        own(StatusCode::BAD_GATEWAY, "the answer was lost")
+    }
+}
+
+fn answer(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response<Answer> {
+    let mut response = Response::new(Answer::Whole(Some(body)));
+    *response.status_mut() = status;
+    *response.headers_mut() = back(headers);
+    response
+}
+
+async fn offer(node: &Rc<Node>, call: &Call, target: &TargetKey, address: SocketAddr) -> Tried {
+    node.table.borrow_mut().begin(target, 0.0);
+    let _running = Running { node: node.clone(), target: target.clone() };
+    let request = call.request(node.now(), target, None, None);
+    let begun = match node.pool.send(address, request).await {
+        Ok(begun) => begun,
+        Err(Unanswered::NotSent) => {
+            node.fault(address, Fault::Silent, "no connection");
+            return Tried::NotRun;
+        }
+        Err(Unanswered::Unknown) => {
+            node.fault(address, Fault::Failed, "connection lost");
+            return Tried::Unknown;
+        }
+    };
+    let (response, connection) = begun.split();
+    let (parts, body) = response.into_parts();
+    let Ok(body) = body.collect().await else {
+        node.fault(address, Fault::Failed, "answer cut");
+        return Tried::Unknown;
+    };
+    if !is_of(&parts.headers, call) {
+        // An answer that was left over from another request; the connection is dropped.
+        node.fault(address, Fault::Failed, "answer to another request");
+        return Tried::Unknown;
+    }
+    node.pool.give_back(connection);
+    if is_not_run(parts.status, &parts.headers) {
+        let gone = parts.status == StatusCode::MISDIRECTED_REQUEST;
+        let fault = if gone { Fault::Astray } else { Fault::Full };
+        node.fault(address, fault, "refused");
+        return Tried::NotRun;
+    }
+    Tried::Answered { status: parts.status, headers: parts.headers, body: body.to_bytes() }
+}
+
+/// Whether an answer belongs to a request.
+pub(crate) fn is_of(headers: &HeaderMap, call: &Call) -> bool {
+    headers.get(head::REQUEST_ID).is_some_and(|id| id.as_bytes() == call.id.as_bytes())
+}
+
+/// Whether an answer says that the target has not run the request.
+pub(crate) fn is_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
+    headers.contains_key(head::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST
+}
+
+/// Shortest time after which a refused caller is asked to come back.
+const COMEBACK: Duration = Duration::from_millis(400);
+
+impl Node {
+    /// When a refused caller may come back: spread, so that not all come at once, and early
+    /// enough that the request can still be served.
+    pub(crate) fn comeback(&self, call: &Call) -> Duration {
+        let left = call.ends.saturating_sub(self.now());
+        COMEBACK.mul_f64(1.0 + 1.5 * self.luck()).min(left / 4)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/process.rs
@@ -0,0 +1,170 @@
+//! The process: start, signals, stop.
+
+use std::env;
+use std::error::Error;
+use std::fmt;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::Event;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use platform::{SETTINGS_VARIABLE, Settings};
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+use crate::event::{RELOADED, STARTED, STOPPED, STOPPING};
+use crate::follow::Follower;
+use crate::lead::{Leadership, Orders, keep_lease, resign};
+use crate::lines::{BATCH_INTERVAL, Lines};
+use crate::node::Node;
+use crate::store::Store;
+use crate::{diagnose, front, ready};
+
+/// Port of the metrics.
+const METRICS_PORT: u16 = 9464;
+/// The platform takes a stopping node out of rotation after two probes, a second apart.
+const ROTATION_TIME: Duration = Duration::from_millis(2600);
+/// How long before the kill the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// Interval at which idle connections are looked through.
+const TIDY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why the process could not run.
+#[derive(Debug)]
+pub enum Failure {
+    /// The environment names no settings file.
+    NoSettings,
+    /// The settings file cannot be read.
+    Settings(String, io::Error),
+    /// A setting is wrong.
+    Invalid(platform::Error),
+    /// An address cannot be bound.
+    Bind(SocketAddr, io::Error),
+    /// The operating system refused a resource.
+    System(io::Error),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::NoSettings => write!(f, "{SETTINGS_VARIABLE} is not set"),
+            Failure::Settings(path, error) => write!(f, "cannot read {path}: {error}"),
+            Failure::Invalid(error) => write!(f, "settings: {error}"),
+            Failure::Bind(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            Failure::System(error) => write!(f, "the operating system refused: {error}"),
+        }
+    }
+}
+
+impl Error for Failure {}
+
+/// Runs the entry process until it is told to stop.
+///
+/// # Errors
+///
+/// When the settings are wrong, or an address cannot be bound.
+pub fn run() -> Result<(), Failure> {
+    let settings = read_settings()?;
+    let lines = Lines::install().map_err(Failure::System)?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(Failure::System)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, lines))
+}
+
+fn read_settings() -> Result<Settings, Failure> {
+    let path = env::var(SETTINGS_VARIABLE).map_err(|_| Failure::NoSettings)?;
+    let text = fs::read_to_string(&path).map_err(|error| Failure::Settings(path, error))?;
+    Settings::parse(&text).map_err(Failure::Invalid)
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
+    TcpListener::bind(address).await.map_err(|error| Failure::Bind(address, error))
+}
+
+async fn serve(settings: Settings, lines: Lines) -> Result<(), Failure> {
+    let recorder = PrometheusBuilder::new().install_recorder();
+    let callers = bind(settings.front).await?;
+    let probes = bind(settings.ready).await?;
+    let metrics = bind(SocketAddr::new(settings.front.ip(), METRICS_PORT)).await?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(Failure::System)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(Failure::System)?;
+    let node = Rc::new(Node::new(settings));
+    let event = Event::new(&STARTED)
+        .with("node", &node.settings.node)
+        .with("domain", &node.settings.domain)
+        .with("front", node.settings.front)
+        .with("store", node.settings.store);
+    log::info!("{event}");
+
+    let store = Rc::new(Store::new(node.clone()));
+    let leadership = Rc::new(Leadership::new());
+    let follower = Follower::new(node.clone(), store.clone(), leadership.clone());
+    tokio::task::spawn_local(follower.run());
+    tokio::task::spawn_local(keep_lease(node.clone(), store.clone(), leadership.clone()));
+    tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
+    tokio::task::spawn_local(diagnose::probe(node.clone()));
+    tokio::task::spawn_local(front::serve(node.clone(), callers));
+    tokio::task::spawn_local(ready::serve_ready(node.clone(), probes));
+    if let Ok(recorder) = recorder {
+        tokio::task::spawn_local(ready::serve_metrics(recorder, metrics));
+    }
+    let lines = Rc::new(lines);
+    tokio::task::spawn_local(housekeeping(node.clone(), lines.clone()));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => reread(),
+        }
+    }
+    stop(&node, &store, &leadership).await;
+    log::info!("{}", Event::new(&STOPPED));
+    lines.pass_on();
+    Ok(())
+}
+
+async fn housekeeping(node: Rc<Node>, lines: Rc<Lines>) {
+    let mut tidied = node.now();
+    loop {
+        sleep(BATCH_INTERVAL).await;
+        lines.pass_on();
+        if node.now().saturating_sub(tidied) >= TIDY_INTERVAL {
+            tidied = node.now();
+            node.pool.tidy();
+        }
+    }
+}
+
+/// Checks the settings file. Addresses are taken at the start only; what changes while the
+/// process runs comes through the store.
+fn reread() {
+    let outcome = match read_settings() {
+        Ok(_) => "valid".to_owned(),
+        Err(failure) => failure.to_string(),
+    };
+    log::info!("{}", Event::new(&RELOADED).with("outcome", outcome));
+}
+
+/// Serves the callers that are left, and those that still come until the platform has taken
+/// the node out of rotation.
+async fn stop(node: &Rc<Node>, store: &Store, leadership: &Leadership) {
+    let began = Instant::now();
+    log::info!("{}", Event::new(&STOPPING).with("connections", node.callers.get()));
+    node.stopping.set(true);
+    node.stop.notify_waiters();
+    resign(store, leadership).await;
+    let latest = node.settings.bounds.grace.saturating_sub(END_MARGIN);
+    loop {
+        sleep(Duration::from_millis(50)).await;
+        let passed = began.elapsed();
+        if passed >= latest || (passed >= ROTATION_TIME && node.callers.get() == 0) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/ready.rs
@@ -0,0 +1,56 @@
+//! What the platform asks of the node: whether it takes callers, and its metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+
+use crate::node::Node;
+
+/// Answers whether the node takes callers.
+pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let known = request.uri().path() == "/ready";
+        let status = match (known, node.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        (status, String::new())
+    })
+    .await;
+}
+
+/// Answers with the metrics as text.
+pub(crate) async fn serve_metrics(metrics: PrometheusHandle, listener: TcpListener) {
+    serve(listener, move |_| (StatusCode::OK, metrics.render())).await;
+}
+
+async fn serve(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> (StatusCode, String) + Clone + 'static,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let answer = answer.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (status, text) = answer(&request);
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(async move {
+            // A prober that goes away has its answer or does not want it.
+            connection.await.ok();
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store.rs
@@ -0,0 +1,154 @@
+//! Calls to the platform's store: one connection for the watch, one for everything else.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::Event;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use platform::kv::{self, LeaseId, Page, Revision, Write};
+use tokio::time::timeout;
+
+use crate::event::{STORE_BACK, STORE_LOST};
+use crate::link::Unanswered;
+use crate::node::Node;
+
+/// Longest wait for an answer of the store, beyond what a watch waits.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// What came of a call.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    /// It was done.
+    Done(Bytes),
+    /// The condition did not hold (412).
+    Conflict,
+    /// What the call names does not exist (404).
+    Missing,
+    /// The history that was asked for is gone (410).
+    HistoryLost,
+    /// Nothing was done.
+    NotDone,
+    /// It may have been done.
+    Unknown,
+}
+
+/// The client of the store.
+pub(crate) struct Store {
+    node: Rc<Node>,
+    address: SocketAddr,
+    lost: Cell<bool>,
+}
+
+impl Store {
+    /// A client of the node's store.
+    pub(crate) fn new(node: Rc<Node>) -> Self {
+        let address = node.settings.store;
+        Self { node, address, lost: Cell::new(false) }
+    }
+
+    /// Everything under `prefix` that follows `after`.
+    pub(crate) async fn range(&self, prefix: &str, after: Option<&str>) -> Option<Page> {
+        let call = kv::range(self.address, prefix, after);
+        let Reply::Done(bytes) = self.call("range", call, Duration::ZERO).await else {
+            return None;
+        };
+        decoded("range", kv::listed(&bytes))
+    }
+
+    /// Changes under `prefix` after a revision.
+    pub(crate) async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Page, Reply> {
+        let call = kv::watch(self.address, prefix, after, wait);
+        match self.call("watch", call, wait).await {
+            Reply::Done(bytes) => decoded("watch", kv::changed(&bytes)).ok_or(Reply::NotDone),
+            other => Err(other),
+        }
+    }
+
+    /// Asks for a lease.
+    pub(crate) async fn lease(&self, ttl: Duration) -> Option<kv::Lease> {
+        let call = kv::lease_request(self.address, ttl);
+        let Reply::Done(bytes) = self.call("lease", call, Duration::ZERO).await else {
+            return None;
+        };
+        decoded("lease", kv::lease(&bytes))
+    }
+
+    /// Renews a lease.
+    pub(crate) async fn renew(&self, lease: LeaseId) -> Reply {
+        self.call("renew", kv::renew(self.address, lease), Duration::ZERO).await
+    }
+
+    /// Ends a lease; its keys go.
+    pub(crate) async fn end(&self, lease: LeaseId) -> Reply {
+        self.call("end", kv::end(self.address, lease), Duration::ZERO).await
+    }
+
+    /// Writes a key.
+    pub(crate) async fn write(&self, write: Write<'_>) -> Reply {
+        self.call("write", kv::write(self.address, write), Duration::ZERO).await
+    }
+
+    async fn call(
+        &self,
+        purpose: &'static str,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Reply {
+        let limit = wait + CALL_TIMEOUT;
+        let reply = match timeout(limit, self.exchange(request)).await {
+            Ok(reply) => reply,
+            Err(_) => Reply::Unknown,
+        };
+        let failed = matches!(reply, Reply::NotDone | Reply::Unknown);
+        metrics::counter!("magnolia_store_calls", "purpose" => purpose, "failed" => failed.to_string())
+            .increment(1);
+        if failed != self.lost.replace(failed) {
+            let kind = if failed { &STORE_LOST } else { &STORE_BACK };
+            let outcome = format_args!("{reply:?}").to_string();
+            let outcome = if failed { outcome.as_str() } else { "answered" };
+            log::warn!("{}", Event::new(kind).with("purpose", purpose).with("outcome", outcome));
+        }
+        reply
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Reply {
+        let begun = match self.node.pool.send(self.address, request).await {
+            Ok(begun) => begun,
+            Err(Unanswered::NotSent) => return Reply::NotDone,
+            Err(Unanswered::Unknown) => return Reply::Unknown,
+        };
+        let (response, connection) = begun.split();
+        let status = response.status();
+        let Ok(body) = response.into_body().collect().await else { return Reply::Unknown };
+        self.node.pool.give_back(connection);
+        match status {
+            StatusCode::OK => Reply::Done(body.to_bytes()),
+            StatusCode::NOT_FOUND => Reply::Missing,
+            StatusCode::PRECONDITION_FAILED => Reply::Conflict,
+            StatusCode::GONE => Reply::HistoryLost,
+            _ => Reply::NotDone,
+        }
+    }
+}
+
+fn decoded<T>(purpose: &'static str, result: Result<T, platform::Error>) -> Option<T> {
+    match result {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let event = Event::new(&crate::event::UNDECODABLE)
+                .with("key", purpose)
+                .with("reason", error);
+            log::warn!("{event}");
+            None
+        }
+    }
+}
--- a/crates/node/src/bin/magnoliarun.rs
+++ b/crates/node/src/bin/magnoliarun.rs
@@ -10,6 +10,9 @@
 use signal_hook::iterator::Signals;
 
 fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some("front") {
+        return front();
+    }
     let text = match options().run_inner(bpaf::Args::current_args()) {
         Ok(text) => text,
         Err(failure) => {
@@ -57,3 +60,14 @@
     }
     ExitCode::from(if cut == 0 { EXIT_STOPPED } else { EXIT_CUT })
 }
+
+/// Runs the entry process on the users' platform, whose settings come in a file.
+fn front() -> ExitCode {
+    match edge::run() {
+        Ok(()) => ExitCode::from(EXIT_STOPPED),
+        Err(failure) => {
+            eprintln!("Error: {failure}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
--- /dev/null
+++ b/crates/path/src/budget.rs
@@ -0,0 +1,56 @@
+//! The budget of retries.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use site::Bounds;
+
+/// Slots that a window is divided into.
+const SLOTS: u32 = 20;
+
+/// Counts requests and retries of one service in a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    slots: VecDeque<Slot>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    number: u64,
+    requests: u32,
+    retries: u32,
+}
+
+impl Budget {
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now: Duration, bounds: &Bounds) {
+        self.slot(now, bounds).requests += 1;
+    }
+
+    /// Takes one retry out of this VM's share, if any is left. `vms` share the extra.
+    pub fn retry(&mut self, now: Duration, bounds: &Bounds, vms: usize) -> bool {
+        self.slot(now, bounds);
+        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
+        let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
+        let extra = bounds.retry_extra / vms.max(1) as f64;
+        let allowed = bounds.retry_share * f64::from(requests) + extra;
+        if f64::from(retries) + 1.0 > allowed {
+            return false;
+        }
+        self.slot(now, bounds).retries += 1;
+        true
+    }
+
+    fn slot(&mut self, now: Duration, bounds: &Bounds) -> &mut Slot {
+        let length = bounds.retry_window / SLOTS;
+        let number = (now.as_nanos() / length.as_nanos().max(1)) as u64;
+        while self.slots.front().is_some_and(|slot| slot.number + u64::from(SLOTS) <= number) {
+            self.slots.pop_front();
+        }
+        if self.slots.back().is_none_or(|slot| slot.number < number) {
+            self.slots.push_back(Slot { number, requests: 0, retries: 0 });
+        }
+        let last = self.slots.len() - 1;
+        &mut self.slots[last]
+    }
+}
--- /dev/null
+++ b/crates/path/src/health.rs
@@ -0,0 +1,100 @@
+//! What was seen of a target since it registered.
+
+use std::time::Duration;
+
+/// First pause before a target that failed is probed.
+const FIRST_PROBE: Duration = Duration::from_millis(300);
+/// Longest pause between probes.
+const MOST_PROBE: Duration = Duration::from_secs(2);
+/// Pause after a target said that it cannot take more.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Weight of the newest call in the failure rate.
+const RATE_WEIGHT: f64 = 0.15;
+
+/// What went wrong at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It does not answer, or refuses connections.
+    Silent,
+    /// It does not hold the layers that it was asked for, or is another one.
+    Astray,
+    /// It cannot take more for now.
+    Full,
+    /// A call failed.
+    Failed,
+}
+
+/// Whether a target can be used.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Set while the target is left out until a probe shows that it is well.
+    down: Option<Down>,
+    /// Not before this time, after it was full.
+    paused: Duration,
+    /// Share of calls that failed, newest first.
+    rate: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Down {
+    since: Duration,
+    probe_at: Duration,
+    pause: Duration,
+}
+
+impl Health {
+    /// Whether requests may be sent.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        self.down.is_none() && self.paused <= now
+    }
+
+    /// How long the target has been left out.
+    pub fn down_for(&self, now: Duration) -> Option<Duration> {
+        self.down.map(|down| now.saturating_sub(down.since))
+    }
+
+    /// Share of calls that failed, 0 to 1.
+    pub fn failure_rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Notes a fault; returns whether the target is newly left out.
+    pub fn fault(&mut self, now: Duration, fault: Fault) -> bool {
+        match fault {
+            Fault::Full => self.paused = now + FULL_PAUSE,
+            Fault::Failed => self.rate += RATE_WEIGHT * (1.0 - self.rate),
+            Fault::Silent | Fault::Astray => {
+                self.rate += RATE_WEIGHT * (1.0 - self.rate);
+                if self.down.is_none() {
+                    let probe_at = now + FIRST_PROBE;
+                    self.down = Some(Down { since: now, probe_at, pause: FIRST_PROBE });
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Notes an answer that was as it should be.
+    pub fn success(&mut self) {
+        self.rate -= RATE_WEIGHT * self.rate;
+    }
+
+    /// Notes that a probe was answered; the target is used again. Returns whether it was
+    /// left out.
+    pub fn revive(&mut self) -> bool {
+        self.down.take().is_some()
+    }
+
+    /// Whether a probe is due; the next is due after a longer pause.
+    pub fn take_probe(&mut self, now: Duration) -> bool {
+        match &mut self.down {
+            Some(down) if down.probe_at <= now => {
+                down.pause = (down.pause * 2).min(MOST_PROBE);
+                down.probe_at = now + down.pause;
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/path/src/lib.rs
@@ -0,0 +1,15 @@
+//! Targets as this VM sees them, and the choice of where a request goes.
+//!
+//! [`Table`] keeps what targets registered, what was seen of them since, and what this VM
+//! has sent them. It has no clock and no socket: callers pass `now`, the time since the
+//! process began.
+
+mod budget;
+mod health;
+mod search;
+mod table;
+
+pub use budget::Budget;
+pub use health::{Fault, Health};
+pub use search::{Path, Stage};
+pub use table::{Entry, Table, Wish};
--- /dev/null
+++ b/crates/path/src/search.rs
@@ -0,0 +1,166 @@
+//! The cheapest path through the layers of a model.
+//!
+//! Dynamic programming over the layers at which some engine begins or ends, and the failure
+//! domain of the last engine. A path passes every layer once and in order by construction.
+
+use std::net::SocketAddr;
+
+use fleet::{Layer, Layers};
+use site::{Model, TargetKey};
+
+use crate::table::Entry;
+
+/// Cost of passing from one failure domain to another, seconds: the prompt's activations
+/// take their turn on a link that all requests share.
+const CROSSING: f64 = 0.4;
+/// Cost of one more engine, seconds: each may fail.
+const HOP: f64 = 0.02;
+/// Weight of the share of an engine's memory that is taken.
+const PRESSURE_WEIGHT: f64 = 2.0;
+/// Cost of an engine whose memory is taken, seconds.
+const FULL: f64 = 5.0;
+/// An engine with this share of its calls failed costs as much as [`FULL`].
+const FAILURE_COST: f64 = 2.0;
+
+/// One engine of a path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stage {
+    /// The engine.
+    pub target: TargetKey,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Layers that it runs.
+    pub layers: Layers,
+}
+
+/// Engines that run all layers of a model, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Path {
+    /// The engines; never empty.
+    pub stages: Vec<Stage>,
+    /// Largest share of an engine's memory that is taken if all VMs send alike.
+    pub pressure: f64,
+}
+
+impl Path {
+    /// Whether every layer up to `depth` is run once, in order, and no engine twice.
+    pub fn verify(&self, depth: Layer) -> bool {
+        let mut at = 0;
+        for (index, stage) in self.stages.iter().enumerate() {
+            let again = self.stages[..index].iter().any(|other| other.address == stage.address);
+            if again || stage.layers.start != at || stage.layers.is_empty() {
+                return false;
+            }
+            at = stage.layers.end;
+        }
+        at == depth
+    }
+
+    /// The engine that the request is sent to.
+    pub fn first(&self) -> &Stage {
+        &self.stages[0]
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Step {
+    cost: f64,
+    /// Index of the engine, and position and domain that it was reached from.
+    from: Option<(usize, usize, usize)>,
+}
+
+const NONE: Step = Step { cost: f64::INFINITY, from: None };
+
+/// Share of an engine's memory that is taken if all VMs send alike.
+fn pressure(entry: &Entry, model: &Model, tokens: f64, vms: usize) -> f64 {
+    let held = entry.layers.map_or(0, Layers::len);
+    let mb = model.card(&entry.target.card).map_or(0.0, |card| card.mb);
+    let room = model.tokens(mb, held).max(1.0);
+    (entry.tokens * vms as f64 + tokens) / room
+}
+
+/// Seconds that a request takes at an engine that runs all layers.
+fn work(entry: &Entry, model: &Model) -> f64 {
+    let Some(card) = model.card(&entry.target.card) else { return f64::INFINITY };
+    let step = model.step.as_secs_f64() * card.pace * f64::from(model.answer);
+    step + f64::from(model.prompt) / model.read_per_s.max(1.0) * card.read
+}
+
+/// Finds the cheapest path.
+pub(crate) fn search(
+    able: &[&Entry],
+    model: &Model,
+    tokens: f64,
+    vms: usize,
+) -> Option<Path> {
+    let mut cuts: Vec<Layer> = vec![0, model.depth];
+    for layers in able.iter().filter_map(|entry| entry.layers) {
+        cuts.push(layers.start);
+        cuts.push(layers.end.min(model.depth));
+    }
+    cuts.sort_unstable();
+    cuts.dedup();
+    let mut domains: Vec<&str> = able.iter().map(|entry| entry.target.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+
+    let mut best = vec![vec![NONE; domains.len()]; cuts.len()];
+    let starts = vec![0.0; domains.len()];
+    for at in 0..cuts.len() - 1 {
+        let reached: Vec<f64> = match at {
+            0 => starts.clone(),
+            _ => best[at].iter().map(|step| step.cost).collect(),
+        };
+        if reached.iter().all(|cost| cost.is_infinite()) {
+            continue;
+        }
+        for (index, entry) in able.iter().enumerate() {
+            let Some(layers) = entry.layers else { continue };
+            if layers.start > cuts[at] || layers.end <= cuts[at] {
+                continue;
+            }
+            let Ok(domain) = domains.binary_search(&entry.target.domain.as_str()) else {
+                continue;
+            };
+            let from = (0..domains.len()).map(|other| {
+                let crossing = if other == domain { 0.0 } else { CROSSING };
+                (reached[other] + crossing, other)
+            });
+            let Some((base, other)) = from.min_by(|a, b| a.0.total_cmp(&b.0)) else { continue };
+            let taken = pressure(entry, model, tokens, vms);
+            let full = if taken > 1.0 { FULL * taken } else { 0.0 };
+            let failing = FAILURE_COST * entry.health.failure_rate();
+            let fixed = base + HOP + full + failing;
+            let whole = work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken);
+            let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= layers.end);
+            for end in ends {
+                let share = f64::from(cuts[end] - cuts[at]) / f64::from(model.depth);
+                let cost = fixed + whole * share;
+                let step = &mut best[end][domain];
+                if cost < step.cost {
+                    *step = Step { cost, from: Some((index, at, other)) };
+                }
+            }
+        }
+    }
+
+    let last = cuts.len() - 1;
+    let ends = (0..domains.len()).min_by(|&a, &b| best[last][a].cost.total_cmp(&best[last][b].cost));
+    let (mut at, mut domain) = (last, ends?);
+    let mut stages = Vec::new();
+    let mut most: f64 = 0.0;
+    while at > 0 {
+        let (index, from, other) = best[at][domain].from?;
+        let entry = able[index];
+        most = most.max(pressure(entry, model, tokens, vms));
+        stages.push(Stage {
+            target: entry.target.id.clone(),
+            address: entry.target.address,
+            layers: Layers::new(cuts[from], cuts[at]),
+        });
+        (at, domain) = (from, other);
+    }
+    stages.reverse();
+    let path = Path { stages, pressure: most };
+    path.verify(model.depth).then_some(path)
+}
--- /dev/null
+++ b/crates/path/src/table.rs
@@ -0,0 +1,238 @@
+//! The table of targets.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::{DomainName, Layers};
+use site::{Model, Report, State, Target, TargetKey};
+use smol_str::SmolStr;
+
+use crate::health::{Fault, Health};
+use crate::search::{self, Path};
+
+/// A failing target looks this many times as loaded, at a failure rate of 1.
+const FAILURE_WEIGHT: f64 = 12.0;
+/// A plain target in another failure domain looks loaded by this many more requests.
+const REMOTE_WEIGHT: f64 = 0.3;
+
+/// A target and what was seen of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it registered.
+    pub target: Target,
+    /// Layers that it holds, by its newest report or entry.
+    pub layers: Option<Layers>,
+    /// Orders that it has accepted since its start, as far as is known.
+    pub orders: u64,
+    /// What was seen.
+    pub health: Health,
+    /// Requests of this VM that it runs.
+    pub running: u32,
+    /// Tokens of memory that requests of this VM hold there.
+    pub tokens: f64,
+    /// Time at which an entry that is missing from the store counts as gone.
+    gone_at: Option<Duration>,
+}
+
+impl Entry {
+    /// Whether requests may be sent.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        self.target.state == State::Ready && self.health.is_usable(now)
+    }
+}
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Wish<'a> {
+    /// Service that runs it.
+    pub service: &'a str,
+    /// Targets that are not to be used.
+    pub avoid: &'a [SocketAddr],
+    /// Prompt and expected answer, tokens.
+    pub tokens: f64,
+    /// A draw from 0 to 1.
+    pub luck: f64,
+}
+
+/// All targets known.
+#[derive(Clone, Debug)]
+pub struct Table {
+    entries: HashMap<TargetKey, Entry>,
+    home: DomainName,
+    /// VMs that share the targets.
+    pub vms: usize,
+}
+
+impl Table {
+    /// An empty table of a VM in the failure domain `home`.
+    pub fn new(home: DomainName) -> Self {
+        Self { entries: HashMap::new(), home, vms: 1 }
+    }
+
+    /// All entries.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// A target by id.
+    pub fn entry(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// Takes what a target registered. Returns whether something that matters changed.
+    pub fn set(&mut self, target: Target) -> bool {
+        let Some(entry) = self.entries.get_mut(&target.id) else {
+            let layers = target.layers;
+            let health = Health::default();
+            let (orders, running, tokens, gone_at) = (0, 0, 0.0, None);
+            let entry = Entry { layers, orders, health, running, tokens, gone_at, target };
+            self.entries.insert(entry.target.id.clone(), entry);
+            return true;
+        };
+        entry.gone_at = None;
+        if entry.target == target {
+            return false;
+        }
+        if entry.target.born != target.born || entry.target.address != target.address {
+            entry.health = Health::default();
+            entry.layers = target.layers;
+            entry.orders = 0;
+        }
+        if entry.target.layers != target.layers {
+            entry.layers = target.layers;
+        }
+        entry.target = target;
+        true
+    }
+
+    /// Notes that an entry is missing from the store, and counts as gone from `gone_at` on.
+    pub fn lapse(&mut self, id: &str, gone_at: Duration) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            let earlier = entry.gone_at.is_some_and(|at| at <= gone_at);
+            entry.gone_at = if earlier { entry.gone_at } else { Some(gone_at) };
+        }
+    }
+
+    /// Removes the targets that count as gone, and returns them.
+    pub fn expire(&mut self, now: Duration) -> Vec<Target> {
+        let gone = |entry: &Entry| entry.gone_at.is_some_and(|at| at <= now);
+        let ids: Vec<TargetKey> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| gone(entry))
+            .map(|(id, _)| id.clone())
+            .collect();
+        ids.iter().filter_map(|id| self.entries.remove(id)).map(|entry| entry.target).collect()
+    }
+
+    /// Ids of all targets.
+    pub fn ids(&self) -> Vec<TargetKey> {
+        self.entries.keys().cloned().collect()
+    }
+
+    /// Notes a fault of the target at an address; returns the target when it is newly left out.
+    pub fn fault(&mut self, now: Duration, address: SocketAddr, fault: Fault) -> Option<TargetKey> {
+        let entry = self.at(address)?;
+        let newly = entry.health.fault(now, fault);
+        newly.then(|| entry.target.id.clone())
+    }
+
+    /// Notes an answer of a target that was as it should be.
+    pub fn success(&mut self, address: SocketAddr) {
+        if let Some(entry) = self.at(address) {
+            entry.health.success();
+        }
+    }
+
+    /// Takes a target's report. Returns whether it is used again from now on.
+    pub fn report(&mut self, id: &str, report: &Report) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else { return false };
+        entry.layers = report.layers;
+        entry.orders = report.orders;
+        entry.health.revive()
+    }
+
+    /// Notes that an engine has accepted an order.
+    pub fn ordered(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.orders += 1;
+        }
+    }
+
+    /// Notes that a target takes requests again. Returns whether it was left out.
+    pub fn revive(&mut self, id: &str) -> bool {
+        self.entries.get_mut(id).is_some_and(|entry| entry.health.revive())
+    }
+
+    /// Targets that are to be probed now.
+    pub fn take_probes(&mut self, now: Duration) -> Vec<(TargetKey, SocketAddr)> {
+        let entries = self.entries.values_mut();
+        let due = entries.filter_map(|entry| {
+            let due = entry.health.take_probe(now);
+            due.then(|| (entry.target.id.clone(), entry.target.address))
+        });
+        due.collect()
+    }
+
+    /// The best path through the layers of a model.
+    pub fn path(&self, now: Duration, model: &Model, wish: &Wish<'_>) -> Option<Path> {
+        let able: Vec<&Entry> = self.able(now, wish).collect();
+        search::search(&able, model, wish.tokens, self.vms)
+    }
+
+    /// The best target of a plain service.
+    pub fn plain(&self, now: Duration, wish: &Wish<'_>) -> Option<(TargetKey, SocketAddr)> {
+        let weight = |entry: &Entry| {
+            let remote = if entry.target.domain == self.home { 0.0 } else { REMOTE_WEIGHT };
+            let busy = 1.0 + f64::from(entry.running) + remote;
+            busy * (1.0 + FAILURE_WEIGHT * entry.health.failure_rate())
+        };
+        let best = self.able(now, wish).min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
+        Some((best.target.id.clone(), best.target.address))
+    }
+
+    /// Counts a request that begins to run at a target.
+    pub fn begin(&mut self, id: &str, tokens: f64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.running += 1;
+            entry.tokens += tokens;
+        }
+    }
+
+    /// Counts the end of a request that [`Table::begin`] counted.
+    pub fn end(&mut self, id: &str, tokens: f64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.running = entry.running.saturating_sub(1);
+            entry.tokens = (entry.tokens - tokens).max(0.0);
+        }
+    }
+
+    /// Targets of a service that takes new work.
+    fn able<'a>(
+        &'a self,
+        now: Duration,
+        wish: &'a Wish<'_>,
+    ) -> impl Iterator<Item = &'a Entry> + 'a {
+        self.entries.values().filter(move |entry| {
+            entry.target.service == wish.service
+                && entry.is_usable(now)
+                && !wish.avoid.contains(&entry.target.address)
+        })
+    }
+
+    fn at(&mut self, address: SocketAddr) -> Option<&mut Entry> {
+        // An address can be used again: the newest target that stands there is meant.
+        let entries = self.entries.values_mut();
+        entries.filter(|entry| entry.target.address == address).max_by_key(|e| e.target.born)
+    }
+
+    /// Names of the services that have targets.
+    pub fn services(&self) -> Vec<SmolStr> {
+        let mut names: Vec<SmolStr> =
+            self.entries.values().map(|entry| entry.target.service.clone()).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,18 @@
+//! A deployment as its operators configure it and as its targets register themselves.
+//!
+//! Plain data without clock or socket. The platform's crate decodes into these types;
+//! everything else reads them and never sees the platform's names.
+
+mod bounds;
+mod config;
+mod model;
+mod report;
+mod route;
+mod target;
+
+pub use bounds::{Bounds, Limits};
+pub use config::{Config, Organisation, Service};
+pub use model::{Card, Model};
+pub use report::{Report, Stall};
+pub use route::{Backend, Kind, Route};
+pub use target::{State, Target, TargetKey};
