--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -12,10 +12,11 @@
 use fleet::{Event, Layers};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use place::{Engine, Move};
+use place::{Arrival, Engine, Move};
 use platform::Order;
 use platform::kv::{Item, LeaseId, Revision, Write};
 use site::{Model, Service, State, TargetKey};
+use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
 use crate::event::{LEADING, ORDERED};
@@ -180,13 +181,16 @@
     pending: HashMap<TargetKey, Pending>,
     /// Engines that are not ordered before a time.
     paused: HashMap<TargetKey, Duration>,
+    /// Engines of each service as they register.
+    arrivals: HashMap<SmolStr, Arrival>,
     leads: bool,
 }
 
 impl Orders {
     /// Nothing is ordered yet.
     pub(crate) fn new(node: Rc<Node>, leadership: Rc<Leadership>) -> Self {
-        Self { node, leadership, pending: HashMap::new(), paused: HashMap::new(), leads: false }
+        let (pending, paused, arrivals) = Default::default();
+        Self { node, leadership, pending, paused, arrivals, leads: false }
     }
 
     /// Gives orders for good.
@@ -240,7 +244,7 @@
         }
     }
 
-    fn plan(&self, service: &Service, model: &Model) -> Vec<Move> {
+    fn plan(&mut self, service: &Service, model: &Model) -> Vec<Move> {
         let now = self.node.now();
         let table = self.node.table.borrow();
         let usable = table.entries().filter(|entry| {
@@ -262,7 +266,11 @@
                 }
             })
             .collect();
-        place::plan(&engines, model)
+        let heartbeat = self.node.settings.heartbeat;
+        let arrival = self.arrivals.entry(service.name.clone()).or_default();
+        let settled = arrival.is_settled(now, engines.len(), heartbeat);
+        let placed = engines.iter().any(|engine| engine.layers.is_some());
+        if settled || placed { place::plan(&engines, model) } else { Vec::new() }
     }
 
     async fn give(&mut self, moves: &[Move], model: &Model, fence: Revision) {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,8 +5,10 @@
 //! between domains. Engines that a domain's chain does not need are spares: they stay empty
 //! or keep what they hold, and take the place of one that fails.
 
+mod arrival;
 mod cover;
 mod engine;
 
+pub use arrival::Arrival;
 pub use cover::plan;
 pub use engine::{Engine, Move};
