--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -152,6 +152,9 @@
     request: Request<Incoming>,
     begun: Duration,
 ) -> Result<(Call, Rc<Config>), Refusal> {
+    if node.closed.get() {
+        return Err(Refusal::Later("stopping"));
+    }
     let config = node.config().ok_or(Refusal::Later("no configuration yet"))?;
     let (parts, body) = request.into_parts();
     let route = find(&config, &parts).ok_or(Refusal::Own(StatusCode::NOT_FOUND, "no route"))?;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -39,6 +39,8 @@
     pub(crate) synced: Cell<Option<Duration>>,
     /// Whether a stop was asked for.
     pub(crate) stopping: Cell<bool>,
+    /// Whether new requests are turned away because the process ends.
+    pub(crate) closed: Cell<bool>,
     /// Told when `stopping` is set.
     pub(crate) stop: Notify,
     /// Told when targets or the configuration change.
@@ -65,6 +67,7 @@
             reports: Reports::default(),
             synced: Cell::new(None),
             stopping: Cell::new(false),
+            closed: Cell::new(false),
             stop: Notify::new(),
             changed: Notify::new(),
             callers: Cell::new(0),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -15,8 +15,8 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::event::{RELOADED, STARTED, STOPPED, STOPPING};
 use crate::follow::Follower;
@@ -31,7 +31,7 @@
 /// The platform takes a stopping node out of rotation after two probes, a second apart.
 const ROTATION_TIME: Duration = Duration::from_millis(2600);
 /// How long before the kill the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(400);
+const END_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which idle connections are looked through.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -109,7 +109,7 @@
     tokio::task::spawn_local(keep_lease(node.clone(), store.clone(), leadership.clone()));
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
     tokio::task::spawn_local(diagnose::probe(node.clone()));
-    tokio::task::spawn_local(front::serve(node.clone(), callers));
+    let accepting = tokio::task::spawn_local(front::serve(node.clone(), callers));
     tokio::task::spawn_local(ready::serve_ready(node.clone(), probes));
     if let Ok(recorder) = recorder {
         tokio::task::spawn_local(ready::serve_metrics(recorder, metrics));
@@ -123,7 +123,7 @@
             _ = hang_up.recv() => reread(),
         }
     }
-    stop(&node, &store, &leadership).await;
+    stop(&node, &store, &leadership, accepting).await;
     log::info!("{}", Event::new(&STOPPED));
     lines.pass_on();
     Ok(())
@@ -153,18 +153,23 @@
 
 /// Serves the callers that are left, and those that still come until the platform has taken
 /// the node out of rotation.
-async fn stop(node: &Rc<Node>, store: &Store, leadership: &Leadership) {
+async fn stop(
+    node: &Rc<Node>,
+    store: &Store,
+    leadership: &Leadership,
+    accepting: JoinHandle<()>,
+) {
     let began = Instant::now();
     log::info!("{}", Event::new(&STOPPING).with("connections", node.callers.get()));
     node.stopping.set(true);
     node.stop.notify_waiters();
     resign(store, leadership).await;
-    let latest = node.settings.bounds.grace.saturating_sub(END_MARGIN);
-    loop {
+    sleep_until(began + ROTATION_TIME).await;
+    // What comes from now on could not be finished; callers find another node at once.
+    accepting.abort();
+    node.closed.set(true);
+    let latest = began + node.settings.bounds.grace.saturating_sub(END_MARGIN);
+    while Instant::now() < latest && node.callers.get() > 0 {
         sleep(Duration::from_millis(50)).await;
-        let passed = began.elapsed();
-        if passed >= latest || (passed >= ROTATION_TIME && node.callers.get() == 0) {
-            return;
-        }
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -294,6 +294,22 @@
     last: Option<u64>,
     events: u64,
     first_at: Option<Duration>,
+    last_at: Duration,
+    /// Longest pause between events.
+    pause: Duration,
+}
+
+impl Progress {
+    /// Notes an event that was passed on.
+    fn note(&mut self, id: Option<u64>, now: Duration) {
+        if self.first_at.is_some() {
+            self.pause = self.pause.max(now.saturating_sub(self.last_at));
+        }
+        self.first_at.get_or_insert(now);
+        self.last_at = now;
+        self.last = id.or(self.last);
+        self.events += 1;
+    }
 }
 
 /// Passes events on until the stream is complete, from other paths where one is cut.
@@ -333,6 +349,7 @@
         .with("moves", moves)
         .with("events", progress.events)
         .with("first_ms", progress.first_at.map_or(0, since))
+        .with("pause_ms", progress.pause.as_millis())
         .with("ms", since(node.now()));
     log::info!("{event}");
     metrics::counter!("magnolia_streams", "outcome" => outcome).increment(1);
@@ -393,9 +410,7 @@
                     continue;
                 }
             }
-            progress.last = event.id.or(progress.last);
-            progress.events += 1;
-            progress.first_at.get_or_insert(heard);
+            progress.note(event.id, heard);
             if sender.send(Ok(event.bytes)).await.is_err() {
                 return Ended::Left;
             }
