Paths stay in one domain; gaps closed by neighbours; loads told between nodes

(3) One answer lost by a reset put a whole chain out; now the engine is asked first. (4) Each node took the others to send as much as itself; nodes tell each other. Ruled out: pauses from slow engines; paces were near 1 there.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -16,7 +16,7 @@
 /// Longest wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A report is shared by all requests that ask within this time.
-const REPORT_AGE: Duration = Duration::from_millis(120);
+const REPORT_AGE: Duration = Duration::from_millis(80);
 /// Interval of probes of targets that are left out.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -65,6 +65,19 @@
         }
     }
 
+    /// Asks the engines of a path on which a stream pauses whether they are slow.
+    pub(crate) fn question(self: &Rc<Self>, path: &Path) {
+        let due = self.table.borrow_mut().take_questions(self.now(), path);
+        for (id, address) in due {
+            let node = self.clone();
+            tokio::task::spawn_local(async move {
+                if let Some(report) = node.ask(address).await {
+                    node.report(&id, &report);
+                }
+            });
+        }
+    }
+
     /// Whether a path has an engine that is left out.
     pub(crate) fn is_broken(&self, path: &Path) -> bool {
         let now = self.now();
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -31,4 +31,5 @@
     REFUSED 1117 "request-refused" "A request was turned away before it ran.";
     RELOADED 1118 "settings-reread" "The settings were read again.";
     LINES_LOST 1119 "lines-lost" "Log lines were left out because the reader is slow.";
+    PEERS 1120 "peers" "The number of other nodes changed.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following the store: the configuration, the targets, and the nodes of this system.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -141,10 +142,18 @@
                 Some(_) => self.nodes.insert(name.to_owned()),
                 None => self.nodes.remove(name),
             };
-            self.node.table.borrow_mut().vms = self.nodes.len().max(1);
+            self.count_nodes();
         }
     }
 
+    fn count_nodes(&self) {
+        let own = self.node.internal_address();
+        let addresses = self.nodes.iter().filter_map(|name| name.parse().ok());
+        let peers: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
+        self.node.table.borrow_mut().vms = peers.len() + 1;
+        *self.node.peers.borrow_mut() = peers;
+    }
+
     fn take_config(&self, item: &Item) {
         let Some(value) = &item.value else { return };
         let config = match platform::config(value) {
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -121,7 +121,7 @@
     let Some(lease) = store.lease(LEASE_TTL.max(node.settings.least_lease)).await else {
         return RENEW_INTERVAL / 2;
     };
-    let key = format!("{NODE_PREFIX}{}", node.settings.front);
+    let key = format!("{NODE_PREFIX}{}", node.internal_address());
     let write = Write { key: &key, expected: None, value: b"", lease: lease.id };
     if !matches!(store.write(write).await, Reply::Done(_)) {
         return RENEW_INTERVAL / 2;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod link;
 mod lines;
 mod node;
+mod peers;
 mod plain;
 mod process;
 mod ready;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -45,6 +45,8 @@
     pub(crate) stop: Notify,
     /// Told when targets or the configuration change.
     pub(crate) changed: Notify,
+    /// Where the other nodes listen.
+    pub(crate) peers: RefCell<Vec<SocketAddr>>,
     /// Connections of callers.
     pub(crate) callers: Cell<usize>,
     /// Tells this start of the process from others at the same address.
@@ -70,6 +72,7 @@
             closed: Cell::new(false),
             stop: Notify::new(),
             changed: Notify::new(),
+            peers: RefCell::default(),
             callers: Cell::new(0),
             instance: rng.random(),
             rng: RefCell::new(rng),
@@ -81,6 +84,11 @@
         self.clock.now()
     }
 
+    /// Where this node hears the others.
+    pub(crate) fn internal_address(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.front.ip(), self.settings.internal_ports.0)
+    }
+
     /// A draw from 0 to 1.
     pub(crate) fn luck(&self) -> f64 {
         self.rng.borrow_mut().random()
@@ -123,7 +131,8 @@
 
     /// Takes a target's report.
     pub(crate) fn report(&self, id: &str, report: &site::Report) {
-        if self.table.borrow_mut().report(id, report) {
+        let now = self.now();
+        if self.table.borrow_mut().report(now, id, report) {
             log::info!("{}", Event::new(&TARGET_UP).with("target", id));
             self.changed.notify_waiters();
         }
@@ -131,12 +140,20 @@
 
     /// Notes that a plain target takes connections again.
     pub(crate) fn revive(&self, id: &str) {
-        if self.table.borrow_mut().revive(id) {
+        let now = self.now();
+        if self.table.borrow_mut().revive(now, id) {
             log::info!("{}", Event::new(&TARGET_UP).with("target", id));
             self.changed.notify_waiters();
         }
     }
 
+    /// Whether a target is gone or left out.
+    pub(crate) fn is_down(&self, id: &str) -> bool {
+        let now = self.now();
+        let table = self.table.borrow();
+        table.entry(id).is_none_or(|entry| entry.health.down_for(now).is_some())
+    }
+
     /// Whether a target runs layers of a model.
     pub(crate) fn is_engine(&self, id: &str) -> bool {
         let table = self.table.borrow();
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,115 @@
+//! What the nodes tell each other: how much of each target's memory their requests hold, and
+//! which targets they have seen fail.
+//!
+//! Datagrams, lost now and then and never answered. A node that hears nothing goes by what it
+//! sees itself.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::Event;
+use path::Fault;
+use serde::{Deserialize, Serialize};
+use site::TargetKey;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::event::PEERS;
+use crate::node::Node;
+
+/// Shortest interval between messages to one peer.
+const LEAST_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two messages of a node, whichever peer they go to: bounds what many peers cost.
+const MESSAGE_SPACING: Duration = Duration::from_millis(15);
+/// Largest message, bytes: one datagram that no link divides.
+const MESSAGE_BYTES: usize = 1400;
+/// Most targets in one message: each takes about 20 bytes.
+const MOST_LOADS: usize = 60;
+
+/// One message.
+#[derive(Debug, Serialize, Deserialize)]
+struct Message {
+    /// Tokens that the sender's requests hold at each target, those that hold any.
+    loads: Vec<(TargetKey, u32)>,
+    /// Targets that the sender has seen fail in the last moments.
+    down: Vec<TargetKey>,
+}
+
+/// Interval between messages to one peer.
+pub(crate) fn interval(peers: usize) -> Duration {
+    LEAST_INTERVAL.max(MESSAGE_SPACING * peers as u32)
+}
+
+/// Tells the peers for good.
+pub(crate) async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut known = 0;
+    loop {
+        let peers = node.peers.borrow().clone();
+        sleep(interval(peers.len())).await;
+        if peers.len() != known {
+            known = peers.len();
+            log::info!("{}", Event::new(&PEERS).with("peers", known));
+        }
+        let message = message(&node, interval(peers.len()) * 2);
+        // Names and numbers always serialise.
+        let Ok(bytes) = postcard::to_allocvec(&message) else { continue };
+        if bytes.len() > MESSAGE_BYTES {
+            metrics::counter!("magnolia_peer_messages_too_long").increment(1);
+            continue;
+        }
+        for peer in peers {
+            if socket.try_send_to(&bytes, peer).is_err() {
+                metrics::counter!("magnolia_peer_messages_unsent").increment(1);
+            }
+        }
+    }
+}
+
+fn message(node: &Node, recent: Duration) -> Message {
+    let now = node.now();
+    let table = node.table.borrow();
+    let mut loads: Vec<(TargetKey, u32)> = table
+        .entries()
+        .filter(|entry| entry.tokens >= 1.0)
+        .map(|entry| (entry.target.id.clone(), entry.tokens as u32))
+        .collect();
+    loads.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
+    loads.truncate(MOST_LOADS);
+    let failed = table.entries().filter(|entry| {
+        entry.health.is_own() && entry.health.down_for(now).is_some_and(|down| down < recent)
+    });
+    let down = failed.map(|entry| entry.target.id.clone()).collect();
+    Message { loads, down }
+}
+
+/// Listens to the peers for good.
+pub(crate) async fn hear(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = [0; MESSAGE_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // A datagram that could not be delivered comes back as an error of the next call.
+            sleep(MESSAGE_SPACING).await;
+            continue;
+        };
+        match postcard::from_bytes::<Message>(&buffer[..length]) {
+            Ok(message) => take(&node, from, message),
+            Err(_) => metrics::counter!("magnolia_peer_messages_undecodable").increment(1),
+        }
+    }
+}
+
+fn take(node: &Node, from: SocketAddr, message: Message) {
+    if !node.peers.borrow().contains(&from) {
+        return;
+    }
+    let now = node.now();
+    let until = now + interval(node.peers.borrow().len()) * 5;
+    node.table.borrow_mut().share(from, message.loads, until);
+    for id in message.down {
+        let address = node.table.borrow().entry(&id).map(|entry| entry.target.address);
+        if let Some(address) = address {
+            node.fault(address, Fault::Reported, "a peer saw it fail");
+        }
+    }
+}
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -12,7 +12,7 @@
 use fleet::Event;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use platform::{SETTINGS_VARIABLE, Settings};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinHandle, LocalSet};
@@ -24,7 +24,7 @@
 use crate::lines::{BATCH_INTERVAL, Lines};
 use crate::node::Node;
 use crate::store::Store;
-use crate::{diagnose, front, ready};
+use crate::{diagnose, front, peers, ready};
 
 /// Port of the metrics.
 const METRICS_PORT: u16 = 9464;
@@ -92,6 +92,9 @@
     let callers = bind(settings.front).await?;
     let probes = bind(settings.ready).await?;
     let metrics = bind(SocketAddr::new(settings.front.ip(), METRICS_PORT)).await?;
+    let internal = SocketAddr::new(settings.front.ip(), settings.internal_ports.0);
+    let socket = UdpSocket::bind(internal).await;
+    let socket = Rc::new(socket.map_err(|error| Failure::Bind(internal, error))?);
     let mut terminate = signal(SignalKind::terminate()).map_err(Failure::System)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(Failure::System)?;
     let node = Rc::new(Node::new(settings));
@@ -108,6 +111,8 @@
     tokio::task::spawn_local(follower.run());
     tokio::task::spawn_local(keep_lease(node.clone(), store.clone(), leadership.clone()));
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
+    tokio::task::spawn_local(peers::tell(node.clone(), socket.clone()));
+    tokio::task::spawn_local(peers::hear(node.clone(), socket));
     tokio::task::spawn_local(diagnose::probe(node.clone()));
     let accepting = tokio::task::spawn_local(front::serve(node.clone(), callers));
     tokio::task::spawn_local(ready::serve_ready(node.clone(), probes));
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -23,8 +23,12 @@
 use crate::node::Node;
 use crate::plain::{is_not_run, is_of};
 
-/// Silence after which the engines of a path are asked what keeps them.
-const PATIENCE: Duration = Duration::from_millis(300);
+/// Interval at which a silent path is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Silence after which the engines of a path are asked whether they are slow.
+const SLOW_PATIENCE: Duration = Duration::from_millis(100);
+/// Silence after which the first engine of a path is asked which engine hangs.
+const PATIENCE: Duration = Duration::from_millis(200);
 /// Silence after which a path with an engine that is left out is given up.
 const BROKEN_PATIENCE: Duration = Duration::from_millis(120);
 /// Most paths that a request is offered to.
@@ -32,7 +36,7 @@
 /// Events that wait for a slow caller.
 const EVENTS_WAITING: usize = 32;
 /// Share of an engine's memory beyond which new requests are turned away.
-const MOST_PRESSURE: f64 = 1.3;
+const MOST_PRESSURE: f64 = 1.0;
 /// A refusal that took this long came after the engine had hung.
 const HUNG: Duration = Duration::from_millis(800);
 
@@ -166,7 +170,10 @@
             match self.offer(path, last_event).await {
                 Offered::Open(open) => return Ok(open),
                 Offered::NotRun => continue,
-                Offered::Hangs => unknown = true,
+                Offered::Hangs => {
+                    unknown = true;
+                    self.ran += 1;
+                }
                 Offered::Unknown => {
                     unknown = true;
                     self.ran += 1;
@@ -224,7 +231,9 @@
                 return Offered::NotRun;
             }
             Err(Unanswered::Unknown) => {
-                node.fault(first.address, Fault::Silent, "connection lost");
+                // One lost connection tells little; an engine that is gone gives no report.
+                node.fault(first.address, Fault::Failed, "connection lost");
+                self.is_stuck(&running.path);
                 return Offered::Unknown;
             }
         };
@@ -297,13 +306,21 @@
     last_at: Duration,
     /// Longest pause between events.
     pause: Duration,
+    /// When the event after the longest pause came.
+    pause_at: Duration,
+    /// Engines of the path that was taken last.
+    path: String,
 }
 
 impl Progress {
     /// Notes an event that was passed on.
     fn note(&mut self, id: Option<u64>, now: Duration) {
         if self.first_at.is_some() {
-            self.pause = self.pause.max(now.saturating_sub(self.last_at));
+            let pause = now.saturating_sub(self.last_at);
+            if pause > self.pause {
+                self.pause = pause;
+                self.pause_at = now;
+            }
         }
         self.first_at.get_or_insert(now);
         self.last_at = now;
@@ -317,6 +334,8 @@
     let mut progress = Progress::default();
     let mut moves = 0;
     let outcome = loop {
+        let first = open.running.path.first().target.clone();
+        progress.path = open.running.path.to_string();
         let part = pass_on(&run, open, &sender, &mut progress).await;
         let resumable = matches!(run.call.kind, Kind::Stream { resumable: true });
         match part {
@@ -327,6 +346,11 @@
             Ended::Cut => {}
         }
         moves += 1;
+        // A target that has ended does not count among those that ran the request.
+        run.ran += u32::from(!run.node.is_down(&first));
+        if run.ran >= run.call.attempts {
+            break "cut, no attempt left";
+        }
         open = tokio::select! {
             opened = run.open(progress.last) => match opened {
                 Ok(open) => open,
@@ -350,6 +374,8 @@
         .with("events", progress.events)
         .with("first_ms", progress.first_at.map_or(0, since))
         .with("pause_ms", progress.pause.as_millis())
+        .with("pause_at_ms", since(progress.pause_at))
+        .with("path", &progress.path)
         .with("ms", since(node.now()));
     log::info!("{event}");
     metrics::counter!("magnolia_streams", "outcome" => outcome).increment(1);
@@ -380,8 +406,12 @@
                 }
                 continue;
             }
-            () = sleep(PATIENCE) => {
-                if run.is_stuck(&running.path) {
+            () = sleep(LOOK_INTERVAL) => {
+                let silent = node.now().saturating_sub(heard);
+                if silent >= SLOW_PATIENCE {
+                    node.question(&running.path);
+                }
+                if silent >= PATIENCE && run.is_stuck(&running.path) {
                     return Ended::Cut;
                 }
                 continue;
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -8,6 +8,8 @@
 const MOST_PROBE: Duration = Duration::from_secs(2);
 /// Pause after a target said that it cannot take more.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// How long the answer to a probe goes before what other nodes say.
+const TRUST: Duration = Duration::from_secs(1);
 /// Weight of the newest call in the failure rate.
 const RATE_WEIGHT: f64 = 0.15;
 
@@ -16,6 +18,8 @@
 pub enum Fault {
     /// It does not answer, or refuses connections.
     Silent,
+    /// Another node saw it fail.
+    Reported,
     /// It does not hold the layers that it was asked for, or is another one.
     Astray,
     /// It cannot take more for now.
@@ -33,6 +37,8 @@
     paused: Duration,
     /// Share of calls that failed, newest first.
     rate: f64,
+    /// Until when other nodes' word is older than the probe that was answered here.
+    trusted: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +46,8 @@
     since: Duration,
     probe_at: Duration,
     pause: Duration,
+    /// Whether this node saw it fail itself.
+    own: bool,
 }
 
 impl Health {
@@ -65,16 +73,29 @@
             Fault::Failed => self.rate += RATE_WEIGHT * (1.0 - self.rate),
             Fault::Silent | Fault::Astray => {
                 self.rate += RATE_WEIGHT * (1.0 - self.rate);
-                if self.down.is_none() {
-                    let probe_at = now + FIRST_PROBE;
-                    self.down = Some(Down { since: now, probe_at, pause: FIRST_PROBE });
-                    return true;
-                }
+                return self.leave_out(now, true);
             }
+            Fault::Reported if now < self.trusted => return false,
+            Fault::Reported => return self.leave_out(now, false),
         }
         false
     }
 
+    fn leave_out(&mut self, now: Duration, own: bool) -> bool {
+        if let Some(down) = &mut self.down {
+            down.own |= own;
+            return false;
+        }
+        let probe_at = now + FIRST_PROBE;
+        self.down = Some(Down { since: now, probe_at, pause: FIRST_PROBE, own });
+        true
+    }
+
+    /// Whether this node itself saw the fault for which the target is left out.
+    pub fn is_own(&self) -> bool {
+        self.down.is_some_and(|down| down.own)
+    }
+
     /// Notes an answer that was as it should be.
     pub fn success(&mut self) {
         self.rate -= RATE_WEIGHT * self.rate;
@@ -82,7 +103,8 @@
 
     /// Notes that a probe was answered; the target is used again. Returns whether it was
     /// left out.
-    pub fn revive(&mut self) -> bool {
+    pub fn revive(&mut self, now: Duration) -> bool {
+        self.trusted = now + TRUST;
         self.down.take().is_some()
     }
 
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -3,6 +3,7 @@
 //! Dynamic programming over the layers at which some engine begins or ends, and the failure
 //! domain of the last engine. A path passes every layer once and in order by construction.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use fleet::{Layer, Layers};
@@ -10,15 +11,18 @@
 
 use crate::table::Entry;
 
-/// Cost of passing from one failure domain to another, seconds: the prompt's activations
-/// take their turn on a link that all requests share.
-const CROSSING: f64 = 0.4;
+/// Cost of passing from one failure domain to another, seconds. The activations of a prompt
+/// hold up every stream on the link, so that a whole path elsewhere is always better, even
+/// one whose memory is taken.
+const CROSSING: f64 = 200.0;
 /// Cost of one more engine, seconds: each may fail.
 const HOP: f64 = 0.02;
 /// Weight of the share of an engine's memory that is taken.
 const PRESSURE_WEIGHT: f64 = 2.0;
 /// Cost of an engine whose memory is taken, seconds.
 const FULL: f64 = 5.0;
+/// Cost of a slow engine, seconds for each whole time that it is slower: its streams pause.
+const SLOW_COST: f64 = 0.6;
 /// An engine with this share of its calls failed costs as much as [`FULL`].
 const FAILURE_COST: f64 = 2.0;
 
@@ -38,7 +42,7 @@
 pub struct Path {
     /// The engines; never empty.
     pub stages: Vec<Stage>,
-    /// Largest share of an engine's memory that is taken if all VMs send alike.
+    /// Largest share of an engine's memory that is taken.
     pub pressure: f64,
 }
 
@@ -62,6 +66,25 @@
     }
 }
 
+/// An engine that can be used.
+#[derive(Clone, Copy)]
+pub(crate) struct Able<'a> {
+    pub(crate) entry: &'a Entry,
+    /// Tokens that the requests of all VMs hold there.
+    pub(crate) held: f64,
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, stage) in self.stages.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            let Layers { start, end } = stage.layers;
+            write!(f, "{separator}{}:{start}-{end}", stage.target)?;
+        }
+        Ok(())
+    }
+}
+
 #[derive(Clone, Copy)]
 struct Step {
     cost: f64,
@@ -71,12 +94,13 @@
 
 const NONE: Step = Step { cost: f64::INFINITY, from: None };
 
-/// Share of an engine's memory that is taken if all VMs send alike.
-fn pressure(entry: &Entry, model: &Model, tokens: f64, vms: usize) -> f64 {
+/// Share of an engine's memory that is taken with `tokens` more.
+fn pressure(able: Able<'_>, model: &Model, tokens: f64) -> f64 {
+    let entry = able.entry;
     let held = entry.layers.map_or(0, Layers::len);
     let mb = model.card(&entry.target.card).map_or(0.0, |card| card.mb);
     let room = model.tokens(mb, held).max(1.0);
-    (entry.tokens * vms as f64 + tokens) / room
+    (able.held + tokens) / room
 }
 
 /// Seconds that a request takes at an engine that runs all layers.
@@ -87,20 +111,15 @@
 }
 
 /// Finds the cheapest path.
-pub(crate) fn search(
-    able: &[&Entry],
-    model: &Model,
-    tokens: f64,
-    vms: usize,
-) -> Option<Path> {
+pub(crate) fn search(able: &[Able<'_>], model: &Model, tokens: f64) -> Option<Path> {
     let mut cuts: Vec<Layer> = vec![0, model.depth];
-    for layers in able.iter().filter_map(|entry| entry.layers) {
+    for layers in able.iter().filter_map(|able| able.entry.layers) {
         cuts.push(layers.start);
         cuts.push(layers.end.min(model.depth));
     }
     cuts.sort_unstable();
     cuts.dedup();
-    let mut domains: Vec<&str> = able.iter().map(|entry| entry.target.domain.as_str()).collect();
+    let mut domains: Vec<&str> = able.iter().map(|able| able.entry.target.domain.as_str()).collect();
     domains.sort_unstable();
     domains.dedup();
 
@@ -114,7 +133,8 @@
         if reached.iter().all(|cost| cost.is_infinite()) {
             continue;
         }
-        for (index, entry) in able.iter().enumerate() {
+        for (index, able) in able.iter().enumerate() {
+            let entry = able.entry;
             let Some(layers) = entry.layers else { continue };
             if layers.start > cuts[at] || layers.end <= cuts[at] {
                 continue;
@@ -127,10 +147,11 @@
                 (reached[other] + crossing, other)
             });
             let Some((base, other)) = from.min_by(|a, b| a.0.total_cmp(&b.0)) else { continue };
-            let taken = pressure(entry, model, tokens, vms);
+            let taken = pressure(*able, model, tokens);
             let full = if taken > 1.0 { FULL * taken } else { 0.0 };
             let failing = FAILURE_COST * entry.health.failure_rate();
-            let fixed = base + HOP + full + failing;
+            let slow = if entry.is_slow() { SLOW_COST * (entry.pace - 1.0) } else { 0.0 };
+            let fixed = base + HOP + full + failing + slow;
             let whole = work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken);
             let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= layers.end);
             for end in ends {
@@ -151,8 +172,8 @@
     let mut most: f64 = 0.0;
     while at > 0 {
         let (index, from, other) = best[at][domain].from?;
-        let entry = able[index];
-        most = most.max(pressure(entry, model, tokens, vms));
+        let entry = able[index].entry;
+        most = most.max(pressure(able[index], model, tokens));
         stages.push(Stage {
             target: entry.target.id.clone(),
             address: entry.target.address,
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -9,10 +9,14 @@
 use smol_str::SmolStr;
 
 use crate::health::{Fault, Health};
-use crate::search::{self, Path};
+use crate::search::{self, Able, Path};
 
 /// A failing target looks this many times as loaded, at a failure rate of 1.
 const FAILURE_WEIGHT: f64 = 12.0;
+/// Shortest interval at which one VM asks an engine for its report.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(600);
+/// Pace from which an engine counts as slow: reports scatter around 1.
+const SLOW: f64 = 1.5;
 /// A plain target in another failure domain looks loaded by this many more requests.
 const REMOTE_WEIGHT: f64 = 0.3;
 
@@ -25,6 +29,10 @@
     pub layers: Option<Layers>,
     /// Orders that it has accepted since its start, as far as is known.
     pub orders: u64,
+    /// Time of its work relative to the usual; above 1 it is slow.
+    pub pace: f64,
+    /// When its report was last asked for.
+    asked: Duration,
     /// What was seen.
     pub health: Health,
     /// Requests of this VM that it runs.
@@ -36,6 +44,20 @@
 }
 
 impl Entry {
+    /// Whether it works much slower than usual.
+    pub fn is_slow(&self) -> bool {
+        self.pace > SLOW
+    }
+
+    /// Whether its report may be asked for; not again for a while.
+    fn take_question(&mut self, now: Duration) -> bool {
+        let due = now.saturating_sub(self.asked) >= QUESTION_INTERVAL;
+        if due {
+            self.asked = now;
+        }
+        due
+    }
+
     /// Whether requests may be sent.
     pub fn is_usable(&self, now: Duration) -> bool {
         self.target.state == State::Ready && self.health.is_usable(now)
@@ -55,11 +77,20 @@
     pub luck: f64,
 }
 
+/// What another VM's requests hold.
+#[derive(Clone, Debug)]
+struct Others {
+    loads: Vec<(TargetKey, u32)>,
+    until: Duration,
+}
+
 /// All targets known.
 #[derive(Clone, Debug)]
 pub struct Table {
     entries: HashMap<TargetKey, Entry>,
     home: DomainName,
+    /// What other VMs tell of their requests, with the time until which it counts.
+    others: HashMap<SocketAddr, Others>,
     /// VMs that share the targets.
     pub vms: usize,
 }
@@ -67,7 +98,7 @@
 impl Table {
     /// An empty table of a VM in the failure domain `home`.
     pub fn new(home: DomainName) -> Self {
-        Self { entries: HashMap::new(), home, vms: 1 }
+        Self { entries: HashMap::new(), home, others: HashMap::new(), vms: 1 }
     }
 
     /// All entries.
@@ -86,7 +117,9 @@
             let layers = target.layers;
             let health = Health::default();
             let (orders, running, tokens, gone_at) = (0, 0, 0.0, None);
-            let entry = Entry { layers, orders, health, running, tokens, gone_at, target };
+            let (pace, asked) = (1.0, Duration::ZERO);
+            let entry =
+                Entry { layers, orders, pace, asked, health, running, tokens, gone_at, target };
             self.entries.insert(entry.target.id.clone(), entry);
             return true;
         };
@@ -98,6 +131,7 @@
             entry.health = Health::default();
             entry.layers = target.layers;
             entry.orders = 0;
+            entry.pace = 1.0;
         }
         if entry.target.layers != target.layers {
             entry.layers = target.layers;
@@ -146,11 +180,12 @@
     }
 
     /// Takes a target's report. Returns whether it is used again from now on.
-    pub fn report(&mut self, id: &str, report: &Report) -> bool {
+    pub fn report(&mut self, now: Duration, id: &str, report: &Report) -> bool {
         let Some(entry) = self.entries.get_mut(id) else { return false };
         entry.layers = report.layers;
         entry.orders = report.orders;
-        entry.health.revive()
+        entry.pace = report.pace;
+        entry.health.revive(now)
     }
 
     /// Notes that an engine has accepted an order.
@@ -161,24 +196,60 @@
     }
 
     /// Notes that a target takes requests again. Returns whether it was left out.
-    pub fn revive(&mut self, id: &str) -> bool {
-        self.entries.get_mut(id).is_some_and(|entry| entry.health.revive())
+    pub fn revive(&mut self, now: Duration, id: &str) -> bool {
+        self.entries.get_mut(id).is_some_and(|entry| entry.health.revive(now))
     }
 
-    /// Targets that are to be probed now.
+    /// Targets that are to be probed now: those that are left out, and slow ones.
     pub fn take_probes(&mut self, now: Duration) -> Vec<(TargetKey, SocketAddr)> {
         let entries = self.entries.values_mut();
         let due = entries.filter_map(|entry| {
-            let due = entry.health.take_probe(now);
+            let slow = entry.is_slow() && entry.take_question(now);
+            let due = entry.health.take_probe(now) || slow;
             due.then(|| (entry.target.id.clone(), entry.target.address))
         });
         due.collect()
     }
 
+    /// Engines of a path whose reports are to be asked for now.
+    pub fn take_questions(&mut self, now: Duration, path: &Path) -> Vec<(TargetKey, SocketAddr)> {
+        let stages = path.stages.iter().filter(|stage| {
+            let entry = self.entries.get_mut(&stage.target);
+            entry.is_some_and(|entry| entry.take_question(now))
+        });
+        stages.map(|stage| (stage.target.clone(), stage.address)).collect()
+    }
+
+    /// Takes what another VM's requests hold, in tokens by target; it counts until `until`.
+    pub fn share(&mut self, vm: SocketAddr, loads: Vec<(TargetKey, u32)>, until: Duration) {
+        self.others.insert(vm, Others { loads, until });
+    }
+
+    /// Tokens that the requests of all VMs hold at each target. VMs that do not tell count
+    /// like this one.
+    fn held(&self, now: Duration) -> HashMap<&str, f64> {
+        let fresh: Vec<&Others> = self.others.values().filter(|o| o.until > now).collect();
+        let silent = (self.vms.saturating_sub(1)).saturating_sub(fresh.len());
+        let own = self.entries.values();
+        let own = own.map(|entry| (entry.target.id.as_str(), entry.tokens * (1 + silent) as f64));
+        let mut held: HashMap<&str, f64> = own.collect();
+        for (id, tokens) in fresh.iter().flat_map(|others| &others.loads) {
+            if let Some(sum) = held.get_mut(id.as_str()) {
+                *sum += f64::from(*tokens);
+            }
+        }
+        held
+    }
+
     /// The best path through the layers of a model.
     pub fn path(&self, now: Duration, model: &Model, wish: &Wish<'_>) -> Option<Path> {
-        let able: Vec<&Entry> = self.able(now, wish).collect();
-        search::search(&able, model, wish.tokens, self.vms)
+        let held = self.held(now);
+        let able = self.able(now, wish).map(|entry| Able {
+            entry,
+            held: held.get(entry.target.id.as_str()).copied().unwrap_or(0.0),
+        });
+        let able: Vec<Able<'_>> = able.collect();
+        search::search(&able, model, wish.tokens)
     }
 
     /// The best target of a plain service.
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -5,13 +5,14 @@
 
 use crate::engine::{Engine, Move};
 
-/// Tokens of requests for which an engine of a chain keeps room, at the most.
-const MOST_TOKENS: f64 = 110_000.0;
-/// Tokens of requests for which an engine of a chain keeps room, at the least: below, a
-/// handful of prompts fill it.
-const LEAST_TOKENS: f64 = 15_000.0;
-/// Share of a domain's memory beyond the chain that is kept as spares.
-const SPARE: f64 = 1.12;
+/// Tokens of requests for which an engine of a chain keeps room, at the most: beyond, memory
+/// is worth more as a spare.
+const MOST_TOKENS: f64 = 180_000.0;
+/// Tokens of requests for which an engine keeps room, at the least: below, a handful of
+/// prompts fill it.
+const LEAST_TOKENS: f64 = 12_000.0;
+/// Layers that a domain can hold beyond one chain, as a factor: what is over is spares.
+const SPARE: f64 = 1.08;
 
 /// What is to change so that each failure domain holds all layers.
 ///
@@ -25,18 +26,197 @@
         let mut local: Vec<&Engine> =
             engines.iter().filter(|engine| engine.domain == *domain).collect();
         local.sort_by(|a, b| a.id.cmp(&b.id));
-        moves.extend(plan_domain(&local, model));
+        moves.extend(Domain::new(&local, model).plan());
     }
     moves
 }
 
+/// The engines of one failure domain while its moves are worked out.
+struct Domain<'a> {
+    engines: &'a [&'a Engine],
+    depth: Layer,
+    /// Layers that each engine holds after the moves so far.
+    held: Vec<Option<Layers>>,
+    /// Engines that are not to be ordered (again).
+    fixed: Vec<bool>,
+    /// Layers that each engine holds with the usual room for requests.
+    usual: Vec<u16>,
+    /// Layers that each engine holds with the least room for requests.
+    most: Vec<u16>,
+    /// Layers that each engine holds when all of them share one chain.
+    tight: Vec<u16>,
+    moves: Vec<Move>,
+}
+
+impl<'a> Domain<'a> {
+    fn new(engines: &'a [&'a Engine], model: &Model) -> Self {
+        let room = |spare: f64| room(engines, model, spare);
+        let able = |tokens: f64| -> Vec<u16> {
+            engines.iter().map(|engine| model.layers(memory(engine, model), tokens)).collect()
+        };
+        Self {
+            engines,
+            depth: model.depth,
+            held: engines.iter().map(|engine| engine.layers).collect(),
+            fixed: engines.iter().map(|engine| engine.busy).collect(),
+            usual: able(room(SPARE)),
+            tight: able(room(1.0)),
+            most: able(LEAST_TOKENS),
+            moves: Vec::new(),
+        }
+    }
+
+    fn plan(mut self) -> Vec<Move> {
+        while let Some(gap) = self.first_gap() {
+            if !self.fill(gap) && !self.extend(gap) {
+                self.shift(gap);
+                break;
+            }
+        }
+        self.relieve();
+        self.moves
+    }
+
+    fn order(&mut self, index: usize, layers: Layers) {
+        self.held[index] = Some(layers);
+        self.fixed[index] = true;
+        self.moves.push(Move { target: self.engines[index].id.clone(), layers });
+    }
+
+    /// The first range that no engine holds.
+    fn first_gap(&self) -> Option<Layers> {
+        let mut ranges: Vec<Layers> = self.held.iter().flatten().copied().collect();
+        ranges.sort();
+        let mut at: Layer = 0;
+        for layers in ranges {
+            if layers.start > at {
+                return Some(Layers::new(at, layers.start));
+            }
+            at = at.max(layers.end);
+        }
+        (at < self.depth).then(|| Layers::new(at, self.depth))
+    }
+
+    /// Gives the first part of a gap to a spare.
+    fn fill(&mut self, gap: Layers) -> bool {
+        let Some(index) = self.spare(gap.len()) else { return false };
+        let layers = fit(gap, self.usual[index]);
+        self.order(index, layers);
+        true
+    }
+
+    /// The spare for a range: the smallest that takes all of it, else the largest.
+    fn spare(&self, length: u16) -> Option<usize> {
+        let free: Vec<usize> = (0..self.engines.len())
+            .filter(|&index| !self.fixed[index] && self.usual[index] > 0 && self.is_spare(index))
+            .collect();
+        let whole = free.iter().copied().filter(|&index| self.usual[index] >= length);
+        whole.min_by_key(|&index| self.usual[index]).or_else(|| {
+            free.into_iter().max_by_key(|&index| (self.usual[index], std::cmp::Reverse(index)))
+        })
+    }
+
+    /// Whether others hold all that an engine holds.
+    fn is_spare(&self, index: usize) -> bool {
+        self.held[index].is_none_or(|own| self.others_hold(index, own))
+    }
+
+    fn others_hold(&self, index: usize, range: Layers) -> bool {
+        let others = self.held.iter().enumerate().filter(|(other, _)| *other != index);
+        let mut others: Vec<Layers> = others.filter_map(|(_, layers)| *layers).collect();
+        others.sort();
+        let mut at = range.start;
+        for layers in others {
+            if layers.start <= at {
+                at = at.max(layers.end);
+            }
+        }
+        at >= range.end
+    }
+
+    /// Lets a neighbour of a gap take some of it beside what it holds, at the cost of its
+    /// room for requests.
+    fn extend(&mut self, gap: Layers) -> bool {
+        let neighbours = (0..self.engines.len()).filter_map(|index| {
+            let own = self.held[index].filter(|_| !self.fixed[index])?;
+            let more = self.most[index].saturating_sub(own.len()).min(gap.len());
+            let wider = if own.end == gap.start {
+                Layers::new(own.start, own.end + more)
+            } else if own.start == gap.end {
+                Layers::new(own.start - more, own.end)
+            } else {
+                return None;
+            };
+            (more > 0).then_some((index, more, wider))
+        });
+        // The one that takes most; of equals the one with most room left.
+        let best = neighbours.max_by_key(|&(index, more, wider)| {
+            (more, self.most[index].saturating_sub(wider.len()))
+        });
+        let Some((index, _, wider)) = best else { return false };
+        self.order(index, wider);
+        true
+    }
+
+    /// Deals all layers anew, in the order in which the engines hold them, so that each loads
+    /// few. Nothing runs in the domain before the gap is closed, so nothing is lost.
+    fn shift(&mut self, gap: Layers) {
+        if self.engines.iter().any(|engine| engine.busy) || !self.moves.is_empty() {
+            return;
+        }
+        let start = |index: usize| self.held[index].map_or(gap.start, |layers| layers.start);
+        let mut order: Vec<usize> = (0..self.engines.len()).collect();
+        order.sort_by_key(|&index| (start(index), index));
+        let mut at: Layer = 0;
+        for index in order {
+            let end = (at + self.tight[index]).min(self.depth);
+            let layers = Layers::new(at, end);
+            if !layers.is_empty() && self.held[index] != Some(layers) {
+                self.order(index, layers);
+            }
+            at = end;
+        }
+    }
+
+    /// Takes layers off engines that hold more than usual: a spare loads them first, and the
+    /// engine gives them up once another holds them.
+    fn relieve(&mut self) {
+        for index in 0..self.engines.len() {
+            let Some(own) = self.held[index].filter(|_| !self.fixed[index]) else { continue };
+            let usual = self.usual[index];
+            if usual == 0 || own.len() <= usual {
+                continue;
+            }
+            let kept = Layers::new(own.start, own.start + usual);
+            let tail = Layers::new(kept.end, own.end);
+            if self.settled_others_hold(index, tail) {
+                self.order(index, kept);
+            } else if !self.others_hold(index, tail) {
+                let spare = self.spare(tail.len()).filter(|&spare| spare != index);
+                let Some(spare) = spare.filter(|&spare| self.usual[spare] >= tail.len()) else {
+                    continue;
+                };
+                self.order(spare, tail);
+            }
+        }
+    }
+
+    /// Whether others that no order is pending at hold a range.
+    fn settled_others_hold(&self, index: usize, range: Layers) -> bool {
+        let others = self.held.iter().enumerate();
+        let mut others = others.filter(|(other, _)| *other != index && !self.fixed[*other]);
+        others.any(|(_, layers)| layers.is_some_and(|layers| layers.contains(range)))
+    }
+}
+
 fn memory(engine: &Engine, model: &Model) -> f64 {
     model.card(&engine.card).map_or(0.0, |card| card.mb)
 }
 
-/// Tokens for which each engine of a domain keeps room, so that spares remain.
-fn room(engines: &[&Engine], model: &Model) -> f64 {
-    let depth = f64::from(model.depth) * SPARE;
+/// Tokens for which each engine of a domain keeps room, so that `spare` times the layers of
+/// one chain are held.
+fn room(engines: &[&Engine], model: &Model, spare: f64) -> f64 {
+    let depth = f64::from(model.depth) * spare;
     let layers = |tokens: f64| -> f64 {
         let counts = engines.iter().map(|engine| model.layers(memory(engine, model), tokens));
         counts.map(f64::from).sum()
@@ -57,36 +237,6 @@
     low
 }
 
-fn plan_domain(engines: &[&Engine], model: &Model) -> Vec<Move> {
-    let room = room(engines, model);
-    let able = |engine: &Engine| model.layers(memory(engine, model), room);
-    let mut moves: Vec<Move> = Vec::new();
-    let mut held: Vec<Option<Layers>> = engines.iter().map(|engine| engine.layers).collect();
-    let mut moved: Vec<bool> = engines.iter().map(|engine| engine.busy).collect();
-    while let Some(gap) = first_gap(&held, model.depth) {
-        let Some(index) = spare(engines, &held, &moved, gap, &able) else { break };
-        let layers = fit(gap, able(engines[index]));
-        held[index] = Some(layers);
-        moved[index] = true;
-        moves.push(Move { target: engines[index].id.clone(), layers });
-    }
-    moves
-}
-
-/// The first range that no engine holds.
-fn first_gap(held: &[Option<Layers>], depth: Layer) -> Option<Layers> {
-    let mut ranges: Vec<Layers> = held.iter().flatten().copied().collect();
-    ranges.sort();
-    let mut at: Layer = 0;
-    for layers in ranges {
-        if layers.start > at {
-            return Some(Layers::new(at, layers.start));
-        }
-        at = at.max(layers.end);
-    }
-    (at < depth).then(|| Layers::new(at, depth))
-}
-
 /// The part of a gap that an engine takes: the first of it, and no sliver left behind.
 fn fit(gap: Layers, able: u16) -> Layers {
     let length = able.min(gap.len()).max(1);
@@ -95,42 +245,3 @@
     let even = if engines <= 2 { gap.len().div_ceil(engines) } else { length };
     Layers::new(gap.start, gap.start + even)
 }
-
-/// The engine that takes a gap: one that holds nothing that others need. The largest goes
-/// first unless a smaller one fills the gap alone.
-fn spare(
-    engines: &[&Engine],
-    held: &[Option<Layers>],
-    moved: &[bool],
-    gap: Layers,
-    able: &impl Fn(&Engine) -> u16,
-) -> Option<usize> {
-    let free = (0..engines.len()).filter(|&index| {
-        !moved[index] && able(engines[index]) > 0 && is_spare(held, index)
-    });
-    let fills = |index: &usize| able(engines[*index]) >= gap.len();
-    let free: Vec<usize> = free.collect();
-    let smallest = free.iter().copied().filter(fills).min_by_key(|&i| able(engines[i]));
-    smallest.or_else(|| {
-        free.into_iter().max_by_key(|&index| (able(engines[index]), std::cmp::Reverse(index)))
-    })
-}
-
-/// Whether others hold all that an engine holds.
-fn is_spare(held: &[Option<Layers>], index: usize) -> bool {
-    let Some(own) = held[index] else { return true };
-    let mut at = own.start;
-    let mut others: Vec<Layers> = held
-        .iter()
-        .enumerate()
-        .filter(|(other, _)| *other != index)
-        .filter_map(|(_, layers)| *layers)
-        .collect();
-    others.sort();
-    for layers in others {
-        if layers.start <= at {
-            at = at.max(layers.end);
-        }
-    }
-    at >= own.end
-}
--- /dev/null
+++ b/crates/place/tests/cover.rs
@@ -0,0 +1,152 @@
+//! What placement orders as engines come and go.
+
+use fleet::Layers;
+use place::{Engine, Move, plan};
+use site::{Card, Model};
+use std::time::Duration;
+use yare::parameterized;
+
+fn model() -> Model {
+    let card = |name: &str, mb: f64, pace: f64, read: f64| Card { name: name.into(), mb, pace, read };
+    Model {
+        name: "m".into(),
+        depth: 80,
+        layer_mb: 1750.0,
+        token_bytes: 590_000.0,
+        load: Duration::from_secs(14),
+        prompt: 772,
+        answer: 172,
+        slots: 192,
+        step: Duration::from_micros(850),
+        read_per_s: 196_000.0,
+        cards: vec![
+            card("h100", 72_000.0, 1.4, 1.0),
+            card("a100s", 36_000.0, 3.1, 3.2),
+            card("l4", 21_600.0, 16.0, 8.2),
+            card("t4", 14_400.0, 15.0, 15.0),
+        ],
+    }
+}
+
+fn engine(domain: &str, card: &str, number: usize) -> Engine {
+    let id = format!("{domain}-{card}-{number}").into();
+    Engine { id, domain: domain.into(), card: card.into(), layers: None, busy: false }
+}
+
+/// Engines of a domain: how many of each kind.
+fn engines(domain: &str, counts: &[(&str, usize)]) -> Vec<Engine> {
+    let each = counts.iter().flat_map(|(card, count)| (0..*count).map(move |n| (*card, n)));
+    each.map(|(card, number)| engine(domain, card, number)).collect()
+}
+
+fn carry_out(engines: &mut [Engine], moves: &[Move]) {
+    for change in moves {
+        let engine = engines.iter_mut().find(|engine| engine.id == change.target);
+        engine.expect("an engine of the plan").layers = Some(change.layers);
+    }
+}
+
+fn covers(engines: &[Engine], domain: &str) -> bool {
+    (0..80).all(|layer| {
+        let one = Layers::new(layer, layer + 1);
+        let mut local = engines.iter().filter(|engine| engine.domain == domain);
+        local.any(|engine| engine.layers.is_some_and(|layers| layers.contains(one)))
+    })
+}
+
+/// Repeats plans until nothing changes.
+fn settle(engines: &mut [Engine]) -> usize {
+    for round in 0..10 {
+        let moves = plan(engines, &model());
+        if moves.is_empty() {
+            return round;
+        }
+        carry_out(engines, &moves);
+    }
+    panic!("the plan does not settle");
+}
+
+struct Case {
+    counts: &'static [(&'static str, usize)],
+    /// Engines of the chain that are lost, by position.
+    lost: usize,
+}
+
+#[parameterized(
+    mixed = { Case { counts: &[("a100s", 2), ("l4", 4), ("t4", 7)], lost: 1 } },
+    with_h100 = { Case { counts: &[("h100", 1), ("a100s", 1), ("l4", 5), ("t4", 7)], lost: 1 } },
+    mostly_l4 = { Case { counts: &[("a100s", 1), ("l4", 8), ("t4", 3)], lost: 1 } },
+    two_lost = { Case { counts: &[("a100s", 2), ("l4", 4), ("t4", 7)], lost: 2 } },
+    three_lost = { Case { counts: &[("h100", 1), ("a100s", 1), ("l4", 5), ("t4", 7)], lost: 3 } },
+    one_kind = { Case { counts: &[("l4", 12)], lost: 1 } },
+)]
+fn chain_is_whole_again_after_any_loss(case: Case) {
+    let mut whole = engines("a", case.counts);
+    settle(&mut whole);
+    assert!(covers(&whole, "a"), "first layout covers all layers");
+    for first in 0..whole.len() {
+        let mut left = whole.clone();
+        for _ in 0..case.lost {
+            left.remove(first % left.len());
+        }
+        settle(&mut left);
+        assert!(covers(&left, "a"), "loss of {} engines from {first} is repaired", case.lost);
+    }
+}
+
+#[parameterized(
+    small = { &[("t4", 20)] },
+    mixed = { &[("h100", 1), ("a100s", 1), ("l4", 5), ("t4", 7)] },
+)]
+fn no_engine_holds_more_than_its_memory(counts: &[(&str, usize)]) {
+    let mut all = engines("a", counts);
+    settle(&mut all);
+    while all.len() > 8 {
+        all.remove(3);
+        settle(&mut all);
+        for engine in &all {
+            let mb = model().card(&engine.card).expect("a known kind").mb;
+            let held = engine.layers.map_or(0, Layers::len);
+            assert!(f64::from(held) * 1750.0 < mb, "{} holds {held} layers", engine.id);
+        }
+    }
+}
+
+#[test]
+fn engine_that_returns_empty_takes_back_what_neighbours_took() {
+    let mut all = engines("a", &[("l4", 11)]);
+    settle(&mut all);
+    let lost = all.iter().position(|engine| engine.layers.is_some()).expect("a used engine");
+    let returned = Engine { layers: None, ..all[lost].clone() };
+    let widest = |all: &[Engine]| all.iter().filter_map(|e| e.layers).map(Layers::len).max();
+    let before = widest(&all);
+    all.remove(lost);
+    settle(&mut all);
+    all.push(returned);
+    settle(&mut all);
+    assert!(covers(&all, "a"));
+    assert_eq!(widest(&all), before);
+}
+
+#[test]
+fn engine_with_pending_order_is_not_ordered_again() {
+    let mut all = engines("a", &[("a100s", 2), ("l4", 4), ("t4", 7)]);
+    let moves = plan(&all, &model());
+    carry_out(&mut all, &moves);
+    for engine in &mut all {
+        engine.busy = true;
+    }
+    assert!(plan(&all, &model()).is_empty());
+}
+
+#[test]
+fn layers_stay_covered_while_an_engine_is_relieved() {
+    let mut all = engines("a", &[("l4", 11)]);
+    settle(&mut all);
+    all.remove(0);
+    settle(&mut all);
+    all.push(engine("a", "l4", 20));
+    let moves = plan(&all, &model());
+    // The new engine loads first; nothing is given up in the same step.
+    assert!(moves.iter().all(|change| change.target == "a-l4-20"), "{moves:?}");
+}
