Placement: layers are taken off seldom, engines keep room when they extend

Cause: relief ran at each change of the fleet and moved single layers; a new leader ordered without knowing how many orders engines had taken (409 for each).

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -73,11 +73,7 @@
 }
 
 /// An answer of our own that says when to come back.
-pub(crate) fn later(
-    status: StatusCode,
-    reason: &'static str,
-    after: Duration,
-) -> Response<Answer> {
+pub(crate) fn later(status: StatusCode, reason: &'static str, after: Duration) -> Response<Answer> {
     let mut response = own(status, reason);
     let seconds = format!("{:.2}", after.as_secs_f64());
     // A decimal number is a valid header value.
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -133,12 +133,7 @@
     RENEW_INTERVAL / 2
 }
 
-async fn renew(
-    node: &Node,
-    store: &Store,
-    leadership: &Leadership,
-    lease: LeaseId,
-) -> Duration {
+async fn renew(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) -> Duration {
     leadership.known.set(node.synced.get().is_some());
     let asked = node.now();
     match store.renew(lease).await {
@@ -158,8 +153,7 @@
     // Spread over nodes, so that most see the winner's key before they try.
     sleep(Duration::from_millis(60).mul_f64(node.luck())).await;
     let value = identity(node);
-    let write =
-        Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease };
+    let write = Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease };
     let reply = store.write(write).await;
     let event = Event::new(&LEADING).with("claimed", matches!(reply, Reply::Done(_)));
     log::info!("{event}");
@@ -202,7 +196,10 @@
                 self.leads = fence.is_some();
                 self.pending.clear();
                 let fence = fence.unwrap_or(0);
-                log::info!("{}", Event::new(&LEADING).with("leads", self.leads).with("fence", fence));
+                log::info!(
+                    "{}",
+                    Event::new(&LEADING).with("leads", self.leads).with("fence", fence)
+                );
             }
             let Some(fence) = fence else { continue };
             let Some(config) = self.node.config() else { continue };
@@ -273,17 +270,42 @@
         if settled || placed { place::plan(&engines, model) } else { Vec::new() }
     }
 
+    /// Asks engines how many orders they have accepted where that is not known.
+    async fn inquire(&self, moves: &[Move]) {
+        let unknown = moves.iter().filter_map(|change| {
+            let table = self.node.table.borrow();
+            let entry = table.entry(&change.target)?;
+            let address = entry.target.address;
+            entry.orders.is_none().then(|| (change.target.clone(), address))
+        });
+        let asked: Vec<_> = unknown
+            .map(|(id, address)| {
+                let node = self.node.clone();
+                tokio::task::spawn_local(async move {
+                    if let Some(report) = node.ask(address).await {
+                        node.report(&id, &report);
+                    }
+                })
+            })
+            .collect();
+        for task in asked {
+            // A task that fails has asked in vain.
+            task.await.ok();
+        }
+    }
+
     async fn give(&mut self, moves: &[Move], model: &Model, fence: Revision) {
+        self.inquire(moves).await;
         let tasks: Vec<_> = moves
             .iter()
             .filter_map(|change| {
                 let table = self.node.table.borrow();
                 let entry = table.entry(&change.target)?;
-                let order =
-                    Order { layers: change.layers, fence, expected: entry.orders };
+                let order = Order { layers: change.layers, fence, expected: entry.orders? };
                 let node = self.node.clone();
                 let address = entry.target.address;
-                let task = tokio::task::spawn_local(async move { send(&node, address, order).await });
+                let task =
+                    tokio::task::spawn_local(async move { send(&node, address, order).await });
                 Some((change.clone(), order, task))
             })
             .collect();
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -158,12 +158,7 @@
 
 /// Serves the callers that are left, and those that still come until the platform has taken
 /// the node out of rotation.
-async fn stop(
-    node: &Rc<Node>,
-    store: &Store,
-    leadership: &Leadership,
-    accepting: JoinHandle<()>,
-) {
+async fn stop(node: &Rc<Node>, store: &Store, leadership: &Leadership, accepting: JoinHandle<()>) {
     let began = Instant::now();
     log::info!("{}", Event::new(&STOPPING).with("connections", node.callers.get()));
     node.stopping.set(true);
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -46,8 +46,8 @@
             *response.status_mut() = status;
             async move { Ok::<_, Infallible>(response) }
         });
-        let connection =
-            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
         tokio::task::spawn_local(async move {
             // A prober that goes away has its answer or does not want it.
             connection.await.ok();
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -144,9 +144,8 @@
     match result {
         Ok(value) => Some(value),
         Err(error) => {
-            let event = Event::new(&crate::event::UNDECODABLE)
-                .with("key", purpose)
-                .with("reason", error);
+            let event =
+                Event::new(&crate::event::UNDECODABLE).with("key", purpose).with("reason", error);
             log::warn!("{event}");
             None
         }
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -119,7 +119,8 @@
     }
     cuts.sort_unstable();
     cuts.dedup();
-    let mut domains: Vec<&str> = able.iter().map(|able| able.entry.target.domain.as_str()).collect();
+    let mut domains: Vec<&str> =
+        able.iter().map(|able| able.entry.target.domain.as_str()).collect();
     domains.sort_unstable();
     domains.dedup();
 
@@ -166,7 +167,8 @@
     }
 
     let last = cuts.len() - 1;
-    let ends = (0..domains.len()).min_by(|&a, &b| best[last][a].cost.total_cmp(&best[last][b].cost));
+    let ends =
+        (0..domains.len()).min_by(|&a, &b| best[last][a].cost.total_cmp(&best[last][b].cost));
     let (mut at, mut domain) = (last, ends?);
     let mut stages = Vec::new();
     let mut most: f64 = 0.0;
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -27,8 +27,8 @@
     pub target: Target,
     /// Layers that it holds, by its newest report or entry.
     pub layers: Option<Layers>,
-    /// Orders that it has accepted since its start, as far as is known.
-    pub orders: u64,
+    /// Orders that it has accepted since its start; `None` when that is not known.
+    pub orders: Option<u64>,
     /// Time of its work relative to the usual; above 1 it is slow.
     pub pace: f64,
     /// When its report was last asked for.
@@ -116,7 +116,9 @@
         let Some(entry) = self.entries.get_mut(&target.id) else {
             let layers = target.layers;
             let health = Health::default();
-            let (orders, running, tokens, gone_at) = (0, 0, 0.0, None);
+            // An engine that holds layers was ordered before this node knew it.
+            let orders = layers.is_none().then_some(0);
+            let (running, tokens, gone_at) = (0, 0.0, None);
             let (pace, asked) = (1.0, Duration::ZERO);
             let entry =
                 Entry { layers, orders, pace, asked, health, running, tokens, gone_at, target };
@@ -130,7 +132,7 @@
         if entry.target.born != target.born || entry.target.address != target.address {
             entry.health = Health::default();
             entry.layers = target.layers;
-            entry.orders = 0;
+            entry.orders = target.layers.is_none().then_some(0);
             entry.pace = 1.0;
         }
         if entry.target.layers != target.layers {
@@ -183,7 +185,7 @@
     pub fn report(&mut self, now: Duration, id: &str, report: &Report) -> bool {
         let Some(entry) = self.entries.get_mut(id) else { return false };
         entry.layers = report.layers;
-        entry.orders = report.orders;
+        entry.orders = Some(report.orders);
         entry.pace = report.pace;
         entry.health.revive(now)
     }
@@ -191,7 +193,7 @@
     /// Notes that an engine has accepted an order.
     pub fn ordered(&mut self, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.orders += 1;
+            entry.orders = entry.orders.map(|orders| orders + 1);
         }
     }
 
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -11,6 +11,11 @@
 /// Tokens of requests for which an engine keeps room, at the least: below, a handful of
 /// prompts fill it.
 const LEAST_TOKENS: f64 = 12_000.0;
+/// Share of the usual room for requests that an engine keeps when it takes some of a gap
+/// beside what it holds. With less it would hold up the whole chain.
+const EXTENDED_ROOM: f64 = 0.35;
+/// Share of its usual layers that an engine may hold beyond them without being relieved.
+const TOLERANCE: f64 = 0.3;
 /// Layers that a domain can hold beyond one chain, as a factor: what is over is spares.
 const SPARE: f64 = 1.08;
 
@@ -41,7 +46,7 @@
     fixed: Vec<bool>,
     /// Layers that each engine holds with the usual room for requests.
     usual: Vec<u16>,
-    /// Layers that each engine holds with the least room for requests.
+    /// Layers that each engine holds at the most beside a gap.
     most: Vec<u16>,
     /// Layers that each engine holds when all of them share one chain.
     tight: Vec<u16>,
@@ -50,7 +55,7 @@
 
 impl<'a> Domain<'a> {
     fn new(engines: &'a [&'a Engine], model: &Model) -> Self {
-        let room = |spare: f64| room(engines, model, spare);
+        let usual = room(engines, model, SPARE);
         let able = |tokens: f64| -> Vec<u16> {
             engines.iter().map(|engine| model.layers(memory(engine, model), tokens)).collect()
         };
@@ -59,9 +64,9 @@
             depth: model.depth,
             held: engines.iter().map(|engine| engine.layers).collect(),
             fixed: engines.iter().map(|engine| engine.busy).collect(),
-            usual: able(room(SPARE)),
-            tight: able(room(1.0)),
-            most: able(LEAST_TOKENS),
+            usual: able(usual),
+            tight: able(room(engines, model, 1.0)),
+            most: able((usual * EXTENDED_ROOM).max(LEAST_TOKENS)),
             moves: Vec::new(),
         }
     }
@@ -181,22 +186,28 @@
     /// Takes layers off engines that hold more than usual: a spare loads them first, and the
     /// engine gives them up once another holds them.
     fn relieve(&mut self) {
+        if !self.moves.is_empty() || self.fixed.iter().any(|fixed| *fixed) {
+            return;
+        }
         for index in 0..self.engines.len() {
             let Some(own) = self.held[index].filter(|_| !self.fixed[index]) else { continue };
             let usual = self.usual[index];
-            if usual == 0 || own.len() <= usual {
+            let tolerated = f64::from(usual) * (1.0 + TOLERANCE);
+            if usual == 0 || f64::from(own.len()) <= tolerated {
                 continue;
             }
             let kept = Layers::new(own.start, own.start + usual);
             let tail = Layers::new(kept.end, own.end);
             if self.settled_others_hold(index, tail) {
                 self.order(index, kept);
+                return;
             } else if !self.others_hold(index, tail) {
                 let spare = self.spare(tail.len()).filter(|&spare| spare != index);
                 let Some(spare) = spare.filter(|&spare| self.usual[spare] >= tail.len()) else {
                     continue;
                 };
                 self.order(spare, tail);
+                return;
             }
         }
     }
--- a/crates/place/tests/cover.rs
+++ b/crates/place/tests/cover.rs
@@ -7,7 +7,8 @@
 use yare::parameterized;
 
 fn model() -> Model {
-    let card = |name: &str, mb: f64, pace: f64, read: f64| Card { name: name.into(), mb, pace, read };
+    let card =
+        |name: &str, mb: f64, pace: f64, read: f64| Card { name: name.into(), mb, pace, read };
     Model {
         name: "m".into(),
         depth: 80,
