Paths: prompts that wait count, memory taken weighs more

Cause: after a crash all moved streams went to the cheapest chain and waited for each other's prompts there.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -52,6 +52,8 @@
     pub(crate) begun: Duration,
     /// When it must be answered: the caller's deadline or the route's timeout.
     pub(crate) ends: Duration,
+    /// Prompt, tokens.
+    pub(crate) prompt: f64,
     /// Prompt and expected answer, tokens.
     pub(crate) tokens: f64,
 }
@@ -137,15 +139,15 @@
 
 /// Prompt and expected answer in tokens: the caller's estimate where there is one, else half
 /// of the most that it allows.
-pub(crate) fn tokens(headers: &HeaderMap) -> f64 {
+pub(crate) fn tokens(headers: &HeaderMap) -> (f64, f64) {
     let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     let number = |text: &str| text.trim().parse::<f64>().ok();
     let Some((prompt, most)) = text(head::TOKENS).and_then(|counts| counts.split_once(',')) else {
-        return 0.0;
+        return (0.0, 0.0);
     };
     let most = number(most).unwrap_or(0.0);
     let hint = text(head::LENGTH_HINT).and_then(number).map_or(most / 2.0, |hint| hint.min(most));
-    number(prompt).unwrap_or(0.0) + hint
+    (number(prompt).unwrap_or(0.0), hint)
 }
 
 /// The engine at fault that an answer names.
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -167,6 +167,7 @@
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let service = route.backend(node.luck()).ok_or(Refusal::Later("no service"))?;
     let body = read(body, &config, allowed).await?;
+    let (prompt, answer) = call::tokens(&parts.headers);
     let priority = organisation.as_ref().and_then(|organisation| organisation.priority);
     let call = Call {
         id: id.into(),
@@ -181,7 +182,8 @@
         organisation: organisation.map(|organisation| organisation.name.clone()),
         begun,
         ends: begun + allowed,
-        tokens: call::tokens(&parts.headers),
+        prompt,
+        tokens: prompt + answer,
         headers: call::onward(parts.headers),
     };
     Ok((call, config))
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -45,20 +45,34 @@
     node: Rc<Node>,
     path: Path,
     tokens: f64,
+    /// Tokens that are read before the first event comes.
+    reading: f64,
 }
 
 impl Running {
-    fn begin(node: &Rc<Node>, path: Path, tokens: f64) -> Self {
+    fn begin(node: &Rc<Node>, path: Path, tokens: f64, reading: f64) -> Self {
         let mut table = node.table.borrow_mut();
         for stage in &path.stages {
             table.begin(&stage.target, tokens);
+            table.read(&stage.target, reading);
+        }
+        drop(table);
+        Self { node: node.clone(), path, tokens, reading }
+    }
+
+    /// Notes that the prompt has been read.
+    fn has_read(&mut self) {
+        let reading = std::mem::take(&mut self.reading);
+        let mut table = self.node.table.borrow_mut();
+        for stage in &self.path.stages {
+            table.read(&stage.target, -reading);
         }
-        Self { node: node.clone(), path, tokens }
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
+        self.has_read();
         let mut table = self.node.table.borrow_mut();
         for stage in &self.path.stages {
             table.end(&stage.target, self.tokens);
@@ -207,7 +221,7 @@
         let begun = node.now();
         let first = path.first().clone();
         let request = call.request(begun, &first.target, Some(&path), last_event);
-        let running = Running::begin(node, path, call.tokens);
+        let mut running = Running::begin(node, path, call.tokens, call.prompt);
         let sending = node.pool.send(first.address, request);
         pin!(sending);
         let answer = loop {
@@ -237,6 +251,7 @@
                 return Offered::Unknown;
             }
         };
+        running.has_read();
         let (response, connection) = open.split();
         if !is_of(response.headers(), call) {
             node.fault(first.address, Fault::Failed, "answer to another request");
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -18,9 +18,12 @@
 /// Cost of one more engine, seconds: each may fail.
 const HOP: f64 = 0.02;
 /// Weight of the share of an engine's memory that is taken.
-const PRESSURE_WEIGHT: f64 = 2.0;
+const PRESSURE_WEIGHT: f64 = 4.0;
 /// Cost of an engine whose memory is taken, seconds.
 const FULL: f64 = 5.0;
+/// Share of the prompts that wait at an engine that a new one waits for: the engines of a
+/// path read one after another, each a different prompt.
+const READING_SHARE: f64 = 0.2;
 /// Cost of a slow engine, seconds for each whole time that it is slower: its streams pause.
 const SLOW_COST: f64 = 0.6;
 /// An engine with this share of its calls failed costs as much as [`FULL`].
@@ -110,8 +113,16 @@
     step + f64::from(model.prompt) / model.read_per_s.max(1.0) * card.read
 }
 
+/// Seconds that a new prompt waits for those that an engine with all layers would read, if
+/// all VMs send alike.
+fn waiting(entry: &Entry, model: &Model, vms: usize) -> f64 {
+    let read = model.card(&entry.target.card).map_or(1.0, |card| card.read);
+    let tokens = entry.reading * vms as f64;
+    READING_SHARE * tokens / model.read_per_s.max(1.0) * read * entry.pace
+}
+
 /// Finds the cheapest path.
-pub(crate) fn search(able: &[Able<'_>], model: &Model, tokens: f64) -> Option<Path> {
+pub(crate) fn search(able: &[Able<'_>], model: &Model, tokens: f64, vms: usize) -> Option<Path> {
     let mut cuts: Vec<Layer> = vec![0, model.depth];
     for layers in able.iter().filter_map(|able| able.entry.layers) {
         cuts.push(layers.start);
@@ -153,7 +164,8 @@
             let failing = FAILURE_COST * entry.health.failure_rate();
             let slow = if entry.is_slow() { SLOW_COST * (entry.pace - 1.0) } else { 0.0 };
             let fixed = base + HOP + full + failing + slow;
-            let whole = work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken);
+            let whole =
+                work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken) + waiting(entry, model, vms);
             let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= layers.end);
             for end in ends {
                 let share = f64::from(cuts[end] - cuts[at]) / f64::from(model.depth);
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -39,6 +39,8 @@
     pub running: u32,
     /// Tokens of memory that requests of this VM hold there.
     pub tokens: f64,
+    /// Tokens of prompts of this VM that are being read there.
+    pub reading: f64,
     /// Time at which an entry that is missing from the store counts as gone.
     gone_at: Option<Duration>,
 }
@@ -118,10 +120,20 @@
             let health = Health::default();
             // An engine that holds layers was ordered before this node knew it.
             let orders = layers.is_none().then_some(0);
-            let (running, tokens, gone_at) = (0, 0.0, None);
+            let (running, tokens, reading, gone_at) = (0, 0.0, 0.0, None);
             let (pace, asked) = (1.0, Duration::ZERO);
-            let entry =
-                Entry { layers, orders, pace, asked, health, running, tokens, gone_at, target };
+            let entry = Entry {
+                layers,
+                orders,
+                pace,
+                asked,
+                health,
+                running,
+                tokens,
+                reading,
+                gone_at,
+                target,
+            };
             self.entries.insert(entry.target.id.clone(), entry);
             return true;
         };
@@ -251,7 +263,7 @@
             held: held.get(entry.target.id.as_str()).copied().unwrap_or(0.0),
         });
         let able: Vec<Able<'_>> = able.collect();
-        search::search(&able, model, wish.tokens)
+        search::search(&able, model, wish.tokens, self.vms)
     }
 
     /// The best target of a plain service.
@@ -265,6 +277,13 @@
         Some((best.target.id.clone(), best.target.address))
     }
 
+    /// Counts tokens of a prompt that a target begins to read; negative when it has read them.
+    pub fn read(&mut self, id: &str, tokens: f64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.reading = (entry.reading + tokens).max(0.0);
+        }
+    }
+
     /// Counts a request that begins to run at a target.
     pub fn begin(&mut self, id: &str, tokens: f64) {
         if let Some(entry) = self.entries.get_mut(id) {
