--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -3,33 +3,35 @@
 use fleet::EventKind;
 
 macro_rules! events {
-    ($($name:ident $number:literal $label:literal $meaning:literal;)*) => {
-        $(pub(crate) static $name: EventKind =
-            EventKind { number: $number, name: $label, meaning: $meaning };)*
-        /// All events of this crate, by number.
-        pub static EVENTS: &[&EventKind] = &[$(&$name),*];
+    ($($constant:ident = $number:literal, $name:literal, $meaning:literal;)*) => {
+        $(
+            pub(crate) const $constant: &EventKind =
+                &EventKind { number: $number, name: $name, meaning: $meaning };
+        )*
+        /// All events of this crate.
+        pub const EVENTS: &[&EventKind] = &[$($constant),*];
     };
 }
 
 events! {
-    STARTED 1101 "entry-started" "The entry process listens.";
-    STOPPING 1102 "entry-stopping" "A stop was asked for; callers are served until none is left.";
-    STOPPED 1103 "entry-stopped" "The entry process ends.";
-    CONFIGURED 1104 "configuration-in-force" "A newer configuration is in force on this node.";
-    UNDECODABLE 1105 "value-undecodable" "A value in the store cannot be used and is passed over.";
-    STORE_LOST 1106 "store-lost" "Calls to the store fail.";
-    STORE_BACK 1107 "store-back" "Calls to the store succeed again.";
-    HISTORY_LOST 1108 "history-lost" "The store dropped the changes to be followed; everything is listed anew.";
-    TARGET_CHANGED 1109 "target-changed" "A target registered, or says something else of itself.";
-    TARGET_GONE 1110 "target-gone" "A target's entry is gone.";
-    TARGET_DOWN 1111 "target-down" "A target failed and gets nothing until a probe is answered.";
-    TARGET_UP 1112 "target-up" "A target that was left out answered a probe.";
-    LEADING 1113 "leading" "This node has begun or ceased to give orders.";
-    ORDERED 1114 "ordered" "An order was given to an engine.";
-    ANSWERED 1115 "request-answered" "A request was answered.";
-    RETRIED 1116 "request-retried" "A request is sent to another target.";
-    REFUSED 1117 "request-refused" "A request was turned away before it ran.";
-    RELOADED 1118 "settings-reread" "The settings were read again.";
-    LINES_LOST 1119 "lines-lost" "Log lines were left out because the reader is slow.";
-    PEERS 1120 "peers" "The number of other nodes changed.";
+    STARTED = 1101, "entry-started", "The entry process listens.";
+    STOPPING = 1102, "entry-stopping", "A stop was asked for; callers are served until none is left.";
+    STOPPED = 1103, "entry-stopped", "The entry process ends.";
+    CONFIGURED = 1104, "configuration-in-force", "A newer configuration is in force on this node.";
+    UNDECODABLE = 1105, "value-undecodable", "A value in the store cannot be used and is passed over.";
+    STORE_LOST = 1106, "store-lost", "Calls to the store fail.";
+    STORE_BACK = 1107, "store-back", "Calls to the store succeed again.";
+    HISTORY_LOST = 1108, "history-lost", "The store dropped the changes to be followed; everything is listed anew.";
+    TARGET_CHANGED = 1109, "target-changed", "A target registered, or says something else of itself.";
+    TARGET_GONE = 1110, "target-removed", "A target's entry is gone.";
+    TARGET_DOWN = 1111, "target-left-out", "A target failed and gets nothing until a probe is answered.";
+    TARGET_UP = 1112, "target-used-again", "A target that was left out answered a probe.";
+    LEADING = 1113, "leading", "This node has begun or ceased to give orders.";
+    ORDERED = 1114, "ordered", "An order was given to an engine.";
+    ANSWERED = 1115, "request-answered", "A request was answered.";
+    RETRIED = 1116, "request-retried", "A request is sent to another target.";
+    REFUSED = 1117, "request-refused", "A request was turned away before it ran.";
+    RELOADED = 1118, "settings-reread", "The settings were read again.";
+    LINES_LOST = 1119, "lines-lost", "Log lines were left out because the reader is slow.";
+    PEERS = 1120, "peers", "The number of other nodes changed.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -55,7 +55,7 @@
                 continue;
             };
             self.watch(revision).await;
-            log::warn!("{}", Event::new(&HISTORY_LOST));
+            log::warn!("{}", Event::new(HISTORY_LOST));
         }
     }
 
@@ -107,7 +107,7 @@
         let age = at.saturating_sub(before);
         if age > OUTAGE {
             self.lenient_until = self.node.now() + RETURN_TIME;
-            let event = Event::new(&STORE_BACK).with("purpose", "follow");
+            let event = Event::new(STORE_BACK).with("purpose", "follow");
             log::info!("{}", event.with("age_ms", age.as_millis()));
         }
         self.node.synced.set(Some(before.max(at)));
@@ -164,7 +164,7 @@
         if config.version <= current && current > 0 {
             return;
         }
-        let event = Event::new(&CONFIGURED)
+        let event = Event::new(CONFIGURED)
             .with("version", config.version)
             .with("before", current)
             .with("revision", item.revision);
@@ -183,7 +183,7 @@
         };
         match platform::target(id, value) {
             Ok(target) => {
-                let event = Event::new(&TARGET_CHANGED)
+                let event = Event::new(TARGET_CHANGED)
                     .with("target", id)
                     .with("state", format_args!("{:?}", target.state))
                     .with("layers", format_args!("{:?}", target.layers))
@@ -206,7 +206,7 @@
 pub(crate) fn expire(node: &Node) {
     let gone = node.table.borrow_mut().expire(node.now());
     for target in &gone {
-        log::info!("{}", Event::new(&TARGET_GONE).with("target", &target.id));
+        log::info!("{}", Event::new(TARGET_GONE).with("target", &target.id));
     }
     if !gone.is_empty() {
         node.changed.notify_waiters();
@@ -214,5 +214,5 @@
 }
 
 fn undecodable(key: &str, error: &platform::Error) {
-    log::warn!("{}", Event::new(&UNDECODABLE).with("key", key).with("reason", error));
+    log::warn!("{}", Event::new(UNDECODABLE).with("key", key).with("reason", error));
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -116,7 +116,7 @@
 }
 
 fn finish(node: &Node, id: &str, route: &str, begun: Duration, status: StatusCode) {
-    let event = Event::new(&ANSWERED)
+    let event = Event::new(ANSWERED)
         .with("request", id)
         .with("route", route)
         .with("status", status.as_u16())
@@ -132,7 +132,7 @@
             (later(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE), reason)
         }
     };
-    let event = Event::new(&REFUSED)
+    let event = Event::new(REFUSED)
         .with("request", id)
         .with("status", response.status().as_u16())
         .with("reason", reason);
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -155,7 +155,7 @@
     let value = identity(node);
     let write = Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease };
     let reply = store.write(write).await;
-    let event = Event::new(&LEADING).with("claimed", matches!(reply, Reply::Done(_)));
+    let event = Event::new(LEADING).with("claimed", matches!(reply, Reply::Done(_)));
     log::info!("{event}");
 }
 
@@ -198,7 +198,7 @@
                 let fence = fence.unwrap_or(0);
                 log::info!(
                     "{}",
-                    Event::new(&LEADING).with("leads", self.leads).with("fence", fence)
+                    Event::new(LEADING).with("leads", self.leads).with("fence", fence)
                 );
             }
             let Some(fence) = fence else { continue };
@@ -259,6 +259,7 @@
                     card: entry.target.card.clone(),
                     layers: pending.map(|pending| pending.layers).or(entry.layers),
                     busy: pending.is_some() || paused || down,
+                    slow: entry.is_slow(),
                     id,
                 }
             })
@@ -311,7 +312,7 @@
             .collect();
         for (change, order, task) in tasks {
             let outcome = task.await.unwrap_or(Outcome::Unknown);
-            let event = Event::new(&ORDERED)
+            let event = Event::new(ORDERED)
                 .with("target", &change.target)
                 .with("layers", format_args!("{:?}", order.layers))
                 .with("fence", order.fence)
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -85,7 +85,7 @@
             (std::mem::take(&mut waiting.bytes), std::mem::take(&mut waiting.lost))
         };
         if lost > 0 {
-            log::warn!("{}", Event::new(&LINES_LOST).with("lines", lost));
+            log::warn!("{}", Event::new(LINES_LOST).with("lines", lost));
         }
         if bytes.is_empty() {
             return;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -118,7 +118,7 @@
     pub(crate) fn fault(&self, address: SocketAddr, fault: Fault, reason: &str) {
         let now = self.now();
         if let Some(target) = self.table.borrow_mut().fault(now, address, fault) {
-            let event = Event::new(&TARGET_DOWN)
+            let event = Event::new(TARGET_DOWN)
                 .with("target", target)
                 .with("address", address)
                 .with("fault", format_args!("{fault:?}"))
@@ -133,7 +133,7 @@
     pub(crate) fn report(&self, id: &str, report: &site::Report) {
         let now = self.now();
         if self.table.borrow_mut().report(now, id, report) {
-            log::info!("{}", Event::new(&TARGET_UP).with("target", id));
+            log::info!("{}", Event::new(TARGET_UP).with("target", id));
             self.changed.notify_waiters();
         }
     }
@@ -142,7 +142,7 @@
     pub(crate) fn revive(&self, id: &str) {
         let now = self.now();
         if self.table.borrow_mut().revive(now, id) {
-            log::info!("{}", Event::new(&TARGET_UP).with("target", id));
+            log::info!("{}", Event::new(TARGET_UP).with("target", id));
             self.changed.notify_waiters();
         }
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -49,7 +49,7 @@
         sleep(interval(peers.len())).await;
         if peers.len() != known {
             known = peers.len();
-            log::info!("{}", Event::new(&PEERS).with("peers", known));
+            log::info!("{}", Event::new(PEERS).with("peers", known));
         }
         let message = message(&node, interval(peers.len()) * 2);
         // Names and numbers always serialise.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -63,7 +63,7 @@
             break;
         }
         if again {
-            let event = Event::new(&RETRIED).with("request", &call.id).with("target", &target);
+            let event = Event::new(RETRIED).with("request", &call.id).with("target", &target);
             log::info!("{event}");
         }
         offers += 1;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -98,7 +98,7 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(Failure::System)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(Failure::System)?;
     let node = Rc::new(Node::new(settings));
-    let event = Event::new(&STARTED)
+    let event = Event::new(STARTED)
         .with("node", &node.settings.node)
         .with("domain", &node.settings.domain)
         .with("front", node.settings.front)
@@ -129,7 +129,7 @@
         }
     }
     stop(&node, &store, &leadership, accepting).await;
-    log::info!("{}", Event::new(&STOPPED));
+    log::info!("{}", Event::new(STOPPED));
     lines.pass_on();
     Ok(())
 }
@@ -153,14 +153,14 @@
         Ok(_) => "valid".to_owned(),
         Err(failure) => failure.to_string(),
     };
-    log::info!("{}", Event::new(&RELOADED).with("outcome", outcome));
+    log::info!("{}", Event::new(RELOADED).with("outcome", outcome));
 }
 
 /// Serves the callers that are left, and those that still come until the platform has taken
 /// the node out of rotation.
 async fn stop(node: &Rc<Node>, store: &Store, leadership: &Leadership, accepting: JoinHandle<()>) {
     let began = Instant::now();
-    log::info!("{}", Event::new(&STOPPING).with("connections", node.callers.get()));
+    log::info!("{}", Event::new(STOPPING).with("connections", node.callers.get()));
     node.stopping.set(true);
     node.stop.notify_waiters();
     resign(store, leadership).await;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -112,7 +112,7 @@
         metrics::counter!("magnolia_store_calls", "purpose" => purpose, "failed" => failed.to_string())
             .increment(1);
         if failed != self.lost.replace(failed) {
-            let kind = if failed { &STORE_LOST } else { &STORE_BACK };
+            let kind = if failed { STORE_LOST } else { STORE_BACK };
             let outcome = format_args!("{reply:?}").to_string();
             let outcome = if failed { outcome.as_str() } else { "answered" };
             log::warn!("{}", Event::new(kind).with("purpose", purpose).with("outcome", outcome));
@@ -145,7 +145,7 @@
         Ok(value) => Some(value),
         Err(error) => {
             let event =
-                Event::new(&crate::event::UNDECODABLE).with("key", purpose).with("reason", error);
+                Event::new(crate::event::UNDECODABLE).with("key", purpose).with("reason", error);
             log::warn!("{event}");
             None
         }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -172,7 +172,7 @@
                     reason = "no retry left";
                     break;
                 }
-                let event = Event::new(&RETRIED)
+                let event = Event::new(RETRIED)
                     .with("request", &self.call.id)
                     .with("offer", self.offers)
                     .with("after_event", format_args!("{last_event:?}"))
@@ -380,7 +380,7 @@
     }
     let node = &run.node;
     let since = |at: Duration| at.saturating_sub(run.call.begun).as_millis();
-    let event = Event::new(&ANSWERED)
+    let event = Event::new(ANSWERED)
         .with("request", &run.call.id)
         .with("route", &run.call.route)
         .with("outcome", outcome)
--- /dev/null
+++ b/crates/edge/tests/events.rs
@@ -0,0 +1,41 @@
+//! Streams are passed on event by event, whole.
+
+use edge::Splitter;
+use yare::parameterized;
+
+struct Case {
+    pieces: &'static [&'static str],
+    ids: &'static [Option<u64>],
+    torn: bool,
+}
+
+#[parameterized(
+    one = { Case { pieces: &["id: 1\ndata: a\n\n"], ids: &[Some(1)], torn: false } },
+    two_at_once = {
+        Case { pieces: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], ids: &[Some(1), Some(2)], torn: false }
+    },
+    cut_in_the_middle = {
+        Case { pieces: &["id: 1\nda", "ta: a\n", "\nid: 2\nda"], ids: &[Some(1)], torn: true }
+    },
+    cut_between_the_line_ends = {
+        Case { pieces: &["id:7\r\ndata: a\r\n\r", "\n"], ids: &[Some(7)], torn: false }
+    },
+    without_id = { Case { pieces: &["data: a\n\n"], ids: &[None], torn: false } },
+    nothing = { Case { pieces: &[""], ids: &[], torn: false } },
+)]
+fn events_come_whole(case: Case) {
+    let mut splitter = Splitter::default();
+    let mut ids = Vec::new();
+    let mut bytes = Vec::new();
+    for piece in case.pieces {
+        splitter.push(piece.as_bytes());
+        while let Some(event) = splitter.pop() {
+            ids.push(event.id);
+            bytes.extend_from_slice(&event.bytes);
+        }
+    }
+    assert_eq!(ids, case.ids);
+    assert_eq!(splitter.is_torn(), case.torn);
+    let sent = case.pieces.concat();
+    assert!(sent.as_bytes().starts_with(&bytes), "no byte is changed");
+}
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -20,6 +20,7 @@
     ("store", 800, 899, store::EVENTS),
     ("node", 900, 999, node::EVENTS),
     ("standin", 1000, 1099, standin::EVENTS),
+    ("edge", 1100, 1199, edge::EVENTS),
 ];
 
 const HEAD: &str = "# Events
--- /dev/null
+++ b/crates/path/tests/paths.rs
@@ -0,0 +1,233 @@
+//! Choice of paths: whole, in order, in one domain, spread by load; faults and budgets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::Layers;
+use path::{Budget, Fault, Health, Path, Table, Wish};
+use site::{Bounds, Card, Model, Report, State, Target};
+use yare::parameterized;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn model() -> Model {
+    let card = |name: &str, mb: f64| Card { name: name.into(), mb, pace: 1.0, read: 1.0 };
+    Model {
+        name: "m".into(),
+        depth: 80,
+        layer_mb: 100.0,
+        token_bytes: 800_000.0,
+        load: Duration::from_secs(10),
+        prompt: 800,
+        answer: 200,
+        slots: 100,
+        step: Duration::from_millis(1),
+        read_per_s: 100_000.0,
+        cards: vec![card("c", 6_000.0)],
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn target(number: u8, domain: &str, layers: (u16, u16)) -> Target {
+    Target {
+        id: format!("t{number}").into(),
+        service: "s".into(),
+        address: address(number),
+        domain: domain.into(),
+        state: State::Ready,
+        born: 1,
+        slots: 100,
+        card: "c".into(),
+        layers: Some(Layers::from(layers)),
+    }
+}
+
+/// Two domains with a chain of two engines each.
+fn table() -> Table {
+    let mut table = Table::new("a".into());
+    table.set(target(1, "a", (0, 40)));
+    table.set(target(2, "a", (40, 80)));
+    table.set(target(3, "b", (0, 40)));
+    table.set(target(4, "b", (40, 80)));
+    table
+}
+
+fn wish(avoid: &[SocketAddr]) -> Wish<'_> {
+    Wish { service: "s", avoid, tokens: 900.0, luck: 0.5 }
+}
+
+fn names(path: &Path) -> Vec<String> {
+    path.stages.iter().map(|stage| stage.target.to_string()).collect()
+}
+
+struct Case {
+    /// Targets that are left out.
+    down: &'static [u8],
+    /// Targets of the path; none when there is no path.
+    path: Option<&'static [&'static str]>,
+}
+
+#[parameterized(
+    domain_of_a_lost_engine_is_left = { Case { down: &[2], path: Some(&["t3", "t4"]) } },
+    other_domain_lost = { Case { down: &[3], path: Some(&["t1", "t2"]) } },
+    crossing_where_nothing_else_is_left = { Case { down: &[1, 4], path: Some(&["t3", "t2"]) } },
+    no_path = { Case { down: &[1, 3], path: None } },
+)]
+fn path_avoids_what_is_left_out(case: Case) {
+    let mut table = table();
+    for &number in case.down {
+        table.fault(NOW, address(number), Fault::Silent);
+    }
+    let path = table.path(NOW, &model(), &wish(&[]));
+    assert!(path.as_ref().is_none_or(|path| path.verify(80)));
+    let expected = case.path.map(|path| path.iter().map(|name| (*name).to_owned()).collect());
+    assert_eq!(path.as_ref().map(names), expected);
+}
+
+#[test]
+fn requests_spread_over_domains_by_load() {
+    let mut table = table();
+    let mut firsts = [0; 2];
+    for _ in 0..40 {
+        let path = table.path(NOW, &model(), &wish(&[])).expect("a path");
+        firsts[usize::from(path.first().target == "t3")] += 1;
+        for stage in &path.stages {
+            table.begin(&stage.target, 900.0);
+        }
+    }
+    assert_eq!(firsts, [20, 20]);
+}
+
+/// Pattern: a chain is lost, and its streams are moved all at once. They go to the chains that
+/// are left in equal parts, not all to one.
+#[test]
+fn moved_streams_do_not_queue_behind_each_other_on_one_chain() {
+    let mut table = table();
+    table.set(target(5, "c", (0, 40)));
+    table.set(target(6, "c", (40, 80)));
+    table.fault(NOW, address(1), Fault::Silent);
+    let mut counts = [0; 2];
+    for _ in 0..30 {
+        let path = table.path(NOW, &model(), &wish(&[])).expect("a path");
+        counts[usize::from(path.first().target == "t5")] += 1;
+        for stage in &path.stages {
+            table.read(&stage.target, 800.0);
+        }
+    }
+    assert!(counts.iter().all(|&count| (14..=16).contains(&count)), "{counts:?}");
+}
+
+#[test]
+fn what_other_vms_hold_counts_until_it_is_old() {
+    let mut table = table();
+    table.vms = 2;
+    let peer = address(99);
+    let until = NOW + Duration::from_secs(1);
+    table.share(peer, vec![("t1".into(), 30_000), ("t2".into(), 30_000)], until);
+    let path = table.path(NOW, &model(), &wish(&[])).expect("a path");
+    assert_eq!(names(&path), ["t3", "t4"]);
+    let busy = table.path(NOW, &model(), &wish(&[address(3)])).expect("a path");
+    assert!(busy.pressure > 0.9, "{}", busy.pressure);
+    let later = table.path(until, &model(), &wish(&[address(3)])).expect("a path");
+    assert!(later.pressure < 0.5, "{}", later.pressure);
+}
+
+#[test]
+fn slow_engine_is_avoided_until_it_reports_its_usual_pace() {
+    let mut table = table();
+    let mut report = Report { layers: Some(Layers::new(0, 40)), ..Report::default() };
+    report.pace = 4.0;
+    table.report(NOW, "t1", &report);
+    let path = table.path(NOW, &model(), &wish(&[])).expect("a path");
+    assert_eq!(names(&path), ["t3", "t4"]);
+    report.pace = 1.0;
+    table.report(NOW, "t1", &report);
+    table.begin("t3", 5000.0);
+    let path = table.path(NOW, &model(), &wish(&[])).expect("a path");
+    assert_eq!(names(&path), ["t1", "t2"]);
+}
+
+#[test]
+fn draining_and_missing_targets_get_nothing() {
+    let mut table = table();
+    table.set(Target { state: State::Draining, ..target(1, "a", (0, 40)) });
+    table.lapse("t3", NOW + Duration::from_secs(2));
+    let path = table.path(NOW, &model(), &wish(&[]));
+    assert!(path.is_some_and(|path| path.first().target == "t3"), "a missing entry may come back");
+    let gone = table.expire(NOW + Duration::from_secs(2));
+    assert_eq!(gone.len(), 1);
+    assert!(table.path(NOW, &model(), &wish(&[])).is_none());
+}
+
+#[test]
+fn entry_that_comes_back_is_not_gone() {
+    let mut table = table();
+    table.lapse("t3", NOW);
+    table.set(target(3, "b", (0, 40)));
+    assert!(table.expire(NOW).is_empty());
+}
+
+#[test]
+fn engine_that_started_again_under_its_id_is_a_new_one() {
+    let mut table = table();
+    table.fault(NOW, address(1), Fault::Silent);
+    table.set(Target { born: 2, layers: None, ..target(1, "a", (0, 40)) });
+    let entry = table.entry("t1").expect("an entry");
+    assert!(entry.is_usable(NOW));
+    assert_eq!((entry.layers, entry.orders), (None, Some(0)));
+}
+
+struct Step {
+    fault: Fault,
+    usable: bool,
+    left_out: bool,
+}
+
+#[parameterized(
+    silent = { Step { fault: Fault::Silent, usable: false, left_out: true } },
+    astray = { Step { fault: Fault::Astray, usable: false, left_out: true } },
+    reported = { Step { fault: Fault::Reported, usable: false, left_out: true } },
+    full = { Step { fault: Fault::Full, usable: false, left_out: false } },
+    failed = { Step { fault: Fault::Failed, usable: true, left_out: false } },
+)]
+fn faults_weigh_by_kind(step: Step) {
+    let mut health = Health::default();
+    assert_eq!(health.fault(NOW, step.fault), step.left_out);
+    assert_eq!(health.is_usable(NOW), step.usable);
+    assert_eq!(health.down_for(NOW).is_some(), step.left_out);
+}
+
+#[test]
+fn own_probe_goes_before_what_others_say() {
+    let mut health = Health::default();
+    health.fault(NOW, Fault::Reported);
+    assert!(health.revive(NOW));
+    assert!(!health.fault(NOW, Fault::Reported));
+    assert!(health.is_usable(NOW));
+    assert!(health.fault(NOW, Fault::Silent), "what this node sees itself counts at once");
+}
+
+#[test]
+fn probes_come_less_often_the_longer_a_target_is_left_out() {
+    let mut health = Health::default();
+    health.fault(NOW, Fault::Silent);
+    let probes =
+        (0..100).filter(|&step| health.take_probe(NOW + Duration::from_millis(step * 100)));
+    assert!((5..=8).contains(&probes.count()));
+}
+
+#[test]
+fn retries_stay_within_the_share_of_this_vm() {
+    let bounds = Bounds { retry_share: 0.2, retry_extra: 40.0, ..Bounds::default() };
+    let mut budget = Budget::default();
+    for _ in 0..100 {
+        budget.request(NOW, &bounds);
+    }
+    let taken = (0..200).filter(|_| budget.retry(NOW, &bounds, 4)).count();
+    assert_eq!(taken, 30, "0.2 of 100 requests, and a quarter of 40");
+    let later = NOW + bounds.retry_window;
+    assert!(budget.retry(later, &bounds, 4), "the window has passed");
+}
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -78,10 +78,48 @@
                 break;
             }
         }
+        if self.moves.is_empty() {
+            self.bypass();
+        }
         self.relieve();
         self.moves
     }
 
+    /// Lets others hold what slow engines hold, as far as spares and neighbours can.
+    fn bypass(&mut self) {
+        let slow: Vec<usize> =
+            (0..self.engines.len()).filter(|&index| self.engines[index].slow).collect();
+        if slow.is_empty() || self.fixed.iter().any(|fixed| *fixed) {
+            return;
+        }
+        let held = self.held.clone();
+        for &index in &slow {
+            self.held[index] = None;
+            self.fixed[index] = true;
+        }
+        for range in slow.iter().filter_map(|&index| held[index]) {
+            while let Some(gap) = self.gap_in(range) {
+                if !self.fill(gap) && !self.extend(gap) {
+                    break;
+                }
+            }
+        }
+        for &index in &slow {
+            self.held[index] = held[index];
+        }
+    }
+
+    /// The first part of a range that no engine holds.
+    fn gap_in(&self, range: Layers) -> Option<Layers> {
+        let holds = |layer: Layer| {
+            let one = Layers::new(layer, layer + 1);
+            self.held.iter().flatten().any(|layers| layers.contains(one))
+        };
+        let start = (range.start..range.end).find(|&layer| !holds(layer))?;
+        let end = (start..range.end).find(|&layer| holds(layer)).unwrap_or(range.end);
+        Some(Layers::new(start, end))
+    }
+
     fn order(&mut self, index: usize, layers: Layers) {
         self.held[index] = Some(layers);
         self.fixed[index] = true;
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -17,6 +17,8 @@
     pub layers: Option<Layers>,
     /// Whether an order to it is not done yet, or its outcome is not known.
     pub busy: bool,
+    /// Whether it works much slower than usual: others hold its layers too where they can.
+    pub slow: bool,
 }
 
 /// An engine that is to hold other layers.
--- a/crates/place/tests/cover.rs
+++ b/crates/place/tests/cover.rs
@@ -31,7 +31,7 @@
 
 fn engine(domain: &str, card: &str, number: usize) -> Engine {
     let id = format!("{domain}-{card}-{number}").into();
-    Engine { id, domain: domain.into(), card: card.into(), layers: None, busy: false }
+    Engine { id, domain: domain.into(), card: card.into(), layers: None, busy: false, slow: false }
 }
 
 /// Engines of a domain: how many of each kind.
@@ -151,3 +151,20 @@
     // The new engine loads first; nothing is given up in the same step.
     assert!(moves.iter().all(|change| change.target == "a-l4-20"), "{moves:?}");
 }
+
+#[test]
+fn layers_of_a_slow_engine_are_held_by_others_too() {
+    let mut all = engines("a", &[("h100", 1), ("a100s", 1), ("l4", 5), ("t4", 7)]);
+    settle(&mut all);
+    let slow = all.iter().position(|engine| engine.card == "l4" && engine.layers.is_some());
+    let slow = slow.expect("a used engine");
+    all[slow].slow = true;
+    settle(&mut all);
+    let range = all[slow].layers.expect("it keeps what it holds");
+    let others: Vec<Engine> = all.iter().filter(|engine| !engine.slow).cloned().collect();
+    for layer in range.start..range.end {
+        let one = Layers::new(layer, layer + 1);
+        let held = others.iter().any(|other| other.layers.is_some_and(|l| l.contains(one)));
+        assert!(held, "layer {layer} of the slow engine");
+    }
+}
