--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -302,6 +302,36 @@
     }
 }
 
+/// A stream counted at the first engine of its path while its events are passed on.
+struct Flow<'a> {
+    node: &'a Node,
+    first: &'a str,
+    silent: bool,
+}
+
+impl<'a> Flow<'a> {
+    fn begin(node: &'a Node, first: &'a str) -> Self {
+        node.table.borrow_mut().stream(first, 1, 0);
+        Self { node, first, silent: false }
+    }
+
+    /// Notes whether the stream pauses.
+    fn set_silent(&mut self, silent: bool) {
+        if silent != self.silent {
+            self.silent = silent;
+            let change = if silent { 1 } else { -1 };
+            self.node.table.borrow_mut().stream(self.first, 0, change);
+        }
+    }
+}
+
+impl Drop for Flow<'_> {
+    fn drop(&mut self) {
+        self.set_silent(false);
+        self.node.table.borrow_mut().stream(self.first, -1, 0);
+    }
+}
+
 /// How a part of a stream ended.
 enum Ended {
     Complete,
@@ -409,6 +439,8 @@
     let node = &run.node;
     let ends = run.ends();
     let mut heard = node.now();
+    let first = running.path.first().target.clone();
+    let mut flow = Flow::begin(node, &first);
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
@@ -424,6 +456,7 @@
             () = sleep(LOOK_INTERVAL) => {
                 let silent = node.now().saturating_sub(heard);
                 if silent >= SLOW_PATIENCE {
+                    flow.set_silent(true);
                     node.question(&running.path);
                 }
                 if silent >= PATIENCE && run.is_stuck(&running.path) {
@@ -448,6 +481,7 @@
             },
         };
         heard = node.now();
+        flow.set_silent(false);
         splitter.push(&bytes);
         while let Some(event) = splitter.pop() {
             if let (Some(id), Some(last)) = (event.id, progress.last) {
--- a/crates/path/src/budget.rs
+++ b/crates/path/src/budget.rs
@@ -8,6 +8,13 @@
 /// Slots that a window is divided into.
 const SLOTS: u32 = 20;
 
+/// Part of the budget that is spent. The rest covers what this VM cannot know: VMs that
+/// stopped and are counted again as others, and windows that slide between the slots.
+const SPENT_PART: f64 = 0.8;
+
+/// Windows after its start in which a VM takes nothing of the extra.
+const YOUNG: f64 = 0.5;
+
 /// Counts requests and retries of one service in a sliding window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
@@ -27,13 +34,16 @@
         self.slot(now, bounds).requests += 1;
     }
 
-    /// Takes one retry out of this VM's share, if any is left. `vms` share the extra.
+    /// Takes one retry out of this VM's share, if any is left. `vms` share the extra. A VM that
+    /// has just started has a part of it only: the one that it replaces may have spent the rest.
     pub fn retry(&mut self, now: Duration, bounds: &Bounds, vms: usize) -> bool {
         self.slot(now, bounds);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
-        let extra = bounds.retry_extra / vms.max(1) as f64;
-        let allowed = bounds.retry_share * f64::from(requests) + extra;
+        let age = now.as_secs_f64() / bounds.retry_window.as_secs_f64();
+        let part = (age - YOUNG).clamp(0.0, 1.0);
+        let extra = bounds.retry_extra / vms.max(1) as f64 * part;
+        let allowed = SPENT_PART * (bounds.retry_share * f64::from(requests) + extra);
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -21,6 +21,8 @@
 const PRESSURE_WEIGHT: f64 = 4.0;
 /// Cost of an engine whose memory is taken, seconds.
 const FULL: f64 = 5.0;
+/// Cost of beginning at an engine whose streams pause, seconds.
+const DOUBT: f64 = 3.0;
 /// Share of the prompts that wait at an engine that a new one waits for: the engines of a
 /// path read one after another, each a different prompt.
 const READING_SHARE: f64 = 0.2;
@@ -163,7 +165,8 @@
             let full = if taken > 1.0 { FULL * taken } else { 0.0 };
             let failing = FAILURE_COST * entry.health.failure_rate();
             let slow = if entry.is_slow() { SLOW_COST * (entry.pace - 1.0) } else { 0.0 };
-            let fixed = base + HOP + full + failing + slow;
+            let doubt = if at == 0 && entry.is_doubtful() { DOUBT } else { 0.0 };
+            let fixed = base + HOP + full + failing + slow + doubt;
             let whole =
                 work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken) + waiting(entry, model, vms);
             let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= layers.end);
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -15,6 +15,9 @@
 const FAILURE_WEIGHT: f64 = 12.0;
 /// Shortest interval at which one VM asks an engine for its report.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(600);
+/// Streams that must pause before their first engine is in doubt: one alone may wait for a
+/// long prompt.
+const DOUBTFUL_STREAMS: u32 = 3;
 /// Pace from which an engine counts as slow: reports scatter around 1.
 const SLOW: f64 = 1.5;
 /// A plain target in another failure domain looks loaded by this many more requests.
@@ -41,6 +44,10 @@
     pub tokens: f64,
     /// Tokens of prompts of this VM that are being read there.
     pub reading: f64,
+    /// Streams of this VM that began at this engine.
+    pub streams: u32,
+    /// Streams that began at this engine and pause.
+    pub silent: u32,
     /// Time at which an entry that is missing from the store counts as gone.
     gone_at: Option<Duration>,
 }
@@ -51,6 +58,11 @@
         self.pace > SLOW
     }
 
+    /// Whether most of the streams that began here pause: an engine of their path may be lost.
+    pub fn is_doubtful(&self) -> bool {
+        self.silent >= DOUBTFUL_STREAMS && self.silent * 2 > self.streams
+    }
+
     /// Whether its report may be asked for; not again for a while.
     fn take_question(&mut self, now: Duration) -> bool {
         let due = now.saturating_sub(self.asked) >= QUESTION_INTERVAL;
@@ -121,6 +133,7 @@
             // An engine that holds layers was ordered before this node knew it.
             let orders = layers.is_none().then_some(0);
             let (running, tokens, reading, gone_at) = (0, 0.0, 0.0, None);
+            let (streams, silent) = (0, 0);
             let (pace, asked) = (1.0, Duration::ZERO);
             let entry = Entry {
                 layers,
@@ -131,6 +144,8 @@
                 running,
                 tokens,
                 reading,
+                streams,
+                silent,
                 gone_at,
                 target,
             };
@@ -284,6 +299,15 @@
         }
     }
 
+    /// Counts streams that begin at an engine, and those of them that pause; negative when
+    /// they end or go on.
+    pub fn stream(&mut self, id: &str, streams: i32, silent: i32) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.streams = entry.streams.saturating_add_signed(streams);
+            entry.silent = entry.silent.saturating_add_signed(silent);
+        }
+    }
+
     /// Counts a request that begins to run at a target.
     pub fn begin(&mut self, id: &str, tokens: f64) {
         if let Some(entry) = self.entries.get_mut(id) {
