--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -28,11 +28,20 @@
 
 /// Smallest read buffer that the library takes.
 const LEAST_BUFFER: usize = 8 << 10;
+/// Longest wait for the first configuration; callers give up a connection after a second.
+const MOST_WAIT: Duration = Duration::from_millis(700);
+/// Interval at which the first configuration is looked for.
+const CONFIG_POLL: Duration = Duration::from_millis(10);
 /// When a caller that was turned away for the state of this node may come back.
 const ELSEWHERE: Duration = Duration::from_millis(500);
 
-/// Accepts callers for good.
+/// Accepts callers for good, once there is a configuration to serve them by. Those that come
+/// earlier wait a moment rather than be turned away.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let started = node.now();
+    while node.config().is_none() && node.now().saturating_sub(started) < MOST_WAIT {
+        tokio::time::sleep(CONFIG_POLL).await;
+    }
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -17,6 +17,7 @@
 use platform::kv::{Item, LeaseId, Revision, Write};
 use site::{Model, Service, State, TargetKey};
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::event::{LEADING, ORDERED};
@@ -29,11 +30,11 @@
 pub(crate) const NODE_PREFIX: &str = "magnoliarun/nodes/";
 
 /// Time to live of a node's lease.
-const LEASE_TTL: Duration = Duration::from_millis(2400);
+const LEASE_TTL: Duration = Duration::from_millis(1600);
 /// Interval of renewals: two can be lost.
-const RENEW_INTERVAL: Duration = Duration::from_millis(700);
+const RENEW_INTERVAL: Duration = Duration::from_millis(450);
 /// How long before a lease ends its holder stops acting on it.
-const LEASE_MARGIN: Duration = Duration::from_millis(500);
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which the leader looks at the layout.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for an engine's answer to an order.
@@ -42,6 +43,8 @@
 const LOST_AFTER: Duration = Duration::from_millis(200);
 /// Pause before an engine whose order went wrong is ordered again.
 const REORDER_PAUSE: Duration = Duration::from_millis(500);
+/// Pause before an engine that did not answer an order is ordered again.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(2500);
 /// How long an order is expected to take beyond the time to load.
 const LOAD_SLACK: Duration = Duration::from_millis(1500);
 
@@ -54,6 +57,8 @@
     lease: Cell<Option<LeaseId>>,
     /// Until when the lease holds.
     until: Cell<Duration>,
+    /// Told when nobody leads any more.
+    vacant: Notify,
 }
 
 impl Leadership {
@@ -64,6 +69,7 @@
             known: Cell::new(false),
             lease: Cell::new(None),
             until: Cell::new(Duration::ZERO),
+            vacant: Notify::new(),
         }
     }
 
@@ -73,6 +79,9 @@
             let name = String::from_utf8_lossy(value).into_owned();
             (name, item.created)
         });
+        if holder.is_none() {
+            self.vacant.notify_waiters();
+        }
         *self.holder.borrow_mut() = holder;
     }
 
@@ -112,7 +121,10 @@
         if let Some(lease) = lease {
             claim(&node, &store, lease).await;
         }
-        sleep(pause).await;
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = leadership.vacant.notified() => {}
+        }
     }
 }
 
@@ -244,15 +256,19 @@
     fn plan(&mut self, service: &Service, model: &Model) -> Vec<Move> {
         let now = self.node.now();
         let table = self.node.table.borrow();
+        let is_paused = |id: &TargetKey| self.paused.get(id).is_some_and(|until| *until > now);
         let usable = table.entries().filter(|entry| {
             let lost = entry.health.down_for(now).is_some_and(|down| down > LOST_AFTER);
-            entry.target.service == service.name && entry.target.state == State::Ready && !lost
+            // An empty engine that does not take orders is of no use to the plan.
+            let idle = entry.layers.is_none() && is_paused(&entry.target.id);
+            let ready = entry.target.state == State::Ready && !lost && !idle;
+            entry.target.service == service.name && ready
         });
         let engines: Vec<Engine> = usable
             .map(|entry| {
                 let id = entry.target.id.clone();
                 let pending = self.pending.get(&id);
-                let paused = self.paused.get(&id).is_some_and(|until| *until > now);
+                let paused = is_paused(&id);
                 let down = entry.health.down_for(now).is_some();
                 Engine {
                     domain: entry.target.domain.clone(),
@@ -324,13 +340,13 @@
             let share = f64::from(change.layers.len()) / f64::from(model.depth.max(1));
             let id = change.target;
             match outcome {
-                Outcome::Accepted | Outcome::Unknown => {
-                    let accepted = outcome == Outcome::Accepted;
-                    if accepted {
-                        self.node.table.borrow_mut().ordered(&id);
-                    }
-                    let load = model.load.mul_f64(share);
-                    let until = now + if accepted { load + LOAD_SLACK } else { load };
+                Outcome::Unknown => {
+                    // It may be carried out late; meanwhile another engine is better.
+                    self.paused.insert(id, now + UNKNOWN_PAUSE);
+                }
+                Outcome::Accepted => {
+                    self.node.table.borrow_mut().ordered(&id);
+                    let until = now + model.load.mul_f64(share) + LOAD_SLACK;
                     self.pending.insert(id, Pending { layers: order.layers, until });
                 }
                 Outcome::Refused => {
@@ -342,7 +358,9 @@
                     }
                 }
                 Outcome::Fenced => {
+                    // Another node leads, though this one has not heard of it yet.
                     self.leadership.until.set(Duration::ZERO);
+                    self.leadership.lease.set(None);
                     return;
                 }
             }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -114,7 +114,7 @@
     match failed {
         Some(response) => response,
         None if ran > 0 => lost(node, call),
-        None => later(StatusCode::SERVICE_UNAVAILABLE, "no target", node.comeback(call)),
+        None => later(StatusCode::SERVICE_UNAVAILABLE, "no target", node.comeback(call, COMEBACK)),
     }
 }
 
@@ -184,10 +184,10 @@
 const COMEBACK: Duration = Duration::from_millis(400);
 
 impl Node {
-    /// When a refused caller may come back: spread, so that not all come at once, and early
-    /// enough that the request can still be served.
-    pub(crate) fn comeback(&self, call: &Call) -> Duration {
+    /// When a refused caller may come back: `least` or later, spread so that not all come at
+    /// once, and early enough that the request can still be served.
+    pub(crate) fn comeback(&self, call: &Call, least: Duration) -> Duration {
         let left = call.ends.saturating_sub(self.now());
-        COMEBACK.mul_f64(1.0 + 1.5 * self.luck()).min(left / 4)
+        least.mul_f64(1.0 + 1.5 * self.luck()).min(left / 4)
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -37,6 +37,8 @@
 const EVENTS_WAITING: usize = 32;
 /// Share of an engine's memory beyond which new requests are turned away.
 const MOST_PRESSURE: f64 = 1.0;
+/// Time that it takes for memory to become free again: streams last a few seconds.
+const OVERLOAD: Duration = Duration::from_millis(1500);
 /// A refusal that took this long came after the engine had hung.
 const HUNG: Duration = Duration::from_millis(800);
 
@@ -134,7 +136,8 @@
         }
         Err(Closed::Failed(response)) => response,
         Err(Closed::NotRun(reason)) => {
-            later(StatusCode::SERVICE_UNAVAILABLE, reason, node.comeback(&run.call))
+            let after = node.comeback(&run.call, OVERLOAD);
+            later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
         }
         Err(Closed::Unknown) if node.now() >= run.call.ends => {
             own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
