--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -34,4 +34,5 @@
     RELOADED = 1118, "settings-reread", "The settings were read again.";
     LINES_LOST = 1119, "lines-lost", "Log lines were left out because the reader is slow.";
     PEERS = 1120, "peers", "The number of other nodes changed.";
+    LAYOUT = 1121, "layout", "The layers that no engine of a failure domain holds have changed.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -8,6 +8,7 @@
 use fleet::Event;
 use platform::kv::{Item, Revision};
 use platform::{CONFIG_KEY, TARGET_PREFIX};
+use site::{Config, Service};
 use tokio::time::sleep;
 
 use crate::event::{
@@ -167,7 +168,8 @@
         let event = Event::new(CONFIGURED)
             .with("version", config.version)
             .with("before", current)
-            .with("revision", item.revision);
+            .with("revision", item.revision)
+            .with("services", services(&config));
         log::info!("{event}");
         metrics::gauge!("magnolia_configuration_version").set(config.version as f64);
         *self.node.config.borrow_mut() = Some(Rc::new(config));
@@ -185,6 +187,8 @@
             Ok(target) => {
                 let event = Event::new(TARGET_CHANGED)
                     .with("target", id)
+                    .with("service", &target.service)
+                    .with("domain", &target.domain)
                     .with("state", format_args!("{:?}", target.state))
                     .with("layers", format_args!("{:?}", target.layers))
                     .with("revision", item.revision);
@@ -202,6 +206,15 @@
     }
 }
 
+/// Names of the services, for the log.
+fn services(config: &Config) -> String {
+    let name = |service: &Service| {
+        let kind = if service.model.is_some() { "model" } else { "plain" };
+        format!("{}:{kind}", service.name)
+    };
+    config.services().map(name).collect::<Vec<_>>().join(",")
+}
+
 /// Forgets targets that count as gone.
 pub(crate) fn expire(node: &Node) {
     let gone = node.table.borrow_mut().expire(node.now());
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::{Event, Layers};
+use fleet::{DomainName, Event, Layers};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use place::{Arrival, Engine, Move};
@@ -20,7 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::event::{LEADING, ORDERED};
+use crate::event::{LAYOUT, LEADING, ORDERED};
 use crate::node::Node;
 use crate::store::{Reply, Store};
 
@@ -189,14 +189,16 @@
     paused: HashMap<TargetKey, Duration>,
     /// Engines of each service as they register.
     arrivals: HashMap<SmolStr, Arrival>,
+    /// Layers that no engine of a domain held at the last look.
+    gaps: Vec<(DomainName, Layers)>,
     leads: bool,
 }
 
 impl Orders {
     /// Nothing is ordered yet.
     pub(crate) fn new(node: Rc<Node>, leadership: Rc<Leadership>) -> Self {
-        let (pending, paused, arrivals) = Default::default();
-        Self { node, leadership, pending, paused, arrivals, leads: false }
+        let (pending, paused, arrivals, gaps) = Default::default();
+        Self { node, leadership, pending, paused, arrivals, gaps, leads: false }
     }
 
     /// Gives orders for good.
@@ -283,6 +285,17 @@
         let heartbeat = self.node.settings.heartbeat;
         let arrival = self.arrivals.entry(service.name.clone()).or_default();
         let settled = arrival.is_settled(now, engines.len(), heartbeat);
+        let gaps = place::gaps(&engines, model);
+        if gaps != self.gaps {
+            let busy = engines.iter().filter(|engine| engine.busy).count();
+            let event = Event::new(LAYOUT)
+                .with("gaps", format_args!("{gaps:?}"))
+                .with("engines", engines.len())
+                .with("busy", busy)
+                .with("settled", settled);
+            log::info!("{event}");
+            self.gaps = gaps;
+        }
         let placed = engines.iter().any(|engine| engine.layers.is_some());
         if settled || placed { place::plan(&engines, model) } else { Vec::new() }
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -17,7 +17,7 @@
 
 use crate::answer::{Answer, Broken, later, own};
 use crate::call::{Call, at_fault, back};
-use crate::event::{ANSWERED, RETRIED};
+use crate::event::{ANSWERED, REFUSED, RETRIED};
 use crate::events::Splitter;
 use crate::link::{Connection, Unanswered};
 use crate::node::Node;
@@ -119,13 +119,15 @@
     offers: u32,
     /// Offers that may have run at an engine that goes on living.
     ran: u32,
+    /// Share of memory taken on the best path that was found last.
+    pressure: f64,
 }
 
 /// Sends a request along a path and passes on the events.
 pub(crate) async fn relay(node: &Rc<Node>, call: Call, model: Rc<Model>) -> Response<Answer> {
     let call = Rc::new(call);
     let (avoid, offers, ran) = (Vec::new(), 0, 0);
-    let mut run = Run { node: node.clone(), call, model, avoid, offers, ran };
+    let mut run = Run { node: node.clone(), call, model, avoid, offers, ran, pressure: 0.0 };
     match run.open(None).await {
         Ok(open) => {
             let mut response = Response::new(());
@@ -137,6 +139,14 @@
         Err(Closed::Failed(response)) => response,
         Err(Closed::NotRun(reason)) => {
             let after = node.comeback(&run.call, OVERLOAD);
+            let event = Event::new(REFUSED)
+                .with("request", &run.call.id)
+                .with("reason", reason)
+                .with("offers", run.offers)
+                .with("left_ms", run.call.ends.saturating_sub(node.now()).as_millis())
+                .with("pressure", format_args!("{:.2}", run.pressure))
+                .with("retry_after_ms", after.as_millis());
+            log::info!("{event}");
             later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
         }
         Err(Closed::Unknown) if node.now() >= run.call.ends => {
@@ -166,6 +176,7 @@
             };
             let path = self.node.table.borrow().path(now, &self.model, &wish);
             let Some(path) = path else { break };
+            self.pressure = path.pressure;
             if path.pressure > MOST_PRESSURE && last_event.is_none() {
                 reason = "full";
                 break;
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -199,6 +199,23 @@
         (at, domain) = (from, other);
     }
     stages.reverse();
-    let path = Path { stages, pressure: most };
+    let path = Path { stages: merged(stages), pressure: most };
     path.verify(model.depth).then_some(path)
 }
+
+/// Lets an engine to which a path returns run what lies between as well: it holds one range,
+/// and no engine may stand in a path twice.
+fn merged(stages: Vec<Stage>) -> Vec<Stage> {
+    let mut merged: Vec<Stage> = Vec::with_capacity(stages.len());
+    for stage in stages {
+        let earlier = merged.iter().position(|other| other.target == stage.target);
+        match earlier {
+            Some(index) => {
+                merged.truncate(index + 1);
+                merged[index].layers.end = stage.layers.end;
+            }
+            None => merged.push(stage),
+        }
+    }
+    merged
+}
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -126,7 +126,22 @@
     }
 
     /// Takes what a target registered. Returns whether something that matters changed.
+    ///
+    /// Of two targets at one address only the younger lives: the entry of the other stays in
+    /// the store until it lapses.
     pub fn set(&mut self, target: Target) -> bool {
+        let twins = self.entries.values().map(|entry| &entry.target);
+        let mut twins =
+            twins.filter(|other| other.address == target.address && other.id != target.id);
+        if twins.any(|other| other.born > target.born) {
+            self.entries.remove(&target.id);
+            return false;
+        }
+        self.entries.retain(|id, entry| {
+            *id == target.id
+                || entry.target.address != target.address
+                || entry.target.born >= target.born
+        });
         let Some(entry) = self.entries.get_mut(&target.id) else {
             let layers = target.layers;
             let health = Health::default();
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -199,6 +199,43 @@
     assert_eq!((entry.layers, entry.orders), (None, Some(0)));
 }
 
+/// Found on Floorline trouble-3: an engine started again under another id while the store was
+/// down, and both entries stood there. Paths through both ids were refused as no path.
+#[parameterized(
+    old_entry_first = { true },
+    old_entry_last = { false },
+)]
+fn of_two_targets_at_one_address_the_younger_lives(old_first: bool) {
+    let old = Target { id: "old".into(), ..target(1, "a", (0, 40)) };
+    let young = Target { id: "young".into(), born: 2, ..target(1, "a", (40, 80)) };
+    let mut table = Table::new("a".into());
+    let mut pair = [old, young];
+    if !old_first {
+        pair.reverse();
+    }
+    for target in pair {
+        table.set(target);
+    }
+    table.set(target(2, "a", (0, 40)));
+    let path = table.path(NOW, &model(), &wish(&[])).expect("a path");
+    assert_eq!(names(&path), ["t2", "young"]);
+    assert!(table.entry("old").is_none());
+}
+
+/// Found on Floorline trouble-3: an engine that is left for a less loaded one in the middle of
+/// its range and taken again behind it stood in the path twice, and the path was thrown away.
+#[test]
+fn engine_that_a_path_returns_to_runs_what_lies_between() {
+    let mut table = Table::new("a".into());
+    table.set(target(1, "a", (0, 80)));
+    table.set(target(2, "a", (20, 60)));
+    table.begin("t1", 3000.0);
+    let model = Model { layer_mb: 10.0, ..model() };
+    let path = table.path(NOW, &model, &wish(&[])).expect("a path");
+    assert!(path.verify(80));
+    assert_eq!(names(&path), ["t1"]);
+}
+
 struct Step {
     fault: Fault,
     usable: bool,
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -36,6 +36,33 @@
     moves
 }
 
+/// Layers that no engine of a failure domain holds, for each domain that misses some.
+pub fn gaps(engines: &[Engine], model: &Model) -> Vec<(DomainName, Layers)> {
+    let mut domains: Vec<&DomainName> = engines.iter().map(|engine| &engine.domain).collect();
+    domains.sort();
+    domains.dedup();
+    let first = domains.into_iter().filter_map(|domain| {
+        let local = engines.iter().filter(|engine| engine.domain == *domain);
+        let held: Vec<Option<Layers>> = local.map(|engine| engine.layers).collect();
+        first_gap(&held, model.depth).map(|gap| (domain.clone(), gap))
+    });
+    first.collect()
+}
+
+/// The first range that no engine holds.
+fn first_gap(held: &[Option<Layers>], depth: Layer) -> Option<Layers> {
+    let mut ranges: Vec<Layers> = held.iter().flatten().copied().collect();
+    ranges.sort();
+    let mut at: Layer = 0;
+    for layers in ranges {
+        if layers.start > at {
+            return Some(Layers::new(at, layers.start));
+        }
+        at = at.max(layers.end);
+    }
+    (at < depth).then(|| Layers::new(at, depth))
+}
+
 /// The engines of one failure domain while its moves are worked out.
 struct Domain<'a> {
     engines: &'a [&'a Engine],
@@ -72,7 +99,7 @@
     }
 
     fn plan(mut self) -> Vec<Move> {
-        while let Some(gap) = self.first_gap() {
+        while let Some(gap) = first_gap(&self.held, self.depth) {
             if !self.fill(gap) && !self.extend(gap) {
                 self.shift(gap);
                 break;
@@ -126,20 +153,6 @@
         self.moves.push(Move { target: self.engines[index].id.clone(), layers });
     }
 
-    /// The first range that no engine holds.
-    fn first_gap(&self) -> Option<Layers> {
-        let mut ranges: Vec<Layers> = self.held.iter().flatten().copied().collect();
-        ranges.sort();
-        let mut at: Layer = 0;
-        for layers in ranges {
-            if layers.start > at {
-                return Some(Layers::new(at, layers.start));
-            }
-            at = at.max(layers.end);
-        }
-        (at < self.depth).then(|| Layers::new(at, self.depth))
-    }
-
     /// Gives the first part of a gap to a spare.
     fn fill(&mut self, gap: Layers) -> bool {
         let Some(index) = self.spare(gap.len()) else { return false };
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,5 +10,5 @@
 mod engine;
 
 pub use arrival::Arrival;
-pub use cover::plan;
+pub use cover::{gaps, plan};
 pub use engine::{Engine, Move};
