--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -23,7 +23,8 @@
 /// Reports asked for lately.
 #[derive(Default)]
 pub(crate) struct Reports {
-    recent: RefCell<HashMap<SocketAddr, (Duration, Option<Rc<Report>>)>>,
+    /// When each engine was last asked by a request that hangs.
+    asked: RefCell<HashMap<SocketAddr, Duration>>,
 }
 
 impl Node {
@@ -47,15 +48,13 @@
     pub(crate) async fn diagnose(&self, path: &Path) {
         let first = path.first().address;
         let now = self.now();
-        let recent = self.reports.recent.borrow().get(&first).cloned();
-        if recent.is_some_and(|(at, _)| now.saturating_sub(at) < REPORT_AGE) {
+        let asked = self.reports.asked.borrow_mut().insert(first, now);
+        if asked.is_some_and(|at| now.saturating_sub(at) < REPORT_AGE) {
+            // Others that ask meanwhile go by what the call in progress finds.
+            self.reports.asked.borrow_mut().insert(first, asked.unwrap_or(now));
             return;
         }
-        // Others that ask meanwhile wait for what this call finds.
-        self.reports.recent.borrow_mut().insert(first, (now, None));
-        let report = self.ask(first).await.map(Rc::new);
-        self.reports.recent.borrow_mut().insert(first, (self.now(), report.clone()));
-        match report {
+        match self.ask(first).await {
             None => self.fault(first, Fault::Silent, "no report"),
             Some(report) => {
                 for stall in &report.stalls {
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -1,26 +1,16 @@
-//! The one node that gives orders, and the orders.
-//!
-//! A node leads while a lease in the store holds the leader's key. The revision at which the
-//! key came into being is the fencing number of its orders.
+//! The one node that gives orders: a lease in the store holds the leader's key. The revision at
+//! which the key came into being is the fencing number of its orders.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::{DomainName, Event, Layers};
-use http_body_util::BodyExt;
-use hyper::StatusCode;
-use place::{Arrival, Engine, Move};
-use platform::Order;
+use fleet::Event;
 use platform::kv::{Item, LeaseId, Revision, Write};
-use site::{Model, Service, State, TargetKey};
-use smol_str::SmolStr;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::event::{LAYOUT, LEADING, ORDERED};
+use crate::event::LEADING;
 use crate::node::Node;
 use crate::store::{Reply, Store};
 
@@ -35,18 +25,6 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(450);
 /// How long before a lease ends its holder stops acting on it.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
-/// Interval at which the leader looks at the layout.
-const PLAN_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest wait for an engine's answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// An engine that has been left out this long is not waited for.
-const LOST_AFTER: Duration = Duration::from_millis(200);
-/// Pause before an engine whose order went wrong is ordered again.
-const REORDER_PAUSE: Duration = Duration::from_millis(500);
-/// Pause before an engine that did not answer an order is ordered again.
-const UNKNOWN_PAUSE: Duration = Duration::from_millis(2500);
-/// How long an order is expected to take beyond the time to load.
-const LOAD_SLACK: Duration = Duration::from_millis(1500);
 
 /// Whether this node leads.
 pub(crate) struct Leadership {
@@ -85,8 +63,14 @@
         *self.holder.borrow_mut() = holder;
     }
 
+    /// Gives up leading: another node has.
+    pub(crate) fn step_down(&self) {
+        self.until.set(Duration::ZERO);
+        self.lease.set(None);
+    }
+
     /// The fencing number of this node's orders, while it leads.
-    fn fence(&self, node: &Node) -> Option<Revision> {
+    pub(crate) fn fence(&self, node: &Node) -> Option<Revision> {
         let holder = self.holder.borrow();
         let (name, created) = holder.as_ref()?;
         let holds = *name == identity(node) && node.now() + LEASE_MARGIN < self.until.get();
@@ -170,243 +154,3 @@
     let event = Event::new(LEADING).with("claimed", matches!(reply, Reply::Done(_)));
     log::info!("{event}");
 }
-
-/// An order whose effect is not seen yet.
-#[derive(Clone, Copy, Debug)]
-struct Pending {
-    /// Layers that the engine will hold.
-    layers: Layers,
-    /// When the engine is asked what became of it.
-    until: Duration,
-}
-
-/// Gives orders while this node leads.
-pub(crate) struct Orders {
-    node: Rc<Node>,
-    leadership: Rc<Leadership>,
-    pending: HashMap<TargetKey, Pending>,
-    /// Engines that are not ordered before a time.
-    paused: HashMap<TargetKey, Duration>,
-    /// Engines of each service as they register.
-    arrivals: HashMap<SmolStr, Arrival>,
-    /// Layers that no engine of a domain held at the last look.
-    gaps: Vec<(DomainName, Layers)>,
-    leads: bool,
-}
-
-impl Orders {
-    /// Nothing is ordered yet.
-    pub(crate) fn new(node: Rc<Node>, leadership: Rc<Leadership>) -> Self {
-        let (pending, paused, arrivals, gaps) = Default::default();
-        Self { node, leadership, pending, paused, arrivals, gaps, leads: false }
-    }
-
-    /// Gives orders for good.
-    pub(crate) async fn run(mut self) {
-        loop {
-            sleep(PLAN_INTERVAL).await;
-            let fence = self.leadership.fence(&self.node);
-            if self.leads != fence.is_some() {
-                self.leads = fence.is_some();
-                self.pending.clear();
-                let fence = fence.unwrap_or(0);
-                log::info!(
-                    "{}",
-                    Event::new(LEADING).with("leads", self.leads).with("fence", fence)
-                );
-            }
-            let Some(fence) = fence else { continue };
-            let Some(config) = self.node.config() else { continue };
-            for service in config.services() {
-                if let Some(model) = &service.model {
-                    self.settle().await;
-                    let moves = self.plan(service, model);
-                    self.give(&moves, model, fence).await;
-                }
-            }
-        }
-    }
-
-    /// Forgets orders whose effect shows, and asks about those that take too long.
-    async fn settle(&mut self) {
-        let now = self.node.now();
-        let mut overdue = Vec::new();
-        {
-            let table = self.node.table.borrow();
-            self.pending.retain(|id, pending| {
-                let Some(entry) = table.entry(id) else { return false };
-                if entry.layers == Some(pending.layers) {
-                    return false;
-                }
-                if pending.until <= now {
-                    overdue.push((id.clone(), entry.target.address));
-                }
-                true
-            });
-        }
-        for (id, address) in overdue {
-            self.pending.remove(&id);
-            if let Some(report) = self.node.ask(address).await {
-                self.node.report(&id, &report);
-                if report.busy {
-                    self.paused.insert(id, now + REORDER_PAUSE);
-                }
-            }
-        }
-    }
-
-    fn plan(&mut self, service: &Service, model: &Model) -> Vec<Move> {
-        let now = self.node.now();
-        let table = self.node.table.borrow();
-        let is_paused = |id: &TargetKey| self.paused.get(id).is_some_and(|until| *until > now);
-        let usable = table.entries().filter(|entry| {
-            let lost = entry.health.down_for(now).is_some_and(|down| down > LOST_AFTER);
-            // An empty engine that does not take orders is of no use to the plan.
-            let idle = entry.layers.is_none() && is_paused(&entry.target.id);
-            let ready = entry.target.state == State::Ready && !lost && !idle;
-            entry.target.service == service.name && ready
-        });
-        let engines: Vec<Engine> = usable
-            .map(|entry| {
-                let id = entry.target.id.clone();
-                let pending = self.pending.get(&id);
-                let paused = is_paused(&id);
-                let down = entry.health.down_for(now).is_some();
-                Engine {
-                    domain: entry.target.domain.clone(),
-                    card: entry.target.card.clone(),
-                    layers: pending.map(|pending| pending.layers).or(entry.layers),
-                    busy: pending.is_some() || paused || down,
-                    slow: entry.is_slow(),
-                    id,
-                }
-            })
-            .collect();
-        let heartbeat = self.node.settings.heartbeat;
-        let arrival = self.arrivals.entry(service.name.clone()).or_default();
-        let settled = arrival.is_settled(now, engines.len(), heartbeat);
-        let gaps = place::gaps(&engines, model);
-        if gaps != self.gaps {
-            let busy = engines.iter().filter(|engine| engine.busy).count();
-            let event = Event::new(LAYOUT)
-                .with("gaps", format_args!("{gaps:?}"))
-                .with("engines", engines.len())
-                .with("busy", busy)
-                .with("settled", settled);
-            log::info!("{event}");
-            self.gaps = gaps;
-        }
-        let placed = engines.iter().any(|engine| engine.layers.is_some());
-        if settled || placed { place::plan(&engines, model) } else { Vec::new() }
-    }
-
-    /// Asks engines how many orders they have accepted where that is not known.
-    async fn inquire(&self, moves: &[Move]) {
-        let unknown = moves.iter().filter_map(|change| {
-            let table = self.node.table.borrow();
-            let entry = table.entry(&change.target)?;
-            let address = entry.target.address;
-            entry.orders.is_none().then(|| (change.target.clone(), address))
-        });
-        let asked: Vec<_> = unknown
-            .map(|(id, address)| {
-                let node = self.node.clone();
-                tokio::task::spawn_local(async move {
-                    if let Some(report) = node.ask(address).await {
-                        node.report(&id, &report);
-                    }
-                })
-            })
-            .collect();
-        for task in asked {
-            // A task that fails has asked in vain.
-            task.await.ok();
-        }
-    }
-
-    async fn give(&mut self, moves: &[Move], model: &Model, fence: Revision) {
-        self.inquire(moves).await;
-        let tasks: Vec<_> = moves
-            .iter()
-            .filter_map(|change| {
-                let table = self.node.table.borrow();
-                let entry = table.entry(&change.target)?;
-                let order = Order { layers: change.layers, fence, expected: entry.orders? };
-                let node = self.node.clone();
-                let address = entry.target.address;
-                let task =
-                    tokio::task::spawn_local(async move { send(&node, address, order).await });
-                Some((change.clone(), order, task))
-            })
-            .collect();
-        for (change, order, task) in tasks {
-            let outcome = task.await.unwrap_or(Outcome::Unknown);
-            let event = Event::new(ORDERED)
-                .with("target", &change.target)
-                .with("layers", format_args!("{:?}", order.layers))
-                .with("fence", order.fence)
-                .with("expected", order.expected)
-                .with("outcome", format_args!("{outcome:?}"));
-            log::info!("{event}");
-            metrics::counter!("magnolia_orders").increment(1);
-            let now = self.node.now();
-            let share = f64::from(change.layers.len()) / f64::from(model.depth.max(1));
-            let id = change.target;
-            match outcome {
-                Outcome::Unknown => {
-                    // It may be carried out late; meanwhile another engine is better.
-                    self.paused.insert(id, now + UNKNOWN_PAUSE);
-                }
-                Outcome::Accepted => {
-                    self.node.table.borrow_mut().ordered(&id);
-                    let until = now + model.load.mul_f64(share) + LOAD_SLACK;
-                    self.pending.insert(id, Pending { layers: order.layers, until });
-                }
-                Outcome::Refused => {
-                    self.paused.insert(id.clone(), now + REORDER_PAUSE);
-                    let address = self.node.table.borrow().entry(&id).map(|e| e.target.address);
-                    let Some(address) = address else { continue };
-                    if let Some(report) = self.node.ask(address).await {
-                        self.node.report(&id, &report);
-                    }
-                }
-                Outcome::Fenced => {
-                    // Another node leads, though this one has not heard of it yet.
-                    self.leadership.until.set(Duration::ZERO);
-                    self.leadership.lease.set(None);
-                    return;
-                }
-            }
-        }
-    }
-}
-
-/// What came of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outcome {
-    /// It has begun, or was done already.
-    Accepted,
-    /// The engine is in another state than was thought.
-    Refused,
-    /// Another node leads.
-    Fenced,
-    /// It may be carried out, now or later.
-    Unknown,
-}
-
-async fn send(node: &Node, address: SocketAddr, order: Order) -> Outcome {
-    let exchange = async {
-        let begun = node.pool.send(address, platform::order(address, order)).await.ok()?;
-        let (response, connection) = begun.split();
-        let status = response.status();
-        response.into_body().collect().await.ok()?;
-        node.pool.give_back(connection);
-        Some(status)
-    };
-    match timeout(ORDER_TIMEOUT, exchange).await {
-        Ok(Some(StatusCode::OK | StatusCode::ACCEPTED)) => Outcome::Accepted,
-        Ok(Some(StatusCode::PRECONDITION_FAILED)) => Outcome::Fenced,
-        Ok(Some(_)) => Outcome::Refused,
-        Ok(None) | Err(_) => Outcome::Unknown,
-    }
-}
--- /dev/null
+++ b/crates/edge/src/offer.rs
@@ -0,0 +1,277 @@
+//! Offers of a request to paths, one after another until one answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::Event;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
+use path::{Fault, Path, Wish};
+use site::Model;
+use tokio::pin;
+use tokio::time::{Instant, timeout};
+
+use crate::answer::Answer;
+use crate::call::{Call, at_fault, back};
+use crate::event::RETRIED;
+use crate::link::{Connection, Unanswered};
+use crate::node::Node;
+use crate::plain::{is_not_run, is_of};
+
+/// Silence after which the first engine of a path is asked which engine hangs.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(200);
+/// Most paths that a request is offered to.
+const MOST_OFFERS: u32 = 5;
+/// Share of an engine's memory beyond which new requests are turned away.
+const MOST_PRESSURE: f64 = 1.0;
+/// A refusal that took this long came after the engine had hung.
+const HUNG: Duration = Duration::from_millis(800);
+
+/// A request counted as running on a path.
+pub(crate) struct Running {
+    node: Rc<Node>,
+    pub(crate) path: Path,
+    tokens: f64,
+    /// Tokens that are read before the first event comes.
+    reading: f64,
+}
+
+impl Running {
+    fn begin(node: &Rc<Node>, path: Path, tokens: f64, reading: f64) -> Self {
+        let mut table = node.table.borrow_mut();
+        for stage in &path.stages {
+            table.begin(&stage.target, tokens);
+            table.read(&stage.target, reading);
+        }
+        drop(table);
+        Self { node: node.clone(), path, tokens, reading }
+    }
+
+    /// Notes that the prompt has been read.
+    fn has_read(&mut self) {
+        let reading = std::mem::take(&mut self.reading);
+        let mut table = self.node.table.borrow_mut();
+        for stage in &self.path.stages {
+            table.read(&stage.target, -reading);
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.has_read();
+        let mut table = self.node.table.borrow_mut();
+        for stage in &self.path.stages {
+            table.end(&stage.target, self.tokens);
+        }
+    }
+}
+
+/// An answer that has begun.
+pub(crate) struct Open {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: Connection,
+    pub(crate) running: Running,
+}
+
+/// Why no path answered.
+pub(crate) enum Closed {
+    /// Nothing has run.
+    NotRun(&'static str),
+    /// The request may have run.
+    Unknown,
+    /// The engine answered with a failure.
+    Failed(Response<Answer>),
+}
+
+/// What came of one offer.
+enum Offered {
+    Open(Open),
+    NotRun,
+    Unknown,
+    /// An engine of the path hangs.
+    Hangs,
+    Failed(Response<Answer>),
+    TimedOut,
+}
+
+/// The offers of one request.
+pub(crate) struct Run {
+    pub(crate) node: Rc<Node>,
+    pub(crate) call: Rc<Call>,
+    model: Rc<Model>,
+    avoid: Vec<SocketAddr>,
+    pub(crate) offers: u32,
+    /// Offers that may have run at an engine that goes on living.
+    pub(crate) ran: u32,
+    /// Share of memory taken on the best path that was found last.
+    pub(crate) pressure: f64,
+}
+
+impl Run {
+    /// A request that has not been offered yet.
+    pub(crate) fn new(node: &Rc<Node>, call: Call, model: Rc<Model>) -> Self {
+        let (avoid, offers, ran, pressure) = (Vec::new(), 0, 0, 0.0);
+        Self { node: node.clone(), call: Rc::new(call), model, avoid, offers, ran, pressure }
+    }
+
+    /// Offers the request to paths until one answers.
+    pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Open, Closed> {
+        let idempotent = self.call.kind.is_idempotent();
+        let mut unknown = false;
+        let mut failure = None;
+        let mut reason = "no path";
+        loop {
+            let now = self.node.now();
+            if now >= self.call.ends || self.offers >= MOST_OFFERS {
+                break;
+            }
+            let wish = Wish {
+                service: &self.call.service,
+                avoid: &self.avoid,
+                tokens: self.call.tokens,
+                luck: self.node.luck(),
+            };
+            let path = self.node.table.borrow().path(now, &self.model, &wish);
+            let Some(path) = path else { break };
+            self.pressure = path.pressure;
+            if path.pressure > MOST_PRESSURE && last_event.is_none() {
+                reason = "full";
+                break;
+            }
+            if self.offers > 0 {
+                if !self.node.take_retry(&self.call.service) {
+                    reason = "no retry left";
+                    break;
+                }
+                let event = Event::new(RETRIED)
+                    .with("request", &self.call.id)
+                    .with("offer", self.offers)
+                    .with("after_event", format_args!("{last_event:?}"))
+                    .with("target", &path.first().target);
+                log::info!("{event}");
+            }
+            self.offers += 1;
+            let first = path.first().address;
+            match self.offer(path, last_event).await {
+                Offered::Open(open) => return Ok(open),
+                Offered::NotRun => continue,
+                Offered::Hangs => {
+                    unknown = true;
+                    self.ran += 1;
+                }
+                Offered::Unknown => {
+                    unknown = true;
+                    self.ran += 1;
+                    self.avoid.push(first);
+                }
+                Offered::Failed(response) => {
+                    self.ran += 1;
+                    self.avoid.push(first);
+                    failure = Some(response);
+                }
+                Offered::TimedOut => {
+                    unknown = true;
+                    break;
+                }
+            }
+            if !idempotent || self.ran >= self.call.attempts {
+                break;
+            }
+        }
+        match failure {
+            Some(response) => Err(Closed::Failed(response)),
+            None if unknown => Err(Closed::Unknown),
+            None => Err(Closed::NotRun(reason)),
+        }
+    }
+
+    /// Offers the request to one path.
+    async fn offer(&self, path: Path, last_event: Option<u64>) -> Offered {
+        let node = &self.node;
+        let call = &self.call;
+        let begun = node.now();
+        let first = path.first().clone();
+        let request = call.request(begun, &first.target, Some(&path), last_event);
+        let mut running = Running::begin(node, path, call.tokens, call.prompt);
+        let sending = node.pool.send(first.address, request);
+        pin!(sending);
+        let answer = loop {
+            let left = call.ends.saturating_sub(node.now());
+            if left.is_zero() {
+                return Offered::TimedOut;
+            }
+            match timeout(PATIENCE.min(left), &mut sending).await {
+                Ok(answer) => break answer,
+                Err(_) => {
+                    if self.is_stuck(&running.path) && call.kind.is_idempotent() {
+                        return Offered::Hangs;
+                    }
+                }
+            }
+        };
+        let open = match answer {
+            Ok(open) => open,
+            Err(Unanswered::NotSent) => {
+                node.fault(first.address, Fault::Silent, "no connection");
+                return Offered::NotRun;
+            }
+            Err(Unanswered::Unknown) => {
+                // One lost connection tells little; an engine that is gone gives no report.
+                node.fault(first.address, Fault::Failed, "connection lost");
+                self.is_stuck(&running.path);
+                return Offered::Unknown;
+            }
+        };
+        running.has_read();
+        let (response, connection) = open.split();
+        if !is_of(response.headers(), call) {
+            node.fault(first.address, Fault::Failed, "answer to another request");
+            return Offered::Unknown;
+        }
+        let status = response.status();
+        if is_not_run(status, response.headers()) {
+            let address = at_fault(response.headers()).unwrap_or(first.address);
+            let hung = node.now().saturating_sub(begun) > HUNG;
+            let fault = match status {
+                StatusCode::MISDIRECTED_REQUEST => Fault::Astray,
+                _ if hung => Fault::Silent,
+                _ => Fault::Full,
+            };
+            node.fault(address, fault, "refused");
+            if response.into_body().collect().await.is_ok() {
+                node.pool.give_back(connection);
+            }
+            return Offered::NotRun;
+        }
+        if status != StatusCode::OK {
+            node.fault(first.address, Fault::Failed, "failure status");
+            let (parts, body) = response.into_parts();
+            let Ok(body) = body.collect().await else { return Offered::Unknown };
+            node.pool.give_back(connection);
+            let mut failed = Response::new(Answer::Whole(Some(body.to_bytes())));
+            *failed.status_mut() = status;
+            *failed.headers_mut() = back(&parts.headers);
+            return Offered::Failed(failed);
+        }
+        Offered::Open(Open { response, connection, running })
+    }
+
+    /// Whether an engine of a silent path is left out; if none is yet, they are asked.
+    pub(crate) fn is_stuck(&self, path: &Path) -> bool {
+        if self.node.is_broken(path) {
+            return true;
+        }
+        let node = self.node.clone();
+        let path = path.clone();
+        tokio::task::spawn_local(async move { node.diagnose(&path).await });
+        false
+    }
+
+    /// The moment by which the request must be answered, on the runtime's clock.
+    pub(crate) fn ends(&self) -> Instant {
+        Instant::now() + self.call.ends.saturating_sub(self.node.now())
+    }
+}
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -20,9 +20,10 @@
 
 use crate::event::{RELOADED, STARTED, STOPPED, STOPPING};
 use crate::follow::Follower;
-use crate::lead::{Leadership, Orders, keep_lease, resign};
+use crate::lead::{Leadership, keep_lease, resign};
 use crate::lines::{BATCH_INTERVAL, Lines};
 use crate::node::Node;
+use crate::orders::Orders;
 use crate::store::Store;
 use crate::{diagnose, front, peers, ready};
 
