--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -35,4 +35,5 @@
     LINES_LOST = 1119, "lines-lost", "Log lines were left out because the reader is slow.";
     PEERS = 1120, "peers", "The number of other nodes changed.";
     LAYOUT = 1121, "layout", "The layers that no engine of a failure domain holds have changed.";
+    FAILED = 1122, "attempt-failed", "A target did not give a request's answer; `ran` tells whether it can have run.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -137,7 +137,7 @@
         } else if let Some(id) = item.key.strip_prefix(TARGET_PREFIX) {
             self.take_target(id, &item);
         } else if item.key == LEADER_KEY {
-            self.leadership.seen(&item);
+            self.leadership.seen(&self.node, &item);
         } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
             match item.value {
                 Some(_) => self.nodes.insert(name.to_owned()),
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -1,7 +1,7 @@
 //! The one node that gives orders: a lease in the store holds the leader's key. The revision at
 //! which the key came into being is the fencing number of its orders.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,18 +23,12 @@
 const LEASE_TTL: Duration = Duration::from_millis(1600);
 /// Interval of renewals: two can be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(450);
-/// How long before a lease ends its holder stops acting on it.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
-/// Whether this node leads.
+/// What this node does to lead.
 pub(crate) struct Leadership {
-    /// The leader's key as last seen: its revision and creation; `None` when nobody leads.
-    holder: RefCell<Option<(String, Revision)>>,
     /// Whether the store was listed since the start.
     known: Cell<bool>,
     lease: Cell<Option<LeaseId>>,
-    /// Until when the lease holds.
-    until: Cell<Duration>,
     /// Told when nobody leads any more.
     vacant: Notify,
 }
@@ -42,40 +36,32 @@
 impl Leadership {
     /// Nobody is known to lead.
     pub(crate) fn new() -> Self {
-        Self {
-            holder: RefCell::new(None),
-            known: Cell::new(false),
-            lease: Cell::new(None),
-            until: Cell::new(Duration::ZERO),
-            vacant: Notify::new(),
-        }
+        Self { known: Cell::new(false), lease: Cell::new(None), vacant: Notify::new() }
     }
 
     /// Takes the leader's key as the store has it.
-    pub(crate) fn seen(&self, item: &Item) {
+    pub(crate) fn seen(&self, node: &Node, item: &Item) {
         let holder = item.value.as_ref().map(|value| {
             let name = String::from_utf8_lossy(value).into_owned();
             (name, item.created)
         });
-        if holder.is_none() {
+        node.claim.borrow_mut().seen(holder);
+        if node.claim.borrow().is_vacant() {
             self.vacant.notify_waiters();
         }
-        *self.holder.borrow_mut() = holder;
     }
 
     /// Gives up leading: another node has.
-    pub(crate) fn step_down(&self) {
-        self.until.set(Duration::ZERO);
+    pub(crate) fn step_down(&self, node: &Node) {
+        node.claim.borrow_mut().ended();
         self.lease.set(None);
     }
+}
 
-    /// The fencing number of this node's orders, while it leads.
-    pub(crate) fn fence(&self, node: &Node) -> Option<Revision> {
-        let holder = self.holder.borrow();
-        let (name, created) = holder.as_ref()?;
-        let holds = *name == identity(node) && node.now() + LEASE_MARGIN < self.until.get();
-        holds.then_some(*created)
-    }
+/// The fencing number of this node's orders, while it leads.
+pub(crate) fn fence(node: &Node) -> Option<Revision> {
+    let fenced = node.settings.bounds.fenced;
+    node.claim.borrow().fence(node.now(), &identity(node), fenced)
 }
 
 /// Name of this start of the node: a restarted node does not take itself for the holder of
@@ -85,8 +71,8 @@
 }
 
 /// Gives up the lease, so that another node leads at once.
-pub(crate) async fn resign(store: &Store, leadership: &Leadership) {
-    leadership.until.set(Duration::ZERO);
+pub(crate) async fn resign(node: &Node, store: &Store, leadership: &Leadership) {
+    node.claim.borrow_mut().ended();
     if let Some(lease) = leadership.lease.take() {
         // A lease that is not ended lapses by itself.
         store.end(lease).await;
@@ -100,7 +86,7 @@
             None => begin(&node, &store, &leadership).await,
             Some(lease) => renew(&node, &store, &leadership, lease).await,
         };
-        let nobody_leads = leadership.known.get() && leadership.holder.borrow().is_none();
+        let nobody_leads = leadership.known.get() && node.claim.borrow().is_vacant();
         let lease = leadership.lease.get().filter(|_| nobody_leads && !node.stopping.get());
         if let Some(lease) = lease {
             claim(&node, &store, lease).await;
@@ -123,7 +109,7 @@
         return RENEW_INTERVAL / 2;
     }
     leadership.lease.set(Some(lease.id));
-    leadership.until.set(asked + lease.ttl);
+    node.claim.borrow_mut().renewed(asked + lease.ttl);
     // The follower has listed the store by the time a watch can tell of the key.
     leadership.known.set(node.synced.get().is_some());
     RENEW_INTERVAL / 2
@@ -134,11 +120,12 @@
     let asked = node.now();
     match store.renew(lease).await {
         Reply::Done(_) => {
-            leadership.until.set(asked + LEASE_TTL.max(node.settings.least_lease));
+            let ttl = LEASE_TTL.max(node.settings.least_lease);
+            node.claim.borrow_mut().renewed(asked + ttl);
             RENEW_INTERVAL
         }
         Reply::Missing => {
-            leadership.lease.set(None);
+            leadership.step_down(node);
             Duration::ZERO
         }
         _ => RENEW_INTERVAL / 3,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod call;
+mod claim;
 mod clock;
 mod diagnose;
 mod event;
@@ -26,6 +27,7 @@
 mod store;
 mod stream;
 
+pub use claim::Claim;
 pub use event::EVENTS;
-pub use process::{Failure, run};
+pub use process::{Failure, check, run};
 pub use split::{Event as StreamEvent, Splitter};
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -15,6 +15,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::claim::Claim;
 use crate::clock::Clock;
 use crate::diagnose::Reports;
 use crate::event::{TARGET_DOWN, TARGET_UP};
@@ -33,6 +34,8 @@
     pub(crate) table: RefCell<Table>,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) budgets: RefCell<HashMap<SmolStr, Budget>>,
+    /// Who gives orders, as far as is known.
+    pub(crate) claim: RefCell<Claim>,
     pub(crate) pool: Pool,
     pub(crate) reports: Reports,
     /// Up to when the store's state is known to be in force here.
@@ -65,6 +68,7 @@
             clock,
             config: RefCell::default(),
             budgets: RefCell::default(),
+            claim: RefCell::default(),
             pool: Pool::new(clock),
             reports: Reports::default(),
             synced: Cell::new(None),
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -18,7 +18,7 @@
 use crate::event::RETRIED;
 use crate::link::{Connection, Unanswered};
 use crate::node::Node;
-use crate::plain::{is_not_run, is_of};
+use crate::plain::{is_not_run, is_of, log_failure};
 
 /// Silence after which the first engine of a path is asked which engine hangs.
 pub(crate) const PATIENCE: Duration = Duration::from_millis(200);
@@ -97,6 +97,20 @@
     TimedOut,
 }
 
+impl Offered {
+    /// Why there is no answer to use, and whether the request can have run.
+    fn failure(&self) -> Option<(&'static str, &'static str)> {
+        match self {
+            Offered::Open(_) => None,
+            Offered::NotRun => Some(("refused, or not sent", "no")),
+            Offered::Unknown => Some(("connection lost, or a strange answer", "unknown")),
+            Offered::Hangs => Some(("an engine of the path hangs", "unknown")),
+            Offered::Failed(_) => Some(("failure status", "yes")),
+            Offered::TimedOut => Some(("no answer in time", "unknown")),
+        }
+    }
+}
+
 /// The offers of one request.
 pub(crate) struct Run {
     pub(crate) node: Rc<Node>,
@@ -155,7 +169,12 @@
             }
             self.offers += 1;
             let first = path.first().address;
-            match self.offer(path, last_event).await {
+            let target = path.first().target.clone();
+            let offered = self.offer(path, last_event).await;
+            if let Some((reason, ran)) = offered.failure() {
+                log_failure(&self.node, &self.call, &target, reason, ran, now);
+            }
+            match offered {
                 Offered::Open(open) => return Ok(open),
                 Offered::NotRun => continue,
                 Offered::Hangs => {
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -16,11 +16,14 @@
 use tokio::time::{sleep, timeout};
 
 use crate::event::{LAYOUT, LEADING, ORDERED};
-use crate::lead::Leadership;
+use crate::lead::{self, Leadership};
 use crate::node::Node;
 
 /// Interval at which the leader looks at the layout.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a look at the layout after which the process must have stood still; orders
+/// that are waited for take less.
+const PAUSED: Duration = Duration::from_millis(1500);
 /// Longest wait for an engine's answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// An engine that has been left out this long is not waited for.
@@ -64,9 +67,16 @@
 
     /// Gives orders for good.
     pub(crate) async fn run(mut self) {
+        let mut looked = self.node.now();
         loop {
             sleep(PLAN_INTERVAL).await;
-            let fence = self.leadership.fence(&self.node);
+            let paused = self.node.now().saturating_sub(looked) > PAUSED;
+            if paused {
+                // The VM stood still. What happened meanwhile has to be heard of first.
+                sleep(PAUSED).await;
+            }
+            looked = self.node.now();
+            let fence = lead::fence(&self.node);
             if self.leads != fence.is_some() {
                 self.leads = fence.is_some();
                 self.pending.clear();
@@ -233,7 +243,7 @@
                 }
                 Outcome::Fenced => {
                     // Another node leads, though this one has not heard of it yet.
-                    self.leadership.step_down();
+                    self.leadership.step_down(&self.node);
                     return;
                 }
             }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -34,6 +34,8 @@
     loads: Vec<(TargetKey, u32)>,
     /// Targets that the sender has seen fail in the last moments.
     down: Vec<TargetKey>,
+    /// The highest fencing number that the sender knows.
+    fence: u64,
 }
 
 /// Interval between messages to one peer.
@@ -80,7 +82,7 @@
         entry.health.is_own() && entry.health.down_for(now).is_some_and(|down| down < recent)
     });
     let down = failed.map(|entry| entry.target.id.clone()).collect();
-    Message { loads, down }
+    Message { loads, down, fence: node.claim.borrow().highest() }
 }
 
 /// Listens to the peers for good.
@@ -103,6 +105,7 @@
     if !node.peers.borrow().contains(&from) {
         return;
     }
+    node.claim.borrow_mut().heard(message.fence);
     let now = node.now();
     let until = now + interval(node.peers.borrow().len()) * 5;
     node.table.borrow_mut().share(from, message.loads, until);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -16,7 +16,7 @@
 
 use crate::answer::{Answer, later, own};
 use crate::call::{Call, back};
-use crate::event::RETRIED;
+use crate::event::{FAILED, RETRIED};
 use crate::link::Unanswered;
 use crate::node::Node;
 
@@ -31,9 +31,41 @@
     /// The target's whole answer.
     Answered { status: StatusCode, headers: HeaderMap, body: Bytes },
     /// The target has not run it.
-    NotRun,
+    NotRun(&'static str),
     /// It may have run.
-    Unknown,
+    Unknown(&'static str),
+}
+
+impl Tried {
+    /// Why there is no answer to use, and whether the request can have run.
+    fn failure(&self) -> Option<(&'static str, &'static str)> {
+        match self {
+            Tried::Answered { status, .. } if status.is_server_error() => {
+                Some(("server error", "yes"))
+            }
+            Tried::Answered { .. } => None,
+            Tried::NotRun(reason) => Some((reason, "no")),
+            Tried::Unknown(reason) => Some((reason, "unknown")),
+        }
+    }
+}
+
+/// Logs that a target gave no answer to use.
+pub(crate) fn log_failure(
+    node: &Node,
+    call: &Call,
+    target: &str,
+    reason: &str,
+    ran: &str,
+    sent: Duration,
+) {
+    let event = Event::new(FAILED)
+        .with("request", &call.id)
+        .with("target", target)
+        .with("reason", reason)
+        .with("ran", ran)
+        .with("ms", node.now().saturating_sub(sent).as_millis());
+    log::warn!("{event}");
 }
 
 /// A request counted as running at a target.
@@ -74,13 +106,17 @@
         let may_repeat = call.kind.is_idempotent() && ran + 1 < call.attempts;
         let limit = if may_repeat { left.mul_f64(TRY_SHARE) } else { left };
         avoid.push(address);
+        let sent = node.now();
         let tried = match timeout(limit, offer(node, call, &target, address)).await {
             Ok(tried) => tried,
             Err(_) => {
                 node.fault(address, Fault::Failed, "no answer in time");
-                Tried::Unknown
+                Tried::Unknown("no answer in time")
             }
         };
+        if let Some((reason, ran)) = tried.failure() {
+            log_failure(node, call, &target, reason, ran, sent);
+        }
         match tried {
             Tried::Answered { status, headers, body } => {
                 let response = answer(status, &headers, body);
@@ -95,12 +131,12 @@
                     break;
                 }
             }
-            Tried::NotRun => {
+            Tried::NotRun(_) => {
                 if offers >= MOST_OFFERS {
                     break;
                 }
             }
-            Tried::Unknown => {
+            Tried::Unknown(_) => {
                 ran += 1;
                 if !call.kind.is_idempotent() {
                     return lost(node, call);
@@ -142,30 +178,30 @@
         Ok(begun) => begun,
         Err(Unanswered::NotSent) => {
             node.fault(address, Fault::Silent, "no connection");
-            return Tried::NotRun;
+            return Tried::NotRun("no connection");
         }
         Err(Unanswered::Unknown) => {
             node.fault(address, Fault::Failed, "connection lost");
-            return Tried::Unknown;
+            return Tried::Unknown("connection lost");
         }
     };
     let (response, connection) = begun.split();
     let (parts, body) = response.into_parts();
     let Ok(body) = body.collect().await else {
         node.fault(address, Fault::Failed, "answer cut");
-        return Tried::Unknown;
+        return Tried::Unknown("answer cut");
     };
     if !is_of(&parts.headers, call) {
         // An answer that was left over from another request; the connection is dropped.
         node.fault(address, Fault::Failed, "answer to another request");
-        return Tried::Unknown;
+        return Tried::Unknown("answer to another request");
     }
     node.pool.give_back(connection);
     if is_not_run(parts.status, &parts.headers) {
         let gone = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let fault = if gone { Fault::Astray } else { Fault::Full };
         node.fault(address, fault, "refused");
-        return Tried::NotRun;
+        return Tried::NotRun("refused");
     }
     Tried::Answered { status: parts.status, headers: parts.headers, body: body.to_bytes() }
 }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -78,6 +78,15 @@
     local.block_on(&runtime, serve(settings, lines))
 }
 
+/// Reads the settings and ends.
+///
+/// # Errors
+///
+/// When the settings are wrong.
+pub fn check() -> Result<(), Failure> {
+    read_settings().map(drop)
+}
+
 fn read_settings() -> Result<Settings, Failure> {
     let path = env::var(SETTINGS_VARIABLE).map_err(|_| Failure::NoSettings)?;
     let text = fs::read_to_string(&path).map_err(|error| Failure::Settings(path, error))?;
@@ -164,7 +173,7 @@
     log::info!("{}", Event::new(STOPPING).with("connections", node.callers.get()));
     node.stopping.set(true);
     node.stop.notify_waiters();
-    resign(store, leadership).await;
+    resign(node, store, leadership).await;
     sleep_until(began + ROTATION_TIME).await;
     // What comes from now on could not be finished; callers find another node at once.
     accepting.abort();
--- /dev/null
+++ b/crates/edge/tests/claim.rs
@@ -0,0 +1,66 @@
+//! Who may give orders, when the store is away, leases lapse and others lead.
+
+use std::time::Duration;
+
+use edge::Claim;
+use yare::parameterized;
+
+const UNTIL: Duration = Duration::from_secs(10);
+
+/// A node `a` that holds the leader's key with the fencing number 7.
+fn leading() -> Claim {
+    let mut claim = Claim::default();
+    claim.seen(Some(("a".to_owned(), 7)));
+    claim.renewed(UNTIL);
+    claim
+}
+
+struct Case {
+    now_s: u64,
+    fenced: bool,
+    fence: Option<u64>,
+}
+
+#[parameterized(
+    lease_holds = { Case { now_s: 9, fenced: false, fence: Some(7) } },
+    lease_is_about_to_end = { Case { now_s: 10, fenced: false, fence: None } },
+    store_away_and_engines_check = { Case { now_s: 16, fenced: true, fence: Some(7) } },
+    store_away_and_engines_do_not_check = { Case { now_s: 16, fenced: false, fence: None } },
+    store_away_for_long = { Case { now_s: 26, fenced: true, fence: None } },
+)]
+fn holder_gives_orders_while_it_may(case: Case) {
+    let now = Duration::from_secs(case.now_s);
+    assert_eq!(leading().fence(now, "a", case.fenced), case.fence);
+    assert_eq!(leading().fence(now, "b", case.fenced), None, "another node");
+}
+
+#[test]
+fn higher_number_ends_it_however_it_is_heard() {
+    let now = Duration::from_secs(12);
+    let mut heard = leading();
+    heard.heard(8);
+    assert_eq!(heard.fence(now, "a", true), None);
+    let mut seen = leading();
+    seen.seen(Some(("b".to_owned(), 8)));
+    assert_eq!(seen.fence(now, "a", true), None);
+    let mut refused = leading();
+    refused.ended();
+    assert_eq!(refused.fence(now, "a", true), None);
+    assert!(!refused.is_vacant(), "the key stands until the store removes it");
+}
+
+#[test]
+fn own_or_lower_number_heard_changes_nothing() {
+    let mut claim = leading();
+    claim.heard(7);
+    claim.heard(3);
+    assert_eq!(claim.fence(Duration::from_secs(12), "a", true), Some(7));
+}
+
+#[test]
+fn key_that_is_gone_ends_it() {
+    let mut claim = leading();
+    claim.seen(None);
+    assert_eq!(claim.fence(Duration::from_secs(9), "a", true), None);
+    assert!(claim.is_vacant());
+}
--- a/crates/node/src/bin/magnoliarun.rs
+++ b/crates/node/src/bin/magnoliarun.rs
@@ -10,8 +10,12 @@
 use signal_hook::iterator::Signals;
 
 fn main() -> ExitCode {
-    if std::env::args().nth(1).as_deref() == Some("front") {
-        return front();
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["front"] => return front(edge::run()),
+        ["front", "--check"] => return front(edge::check()),
+        _ => {}
     }
     let text = match options().run_inner(bpaf::Args::current_args()) {
         Ok(text) => text,
@@ -61,13 +65,14 @@
     ExitCode::from(if cut == 0 { EXIT_STOPPED } else { EXIT_CUT })
 }
 
-/// Runs the entry process on the users' platform, whose settings come in a file.
-fn front() -> ExitCode {
-    match edge::run() {
+/// How the entry process on the users' platform ended; its settings come in a file.
+fn front(outcome: Result<(), edge::Failure>) -> ExitCode {
+    match outcome {
         Ok(()) => ExitCode::from(EXIT_STOPPED),
         Err(failure) => {
             eprintln!("Error: {failure}");
-            ExitCode::from(EXIT_SETTINGS)
+            let settings = !matches!(failure, edge::Failure::Bind(..) | edge::Failure::System(_));
+            ExitCode::from(if settings { EXIT_SETTINGS } else { EXIT_FAILED })
         }
     }
 }
--- a/crates/site/src/bounds.rs
+++ b/crates/site/src/bounds.rs
@@ -19,6 +19,8 @@
     pub retry_extra: f64,
     /// The window of the retry budget.
     pub retry_window: Duration,
+    /// Whether engines refuse orders with a lower fencing number than one they have seen.
+    pub fenced: bool,
     /// How long a request hangs at a dead stage before the engine gives it up.
     pub stall: Duration,
 }
@@ -33,6 +35,7 @@
             retry_share: 0.2,
             retry_extra: 0.0,
             retry_window: Duration::from_secs(10),
+            fenced: false,
             stall: Duration::from_secs(2),
         }
     }
