Fewer calls to the store: changes gathered, a node's own key renewed seldom

Cause: each change woke a watch on every node, and every node renewed a short lease twice a second. Only the leader holds a short lease; claims spread with the number of nodes.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -20,11 +20,13 @@
 
 /// How long the store holds a watch that has nothing to tell. A connection gone silent is
 /// noticed no later than this after it should have answered.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Pause after changes before the next are asked for, so that one call brings several.
+const GATHER_PAUSE: Duration = Duration::from_millis(200);
 /// Pause before a failed call is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// An outage after which entries may have lapsed though their targets live.
-const OUTAGE: Duration = Duration::from_millis(2500);
+const OUTAGE: Duration = Duration::from_millis(3000);
 /// Within this time of the store's return, targets that live have registered again.
 const RETURN_TIME: Duration = Duration::from_millis(1900);
 
@@ -92,9 +94,14 @@
                     let held = if page.items.is_empty() { WATCH_WAIT } else { Duration::ZERO };
                     self.synced(asked + held.min(self.node.now().saturating_sub(asked)));
                     revision = revision.max(page.revision);
+                    let leads = page.items.iter().any(|item| item.key == LEADER_KEY);
+                    let gather = !page.items.is_empty() && !leads;
                     for item in page.items {
                         self.take(item);
                     }
+                    if gather {
+                        sleep(GATHER_PAUSE).await;
+                    }
                 }
                 Err(Reply::HistoryLost) => return,
                 Err(_) => sleep(RETRY_PAUSE).await,
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -19,16 +19,27 @@
 /// Prefix of the keys under which nodes register.
 pub(crate) const NODE_PREFIX: &str = "magnoliarun/nodes/";
 
-/// Time to live of a node's lease.
+/// Time to live of the leader's lease.
 const LEASE_TTL: Duration = Duration::from_millis(1600);
 /// Interval of renewals: two can be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(450);
 
+/// Time to live of a node's own key: that a node is gone matters to the others less than a
+/// call of each node twice a second.
+const PRESENCE_TTL: Duration = Duration::from_millis(4800);
+/// Interval of renewals of a node's own key: two can be lost.
+const PRESENCE_INTERVAL: Duration = Duration::from_millis(1500);
+/// Time over which claims spread, for each node.
+const CLAIM_SPREAD: Duration = Duration::from_millis(20);
+/// Longest time over which claims spread.
+const MOST_SPREAD: Duration = Duration::from_millis(600);
+
 /// What this node does to lead.
 pub(crate) struct Leadership {
-    /// Whether the store was listed since the start.
-    known: Cell<bool>,
+    /// Lease of the leader's key.
     lease: Cell<Option<LeaseId>>,
+    /// Lease of this node's own key.
+    presence: Cell<Option<LeaseId>>,
     /// Told when nobody leads any more.
     vacant: Notify,
 }
@@ -36,7 +47,7 @@
 impl Leadership {
     /// Nobody is known to lead.
     pub(crate) fn new() -> Self {
-        Self { known: Cell::new(false), lease: Cell::new(None), vacant: Notify::new() }
+        Self { lease: Cell::new(None), presence: Cell::new(None), vacant: Notify::new() }
     }
 
     /// Takes the leader's key as the store has it.
@@ -70,74 +81,97 @@
     format!("{}/{}/{:x}", node.settings.node, node.settings.front, node.instance)
 }
 
-/// Gives up the lease, so that another node leads at once.
+/// Gives up the leases, so that another node leads at once and none counts on this one.
 pub(crate) async fn resign(node: &Node, store: &Store, leadership: &Leadership) {
     node.claim.borrow_mut().ended();
-    if let Some(lease) = leadership.lease.take() {
+    let leases = [leadership.lease.take(), leadership.presence.take()];
+    for lease in leases.into_iter().flatten() {
         // A lease that is not ended lapses by itself.
         store.end(lease).await;
     }
 }
 
-/// Keeps the node's lease and keys, and leads when nobody does.
-pub(crate) async fn keep_lease(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) {
+/// Keeps the key under which the others find this node.
+pub(crate) async fn keep_presence(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) {
     while !node.stopping.get() {
-        let pause = match leadership.lease.get() {
-            None => begin(&node, &store, &leadership).await,
-            Some(lease) => renew(&node, &store, &leadership, lease).await,
+        let pause = match leadership.presence.get() {
+            None => register(&node, &store, &leadership).await,
+            Some(lease) => match store.renew(lease).await {
+                Reply::Missing => {
+                    leadership.presence.set(None);
+                    Duration::ZERO
+                }
+                Reply::Done(_) => PRESENCE_INTERVAL,
+                _ => PRESENCE_INTERVAL / 4,
+            },
         };
-        let nobody_leads = leadership.known.get() && node.claim.borrow().is_vacant();
-        let lease = leadership.lease.get().filter(|_| nobody_leads && !node.stopping.get());
-        if let Some(lease) = lease {
-            claim(&node, &store, lease).await;
-        }
-        tokio::select! {
-            () = sleep(pause) => {}
-            () = leadership.vacant.notified() => {}
-        }
+        sleep(pause).await;
     }
 }
 
-async fn begin(node: &Node, store: &Store, leadership: &Leadership) -> Duration {
-    let asked = node.now();
-    let Some(lease) = store.lease(LEASE_TTL.max(node.settings.least_lease)).await else {
-        return RENEW_INTERVAL / 2;
-    };
+async fn register(node: &Node, store: &Store, leadership: &Leadership) -> Duration {
+    let Some(lease) = store.lease(PRESENCE_TTL).await else { return PRESENCE_INTERVAL / 4 };
     let key = format!("{NODE_PREFIX}{}", node.internal_address());
     let write = Write { key: &key, expected: None, value: b"", lease: lease.id };
     if !matches!(store.write(write).await, Reply::Done(_)) {
-        return RENEW_INTERVAL / 2;
+        return PRESENCE_INTERVAL / 4;
     }
-    leadership.lease.set(Some(lease.id));
-    node.claim.borrow_mut().renewed(asked + lease.ttl);
-    // The follower has listed the store by the time a watch can tell of the key.
-    leadership.known.set(node.synced.get().is_some());
-    RENEW_INTERVAL / 2
+    leadership.presence.set(Some(lease.id));
+    PRESENCE_INTERVAL
 }
 
-async fn renew(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) -> Duration {
-    leadership.known.set(node.synced.get().is_some());
+/// Leads when nobody does, and goes on while it can.
+pub(crate) async fn keep_lead(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) {
+    while !node.stopping.get() {
+        if let Some(lease) = leadership.lease.get() {
+            renew(&node, &store, &leadership, lease).await;
+        } else if is_vacant(&node) {
+            // Spread over nodes, so that most see the winner's key before they try.
+            let most = CLAIM_SPREAD * node.table.borrow().vms as u32;
+            sleep(most.min(MOST_SPREAD).mul_f64(node.luck())).await;
+            if is_vacant(&node) {
+                claim(&node, &store, &leadership).await;
+            }
+        }
+        tokio::select! {
+            () = sleep(RENEW_INTERVAL) => {}
+            () = leadership.vacant.notified() => {}
+        }
+    }
+}
+
+/// Whether the store was listed and nobody held the leader's key.
+fn is_vacant(node: &Node) -> bool {
+    node.synced.get().is_some() && node.claim.borrow().is_vacant() && !node.stopping.get()
+}
+
+async fn renew(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) {
     let asked = node.now();
     match store.renew(lease).await {
         Reply::Done(_) => {
             let ttl = LEASE_TTL.max(node.settings.least_lease);
             node.claim.borrow_mut().renewed(asked + ttl);
-            RENEW_INTERVAL
-        }
-        Reply::Missing => {
-            leadership.step_down(node);
-            Duration::ZERO
         }
-        _ => RENEW_INTERVAL / 3,
+        Reply::Missing => leadership.step_down(node),
+        // Tried again at the next turn.
+        _ => {}
     }
 }
 
-async fn claim(node: &Node, store: &Store, lease: LeaseId) {
-    // Spread over nodes, so that most see the winner's key before they try.
-    sleep(Duration::from_millis(60).mul_f64(node.luck())).await;
+async fn claim(node: &Node, store: &Store, leadership: &Leadership) {
+    let asked = node.now();
+    let ttl = LEASE_TTL.max(node.settings.least_lease);
+    let Some(lease) = store.lease(ttl).await else { return };
     let value = identity(node);
-    let write = Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease };
+    let lease_id = lease.id;
+    let write =
+        Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease: lease_id };
     let reply = store.write(write).await;
+    // A write without an answer may have been done: the watch tells.
+    if matches!(reply, Reply::Done(_) | Reply::Unknown) {
+        leadership.lease.set(Some(lease_id));
+        node.claim.borrow_mut().renewed(asked + lease.ttl);
+    }
     let event = Event::new(LEADING).with("claimed", matches!(reply, Reply::Done(_)));
     log::info!("{event}");
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,7 +25,7 @@
 /// keys: the request has to reach its target and begin within it.
 const REVOKE_MARGIN: Duration = Duration::from_millis(700);
 /// A node that has not heard from the store for this long asks for no new callers.
-const UNREADY_AFTER: Duration = Duration::from_millis(2500);
+const UNREADY_AFTER: Duration = Duration::from_millis(3000);
 
 /// State of the process.
 pub(crate) struct Node {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -20,7 +20,7 @@
 
 use crate::event::{RELOADED, STARTED, STOPPED, STOPPING};
 use crate::follow::Follower;
-use crate::lead::{Leadership, keep_lease, resign};
+use crate::lead::{Leadership, keep_lead, keep_presence, resign};
 use crate::lines::{BATCH_INTERVAL, Lines};
 use crate::node::Node;
 use crate::orders::Orders;
@@ -119,7 +119,8 @@
     let leadership = Rc::new(Leadership::new());
     let follower = Follower::new(node.clone(), store.clone(), leadership.clone());
     tokio::task::spawn_local(follower.run());
-    tokio::task::spawn_local(keep_lease(node.clone(), store.clone(), leadership.clone()));
+    tokio::task::spawn_local(keep_presence(node.clone(), store.clone(), leadership.clone()));
+    tokio::task::spawn_local(keep_lead(node.clone(), store.clone(), leadership.clone()));
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
     tokio::task::spawn_local(peers::tell(node.clone(), socket.clone()));
     tokio::task::spawn_local(peers::hear(node.clone(), socket));
