--- /dev/null
+++ b/crates/path/benches/path.rs
@@ -0,0 +1,67 @@
+//! Cost of one choice of a path, at today's size and at the size to design for.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use fleet::Layers;
+use path::{Table, Wish};
+use site::{Card, Model, State, Target};
+
+const NOW: Duration = Duration::from_secs(100);
+/// Layers that each engine holds.
+const HELD: u16 = 8;
+
+fn model() -> Model {
+    Model {
+        name: "m".into(),
+        depth: 80,
+        layer_mb: 1750.0,
+        token_bytes: 590_000.0,
+        load: Duration::from_secs(14),
+        prompt: 772,
+        answer: 172,
+        slots: 192,
+        step: Duration::from_micros(850),
+        read_per_s: 196_000.0,
+        cards: vec![Card { name: "l4".into(), mb: 21_600.0, pace: 16.0, read: 8.2 }],
+    }
+}
+
+/// `engines` engines, spread over `domains` failure domains and the layers of the model.
+fn table(engines: u16, domains: u16) -> Table {
+    let mut table = Table::new("d0".into());
+    for number in 0..engines {
+        let start = number / domains % (80 / HELD) * HELD;
+        let [high, low] = number.to_be_bytes();
+        table.set(Target {
+            id: format!("i-{number}").into(),
+            service: "s".into(),
+            address: SocketAddr::from(([10, 0, high, low], 80)),
+            domain: format!("d{}", number % domains).into(),
+            state: State::Ready,
+            born: 1,
+            slots: 192,
+            card: "l4".into(),
+            layers: Some(Layers::new(start, start + HELD)),
+        });
+    }
+    table
+}
+
+fn choose(criterion: &mut Criterion) {
+    let model = model();
+    let mut group = criterion.benchmark_group("path");
+    for (engines, domains) in [(39, 3), (98, 4), (2100, 4)] {
+        let table = table(engines, domains);
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            let wish = Wish { service: "s", avoid: &[], tokens: 944.0, luck: 0.5 };
+            bencher.iter(|| black_box(table.path(NOW, &model, &wish)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choose);
+criterion_main!(benches);
