--- a/crates/edge/benches/split.rs
+++ b/crates/edge/benches/split.rs
@@ -1,5 +1,7 @@
 //! Cost of splitting off one stream event.
 
+#![allow(missing_docs)]
+
 use std::hint::black_box;
 
 use criterion::{Criterion, criterion_group, criterion_main};
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,17 +1,16 @@
 //! A caller's request, ready to be sent to a target.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::{Layers, OrganisationName};
+use fleet::OrganisationName;
 use http_body_util::Full;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Uri};
-use path::{Path, Stage};
+use path::Path;
 use platform::head;
 use site::Kind;
 use smol_str::SmolStr;
@@ -80,7 +79,8 @@
             set(headers, head::ORGANISATION, organisation);
         }
         if let Some(path) = path {
-            set(headers, head::PATH, &hops(path));
+            let stages = path.stages.iter().map(|stage| (stage.address, stage.layers));
+            set(headers, head::PATH, &platform::hops(stages));
         }
         if let Some(number) = last_event {
             set(headers, head::LAST_EVENT, &number.to_string());
@@ -89,15 +89,6 @@
     }
 }
 
-/// A path in the platform's notation: address and layers of each stage.
-fn hops(path: &Path) -> String {
-    let hop = |stage: &Stage| {
-        let Layers { start, end } = stage.layers;
-        format!("{}={start}-{end}", stage.address)
-    };
-    path.stages.iter().map(hop).collect::<Vec<_>>().join(",")
-}
-
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     // Names and numbers from settings and the store; one that no header can carry is left out,
     // and the target refuses the request.
@@ -136,21 +127,3 @@
     }
     headers.remove(CONTENT_LENGTH);
 }
-
-/// Prompt and expected answer in tokens: the caller's estimate where there is one, else half
-/// of the most that it allows.
-pub(crate) fn tokens(headers: &HeaderMap) -> (f64, f64) {
-    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
-    let number = |text: &str| text.trim().parse::<f64>().ok();
-    let Some((prompt, most)) = text(head::TOKENS).and_then(|counts| counts.split_once(',')) else {
-        return (0.0, 0.0);
-    };
-    let most = number(most).unwrap_or(0.0);
-    let hint = text(head::LENGTH_HINT).and_then(number).map_or(most / 2.0, |hint| hint.min(most));
-    (number(prompt).unwrap_or(0.0), hint)
-}
-
-/// The engine at fault that an answer names.
-pub(crate) fn at_fault(headers: &HeaderMap) -> Option<SocketAddr> {
-    headers.get(head::AT_FAULT)?.to_str().ok()?.trim().parse().ok()
-}
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -8,11 +8,10 @@
 use fleet::Event;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{AUTHORIZATION, HOST};
+use hyper::header::HOST;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use platform::head;
 use site::{Config, Kind, Organisation, Route};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
@@ -151,8 +150,7 @@
 }
 
 fn id(request: &Request<Incoming>) -> SmolStr {
-    let id = request.headers().get(head::REQUEST_ID).and_then(|value| value.to_str().ok());
-    id.unwrap_or_default().into()
+    platform::request_id(request.headers()).unwrap_or_default().into()
 }
 
 /// Finds the route and the holder of the key, and reads the body.
@@ -168,15 +166,13 @@
     let (parts, body) = request.into_parts();
     let route = find(&config, &parts).ok_or(Refusal::Own(StatusCode::NOT_FOUND, "no route"))?;
     let organisation = holder(node, &config, route, &parts.headers)?;
-    let id = parts.headers.get(head::REQUEST_ID).and_then(|value| value.to_str().ok());
+    let id = platform::request_id(&parts.headers);
     let id = id.ok_or(Refusal::Own(StatusCode::BAD_REQUEST, "no request id"))?;
-    let deadline = parts.headers.get(head::DEADLINE).and_then(|value| value.to_str().ok());
-    let deadline = deadline.and_then(|text| text.trim().parse::<f64>().ok());
-    let deadline = deadline.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+    let deadline = platform::deadline(&parts.headers);
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let service = route.backend(node.luck()).ok_or(Refusal::Later("no service"))?;
     let body = read(body, &config, allowed).await?;
-    let (prompt, answer) = call::tokens(&parts.headers);
+    let size = platform::tokens(&parts.headers);
     let priority = organisation.as_ref().and_then(|organisation| organisation.priority);
     let call = Call {
         id: id.into(),
@@ -191,8 +187,8 @@
         organisation: organisation.map(|organisation| organisation.name.clone()),
         begun,
         ends: begun + allowed,
-        prompt,
-        tokens: prompt + answer,
+        prompt: size.prompt,
+        tokens: size.prompt + size.answer,
         headers: call::onward(parts.headers),
     };
     Ok((call, config))
@@ -219,8 +215,7 @@
     if !node.may_honour_keys() {
         return Err(Refusal::Later("keys cannot be checked"));
     }
-    let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let key = value.and_then(|value| value.strip_prefix("Bearer ")).map(str::trim);
+    let key = platform::key(headers);
     let holder = key.and_then(|key| config.holder(key));
     holder.map(Some).ok_or(Refusal::Own(StatusCode::UNAUTHORIZED, "unknown key"))
 }
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
-use crate::call::{Call, at_fault, back};
+use crate::call::{Call, back};
 use crate::event::RETRIED;
 use crate::link::{Connection, Unanswered};
 use crate::node::Node;
@@ -252,7 +252,7 @@
         }
         let status = response.status();
         if is_not_run(status, response.headers()) {
-            let address = at_fault(response.headers()).unwrap_or(first.address);
+            let address = platform::at_fault(response.headers()).unwrap_or(first.address);
             let hung = node.now().saturating_sub(begun) > HUNG;
             let fault = match status {
                 StatusCode::MISDIRECTED_REQUEST => Fault::Astray,
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -17,7 +17,7 @@
 /// Answers whether the node takes callers.
 pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
     serve(listener, move |request| {
-        let known = request.uri().path() == "/ready";
+        let known = request.uri().path() == platform::READY_PATH;
         let status = match (known, node.is_ready()) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
--- a/crates/path/benches/path.rs
+++ b/crates/path/benches/path.rs
@@ -1,5 +1,7 @@
 //! Cost of one choice of a path, at today's size and at the size to design for.
 
+#![allow(missing_docs)]
+
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
