--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -48,12 +48,12 @@
     pub(crate) async fn diagnose(&self, path: &Path) {
         let first = path.first().address;
         let now = self.now();
-        let asked = self.reports.asked.borrow_mut().insert(first, now);
+        let asked = self.reports.asked.borrow().get(&first).copied();
         if asked.is_some_and(|at| now.saturating_sub(at) < REPORT_AGE) {
             // Others that ask meanwhile go by what the call in progress finds.
-            self.reports.asked.borrow_mut().insert(first, asked.unwrap_or(now));
             return;
         }
+        self.reports.asked.borrow_mut().insert(first, now);
         match self.ask(first).await {
             None => self.fault(first, Fault::Silent, "no report"),
             Some(report) => {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -187,7 +187,7 @@
         let now = self.node.now();
         let Some(value) = &item.value else {
             self.node.table.borrow_mut().lapse(id, now.max(self.lenient_until));
-            self.expire();
+            expire(&self.node);
             return;
         };
         match platform::target(id, value) {
@@ -207,10 +207,6 @@
             Err(error) => undecodable(&item.key, &error),
         }
     }
-
-    fn expire(&self) {
-        expire(&self.node);
-    }
 }
 
 /// Names of the services, for the log.
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -142,12 +142,8 @@
             if now >= self.call.ends || self.offers >= MOST_OFFERS {
                 break;
             }
-            let wish = Wish {
-                service: &self.call.service,
-                avoid: &self.avoid,
-                tokens: self.call.tokens,
-                luck: self.node.luck(),
-            };
+            let wish =
+                Wish { service: &self.call.service, avoid: &self.avoid, tokens: self.call.tokens };
             let path = self.node.table.borrow().path(now, &self.model, &wish);
             let Some(path) = path else { break };
             self.pressure = path.pressure;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -87,7 +87,7 @@
     let mut offers = 0;
     let mut failed: Option<Response<Answer>> = None;
     loop {
-        let wish = Wish { service: &call.service, avoid: &avoid, tokens: 0.0, luck: node.luck() };
+        let wish = Wish { service: &call.service, avoid: &avoid, tokens: 0.0 };
         let picked = node.table.borrow().plain(node.now(), &wish);
         let Some((target, address)) = picked else { break };
         let again = offers > 0;
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -6,7 +6,6 @@
 
 use fleet::{DomainName, Layers};
 use site::{Model, Report, State, Target, TargetKey};
-use smol_str::SmolStr;
 
 use crate::health::{Fault, Health};
 use crate::search::{self, Able, Path};
@@ -87,8 +86,6 @@
     pub avoid: &'a [SocketAddr],
     /// Prompt and expected answer, tokens.
     pub tokens: f64,
-    /// A draw from 0 to 1.
-    pub luck: f64,
 }
 
 /// What another VM's requests hold.
@@ -204,11 +201,6 @@
         ids.iter().filter_map(|id| self.entries.remove(id)).map(|entry| entry.target).collect()
     }
 
-    /// Ids of all targets.
-    pub fn ids(&self) -> Vec<TargetKey> {
-        self.entries.keys().cloned().collect()
-    }
-
     /// Notes a fault of the target at an address; returns the target when it is newly left out.
     pub fn fault(&mut self, now: Duration, address: SocketAddr, fault: Fault) -> Option<TargetKey> {
         let entry = self.at(address)?;
@@ -357,13 +349,4 @@
         let entries = self.entries.values_mut();
         entries.filter(|entry| entry.target.address == address).max_by_key(|e| e.target.born)
     }
-
-    /// Names of the services that have targets.
-    pub fn services(&self) -> Vec<SmolStr> {
-        let mut names: Vec<SmolStr> =
-            self.entries.values().map(|entry| entry.target.service.clone()).collect();
-        names.sort();
-        names.dedup();
-        names
-    }
 }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -56,7 +56,7 @@
 }
 
 fn wish(avoid: &[SocketAddr]) -> Wish<'_> {
-    Wish { service: "s", avoid, tokens: 900.0, luck: 0.5 }
+    Wish { service: "s", avoid, tokens: 900.0 }
 }
 
 fn names(path: &Path) -> Vec<String> {
