Entry: engines of a silent path asked at 0.1 s, the store's return seen at once, callers sent on

A dead stage was known after 0.28 s, by the first engine's report of what hangs, which lags 0.2 s. The engines of a path on which a stream pauses were already asked for their pace at 0.1 s; one that does not answer within 80 ms is now left out. A node that cannot check keys told callers to come back after 0.5 s, though any other node serves at once. Nodes tell each other whether they can check keys; the caller is sent on after 0.03 to 0.09 s if another can, after 0.5 to 1.5 s if none can. Also fewer calls to the store where many nodes follow it: pauses between watches grow with the nodes (0.2 to 0.5 s), failed calls are repeated less often.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -11,10 +11,14 @@
 use site::Report;
 use tokio::time::timeout;
 
+use crate::link::Unanswered;
 use crate::node::Node;
 
 /// Longest wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for the report of an engine on whose path streams pause: engines answer within
+/// a few milliseconds, also under load.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(80);
 /// A report is shared by all requests that ask within this time.
 const REPORT_AGE: Duration = Duration::from_millis(80);
 /// Interval of probes of targets that are left out.
@@ -31,8 +35,14 @@
     /// Asks an engine for its report.
     pub(crate) async fn ask(&self, address: SocketAddr) -> Option<Report> {
         let exchange = async {
-            let call = platform::report_request(address);
-            let (response, connection) = self.pool.send(address, call).await.ok()?.split();
+            let call = || platform::report_request(address);
+            // A kept connection may have been dropped at the other end: asked once more on
+            // another one.
+            let begun = match self.pool.send(address, call()).await {
+                Err(Unanswered::Unknown) => self.pool.send(address, call()).await,
+                other => other,
+            };
+            let (response, connection) = begun.ok()?.split();
             if !response.status().is_success() {
                 return None;
             }
@@ -70,8 +80,9 @@
         for (id, address) in due {
             let node = self.clone();
             tokio::task::spawn_local(async move {
-                if let Some(report) = node.ask(address).await {
-                    node.report(&id, &report);
+                match timeout(QUESTION_TIMEOUT, node.ask(address)).await {
+                    Ok(Some(report)) => node.report(&id, &report),
+                    _ => node.fault(address, Fault::Silent, "no report while streams pause"),
                 }
             });
         }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -21,10 +21,16 @@
 /// How long the store holds a watch that has nothing to tell. A connection gone silent is
 /// noticed no later than this after it should have answered.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
-/// Pause after changes before the next are asked for, so that one call brings several.
-const GATHER_PAUSE: Duration = Duration::from_millis(200);
+/// Shortest pause after changes before the next are asked for, so that one call brings several.
+const LEAST_GATHER: Duration = Duration::from_millis(200);
+/// Longest such pause: what a target or the operators write is in force this much later.
+const MOST_GATHER: Duration = Duration::from_millis(500);
+/// What each node adds to the pause: all of them are told of each change.
+const GATHER_SHARE: Duration = Duration::from_millis(25);
 /// Pause before a failed call is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest such pause, when calls fail again and again.
+const MOST_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// An outage after which entries may have lapsed though their targets live.
 const OUTAGE: Duration = Duration::from_millis(3000);
 /// Within this time of the store's return, targets that live have registered again.
@@ -86,25 +92,35 @@
 
     /// Follows changes until the history is lost.
     async fn watch(&mut self, mut revision: Revision) {
+        let mut pause = RETRY_PAUSE;
+        // After a failure the store is asked for an answer at once: a call that it holds would
+        // hide its return.
+        let mut wait = WATCH_WAIT;
         loop {
             let asked = self.node.now();
-            match self.store.watch("", revision, WATCH_WAIT).await {
+            match self.store.watch("", revision, wait).await {
                 Ok(page) => {
                     // An answer without changes was held for the whole wait.
-                    let held = if page.items.is_empty() { WATCH_WAIT } else { Duration::ZERO };
+                    let held = if page.items.is_empty() { wait } else { Duration::ZERO };
                     self.synced(asked + held.min(self.node.now().saturating_sub(asked)));
                     revision = revision.max(page.revision);
+                    (pause, wait) = (RETRY_PAUSE, WATCH_WAIT);
                     let leads = page.items.iter().any(|item| item.key == LEADER_KEY);
                     let gather = !page.items.is_empty() && !leads;
                     for item in page.items {
                         self.take(item);
                     }
                     if gather {
-                        sleep(GATHER_PAUSE).await;
+                        let vms = self.node.table.borrow().vms;
+                        sleep(gather_pause(vms)).await;
                     }
                 }
                 Err(Reply::HistoryLost) => return,
-                Err(_) => sleep(RETRY_PAUSE).await,
+                Err(_) => {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(MOST_RETRY_PAUSE);
+                    wait = Duration::ZERO;
+                }
             }
         }
     }
@@ -209,6 +225,11 @@
     }
 }
 
+/// Pause after changes, where `vms` nodes follow the store.
+fn gather_pause(vms: usize) -> Duration {
+    (GATHER_SHARE * vms as u32).clamp(LEAST_GATHER, MOST_GATHER)
+}
+
 /// Names of the services, for the log.
 fn services(config: &Config) -> String {
     let name = |service: &Service| {
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -33,8 +33,8 @@
 const CONFIG_POLL: Duration = Duration::from_millis(10);
 /// Pause after a connection could not be accepted.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// When a caller that was turned away for the state of this node may come back.
-const ELSEWHERE: Duration = Duration::from_millis(500);
+/// When a caller may come back for a route whose service is not known.
+const CONFIG_TIME: Duration = Duration::from_millis(500);
 
 /// Accepts callers for good, once there is a configuration to serve them by. Those that come
 /// earlier wait a moment rather than be turned away.
@@ -103,7 +103,8 @@
 /// Why a request is turned away before it is offered to a target.
 enum Refusal {
     Own(StatusCode, &'static str),
-    Later(&'static str),
+    /// With the time after which the caller may come back.
+    Later(&'static str, Duration),
 }
 
 async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Answer> {
@@ -142,8 +143,8 @@
 fn refuse(id: &str, refusal: Refusal) -> Response<Answer> {
     let (response, reason) = match refusal {
         Refusal::Own(status, reason) => (own(status, reason), reason),
-        Refusal::Later(reason) => {
-            (later(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE), reason)
+        Refusal::Later(reason, after) => {
+            (later(StatusCode::SERVICE_UNAVAILABLE, reason, after), reason)
         }
     };
     let event = Event::new(REFUSED)
@@ -166,9 +167,9 @@
     begun: Duration,
 ) -> Result<(Call, Rc<Config>), Refusal> {
     if node.closed.get() {
-        return Err(Refusal::Later("stopping"));
+        return Err(Refusal::Later("stopping", node.elsewhere()));
     }
-    let config = node.config().ok_or(Refusal::Later("no configuration yet"))?;
+    let config = node.config().ok_or(Refusal::Later("no configuration yet", node.elsewhere()))?;
     let (parts, body) = request.into_parts();
     let route = find(&config, &parts).ok_or(Refusal::Own(StatusCode::NOT_FOUND, "no route"))?;
     let organisation = holder(node, &config, route, &parts.headers)?;
@@ -176,7 +177,7 @@
     let id = id.ok_or(Refusal::Own(StatusCode::BAD_REQUEST, "no request id"))?;
     let deadline = platform::deadline(&parts.headers);
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let service = route.backend(node.luck()).ok_or(Refusal::Later("no service"))?;
+    let service = route.backend(node.luck()).ok_or(Refusal::Later("no service", CONFIG_TIME))?;
     let body = read(body, &config, allowed).await?;
     let size = platform::tokens(&parts.headers);
     let priority = organisation.as_ref().and_then(|organisation| organisation.priority);
@@ -219,7 +220,7 @@
         return Ok(None);
     }
     if !node.may_honour_keys() {
-        return Err(Refusal::Later("keys cannot be checked"));
+        return Err(Refusal::Later("keys cannot be checked", node.keys_comeback()));
     }
     let key = platform::key(headers);
     let holder = key.and_then(|key| config.holder(key));
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -27,6 +27,13 @@
 /// A node that has not heard from the store for this long asks for no new callers.
 const UNREADY_AFTER: Duration = Duration::from_millis(3000);
 
+/// How long another node's word that it can check keys counts.
+const OTHERS_FRESH: Duration = Duration::from_millis(1500);
+/// When a caller may come back that another node can serve: at once, but not all together.
+const ELSEWHERE: Duration = Duration::from_millis(60);
+/// When a caller may come back that no node can serve before the store answers again.
+const STORE_RETURN: Duration = Duration::from_millis(1000);
+
 /// State of the process.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -40,6 +47,8 @@
     pub(crate) reports: Reports,
     /// Up to when the store's state is known to be in force here.
     pub(crate) synced: Cell<Option<Duration>>,
+    /// When another node last told that it can check keys.
+    pub(crate) others_check_keys: Cell<Option<Duration>>,
     /// Whether a stop was asked for.
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are turned away because the process ends.
@@ -72,6 +81,7 @@
             pool: Pool::new(clock),
             reports: Reports::default(),
             synced: Cell::new(None),
+            others_check_keys: Cell::new(None),
             stopping: Cell::new(false),
             closed: Cell::new(false),
             stop: Notify::new(),
@@ -111,6 +121,18 @@
         !bounds.strict_revoke || self.now().saturating_sub(synced) < limit
     }
 
+    /// When a caller whose key cannot be checked here may come back, to another node.
+    pub(crate) fn keys_comeback(&self) -> Duration {
+        let heard = self.others_check_keys.get();
+        let others = heard.is_some_and(|at| self.now().saturating_sub(at) < OTHERS_FRESH);
+        if others { self.elsewhere() } else { STORE_RETURN.mul_f64(0.5 + self.luck()) }
+    }
+
+    /// When a caller may come back that other nodes can serve.
+    pub(crate) fn elsewhere(&self) -> Duration {
+        ELSEWHERE.mul_f64(0.5 + self.luck())
+    }
+
     /// Whether new callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
         let Some(synced) = self.synced.get() else { return false };
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -36,6 +36,8 @@
     down: Vec<TargetKey>,
     /// The highest fencing number that the sender knows.
     fence: u64,
+    /// Whether the sender can check keys.
+    checks_keys: bool,
 }
 
 /// Interval between messages to one peer.
@@ -82,7 +84,8 @@
         entry.health.is_own() && entry.health.down_for(now).is_some_and(|down| down < recent)
     });
     let down = failed.map(|entry| entry.target.id.clone()).collect();
-    Message { loads, down, fence: node.claim.borrow().highest() }
+    let fence = node.claim.borrow().highest();
+    Message { loads, down, fence, checks_keys: node.may_honour_keys() }
 }
 
 /// Listens to the peers for good.
@@ -107,6 +110,9 @@
     }
     node.claim.borrow_mut().heard(message.fence);
     let now = node.now();
+    if message.checks_keys {
+        node.others_check_keys.set(Some(now));
+    }
     let until = now + interval(node.peers.borrow().len()) * 5;
     node.table.borrow_mut().share(from, message.loads, until);
     for id in message.down {
