--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -18,7 +18,7 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait for the report of an engine on whose path streams pause: engines answer within
 /// a few milliseconds, also under load.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(80);
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(50);
 /// A report is shared by all requests that ask within this time.
 const REPORT_AGE: Duration = Duration::from_millis(80);
 /// Interval of probes of targets that are left out.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -27,7 +27,16 @@
 /// A node that has not heard from the store for this long asks for no new callers.
 const UNREADY_AFTER: Duration = Duration::from_millis(3000);
 
-/// How long another node's word that it can check keys counts.
+/// What was heard of the other nodes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Others {
+    /// When any of them last told anything.
+    pub(crate) heard: Option<Duration>,
+    /// When one last told that it can check keys.
+    pub(crate) checking: Option<Duration>,
+}
+
+/// How long another node's word counts.
 const OTHERS_FRESH: Duration = Duration::from_millis(1500);
 /// When a caller may come back that another node can serve: at once, but not all together.
 const ELSEWHERE: Duration = Duration::from_millis(60);
@@ -47,8 +56,8 @@
     pub(crate) reports: Reports,
     /// Up to when the store's state is known to be in force here.
     pub(crate) synced: Cell<Option<Duration>>,
-    /// When another node last told that it can check keys.
-    pub(crate) others_check_keys: Cell<Option<Duration>>,
+    /// When another node was last heard, and when one last told that it can check keys.
+    pub(crate) others: Cell<Others>,
     /// Whether a stop was asked for.
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are turned away because the process ends.
@@ -57,6 +66,8 @@
     pub(crate) stop: Notify,
     /// Told when targets or the configuration change.
     pub(crate) changed: Notify,
+    /// Told when this node itself has seen a target fail.
+    pub(crate) alarm: Notify,
     /// Where the other nodes listen.
     pub(crate) peers: RefCell<Vec<SocketAddr>>,
     /// Connections of callers.
@@ -81,11 +92,12 @@
             pool: Pool::new(clock),
             reports: Reports::default(),
             synced: Cell::new(None),
-            others_check_keys: Cell::new(None),
+            others: Cell::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
             stop: Notify::new(),
             changed: Notify::new(),
+            alarm: Notify::new(),
             peers: RefCell::default(),
             callers: Cell::new(0),
             instance: rng.random(),
@@ -122,10 +134,17 @@
     }
 
     /// When a caller whose key cannot be checked here may come back, to another node.
+    ///
+    /// A node that hears neither the store nor the others is cut off alone: the others serve.
     pub(crate) fn keys_comeback(&self) -> Duration {
-        let heard = self.others_check_keys.get();
-        let others = heard.is_some_and(|at| self.now().saturating_sub(at) < OTHERS_FRESH);
-        if others { self.elsewhere() } else { STORE_RETURN.mul_f64(0.5 + self.luck()) }
+        let since = self.now().saturating_sub(OTHERS_FRESH);
+        let is_fresh = |at: Option<Duration>| at.is_some_and(|at| at >= since);
+        let Others { heard, checking } = self.others.get();
+        let alone = !is_fresh(heard) && !self.peers.borrow().is_empty();
+        if alone || is_fresh(checking) {
+            return self.elsewhere();
+        }
+        STORE_RETURN.mul_f64(0.5 + self.luck())
     }
 
     /// When a caller may come back that other nodes can serve.
@@ -151,6 +170,9 @@
                 .with("reason", reason);
             log::warn!("{event}");
             metrics::counter!("magnolia_targets_down").increment(1);
+            if fault != Fault::Reported {
+                self.alarm.notify_one();
+            }
             self.changed.notify_waiters();
         }
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -16,12 +16,14 @@
 use tokio::time::sleep;
 
 use crate::event::PEERS;
-use crate::node::Node;
+use crate::node::{Node, Others};
 
 /// Shortest interval between messages to one peer.
 const LEAST_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two messages of a node, whichever peer they go to: bounds what many peers cost.
 const MESSAGE_SPACING: Duration = Duration::from_millis(15);
+/// Time in which faults that are seen together go into one message.
+const ALARM_GATHER: Duration = Duration::from_millis(5);
 /// Largest message, bytes: one datagram that no link divides.
 const MESSAGE_BYTES: usize = 1400;
 /// Most targets in one message: each takes about 20 bytes.
@@ -50,7 +52,11 @@
     let mut known = 0;
     loop {
         let peers = node.peers.borrow().clone();
-        sleep(interval(peers.len())).await;
+        tokio::select! {
+            () = sleep(interval(peers.len())) => {}
+            // What this node has just seen fail others need to know at once.
+            () = node.alarm.notified() => sleep(ALARM_GATHER).await,
+        }
         if peers.len() != known {
             known = peers.len();
             log::info!("{}", Event::new(PEERS).with("peers", known));
@@ -110,9 +116,8 @@
     }
     node.claim.borrow_mut().heard(message.fence);
     let now = node.now();
-    if message.checks_keys {
-        node.others_check_keys.set(Some(now));
-    }
+    let checking = if message.checks_keys { Some(now) } else { node.others.get().checking };
+    node.others.set(Others { heard: Some(now), checking });
     let until = now + interval(node.peers.borrow().len()) * 5;
     node.table.borrow_mut().share(from, message.loads, until);
     for id in message.down {
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use site::Kind;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use crate::answer::Broken;
 use crate::event::ANSWERED;
@@ -157,6 +157,13 @@
     }
 }
 
+/// Time from a look at a path that has been silent for `silent` to the next look: at each
+/// silence that matters, then at intervals.
+fn until_look(silent: Duration) -> Duration {
+    let next = [SLOW_PATIENCE, BROKEN_PATIENCE, PATIENCE].into_iter().find(|at| *at > silent);
+    next.map_or(LOOK_INTERVAL, |at| at - silent)
+}
+
 /// Passes on the events of one path.
 async fn pass_on(
     run: &Run,
@@ -170,6 +177,7 @@
     let node = &run.node;
     let ends = run.ends();
     let mut heard = node.now();
+    let mut look = Instant::now() + SLOW_PATIENCE;
     let first = running.path.first().target.clone();
     let mut flow = Flow::begin(node, &first);
     loop {
@@ -179,13 +187,17 @@
             () = sleep_until(ends) => return Ended::TimedOut,
             () = node.changed.notified() => {
                 let silent = node.now().saturating_sub(heard);
-                if silent > BROKEN_PATIENCE && node.is_broken(&running.path) {
+                if silent >= BROKEN_PATIENCE && node.is_broken(&running.path) {
                     return Ended::Cut;
                 }
                 continue;
             }
-            () = sleep(LOOK_INTERVAL) => {
+            () = sleep_until(look) => {
                 let silent = node.now().saturating_sub(heard);
+                look += until_look(silent);
+                if silent >= BROKEN_PATIENCE && node.is_broken(&running.path) {
+                    return Ended::Cut;
+                }
                 if silent >= SLOW_PATIENCE {
                     flow.set_silent(true);
                     node.question(&running.path);
@@ -212,6 +224,7 @@
             },
         };
         heard = node.now();
+        look = Instant::now() + SLOW_PATIENCE;
         flow.set_silent(false);
         splitter.push(&bytes);
         while let Some(event) = splitter.pop() {
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -25,7 +25,7 @@
 const DOUBT: f64 = 3.0;
 /// Share of the prompts that wait at an engine that a new one waits for: the engines of a
 /// path read one after another, each a different prompt.
-const READING_SHARE: f64 = 0.2;
+const READING_SHARE: f64 = 1.0;
 /// Cost of a slow engine, seconds for each whole time that it is slower: its streams pause.
 const SLOW_COST: f64 = 0.6;
 /// An engine with this share of its calls failed costs as much as [`FULL`].
