--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -123,6 +123,46 @@
     READING_SHARE * tokens / model.read_per_s.max(1.0) * read * entry.pace
 }
 
+/// What it costs to pass an engine, whichever of its layers are run.
+struct Priced {
+    layers: Layers,
+    /// Index of its failure domain.
+    domain: usize,
+    /// Cost of the engine itself, seconds.
+    fixed: f64,
+    /// Cost beyond that of beginning a path here, seconds.
+    first: f64,
+    /// Cost of running all layers, seconds.
+    whole: f64,
+}
+
+impl Priced {
+    /// `None` for an engine that holds no layers.
+    fn new(
+        able: Able<'_>,
+        model: &Model,
+        tokens: f64,
+        vms: usize,
+        domains: &[&str],
+    ) -> Option<Self> {
+        let entry = able.entry;
+        let layers = entry.layers?;
+        let domain = domains.binary_search(&entry.target.domain.as_str()).ok()?;
+        let taken = pressure(able, model, tokens);
+        let full = if taken > 1.0 { FULL * taken } else { 0.0 };
+        let failing = FAILURE_COST * entry.health.failure_rate();
+        let slow = if entry.is_slow() { SLOW_COST * (entry.pace - 1.0) } else { 0.0 };
+        let work = work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken);
+        Some(Self {
+            layers,
+            domain,
+            fixed: HOP + full + failing + slow,
+            first: if entry.is_doubtful() { DOUBT } else { 0.0 },
+            whole: work + waiting(entry, model, vms),
+        })
+    }
+}
+
 /// Finds the cheapest path.
 pub(crate) fn search(able: &[Able<'_>], model: &Model, tokens: f64, vms: usize) -> Option<Path> {
     let mut cuts: Vec<Layer> = vec![0, model.depth];
@@ -136,46 +176,51 @@
         able.iter().map(|able| able.entry.target.domain.as_str()).collect();
     domains.sort_unstable();
     domains.dedup();
+    // By first layer, so that each cut looks at the engines that begin before it only.
+    let mut priced: Vec<(usize, Priced)> = able
+        .iter()
+        .enumerate()
+        .filter_map(|(index, able)| {
+            Some((index, Priced::new(*able, model, tokens, vms, &domains)?))
+        })
+        .collect();
+    priced.sort_by_key(|(_, engine)| engine.layers.start);
 
     let mut best = vec![vec![NONE; domains.len()]; cuts.len()];
-    let starts = vec![0.0; domains.len()];
     for at in 0..cuts.len() - 1 {
         let reached: Vec<f64> = match at {
-            0 => starts.clone(),
+            0 => vec![0.0; domains.len()],
             _ => best[at].iter().map(|step| step.cost).collect(),
         };
-        if reached.iter().all(|cost| cost.is_infinite()) {
+        let Some(cheapest) = (0..domains.len())
+            .filter(|&domain| reached[domain].is_finite())
+            .min_by(|&a, &b| reached[a].total_cmp(&reached[b]))
+        else {
             continue;
-        }
-        for (index, able) in able.iter().enumerate() {
-            let entry = able.entry;
-            let Some(layers) = entry.layers else { continue };
-            if layers.start > cuts[at] || layers.end <= cuts[at] {
-                continue;
+        };
+        for (index, engine) in &priced {
+            if engine.layers.start > cuts[at] {
+                break;
             }
-            let Ok(domain) = domains.binary_search(&entry.target.domain.as_str()) else {
+            if engine.layers.end <= cuts[at] {
                 continue;
+            }
+            let domain = engine.domain;
+            // Staying in the domain, or coming from the one that is reached most cheaply.
+            let across = reached[cheapest] + CROSSING;
+            let (base, other) = if reached[domain] <= across {
+                (reached[domain], domain)
+            } else {
+                (across, cheapest)
             };
-            let from = (0..domains.len()).map(|other| {
-                let crossing = if other == domain { 0.0 } else { CROSSING };
-                (reached[other] + crossing, other)
-            });
-            let Some((base, other)) = from.min_by(|a, b| a.0.total_cmp(&b.0)) else { continue };
-            let taken = pressure(*able, model, tokens);
-            let full = if taken > 1.0 { FULL * taken } else { 0.0 };
-            let failing = FAILURE_COST * entry.health.failure_rate();
-            let slow = if entry.is_slow() { SLOW_COST * (entry.pace - 1.0) } else { 0.0 };
-            let doubt = if at == 0 && entry.is_doubtful() { DOUBT } else { 0.0 };
-            let fixed = base + HOP + full + failing + slow + doubt;
-            let whole =
-                work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken) + waiting(entry, model, vms);
-            let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= layers.end);
+            let first = if at == 0 { engine.first } else { 0.0 };
+            let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= engine.layers.end);
             for end in ends {
                 let share = f64::from(cuts[end] - cuts[at]) / f64::from(model.depth);
-                let cost = fixed + whole * share;
+                let cost = base + engine.fixed + first + engine.whole * share;
                 let step = &mut best[end][domain];
                 if cost < step.cost {
-                    *step = Step { cost, from: Some((index, at, other)) };
+                    *step = Step { cost, from: Some((*index, at, other)) };
                 }
             }
         }
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -41,6 +41,8 @@
     pub running: u32,
     /// Tokens of memory that requests of this VM hold there.
     pub tokens: f64,
+    /// Tokens of memory that requests of other VMs hold there, as far as they tell.
+    others: f64,
     /// Tokens of prompts of this VM that are being read there.
     pub reading: f64,
     /// Streams of this VM that began at this engine.
@@ -144,7 +146,7 @@
             let health = Health::default();
             // An engine that holds layers was ordered before this node knew it.
             let orders = layers.is_none().then_some(0);
-            let (running, tokens, reading, gone_at) = (0, 0.0, 0.0, None);
+            let (running, tokens, others, reading, gone_at) = (0, 0.0, 0.0, 0.0, None);
             let (streams, silent) = (0, 0);
             let (pace, asked) = (1.0, Duration::ZERO);
             let entry = Entry {
@@ -155,6 +157,7 @@
                 health,
                 running,
                 tokens,
+                others,
                 reading,
                 streams,
                 silent,
@@ -189,8 +192,10 @@
         }
     }
 
-    /// Removes the targets that count as gone, and returns them.
+    /// Removes the targets that count as gone, and returns them. What VMs told that fell
+    /// silent is forgotten too.
     pub fn expire(&mut self, now: Duration) -> Vec<Target> {
+        self.forget_others(now);
         let gone = |entry: &Entry| entry.gone_at.is_some_and(|at| at <= now);
         let ids: Vec<TargetKey> = self
             .entries
@@ -258,32 +263,40 @@
 
     /// Takes what another VM's requests hold, in tokens by target; it counts until `until`.
     pub fn share(&mut self, vm: SocketAddr, loads: Vec<(TargetKey, u32)>, until: Duration) {
+        if let Some(before) = self.others.remove(&vm) {
+            self.count_others(&before.loads, -1.0);
+        }
+        self.count_others(&loads, 1.0);
         self.others.insert(vm, Others { loads, until });
     }
 
-    /// Tokens that the requests of all VMs hold at each target. VMs that do not tell count
-    /// like this one.
-    fn held(&self, now: Duration) -> HashMap<&str, f64> {
-        let fresh: Vec<&Others> = self.others.values().filter(|o| o.until > now).collect();
-        let silent = (self.vms.saturating_sub(1)).saturating_sub(fresh.len());
-        let own = self.entries.values();
-        let own = own.map(|entry| (entry.target.id.as_str(), entry.tokens * (1 + silent) as f64));
-        let mut held: HashMap<&str, f64> = own.collect();
-        for (id, tokens) in fresh.iter().flat_map(|others| &others.loads) {
-            if let Some(sum) = held.get_mut(id.as_str()) {
-                *sum += f64::from(*tokens);
+    fn count_others(&mut self, loads: &[(TargetKey, u32)], sign: f64) {
+        for (id, tokens) in loads {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.others = (entry.others + sign * f64::from(*tokens)).max(0.0);
+            }
+        }
+    }
+
+    /// Forgets what VMs told that have not told again.
+    fn forget_others(&mut self, now: Duration) {
+        let silent = self.others.iter().filter(|(_, others)| others.until <= now);
+        let silent: Vec<SocketAddr> = silent.map(|(vm, _)| *vm).collect();
+        for vm in silent {
+            if let Some(others) = self.others.remove(&vm) {
+                self.count_others(&others.loads, -1.0);
             }
         }
-        held
     }
 
     /// The best path through the layers of a model.
     pub fn path(&self, now: Duration, model: &Model, wish: &Wish<'_>) -> Option<Path> {
-        let held = self.held(now);
-        let able = self.able(now, wish).map(|entry| Able {
-            entry,
-            held: held.get(entry.target.id.as_str()).copied().unwrap_or(0.0),
-        });
+        // VMs that do not tell what they hold count like this one.
+        let silent = self.vms.saturating_sub(1 + self.others.len());
+        let alike = (1 + silent) as f64;
+        let able = self
+            .able(now, wish)
+            .map(|entry| Able { entry, held: entry.tokens * alike + entry.others });
         let able: Vec<Able<'_>> = able.collect();
         search::search(&able, model, wish.tokens, self.vms)
     }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -131,6 +131,11 @@
     assert_eq!(names(&path), ["t3", "t4"]);
     let busy = table.path(NOW, &model(), &wish(&[address(3)])).expect("a path");
     assert!(busy.pressure > 0.9, "{}", busy.pressure);
+    // A newer word replaces the older one.
+    table.share(peer, vec![("t2".into(), 30_000)], until);
+    let again = table.path(NOW, &model(), &wish(&[address(3)])).expect("a path");
+    assert_eq!(again.pressure, busy.pressure);
+    table.expire(until);
     let later = table.path(until, &model(), &wish(&[address(3)])).expect("a path");
     assert!(later.pressure < 0.5, "{}", later.pressure);
 }
