--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -25,6 +25,8 @@
 const MOST_OFFERS: u32 = 5;
 /// Share of an engine's memory beyond which new requests are turned away.
 const MOST_PRESSURE: f64 = 1.0;
+/// Why a request is not offered to another path though there is one.
+const NO_RETRY: &str = "no retry left";
 /// A refusal that took this long came after the engine had hung.
 const HUNG: Duration = Duration::from_millis(800);
 
@@ -85,6 +87,18 @@
     Failed(Response<Answer>),
 }
 
+impl Closed {
+    /// How a stream ends that cannot be resumed for this reason.
+    pub(crate) fn cut(&self) -> &'static str {
+        match self {
+            Closed::NotRun(NO_RETRY) => "cut, no retry left",
+            Closed::NotRun(_) => "cut, no other path",
+            Closed::Unknown => "cut, lost on other paths too",
+            Closed::Failed(_) => "cut, another target failed",
+        }
+    }
+}
+
 /// What came of one offer.
 enum Offered {
     Open(Open),
@@ -164,7 +178,7 @@
             }
             if self.offers > 0 {
                 if !self.node.take_retry(&self.call.service) {
-                    reason = "no retry left";
+                    reason = NO_RETRY;
                     break;
                 }
                 let event = Event::new(RETRIED)
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -119,7 +119,7 @@
         open = tokio::select! {
             opened = run.open(progress.last) => match opened {
                 Ok(open) => open,
-                Err(_) => break "cut, no other path",
+                Err(closed) => break closed.cut(),
             },
             () = sender.closed() => break "caller left",
         };
