--- a/crates/node/src/control/error.rs
+++ b/crates/node/src/control/error.rs
@@ -26,6 +26,11 @@
     },
     /// No node answers.
     Unreachable,
+    /// No line of the logs is of the request.
+    NotLogged {
+        /// Its id.
+        request: SmolStr,
+    },
     /// A node answered with an error.
     Refused(String),
     /// A node's answer cannot be read.
@@ -41,7 +46,9 @@
     pub fn code(&self) -> u8 {
         match self {
             Error::File { .. } | Error::Document(_) | Error::Name { .. } => super::EXIT_INVALID,
-            Error::Unreachable | Error::Refused(_) | Error::Answer(_) => super::EXIT_FAILED,
+            Error::Unreachable | Error::NotLogged { .. } | Error::Refused(_) | Error::Answer(_) => {
+                super::EXIT_FAILED
+            }
         }
     }
 }
@@ -57,6 +64,9 @@
             Error::Unreachable => {
                 write!(f, "no node answers; name their operators' ports with --nodes")
             }
+            Error::NotLogged { request } => {
+                write!(f, "no line of the logs is of request {request}")
+            }
             Error::Refused(message) => write!(f, "{message}"),
             Error::Answer(message) => write!(f, "a node's answer cannot be read: {message}"),
         }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -3,10 +3,11 @@
 mod commit;
 mod error;
 mod nodes;
+mod story;
 mod table;
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
@@ -16,6 +17,7 @@
 
 pub use error::Error;
 use nodes::Nodes;
+pub use story::{Line, Story};
 use table::Table;
 
 /// Exit code when all was done.
@@ -115,6 +117,10 @@
     /// Show the decisions made on a request
     #[bpaf(command)]
     Explain {
+        /// Log of a node on the users' platform, or `-` for standard input; repeat it for
+        /// several. Without any the nodes are asked
+        #[bpaf(long, argument("FILE"), many)]
+        logs: Vec<PathBuf>,
         /// Request id (header Magnolia-Request) or the first part of an event id
         #[bpaf(positional("REQUEST"))]
         request: SmolStr,
@@ -162,7 +168,8 @@
             Action::Watch { changes } => self.watch(&nodes, *changes, print),
             Action::Status => self.status(&nodes),
             Action::Drain { target } => self.drain(&nodes, target),
-            Action::Explain { request } => self.explain(&nodes, request),
+            Action::Explain { logs, request } if logs.is_empty() => self.explain(&nodes, request),
+            Action::Explain { logs, request } => self.tell(logs, request),
         }
     }
 
@@ -171,7 +178,7 @@
         Printed { text, code: EXIT_DONE }
     }
 
-    fn validate(&self, file: &std::path::Path) -> Result<Printed, Error> {
+    fn validate(&self, file: &Path) -> Result<Printed, Error> {
         let preset = document(file)?;
         let organisations = preset.organisations.len();
         let text = format!("preset {} is valid: {organisations} organisations", preset.name);
@@ -259,6 +266,18 @@
         Ok(self.printed(format!("target {target} takes no new work"), &value))
     }
 
+    /// Tells the story of a request from logs.
+    fn tell(&self, logs: &[PathBuf], request: &str) -> Result<Printed, Error> {
+        let mut lines = Vec::new();
+        for file in logs {
+            let text = log_text(file)?;
+            lines.extend(text.lines().filter_map(Line::parse));
+        }
+        let story = Story::new(request, lines);
+        let story = story.ok_or_else(|| Error::NotLogged { request: request.into() })?;
+        Ok(self.printed(story.to_string(), &json!(story)))
+    }
+
     fn explain(&self, nodes: &Nodes, request: &str) -> Result<Printed, Error> {
         let (node, value) = nodes.explain(request)?;
         let mut table = Table::new(&["node", "decision"]);
@@ -279,7 +298,17 @@
     }
 }
 
-fn document(file: &std::path::Path) -> Result<Preset, Error> {
+/// A log, read from a file or from standard input.
+fn log_text(file: &Path) -> Result<String, Error> {
+    let read = if file == Path::new("-") {
+        std::io::read_to_string(std::io::stdin())
+    } else {
+        std::fs::read_to_string(file)
+    };
+    read.map_err(|error| Error::File { file: file.to_owned(), kind: error.kind() })
+}
+
+fn document(file: &Path) -> Result<Preset, Error> {
     let read = std::fs::read_to_string(file);
     let text = read.map_err(|error| Error::File { file: file.to_owned(), kind: error.kind() })?;
     Preset::parse(&text).map_err(|report| Error::Document(format!("{report}")))
