--- a/crates/route/tests/fake/mod.rs
+++ b/crates/route/tests/fake/mod.rs
@@ -6,18 +6,23 @@
 
 #![allow(dead_code)]
 
+mod shell;
+mod target;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use fleet::{Kind, Link, Plan, Request, RequestId, Shape, Standing, Target, TargetName};
+use fleet::{Link, Request, RequestId, Shape, Standing, Target, TargetName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use route::{Action, Dispatch, Ending, Load, Message, Router, Settings, Verdict};
+use route::{Message, Router, Settings, Verdict};
+
+use shell::Run;
+pub(crate) use shell::Stream;
+use target::REPORT_EVERY;
+pub(crate) use target::Server;
 
 pub(crate) const PREFILL_SPEEDUP: f64 = 16.0;
-const REPORT_EVERY: Duration = Duration::from_millis(500);
-const PROGRESS_EVERY: Duration = Duration::from_millis(100);
-const SPREAD: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Health {
@@ -27,31 +32,6 @@
     Slow(f64),
 }
 
-pub(crate) struct Server {
-    pub(crate) target: Target,
-    pub(crate) health: Health,
-    pub(crate) leaving: bool,
-    free_at: Duration,
-    /// Requests and attempts that it began to run.
-    pub(crate) began: BTreeSet<(RequestId, u32)>,
-    pub(crate) tokens: u64,
-    pub(crate) busy: f64,
-}
-
-impl Server {
-    fn new(target: Target) -> Self {
-        Self {
-            target,
-            health: Health::Up,
-            leaving: false,
-            free_at: Duration::ZERO,
-            began: BTreeSet::new(),
-            tokens: 0,
-            busy: 0.0,
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Job {
     request: RequestId,
@@ -72,24 +52,6 @@
     Refill(usize),
 }
 
-struct Run {
-    node: usize,
-    dispatch: Dispatch,
-    over: bool,
-}
-
-/// What a node's shell holds for one caller.
-pub(crate) struct Stream {
-    pub(crate) node: usize,
-    pub(crate) request: Request,
-    attempt: u32,
-    pub(crate) next: u32,
-    last: Duration,
-    sampled: Duration,
-    waiting: bool,
-    timeouts: (Duration, Duration),
-}
-
 #[derive(Clone, Debug)]
 pub(crate) struct Refill {
     pub(crate) service: &'static str,
@@ -346,315 +308,4 @@
             }
         }
     }
-
-    fn hear(&mut self, index: usize, message: Message) {
-        let node = &mut self.nodes[index];
-        if !node.alive {
-            return;
-        }
-        let mut actions = Vec::new();
-        node.router.step(self.now, message, &mut node.rng, &mut actions);
-        for action in actions {
-            self.act(index, action);
-        }
-    }
-
-    fn act(&mut self, node: usize, action: Action) {
-        match action {
-            Action::Dispatch(dispatch) => self.dispatch(node, dispatch),
-            Action::Cancel { request, attempt, .. } => {
-                let delay = self.jitter();
-                self.at(delay, Event::Cancel(request, attempt));
-            }
-            Action::Finish { request, verdict } => self.finish(request, verdict),
-            Action::Quarantine(fact) => {
-                for other in (0..self.nodes.len()).filter(|other| *other != node) {
-                    self.at(SPREAD, Event::Hear(other, Message::Quarantine(fact.clone())));
-                }
-            }
-            Action::Capacity { service, tokens_per_second, slots } => {
-                self.capacity.insert(service, (tokens_per_second, slots));
-            }
-            Action::Wake(delay) => self.at(delay, Event::Hear(node, Message::Wake)),
-            Action::Leaving(_) | Action::Log(_) => {}
-        }
-    }
-
-    fn dispatch(&mut self, node: usize, dispatch: Dispatch) {
-        let (id, attempt) = (dispatch.request, dispatch.attempt);
-        let Some(stream) = self.streams.get_mut(&id) else {
-            self.violations.push(format!("{id}: dispatched without a caller"));
-            return;
-        };
-        if attempt != stream.attempt + 1 || dispatch.from != stream.next {
-            self.violations.push(format!("{id}: attempt {attempt} from {}", dispatch.from));
-        }
-        if !stream.request.idempotent && stream.attempt > 0 {
-            let before = (id, stream.attempt);
-            if self.servers.values().any(|server| server.began.contains(&before)) {
-                self.violations.push(format!("{id}: booking run twice"));
-            }
-        }
-        stream.attempt = attempt;
-        stream.waiting = true;
-        if attempt == 1 {
-            stream.last = self.now;
-        }
-        stream.sampled = self.now;
-        stream.timeouts = (dispatch.first_timeout, dispatch.stall_timeout);
-        let first_timeout = dispatch.first_timeout;
-        let from = dispatch.from;
-        self.attempts += 1;
-        self.runs.insert((id, attempt), Run { node, dispatch, over: false });
-        let delay = Duration::from_micros(300);
-        let job = Job { request: id, attempt, stage: 0, index: from };
-        self.at(delay, Event::Arrive(job));
-        self.at(first_timeout, Event::StallCheck(id, attempt));
-    }
-
-    fn finish(&mut self, id: RequestId, verdict: Verdict) {
-        let Some(stream) = self.streams.remove(&id) else {
-            self.violations.push(format!("{id}: verdict twice or for nobody"));
-            return;
-        };
-        let whole = stream.next == stream.request.shape.max_tokens;
-        match &verdict {
-            Verdict::Complete if !whole => {
-                self.violations.push(format!("{id}: complete at {}", stream.next));
-            }
-            Verdict::NotRun { .. } => {
-                let ran = |server: &Server| server.began.iter().any(|(run, _)| *run == id);
-                if self.servers.values().any(ran) {
-                    self.violations.push(format!("{id}: not-run, but a target ran it"));
-                }
-            }
-            _ => {}
-        }
-        self.verdicts.insert(id, (self.now, verdict));
-        for attempt in 1..=stream.attempt {
-            self.runs.remove(&(id, attempt));
-        }
-        if self.refill.is_some() {
-            self.at(Duration::from_micros(100), Event::Refill(stream.node));
-        }
-    }
-
-    fn ended(&mut self, job: Job, ending: Ending) {
-        let Some(run) = self.runs.get_mut(&(job.request, job.attempt)) else { return };
-        if std::mem::replace(&mut run.over, true) {
-            return;
-        }
-        let node = run.node;
-        let Some(stream) = self.streams.get(&job.request) else { return };
-        let next = stream.next;
-        let delay = self.jitter();
-        let (request, attempt) = (job.request, job.attempt);
-        let message = Message::Ended { request, attempt, next, ending };
-        self.at(delay, Event::Hear(node, message));
-    }
-
-    fn break_runs(&mut self, target: &str) {
-        let through = |run: &Run| {
-            !run.over && run.dispatch.plan.stages.iter().any(|stage| stage.target == target)
-        };
-        let broken: Vec<(RequestId, u32, bool)> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| through(run))
-            .map(|(key, run)| (key.0, key.1, run.dispatch.plan.stages[0].target == target))
-            .collect();
-        self.broken += broken.len();
-        for (request, attempt, first) in broken {
-            let named = (!first).then(|| target.into());
-            let job = Job { request, attempt, stage: 0, index: 0 };
-            self.ended(job, Ending::Broken { target: named });
-        }
-    }
-
-    fn arrive(&mut self, job: Job) {
-        let Some(run) = self.runs.get(&(job.request, job.attempt)).filter(|run| !run.over) else {
-            return;
-        };
-        let stage = &run.dispatch.plan.stages[job.stage];
-        let (target, layers) = (stage.target.clone(), stage.layers);
-        let first = job.index == run.dispatch.from;
-        let reused = run.dispatch.reuse.contains(&target);
-        let Some(stream) = self.streams.get(&job.request) else { return };
-        let prompt = stream.request.shape.prompt_tokens + run.dispatch.from;
-        let crashes = self.crashers.contains(&stream.request.fingerprint);
-        let server = self.servers.get_mut(&target).expect("known target");
-        match server.health {
-            Health::Dead if job.stage == 0 && first => {
-                self.refused += 1;
-                return self.ended(job, Ending::Unreachable { target });
-            }
-            Health::Dead => {
-                let target = (job.stage > 0).then_some(target);
-                return self.ended(job, Ending::Broken { target });
-            }
-            Health::Frozen => return,
-            Health::Up | Health::Slow(_) => {}
-        }
-        if server.leaving && first {
-            let retry_after = None;
-            return self.ended(job, Ending::Refused { target, leaving: true, retry_after });
-        }
-        server.began.insert((job.request, job.attempt));
-        let (rate, held) = match &server.target.kind {
-            Kind::Engine(engine) => (engine.tokens_per_second, engine.layers.len()),
-            Kind::Service(service) => (f64::from(service.slots) * 20.0, 1),
-        };
-        let part = if layers.is_empty() { 1.0 } else { f64::from(layers.len()) / f64::from(held) };
-        let slow = if let Health::Slow(factor) = server.health { factor } else { 1.0 };
-        let mut cost = part / rate * slow;
-        if first && !reused && !layers.is_empty() {
-            cost += f64::from(prompt) * cost / PREFILL_SPEEDUP;
-            self.prompts += usize::from(job.attempt > 1);
-        }
-        server.tokens += 1;
-        server.busy += cost;
-        let done = server.free_at.max(self.now) + Duration::from_secs_f64(cost);
-        server.free_at = done;
-        let delay = done - self.now;
-        if crashes && first && job.stage == 0 {
-            self.at(Duration::from_millis(5), Event::Crash(target));
-            return;
-        }
-        self.at(delay, Event::Done(job));
-    }
-
-    fn done(&mut self, job: Job) {
-        let Some(run) = self.runs.get(&(job.request, job.attempt)).filter(|run| !run.over) else {
-            return;
-        };
-        let stages = &run.dispatch.plan.stages;
-        let here = &self.servers[&stages[job.stage].target];
-        if matches!(here.health, Health::Dead | Health::Frozen) {
-            return;
-        }
-        let last = job.stage + 1 == stages.len();
-        let next = if last { 0 } else { job.stage + 1 };
-        let there = &self.servers[&stages[next].target].target.domain;
-        let hop = self.hop(&here.target.domain, there);
-        if !last {
-            return self.at(hop, Event::Arrive(Job { stage: next, ..job }));
-        }
-        let jitter = self.jitter();
-        self.at(jitter, Event::Token(job));
-        let Some(stream) = self.streams.get(&job.request) else { return };
-        if job.index + 1 < stream.request.shape.max_tokens {
-            self.at(hop, Event::Arrive(Job { stage: 0, index: job.index + 1, ..job }));
-        }
-    }
-
-    fn hop(&self, from: &str, to: &str) -> Duration {
-        let link = self.links.iter().find(|link| link.from == from && link.to == to);
-        link.map_or(Duration::from_micros(100), |link| link.delay)
-    }
-
-    fn token(&mut self, job: Job) {
-        let Some(run) = self.runs.get(&(job.request, job.attempt)) else { return };
-        let node = run.node;
-        let Some(stream) = self.streams.get_mut(&job.request) else { return };
-        if run.over || job.attempt != stream.attempt {
-            return;
-        }
-        if job.index > stream.next {
-            // A later token overtook this one on its way; the shell waits for the earlier.
-            return self.at(Duration::from_micros(50), Event::Token(job));
-        }
-        if job.index != stream.next {
-            self.violations.push(format!("{}: token {} again", job.request, job.index));
-            return;
-        }
-        if !is_covered(&run.dispatch.plan, &self.servers) {
-            self.violations.push(format!("{}: trail not exact", job.request));
-        }
-        self.tokens += 1;
-        self.useful += 1.0;
-        if stream.waiting && job.attempt == 1 {
-            self.useful += f64::from(stream.request.shape.prompt_tokens) / PREFILL_SPEEDUP;
-        }
-        stream.next += 1;
-        if stream.waiting && job.attempt > 1 && job.index > 0 {
-            self.resumed.push(self.now - stream.last);
-        }
-        let (first, next) = (stream.waiting, stream.next);
-        stream.waiting = false;
-        stream.last = self.now;
-        let whole = next == stream.request.shape.max_tokens;
-        let sample = first || self.now - stream.sampled >= PROGRESS_EVERY;
-        if sample {
-            stream.sampled = self.now;
-        }
-        let stall = stream.timeouts.1;
-        let (request, attempt) = (job.request, job.attempt);
-        if first && !whole {
-            self.at(stall, Event::StallCheck(request, attempt));
-        }
-        if whole {
-            if let Some(run) = self.runs.get_mut(&(request, attempt)) {
-                run.over = true;
-            }
-            let ending = Ending::Complete;
-            self.hear(node, Message::Ended { request, attempt, next, ending });
-        } else if sample {
-            self.hear(node, Message::Progress { request, attempt, next });
-        }
-    }
-
-    fn stall_check(&mut self, id: RequestId, attempt: u32) {
-        let Some(stream) = self.streams.get(&id).filter(|s| s.attempt == attempt) else { return };
-        if self.runs.get(&(id, attempt)).is_none_or(|run| run.over) {
-            return;
-        }
-        let (since, limit) = if stream.waiting {
-            (stream.sampled, stream.timeouts.0)
-        } else {
-            (stream.last, stream.timeouts.1)
-        };
-        let due = since + limit;
-        if due <= self.now {
-            let job = Job { request: id, attempt, stage: 0, index: 0 };
-            return self.ended(job, Ending::Stalled);
-        }
-        if !stream.waiting {
-            let left = due - self.now;
-            self.at(left, Event::StallCheck(id, attempt));
-        }
-    }
-
-    fn reports(&mut self) {
-        let mut streams: BTreeMap<TargetName, u32> = BTreeMap::new();
-        for run in self.runs.values().filter(|run| !run.over) {
-            for stage in &run.dispatch.plan.stages {
-                *streams.entry(stage.target.clone()).or_default() += 1;
-            }
-        }
-        let up = |server: &&Server| matches!(server.health, Health::Up | Health::Slow(_));
-        let names: Vec<TargetName> =
-            self.servers.values().filter(up).map(|s| s.target.name.clone()).collect();
-        for target in names {
-            let age = Duration::from_millis(self.rng.random_range(100..400));
-            let running = streams.get(&target).copied().unwrap_or(0);
-            let load = Load { target, running, queued: 0, tokens_per_second: 0.0, age };
-            for node in 0..self.nodes.len() {
-                self.at(age, Event::Hear(node, Message::Load(load.clone())));
-            }
-        }
-        self.at(REPORT_EVERY, Event::Reports);
-    }
-}
-
-/// Whether the stages cover the model's layers, each held by its target.
-fn is_covered(plan: &Plan, servers: &BTreeMap<TargetName, Server>) -> bool {
-    let mut depth = 0;
-    for stage in &plan.stages {
-        match &servers[&stage.target].target.kind {
-            Kind::Engine(engine) if engine.layers.contains(stage.layers) => depth = engine.depth,
-            Kind::Engine(_) => return false,
-            Kind::Service(_) => return plan.stages.len() == 1,
-        }
-    }
-    plan.verify(depth).is_ok()
 }
