--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -1,19 +1,6 @@
 //! Numbered events of the entry process.
 
-use fleet::EventKind;
-
-macro_rules! events {
-    ($($constant:ident = $number:literal, $name:literal, $meaning:literal;)*) => {
-        $(
-            pub(crate) const $constant: &EventKind =
-                &EventKind { number: $number, name: $name, meaning: $meaning };
-        )*
-        /// All events of this crate.
-        pub const EVENTS: &[&EventKind] = &[$($constant),*];
-    };
-}
-
-events! {
+fleet::events! {
     STARTED = 1101, "entry-started", "The entry process listens.";
     STOPPING = 1102, "entry-stopping", "A stop was asked for; callers are served until none is left.";
     STOPPED = 1103, "entry-stopped", "The entry process ends.";
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -18,6 +18,21 @@
     pub meaning: &'static str,
 }
 
+/// Defines the kinds of event of a crate, and its table `EVENTS` of all of them.
+///
+/// Each row is `CONSTANT = number, "name", "meaning";`.
+#[macro_export]
+macro_rules! events {
+    ($($constant:ident = $number:literal, $name:literal, $meaning:literal;)*) => {
+        $(
+            pub(crate) const $constant: &$crate::EventKind =
+                &$crate::EventKind { number: $number, name: $name, meaning: $meaning };
+        )*
+        /// All events of this crate.
+        pub const EVENTS: &[&$crate::EventKind] = &[$($constant),*];
+    };
+}
+
 /// One event with its fields.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -1,19 +1,6 @@
 //! Numbered events of routing.
 
-use fleet::EventKind;
-
-macro_rules! events {
-    ($($constant:ident = $number:literal, $name:literal, $meaning:literal;)*) => {
-        $(
-            pub(crate) const $constant: &EventKind =
-                &EventKind { number: $number, name: $name, meaning: $meaning };
-        )*
-        /// All events of this crate.
-        pub const EVENTS: &[&EventKind] = &[$($constant),*];
-    };
-}
-
-events! {
+fleet::events! {
     DISPATCHED = 301, "attempt-dispatched", "An attempt was sent to the targets named.";
     ENDED = 302, "attempt-ended", "An attempt ended without a whole answer.";
     FINISHED = 303, "request-finished", "A request got its verdict.";
