--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -16,6 +16,7 @@
 //! [`Limiter`] is a state machine without clock, thread or socket.
 
 mod class;
+mod end;
 mod estimate;
 mod event;
 mod lane;
