--- a/crates/node/examples/platform.rs
+++ b/crates/node/examples/platform.rs
@@ -66,9 +66,10 @@
     platform.configure(&Document::default());
     let engines = [("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("b2", "b"), ("b3", "b")];
     let engines = engines.map(|(id, domain)| {
-        platform.target("127.83.0.1", Setup { id, service: MODEL, domain, events: EVENTS })
+        platform
+            .target("127.83.0.1", Setup { id: id.into(), service: MODEL, domain, events: EVENTS })
     });
-    let setup = Setup { id: "p1", service: PLAIN, domain: "a", events: 0 };
+    let setup = Setup { id: "p1".into(), service: PLAIN, domain: "a", events: 0 };
     let plain = platform.target("127.83.0.1", setup);
     let hosts = ["127.83.0.2", "127.83.0.3"];
     let settings = hosts.map(|host| Settings::new(host, "a", host, platform.store()));
--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -43,10 +43,11 @@
         entry
     }
 
-    /// Sends the stop signal.
-    pub(crate) fn terminate(&self) {
+    /// Sends a signal, by its name.
+    pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("a signal is sent");
+        let signal = format!("-{name}");
+        let sent = Command::new("kill").args([&signal, &pid]).status().expect("a signal is sent");
         assert!(sent.success());
     }
 }
--- a/crates/node/tests/front.rs
+++ b/crates/node/tests/front.rs
@@ -67,7 +67,7 @@
     let read = kept.read(&mut answer).expect("an answer");
     assert!(answer[..read].starts_with(b"HTTP/1.1 503"));
     let stopped = Instant::now();
-    front.terminate();
+    front.signal("TERM");
     sleep(Duration::from_millis(500));
     assert_eq!(status(front.front, "/a/"), Some(503), "callers still come");
     assert_eq!(status(front.ready, "/ready"), Some(503));
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -39,10 +39,11 @@
         let platform = Platform::start(&host);
         platform.configure(document);
         let engines = ENGINES.map(|(id, domain)| {
-            platform.target(&host, Setup { id, service: MODEL, domain, events: EVENTS })
+            platform.target(&host, Setup { id: id.into(), service: MODEL, domain, events: EVENTS })
+        });
+        let plain = ["p1", "p2"].map(|id| {
+            platform.target(&host, Setup { id: id.into(), service: PLAIN, domain: "a", events: 0 })
         });
-        let plain = ["p1", "p2"]
-            .map(|id| platform.target(&host, Setup { id, service: PLAIN, domain: "a", events: 0 }));
         let start = |index: u8| {
             let host = format!("127.82.{number}.{}", 10 + index);
             let name = format!("n{index}");
@@ -219,7 +220,7 @@
     let mut site = Site::start(41, 2, &Document::default());
     let streams = site.streams(0, "s", 8);
     sleep(Duration::from_millis(100));
-    site.nodes[0].terminate();
+    site.nodes[0].signal("TERM");
     for reply in ended(streams) {
         assert!(reply.is_whole(EVENTS), "{reply:?}");
     }
