--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod offer;
 mod orders;
+mod others;
 mod peers;
 mod plain;
 mod process;
@@ -30,6 +31,7 @@
 
 pub use claim::Claim;
 pub use event::EVENTS;
+pub use others::Others;
 pub use process::{Failure, check, run};
 pub use silence::{Silence, Verdict};
 pub use split::{Event as StreamEvent, Splitter};
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -20,6 +20,7 @@
 use crate::diagnose::Reports;
 use crate::event::{TARGET_DOWN, TARGET_UP};
 use crate::link::Pool;
+use crate::others::Others;
 
 /// How long before the bound on withdrawn keys a node that cannot reach the store refuses
 /// keys: the request has to reach its target and begin within it.
@@ -27,17 +28,6 @@
 /// A node that has not heard from the store for this long asks for no new callers.
 const UNREADY_AFTER: Duration = Duration::from_millis(3000);
 
-/// What was heard of the other nodes.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Others {
-    /// When any of them last told anything.
-    pub(crate) heard: Option<Duration>,
-    /// When one last told that it can check keys.
-    pub(crate) checking: Option<Duration>,
-}
-
-/// How long another node's word counts.
-const OTHERS_FRESH: Duration = Duration::from_millis(1500);
 /// When a caller may come back that another node can serve: at once, but not all together.
 const ELSEWHERE: Duration = Duration::from_millis(60);
 /// When a caller may come back that no node can serve before the store answers again.
@@ -56,8 +46,8 @@
     pub(crate) reports: Reports,
     /// Up to when the store's state is known to be in force here.
     pub(crate) synced: Cell<Option<Duration>>,
-    /// When another node was last heard, and when one last told that it can check keys.
-    pub(crate) others: Cell<Others>,
+    /// What is heard of the other nodes.
+    pub(crate) others: RefCell<Others>,
     /// Whether a stop was asked for.
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are turned away because the process ends.
@@ -92,7 +82,7 @@
             pool: Pool::new(clock),
             reports: Reports::default(),
             synced: Cell::new(None),
-            others: Cell::default(),
+            others: RefCell::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
             stop: Notify::new(),
@@ -133,15 +123,10 @@
         !bounds.strict_revoke || self.now().saturating_sub(synced) < limit
     }
 
-    /// When a caller whose key cannot be checked here may come back, to another node.
-    ///
-    /// A node that hears neither the store nor the others is cut off alone: the others serve.
+    /// When a caller whose key cannot be checked here may come back.
     pub(crate) fn keys_comeback(&self) -> Duration {
-        let since = self.now().saturating_sub(OTHERS_FRESH);
-        let is_fresh = |at: Option<Duration>| at.is_some_and(|at| at >= since);
-        let Others { heard, checking } = self.others.get();
-        let alone = !is_fresh(heard) && !self.peers.borrow().is_empty();
-        if alone || is_fresh(checking) {
+        let peers = self.peers.borrow().len();
+        if self.others.borrow().check_keys(self.now(), peers) {
             return self.elsewhere();
         }
         STORE_RETURN.mul_f64(0.5 + self.luck())
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 
 use crate::event::PEERS;
-use crate::node::{Node, Others};
+use crate::node::Node;
 
 /// Shortest interval between messages to one peer.
 const LEAST_INTERVAL: Duration = Duration::from_millis(150);
@@ -116,8 +116,7 @@
     }
     node.claim.borrow_mut().heard(message.fence);
     let now = node.now();
-    let checking = if message.checks_keys { Some(now) } else { node.others.get().checking };
-    node.others.set(Others { heard: Some(now), checking });
+    node.others.borrow_mut().hear(now, message.checks_keys);
     let until = now + interval(node.peers.borrow().len()) * 5;
     node.table.borrow_mut().share(from, message.loads, until);
     for id in message.down {
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -56,11 +56,11 @@
 
 /// The first range that no engine holds.
 fn first_gap(held: &[Option<Layers>], depth: Layer) -> Option<Layers> {
-    thin(held, depth, 1)
+    first_below(held, depth, 1)
 }
 
 /// The first range of which fewer than `copies` are held.
-fn thin(held: &[Option<Layers>], depth: Layer, copies: u16) -> Option<Layers> {
+fn first_below(held: &[Option<Layers>], depth: Layer, copies: u16) -> Option<Layers> {
     let counts = counts(held, depth);
     let start = counts.iter().position(|&count| count < copies)?;
     let length = counts[start..].iter().take_while(|&&count| count < copies).count();
@@ -131,7 +131,7 @@
         if self.moves.is_empty() {
             self.bypass();
         }
-        self.repeat();
+        self.add_copies();
         self.relieve();
         self.moves
     }
@@ -140,14 +140,14 @@
     /// gap and requests have more room.
     ///
     /// Loads share the weights' source: while a gap is closed none of them begins.
-    fn repeat(&mut self) {
+    fn add_copies(&mut self) {
         let first_layout = self.engines.iter().all(|engine| engine.layers.is_none());
         let loading = !self.moves.is_empty() || self.fixed.iter().any(|fixed| *fixed);
         if loading && !first_layout {
             return;
         }
         for copies in 2..=self.copies {
-            while let Some(range) = thin(&self.held, self.depth, copies) {
+            while let Some(range) = first_below(&self.held, self.depth, copies) {
                 let Some(index) = self.surplus() else { return };
                 let layers = fit(range, self.usual[index]);
                 self.order(index, layers);
