--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -112,7 +112,7 @@
     let id = id(&request);
     let (call, config) = match prepare(&node, request, begun).await {
         Ok(prepared) => prepared,
-        Err(refusal) => return refuse(&id, refusal),
+        Err(refusal) => return refuse(&node, &id, refusal),
     };
     let model = config.service(&call.service).and_then(|service| service.model.clone());
     node.count_request(&call.service);
@@ -140,17 +140,25 @@
     metrics::histogram!("magnolia_answer_seconds").record(node.now().saturating_sub(begun));
 }
 
-fn refuse(id: &str, refusal: Refusal) -> Response<Answer> {
-    let (response, reason) = match refusal {
-        Refusal::Own(status, reason) => (own(status, reason), reason),
+fn refuse(node: &Node, id: &str, refusal: Refusal) -> Response<Answer> {
+    let (response, reason, after) = match refusal {
+        Refusal::Own(status, reason) => (own(status, reason), reason, None),
         Refusal::Later(reason, after) => {
-            (later(StatusCode::SERVICE_UNAVAILABLE, reason, after), reason)
+            (later(StatusCode::SERVICE_UNAVAILABLE, reason, after), reason, Some(after))
         }
     };
-    let event = Event::new(REFUSED)
+    let mut event = Event::new(REFUSED)
         .with("request", id)
         .with("status", response.status().as_u16())
-        .with("reason", reason);
+        .with("reason", reason)
+        .with("version", node.config().map_or(0, |config| config.version));
+    if let Some(synced) = node.synced.get() {
+        let age = node.now().saturating_sub(synced);
+        event = event.with("store_age_ms", age.as_millis());
+    }
+    if let Some(after) = after {
+        event = event.with("retry_after_ms", after.as_millis());
+    }
     log::info!("{event}");
     metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
     response
