Path: an entry has one constructor, what lapses is taken out in one pass

Read-through of the change. Table::set wrote out all fields of a new entry beside those that a restarted target resets; expire and forget_others collected keys to remove them one by one; whether a target is left out was asked for a moment that does not matter. READING_SHARE had become 1.0, a factor without effect.

--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -63,6 +63,11 @@
         self.down.is_none() && self.paused <= now
     }
 
+    /// Whether the target is left out.
+    pub fn is_down(&self) -> bool {
+        self.down.is_some()
+    }
+
     /// How long the target has been left out.
     pub fn down_for(&self, now: Duration) -> Option<Duration> {
         self.down.map(|down| now.saturating_sub(down.since))
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -23,9 +23,6 @@
 const FULL: f64 = 5.0;
 /// Cost of beginning at an engine whose streams pause, seconds.
 const DOUBT: f64 = 3.0;
-/// Share of the prompts that wait at an engine that a new one waits for: the engines of a
-/// path read one after another, each a different prompt.
-const READING_SHARE: f64 = 1.0;
 /// Cost of a slow engine, seconds for each whole time that it is slower: its streams pause.
 const SLOW_COST: f64 = 0.6;
 /// An engine with this share of its calls failed costs as much as [`FULL`].
@@ -120,7 +117,7 @@
 fn waiting(entry: &Entry, model: &Model, vms: usize) -> f64 {
     let read = model.card(&entry.target.card).map_or(1.0, |card| card.read);
     let tokens = entry.reading * vms as f64;
-    READING_SHARE * tokens / model.read_per_s.max(1.0) * read * entry.pace
+    tokens / model.read_per_s.max(1.0) * read * entry.pace
 }
 
 /// What it costs to pass an engine, whichever of its layers are run.
@@ -187,11 +184,9 @@
     priced.sort_by_key(|(_, engine)| engine.layers.start);
 
     let mut best = vec![vec![NONE; domains.len()]; cuts.len()];
+    best[0].fill(Step { cost: 0.0, from: None });
     for at in 0..cuts.len() - 1 {
-        let reached: Vec<f64> = match at {
-            0 => vec![0.0; domains.len()],
-            _ => best[at].iter().map(|step| step.cost).collect(),
-        };
+        let reached: Vec<f64> = best[at].iter().map(|step| step.cost).collect();
         let Some(cheapest) = (0..domains.len())
             .filter(|&domain| reached[domain].is_finite())
             .min_by(|&a, &b| reached[a].total_cmp(&reached[b]))
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -54,6 +54,25 @@
 }
 
 impl Entry {
+    /// A target that nothing was seen of yet.
+    fn new(target: Target) -> Self {
+        Self {
+            layers: target.layers,
+            orders: orders(&target),
+            pace: 1.0,
+            asked: Duration::ZERO,
+            health: Health::default(),
+            running: 0,
+            tokens: 0.0,
+            others: 0.0,
+            reading: 0.0,
+            streams: 0,
+            silent: 0,
+            gone_at: None,
+            target,
+        }
+    }
+
     /// Whether it works much slower than usual.
     pub fn is_slow(&self) -> bool {
         self.pace > SLOW
@@ -79,6 +98,12 @@
     }
 }
 
+/// Orders that a target has accepted when it registers. An engine that holds layers was
+/// ordered before this node knew it.
+fn orders(target: &Target) -> Option<u64> {
+    target.layers.is_none().then_some(0)
+}
+
 /// What a request needs.
 #[derive(Clone, Debug)]
 pub struct Wish<'a> {
@@ -124,6 +149,11 @@
         self.entries.get(id)
     }
 
+    /// Whether a target is gone or left out.
+    pub fn is_down(&self, id: &str) -> bool {
+        self.entry(id).is_none_or(|entry| entry.health.is_down())
+    }
+
     /// Takes what a target registered. Returns whether something that matters changed.
     ///
     /// Of two targets at one address only the younger lives: the entry of the other stays in
@@ -142,29 +172,7 @@
                 || entry.target.born >= target.born
         });
         let Some(entry) = self.entries.get_mut(&target.id) else {
-            let layers = target.layers;
-            let health = Health::default();
-            // An engine that holds layers was ordered before this node knew it.
-            let orders = layers.is_none().then_some(0);
-            let (running, tokens, others, reading, gone_at) = (0, 0.0, 0.0, 0.0, None);
-            let (streams, silent) = (0, 0);
-            let (pace, asked) = (1.0, Duration::ZERO);
-            let entry = Entry {
-                layers,
-                orders,
-                pace,
-                asked,
-                health,
-                running,
-                tokens,
-                others,
-                reading,
-                streams,
-                silent,
-                gone_at,
-                target,
-            };
-            self.entries.insert(entry.target.id.clone(), entry);
+            self.entries.insert(target.id.clone(), Entry::new(target));
             return true;
         };
         entry.gone_at = None;
@@ -174,7 +182,7 @@
         if entry.target.born != target.born || entry.target.address != target.address {
             entry.health = Health::default();
             entry.layers = target.layers;
-            entry.orders = target.layers.is_none().then_some(0);
+            entry.orders = orders(&target);
             entry.pace = 1.0;
         }
         if entry.target.layers != target.layers {
@@ -196,14 +204,8 @@
     /// silent is forgotten too.
     pub fn expire(&mut self, now: Duration) -> Vec<Target> {
         self.forget_others(now);
-        let gone = |entry: &Entry| entry.gone_at.is_some_and(|at| at <= now);
-        let ids: Vec<TargetKey> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| gone(entry))
-            .map(|(id, _)| id.clone())
-            .collect();
-        ids.iter().filter_map(|id| self.entries.remove(id)).map(|entry| entry.target).collect()
+        let gone = self.entries.extract_if(|_, entry| entry.gone_at.is_some_and(|at| at <= now));
+        gone.map(|(_, entry)| entry.target).collect()
     }
 
     /// Notes a fault of the target at an address; returns the target when it is newly left out.
@@ -280,12 +282,10 @@
 
     /// Forgets what VMs told that have not told again.
     fn forget_others(&mut self, now: Duration) {
-        let silent = self.others.iter().filter(|(_, others)| others.until <= now);
-        let silent: Vec<SocketAddr> = silent.map(|(vm, _)| *vm).collect();
-        for vm in silent {
-            if let Some(others) = self.others.remove(&vm) {
-                self.count_others(&others.loads, -1.0);
-            }
+        let silent = self.others.extract_if(|_, others| others.until <= now);
+        let silent: Vec<Others> = silent.map(|(_, others)| others).collect();
+        for others in silent {
+            self.count_others(&others.loads, -1.0);
         }
     }
 
