Entry: one piece each for what stood twice

Read-through of the change: - the answer when a request's outcome is not known, and a target's answer passed on, stood in plain and again in stream and offer; they and what both relays read from answers are in reply.rs - asking an engine and taking its report stood five times: Node::refresh - accepting with a pause when no descriptor is left stood in front and ready - a value that cannot be decoded was logged by two pieces, a target used again by two - is_broken repeated is_down Work on the hot path: the model with its cards was copied for each streamed request; the configuration shares it now. The URI of each request was cloned to be dropped. No change of behaviour; tests as before.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -54,6 +54,13 @@
         timeout(REPORT_TIMEOUT, exchange).await.ok().flatten()
     }
 
+    /// Asks an engine for its report, and takes it.
+    pub(crate) async fn refresh(&self, id: &str, address: SocketAddr) -> Option<Report> {
+        let report = self.ask(address).await?;
+        self.report(id, &report);
+        Some(report)
+    }
+
     /// Looks for the engine that keeps requests on `path` from going on, and notes the fault.
     pub(crate) async fn diagnose(&self, path: &Path) {
         let first = path.first().address;
@@ -80,9 +87,9 @@
         for (id, address) in due {
             let node = self.clone();
             tokio::task::spawn_local(async move {
-                match timeout(QUESTION_TIMEOUT, node.ask(address)).await {
-                    Ok(Some(report)) => node.report(&id, &report),
-                    _ => node.fault(address, Fault::Silent, "no report while streams pause"),
+                let report = timeout(QUESTION_TIMEOUT, node.refresh(&id, address)).await;
+                if report.ok().flatten().is_none() {
+                    node.fault(address, Fault::Silent, "no report while streams pause");
                 }
             });
         }
@@ -90,12 +97,8 @@
 
     /// Whether a path has an engine that is left out.
     pub(crate) fn is_broken(&self, path: &Path) -> bool {
-        let now = self.now();
         let table = self.table.borrow();
-        path.stages.iter().any(|stage| {
-            let entry = table.entry(&stage.target);
-            entry.is_none_or(|entry| entry.health.down_for(now).is_some())
-        })
+        path.stages.iter().any(|stage| table.is_down(&stage.target))
     }
 }
 
@@ -109,9 +112,8 @@
             let node = node.clone();
             tokio::task::spawn_local(async move {
                 if node.is_engine(&id) {
-                    if let Some(report) = node.ask(address).await {
-                        node.report(&id, &report);
-                    }
+                    // One that does not answer stays left out.
+                    node.refresh(&id, address).await;
                 } else if crate::link::connect(address).await.is_some() {
                     node.revive(&id);
                 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -11,12 +11,10 @@
 use site::{Config, Service};
 use tokio::time::sleep;
 
-use crate::event::{
-    CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE, UNDECODABLE,
-};
+use crate::event::{CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
 use crate::node::Node;
-use crate::store::{Reply, Store};
+use crate::store::{Reply, Store, undecodable};
 
 /// How long the store holds a watch that has nothing to tell. A connection gone silent is
 /// noticed no later than this after it should have answered.
@@ -249,7 +247,3 @@
         node.changed.notify_waiters();
     }
 }
-
-fn undecodable(key: &str, error: &platform::Error) {
-    log::warn!("{}", Event::new(UNDECODABLE).with("key", key).with("reason", error));
-}
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -32,7 +32,7 @@
 /// Interval at which the first configuration is looked for.
 const CONFIG_POLL: Duration = Duration::from_millis(10);
 /// Pause after a connection could not be accepted.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// When a caller may come back for a route whose service is not known.
 const CONFIG_TIME: Duration = Duration::from_millis(500);
 
@@ -44,16 +44,20 @@
         tokio::time::sleep(CONFIG_POLL).await;
     }
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(node.clone(), stream));
-            }
-            // No descriptor is left for now; those in use are given back as callers go.
-            Err(_) => {
-                metrics::counter!("magnolia_accepts_failed").increment(1);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+        let stream = accept(&listener).await;
+        tokio::task::spawn_local(connection(node.clone(), stream));
+    }
+}
+
+/// The next connection. Without a descriptor left it waits: those in use are given back as
+/// callers go.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            return stream;
         }
+        metrics::counter!("magnolia_accepts_failed").increment(1);
+        tokio::time::sleep(ACCEPT_PAUSE).await;
     }
 }
 
@@ -118,7 +122,7 @@
     node.count_request(&call.service);
     if let (Kind::Stream { .. }, Some(model)) = (call.kind, model) {
         let route = call.route.clone();
-        let response = stream::relay(&node, call, Rc::new(model)).await;
+        let response = stream::relay(&node, call, model).await;
         if response.status() != StatusCode::OK {
             finish(&node, &id, &route, begun, response.status());
         }
@@ -197,7 +201,7 @@
     let call = Call {
         id: id.into(),
         method: parts.method,
-        uri: parts.uri.clone(),
+        uri: parts.uri,
         body,
         route: route.name.clone(),
         kind: route.kind,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod process;
 mod pump;
 mod ready;
+mod reply;
 mod silence;
 mod split;
 mod store;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -15,6 +15,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::call::Call;
 use crate::claim::Claim;
 use crate::clock::Clock;
 use crate::diagnose::Reports;
@@ -137,6 +138,13 @@
         ELSEWHERE.mul_f64(0.5 + self.luck())
     }
 
+    /// When a refused caller may come back: `least` or later, spread so that not all come at
+    /// once, and early enough that the request can still be served.
+    pub(crate) fn comeback(&self, call: &Call, least: Duration) -> Duration {
+        let left = call.ends.saturating_sub(self.now());
+        least.mul_f64(1.0 + 1.5 * self.luck()).min(left / 4)
+    }
+
     /// Whether new callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
         let Some(synced) = self.synced.get() else { return false };
@@ -164,27 +172,26 @@
 
     /// Takes a target's report.
     pub(crate) fn report(&self, id: &str, report: &site::Report) {
-        let now = self.now();
-        if self.table.borrow_mut().report(now, id, report) {
-            log::info!("{}", Event::new(TARGET_UP).with("target", id));
-            self.changed.notify_waiters();
+        if self.table.borrow_mut().report(self.now(), id, report) {
+            self.used_again(id);
         }
     }
 
     /// Notes that a plain target takes connections again.
     pub(crate) fn revive(&self, id: &str) {
-        let now = self.now();
-        if self.table.borrow_mut().revive(now, id) {
-            log::info!("{}", Event::new(TARGET_UP).with("target", id));
-            self.changed.notify_waiters();
+        if self.table.borrow_mut().revive(self.now(), id) {
+            self.used_again(id);
         }
     }
 
+    fn used_again(&self, id: &str) {
+        log::info!("{}", Event::new(TARGET_UP).with("target", id));
+        self.changed.notify_waiters();
+    }
+
     /// Whether a target is gone or left out.
     pub(crate) fn is_down(&self, id: &str) -> bool {
-        let now = self.now();
-        let table = self.table.borrow();
-        table.entry(id).is_none_or(|entry| entry.health.down_for(now).is_some())
+        self.table.borrow().is_down(id)
     }
 
     /// Whether a target runs layers of a model.
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fleet::Event;
@@ -14,11 +15,11 @@
 use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
-use crate::call::{Call, back};
+use crate::call::Call;
 use crate::event::RETRIED;
 use crate::link::{Connection, Unanswered};
 use crate::node::Node;
-use crate::plain::{is_not_run, is_of, log_failure};
+use crate::reply::{is_not_run, is_of, log_failure, whole};
 use crate::silence::STUCK;
 
 /// Most paths that a request is offered to.
@@ -128,7 +129,7 @@
 pub(crate) struct Run {
     pub(crate) node: Rc<Node>,
     pub(crate) call: Rc<Call>,
-    model: Rc<Model>,
+    model: Arc<Model>,
     avoid: Vec<SocketAddr>,
     pub(crate) offers: u32,
     /// Offers that may have run at an engine that goes on living.
@@ -139,7 +140,7 @@
 
 impl Run {
     /// A request that has not been offered yet.
-    pub(crate) fn new(node: &Rc<Node>, call: Call, model: Rc<Model>) -> Self {
+    pub(crate) fn new(node: &Rc<Node>, call: Call, model: Arc<Model>) -> Self {
         let (avoid, offers, ran, pressure) = (Vec::new(), 0, 0, 0.0);
         Self { node: node.clone(), call: Rc::new(call), model, avoid, offers, ran, pressure }
     }
@@ -205,11 +206,11 @@
                 Offered::Unknown => {
                     unknown = true;
                     self.ran += 1;
-                    self.avoid.push(first);
+                    self.avoid(first);
                 }
                 Offered::Failed(response) => {
                     self.ran += 1;
-                    self.avoid.push(first);
+                    self.avoid(first);
                     failure = Some(response);
                 }
                 Offered::TimedOut => {
@@ -291,10 +292,7 @@
             let (parts, body) = response.into_parts();
             let Ok(body) = body.collect().await else { return Offered::Unknown };
             node.pool.give_back(connection);
-            let mut failed = Response::new(Answer::Whole(Some(body.to_bytes())));
-            *failed.status_mut() = status;
-            *failed.headers_mut() = back(&parts.headers);
-            return Offered::Failed(failed);
+            return Offered::Failed(whole(status, &parts.headers, body.to_bytes()));
         }
         Offered::Open(Open { response, connection, running })
     }
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -117,11 +117,9 @@
         }
         for (id, address) in overdue {
             self.pending.remove(&id);
-            if let Some(report) = self.node.ask(address).await {
-                self.node.report(&id, &report);
-                if report.busy {
-                    self.paused.insert(id, now + REORDER_PAUSE);
-                }
+            let report = self.node.refresh(&id, address).await;
+            if report.is_some_and(|report| report.busy) {
+                self.paused.insert(id, now + REORDER_PAUSE);
             }
         }
     }
@@ -142,7 +140,7 @@
                 let id = entry.target.id.clone();
                 let pending = self.pending.get(&id);
                 let paused = is_paused(&id);
-                let down = entry.health.down_for(now).is_some();
+                let down = entry.health.is_down();
                 Engine {
                     domain: entry.target.domain.clone(),
                     card: entry.target.card.clone(),
@@ -182,11 +180,7 @@
         let asked: Vec<_> = unknown
             .map(|(id, address)| {
                 let node = self.node.clone();
-                tokio::task::spawn_local(async move {
-                    if let Some(report) = node.ask(address).await {
-                        node.report(&id, &report);
-                    }
-                })
+                tokio::task::spawn_local(async move { node.refresh(&id, address).await })
             })
             .collect();
         for task in asked {
@@ -237,9 +231,7 @@
                     self.paused.insert(id.clone(), now + REORDER_PAUSE);
                     let address = self.node.table.borrow().entry(&id).map(|e| e.target.address);
                     let Some(address) = address else { continue };
-                    if let Some(report) = self.node.ask(address).await {
-                        self.node.report(&id, &report);
-                    }
+                    self.node.refresh(&id, address).await;
                 }
                 Outcome::Fenced => {
                     // Another node leads, though this one has not heard of it yet.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -10,21 +10,23 @@
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use path::{Fault, Wish};
-use platform::head;
 use site::TargetKey;
 use tokio::time::timeout;
 
-use crate::answer::{Answer, later, own};
-use crate::call::{Call, back};
-use crate::event::{FAILED, RETRIED};
+use crate::answer::{Answer, later};
+use crate::call::Call;
+use crate::event::RETRIED;
 use crate::link::Unanswered;
 use crate::node::Node;
+use crate::reply::{is_not_run, is_of, log_failure, lost, whole};
 
 /// Most targets that a request is offered to, counting those that refused it.
 const MOST_OFFERS: u32 = 4;
 /// Share of the time left that one try of an idempotent request may take while another
 /// target can still be tried.
 const TRY_SHARE: f64 = 0.45;
+/// Shortest time after which a refused caller is asked to come back.
+const COMEBACK: Duration = Duration::from_millis(400);
 
 /// What came of one try.
 enum Tried {
@@ -50,24 +52,6 @@
     }
 }
 
-/// Logs that a target gave no answer to use.
-pub(crate) fn log_failure(
-    node: &Node,
-    call: &Call,
-    target: &str,
-    reason: &str,
-    ran: &str,
-    sent: Duration,
-) {
-    let event = Event::new(FAILED)
-        .with("request", &call.id)
-        .with("target", target)
-        .with("reason", reason)
-        .with("ran", ran)
-        .with("ms", node.now().saturating_sub(sent).as_millis());
-    log::warn!("{event}");
-}
-
 /// A request counted as running at a target.
 struct Running {
     node: Rc<Node>,
@@ -119,7 +103,7 @@
         }
         match tried {
             Tried::Answered { status, headers, body } => {
-                let response = answer(status, &headers, body);
+                let response = whole(status, &headers, body);
                 if !status.is_server_error() {
                     node.table.borrow_mut().success(address);
                     return response;
@@ -154,22 +138,6 @@
     }
 }
 
-/// The answer when a request may have run and what came of it is not known.
-fn lost(node: &Node, call: &Call) -> Response<Answer> {
-    if node.now() >= call.ends {
-        own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-    } else {
-        own(StatusCode::BAD_GATEWAY, "the answer was lost")
-    }
-}
-
-fn answer(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response<Answer> {
-    let mut response = Response::new(Answer::Whole(Some(body)));
-    *response.status_mut() = status;
-    *response.headers_mut() = back(headers);
-    response
-}
-
 async fn offer(node: &Rc<Node>, call: &Call, target: &TargetKey, address: SocketAddr) -> Tried {
     node.table.borrow_mut().begin(target, 0.0);
     let _running = Running { node: node.clone(), target: target.clone() };
@@ -205,25 +173,3 @@
     }
     Tried::Answered { status: parts.status, headers: parts.headers, body: body.to_bytes() }
 }
-
-/// Whether an answer belongs to a request.
-pub(crate) fn is_of(headers: &HeaderMap, call: &Call) -> bool {
-    headers.get(head::REQUEST_ID).is_some_and(|id| id.as_bytes() == call.id.as_bytes())
-}
-
-/// Whether an answer says that the target has not run the request.
-pub(crate) fn is_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
-    headers.contains_key(head::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST
-}
-
-/// Shortest time after which a refused caller is asked to come back.
-const COMEBACK: Duration = Duration::from_millis(400);
-
-impl Node {
-    /// When a refused caller may come back: `least` or later, spread so that not all come at
-    /// once, and early enough that the request can still be served.
-    pub(crate) fn comeback(&self, call: &Call, least: Duration) -> Duration {
-        let left = call.ends.saturating_sub(self.now());
-        least.mul_f64(1.0 + 1.5 * self.luck()).min(left / 4)
-    }
-}
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -12,7 +12,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
-use crate::front::ACCEPT_PAUSE;
+use crate::front::accept;
 use crate::node::Node;
 
 /// Answers whether the node takes callers.
@@ -39,11 +39,7 @@
     answer: impl Fn(&Request<Incoming>) -> (StatusCode, String) + Clone + 'static,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            metrics::counter!("magnolia_accepts_failed").increment(1);
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         let answer = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let (status, text) = answer(&request);
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -12,7 +12,7 @@
 use platform::kv::{self, LeaseId, Page, Revision, Write};
 use tokio::time::timeout;
 
-use crate::event::{STORE_BACK, STORE_LOST};
+use crate::event::{STORE_BACK, STORE_LOST, UNDECODABLE};
 use crate::link::Unanswered;
 use crate::node::Node;
 
@@ -113,8 +113,7 @@
             .increment(1);
         if failed != self.lost.replace(failed) {
             let kind = if failed { STORE_LOST } else { STORE_BACK };
-            let outcome = format_args!("{reply:?}").to_string();
-            let outcome = if failed { outcome.as_str() } else { "answered" };
+            let outcome = if failed { format!("{reply:?}") } else { "answered".to_owned() };
             log::warn!("{}", Event::new(kind).with("purpose", purpose).with("outcome", outcome));
         }
         reply
@@ -144,10 +143,13 @@
     match result {
         Ok(value) => Some(value),
         Err(error) => {
-            let event =
-                Event::new(crate::event::UNDECODABLE).with("key", purpose).with("reason", error);
-            log::warn!("{event}");
+            undecodable(purpose, &error);
             None
         }
     }
 }
+
+/// Logs that something in the store cannot be used; `key` names it, or the call.
+pub(crate) fn undecodable(key: &str, error: &platform::Error) {
+    log::warn!("{}", Event::new(UNDECODABLE).with("key", key).with("reason", error));
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -1,6 +1,7 @@
 //! Requests whose answer is a series of events, from a model spread over engines.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fleet::Event;
@@ -8,12 +9,13 @@
 use site::Model;
 use tokio::sync::mpsc::channel;
 
-use crate::answer::{Answer, later, own};
+use crate::answer::{Answer, later};
 use crate::call::{Call, back};
 use crate::event::REFUSED;
 use crate::node::Node;
 use crate::offer::{Closed, Run};
 use crate::pump::pump;
+use crate::reply::lost;
 
 /// Events that wait for a slow caller.
 const EVENTS_WAITING: usize = 32;
@@ -21,7 +23,7 @@
 const OVERLOAD: Duration = Duration::from_millis(1500);
 
 /// Sends a request along a path and passes on the events.
-pub(crate) async fn relay(node: &Rc<Node>, call: Call, model: Rc<Model>) -> Response<Answer> {
+pub(crate) async fn relay(node: &Rc<Node>, call: Call, model: Arc<Model>) -> Response<Answer> {
     let mut run = Run::new(node, call, model);
     match run.open(None).await {
         Ok(open) => {
@@ -45,9 +47,6 @@
             metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
             later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
         }
-        Err(Closed::Unknown) if node.now() >= run.call.ends => {
-            own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-        }
-        Err(Closed::Unknown) => own(StatusCode::BAD_GATEWAY, "the answer was lost"),
+        Err(Closed::Unknown) => lost(node, &run.call),
     }
 }
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration, indexed for look-up.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use fleet::{OrganisationName, Version};
 use smol_str::SmolStr;
@@ -31,7 +32,7 @@
     /// Connections that each target accepts from all callers together.
     pub connections: u32,
     /// The model behind it; `None` for a plain service.
-    pub model: Option<Model>,
+    pub model: Option<Arc<Model>>,
 }
 
 /// Who holds a key.
