Placement: one search for layers held too seldom, three tables derived where used

Read-through of the change. The first gap, the first thin range, a gap inside a range and 'others hold it' were four walks over the same ranges; first_below does all of them. The layers that engines hold beside three other rooms were worked out at each look, ten times a second, for the few looks that need them; they are worked out there. Engines were grouped by domain twice, and memory looked up by two pieces.

--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -1,5 +1,7 @@
 //! Covering the layers of a model in each failure domain.
 
+use std::collections::BTreeMap;
+
 use fleet::{DomainName, Layer, Layers};
 use site::Model;
 
@@ -28,13 +30,8 @@
 ///
 /// Engines that are not to be used (lost, leaving) are left out by the caller.
 pub fn plan(engines: &[Engine], model: &Model) -> Vec<Move> {
-    let mut domains: Vec<&DomainName> = engines.iter().map(|engine| &engine.domain).collect();
-    domains.sort();
-    domains.dedup();
     let mut moves = Vec::new();
-    for domain in domains {
-        let mut local: Vec<&Engine> =
-            engines.iter().filter(|engine| engine.domain == *domain).collect();
+    for mut local in by_domain(engines).into_values() {
         local.sort_by(|a, b| a.id.cmp(&b.id));
         moves.extend(Domain::new(&local, model).plan());
     }
@@ -43,28 +40,30 @@
 
 /// Layers that no engine of a failure domain holds, for each domain that misses some.
 pub fn gaps(engines: &[Engine], model: &Model) -> Vec<(DomainName, Layers)> {
-    let mut domains: Vec<&DomainName> = engines.iter().map(|engine| &engine.domain).collect();
-    domains.sort();
-    domains.dedup();
-    let first = domains.into_iter().filter_map(|domain| {
-        let local = engines.iter().filter(|engine| engine.domain == *domain);
-        let held: Vec<Option<Layers>> = local.map(|engine| engine.layers).collect();
-        first_gap(&held, model.depth).map(|gap| (domain.clone(), gap))
+    let whole = Layers::new(0, model.depth);
+    let first = by_domain(engines).into_iter().filter_map(|(domain, local)| {
+        let held: Vec<Option<Layers>> = local.iter().map(|engine| engine.layers).collect();
+        first_below(&held, whole, 1).map(|gap| (domain.clone(), gap))
     });
     first.collect()
 }
 
-/// The first range that no engine holds.
-fn first_gap(held: &[Option<Layers>], depth: Layer) -> Option<Layers> {
-    first_below(held, depth, 1)
+/// The engines of each failure domain.
+fn by_domain(engines: &[Engine]) -> BTreeMap<&DomainName, Vec<&Engine>> {
+    let mut domains: BTreeMap<&DomainName, Vec<&Engine>> = BTreeMap::new();
+    for engine in engines {
+        domains.entry(&engine.domain).or_default().push(engine);
+    }
+    domains
 }
 
-/// The first range of which fewer than `copies` are held.
-fn first_below(held: &[Option<Layers>], depth: Layer, copies: u16) -> Option<Layers> {
-    let counts = counts(held, depth);
-    let start = counts.iter().position(|&count| count < copies)?;
-    let length = counts[start..].iter().take_while(|&&count| count < copies).count();
-    Some(Layers::new(start as Layer, (start + length) as Layer))
+/// The first part of a range whose layers are held fewer than `copies` times.
+fn first_below(held: &[Option<Layers>], range: Layers, copies: u16) -> Option<Layers> {
+    let counts = counts(held, range.end);
+    let is_below = |&layer: &Layer| counts[usize::from(layer)] < copies;
+    let start = (range.start..range.end).find(is_below)?;
+    let end = (start..range.end).find(|layer| !is_below(layer)).unwrap_or(range.end);
+    Some(Layers::new(start, end))
 }
 
 /// How many engines hold each layer.
@@ -82,47 +81,46 @@
 /// The engines of one failure domain while its moves are worked out.
 struct Domain<'a> {
     engines: &'a [&'a Engine],
-    depth: Layer,
+    model: &'a Model,
+    /// All layers of the model.
+    whole: Layers,
     /// How many engines of the domain are to hold each layer.
     copies: u16,
     /// Layers that each engine holds after the moves so far.
     held: Vec<Option<Layers>>,
     /// Engines that are not to be ordered (again).
     fixed: Vec<bool>,
-    /// Layers that each engine holds with the usual room for requests.
+    /// Tokens of requests for which engines usually keep room.
+    room: f64,
+    /// Layers that each engine holds beside that room.
     usual: Vec<u16>,
-    /// Layers with which each engine still has room for a good number of requests.
-    roomy: Vec<u16>,
-    /// Layers that each engine holds at the most beside a gap.
-    most: Vec<u16>,
-    /// Layers that each engine holds when all of them share one chain.
-    tight: Vec<u16>,
     moves: Vec<Move>,
 }
 
 impl<'a> Domain<'a> {
-    fn new(engines: &'a [&'a Engine], model: &Model) -> Self {
+    fn new(engines: &'a [&'a Engine], model: &'a Model) -> Self {
         let copies = copies(engines, model);
-        let usual = room(engines, model, SPARE * f64::from(copies));
-        let able = |tokens: f64| -> Vec<u16> {
-            engines.iter().map(|engine| model.layers(memory(engine, model), tokens)).collect()
-        };
+        let room = room(engines, model, SPARE * f64::from(copies));
         Self {
             engines,
-            depth: model.depth,
+            model,
+            whole: Layers::new(0, model.depth),
             copies,
             held: engines.iter().map(|engine| engine.layers).collect(),
             fixed: engines.iter().map(|engine| engine.busy).collect(),
-            usual: able(usual),
-            roomy: able(COPY_TOKENS),
-            tight: able(room(engines, model, 1.0)),
-            most: able((usual * EXTENDED_ROOM).max(LEAST_TOKENS)),
+            room,
+            usual: engines.iter().map(|engine| beside(engine, model, room)).collect(),
             moves: Vec::new(),
         }
     }
 
+    /// Layers that an engine holds beside room for `tokens` tokens.
+    fn beside(&self, index: usize, tokens: f64) -> u16 {
+        beside(self.engines[index], self.model, tokens)
+    }
+
     fn plan(mut self) -> Vec<Move> {
-        while let Some(gap) = first_gap(&self.held, self.depth) {
+        while let Some(gap) = first_below(&self.held, self.whole, 1) {
             if !self.fill(gap) && !self.extend(gap) {
                 self.shift(gap);
                 break;
@@ -147,7 +145,7 @@
             return;
         }
         for copies in 2..=self.copies {
-            while let Some(range) = first_below(&self.held, self.depth, copies) {
+            while let Some(range) = first_below(&self.held, self.whole, copies) {
                 let Some(index) = self.surplus() else { return };
                 let layers = fit(range, self.usual[index]);
                 self.order(index, layers);
@@ -157,9 +155,10 @@
 
     /// The largest engine whose layers, if any, are held often enough without it.
     fn surplus(&self) -> Option<usize> {
-        let counts = counts(&self.held, self.depth);
+        let depth = self.whole.end;
+        let counts = counts(&self.held, depth);
         let free = (0..self.engines.len()).filter(|&index| {
-            let held = self.held[index].map_or(0..0, |own| own.start..own.end.min(self.depth));
+            let held = self.held[index].map_or(0..0, |own| own.start..own.end.min(depth));
             let needed = held.into_iter().any(|layer| counts[usize::from(layer)] <= self.copies);
             !self.fixed[index] && self.usual[index] > 0 && !needed
         });
@@ -179,7 +178,7 @@
             self.fixed[index] = true;
         }
         for range in slow.iter().filter_map(|&index| held[index]) {
-            while let Some(gap) = self.gap_in(range) {
+            while let Some(gap) = first_below(&self.held, range, 1) {
                 if !self.fill(gap) && !self.extend(gap) {
                     break;
                 }
@@ -190,17 +189,6 @@
         }
     }
 
-    /// The first part of a range that no engine holds.
-    fn gap_in(&self, range: Layers) -> Option<Layers> {
-        let holds = |layer: Layer| {
-            let one = Layers::new(layer, layer + 1);
-            self.held.iter().flatten().any(|layers| layers.contains(one))
-        };
-        let start = (range.start..range.end).find(|&layer| !holds(layer))?;
-        let end = (start..range.end).find(|&layer| holds(layer)).unwrap_or(range.end);
-        Some(Layers::new(start, end))
-    }
-
     fn order(&mut self, index: usize, layers: Layers) {
         self.held[index] = Some(layers);
         self.fixed[index] = true;
@@ -236,24 +224,19 @@
     }
 
     fn others_hold(&self, index: usize, range: Layers) -> bool {
-        let others = self.held.iter().enumerate().filter(|(other, _)| *other != index);
-        let mut others: Vec<Layers> = others.filter_map(|(_, layers)| *layers).collect();
-        others.sort();
-        let mut at = range.start;
-        for layers in others {
-            if layers.start <= at {
-                at = at.max(layers.end);
-            }
-        }
-        at >= range.end
+        let mut others = self.held.clone();
+        others[index] = None;
+        first_below(&others, range, 1).is_none()
     }
 
     /// Lets a neighbour of a gap take some of it beside what it holds, at the cost of its
     /// room for requests.
     fn extend(&mut self, gap: Layers) -> bool {
+        let tokens = (self.room * EXTENDED_ROOM).max(LEAST_TOKENS);
         let neighbours = (0..self.engines.len()).filter_map(|index| {
             let own = self.held[index].filter(|_| !self.fixed[index])?;
-            let more = self.most[index].saturating_sub(own.len()).min(gap.len());
+            let most = self.beside(index, tokens);
+            let more = most.saturating_sub(own.len()).min(gap.len());
             let wider = if own.end == gap.start {
                 Layers::new(own.start, own.end + more)
             } else if own.start == gap.end {
@@ -261,13 +244,11 @@
             } else {
                 return None;
             };
-            (more > 0).then_some((index, more, wider))
+            (more > 0).then_some((index, more, most.saturating_sub(wider.len()), wider))
         });
         // The one that takes most; of equals the one with most room left.
-        let best = neighbours.max_by_key(|&(index, more, wider)| {
-            (more, self.most[index].saturating_sub(wider.len()))
-        });
-        let Some((index, _, wider)) = best else { return false };
+        let best = neighbours.max_by_key(|&(_, more, left, _)| (more, left));
+        let Some((index, _, _, wider)) = best else { return false };
         self.order(index, wider);
         true
     }
@@ -281,9 +262,11 @@
         let start = |index: usize| self.held[index].map_or(gap.start, |layers| layers.start);
         let mut order: Vec<usize> = (0..self.engines.len()).collect();
         order.sort_by_key(|&index| (start(index), index));
+        // One chain over all engines, with what room that leaves.
+        let room = room(self.engines, self.model, 1.0);
         let mut at: Layer = 0;
         for index in order {
-            let end = (at + self.tight[index]).min(self.depth);
+            let end = (at + self.beside(index, room)).min(self.whole.end);
             let layers = Layers::new(at, end);
             if !layers.is_empty() && self.held[index] != Some(layers) {
                 self.order(index, layers);
@@ -303,7 +286,7 @@
             let usual = self.usual[index];
             // The usual layers of all change when an engine comes or goes.
             let tolerated = f64::from(usual) * (1.0 + TOLERANCE);
-            let tolerated = tolerated.max(f64::from(self.roomy[index]));
+            let tolerated = tolerated.max(f64::from(self.beside(index, COPY_TOKENS)));
             if usual == 0 || f64::from(own.len()) <= tolerated {
                 continue;
             }
@@ -340,12 +323,13 @@
 
 /// Layers that the engines of a domain hold beside room for `tokens` tokens each.
 fn layers(engines: &[&Engine], model: &Model, tokens: f64) -> f64 {
-    let counts = engines.iter().map(|engine| model.layers(memory(engine, model), tokens));
-    counts.map(f64::from).sum()
+    engines.iter().map(|engine| f64::from(beside(engine, model, tokens))).sum()
 }
 
-fn memory(engine: &Engine, model: &Model) -> f64 {
-    model.card(&engine.card).map_or(0.0, |card| card.mb)
+/// Layers that an engine holds beside room for `tokens` tokens.
+fn beside(engine: &Engine, model: &Model, tokens: f64) -> u16 {
+    let mb = model.card(&engine.card).map_or(0.0, |card| card.mb);
+    model.layers(mb, tokens)
 }
 
 /// Tokens for which each engine of a domain keeps room, so that `spare` times the layers of
