--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub use claim::Claim;
 pub use event::EVENTS;
+pub use lines::line_format;
 pub use others::Others;
 pub use process::{Failure, check, run};
 pub use silence::{Silence, Verdict};
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -10,7 +10,7 @@
 
 use fleet::Event;
 use log::LevelFilter;
-use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
+use simplelog::{Config, ConfigBuilder, LevelPadding, WriteLogger};
 
 use crate::event::LINES_LOST;
 
@@ -51,6 +51,21 @@
     }
 }
 
+/// How log lines look: time, level, then the event. Lines of the libraries named are left out.
+pub fn line_format(libraries: &[&'static str]) -> Config {
+    let mut builder = ConfigBuilder::new();
+    builder
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .set_level_padding(LevelPadding::Off);
+    for library in libraries {
+        builder.add_filter_ignore_str(library);
+    }
+    builder.build()
+}
+
 /// The log of the process.
 pub(crate) struct Lines {
     buffer: Buffer,
@@ -61,15 +76,8 @@
 impl Lines {
     /// Installs the logger and starts the writer.
     pub(crate) fn install() -> io::Result<Self> {
-        let config = ConfigBuilder::new()
-            .set_time_format_rfc3339()
-            .set_target_level(LevelFilter::Off)
-            .set_thread_level(LevelFilter::Off)
-            .set_location_level(LevelFilter::Off)
-            .set_level_padding(LevelPadding::Off)
-            .add_filter_ignore_str("hyper")
-            .build();
         let buffer = Buffer::default();
+        let config = line_format(&["hyper"]);
         if WriteLogger::init(LevelFilter::Info, config, buffer.clone()).is_err() {
             return Err(io::Error::other("a logger was installed before"));
         }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -60,12 +60,28 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "event={} name={}", self.kind.number, self.kind.name)?;
         for (name, value) in &self.fields {
-            if value.is_empty() || value.contains([' ', '"', '=', '\n']) {
-                write!(f, " {name}={value:?}")?;
-            } else {
-                write!(f, " {name}={value}")?;
-            }
+            write!(f, " {}", Field { name, value })?;
         }
         Ok(())
     }
 }
+
+/// A field as it stands in a line: `name=value`, in quotes where the value needs them.
+#[derive(Clone, Copy, Debug)]
+pub struct Field<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Value.
+    pub value: &'a str,
+}
+
+impl fmt::Display for Field<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Field { name, value } = self;
+        if value.is_empty() || value.contains([' ', '"', '=', '\n']) {
+            write!(f, "{name}={value:?}")
+        } else {
+            write!(f, "{name}={value}")
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
 mod vm;
 
 pub use alarm::Alarm;
-pub use event::{Event, EventKind};
+pub use event::{Event, EventKind, Field};
 pub use id::{
     AttemptId, Depth, DomainName, Layer, ModelName, NodeName, OrganisationName, RequestId,
     TargetId, TargetName, TokenIndex, Version,
--- a/crates/node/src/control/story.rs
+++ b/crates/node/src/control/story.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
+use fleet::Field;
 use serde::Serialize;
 use smol_str::SmolStr;
 use time::format_description::well_known::Rfc3339;
@@ -74,13 +75,9 @@
 
 impl fmt::Display for Line {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, (key, value)) in self.fields.iter().enumerate() {
+        for (index, (name, value)) in self.fields.iter().enumerate() {
             let space = if index == 0 { "" } else { " " };
-            if value.is_empty() || value.contains([' ', '"', '=']) {
-                write!(f, "{space}{key}={value:?}")?;
-            } else {
-                write!(f, "{space}{key}={value}")?;
-            }
+            write!(f, "{space}{}", Field { name, value })?;
         }
         Ok(())
     }
--- a/crates/node/src/shell/logging.rs
+++ b/crates/node/src/shell/logging.rs
@@ -10,7 +10,7 @@
 use kernel::Threads;
 use log::LevelFilter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
+use simplelog::WriteLogger;
 
 /// Lines that wait for the writer.
 const LINES_WAITING: usize = 65_536;
@@ -77,18 +77,7 @@
 ///
 /// Fails when the operating system has no thread to give.
 pub fn install(level: LevelFilter) -> io::Result<Writer> {
-    let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .set_target_level(LevelFilter::Off)
-        .set_thread_level(LevelFilter::Off)
-        .set_location_level(LevelFilter::Off)
-        .set_level_padding(LevelPadding::Off)
-        .add_filter_ignore_str("rouille")
-        .add_filter_ignore_str("tiny_http")
-        .add_filter_ignore_str("hyper")
-        .add_filter_ignore_str("h2")
-        .add_filter_ignore_str("ureq")
-        .build();
+    let config = edge::line_format(&["rouille", "tiny_http", "hyper", "h2", "ureq"]);
     let (sender, receiver) = sync_channel(LINES_WAITING);
     let mut threads = Threads::default();
     threads.spawn("log", move || write_lines(&receiver))?;
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -235,8 +235,12 @@
         let index = self.rng.random_range(0..self.nodes.len());
         let ends = self.lasts();
         match self.rng.random_range(0..10) {
-            0 => self.stop(index),
-            1 => self.kill(index),
+            0 => {
+                self.signal(index, "TERM", State::Stopping);
+            }
+            1 => {
+                self.signal(index, "KILL", State::Stopping);
+            }
             2 => self.pause(index, ends),
             3 | 4 => self.harm(index, ends),
             5 => {
@@ -250,31 +254,21 @@
         }
     }
 
-    fn stop(&mut self, index: usize) {
+    /// Sends a signal to a node that runs, after which it is in `state`; returns whether it was.
+    fn signal(&mut self, index: usize, signal: &str, state: State) -> bool {
         let node = &mut self.nodes[index];
-        if node.state == State::Running {
-            node.entry.signal("TERM");
-            node.state = State::Stopping;
-            self.note(format!("node {index} is stopped"));
-        }
-    }
-
-    fn kill(&mut self, index: usize) {
-        let node = &mut self.nodes[index];
-        if node.state == State::Running {
-            node.entry.signal("KILL");
-            node.state = State::Stopping;
-            self.note(format!("node {index} is killed"));
+        if node.state != State::Running {
+            return false;
         }
+        node.entry.signal(signal);
+        node.state = state;
+        self.note(format!("node {index}: signal {signal}"));
+        true
     }
 
     fn pause(&mut self, index: usize, ends: Instant) {
-        let node = &mut self.nodes[index];
-        if node.state == State::Running {
-            node.entry.signal("STOP");
-            node.state = State::Paused;
+        if self.signal(index, "STOP", State::Paused) {
             self.later.push((ends, Later::Resume(index)));
-            self.note(format!("node {index} is paused"));
         }
     }
 
