Stand-in engine: a link's delay is taken with the execution

The engine logged an execution in one step and read the link's delay in a task that ran later; a test that ended the delay as soon as it saw the execution could let the token through.

Ruled out: load alone.

Conclusion: execution and delay are read under one lock.

--- a/crates/standin/src/engine/compute.rs
+++ b/crates/standin/src/engine/compute.rs
@@ -87,66 +87,62 @@
 }
 
 fn finish_step(shared: &Arc<Shared>, tokens: Vec<Token>) {
-    let mut groups: BTreeMap<Vec<SocketAddr>, (SmolStr, Group)> = BTreeMap::new();
+    let mut groups: BTreeMap<Vec<SocketAddr>, (Link, Group)> = BTreeMap::new();
     for token in tokens {
         let (run, index) = (token.run, token.index);
-        let Some((trail, chain)) = execute(&mut shared.state(), run, index, token.trail) else {
-            let target = shared.state().name.clone();
-            let passage = Passage::Failed { target, reason: "cancelled".into() };
-            settle(shared, run, index, token.sink, passage);
-            continue;
-        };
-        let next = next(&mut shared.state(), run, index, trail);
+        let next = execute(&mut shared.state(), run, index, token.trail);
         match next {
             Next::Done(passage) => settle(shared, run, index, token.sink, passage),
-            Next::Forward(target, activation) => {
-                let (_, group) = groups.entry(chain).or_insert_with(|| (target, Vec::new()));
+            Next::Forward(link, chain, activation) => {
+                let (_, group) = groups.entry(chain).or_insert_with(|| (link, Vec::new()));
                 group.push((activation, token.sink));
             }
         }
     }
-    for (chain, (target, group)) in groups {
-        tokio::spawn(forward(Arc::clone(shared), target, chain[0], group));
+    for (chain, (link, group)) in groups {
+        tokio::spawn(forward(Arc::clone(shared), link, chain[0], group));
     }
 }
 
-/// Executes the layers of a token that run here. `None` when its attempt has ended.
-fn execute(
-    state: &mut State,
-    run: Run,
-    index: u32,
-    mut trail: Trail,
-) -> Option<(Trail, Vec<SocketAddr>)> {
-    let session = state.sessions.get(&run)?;
-    let (layers, chain) = (session.layers, session.chain());
-    state.executed += 1;
-    state.log.push(Execution { request: run.request, attempt: run.attempt, index, layers });
-    trail.hops.push(Hop { target: state.name.clone(), layers });
-    Some((trail, chain))
+/// The link to the next stage, as it stood when the tokens were executed.
+struct Link {
+    target: SmolStr,
+    delay: Duration,
 }
 
 enum Next {
-    /// The last layer has run.
+    /// The last layer has run, or the attempt has ended.
     Done(Passage),
-    /// The token goes to this stage.
-    Forward(SmolStr, Activation),
+    /// The token goes over this link, through the stages at these addresses.
+    Forward(Link, Vec<SocketAddr>, Activation),
 }
 
-fn next(state: &mut State, run: Run, index: u32, trail: Trail) -> Next {
+/// Executes the layers of a token that run here.
+///
+/// The execution and the delay of the link are taken under one lock: whoever has read the
+/// execution may change the delay without changing what becomes of this token.
+fn execute(state: &mut State, run: Run, index: u32, mut trail: Trail) -> Next {
     let Some(session) = state.sessions.get_mut(&run) else {
         let reason = SmolStr::new_static("cancelled");
         return Next::Done(Passage::Failed { target: state.name.clone(), reason });
     };
+    let layers = session.layers;
+    state.executed += 1;
+    state.log.push(Execution { request: run.request, attempt: run.attempt, index, layers });
+    trail.hops.push(Hop { target: state.name.clone(), layers });
     let Some(stage) = session.rest.first() else {
         return Next::Done(Passage::Passed { text: decode::text(session.seed, index), trail });
     };
     let target = stage.target.clone();
-    Next::Forward(target, Activation { run, index, open: session.forward.take(), trail })
+    let delay = state.faults.links.get(&target).copied().unwrap_or_default();
+    let chain = session.chain();
+    let activation = Activation { run, index, open: session.forward.take(), trail };
+    Next::Forward(Link { target, delay }, chain, activation)
 }
 
 /// Sends tokens to the next stage and waits until they have passed all later ones.
-async fn forward(shared: Arc<Shared>, target: SmolStr, address: SocketAddr, group: Group) {
-    let delay = shared.state().faults.links.get(&target).copied().unwrap_or_default();
+async fn forward(shared: Arc<Shared>, link: Link, address: SocketAddr, group: Group) {
+    let Link { target, delay } = link;
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
     }
--- a/crates/standin/tests/engine_faults.rs
+++ b/crates/standin/tests/engine_faults.rs
@@ -94,6 +94,28 @@
     assert!(!reader.join().expect("the reader ends").whole);
 }
 
+/// The delay of a link that a token meets is the one in force when the token is executed, however
+/// soon after its execution shows the delay changes.
+#[test]
+fn a_delay_that_ends_does_not_let_through_what_was_executed_before() {
+    const ROUNDS: u128 = 60;
+    let chain = Chain::start();
+    let link = |delay_ms| Command::Link { target: "e1".into(), delay_ms };
+    let address = chain.engines[0].address();
+    for request in 1..=ROUNDS {
+        chain.engines[0].command(link(FOREVER_MS));
+        let slow = body(&chain, request, "a prompt");
+        let reader = thread::spawn(move || common::complete(address, &slow));
+        while executed(&chain.engines[0], request) == 0 {
+            thread::yield_now();
+        }
+        chain.engines[0].command(link(0));
+        post(address, "/cancel", &json!({"request": format!("{request:032x}"), "attempt": 1}));
+        assert!(!reader.join().expect("the reader ends").whole);
+        assert_eq!(executed(&chain.engines[1], request), 0, "round {request}");
+    }
+}
+
 #[test]
 fn the_next_answer_breaks_after_as_many_tokens_as_commanded() {
     let chain = Chain::start();
