Route: a target that comes back with a whole answer counts for capacity again

The plans had no chain, the limiter no slots. A stream sent before then ended with its whole answer at once, which took the ejection back - but only a token marked the plans as out of date, an ending did not. So the capacity stayed at 0 for good: no slot, nothing admitted that could probe, requests held until their callers' patience of 10 s had passed, new ones refused.

Test capacity_returns_with_the_only_target: whole_answer failed with [0] as the capacities told. After: green.

The test guesses_of_other_nodes_take_no_share was written while looking for the cause, was green before, and stays.

--- a/crates/limit/tests/decisions.rs
+++ b/crates/limit/tests/decisions.rs
@@ -4,7 +4,8 @@
 
 use fleet::{Request, Shape};
 use limit::{
-    Action, Capacity, Claim, Demand, Ending, Limiter, Message, Patience, Reason, Settings, divide,
+    Action, Builder, Capacity, Claim, Demand, Ending, Limiter, Message, Patience, Reason, Settings,
+    divide,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -118,6 +119,19 @@
         actions
     }
 
+    /// What the node reports of its demand when it wakes.
+    fn demand(&mut self, now_ms: u64) -> Vec<Demand> {
+        let mut actions = Vec::new();
+        let now = Duration::from_millis(now_ms);
+        self.limiter.step(now, Message::Wake, &mut self.rng, &mut actions);
+        let reports = actions.into_iter().find_map(|action| match action {
+            Action::Demand(reports) => Some(reports),
+            _ => None,
+        });
+        let demand = |(organisation, cost)| Demand { node: "far".into(), organisation, cost };
+        reports.unwrap_or_default().into_iter().map(demand).collect()
+    }
+
     fn refusals(&mut self, now_ms: u64, message: Message) -> Vec<(u128, Reason)> {
         let actions = self.tell(now_ms, message);
         let refused = actions.into_iter().filter_map(|action| match action {
@@ -221,6 +235,42 @@
     }
 }
 
+/// A burst of a new kind at two nodes at once, of which one knows by now what it costs.
+struct Uneven {
+    /// How long the first requests hold their slots, milliseconds.
+    held_ms: u64,
+    /// Requests at the node that knows, before the first of them ends and after.
+    before: u128,
+    after: u128,
+}
+
+/// What another node guesses takes no share from a node that knows better: with six slots for
+/// both, the last of these starts long before its caller leaves.
+#[parameterized(
+    quick = { Uneven { held_ms: 50, before: 2, after: 18 } },
+    slow = { Uneven { held_ms: 800, before: 2, after: 18 } },
+    slow_and_early = { Uneven { held_ms: 800, before: 6, after: 14 } },
+    slower = { Uneven { held_ms: 1_200, before: 3, after: 14 } },
+)]
+fn guesses_of_other_nodes_take_no_share(case: Uneven) {
+    let mut far = Bench::new(Builder::new("far").build(), 6);
+    let mut near = Bench::new(Builder::new("near").build(), 6);
+    for id in 101..=120 {
+        assert_eq!(far.refusals(1_000, Message::Arrive(request(id))), vec![]);
+    }
+    for id in 1..=case.before {
+        assert_eq!(near.refusals(1_000, Message::Arrive(request(id))), vec![]);
+    }
+    let demand = far.demand(1_010);
+    near.tell(1_020, Message::Peers { live: 2, demand });
+    let ended = Message::Finished { request: 1, ending: Ending::Complete };
+    assert_eq!(near.refusals(1_000 + case.held_ms, ended), vec![]);
+    for id in case.before + 1..=case.before + case.after {
+        let arrives = Message::Arrive(request(id));
+        assert_eq!(near.refusals(1_010 + case.held_ms, arrives), vec![]);
+    }
+}
+
 #[test]
 fn full_queue_loses_the_last() {
     let settings = Settings { queue: 2, early_refusal: false, ..Settings::default() };
--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -115,6 +115,7 @@
     }
 
     /// A stream through the target, sent at `sent`, moved; true if that brings it back.
+    #[must_use]
     pub(crate) fn works(&mut self, now: Duration, sent: Duration) -> bool {
         self.alive = now;
         self.failures = 0;
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -7,7 +7,7 @@
 use crate::finish::{cancel, finish, give_up};
 use crate::launch::{hex, launch};
 use crate::outlier::Cause;
-use crate::state::{State, Step, eject};
+use crate::state::{State, Step, eject, show_life};
 use crate::suspect::{Loss, Place};
 use crate::{Action, Ending, Quarantine, Reason, Verdict, event};
 
@@ -67,16 +67,11 @@
 
 fn complete(state: &mut State, step: &mut Step<'_>, id: RequestId) {
     let Some(entry) = state.table.get(&id) else { return };
-    for pick in &entry.picks {
-        let target = state.view.entry_mut(pick.target);
-        target.health.works(step.now, entry.sent);
-        target.health.succeeded();
-    }
     let (fingerprint, sent) = (entry.request.fingerprint, entry.sent);
-    let names: Vec<TargetName> =
-        entry.plan.stages.iter().map(|stage| stage.target.clone()).collect();
-    for name in &names {
-        state.suspects.alive(name, sent, step.now);
+    let stages: Vec<TargetId> = entry.picks.iter().map(|pick| pick.target).collect();
+    for stage in stages {
+        show_life(state, step, stage, sent);
+        state.view.entry_mut(stage).health.succeeded();
     }
     clear(state, step, fingerprint);
     state.budget.deposit(state.table.len());
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -9,7 +9,7 @@
 use crate::launch::{PROMPT_BASE, launch};
 use crate::outlier::Cause;
 use crate::recover::{clear, ended, lost};
-use crate::state::{State, Step, eject};
+use crate::state::{State, Step, eject, show_life};
 use crate::suspect::{Loss, Place};
 use crate::table::Entry;
 use crate::{Action, Load, Message, Quarantine, Settings, event};
@@ -169,13 +169,7 @@
         pool.gap.learn(gap);
     }
     for &stage in &stages {
-        if state.view.entry_mut(stage).health.works(step.now, sent) {
-            state.dirty = true;
-            let name = &state.view.entry(stage).target.name;
-            step.log(Event::new(event::RETURNED).with("target", name));
-        }
-        let name = state.view.entry(stage).target.name.clone();
-        state.suspects.alive(&name, sent, step.now);
+        show_life(state, step, stage, sent);
     }
     if let (Some(gap), Some(mean)) = (gap, mean) {
         pace(state, step, &stages, gap / mean.max(f64::MIN_POSITIVE));
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -100,6 +100,20 @@
     step.log(Event::new(event::EJECTED).with("target", target).with("reason", reason));
 }
 
+/// Notes that an attempt sent at `sent` moved or ended well at a target. One that was ejected
+/// comes back into the plans: without it there may be no capacity, and then nothing is
+/// admitted that could probe it.
+pub(crate) fn show_life(state: &mut State, step: &mut Step<'_>, id: TargetId, sent: Duration) {
+    let entry = state.view.entry_mut(id);
+    let returned = entry.health.works(step.now, sent);
+    let name = entry.target.name.clone();
+    state.suspects.alive(&name, sent, step.now);
+    if returned {
+        state.dirty = true;
+        step.log(Event::new(event::RETURNED).with("target", name));
+    }
+}
+
 /// Whether the bounded share of the pool is ejected already. One may always be.
 fn is_share_spent(state: &State, id: TargetId) -> bool {
     let service = state.view.entry(id).service();
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -268,3 +268,45 @@
         assert!(matches!(given_up, Some(Verdict::Incomplete { reason: Reason::NoPlan, .. })));
     }
 }
+
+/// How the only target of a layer range, ejected before, shows that it works.
+enum Sign {
+    /// A token comes, then the answer ends.
+    Token,
+    /// The whole answer comes at once.
+    Answer,
+    /// Nothing: the time for which it is left out ends.
+    None,
+}
+
+/// Without the target there is no capacity, so nothing is admitted that could probe it: its
+/// return has to be told.
+#[parameterized(token = { Sign::Token }, whole_answer = { Sign::Answer }, time = { Sign::None })]
+fn capacity_returns_with_the_only_target(sign: Sign) {
+    let only = vec![engine("e1", "a", (0, 20), 900.0), engine("e3", "a", (20, 48), 800.0)];
+    let mut bench = Bench::new(only);
+    let sent: Vec<Dispatch> =
+        (1..=3).map(|id| dispatch(&bench.start(id, "plank", true))).collect();
+    // Two that stall have the target left out; the third goes on.
+    bench.now += Duration::from_secs(1);
+    bench.end(&sent[0], 0, Ending::Stalled);
+    let mut actions = bench.end(&sent[1], 0, Ending::Stalled);
+    bench.now += Duration::from_millis(100);
+    let (request, attempt) = (sent[2].request, sent[2].attempt);
+    match sign {
+        Sign::Token => actions.extend(bench.hear(Message::Progress { request, attempt, next: 10 })),
+        Sign::Answer => actions.extend(bench.end(&sent[2], 50, Ending::Complete)),
+        Sign::None => {}
+    }
+    for _ in 0..30 {
+        bench.now += Duration::from_millis(100);
+        actions.extend(bench.hear(Message::Wake));
+    }
+    let slots = actions.iter().filter_map(|action| match action {
+        Action::Capacity { slots, .. } => Some(*slots),
+        _ => None,
+    });
+    let slots: Vec<u32> = slots.collect();
+    assert!(slots.contains(&0), "{slots:?}");
+    assert!(slots.last().is_some_and(|slots| *slots > 0), "{slots:?}");
+}
