Streams of a broken path move by their own intervals; paths are priced by their slowest stage

The search summed the waiting of all stages, so that a chain with a fast first half looked half as busy, and free memory outweighed prompts that wait.

Ruled out: detection (first report 70 ms after the loss), the retry budget (1 retry each), repath (one twin would read all prompts of the dead stage).

Now: a stream is given up after 1.15 times its longest interval so far, 60 to 120 ms; a path's waiting is that of its slowest stage, and weighs 24 seconds a second.

--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -172,7 +172,7 @@
             () = sender.closed() => return Ended::Left,
             () = sleep_until(ends) => return Ended::TimedOut,
             () = node.changed.notified() => {
-                if silence.is_over(node.now(), node.is_broken(&running.path)) {
+                if silence.learn(node.now(), node.is_broken(&running.path)) {
                     return Ended::Cut;
                 }
                 continue;
--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -5,9 +5,15 @@
 /// Silence after which the engines of a path are asked for their reports: events come every
 /// 30 to 80 ms.
 const SLOW: Duration = Duration::from_millis(100);
-/// Silence after which a path with an engine that is left out is given up: a while longer than
-/// an event takes, for the engine may have been left out by mistake.
+/// Longest silence after which a path with an engine that is left out is given up: a while longer
+/// than an event takes, for the engine may have been left out by mistake.
 const BROKEN: Duration = Duration::from_millis(120);
+/// Shortest such silence, for streams whose events have come at shorter intervals so far.
+const LEAST_BROKEN: Duration = Duration::from_millis(60);
+/// A stream that is silent this many times as long as ever before on its path has stopped.
+const STOPPED: f64 = 1.15;
+/// Intervals between events that must be known before a stream is judged by its own.
+const KNOWN_INTERVALS: u32 = 4;
 /// Silence after which the first engine of a path is asked which engine hangs.
 pub(crate) const STUCK: Duration = Duration::from_millis(200);
 /// Interval of looks at a path that stays silent.
@@ -34,17 +40,30 @@
 pub struct Silence {
     heard: Duration,
     look_at: Duration,
+    /// Intervals between events so far.
+    intervals: u32,
+    /// The longest of them.
+    longest: Duration,
 }
 
 impl Silence {
     /// A stream from which something was heard at `now`.
     pub fn new(now: Duration) -> Self {
-        Self { heard: now, look_at: now + SLOW }
+        Self { heard: now, look_at: now + SLOW, intervals: 0, longest: Duration::ZERO }
     }
 
     /// Notes that something was heard.
     pub fn hear(&mut self, now: Duration) {
-        *self = Self::new(now);
+        let longest = self.longest.max(now.saturating_sub(self.heard));
+        *self = Self { intervals: self.intervals + 1, longest, ..Self::new(now) };
+    }
+
+    /// Silence after which a path with an engine that is left out is given up.
+    fn broken(&self) -> Duration {
+        if self.intervals < KNOWN_INTERVALS {
+            return BROKEN;
+        }
+        self.longest.mul_f64(STOPPED).clamp(LEAST_BROKEN, BROKEN)
     }
 
     /// When the stream is to be looked at next.
@@ -55,18 +74,27 @@
     /// Looks at the stream; `is_broken` tells whether an engine of its path is left out.
     pub fn look(&mut self, now: Duration, is_broken: bool) -> Verdict {
         let silent = now.saturating_sub(self.heard);
-        let next = [SLOW, BROKEN, STUCK].into_iter().find(|at| *at > silent);
-        self.look_at = now + next.map_or(LOOK_INTERVAL, |at| at - silent);
+        let mut looks = [SLOW, BROKEN, STUCK].into_iter();
+        let next = looks.find(|at| *at > silent).map_or(LOOK_INTERVAL, |at| at - silent);
+        self.look_at = now + next;
         match silent {
-            _ if self.is_over(now, is_broken) => Verdict::GiveUp,
+            _ if self.learn(now, is_broken) => Verdict::GiveUp,
             silent if silent >= STUCK => Verdict::Search,
             silent if silent >= SLOW => Verdict::Ask,
             _ => Verdict::Wait,
         }
     }
 
-    /// Whether the path is to be given up now that something is known of targets.
-    pub fn is_over(&self, now: Duration, is_broken: bool) -> bool {
-        is_broken && now.saturating_sub(self.heard) >= BROKEN
+    /// Whether the path is to be given up now that something is known of targets. If it is too
+    /// early for a broken one, the next look is at the moment when it no longer is.
+    pub fn learn(&mut self, now: Duration, is_broken: bool) -> bool {
+        if !is_broken {
+            return false;
+        }
+        let until = self.heard + self.broken();
+        if now < until {
+            self.look_at = self.look_at.min(until);
+        }
+        now >= until
     }
 }
--- a/crates/edge/tests/silence.rs
+++ b/crates/edge/tests/silence.rs
@@ -48,7 +48,7 @@
         let look = silence.look_at();
         assert!(look <= ms(120), "no later than it may move");
         if let Some(at) = news.next_if(|at| *at <= look) {
-            assert!(!silence.is_over(at, true), "too young");
+            assert!(!silence.learn(at, true), "too young");
         } else if silence.look(look, true) == Verdict::GiveUp {
             assert_eq!(look, ms(120));
             return;
@@ -56,11 +56,51 @@
     }
 }
 
+/// A stream with events at these intervals, whose path breaks after the last of them.
+struct Steady {
+    /// Intervals between events, milliseconds.
+    intervals: &'static [u64],
+    /// Silence at which it learns that its path is broken, milliseconds.
+    news: u64,
+    /// Silence at which it moves, milliseconds.
+    moves: u64,
+}
+
+/// Load pattern: all streams of a chain stop at once and one node tells the others within 70 ms.
+/// They waited until 120 ms after their last event; a stream whose events came every 45 ms is
+/// known to have stopped before.
+#[parameterized(
+    regular = { Steady { intervals: &[45, 46, 45, 44, 46, 47], news: 30, moves: 60 } },
+    with_a_pause = { Steady { intervals: &[45, 46, 80, 44, 46, 47], news: 30, moves: 92 } },
+    news_come_late = { Steady { intervals: &[45, 46, 45, 44, 46, 47], news: 75, moves: 75 } },
+    slow = { Steady { intervals: &[150, 146, 180, 144, 146], news: 40, moves: 120 } },
+    hardly_known = { Steady { intervals: &[45, 46, 45], news: 30, moves: 120 } },
+)]
+fn steady_stream_of_a_broken_path_moves_once_it_must_have_stopped(case: Steady) {
+    let mut now = ms(0);
+    let mut silence = Silence::new(now);
+    for interval in case.intervals {
+        now += ms(*interval);
+        silence.hear(now);
+    }
+    let moves = now + ms(case.moves);
+    let news = now + ms(case.news);
+    assert_eq!(silence.learn(news, true), news >= moves);
+    while silence.look_at() < moves {
+        let look = silence.look_at();
+        assert_ne!(silence.look(look, look >= news), Verdict::GiveUp);
+    }
+    if news < moves {
+        assert_eq!(silence.look_at(), moves);
+        assert_eq!(silence.look(moves, true), Verdict::GiveUp);
+    }
+}
+
 #[test]
 fn an_event_begins_anew() {
     let mut silence = Silence::new(ms(0));
     assert_eq!(silence.look(ms(100), false), Verdict::Ask);
     silence.hear(ms(115));
     assert_eq!(silence.look_at(), ms(215));
-    assert!(!silence.is_over(ms(230), true));
+    assert!(!silence.learn(ms(230), true));
 }
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -25,6 +25,9 @@
 const DOUBT: f64 = 3.0;
 /// Cost of a slow engine, seconds for each whole time that it is slower: its streams pause.
 const SLOW_COST: f64 = 0.6;
+/// Weight of the time that a prompt waits to be read. It holds up a stream before it can be on
+/// time, while slow steps only use up room that there is.
+const WAITING_WEIGHT: f64 = 24.0;
 /// An engine with this share of its calls failed costs as much as [`FULL`].
 const FAILURE_COST: f64 = 2.0;
 
@@ -87,14 +90,29 @@
     }
 }
 
+/// The cheapest way found to a position.
+///
+/// The search keeps one way for each position and domain, the one with the least total. As the
+/// waiting is that of the slowest engine, not a sum, another way could be better in the end; the
+/// difference is at most one engine's waiting.
 #[derive(Clone, Copy)]
 struct Step {
+    /// Sum of the costs of the engines, seconds.
     cost: f64,
+    /// Cost of waiting at the engine where prompts wait longest: they pass a path as fast as
+    /// that one reads.
+    waiting: f64,
     /// Index of the engine, and position and domain that it was reached from.
     from: Option<(usize, usize, usize)>,
 }
 
-const NONE: Step = Step { cost: f64::INFINITY, from: None };
+impl Step {
+    const NONE: Self = Self { cost: f64::INFINITY, waiting: 0.0, from: None };
+
+    fn total(&self) -> f64 {
+        self.cost + self.waiting
+    }
+}
 
 /// Share of an engine's memory that is taken with `tokens` more.
 fn pressure(able: Able<'_>, model: &Model, tokens: f64) -> f64 {
@@ -130,7 +148,9 @@
     /// Cost beyond that of beginning a path here, seconds.
     first: f64,
     /// Cost of running all layers, seconds.
-    whole: f64,
+    work: f64,
+    /// Cost of waiting until all layers have read the prompts that are there, seconds.
+    waiting: f64,
 }
 
 impl Priced {
@@ -155,7 +175,8 @@
             domain,
             fixed: HOP + full + failing + slow,
             first: if entry.is_doubtful() { DOUBT } else { 0.0 },
-            whole: work + waiting(entry, model, vms),
+            work,
+            waiting: WAITING_WEIGHT * waiting(entry, model, vms),
         })
     }
 }
@@ -183,13 +204,13 @@
         .collect();
     priced.sort_by_key(|(_, engine)| engine.layers.start);
 
-    let mut best = vec![vec![NONE; domains.len()]; cuts.len()];
-    best[0].fill(Step { cost: 0.0, from: None });
+    let mut best = vec![vec![Step::NONE; domains.len()]; cuts.len()];
+    best[0].fill(Step { cost: 0.0, ..Step::NONE });
     for at in 0..cuts.len() - 1 {
-        let reached: Vec<f64> = best[at].iter().map(|step| step.cost).collect();
+        let reached = best[at].clone();
         let Some(cheapest) = (0..domains.len())
-            .filter(|&domain| reached[domain].is_finite())
-            .min_by(|&a, &b| reached[a].total_cmp(&reached[b]))
+            .filter(|&domain| reached[domain].cost.is_finite())
+            .min_by(|&a, &b| reached[a].total().total_cmp(&reached[b].total()))
         else {
             continue;
         };
@@ -202,28 +223,29 @@
             }
             let domain = engine.domain;
             // Staying in the domain, or coming from the one that is reached most cheaply.
-            let across = reached[cheapest] + CROSSING;
-            let (base, other) = if reached[domain] <= across {
-                (reached[domain], domain)
+            let across = reached[cheapest].total() + CROSSING;
+            let (base, crossing, other) = if reached[domain].total() <= across {
+                (reached[domain], 0.0, domain)
             } else {
-                (across, cheapest)
+                (reached[cheapest], CROSSING, cheapest)
             };
             let first = if at == 0 { engine.first } else { 0.0 };
             let ends = (at + 1..cuts.len()).take_while(|&end| cuts[end] <= engine.layers.end);
             for end in ends {
                 let share = f64::from(cuts[end] - cuts[at]) / f64::from(model.depth);
-                let cost = base + engine.fixed + first + engine.whole * share;
+                let cost = base.cost + crossing + engine.fixed + first + engine.work * share;
+                let waiting = base.waiting.max(engine.waiting * share);
                 let step = &mut best[end][domain];
-                if cost < step.cost {
-                    *step = Step { cost, from: Some((*index, at, other)) };
+                if cost + waiting < step.total() {
+                    *step = Step { cost, waiting, from: Some((*index, at, other)) };
                 }
             }
         }
     }
 
     let last = cuts.len() - 1;
-    let ends =
-        (0..domains.len()).min_by(|&a, &b| best[last][a].cost.total_cmp(&best[last][b].cost));
+    let total = |domain: usize| best[last][domain].total();
+    let ends = (0..domains.len()).min_by(|&a, &b| total(a).total_cmp(&total(b)));
     let (mut at, mut domain) = (last, ends?);
     let mut stages = Vec::new();
     let mut most: f64 = 0.0;
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -120,6 +120,33 @@
     assert!(counts.iter().all(|&count| (14..=16).contains(&count)), "{counts:?}");
 }
 
+/// Pattern: a chain is lost, and its streams are moved all at once to chains of unlike engines.
+/// Prompts pass a chain as fast as its slowest stage reads, however fast the others are: a chain
+/// that is fast in part gets no more of them than one that is slow throughout.
+#[test]
+fn moved_streams_spread_by_the_slowest_stage_of_each_chain() {
+    let mut model = model();
+    model.read_per_s = 20_000.0;
+    let slow = |name: &str| Card { name: name.into(), mb: 60_000.0, pace: 1.0, read: 8.0 };
+    model.cards = vec![Card { read: 1.0, ..slow("fast") }, slow("slow")];
+    let mut table = Table::new("a".into());
+    let cards =
+        [(1, "a", 0, "fast"), (2, "a", 40, "slow"), (3, "b", 0, "slow"), (4, "b", 40, "slow")];
+    for (number, domain, start, card) in cards {
+        let target = target(number, domain, (start, start + 40));
+        table.set(Target { card: card.into(), ..target });
+    }
+    let mut counts = [0; 2];
+    for _ in 0..40 {
+        let path = table.path(NOW, &model, &wish(&[])).expect("a path");
+        counts[usize::from(path.first().target == "t3")] += 1;
+        for stage in &path.stages {
+            table.read(&stage.target, 800.0);
+        }
+    }
+    assert!(counts.iter().all(|&count| (18..=22).contains(&count)), "{counts:?}");
+}
+
 #[test]
 fn what_other_vms_hold_counts_until_it_is_old() {
     let mut table = table();
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -285,8 +285,7 @@
 fn capacity_returns_with_the_only_target(sign: Sign) {
     let only = vec![engine("e1", "a", (0, 20), 900.0), engine("e3", "a", (20, 48), 800.0)];
     let mut bench = Bench::new(only);
-    let sent: Vec<Dispatch> =
-        (1..=3).map(|id| dispatch(&bench.start(id, "plank", true))).collect();
+    let sent: Vec<Dispatch> = (1..=3).map(|id| dispatch(&bench.start(id, "plank", true))).collect();
     // Two that stall have the target left out; the third goes on.
     bench.now += Duration::from_secs(1);
     bench.end(&sent[0], 0, Ending::Stalled);
