Nodes lend each other retries

The budget is divided evenly, the streams of a lost engine are not.

Ruled out: lending unasked by what nodes tell of their spending (each could add its part of the rest only, a third of what was missing); shares by load (the streams of one engine do not follow a node's load).

Now: a node that runs out asks six others, up to every 4 ms for 20 ms; who lends counts the retries as its own, they are used within 0.2 s, a lost message loses retries.

Tests: vms_that_run_out_of_retries_borrow (one VM with 150 streams: all go on; 32 VMs: never more than allowed, lost messages counted), borrowed_retry_is_used_soon_or_not_at_all.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod lead;
 mod lines;
 mod link;
+mod loan;
 mod node;
 mod offer;
 mod orders;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,7 +11,7 @@
 use platform::Settings;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use site::Config;
+use site::{Bounds, Config};
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
@@ -21,6 +21,7 @@
 use crate::diagnose::Reports;
 use crate::event::{TARGET_DOWN, TARGET_UP};
 use crate::link::Pool;
+use crate::loan::Loans;
 use crate::others::Others;
 
 /// How long before the bound on withdrawn keys a node that cannot reach the store refuses
@@ -44,6 +45,7 @@
     pub(crate) table: RefCell<Table>,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) budgets: RefCell<HashMap<SmolStr, Budget>>,
+    pub(crate) loans: Loans,
     /// Who gives orders, as far as is known.
     pub(crate) claim: RefCell<Claim>,
     pub(crate) pool: Pool,
@@ -84,6 +86,7 @@
             clock,
             config: RefCell::default(),
             budgets: RefCell::default(),
+            loans: Loans::default(),
             claim: RefCell::default(),
             pool: Pool::new(clock),
             reports: Reports::default(),
@@ -218,16 +221,32 @@
 
     /// Counts a request of a caller in the retry budget of its service.
     pub(crate) fn count_request(&self, service: &SmolStr) {
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
-        budget.request(self.now(), &self.settings.bounds);
+        self.budget(service, |budget, now, bounds, _| budget.request(now, bounds));
+    }
+
+    /// Takes one retry out of this node's part of the budget, or one that it has borrowed.
+    pub(crate) fn take_own_retry(&self, service: &SmolStr) -> bool {
+        self.budget(service, Budget::retry)
+    }
+
+    /// Gives away up to `asked` retries of this node's part; returns how many.
+    pub(crate) fn lend_retries(&self, service: &SmolStr, asked: u32) -> u32 {
+        self.budget(service, |budget, now, bounds, vms| budget.lend(now, bounds, vms, asked))
+    }
+
+    /// Takes retries that another node has lent.
+    pub(crate) fn borrow_retries(&self, service: &SmolStr, retries: u32) {
+        self.budget(service, |budget, now, _, _| budget.borrow(now, retries));
     }
 
-    /// Takes one retry out of the budget, if any is left.
-    pub(crate) fn take_retry(&self, service: &SmolStr) -> bool {
+    fn budget<T>(
+        &self,
+        service: &SmolStr,
+        with: impl FnOnce(&mut Budget, Duration, &Bounds, usize) -> T,
+    ) -> T {
         let vms = self.table.borrow().vms;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        budget.retry(self.now(), &self.settings.bounds, vms)
+        with(budget, self.now(), &self.settings.bounds, vms)
     }
 }
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -178,7 +178,7 @@
                 break;
             }
             if self.offers > 0 {
-                if !self.node.take_retry(&self.call.service) {
+                if !self.node.take_retry(&self.call.service).await {
                     reason = NO_RETRY;
                     break;
                 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::event::PEERS;
+use crate::loan::{self, Loan};
 use crate::node::Node;
 
 /// Shortest interval between messages to one peer.
@@ -34,7 +35,18 @@
 
 /// One message.
 #[derive(Debug, Serialize, Deserialize)]
-struct Message {
+pub(crate) enum Message {
+    /// What the sender sees.
+    View(View),
+    /// The sender asks for retries.
+    Want(Loan),
+    /// The sender lends retries.
+    Lend(Loan),
+}
+
+/// What a node tells of itself and of targets.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct View {
     /// Tokens that the sender's requests hold at each target, those that hold any.
     loads: Vec<(TargetKey, u32)>,
     /// Targets that the sender has seen fail in the last moments.
@@ -66,22 +78,36 @@
             known = peers.len();
             log::info!("{}", Event::new(PEERS).with("peers", known));
         }
-        let message = message(&node, interval(peers.len()) * 2);
-        // Names and numbers always serialise.
-        let Ok(bytes) = postcard::to_allocvec(&message) else { continue };
-        if bytes.len() > MESSAGE_BYTES {
-            metrics::counter!("magnolia_peer_messages_too_long").increment(1);
-            continue;
-        }
-        for peer in peers {
-            if socket.try_send_to(&bytes, peer).is_err() {
-                metrics::counter!("magnolia_peer_messages_unsent").increment(1);
-            }
-        }
+        let view = Message::View(view(&node, interval(peers.len()) * 2));
+        let Some(bytes) = encoded(&view) else { continue };
+        peers.into_iter().for_each(|peer| pass_on(&socket, &bytes, peer));
+    }
+}
+
+/// Sends a message to one node.
+pub(crate) fn send(socket: &UdpSocket, message: &Message, peer: SocketAddr) {
+    if let Some(bytes) = encoded(message) {
+        pass_on(socket, &bytes, peer);
     }
 }
 
-fn message(node: &Node, recent: Duration) -> Message {
+fn encoded(message: &Message) -> Option<Vec<u8>> {
+    // Names and numbers always serialise.
+    let bytes = postcard::to_allocvec(message).ok()?;
+    if bytes.len() > MESSAGE_BYTES {
+        metrics::counter!("magnolia_peer_messages_too_long").increment(1);
+        return None;
+    }
+    Some(bytes)
+}
+
+fn pass_on(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+    if socket.try_send_to(bytes, peer).is_err() {
+        metrics::counter!("magnolia_peer_messages_unsent").increment(1);
+    }
+}
+
+fn view(node: &Node, recent: Duration) -> View {
     let now = node.now();
     let table = node.table.borrow();
     let mut loads: Vec<(TargetKey, u32)> = table
@@ -102,7 +128,7 @@
     });
     let full = refusing.map(|entry| entry.target.id.clone()).take(MOST_FULL).collect();
     let fence = node.claim.borrow().highest();
-    Message { loads, down, full, fence, checks_keys: node.may_honour_keys() }
+    View { loads, down, full, fence, checks_keys: node.may_honour_keys() }
 }
 
 /// Listens to the peers for good.
@@ -114,27 +140,30 @@
             sleep(MESSAGE_SPACING).await;
             continue;
         };
+        // Nodes that are not known, or no more, have no say.
+        if !node.peers.borrow().contains(&from) {
+            continue;
+        }
         match postcard::from_bytes::<Message>(&buffer[..length]) {
-            Ok(message) => take(&node, from, message),
+            Ok(Message::View(view)) => take(&node, from, view),
+            Ok(Message::Want(loan)) => loan::wanted(&node, &socket, from, loan),
+            Ok(Message::Lend(loan)) => loan::lent(&node, from, &loan),
             Err(_) => metrics::counter!("magnolia_peer_messages_undecodable").increment(1),
         }
     }
 }
 
-fn take(node: &Node, from: SocketAddr, message: Message) {
-    if !node.peers.borrow().contains(&from) {
-        return;
-    }
-    node.claim.borrow_mut().heard(message.fence);
+fn take(node: &Node, from: SocketAddr, view: View) {
+    node.claim.borrow_mut().heard(view.fence);
     let now = node.now();
-    node.others.borrow_mut().hear(now, message.checks_keys);
+    node.others.borrow_mut().hear(now, view.checks_keys);
     let until = now + interval(node.peers.borrow().len()) * 5;
-    node.table.borrow_mut().share(from, message.loads, until);
+    node.table.borrow_mut().share(from, view.loads, until);
     let address = |id: &TargetKey| node.table.borrow().entry(id).map(|entry| entry.target.address);
-    for address in message.down.iter().filter_map(address) {
+    for address in view.down.iter().filter_map(address) {
         node.fault(address, Fault::Reported, "a peer saw it fail");
     }
-    for address in message.full.iter().filter_map(address) {
+    for address in view.full.iter().filter_map(address) {
         node.fault(address, Fault::ReportedFull, "a peer was refused");
     }
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -75,7 +75,7 @@
         let picked = node.table.borrow().plain(node.now(), &wish);
         let Some((target, address)) = picked else { break };
         let again = offers > 0;
-        if again && !node.take_retry(&call.service) {
+        if again && !node.take_retry(&call.service).await {
             break;
         }
         if again {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -25,7 +25,7 @@
 use crate::node::Node;
 use crate::orders::Orders;
 use crate::store::Store;
-use crate::{diagnose, front, peers, ready};
+use crate::{diagnose, front, loan, peers, ready};
 
 /// Port of the metrics.
 const METRICS_PORT: u16 = 9464;
@@ -134,7 +134,8 @@
     tokio::task::spawn_local(keep_lead(node.clone(), store.clone(), leadership.clone()));
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
     tokio::task::spawn_local(peers::tell(node.clone(), socket.clone()));
-    tokio::task::spawn_local(peers::hear(node.clone(), socket));
+    tokio::task::spawn_local(peers::hear(node.clone(), socket.clone()));
+    tokio::task::spawn_local(loan::ask(node.clone(), socket));
     tokio::task::spawn_local(diagnose::probe(node.clone()));
     let accepting = tokio::task::spawn_local(front::serve(node.clone(), callers));
     tokio::task::spawn_local(ready::serve_ready(node.clone(), probes));
--- a/crates/path/src/budget.rs
+++ b/crates/path/src/budget.rs
@@ -15,10 +15,28 @@
 /// Windows after its start in which a VM takes nothing of the extra.
 const YOUNG: f64 = 0.5;
 
+/// Part of what is left that a VM lends at once: the rest is for its own streams.
+const LENT_PART: f64 = 0.5;
+
+/// How long a borrowed retry may be used. The lender has counted it when it lent it, so that it
+/// must fall into about the same window.
+const LOAN_TIME: Duration = Duration::from_millis(200);
+
 /// Counts requests and retries of one service in a sliding window.
+///
+/// Each VM has a part of what all may spend. One that needs more borrows from others, who count
+/// what they lend as spent: together they never spend more than is allowed.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     slots: VecDeque<Slot>,
+    loans: VecDeque<Loan>,
+}
+
+/// Retries borrowed from another VM.
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    retries: u32,
+    until: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -34,9 +52,35 @@
         self.slot(now, bounds).requests += 1;
     }
 
-    /// Takes one retry out of this VM's share, if any is left. `vms` share the extra. A VM that
-    /// has just started has a part of it only: the one that it replaces may have spent the rest.
+    /// Takes one retry out of this VM's share, or one that it has borrowed, if any is left. `vms`
+    /// share the extra. A VM that has just started has a part of it only: the one that it
+    /// replaces may have spent the rest.
     pub fn retry(&mut self, now: Duration, bounds: &Bounds, vms: usize) -> bool {
+        if self.left(now, bounds, vms) >= 1.0 {
+            self.slot(now, bounds).retries += 1;
+            return true;
+        }
+        self.loans.retain(|loan| now < loan.until && loan.retries > 0);
+        let Some(loan) = self.loans.front_mut() else { return false };
+        loan.retries -= 1;
+        true
+    }
+
+    /// Gives away up to `asked` retries of this VM's share; returns how many.
+    pub fn lend(&mut self, now: Duration, bounds: &Bounds, vms: usize, asked: u32) -> u32 {
+        let spare = self.left(now, bounds, vms) * LENT_PART;
+        let lent = asked.min(spare.max(0.0) as u32);
+        self.slot(now, bounds).retries += lent;
+        lent
+    }
+
+    /// Takes retries that another VM has lent.
+    pub fn borrow(&mut self, now: Duration, retries: u32) {
+        self.loans.push_back(Loan { retries, until: now + LOAN_TIME });
+    }
+
+    /// Retries that are left of this VM's share; below 0 when its share has shrunk.
+    fn left(&mut self, now: Duration, bounds: &Bounds, vms: usize) -> f64 {
         self.slot(now, bounds);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
@@ -44,11 +88,7 @@
         let part = (age - YOUNG).clamp(0.0, 1.0);
         let extra = bounds.retry_extra / vms.max(1) as f64 * part;
         let allowed = SPENT_PART * (bounds.retry_share * f64::from(requests) + extra);
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.slot(now, bounds).retries += 1;
-        true
+        allowed - f64::from(retries)
     }
 
     fn slot(&mut self, now: Duration, bounds: &Bounds) -> &mut Slot {
