Log: pauses of targets, and the engine that refused

A pause after a refusal, seen here or told, changes where requests go and had no line; a refused attempt named the first engine of the path, not the one that refused. Event 1123, and the target in 1122.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -23,4 +23,5 @@
     PEERS = 1120, "peers", "The number of other nodes changed.";
     LAYOUT = 1121, "layout", "The layers that no engine of a failure domain holds have changed.";
     FAILED = 1122, "attempt-failed", "A target did not give a request's answer; `ran` tells whether it can have run.";
+    PAUSED = 1123, "target-paused", "A target refused a request, here or at another node, and gets nothing for a while.";
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -19,7 +19,7 @@
 use crate::claim::Claim;
 use crate::clock::Clock;
 use crate::diagnose::Reports;
-use crate::event::{TARGET_DOWN, TARGET_UP};
+use crate::event::{PAUSED, TARGET_DOWN, TARGET_UP};
 use crate::link::Pool;
 use crate::loan::Loans;
 use crate::others::Others;
@@ -181,7 +181,7 @@
 
     /// Notes that an engine refused a request, and tells the other nodes soon.
     pub(crate) fn refused(&self, address: SocketAddr) {
-        self.fault(address, Fault::Full, "refused");
+        self.pause(address, true);
         let now = self.now();
         if now.saturating_sub(self.told_full.get()) >= FULL_SPACING {
             self.told_full.set(now);
@@ -189,6 +189,20 @@
         }
     }
 
+    /// Notes that a target refused a request, of this node (`own`) or of another one.
+    pub(crate) fn pause(&self, address: SocketAddr, own: bool) {
+        let now = self.now();
+        let paused = self.table.borrow_mut().refuse(now, address, own);
+        if let Some((target, pause)) = paused {
+            let event = Event::new(PAUSED)
+                .with("target", target)
+                .with("address", address)
+                .with("own", own)
+                .with("pause_ms", pause.as_millis());
+            log::info!("{event}");
+        }
+    }
+
     /// Takes a target's report.
     pub(crate) fn report(&self, id: &str, report: &site::Report) {
         if self.table.borrow_mut().report(self.now(), id, report) {
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -103,7 +103,8 @@
 /// What came of one offer.
 enum Offered {
     Open(Open),
-    NotRun,
+    /// Refused by the engine at this address, or not sent to it.
+    NotRun(SocketAddr),
     Unknown,
     /// An engine of the path hangs.
     Hangs,
@@ -116,7 +117,7 @@
     fn failure(&self) -> Option<(&'static str, &'static str)> {
         match self {
             Offered::Open(_) => None,
-            Offered::NotRun => Some(("refused, or not sent", "no")),
+            Offered::NotRun(_) => Some(("refused, or not sent", "no")),
             Offered::Unknown => Some(("connection lost, or a strange answer", "unknown")),
             Offered::Hangs => Some(("an engine of the path hangs", "unknown")),
             Offered::Failed(_) => Some(("failure status", "yes")),
@@ -191,14 +192,20 @@
             }
             self.offers += 1;
             let first = path.first().address;
-            let target = path.first().target.clone();
+            let stages = path.stages.clone();
             let offered = self.offer(path, last_event).await;
             if let Some((reason, ran)) = offered.failure() {
-                log_failure(&self.node, &self.call, &target, reason, ran, now);
+                // A later engine of the path can be the one that refused.
+                let at_fault = match offered {
+                    Offered::NotRun(address) => stages.iter().find(|s| s.address == address),
+                    _ => None,
+                };
+                let target = &at_fault.unwrap_or(&stages[0]).target;
+                log_failure(&self.node, &self.call, target, reason, ran, now);
             }
             match offered {
                 Offered::Open(open) => return Ok(open),
-                Offered::NotRun => continue,
+                Offered::NotRun(_) => continue,
                 Offered::Hangs => {
                     unknown = true;
                     self.ran += 1;
@@ -257,7 +264,7 @@
             Ok(open) => open,
             Err(Unanswered::NotSent) => {
                 node.fault(first.address, Fault::Silent, "no connection");
-                return Offered::NotRun;
+                return Offered::NotRun(first.address);
             }
             Err(Unanswered::Unknown) => {
                 // One lost connection tells little; an engine that is gone gives no report.
@@ -284,7 +291,7 @@
             if response.into_body().collect().await.is_ok() {
                 node.pool.give_back(connection);
             }
-            return Offered::NotRun;
+            return Offered::NotRun(address);
         }
         if status != StatusCode::OK {
             node.fault(first.address, Fault::Failed, "failure status");
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -168,6 +168,6 @@
         }
     }
     for address in view.full.iter().filter_map(address) {
-        node.fault(address, Fault::ReportedFull, "a peer was refused");
+        node.pause(address, false);
     }
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -166,9 +166,11 @@
     }
     node.pool.give_back(connection);
     if is_not_run(parts.status, &parts.headers) {
-        let gone = parts.status == StatusCode::MISDIRECTED_REQUEST;
-        let fault = if gone { Fault::Astray } else { Fault::Full };
-        node.fault(address, fault, "refused");
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            node.fault(address, Fault::Astray, "refused");
+        } else {
+            node.pause(address, true);
+        }
         return Tried::NotRun("refused");
     }
     Tried::Answered { status: parts.status, headers: parts.headers, body: body.to_bytes() }
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -126,6 +126,11 @@
         self.paused = now + self.pause;
     }
 
+    /// How long the target gets nothing because it refused.
+    pub fn paused_for(&self, now: Duration) -> Option<Duration> {
+        self.paused.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
     /// How long ago this node was refused, while the target is paused for that.
     pub fn refused_for(&self, now: Duration) -> Option<Duration> {
         let is_on = self.pause_own && now < self.paused;
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -220,6 +220,21 @@
         newly.then(|| entry.target.id.clone())
     }
 
+    /// Notes that the target at an address refused a request (`own`: of this VM); returns it with
+    /// the pause that begins, if none has begun before.
+    pub fn refuse(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        own: bool,
+    ) -> Option<(TargetKey, Duration)> {
+        let entry = self.at(address)?;
+        let paused = entry.health.paused_for(now).is_some();
+        entry.health.fault(now, if own { Fault::Full } else { Fault::ReportedFull });
+        let pause = entry.health.paused_for(now).filter(|_| !paused)?;
+        Some((entry.target.id.clone(), pause))
+    }
+
     /// Notes an answer of a target that was as it should be.
     pub fn success(&mut self, address: SocketAddr) {
         if let Some(entry) = self.at(address) {
--- /dev/null
+++ b/crates/path/tests/budget.rs
@@ -0,0 +1,112 @@
+//! The budget of retries that VMs share.
+
+use std::time::Duration;
+
+use path::Budget;
+use site::Bounds;
+use yare::parameterized;
+
+const NOW: Duration = Duration::from_secs(100);
+
+#[test]
+fn retries_stay_within_the_share_of_this_vm() {
+    let bounds = Bounds { retry_share: 0.2, retry_extra: 40.0, ..Bounds::default() };
+    let mut budget = Budget::default();
+    for _ in 0..100 {
+        budget.request(NOW, &bounds);
+    }
+    let taken = (0..200).filter(|_| budget.retry(NOW, &bounds, 4)).count();
+    assert!((20..=30).contains(&taken), "at most 0.2 of 100 requests and a quarter of 40: {taken}");
+    let later = NOW + bounds.retry_window;
+    assert!(budget.retry(later, &bounds, 4), "the window has passed");
+}
+
+/// Pattern: four VMs are restarted one after the other while a chain fails again and again.
+/// Found by a hunt: scale-1 --seed 71357292951, 338 retries where 333 were allowed.
+#[test]
+fn restarted_vms_do_not_spend_the_budget_twice() {
+    let bounds = Bounds { retry_share: 0.2, retry_extra: 196.0, ..Bounds::default() };
+    let start = Duration::from_secs(1000);
+    // Each VM with the time at which its process started.
+    let mut vms = vec![(Duration::ZERO, Budget::default()); 4];
+    let (mut requests, mut retries) = (0, 0);
+    for step in 0..100_u32 {
+        let now = start + Duration::from_millis(100) * step;
+        if step % 25 == 10 {
+            vms[(step / 25) as usize] = (now, Budget::default());
+        }
+        for (began, budget) in &mut vms {
+            let uptime = now - *began;
+            for _ in 0..2 {
+                budget.request(uptime, &bounds);
+                requests += 1;
+            }
+            retries += (0..5).filter(|_| budget.retry(uptime, &bounds, 4)).count();
+        }
+    }
+    let allowed = 0.2 * f64::from(requests) + 196.0;
+    assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
+}
+
+/// Streams of some VMs that are cut at one moment.
+struct Cut {
+    /// VMs that have such streams.
+    vms: usize,
+    /// Streams of each of them.
+    streams: u32,
+    /// Least streams that go on.
+    least: u32,
+}
+
+/// Load pattern: an engine is lost, and its streams are those of a few VMs (grown Kinywaji
+/// scale-2, second 24: 149 streams cut for want of retries, 310 of 627 allowed were used). VMs
+/// that run out borrow from others; all together never spend more than is allowed, though some
+/// of what is lent is lost on the way.
+#[parameterized(
+    one_vm = { Cut { vms: 1, streams: 150, least: 150 } },
+    few = { Cut { vms: 6, streams: 60, least: 340 } },
+    all = { Cut { vms: 32, streams: 40, least: 400 } },
+)]
+fn vms_that_run_out_of_retries_borrow(case: Cut) {
+    const VMS: usize = 32;
+    let bounds = Bounds { retry_share: 0.2, retry_extra: 344.0, ..Bounds::default() };
+    let mut budgets = vec![Budget::default(); VMS];
+    let mut requests = 0;
+    for step in 0..200_u32 {
+        let now = NOW + Duration::from_millis(50) * step;
+        for budget in budgets.iter_mut().filter(|_| step % 4 == 0) {
+            budget.request(now, &bounds);
+            requests += 1;
+        }
+    }
+    let now = NOW + Duration::from_secs(10);
+    let mut moved = 0;
+    let mut lost = 0;
+    for vm in 0..case.vms {
+        for _ in 0..case.streams {
+            let mut lender = vm + 1;
+            while !budgets[vm].retry(now, &bounds, VMS) && lender < vm + VMS {
+                let lent = budgets[lender % VMS].lend(now, &bounds, VMS, 4);
+                if lender % 7 == 0 {
+                    lost += lent;
+                } else {
+                    budgets[vm].borrow(now, lent);
+                }
+                lender += 1;
+            }
+            moved += u32::from(lender < vm + VMS);
+        }
+    }
+    assert!(moved + lost >= case.least.min(case.vms as u32 * case.streams), "{moved}, lost {lost}");
+    let allowed = 0.8 * (0.2 * f64::from(requests) + 344.0);
+    assert!(f64::from(moved + lost) <= allowed, "{moved} and {lost} lost of {allowed}");
+}
+
+#[test]
+fn borrowed_retry_is_used_soon_or_not_at_all() {
+    let bounds = Bounds { retry_share: 0.0, retry_extra: 0.0, ..Bounds::default() };
+    let mut budget = Budget::default();
+    budget.borrow(NOW, 2);
+    assert!(budget.retry(NOW + Duration::from_millis(100), &bounds, 1));
+    assert!(!budget.retry(NOW + Duration::from_millis(200), &bounds, 1));
+}
