--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -202,6 +202,7 @@
                     .with("target", id)
                     .with("service", &target.service)
                     .with("domain", &target.domain)
+                    .with("card", &target.card)
                     .with("state", format_args!("{:?}", target.state))
                     .with("layers", format_args!("{:?}", target.layers))
                     .with("revision", item.revision);
