--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -141,7 +141,8 @@
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
         crate::follow::expire(&node);
-        let due = node.table.borrow_mut().take_probes(node.now());
+        let asked = node.now();
+        let due = node.table.borrow_mut().take_probes(asked);
         for (id, address) in due {
             let node = node.clone();
             tokio::task::spawn_local(async move {
@@ -155,7 +156,7 @@
                     connected
                 };
                 if !answered {
-                    node.table.borrow_mut().unanswered(&id);
+                    node.table.borrow_mut().unanswered(&id, asked);
                 }
             });
         }
--- a/crates/edge/src/loan.rs
+++ b/crates/edge/src/loan.rs
@@ -5,8 +5,8 @@
 //! streams up. What is lent is counted by the lender; a message that is lost loses retries and
 //! never makes any.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 
 use crate::node::Node;
 use crate::peers::{Message, send};
+use crate::question::Questions;
 
 /// Longest wait for retries of other nodes: they answer within a few milliseconds.
 const LOAN_WAIT: Duration = Duration::from_millis(20);
@@ -49,10 +50,7 @@
     wanted: Notify,
     /// Told when retries were lent to this node.
     lent: Notify,
-    /// Number of the newest question.
-    question: Cell<u64>,
-    /// Nodes that may still answer it. Datagrams can come twice; an answer counts once.
-    asked: RefCell<HashSet<SocketAddr>>,
+    questions: RefCell<Questions>,
 }
 
 /// A request counted as waiting for a retry.
@@ -111,9 +109,7 @@
         }
         for (service, count) in wanted {
             let nodes = some_peers(&node);
-            let question = node.loans.question.get() + 1;
-            node.loans.question.set(question);
-            *node.loans.asked.borrow_mut() = nodes.iter().copied().collect();
+            let question = node.loans.questions.borrow_mut().ask(&service, &nodes);
             let retries = count.div_ceil(COVERING_NODES);
             let message = Message::Want(Loan { service, retries, question });
             nodes.into_iter().for_each(|peer| send(&socket, &message, peer));
@@ -139,8 +135,8 @@
 
 /// Takes retries that another node has lent.
 pub(crate) fn lent(node: &Node, from: SocketAddr, loan: &Loan) {
-    let is_newest = loan.question == node.loans.question.get();
-    if is_newest && node.loans.asked.borrow_mut().remove(&from) {
+    let expected = node.loans.questions.borrow_mut().answered(&loan.service, loan.question, from);
+    if expected {
         node.borrow_retries(&loan.service, loan.retries);
         metrics::counter!("magnolia_retries_borrowed").increment(u64::from(loan.retries));
         node.loans.lent.notify_waiters();
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use path::{Fault, Path, Wish};
-use site::Model;
+use site::{Model, TargetKey};
 use tokio::pin;
 use tokio::time::{Instant, timeout};
 
@@ -103,8 +103,8 @@
 /// What came of one offer.
 enum Offered {
     Open(Open),
-    /// Refused by the engine at this address, or not sent to it.
-    NotRun(SocketAddr),
+    /// Refused by this engine, or not sent to it.
+    NotRun(TargetKey),
     Unknown,
     /// An engine of the path hangs.
     Hangs,
@@ -191,16 +191,14 @@
                 log::info!("{event}");
             }
             self.offers += 1;
-            let first = path.first().address;
-            let stages = path.stages.clone();
+            let first = path.first().clone();
             let offered = self.offer(path, last_event).await;
             if let Some((reason, ran)) = offered.failure() {
                 // A later engine of the path can be the one that refused.
-                let at_fault = match offered {
-                    Offered::NotRun(address) => stages.iter().find(|s| s.address == address),
-                    _ => None,
+                let target = match &offered {
+                    Offered::NotRun(target) => target,
+                    _ => &first.target,
                 };
-                let target = &at_fault.unwrap_or(&stages[0]).target;
                 log_failure(&self.node, &self.call, target, reason, ran, now);
             }
             match offered {
@@ -213,11 +211,11 @@
                 Offered::Unknown => {
                     unknown = true;
                     self.ran += 1;
-                    self.avoid(first);
+                    self.avoid(first.address);
                 }
                 Offered::Failed(response) => {
                     self.ran += 1;
-                    self.avoid(first);
+                    self.avoid(first.address);
                     failure = Some(response);
                 }
                 Offered::TimedOut => {
@@ -264,7 +262,7 @@
             Ok(open) => open,
             Err(Unanswered::NotSent) => {
                 node.fault(first.address, Fault::Silent, "no connection");
-                return Offered::NotRun(first.address);
+                return Offered::NotRun(first.target);
             }
             Err(Unanswered::Unknown) => {
                 // One lost connection tells little; an engine that is gone gives no report.
@@ -291,7 +289,9 @@
             if response.into_body().collect().await.is_ok() {
                 node.pool.give_back(connection);
             }
-            return Offered::NotRun(address);
+            let stages = &mut running.path.stages.iter();
+            let at_fault = stages.find(|stage| stage.address == address);
+            return Offered::NotRun(at_fault.map_or(first.target, |stage| stage.target.clone()));
         }
         if status != StatusCode::OK {
             node.fault(first.address, Fault::Failed, "failure status");
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -29,7 +29,6 @@
 const MESSAGE_BYTES: usize = 1400;
 /// Most targets in one message: each takes about 20 bytes.
 const MOST_LOADS: usize = 60;
-
 /// Most refusing engines in one message.
 const MOST_FULL: usize = 8;
 
--- /dev/null
+++ b/crates/edge/tests/question.rs
@@ -0,0 +1,37 @@
+//! Which answers of other nodes count.
+
+use std::net::SocketAddr;
+
+use edge::Questions;
+use yare::parameterized;
+
+struct Case {
+    /// Subjects in the order in which both nodes are asked.
+    asked: &'static [&'static str],
+    /// Answers: the place of their question in that order, and the node.
+    answers: &'static [(usize, u16)],
+    /// Answers that count, by their place.
+    count: &'static [usize],
+}
+
+#[parameterized(
+    each_node = { Case { asked: &["a"], answers: &[(0, 1), (0, 2)], count: &[0, 1] } },
+    twice = { Case { asked: &["a"], answers: &[(0, 1), (0, 1)], count: &[0] } },
+    late = { Case { asked: &["a", "a"], answers: &[(0, 1), (1, 1)], count: &[1] } },
+    not_asked = { Case { asked: &["a"], answers: &[(0, 3)], count: &[] } },
+    two_services = { Case { asked: &["a", "b"], answers: &[(0, 1), (1, 1), (0, 2)], count: &[0, 1, 2] } },
+)]
+fn one_answer_of_each_node_to_the_newest_question_counts(case: Case) {
+    let node = |number: u16| SocketAddr::from(([10, 0, 0, 1], number));
+    let mut questions = Questions::default();
+    let subjects = || case.asked.iter().map(|subject| (*subject).into());
+    let numbers: Vec<u64> =
+        subjects().map(|subject| questions.ask(&subject, &[node(1), node(2)])).collect();
+    let counted = |questions: &mut Questions, &(place, from): &(usize, u16)| {
+        questions.answered(case.asked[place], numbers[place], node(from))
+    };
+    let count: Vec<usize> = (0..case.answers.len())
+        .filter(|&place| counted(&mut questions, &case.answers[place]))
+        .collect();
+    assert_eq!(count, case.count);
+}
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -154,9 +154,10 @@
         self.down.is_some_and(|down| down.mute)
     }
 
-    /// Notes that a probe had no answer.
-    pub fn unanswered(&mut self) {
-        if let Some(down) = &mut self.down {
+    /// Notes that a probe sent at `asked` had no answer. One that was sent before the target
+    /// was last left out tells nothing of it now.
+    pub fn unanswered(&mut self, asked: Duration) {
+        if let Some(down) = self.down.as_mut().filter(|down| down.since <= asked) {
             down.unanswered += 1;
         }
     }
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -274,10 +274,10 @@
         due.collect()
     }
 
-    /// Notes that a target did not answer a probe.
-    pub fn unanswered(&mut self, id: &str) {
+    /// Notes that a target did not answer a probe sent at `asked`.
+    pub fn unanswered(&mut self, id: &str, asked: Duration) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.health.unanswered();
+            entry.health.unanswered(asked);
         }
     }
 
--- a/crates/path/tests/health.rs
+++ b/crates/path/tests/health.rs
@@ -103,7 +103,7 @@
     assert!(!health.take_probe(probe - Duration::from_millis(1)));
     assert!(health.take_probe(probe));
     for _ in 0..case.unanswered {
-        health.unanswered();
+        health.unanswered(probe);
     }
     assert_eq!(health.is_lost(), case.lost);
     if case.answered {
@@ -112,6 +112,23 @@
     }
 }
 
+/// Pattern: a link loses packets for a while, so that an engine is left out, answers one probe
+/// and is left out again while another probe is still under way.
+#[test]
+fn probe_of_an_earlier_outage_does_not_count() {
+    let ms = Duration::from_millis;
+    let mut health = Health::default();
+    health.fault(NOW, Fault::Mute);
+    let early = NOW + ms(50);
+    health.revive(NOW + ms(100));
+    health.fault(NOW + ms(150), Fault::Mute);
+    health.unanswered(early);
+    health.unanswered(NOW + ms(200));
+    assert!(!health.is_lost(), "one probe of this outage has failed");
+    health.unanswered(NOW + ms(300));
+    assert!(health.is_lost());
+}
+
 /// Load pattern: an engine drains while the store is away, and 32 VMs have a request for it every
 /// half second each. Every VM found out for itself that it refuses (grown Kinywaji trouble-3,
 /// seconds 27 to 30: 234 refusals by three engines, 34 requests refused for want of retries).
