--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,8 @@
 //! finished log lines.
 
 mod answer;
+mod book;
+mod book;
 mod call;
 mod claim;
 mod clock;
@@ -33,6 +35,8 @@
 mod stream;
 mod watch;
 
+pub use book::{Book, Next, Outcome, Sent};
+pub use book::{Book, Next, Outcome, Sent};
 pub use claim::Claim;
 pub use event::EVENTS;
 pub use lines::line_format;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -15,6 +15,7 @@
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
+use crate::book::{Book, Next, Outcome, Sent};
 use crate::event::{LAYOUT, LEADING, ORDERED};
 use crate::lead::{self, Leadership};
 use crate::node::Node;
@@ -27,29 +28,12 @@
 /// Longest wait for an engine's answer to an order: all others wait as long, and those of a
 /// whole domain that was cut off are ordered one after another.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Pause before an engine whose order went wrong is ordered again.
-const REORDER_PAUSE: Duration = Duration::from_millis(500);
-/// Pause before an engine that did not answer an order is ordered again.
-const UNKNOWN_PAUSE: Duration = Duration::from_millis(2500);
-/// How long an order is expected to take beyond the time to load.
-const LOAD_SLACK: Duration = Duration::from_millis(1500);
-
-/// An order whose effect is not seen yet.
-#[derive(Clone, Copy, Debug)]
-struct Pending {
-    /// Layers that the engine will hold.
-    layers: Layers,
-    /// When the engine is asked what became of it.
-    until: Duration,
-}
 
 /// Gives orders while this node leads.
 pub(crate) struct Orders {
     node: Rc<Node>,
     leadership: Rc<Leadership>,
-    pending: HashMap<TargetKey, Pending>,
-    /// Engines that are not ordered before a time.
-    paused: HashMap<TargetKey, Duration>,
+    book: Book,
     /// Engines of each service as they register.
     arrivals: HashMap<SmolStr, Arrival>,
     /// Layers that no engine of a domain held at the last look.
@@ -60,8 +44,8 @@
 impl Orders {
     /// Nothing is ordered yet.
     pub(crate) fn new(node: Rc<Node>, leadership: Rc<Leadership>) -> Self {
-        let (pending, paused, arrivals, gaps) = Default::default();
-        Self { node, leadership, pending, paused, arrivals, gaps, leads: false }
+        let (book, arrivals, gaps) = Default::default();
+        Self { node, leadership, book, arrivals, gaps, leads: false }
     }
 
     /// Gives orders for good.
@@ -78,7 +62,7 @@
             let fence = lead::fence(&self.node);
             if self.leads != fence.is_some() {
                 self.leads = fence.is_some();
-                self.pending.clear();
+                self.book.forget();
                 let fence = fence.unwrap_or(0);
                 log::info!(
                     "{}",
@@ -101,30 +85,20 @@
     /// that is still at an order gets no other one.
     async fn settle(&mut self) {
         let now = self.node.now();
-        let mut overdue = Vec::new();
-        {
+        let overdue: Vec<_> = {
             let table = self.node.table.borrow();
-            self.pending.retain(|id, pending| {
-                let Some(entry) = table.entry(id) else { return false };
-                if entry.layers == Some(pending.layers) {
-                    return false;
-                }
-                if pending.until <= now {
-                    overdue.push((id.clone(), entry.target.address));
-                }
-                true
+            let held = |id: &TargetKey| table.entry(id).map(|entry| entry.layers);
+            let overdue = self.book.settle(now, held).into_iter();
+            let addresses = overdue.filter_map(|id| {
+                let address = table.entry(&id)?.target.address;
+                Some((id, address))
             });
-        }
-        let rested = self.paused.extract_if(|_, until| *until <= now);
-        for (id, _) in rested {
-            let address = self.node.table.borrow().entry(&id).map(|entry| entry.target.address);
-            overdue.extend(address.map(|address| (id, address)));
-        }
+            addresses.collect()
+        };
         for (id, address) in overdue {
-            self.pending.remove(&id);
             let report = self.node.refresh(&id, address).await;
             if report.is_some_and(|report| report.busy) {
-                self.paused.insert(id, now + REORDER_PAUSE);
+                self.book.pause(id, now);
             }
         }
     }
@@ -132,26 +106,24 @@
     fn plan(&mut self, service: &Service, model: &Model) -> Vec<Move> {
         let now = self.node.now();
         let table = self.node.table.borrow();
-        let is_paused = |id: &TargetKey| self.paused.get(id).is_some_and(|until| *until > now);
         let usable = table.entries().filter(|entry| {
             // Moving layers costs seconds: one that may only be hard to reach is waited for.
             let lost = entry.health.is_lost();
             // An empty engine that does not take orders is of no use to the plan.
-            let idle = entry.layers.is_none() && is_paused(&entry.target.id);
+            let idle = entry.layers.is_none() && self.book.is_paused(&entry.target.id);
             let ready = entry.target.state == State::Ready && !lost && !idle;
             entry.target.service == service.name && ready
         });
         let engines: Vec<Engine> = usable
             .map(|entry| {
                 let id = entry.target.id.clone();
-                let pending = self.pending.get(&id);
-                let paused = is_paused(&id);
+                let pending = self.book.pending(&id);
                 let down = entry.health.is_down();
                 Engine {
                     domain: entry.target.domain.clone(),
                     card: entry.target.card.clone(),
-                    layers: pending.map(|pending| pending.layers).or(entry.layers),
-                    busy: pending.is_some() || paused || down,
+                    layers: pending.or(entry.layers),
+                    busy: pending.is_some() || self.book.is_paused(&id) || down,
                     slow: entry.is_slow(),
                     id,
                 }
@@ -223,54 +195,28 @@
             let now = self.node.now();
             let share = f64::from(change.layers.len()) / f64::from(model.depth.max(1));
             let id = change.target;
-            match outcome {
-                Outcome::Unknown => {
-                    // It may be carried out late; meanwhile another engine is better.
-                    self.paused.insert(id, now + UNKNOWN_PAUSE);
-                }
-                Outcome::Accepted => {
-                    self.node.table.borrow_mut().ordered(&id);
-                    let until = now + model.load.mul_f64(share) + LOAD_SLACK;
-                    self.pending.insert(id, Pending { layers: order.layers, until });
-                }
-                Outcome::Refused => {
-                    let entry = self.node.table.borrow().entry(&id).map(|entry| {
-                        let is_empty = entry.layers.is_none();
-                        (entry.target.address, is_empty)
-                    });
-                    let Some((address, is_empty)) = entry else { continue };
-                    if is_empty {
-                        // Most likely it is at an order of the leader before, who saw the same.
-                        let until = now + model.load.mul_f64(share);
-                        self.pending.insert(id.clone(), Pending { layers: order.layers, until });
-                    } else {
-                        self.paused.insert(id.clone(), now + REORDER_PAUSE);
-                    }
+            if outcome == Outcome::Fenced {
+                // Another node leads, though this one has not heard of it yet.
+                self.leadership.step_down(&self.node);
+                return;
+            }
+            let seen = {
+                let table = self.node.table.borrow();
+                table.entry(&id).map(|entry| (entry.target.address, entry.layers.is_none()))
+            };
+            let Some((address, is_empty)) = seen else { continue };
+            let sent = Sent { layers: order.layers, load: model.load.mul_f64(share), is_empty };
+            match self.book.note(&id, sent, outcome, now) {
+                Next::Count => self.node.table.borrow_mut().ordered(&id),
+                Next::Ask => {
                     self.node.refresh(&id, address).await;
                 }
-                Outcome::Fenced => {
-                    // Another node leads, though this one has not heard of it yet.
-                    self.leadership.step_down(&self.node);
-                    return;
-                }
+                Next::Probe => self.node.fault(address, Fault::Mute, "no answer to an order"),
             }
         }
     }
 }
 
-/// What came of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outcome {
-    /// It has begun, or was done already.
-    Accepted,
-    /// The engine is in another state than was thought.
-    Refused,
-    /// Another node leads.
-    Fenced,
-    /// It may be carried out, now or later.
-    Unknown,
-}
-
 async fn send(node: &Node, address: SocketAddr, order: Order) -> Outcome {
     let exchange = async {
         let begun = node.pool.send(address, platform::order(address, order)).await.ok()?;
