--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -119,7 +119,8 @@
         now: Duration,
         held: impl Fn(&TargetKey) -> Option<Option<Layers>>,
     ) -> Vec<TargetKey> {
-        self.pending.retain(|id, pending| held(id).is_some_and(|held| held != Some(pending.layers)));
+        self.pending
+            .retain(|id, pending| held(id).is_some_and(|held| held != Some(pending.layers)));
         let overdue = self.pending.extract_if(|_, pending| pending.until <= now);
         let mut asked: Vec<TargetKey> = overdue.map(|(id, _)| id).collect();
         asked.extend(self.paused.extract_if(|_, until| *until <= now).map(|(id, _)| id));
