--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod answer;
 mod book;
-mod book;
 mod call;
 mod claim;
 mod clock;
@@ -35,7 +34,6 @@
 mod stream;
 mod watch;
 
-pub use book::{Book, Next, Outcome, Sent};
 pub use book::{Book, Next, Outcome, Sent};
 pub use claim::Claim;
 pub use event::EVENTS;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -8,6 +8,7 @@
 use fleet::{DomainName, Event, Layers};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
+use path::Fault;
 use place::{Arrival, Engine, Move};
 use platform::Order;
 use platform::kv::Revision;
