--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -37,8 +37,8 @@
     book: Book,
     /// Engines of each service as they register.
     arrivals: HashMap<SmolStr, Arrival>,
-    /// Layers that no engine of a domain held at the last look.
-    gaps: Vec<(DomainName, Layers)>,
+    /// Layers that no engine of a domain held at the last look, by service.
+    gaps: HashMap<SmolStr, Vec<(DomainName, Layers)>>,
     leads: bool,
 }
 
@@ -134,15 +134,16 @@
         let arrival = self.arrivals.entry(service.name.clone()).or_default();
         let settled = arrival.is_settled(now, engines.len(), heartbeat);
         let gaps = place::gaps(&engines, model);
-        if gaps != self.gaps {
+        if self.gaps.get(&service.name) != Some(&gaps) {
             let busy = engines.iter().filter(|engine| engine.busy).count();
             let event = Event::new(LAYOUT)
+                .with("service", &service.name)
                 .with("gaps", format_args!("{gaps:?}"))
                 .with("engines", engines.len())
                 .with("busy", busy)
                 .with("settled", settled);
             log::info!("{event}");
-            self.gaps = gaps;
+            self.gaps.insert(service.name.clone(), gaps);
         }
         let placed = engines.iter().any(|engine| engine.layers.is_some());
         if settled || placed { place::plan(&engines, model) } else { Vec::new() }
