--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -9,7 +9,7 @@
 use crate::cover::Domain;
 
 /// Share of the usual room below which an engine hands layers on.
-const TIGHT: f64 = 0.3;
+const TIGHT: f64 = 0.5;
 /// Least factor by which a move must widen the tightest layer: each costs a load, and layers
 /// that are given up wait for the streams that pass them.
 const GAIN: f64 = 1.5;
@@ -111,7 +111,7 @@
         best.filter(|(room, _)| *room >= GAIN * least).map(|(_, kept)| kept)
     }
 
-    /// Which engine is to take layers of a tight one: an empty one, else a neighbour, else one
+    /// Which engine is to take layers of a tight one: a neighbour, else an empty one, else one
     /// whose own layers others hold with room enough; that one waits for its streams first.
     fn handover(&self, index: usize, least: f64) -> Option<Handover> {
         let own = self.held[index]?;
@@ -121,8 +121,8 @@
         });
         let in_use = (0..self.engines.len()).filter(|&other| self.held[other].is_some());
         let wide = |handover: &Handover| handover.least >= GAIN * least;
-        let best = self.best_of(index, own, empty).filter(wide);
-        let best = best.or_else(|| self.best_of(index, own, neighbours).filter(wide));
+        let best = self.best_of(index, own, neighbours).filter(wide);
+        let best = best.or_else(|| self.best_of(index, own, empty).filter(wide));
         best.or_else(|| self.best_instead(index, own, in_use).filter(wide))
     }
 
