Placement: an engine gives up nothing that another is only about to load

Spares now need others at which no order is pending. Levelling has one search for partners instead of two.

--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -228,14 +228,18 @@
         true
     }
 
-    /// Whether others hold all that an engine holds.
-    fn is_spare(&self, index: usize) -> bool {
+    /// Whether others that no order is pending at hold all that an engine holds.
+    pub(crate) fn is_spare(&self, index: usize) -> bool {
         self.held[index].is_none_or(|own| self.others_hold(index, own))
     }
 
     fn others_hold(&self, index: usize, range: Layers) -> bool {
         let mut others = self.held.clone();
-        others[index] = None;
+        for (other, held) in others.iter_mut().enumerate() {
+            if other == index || self.fixed[other] {
+                *held = None;
+            }
+        }
         first_below(&others, range, 1).is_none()
     }
 
--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -19,7 +19,7 @@
 const MOST_TIGHT: usize = 4;
 
 /// Layers of some engines after a change, by their index.
-type Change = [(usize, Option<Layers>)];
+type Change = [(usize, Layers)];
 
 /// What another engine is to hold so that a tight one can give layers up.
 #[derive(Clone, Copy)]
@@ -47,14 +47,20 @@
             if !self.is_free(index) || self.is_changing_near(index) {
                 continue;
             }
-            if let Some(kept) = self.kept(index, least) {
+            let rooms = self.rooms();
+            if let Some(kept) = self.kept(&rooms, index, least) {
                 self.order(index, kept);
-            } else if let Some(handover) = self.handover(index, least) {
+            } else if let Some(handover) = self.handover(&rooms, index, least) {
                 self.order(handover.index, handover.layers);
             }
         }
     }
 
+    /// Whether an engine can be ordered and is worth it.
+    fn is_free(&self, index: usize) -> bool {
+        !self.fixed[index] && !self.engines[index].slow
+    }
+
     /// Tokens of requests that fit beside what an engine holds.
     fn tokens(&self, index: usize, layers: Option<Layers>) -> f64 {
         layers.map_or(0.0, |layers| self.tokens_of(index, layers.len()))
@@ -81,14 +87,15 @@
         });
     }
 
-    /// Tokens that fit at the tightest of some layers after a change.
-    fn least_after(&self, rooms: &[f64], change: &Change, concerned: Layers) -> f64 {
+    /// Tokens that fit at the tightest layer of the engines that change, before and after.
+    fn least_after(&self, rooms: &[f64], change: &Change) -> f64 {
         let mut rooms = rooms.to_vec();
         for &(index, layers) in change {
             self.add(&mut rooms, index, self.held[index], -1.0);
-            self.add(&mut rooms, index, layers, 1.0);
+            self.add(&mut rooms, index, Some(layers), 1.0);
         }
-        least(&rooms, concerned)
+        let concerned = change.iter().flat_map(|&(index, layers)| [self.held[index], Some(layers)]);
+        concerned.flatten().map(|layers| least(&rooms, layers)).fold(f64::INFINITY, f64::min)
     }
 
     /// Whether another engine that holds or will hold some of an engine's layers has an order
@@ -102,87 +109,53 @@
     }
 
     /// What a tight engine keeps if it gives up layers that others hold as well.
-    fn kept(&self, index: usize, least: f64) -> Option<Layers> {
-        let own = self.held[index]?;
-        let rooms = self.rooms();
-        let after = |kept: Layers| self.least_after(&rooms, &[(index, Some(kept))], own);
-        let parts = ends(own).into_iter().map(|kept| (after(kept), kept));
+    fn kept(&self, rooms: &[f64], index: usize, least: f64) -> Option<Layers> {
+        let parts = ends(self.held[index]?).into_iter();
+        let parts = parts.map(|kept| (self.least_after(rooms, &[(index, kept)]), kept));
         let best = parts.max_by(|a, b| a.0.total_cmp(&b.0));
         best.filter(|(room, _)| *room >= GAIN * least).map(|(_, kept)| kept)
     }
 
     /// Which engine is to take layers of a tight one: a neighbour, else an empty one, else one
     /// whose own layers others hold with room enough; that one waits for its streams first.
-    fn handover(&self, index: usize, least: f64) -> Option<Handover> {
-        let own = self.held[index]?;
-        let empty = self.empty().skip(SPARES);
-        let neighbours = (0..self.engines.len()).filter(|&other| {
-            self.held[other].is_some_and(|near| near.end == own.start || near.start == own.end)
-        });
-        let in_use = (0..self.engines.len()).filter(|&other| self.held[other].is_some());
-        let wide = |handover: &Handover| handover.least >= GAIN * least;
-        let best = self.best_of(index, own, neighbours).filter(wide);
-        let best = best.or_else(|| self.best_of(index, own, empty).filter(wide));
-        best.or_else(|| self.best_instead(index, own, in_use).filter(wide))
-    }
-
-    /// Empty engines that can be ordered, smallest first.
-    fn empty(&self) -> impl Iterator<Item = usize> + use<> {
-        let is_empty = |&index: &usize| self.held[index].is_none() && self.is_free(index);
-        let mut empty: Vec<usize> = (0..self.engines.len()).filter(is_empty).collect();
+    fn handover(&self, rooms: &[f64], index: usize, least: f64) -> Option<Handover> {
+        let free = (0..self.engines.len()).filter(|&other| other != index && self.is_free(other));
+        let (mut empty, in_use): (Vec<usize>, Vec<usize>) =
+            free.partition(|&other| self.held[other].is_none());
         empty.sort_by(|&a, &b| self.tokens_of(a, 1).total_cmp(&self.tokens_of(b, 1)));
-        empty.into_iter()
+        let beside = |near: Option<Layers>, given: Layers| {
+            near.and_then(|near| joined(near, given)).filter(|layers| Some(*layers) != near)
+        };
+        let instead = |_, given| Some(given);
+        let wide = |handover: &Handover| handover.least >= GAIN * least;
+        let best = self.best_of(rooms, index, &in_use, beside).filter(wide);
+        let empty = empty.get(SPARES..).unwrap_or_default();
+        let best = best.or_else(|| self.best_of(rooms, index, empty, instead).filter(wide));
+        let spare: Vec<usize> = in_use.into_iter().filter(|&other| self.is_spare(other)).collect();
+        best.or_else(|| self.best_of(rooms, index, &spare, instead).filter(wide))
     }
 
+    /// The handover to one of some engines that leaves most room. `taken` says what an engine
+    /// is to hold, by what it holds and what it is given, if it can take that.
     fn best_of(
         &self,
+        rooms: &[f64],
         index: usize,
-        own: Layers,
-        partners: impl Iterator<Item = usize>,
+        partners: &[usize],
+        taken: impl Fn(Option<Layers>, Layers) -> Option<Layers>,
     ) -> Option<Handover> {
-        let rooms = self.rooms();
-        let free = partners.filter(|&partner| partner != index && self.is_free(partner));
-        let handovers = free.flat_map(|partner| {
-            let near = self.held[partner];
-            let rooms = &rooms;
-            ends(own).into_iter().filter_map(move |kept| {
-                let given = rest(own, kept);
-                let layers = near.map_or(Some(given), |near| joined(near, given))?;
-                let change = [(index, Some(kept)), (partner, Some(layers))];
-                let least = self.least_after(rooms, &change, joined(own, layers).unwrap_or(own));
+        let own = self.held[index]?;
+        let kept = ends(own);
+        let handovers = partners.iter().flat_map(|&partner| {
+            let taken = &taken;
+            kept.iter().filter_map(move |&kept| {
+                let layers = taken(self.held[partner], rest(own, kept))?;
+                let least = self.least_after(rooms, &[(index, kept), (partner, layers)]);
                 Some(Handover { index: partner, layers, least })
             })
         });
         handovers.max_by(|a, b| a.least.total_cmp(&b.least))
     }
-
-    /// The best handover to an engine that gives up all that it holds.
-    fn best_instead(
-        &self,
-        index: usize,
-        own: Layers,
-        partners: impl Iterator<Item = usize>,
-    ) -> Option<Handover> {
-        let rooms = self.rooms();
-        let free = partners.filter(|&partner| partner != index && self.is_free(partner));
-        let handovers = free.flat_map(|partner| {
-            let rooms = &rooms;
-            ends(own).into_iter().map(move |kept| {
-                let layers = rest(own, kept);
-                let change = [(index, Some(kept)), (partner, Some(layers))];
-                let before = self.held[partner].unwrap_or(own);
-                let least = self.least_after(rooms, &change, own);
-                let least = least.min(self.least_after(rooms, &change, before));
-                Handover { index: partner, layers, least }
-            })
-        });
-        handovers.max_by(|a, b| a.least.total_cmp(&b.least))
-    }
-
-    /// Whether an engine can be ordered and is worth it.
-    fn is_free(&self, index: usize) -> bool {
-        !self.fixed[index] && !self.engines[index].slow
-    }
 }
 
 /// Tokens that fit at the tightest of some layers.
