--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -26,7 +26,9 @@
 /// Head of the help text.
 const HEADER: &str = "One process runs on each entry VM; all are equal. Every setting is a flag or \
                       an environment variable; a flag wins. A start for tests: magnoliarun \
-                      --name n1 --domain a --platform 127.0.0.1:2379";
+                      --name n1 --domain a --platform 127.0.0.1:2379. With `magnoliarun front` the \
+                      settings come in the platform's file, whose path MAGNOLIARUN_NODE_FILE \
+                      holds; `magnoliarun front --check` reads that file and ends.";
 /// End of the help text.
 const FOOTER: &str = "Exit codes: 0 planned stop, 1 internal failure, 2 settings not allowed, \
                       3 port not free, 4 planned stop that had to cut off requests.";
