--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -289,8 +289,7 @@
             if response.into_body().collect().await.is_ok() {
                 node.pool.give_back(connection);
             }
-            let stages = &mut running.path.stages.iter();
-            let at_fault = stages.find(|stage| stage.address == address);
+            let at_fault = running.path.stages.iter().find(|stage| stage.address == address);
             return Offered::NotRun(at_fault.map_or(first.target, |stage| stage.target.clone()));
         }
         if status != StatusCode::OK {
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -26,8 +26,8 @@
 /// Time without a look at the layout after which the process must have stood still; orders
 /// that are waited for take less.
 const PAUSED: Duration = Duration::from_millis(1500);
-/// Longest wait for an engine's answer to an order: all others wait as long, and those of a
-/// whole domain that was cut off are ordered one after another.
+/// Longest wait for an engine's answer to an order. The next look at the layout waits for the
+/// slowest answer, and of engines that are cut off one after another is tried.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Gives orders while this node leads.
--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -1,8 +1,8 @@
 //! Moving layers off engines that have little room for requests beside them.
 //!
 //! A domain takes as many requests as fit at its tightest layer. After losses that layer can lie
-//! on an engine that filled a gap to its brim, beside engines that hold little. Another engine
-//! loads some of its layers first; it gives them up once that one holds them.
+//! on an engine that took a gap and has hardly any memory left, beside engines that hold little.
+//! Another engine loads some of its layers first; it gives them up once that one holds them.
 
 use fleet::{Layer, Layers};
 
