Placement: one lookup of an engine's memory, rooms worked out once a change

Levelling worked the rooms out anew for each engine looked at, also where nothing had changed, and sorted empty engines before it knew that it needs them; the usual room of a layer was written twice.

--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -295,8 +295,7 @@
 
     /// Tokens of requests that fit beside so many layers.
     pub(crate) fn tokens_of(&self, index: usize, layers: Layer) -> f64 {
-        let mb = self.model.card(&self.engines[index].card).map_or(0.0, |card| card.mb);
-        self.model.tokens(mb, layers)
+        self.model.tokens(memory(self.engines[index], self.model), layers)
     }
 
     /// Deals all layers anew, in the order in which the engines hold them, so that each loads
@@ -336,8 +335,12 @@
 
 /// Layers that an engine holds beside room for `tokens` tokens.
 fn beside(engine: &Engine, model: &Model, tokens: f64) -> u16 {
-    let mb = model.card(&engine.card).map_or(0.0, |card| card.mb);
-    model.layers(mb, tokens)
+    model.layers(memory(engine, model), tokens)
+}
+
+/// Memory of an engine, megabytes; none for a kind of accelerator that the model does not know.
+fn memory(engine: &Engine, model: &Model) -> f64 {
+    model.card(&engine.card).map_or(0.0, |card| card.mb)
 }
 
 /// Tokens for which each engine of a domain keeps room, so that `spare` times the layers of
--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -38,8 +38,8 @@
         if !self.moves.is_empty() {
             return;
         }
-        let rooms = self.rooms();
-        let tight = TIGHT * self.room * f64::from(self.copies);
+        let mut rooms = self.rooms();
+        let tight = TIGHT * self.usual_room();
         let mut engines: Vec<(f64, usize)> = (0..self.engines.len())
             .filter_map(|index| Some((least(&rooms, self.held[index]?), index)))
             .filter(|(least, _)| *least < tight)
@@ -49,15 +49,23 @@
             if !self.is_free(index) || self.is_changing_near(index) {
                 continue;
             }
-            let rooms = self.rooms();
-            if let Some(kept) = self.kept(&rooms, index, least) {
-                self.order(index, kept);
-            } else if let Some(handover) = self.handover(&rooms, index, least) {
-                self.order(handover.index, handover.layers);
+            let kept = self.kept(&rooms, index, least).map(|kept| (index, kept));
+            let change = kept.or_else(|| {
+                let handover = self.handover(&rooms, index, least)?;
+                Some((handover.index, handover.layers))
+            });
+            if let Some((index, layers)) = change {
+                self.order(index, layers);
+                rooms = self.rooms();
             }
         }
     }
 
+    /// Tokens that usually fit at each layer, over all engines that are to hold it.
+    fn usual_room(&self) -> f64 {
+        self.room * f64::from(self.copies)
+    }
+
     /// Whether an engine can be ordered and is worth it.
     fn is_free(&self, index: usize) -> bool {
         !self.fixed[index] && !self.engines[index].slow
@@ -124,20 +132,21 @@
         let free = (0..self.engines.len()).filter(|&other| other != index && self.is_free(other));
         let (mut empty, in_use): (Vec<usize>, Vec<usize>) =
             free.partition(|&other| self.held[other].is_none());
-        empty.sort_by(|&a, &b| self.tokens_of(b, 1).total_cmp(&self.tokens_of(a, 1)));
         let beside = |near: Option<Layers>, given: Layers| {
             near.and_then(|near| joined(near, given)).filter(|layers| Some(*layers) != near)
         };
         let instead = |_, given| Some(given);
         let wide = |handover: &Handover| handover.least >= GAIN * least;
         let best = self.best_of(rooms, index, &in_use, beside).filter(wide);
-        if least >= SCARCE * self.room * f64::from(self.copies) {
+        if best.is_some() || least >= SCARCE * self.usual_room() {
             return best;
         }
+        empty.sort_by(|&a, &b| self.tokens_of(b, 1).total_cmp(&self.tokens_of(a, 1)));
         let empty = empty.get(SPARES..).unwrap_or_default();
-        let best = best.or_else(|| self.best_of(rooms, index, empty, instead).filter(wide));
-        let spare: Vec<usize> = in_use.into_iter().filter(|&other| self.is_spare(other)).collect();
-        best.or_else(|| self.best_of(rooms, index, &spare, instead).filter(wide))
+        self.best_of(rooms, index, empty, instead).filter(wide).or_else(|| {
+            let spare = in_use.into_iter().filter(|&other| self.is_spare(other));
+            self.best_of(rooms, index, &spare.collect::<Vec<_>>(), instead).filter(wide)
+        })
     }
 
     /// The handover to one of some engines that leaves most room. `taken` says what an engine
