Logs: the fingerprint of a request in all its lines, and the start of a target

The reported failure spans attempts, and an attempt's id is new each time: the logs could not show which attempts are one request, nor whether a target that is back is another start. No decision changes.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::OrganisationName;
+use fleet::{Event, EventKind, OrganisationName};
 use http_body_util::Full;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE,
@@ -14,6 +14,7 @@
 use platform::head;
 use site::Kind;
 use smol_str::SmolStr;
+use suspect::Fingerprint;
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
@@ -32,6 +33,8 @@
 pub(crate) struct Call {
     /// Id of this attempt of the caller.
     pub(crate) id: SmolStr,
+    /// The same for all attempts at one request.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// Headers that are passed on.
@@ -58,6 +61,13 @@
 }
 
 impl Call {
+    /// An event about this request.
+    pub(crate) fn event(&self, kind: &'static EventKind) -> Event {
+        Event::new(kind)
+            .with("request", &self.id)
+            .with("fingerprint", format_args!("{:016x}", self.fingerprint))
+    }
+
     /// The request as it goes to a target.
     pub(crate) fn request(
         &self,
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -203,6 +203,7 @@
                     .with("service", &target.service)
                     .with("domain", &target.domain)
                     .with("card", &target.card)
+                    .with("born", target.born)
                     .with("state", format_args!("{:?}", target.state))
                     .with("layers", format_args!("{:?}", target.layers))
                     .with("revision", item.revision);
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -120,28 +120,29 @@
     };
     let model = config.service(&call.service).and_then(|service| service.model.clone());
     node.count_request(&call.service);
+    let call = Rc::new(call);
     if let (Kind::Stream { .. }, Some(model)) = (call.kind, model) {
-        let route = call.route.clone();
-        let response = stream::relay(&node, call, model).await;
+        let response = stream::relay(&node, call.clone(), model).await;
         if response.status() != StatusCode::OK {
-            finish(&node, &id, &route, begun, response.status());
+            finish(&node, &call, response.status());
         }
         return response;
     }
     let response = plain::relay(&node, &call).await;
-    finish(&node, &id, &call.route, begun, response.status());
+    finish(&node, &call, response.status());
     response
 }
 
-fn finish(node: &Node, id: &str, route: &str, begun: Duration, status: StatusCode) {
-    let event = Event::new(ANSWERED)
-        .with("request", id)
-        .with("route", route)
+fn finish(node: &Node, call: &Call, status: StatusCode) {
+    let took = node.now().saturating_sub(call.begun);
+    let event = call
+        .event(ANSWERED)
+        .with("route", &call.route)
         .with("status", status.as_u16())
-        .with("ms", node.now().saturating_sub(begun).as_millis());
+        .with("ms", took.as_millis());
     log::info!("{event}");
     metrics::counter!("magnolia_answers", "status" => status.as_str().to_owned()).increment(1);
-    metrics::histogram!("magnolia_answer_seconds").record(node.now().saturating_sub(begun));
+    metrics::histogram!("magnolia_answer_seconds").record(took);
 }
 
 fn refuse(node: &Node, id: &str, refusal: Refusal) -> Response<Answer> {
@@ -198,8 +199,11 @@
     let body = read(body, &config, allowed).await?;
     let size = platform::tokens(&parts.headers);
     let priority = organisation.as_ref().and_then(|organisation| organisation.priority);
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let caller = organisation.as_ref().map_or("", |organisation| organisation.name.as_str());
     let call = Call {
         id: id.into(),
+        fingerprint: suspect::fingerprint(caller, path, &body),
         method: parts.method,
         uri: parts.uri,
         body,
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::Event;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
@@ -141,9 +140,9 @@
 
 impl Run {
     /// A request that has not been offered yet.
-    pub(crate) fn new(node: &Rc<Node>, call: Call, model: Arc<Model>) -> Self {
+    pub(crate) fn new(node: &Rc<Node>, call: Rc<Call>, model: Arc<Model>) -> Self {
         let (avoid, offers, ran, pressure) = (Vec::new(), 0, 0, 0.0);
-        Self { node: node.clone(), call: Rc::new(call), model, avoid, offers, ran, pressure }
+        Self { node: node.clone(), call, model, avoid, offers, ran, pressure }
     }
 
     /// Leaves a target out of the paths of this request, if there is another.
@@ -183,8 +182,9 @@
                     reason = NO_RETRY;
                     break;
                 }
-                let event = Event::new(RETRIED)
-                    .with("request", &self.call.id)
+                let event = self
+                    .call
+                    .event(RETRIED)
                     .with("offer", self.offers)
                     .with("after_event", format_args!("{last_event:?}"))
                     .with("target", &path.first().target);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::Event;
 use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
@@ -79,7 +78,7 @@
             break;
         }
         if again {
-            let event = Event::new(RETRIED).with("request", &call.id).with("target", &target);
+            let event = call.event(RETRIED).with("target", &target);
             log::info!("{event}");
         }
         offers += 1;
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::Event;
 use http_body_util::BodyExt;
 use site::Kind;
 use tokio::sync::mpsc::Sender;
@@ -130,8 +129,9 @@
     }
     let node = &run.node;
     let since = |at: Duration| at.saturating_sub(run.call.begun).as_millis();
-    let event = Event::new(ANSWERED)
-        .with("request", &run.call.id)
+    let event = run
+        .call
+        .event(ANSWERED)
         .with("route", &run.call.route)
         .with("outcome", outcome)
         .with("offers", run.offers)
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::Event;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use platform::head;
@@ -49,8 +48,8 @@
     ran: &str,
     sent: Duration,
 ) {
-    let event = Event::new(FAILED)
-        .with("request", &call.id)
+    let event = call
+        .event(FAILED)
         .with("target", target)
         .with("reason", reason)
         .with("ran", ran)
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::Event;
 use hyper::{Response, StatusCode};
 use site::Model;
 use tokio::sync::mpsc::channel;
@@ -23,7 +22,7 @@
 const OVERLOAD: Duration = Duration::from_millis(1500);
 
 /// Sends a request along a path and passes on the events.
-pub(crate) async fn relay(node: &Rc<Node>, call: Call, model: Arc<Model>) -> Response<Answer> {
+pub(crate) async fn relay(node: &Rc<Node>, call: Rc<Call>, model: Arc<Model>) -> Response<Answer> {
     let mut run = Run::new(node, call, model);
     match run.open(None).await {
         Ok(open) => {
@@ -40,8 +39,9 @@
                 NO_RETRY => node.elsewhere(),
                 _ => node.comeback(&run.call, OVERLOAD),
             };
-            let event = Event::new(REFUSED)
-                .with("request", &run.call.id)
+            let event = run
+                .call
+                .event(REFUSED)
                 .with("reason", reason)
                 .with("offers", run.offers)
                 .with("left_ms", run.call.ends.saturating_sub(node.now()).as_millis())
