Failing test: a request that crashes its targets reaches ever more of them

The stand-in targets end when they begin to run a request with a given body, and start again after 0.6 s, empty and under another id. A request sent ten times at two nodes in turn ends up to 20 targets (19 where it ends the last engine of a path) on this code; three are the most that the promise allows before the request is turned away.

--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -8,7 +8,8 @@
 
 use entry::{Entry, text};
 use platform_standin::{
-    Ask, Document, MODEL, PLAIN, Platform, Reply, Route, Run, Settings, Setup, Trouble, ask, begin,
+    Ask, Crash, Document, MODEL, PLAIN, Platform, Reply, Route, Run, Settings, Setup, Trouble, ask,
+    begin,
 };
 use yare::parameterized;
 
@@ -280,3 +281,58 @@
     assert!(site.runs("huge").is_empty());
     assert!(site.metrics(0).contains("magnolia_refusals{reason=\"full\"}"));
 }
+
+/// A request that ends the targets that run it, sent again and again at nodes in turn.
+struct Crashing {
+    route: Route,
+    crash: Crash,
+}
+
+/// Body of requests that end targets.
+const CRASHING: &str = "crash";
+/// Most targets that one request may end: the promise to the users counts what is sent after
+/// the third.
+const MOST_CRASHES: usize = 3;
+/// Times that such a request comes.
+const REPEATS: usize = 10;
+/// Pause between them.
+const REPEAT_PAUSE: Duration = Duration::from_millis(700);
+
+impl Site {
+    /// Sends the crashing request at nodes in turn.
+    fn repeat_crashing(&self, route: Route, id: &str, times: usize) -> Vec<Reply> {
+        let send = |turn: usize| {
+            let what = Ask { body: CRASHING, ..Ask::new(route, &format!("{id}{turn}")) };
+            let reply = ask(self.nodes[turn % self.nodes.len()].front, &what);
+            sleep(REPEAT_PAUSE);
+            reply
+        };
+        (0..times).map(send).collect()
+    }
+
+    /// Number of targets that requests have ended.
+    fn crashes(&self) -> usize {
+        self.platform.runs().iter().filter(|run| run.crashed.is_some()).count()
+    }
+}
+
+// Guards against a request that crashes its targets being sent to ever more of them.
+#[parameterized(
+    stream_ends_its_first_engine = { 50, Crashing { route: Route::Resumable, crash: Crash::First } },
+    stream_ends_its_last_engine = { 51, Crashing { route: Route::Resumable, crash: Crash::Last } },
+    stream_that_runs_once = { 52, Crashing { route: Route::Stream, crash: Crash::First } },
+    idempotent_request = { 53, Crashing { route: Route::Safe, crash: Crash::First } },
+    request_that_runs_once = { 54, Crashing { route: Route::Unsafe, crash: Crash::First } },
+)]
+fn crashing_request_ends_few_targets(number: u8, case: Crashing) {
+    let site = Site::start(number, 2, &Document::default());
+    site.platform.crash_on(CRASHING, case.crash);
+    let replies = site.repeat_crashing(case.route, "r", REPEATS);
+    assert!(site.crashes() <= MOST_CRASHES, "{} targets ended: {replies:?}", site.crashes());
+    let last = replies.last().expect("it was sent");
+    assert_eq!((last.status, last.retry_after.is_some()), (Some(503), true), "{last:?}");
+    assert!(last.took < AT_ONCE, "{last:?}");
+    for node in 0..2 {
+        assert!(site.serves(node, None), "others are served");
+    }
+}
