Suspects: a crate of their own, for both faces of the router

Moved from route without a change of what they decide (tests of route green), so that the entry process can use the same decisions; no second copy. Records were called files.

--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -5,6 +5,7 @@
 use fleet::{Event, Layers, Plan, RequestId, Stage, TargetId, TargetName};
 
 use rand::RngExt;
+use suspect::{Judgement, Standing};
 
 use crate::choose::{self, Pick, Wish};
 use crate::finish::{condemn, finish, give_up};
@@ -12,7 +13,6 @@
 use crate::pace::timeout;
 use crate::pool::Pool;
 use crate::state::{State, Step};
-use crate::suspect::{Judgement, Standing};
 use crate::{Action, Dispatch, Reason, Settings, Verdict, event};
 
 /// Longest wait for targets that run no other suspect.
@@ -31,12 +31,12 @@
     let Some(entry) = state.table.get(&id) else { return };
     let fingerprint = entry.request.fingerprint;
     let standing = match state.settings.mechanism.quarantine {
-        true => state.suspects.standing(fingerprint, step.now, &state.settings),
+        true => state.suspects.standing(fingerprint, step.now, &state.settings.suspicion()),
         false => Standing::Clear,
     };
     match standing {
         Standing::Clear => send(state, step, id, false),
-        Standing::Suspect => match state.suspects.turn(fingerprint, &state.settings) {
+        Standing::Suspect => match state.suspects.turn(fingerprint, &state.settings.suspicion()) {
             Some(turn) if step.now < turn => hold(state, step, id, turn, "turn"),
             _ => send(state, step, id, true),
         },
@@ -46,7 +46,7 @@
         }
         Standing::Pending(at) if step.now < at => hold(state, step, id, at, "judgement"),
         Standing::Pending(_) => {
-            match state.suspects.judge(fingerprint, step.now, &state.settings) {
+            match state.suspects.judge(fingerprint, step.now, &state.settings.suspicion()) {
                 Judgement::Dropped => launch(state, step, id),
                 Judgement::Condemned(targets) => condemn(state, step, fingerprint, &targets),
             }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,7 +22,6 @@
 mod settings;
 mod simplex;
 mod state;
-mod suspect;
 mod table;
 mod view;
 
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use fleet::{AttemptId, Event, RequestId, TargetId, TargetName, TokenIndex};
+use suspect::{Loss, Place};
 
 use crate::finish::{cancel, finish, give_up};
 use crate::launch::{hex, launch};
 use crate::outlier::Cause;
 use crate::state::{State, Step, eject, show_life};
-use crate::suspect::{Loss, Place};
 use crate::{Action, Ending, Quarantine, Reason, Verdict, event};
 
 /// Stalls of different requests on a target that eject it, where others may be the cause.
@@ -190,7 +190,7 @@
     let entry = state.view.entry(target);
     let place = Place { domain: entry.domain, rack: entry.target.rack.clone() };
     let loss = Loss { target: entry.target.name.clone(), place, at: step.now };
-    state.suspects.lose(loss, &state.settings)
+    state.suspects.lose(loss, &state.settings.suspicion())
 }
 
 /// Holds a loss against the request that ran there.
@@ -208,7 +208,7 @@
     let fresh = entry.moved.is_none() && entry.next == entry.from;
     let fingerprint = entry.request.fingerprint;
     let target = loss.target.clone();
-    if !state.suspects.suspect(fingerprint, loss, fresh, &state.settings) {
+    if !state.suspects.suspect(fingerprint, loss, fresh, &state.settings.suspicion()) {
         return;
     }
     let ttl = state.settings.suspect_ttl;
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -4,13 +4,13 @@
 
 use fleet::{AttemptId, Event, RequestId, TokenIndex};
 use rand::rngs::SmallRng;
+use suspect::{Loss, Place};
 
 use crate::finish::{cancel, end_condemned};
 use crate::launch::{PROMPT_BASE, launch};
 use crate::outlier::Cause;
 use crate::recover::{clear, ended, lost};
 use crate::state::{State, Step, eject, show_life};
-use crate::suspect::{Loss, Place};
 use crate::table::Entry;
 use crate::{Action, Load, Message, Quarantine, Settings, event};
 
@@ -234,8 +234,8 @@
         None => (u16::MAX, smol_str::SmolStr::default()),
     };
     let loss = Loss { target, place: Place { domain, rack }, at: step.now };
-    let loss = state.suspects.lose(loss, &state.settings);
-    state.suspects.suspect(fingerprint, loss, true, &state.settings);
+    let loss = state.suspects.lose(loss, &state.settings.suspicion());
+    state.suspects.suspect(fingerprint, loss, true, &state.settings.suspicion());
 }
 
 /// Until when a request waits whose fingerprint another node has just suspected.
@@ -260,7 +260,7 @@
     state.wake = state.wake.filter(|wake| *wake > step.now);
     if step.now >= state.expired + EXPIRE_INTERVAL {
         state.expired = step.now;
-        state.suspects.expire(step.now, &state.settings);
+        state.suspects.expire(step.now, &state.settings.suspicion());
     }
     // An ejected target whose time is over comes back into the plans, to be probed.
     let view = &state.view;
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -145,6 +145,17 @@
     pub fn builder() -> Builder {
         Builder::default()
     }
+
+    /// Those that decide on suspects.
+    pub(crate) fn suspicion(&self) -> suspect::Settings {
+        suspect::Settings::builder()
+            .quarantine_ttl(self.quarantine_ttl)
+            .suspect_ttl(self.suspect_ttl)
+            .confirm(self.confirm)
+            .correlation(self.correlation)
+            .correlates(self.mechanism.correlation)
+            .build()
+    }
 }
 
 /// Changes single settings.
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -5,10 +5,10 @@
 
 use fleet::{Event, RequestId, TargetId};
 use rand::rngs::SmallRng;
+use suspect::Suspects;
 
 use crate::budget::Budget;
 use crate::outlier::Cause;
-use crate::suspect::Suspects;
 use crate::table::Table;
 use crate::view::View;
 use crate::{Action, Settings, event};
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -1,8 +1,16 @@
 //! Requests that crash the targets that run them.
 //!
 //! A [`Fingerprint`] tells that two attempts are the same request, whatever their ids and
-//! whichever node they come to.
+//! whichever node they come to. [`Suspects`] keeps which targets were lost under which
+//! fingerprint, and condemns those that crash their targets. No clock, no socket: callers pass
+//! `now`, and tell other nodes.
 
 mod fingerprint;
+mod loss;
+mod settings;
+mod suspects;
 
 pub use fingerprint::{Fingerprint, fingerprint};
+pub use loss::{Loss, Place};
+pub use settings::{Builder, Settings};
+pub use suspects::{Judgement, Standing, Suspects};
--- a/crates/route/src/suspect.rs
+++ b/crates/suspect/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Which requests are suspected of crashing targets, and which are condemned.
 //!
-//! A file is kept for each fingerprint that ran on a target when it was lost. Evidence
+//! A record is kept for each fingerprint that ran on a target when it was lost. Evidence
 //! is a lost target. It weighs full where the request had just come there, and half where
 //! it had passed tokens there before. Two full weights condemn, once the confirmation time
 //! has passed without a sign that the losses had another cause.
@@ -11,7 +11,7 @@
 use fleet::TargetName;
 use smol_str::SmolStr;
 
-use crate::Settings;
+use crate::{Fingerprint, Loss, Settings};
 
 /// Weight of lost targets that condemns.
 const CONDEMNING: f64 = 2.0;
@@ -24,34 +24,14 @@
 /// Other losses in one failure domain at one time that explain a loss.
 const DOMAIN_LOSSES: usize = 2;
 /// Losses remembered.
-const LOSSES: usize = 4096;
+const MOST_LOSSES: usize = 4096;
 /// Streams still moving this long after a loss show that there was none.
 const GRACE: Duration = Duration::from_millis(50);
-/// Files kept.
-const FILES: usize = 65_536;
-
-/// Where a target stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Place {
-    /// Dense number of the failure domain.
-    pub(crate) domain: u16,
-    /// Rack inside it; empty where it is not known.
-    pub(crate) rack: SmolStr,
-}
-
-/// One loss of a target.
-#[derive(Clone, Debug)]
-pub(crate) struct Loss {
-    /// The target.
-    pub(crate) target: TargetName,
-    /// Where it stands.
-    pub(crate) place: Place,
-    /// When it was noticed first.
-    pub(crate) at: Duration,
-}
+/// Records kept.
+const MOST_RECORDS: usize = 65_536;
 
 #[derive(Clone, Debug, Default)]
-struct File {
+struct Record {
     evidence: Vec<Evidence>,
     condemned: Option<Duration>,
 }
@@ -69,7 +49,7 @@
 
 /// What is held against a fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
+pub enum Standing {
     /// Nothing.
     Clear,
     /// Loss of one target.
@@ -82,17 +62,17 @@
 
 /// What came of a judgement.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Judgement {
+pub enum Judgement {
     /// The losses had another cause, or cannot be told apart.
     Dropped,
     /// Condemned for the loss of these targets.
     Condemned(Vec<TargetName>),
 }
 
-/// Files and losses.
+/// Records of fingerprints, and losses.
 #[derive(Debug, Default)]
-pub(crate) struct Suspects {
-    files: BTreeMap<u64, File>,
+pub struct Suspects {
+    records: BTreeMap<Fingerprint, Record>,
     losses: VecDeque<Loss>,
     /// Losses that membership explains, with the time until which they are remembered.
     explained: Vec<(TargetName, Duration)>,
@@ -100,17 +80,17 @@
 
 impl Suspects {
     /// How a fingerprint stands.
-    pub(crate) fn standing(
+    pub fn standing(
         &self,
-        fingerprint: u64,
+        fingerprint: Fingerprint,
         now: Duration,
         settings: &Settings,
     ) -> Standing {
-        let Some(file) = self.files.get(&fingerprint) else { return Standing::Clear };
-        if let Some(until) = file.condemned.filter(|until| *until > now) {
+        let Some(record) = self.records.get(&fingerprint) else { return Standing::Clear };
+        if let Some(until) = record.condemned.filter(|until| *until > now) {
             return Standing::Condemned(until);
         }
-        let live = || file.evidence.iter().filter(|evidence| evidence.until > now);
+        let live = || record.evidence.iter().filter(|evidence| evidence.until > now);
         let Some(last) = live().map(|evidence| evidence.loss.at).max() else {
             return Standing::Clear;
         };
@@ -124,51 +104,51 @@
     /// Until when a suspect waits for its turn. Those that had just come to the same lost
     /// target take turns over all nodes, the lowest fingerprint first, so that no two of them
     /// meet at a target and the next loss names one.
-    pub(crate) fn turn(&self, fingerprint: u64, settings: &Settings) -> Option<Duration> {
-        let file = self.files.get(&fingerprint)?;
-        let fresh = file.evidence.iter().filter(|evidence| evidence.weight > HALF);
+    pub fn turn(&self, fingerprint: Fingerprint, settings: &Settings) -> Option<Duration> {
+        let record = self.records.get(&fingerprint)?;
+        let fresh = record.evidence.iter().filter(|evidence| evidence.weight > HALF);
         let last = fresh.max_by_key(|evidence| evidence.loss.at)?;
-        let same = |file: &File| {
-            let mut fresh = file.evidence.iter().filter(|evidence| evidence.weight > HALF);
+        let same = |record: &Record| {
+            let mut fresh = record.evidence.iter().filter(|evidence| evidence.weight > HALF);
             fresh.any(|evidence| evidence.loss.target == last.loss.target)
         };
-        let before = self.files.range(..fingerprint).filter(|(_, file)| same(file)).count();
+        let before = self.records.range(..fingerprint).filter(|(_, record)| same(record)).count();
         let turns = u32::try_from(before).unwrap_or(MOST_TURNS).min(MOST_TURNS);
         Some(last.loss.at + settings.confirm + settings.confirm * turns / 2)
     }
 
     /// Places of the targets lost to a fingerprint.
-    pub(crate) fn places(&self, fingerprint: u64, now: Duration) -> Vec<(u16, SmolStr)> {
-        let file = self.files.get(&fingerprint);
-        let evidence = file.into_iter().flat_map(|file| &file.evidence);
+    pub fn places(&self, fingerprint: Fingerprint, now: Duration) -> Vec<(u16, SmolStr)> {
+        let record = self.records.get(&fingerprint);
+        let evidence = record.into_iter().flat_map(|record| &record.evidence);
         let live = evidence.filter(|evidence| evidence.until > now);
         live.map(|e| (e.loss.place.domain, e.loss.place.rack.clone())).collect()
     }
 
     /// Names of the targets lost to a fingerprint.
-    pub(crate) fn lost_to(&self, fingerprint: u64, now: Duration) -> Vec<TargetName> {
-        let file = self.files.get(&fingerprint);
-        let evidence = file.into_iter().flat_map(|file| &file.evidence);
+    pub fn lost_to(&self, fingerprint: Fingerprint, now: Duration) -> Vec<TargetName> {
+        let record = self.records.get(&fingerprint);
+        let evidence = record.into_iter().flat_map(|record| &record.evidence);
         let live = evidence.filter(|evidence| evidence.until > now);
         live.map(|evidence| evidence.loss.target.clone()).collect()
     }
 
     /// When the last target was lost to a fingerprint.
-    pub(crate) fn last_loss(&self, fingerprint: u64, now: Duration) -> Option<Duration> {
-        let evidence = &self.files.get(&fingerprint)?.evidence;
+    pub fn last_loss(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
+        let evidence = &self.records.get(&fingerprint)?.evidence;
         let live = evidence.iter().filter(|evidence| evidence.until > now);
         live.map(|evidence| evidence.loss.at).max()
     }
 
     /// Notes the loss of a target; losses within the correlation time are one.
-    pub(crate) fn lose(&mut self, loss: Loss, settings: &Settings) -> Loss {
+    pub fn lose(&mut self, loss: Loss, settings: &Settings) -> Loss {
         let same = self.losses.iter().rev().find(|known| {
             known.target == loss.target && loss.at.saturating_sub(known.at) < settings.correlation
         });
         if let Some(known) = same {
             return known.clone();
         }
-        if self.losses.len() == LOSSES {
+        if self.losses.len() == MOST_LOSSES {
             self.losses.pop_front();
         }
         self.losses.push_back(loss.clone());
@@ -177,9 +157,9 @@
 
     /// Holds a loss against a fingerprint, in full where the request was `fresh` there; true
     /// if it is news.
-    pub(crate) fn suspect(
+    pub fn suspect(
         &mut self,
-        fingerprint: u64,
+        fingerprint: Fingerprint,
         loss: Loss,
         fresh: bool,
         settings: &Settings,
@@ -187,38 +167,38 @@
         if self.explained.iter().any(|(name, until)| *name == loss.target && *until > loss.at) {
             return false;
         }
-        if self.files.len() >= FILES && !self.files.contains_key(&fingerprint) {
+        if self.records.len() >= MOST_RECORDS && !self.records.contains_key(&fingerprint) {
             return false;
         }
         let until = loss.at + settings.suspect_ttl;
-        let file = self.files.entry(fingerprint).or_default();
-        let known = file.evidence.iter().any(|evidence| evidence.loss.target == loss.target);
+        let record = self.records.entry(fingerprint).or_default();
+        let known = record.evidence.iter().any(|evidence| evidence.loss.target == loss.target);
         if !known {
             let weight = if fresh { 1.0 } else { HALF };
-            file.evidence.push(Evidence { loss, until, weight });
+            record.evidence.push(Evidence { loss, until, weight });
         }
         !known
     }
 
     /// Drops what is held against a fingerprint; true if anything was.
-    pub(crate) fn clear(&mut self, fingerprint: u64) -> bool {
-        let Some(file) = self.files.get_mut(&fingerprint) else { return false };
-        let had = !file.evidence.is_empty();
-        file.evidence.clear();
-        if file.condemned.is_none() {
-            self.files.remove(&fingerprint);
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return false };
+        let had = !record.evidence.is_empty();
+        record.evidence.clear();
+        if record.condemned.is_none() {
+            self.records.remove(&fingerprint);
         }
         had
     }
 
     /// Membership explains the loss of these targets; fingerprints that are cleared by it.
-    pub(crate) fn explain(&mut self, targets: &[TargetName], until: Duration) {
+    pub fn explain(&mut self, targets: &[TargetName], until: Duration) {
         self.explained.extend(targets.iter().map(|target| (target.clone(), until)));
         self.drop_evidence(|evidence| !targets.contains(&evidence.loss.target));
     }
 
     /// A stream sent before a loss still moves: the target was not lost.
-    pub(crate) fn alive(&mut self, target: &TargetName, sent: Duration, now: Duration) {
+    pub fn alive(&mut self, target: &TargetName, sent: Duration, now: Duration) {
         let Some(last) = self.losses.back() else { return };
         if now > last.at + Duration::from_secs(60) {
             return;
@@ -233,16 +213,16 @@
     }
 
     /// Judges a fingerprint whose confirmation time is over.
-    pub(crate) fn judge(
+    pub fn judge(
         &mut self,
-        fingerprint: u64,
+        fingerprint: Fingerprint,
         now: Duration,
         settings: &Settings,
     ) -> Judgement {
-        let Some(file) = self.files.get(&fingerprint) else { return Judgement::Dropped };
-        let mut evidence = file.evidence.clone();
+        let Some(record) = self.records.get(&fingerprint) else { return Judgement::Dropped };
+        let mut evidence = record.evidence.clone();
         evidence.retain(|evidence| evidence.until > now);
-        if settings.mechanism.correlation {
+        if settings.correlates {
             let all = evidence.clone();
             evidence.retain(|one| !self.is_explained(one, &all, settings));
         }
@@ -253,8 +233,8 @@
         if !guilty {
             // Only the oldest loss stays: the request is run again apart from all others.
             evidence.truncate(1);
-            if let Some(file) = self.files.get_mut(&fingerprint) {
-                file.evidence = evidence;
+            if let Some(record) = self.records.get_mut(&fingerprint) {
+                record.evidence = evidence;
             }
             return Judgement::Dropped;
         }
@@ -264,31 +244,31 @@
     }
 
     /// Condemns a fingerprint, on this node's judgement or another's.
-    pub(crate) fn condemn(&mut self, fingerprint: u64, until: Duration) {
-        let file = self.files.entry(fingerprint).or_default();
-        file.evidence.clear();
-        file.condemned = Some(file.condemned.map_or(until, |known| known.max(until)));
+    pub fn condemn(&mut self, fingerprint: Fingerprint, until: Duration) {
+        let record = self.records.entry(fingerprint).or_default();
+        record.evidence.clear();
+        record.condemned = Some(record.condemned.map_or(until, |known| known.max(until)));
     }
 
     /// Another fingerprint was condemned for the loss of this target.
-    pub(crate) fn settle(&mut self, target: &TargetName) {
+    pub fn settle(&mut self, target: &TargetName) {
         self.drop_evidence(|evidence| evidence.loss.target != *target);
     }
 
     /// Forgets what is over.
-    pub(crate) fn expire(&mut self, now: Duration, settings: &Settings) {
-        self.files.retain(|_, file| {
-            file.evidence.retain(|evidence| evidence.until > now);
-            file.condemned = file.condemned.filter(|until| *until > now);
-            file.condemned.is_some() || !file.evidence.is_empty()
+    pub fn expire(&mut self, now: Duration, settings: &Settings) {
+        self.records.retain(|_, record| {
+            record.evidence.retain(|evidence| evidence.until > now);
+            record.condemned = record.condemned.filter(|until| *until > now);
+            record.condemned.is_some() || !record.evidence.is_empty()
         });
         self.losses.retain(|loss| loss.at + settings.suspect_ttl > now);
         self.explained.retain(|(_, until)| *until > now);
     }
 
-    /// Whether any file is open.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.files.is_empty()
+    /// Whether nothing is held against any fingerprint.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
     }
 
     /// Whether a loss came together with others that the request had no part in.
@@ -312,20 +292,20 @@
             || others.iter().filter(in_domain).count() >= DOMAIN_LOSSES
     }
 
-    /// Whether another file holds the same losses, so that they cannot be told apart.
-    fn is_shared(&self, fingerprint: u64, targets: &[TargetName], now: Duration) -> bool {
-        let holds = |file: &File| {
-            let live = file.evidence.iter().filter(|evidence| evidence.until > now);
+    /// Whether another record holds the same losses, so that they cannot be told apart.
+    fn is_shared(&self, fingerprint: Fingerprint, targets: &[TargetName], now: Duration) -> bool {
+        let holds = |record: &Record| {
+            let live = record.evidence.iter().filter(|evidence| evidence.until > now);
             let same = live.filter(|evidence| targets.contains(&evidence.loss.target));
             weight(same) >= CONDEMNING
         };
-        self.files.iter().any(|(other, file)| *other != fingerprint && holds(file))
+        self.records.iter().any(|(other, record)| *other != fingerprint && holds(record))
     }
 
     fn drop_evidence(&mut self, keep: impl Fn(&Evidence) -> bool) {
-        for file in self.files.values_mut() {
-            file.evidence.retain(&keep);
+        for record in self.records.values_mut() {
+            record.evidence.retain(&keep);
         }
-        self.files.retain(|_, file| file.condemned.is_some() || !file.evidence.is_empty());
+        self.records.retain(|_, record| record.condemned.is_some() || !record.evidence.is_empty());
     }
 }
