Suspects: losses that could have had another cause still add up

A request whose losses each came beside two others of the domain was judged innocent each time, and all but its oldest loss was forgotten: it could end any number of targets. Evidence is now set aside, not forgotten; losses of three different moments condemn whatever else went then, four where another request holds the same ones.

beside_others_three_times and beside_others_then_alone fail on the code before. Also new, for the entry process: attempts that ended without an answer are kept until a loss of one of their targets shows, and a target that answers was not lost.

--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -6,11 +6,13 @@
 //! `now`, and tell other nodes.
 
 mod fingerprint;
+mod interruption;
 mod loss;
 mod settings;
 mod suspects;
 
 pub use fingerprint::{Fingerprint, fingerprint};
+pub use interruption::{Interruption, Interruptions};
 pub use loss::{Loss, Place};
 pub use settings::{Builder, Settings};
 pub use suspects::{Judgement, Standing, Suspects};
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -15,6 +15,10 @@
 
 /// Weight of lost targets that condemns.
 const CONDEMNING: f64 = 2.0;
+/// The same, where the losses may have had another cause: so much of it is no chance.
+const CONDEMNING_ANYWAY: f64 = 3.0;
+/// The same, where another fingerprint holds the same losses.
+const CONDEMNING_ALIKE: f64 = 4.0;
 /// Weight of a target that was lost after it had passed tokens of the request.
 const HALF: f64 = 0.5;
 /// Most turns waited for, half a confirmation time each.
@@ -33,14 +37,38 @@
 #[derive(Clone, Debug, Default)]
 struct Record {
     evidence: Vec<Evidence>,
+    /// Whether there is evidence since the last judgement.
+    unjudged: bool,
     condemned: Option<Duration>,
 }
 
+impl Record {
+    /// Evidence at `now` that no judgement has set aside.
+    fn counted(&self, now: Duration) -> impl Iterator<Item = &Evidence> {
+        self.live(now).filter(|evidence| !evidence.set_aside)
+    }
+
+    /// Weight of all evidence at `now`, that within `correlation` of other evidence counted once.
+    fn weight_of_causes(&self, now: Duration, correlation: Duration) -> f64 {
+        let mut live: Vec<&Evidence> = self.live(now).collect();
+        live.sort_by_key(|evidence| evidence.loss.at);
+        let causes = live.chunk_by(|a, b| b.loss.at - a.loss.at < correlation);
+        causes.map(|one| one.iter().map(|evidence| evidence.weight).fold(0.0, f64::max)).sum()
+    }
+
+    /// All evidence at `now`.
+    fn live(&self, now: Duration) -> impl Iterator<Item = &Evidence> {
+        self.evidence.iter().filter(move |evidence| evidence.until > now)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Evidence {
     loss: Loss,
     until: Duration,
     weight: f64,
+    /// Whether a judgement found that it may have had another cause.
+    set_aside: bool,
 }
 
 fn weight<'a>(evidence: impl Iterator<Item = &'a Evidence>) -> f64 {
@@ -90,14 +118,15 @@
         if let Some(until) = record.condemned.filter(|until| *until > now) {
             return Standing::Condemned(until);
         }
-        let live = || record.evidence.iter().filter(|evidence| evidence.until > now);
-        let Some(last) = live().map(|evidence| evidence.loss.at).max() else {
+        let Some(last) = record.live(now).map(|evidence| evidence.loss.at).max() else {
             return Standing::Clear;
         };
-        if weight(live()) < CONDEMNING {
-            Standing::Suspect
-        } else {
+        let heavy = weight(record.counted(now)) >= CONDEMNING
+            || weight(record.live(now)) >= CONDEMNING_ANYWAY;
+        if heavy && record.unjudged {
             Standing::Pending(last + settings.confirm)
+        } else {
+            Standing::Suspect
         }
     }
 
@@ -106,10 +135,10 @@
     /// meet at a target and the next loss names one.
     pub fn turn(&self, fingerprint: Fingerprint, settings: &Settings) -> Option<Duration> {
         let record = self.records.get(&fingerprint)?;
-        let fresh = record.evidence.iter().filter(|evidence| evidence.weight > HALF);
+        let fresh = record.evidence.iter().filter(|e| !e.set_aside && e.weight > HALF);
         let last = fresh.max_by_key(|evidence| evidence.loss.at)?;
         let same = |record: &Record| {
-            let mut fresh = record.evidence.iter().filter(|evidence| evidence.weight > HALF);
+            let mut fresh = record.evidence.iter().filter(|e| !e.set_aside && e.weight > HALF);
             fresh.any(|evidence| evidence.loss.target == last.loss.target)
         };
         let before = self.records.range(..fingerprint).filter(|(_, record)| same(record)).count();
@@ -120,24 +149,20 @@
     /// Places of the targets lost to a fingerprint.
     pub fn places(&self, fingerprint: Fingerprint, now: Duration) -> Vec<(u16, SmolStr)> {
         let record = self.records.get(&fingerprint);
-        let evidence = record.into_iter().flat_map(|record| &record.evidence);
-        let live = evidence.filter(|evidence| evidence.until > now);
-        live.map(|e| (e.loss.place.domain, e.loss.place.rack.clone())).collect()
+        let counted = record.into_iter().flat_map(|record| record.counted(now));
+        counted.map(|e| (e.loss.place.domain, e.loss.place.rack.clone())).collect()
     }
 
     /// Names of the targets lost to a fingerprint.
     pub fn lost_to(&self, fingerprint: Fingerprint, now: Duration) -> Vec<TargetName> {
         let record = self.records.get(&fingerprint);
-        let evidence = record.into_iter().flat_map(|record| &record.evidence);
-        let live = evidence.filter(|evidence| evidence.until > now);
-        live.map(|evidence| evidence.loss.target.clone()).collect()
+        let counted = record.into_iter().flat_map(|record| record.counted(now));
+        counted.map(|evidence| evidence.loss.target.clone()).collect()
     }
 
     /// When the last target was lost to a fingerprint.
     pub fn last_loss(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
-        let evidence = &self.records.get(&fingerprint)?.evidence;
-        let live = evidence.iter().filter(|evidence| evidence.until > now);
-        live.map(|evidence| evidence.loss.at).max()
+        self.records.get(&fingerprint)?.counted(now).map(|evidence| evidence.loss.at).max()
     }
 
     /// Notes the loss of a target; losses within the correlation time are one.
@@ -172,10 +197,14 @@
         }
         let until = loss.at + settings.suspect_ttl;
         let record = self.records.entry(fingerprint).or_default();
-        let known = record.evidence.iter().any(|evidence| evidence.loss.target == loss.target);
+        let known = record.evidence.iter().any(|evidence| {
+            evidence.loss.target == loss.target
+                && (!evidence.set_aside || evidence.loss.at == loss.at)
+        });
         if !known {
             let weight = if fresh { 1.0 } else { HALF };
-            record.evidence.push(Evidence { loss, until, weight });
+            record.evidence.push(Evidence { loss, until, weight, set_aside: false });
+            record.unjudged = true;
         }
         !known
     }
@@ -197,6 +226,21 @@
         self.drop_evidence(|evidence| !targets.contains(&evidence.loss.target));
     }
 
+    /// Whether a judgement has set evidence against a fingerprint aside, so that it is to run
+    /// apart from other suspects.
+    pub fn is_apart(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.live(now).any(|evidence| evidence.set_aside))
+    }
+
+    /// A target answers that was taken for lost: it was not.
+    pub fn survived(&mut self, target: &str) {
+        if self.losses.iter().any(|loss| loss.target == target) {
+            self.losses.retain(|loss| loss.target != target);
+            self.drop_evidence(|evidence| evidence.loss.target != target);
+        }
+    }
+
     /// A stream sent before a loss still moves: the target was not lost.
     pub fn alive(&mut self, target: &TargetName, sent: Duration, now: Duration) {
         let Some(last) = self.losses.back() else { return };
@@ -220,24 +264,32 @@
         settings: &Settings,
     ) -> Judgement {
         let Some(record) = self.records.get(&fingerprint) else { return Judgement::Dropped };
-        let mut evidence = record.evidence.clone();
-        evidence.retain(|evidence| evidence.until > now);
+        let total = record.weight_of_causes(now, settings.correlation);
+        let mut evidence: Vec<Evidence> = record.counted(now).cloned().collect();
         if settings.correlates {
             let all = evidence.clone();
             evidence.retain(|one| !self.is_explained(one, &all, settings));
         }
         let targets: Vec<TargetName> =
             evidence.iter().map(|evidence| evidence.loss.target.clone()).collect();
-        let guilty =
-            weight(evidence.iter()) >= CONDEMNING && !self.is_shared(fingerprint, &targets, now);
+        let guilty = match self.is_shared(fingerprint, &targets, now) {
+            true => total >= CONDEMNING_ALIKE,
+            false => weight(evidence.iter()) >= CONDEMNING || total >= CONDEMNING_ANYWAY,
+        };
         if !guilty {
-            // Only the oldest loss stays: the request is run again apart from all others.
-            evidence.truncate(1);
+            // Only the oldest loss counts: the request is run again apart from all others.
+            let oldest = targets.first();
             if let Some(record) = self.records.get_mut(&fingerprint) {
-                record.evidence = evidence;
+                record.unjudged = false;
+                for evidence in &mut record.evidence {
+                    evidence.set_aside |= Some(&evidence.loss.target) != oldest;
+                }
             }
             return Judgement::Dropped;
         }
+        // Whatever was lost under it is held against nobody else.
+        let targets: Vec<TargetName> =
+            record.live(now).map(|evidence| evidence.loss.target.clone()).collect();
         self.condemn(fingerprint, now + settings.quarantine_ttl);
         self.drop_evidence(|evidence| !targets.contains(&evidence.loss.target));
         Judgement::Condemned(targets)
@@ -295,8 +347,8 @@
     /// Whether another record holds the same losses, so that they cannot be told apart.
     fn is_shared(&self, fingerprint: Fingerprint, targets: &[TargetName], now: Duration) -> bool {
         let holds = |record: &Record| {
-            let live = record.evidence.iter().filter(|evidence| evidence.until > now);
-            let same = live.filter(|evidence| targets.contains(&evidence.loss.target));
+            let same =
+                record.counted(now).filter(|evidence| targets.contains(&evidence.loss.target));
             weight(same) >= CONDEMNING
         };
         self.records.iter().any(|(other, record)| *other != fingerprint && holds(record))
--- /dev/null
+++ b/crates/suspect/tests/interruptions.rs
@@ -0,0 +1,39 @@
+//! Which attempts the loss of a target can have ended.
+
+use std::time::Duration;
+
+use suspect::{Interruption, Interruptions};
+use yare::parameterized;
+
+/// An attempt over the targets a and b, and the loss of a target.
+struct Case {
+    begun: u64,
+    ended: u64,
+    lost: &'static str,
+    lost_at: u64,
+    taken: bool,
+}
+
+// Times in milliseconds.
+#[parameterized(
+    first_target = { Case { begun: 100, ended: 150, lost: "a", lost_at: 151, taken: true } },
+    later_target = { Case { begun: 100, ended: 150, lost: "b", lost_at: 400, taken: true } },
+    another_target = { Case { begun: 100, ended: 150, lost: "c", lost_at: 151, taken: false } },
+    long_after = { Case { begun: 100, ended: 150, lost: "a", lost_at: 1_200, taken: false } },
+    seen_before_it_was_sent = { Case { begun: 100, ended: 150, lost: "a", lost_at: 90, taken: false } },
+)]
+fn losses_of_its_targets(case: Case) {
+    let at = Duration::from_millis;
+    let mut interruptions = Interruptions::default();
+    let interruption = Interruption {
+        fingerprint: 1,
+        targets: vec!["a".into(), "b".into()],
+        begun: at(case.begun),
+        ended: at(case.ended),
+        fresh: true,
+    };
+    interruptions.push(interruption.clone());
+    let taken = interruptions.take(at(case.lost_at), case.lost);
+    assert_eq!(taken, if case.taken { vec![interruption] } else { vec![] });
+    assert!(interruptions.take(at(case.lost_at), "b").is_empty() || !case.taken, "once only");
+}
--- /dev/null
+++ b/crates/suspect/tests/suspects.rs
@@ -0,0 +1,106 @@
+//! Which requests are condemned for the targets that were lost under them.
+
+use std::time::Duration;
+
+use suspect::{Fingerprint, Judgement, Loss, Place, Settings, Standing, Suspects};
+use yare::parameterized;
+
+const CRASHING: Fingerprint = 1;
+const OTHER: Fingerprint = 2;
+/// Time between two losses of a case: beyond what counts as one cause.
+const STEP: Duration = Duration::from_secs(2);
+
+/// A loss of a target.
+#[derive(Clone, Copy)]
+struct Lost {
+    /// Whose attempts the target was lost under.
+    under: &'static [Fingerprint],
+    /// Whether nothing of their answers had come.
+    fresh: bool,
+    /// Other targets of the domain that go at the same moment.
+    beside: u16,
+}
+
+const OWN: Lost = Lost { under: &[CRASHING], fresh: true, beside: 0 };
+const SHARED: Lost = Lost { under: &[CRASHING, OTHER], fresh: true, beside: 0 };
+const BESIDE: Lost = Lost { beside: 2, ..OWN };
+const MIDWAY: Lost = Lost { fresh: false, ..OWN };
+
+/// Losses in turn, each judged after its confirmation time, and who stands condemned then.
+struct Case {
+    losses: &'static [Lost],
+    crashing: bool,
+    other: bool,
+}
+
+fn loss(suspects: &mut Suspects, target: String, now: Duration, settings: &Settings) -> Loss {
+    let place = Place { domain: 0, rack: Default::default() };
+    suspects.lose(Loss { target: target.into(), place, at: now }, settings)
+}
+
+fn judged(suspects: &mut Suspects, who: Fingerprint, now: Duration, settings: &Settings) -> bool {
+    if let Standing::Pending(at) = suspects.standing(who, now, settings) {
+        assert!(at <= now, "the confirmation time is over");
+        let judgement = suspects.judge(who, now, settings);
+        return matches!(judgement, Judgement::Condemned(_));
+    }
+    matches!(suspects.standing(who, now, settings), Standing::Condemned(_))
+}
+
+// Guards against a request that ends any number of targets because each loss could have had
+// another cause (last two cases).
+#[parameterized(
+    one_loss = { Case { losses: &[OWN], crashing: false, other: false } },
+    two_losses = { Case { losses: &[OWN, OWN], crashing: true, other: false } },
+    midway_weighs_half = { Case { losses: &[MIDWAY, MIDWAY, MIDWAY], crashing: false, other: false } },
+    midway_once_then_at_its_start = { Case { losses: &[MIDWAY, OWN, OWN], crashing: true, other: false } },
+    beside_others_twice = { Case { losses: &[BESIDE, BESIDE], crashing: false, other: false } },
+    beside_others_three_times = { Case { losses: &[BESIDE, BESIDE, BESIDE], crashing: true, other: false } },
+    beside_others_then_alone = { Case { losses: &[BESIDE, BESIDE, OWN], crashing: true, other: false } },
+)]
+fn condemned_for_losses(case: Case) {
+    let settings = Settings::default();
+    let mut suspects = Suspects::default();
+    let (mut now, mut crashing, mut other) = (STEP, false, false);
+    for (number, lost) in case.losses.iter().enumerate() {
+        for beside in 0..lost.beside {
+            loss(&mut suspects, format!("beside-{number}-{beside}"), now, &settings);
+        }
+        let loss = loss(&mut suspects, format!("t{number}"), now, &settings);
+        for &who in lost.under {
+            suspects.suspect(who, loss.clone(), lost.fresh, &settings);
+        }
+        now += STEP;
+        crashing |= judged(&mut suspects, CRASHING, now, &settings);
+        other |= judged(&mut suspects, OTHER, now, &settings);
+    }
+    assert_eq!((crashing, other), (case.crashing, case.other));
+}
+
+/// What shows that a suspect is none.
+#[derive(Clone, Copy)]
+enum Sign {
+    /// A target that was taken for lost answers.
+    Survived,
+    /// The request was answered.
+    Answered,
+}
+
+#[parameterized(survived = { Sign::Survived }, answered = { Sign::Answered })]
+fn signs_of_innocence_before_the_judgement(sign: Sign) {
+    let settings = Settings::default();
+    let mut suspects = Suspects::default();
+    for target in ["a", "b"] {
+        let loss = loss(&mut suspects, target.into(), STEP, &settings);
+        suspects.suspect(CRASHING, loss, true, &settings);
+    }
+    assert_eq!(
+        suspects.standing(CRASHING, STEP, &settings),
+        Standing::Pending(STEP + settings.confirm)
+    );
+    match sign {
+        Sign::Survived => suspects.survived("a"),
+        Sign::Answered => assert!(suspects.clear(CRASHING)),
+    }
+    assert!(!judged(&mut suspects, CRASHING, STEP * 2, &settings));
+}
