Suspects: of two requests that hold the same losses the later judged was condemned

The first judgement set its own evidence aside, and the second then found nobody else who held the same losses: whoever was judged last was condemned, guilty or not. Evidence that was set aside now counts when losses are compared. shared_twice and shared_twice_then_alone fail before.

--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -347,8 +347,7 @@
     /// Whether another record holds the same losses, so that they cannot be told apart.
     fn is_shared(&self, fingerprint: Fingerprint, targets: &[TargetName], now: Duration) -> bool {
         let holds = |record: &Record| {
-            let same =
-                record.counted(now).filter(|evidence| targets.contains(&evidence.loss.target));
+            let same = record.live(now).filter(|evidence| targets.contains(&evidence.loss.target));
             weight(same) >= CONDEMNING
         };
         self.records.iter().any(|(other, record)| *other != fingerprint && holds(record))
--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -48,15 +48,18 @@
 }
 
 // Guards against a request that ends any number of targets because each loss could have had
-// another cause (last two cases).
+// another cause (the cases beside others and shared).
 #[parameterized(
     one_loss = { Case { losses: &[OWN], crashing: false, other: false } },
     two_losses = { Case { losses: &[OWN, OWN], crashing: true, other: false } },
     midway_weighs_half = { Case { losses: &[MIDWAY, MIDWAY, MIDWAY], crashing: false, other: false } },
     midway_once_then_at_its_start = { Case { losses: &[MIDWAY, OWN, OWN], crashing: true, other: false } },
+    shared_twice = { Case { losses: &[SHARED, SHARED], crashing: false, other: false } },
+    shared_twice_then_alone = { Case { losses: &[SHARED, SHARED, OWN], crashing: true, other: false } },
     beside_others_twice = { Case { losses: &[BESIDE, BESIDE], crashing: false, other: false } },
     beside_others_three_times = { Case { losses: &[BESIDE, BESIDE, BESIDE], crashing: true, other: false } },
     beside_others_then_alone = { Case { losses: &[BESIDE, BESIDE, OWN], crashing: true, other: false } },
+    shared_again_and_again = { Case { losses: &[SHARED, SHARED, SHARED, SHARED], crashing: true, other: false } },
 )]
 fn condemned_for_losses(case: Case) {
     let settings = Settings::default();
