Requests that crash their targets are condemned on the platform too

Callers saw 502 each time, and other callers lost their streams: a request sent ten times at two nodes in turn ended up to 20 targets. Cause: what is known of a request was bound to one attempt of one node. The next attempt has another id, often comes to another node, and meets targets that started anew; each took the request for a new one.

Now the entry process uses the same decisions (crate suspect). An attempt that ends without its answer counts once one of its targets turns out to be lost; fresh evidence, its withdrawal and condemnations are told to the other nodes within milliseconds, three times each; a condemnation is kept in the store under a lease of ten minutes, for nodes that start later. Two losses condemn after 0.4 s, in which a target that was only out of reach answers its probe. A condemned request is refused at once with 503 and the time that is left.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Finds out whether a plain target that broke a call off is gone.
+    pub(crate) fn check(self: &Rc<Self>, address: SocketAddr) {
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            if crate::link::connect(address).await.is_none() {
+                node.fault(address, Fault::Silent, "no connection after a lost answer");
+            }
+        });
+    }
+
     /// Whether a path has an engine that is left out.
     pub(crate) fn is_broken(&self, path: &Path) -> bool {
         let table = self.table.borrow();
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -24,4 +24,8 @@
     LAYOUT = 1121, "layout", "The layers that no engine of a failure domain holds have changed.";
     FAILED = 1122, "attempt-failed", "A target did not give a request's answer; `ran` tells whether it can have run.";
     PAUSED = 1123, "target-paused", "A target refused a request, here or at another node, and gets nothing for a while.";
+    SUSPECTED = 1124, "request-suspected", "A target was lost under an attempt at the request, here or at another node; `fresh` if nothing of an answer had come.";
+    CONDEMNED = 1125, "request-condemned", "The request crashed its targets and is not run for a while, by the judgement of this node, of another or by the store.";
+    CLEARED = 1126, "request-cleared", "A suspected request was answered; nothing is held against it.";
+    HELD = 1127, "request-held", "A suspected request waits for its judgement, or for its turn to run apart from others.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::event::{CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
 use crate::node::Node;
+use crate::quarantine::QUARANTINE_PREFIX;
 use crate::store::{Reply, Store, undecodable};
 use crate::watch::{Watch, gather_pause};
 
@@ -157,6 +158,11 @@
                 None => self.nodes.remove(name),
             };
             self.count_nodes();
+        } else if let Some(fingerprint) = item.key.strip_prefix(QUARANTINE_PREFIX)
+            && item.value.is_some()
+        {
+            // One that lapses ends by this node's own time.
+            self.node.condemned_in_store(fingerprint);
         }
     }
 
@@ -207,10 +213,12 @@
                     .with("state", format_args!("{:?}", target.state))
                     .with("layers", format_args!("{:?}", target.layers))
                     .with("revision", item.revision);
+                let replaced = self.node.table.borrow().replaced_by(&target);
                 if self.node.table.borrow_mut().set(self.node.now(), target) {
                     log::info!("{event}");
                     self.node.changed.notify_waiters();
                 }
+                replaced.iter().for_each(|target| self.node.target_lost(target));
             }
             Err(error) => undecodable(&item.key, &error),
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod plain;
 mod process;
 mod pump;
+mod quarantine;
 mod question;
 mod ready;
 mod reply;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -23,6 +23,7 @@
 use crate::link::Pool;
 use crate::loan::Loans;
 use crate::others::Others;
+use crate::quarantine::Quarantine;
 
 /// How long before the bound on withdrawn keys a node that cannot reach the store refuses
 /// keys: the request has to reach its target and begin within it.
@@ -46,6 +47,8 @@
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) budgets: RefCell<HashMap<SmolStr, Budget>>,
     pub(crate) loans: Loans,
+    /// Requests that crash their targets.
+    pub(crate) quarantine: Quarantine,
     /// Who gives orders, as far as is known.
     pub(crate) claim: RefCell<Claim>,
     pub(crate) pool: Pool,
@@ -87,6 +90,7 @@
             config: RefCell::default(),
             budgets: RefCell::default(),
             loans: Loans::default(),
+            quarantine: Quarantine::default(),
             claim: RefCell::default(),
             pool: Pool::new(clock),
             reports: Reports::default(),
@@ -164,9 +168,10 @@
     /// Notes a fault of a target.
     pub(crate) fn fault(&self, address: SocketAddr, fault: Fault, reason: &str) {
         let now = self.now();
-        if let Some(target) = self.table.borrow_mut().fault(now, address, fault) {
+        let left_out = self.table.borrow_mut().fault(now, address, fault);
+        if let Some(target) = left_out {
             let event = Event::new(TARGET_DOWN)
-                .with("target", target)
+                .with("target", &target)
                 .with("address", address)
                 .with("fault", format_args!("{fault:?}"))
                 .with("reason", reason);
@@ -175,10 +180,21 @@
             if !matches!(fault, Fault::Reported | Fault::ReportedMute) {
                 self.alarm.notify_one();
             }
+            if fault != Fault::Astray {
+                self.left_out(&target);
+            }
             self.changed.notify_waiters();
         }
     }
 
+    /// Takes a target that is newly left out for lost.
+    fn left_out(&self, id: &str) {
+        let target = self.table.borrow().entry(id).map(|entry| entry.target.clone());
+        if let Some(target) = target {
+            self.target_lost(&target);
+        }
+    }
+
     /// Notes that an engine refused a request, and tells the other nodes soon.
     pub(crate) fn refused(&self, address: SocketAddr) {
         self.pause(address, true);
@@ -205,6 +221,15 @@
 
     /// Takes a target's report.
     pub(crate) fn report(&self, id: &str, report: &site::Report) {
+        let target = self.table.borrow().entry(id).map(|entry| entry.target.clone());
+        if let Some(target) = target {
+            let anew = report.born != 0 && target.born != 0 && report.born != target.born;
+            if anew {
+                self.target_lost(&target);
+            } else {
+                self.target_survived(&target);
+            }
+        }
         if self.table.borrow_mut().report(self.now(), id, report) {
             self.used_again(id);
         }
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -18,6 +18,7 @@
 use crate::event::RETRIED;
 use crate::link::{Connection, Unanswered};
 use crate::node::Node;
+use crate::quarantine::QUARANTINED;
 use crate::reply::{is_not_run, is_of, log_failure, whole};
 use crate::silence::STUCK;
 
@@ -34,6 +35,8 @@
 pub(crate) struct Running {
     node: Rc<Node>,
     pub(crate) path: Path,
+    /// When the request was sent.
+    pub(crate) begun: Duration,
     tokens: f64,
     /// Tokens that are read before the first event comes.
     reading: f64,
@@ -47,7 +50,7 @@
             table.read(&stage.target, reading);
         }
         drop(table);
-        Self { node: node.clone(), path, tokens, reading }
+        Self { node: node.clone(), path, begun: node.now(), tokens, reading }
     }
 
     /// Notes that the prompt has been read.
@@ -171,6 +174,10 @@
             if now >= self.call.ends || self.offers >= MOST_OFFERS {
                 break;
             }
+            if self.node.admit(&self.call).await.is_err() {
+                reason = QUARANTINED;
+                break;
+            }
             let Some(path) = self.path(now, last_event.is_some()) else { break };
             self.pressure = path.pressure;
             if path.pressure > MOST_PRESSURE && last_event.is_none() {
@@ -247,12 +254,14 @@
         let answer = loop {
             let left = call.ends.saturating_sub(node.now());
             if left.is_zero() {
+                self.interrupted(&running.path, running.begun, true);
                 return Offered::TimedOut;
             }
             match timeout(STUCK.min(left), &mut sending).await {
                 Ok(answer) => break answer,
                 Err(_) => {
                     if self.is_stuck(&running.path) && call.kind.is_idempotent() {
+                        self.interrupted(&running.path, running.begun, true);
                         return Offered::Hangs;
                     }
                 }
@@ -268,6 +277,7 @@
                 // One lost connection tells little; an engine that is gone gives no report.
                 node.fault(first.address, Fault::Failed, "connection lost");
                 self.is_stuck(&running.path);
+                self.interrupted(&running.path, running.begun, true);
                 return Offered::Unknown;
             }
         };
@@ -302,6 +312,12 @@
         Offered::Open(Open { response, connection, running })
     }
 
+    /// Notes that an attempt ended without its answer; `fresh` if nothing of one had come.
+    pub(crate) fn interrupted(&self, path: &Path, begun: Duration, fresh: bool) {
+        let targets = path.stages.iter().map(|stage| &stage.target);
+        self.node.interrupted(&self.call, targets, begun, fresh);
+    }
+
     /// Whether an engine of a silent path is left out; if none is yet, they are asked.
     pub(crate) fn is_stuck(&self, path: &Path) -> bool {
         if self.node.is_broken(path) {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::event::PEERS;
 use crate::loan::{self, Loan};
 use crate::node::Node;
+use crate::quarantine::Word;
 
 /// Shortest interval between messages to one peer.
 const LEAST_INTERVAL: Duration = Duration::from_millis(150);
@@ -41,6 +42,8 @@
     Want(Loan),
     /// The sender lends retries.
     Lend(Loan),
+    /// What the sender knows of requests that crash their targets.
+    Suspects(Vec<Word>),
 }
 
 /// What a node tells of itself and of targets.
@@ -79,16 +82,23 @@
             log::info!("{}", Event::new(PEERS).with("peers", known));
         }
         let view = Message::View(view(&node, interval(peers.len()) * 2));
-        let Some(bytes) = encoded(&view) else { continue };
-        peers.into_iter().for_each(|peer| pass_on(&socket, &bytes, peer));
+        tell_all(&socket, &view, &peers);
+        let words = node.quarantine.take_words();
+        if !words.is_empty() {
+            tell_all(&socket, &Message::Suspects(words), &peers);
+        }
     }
 }
 
+/// Sends a message to some nodes.
+fn tell_all(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
+    let Some(bytes) = encoded(message) else { return };
+    peers.iter().for_each(|&peer| pass_on(socket, &bytes, peer));
+}
+
 /// Sends a message to one node.
 pub(crate) fn send(socket: &UdpSocket, message: &Message, peer: SocketAddr) {
-    if let Some(bytes) = encoded(message) {
-        pass_on(socket, &bytes, peer);
-    }
+    tell_all(socket, message, &[peer]);
 }
 
 fn encoded(message: &Message) -> Option<Vec<u8>> {
@@ -148,6 +158,9 @@
             Ok(Message::View(view)) => take(&node, from, view),
             Ok(Message::Want(loan)) => loan::wanted(&node, &socket, from, loan),
             Ok(Message::Lend(loan)) => loan::lent(&node, from, &loan),
+            Ok(Message::Suspects(words)) => {
+                words.into_iter().for_each(|word| node.heard_word(word))
+            }
             Err(_) => metrics::counter!("magnolia_peer_messages_undecodable").increment(1),
         }
     }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -69,7 +69,12 @@
     let mut ran = 0;
     let mut offers = 0;
     let mut failed: Option<Response<Answer>> = None;
+    let mut quarantined = None;
     loop {
+        if let Err(left) = node.admit(call).await {
+            quarantined = Some(left);
+            break;
+        }
         let wish = Wish { service: &call.service, avoid: &avoid, tokens: 0.0 };
         let picked = node.table.borrow().plain(node.now(), &wish);
         let Some((target, address)) = picked else { break };
@@ -103,6 +108,7 @@
         match tried {
             Tried::Answered { status, headers, body } => {
                 let response = whole(status, &headers, body);
+                node.cleared(call.fingerprint);
                 if !status.is_server_error() {
                     node.table.borrow_mut().success(address);
                     return response;
@@ -120,6 +126,8 @@
                 }
             }
             Tried::Unknown(_) => {
+                node.interrupted(call, std::iter::once(&target), sent, true);
+                node.check(address);
                 ran += 1;
                 if !call.kind.is_idempotent() {
                     return lost(node, call);
@@ -133,6 +141,7 @@
     match failed {
         Some(response) => response,
         None if ran > 0 => lost(node, call),
+        None if let Some(left) = quarantined => node.refuse_quarantined(call, left),
         None => later(StatusCode::SERVICE_UNAVAILABLE, "no target", node.comeback(call, COMEBACK)),
     }
 }
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -12,6 +12,7 @@
 use crate::event::ANSWERED;
 use crate::node::Node;
 use crate::offer::{Open, Run};
+use crate::quarantine::CLEAR_EVENTS;
 use crate::silence::{Silence, Verdict};
 use crate::split::Splitter;
 
@@ -94,14 +95,17 @@
     let outcome = loop {
         let path = open.running.path.clone();
         progress.path = path.to_string();
+        let (begun, before) = (open.running.begun, progress.events);
         let part = pass_on(&run, open, &sender, &mut progress).await;
         let resumable = matches!(run.call.kind, Kind::Stream { resumable: true });
         match part {
             Ended::Complete => break "complete",
             Ended::Left => break "caller left",
             Ended::TimedOut => break "timed out",
-            Ended::Cut if !resumable => break "cut",
-            Ended::Cut => {}
+            Ended::Cut => run.interrupted(&path, begun, progress.events == before),
+        }
+        if !resumable {
+            break "cut";
         }
         moves += 1;
         // A target that has ended does not count among those that ran the request.
@@ -166,6 +170,7 @@
     let mut silence = Silence::new(node.now());
     let first = running.path.first().target.clone();
     let mut flow = Flow::begin(node, &first);
+    let clear_at = progress.events + CLEAR_EVENTS;
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
@@ -195,6 +200,7 @@
             None if splitter.is_torn() => return Ended::Cut,
             None => {
                 node.pool.give_back(connection);
+                node.cleared(run.call.fingerprint);
                 return Ended::Complete;
             }
             Some(Err(_)) => {
@@ -216,6 +222,9 @@
                 continue;
             }
             progress.note(event.id, heard);
+            if progress.events == clear_at {
+                node.cleared(run.call.fingerprint);
+            }
             if sender.send(Ok(event.bytes)).await.is_err() {
                 return Ended::Left;
             }
--- /dev/null
+++ b/crates/edge/src/quarantine.rs
@@ -0,0 +1,402 @@
+//! Requests that crash their targets: what this node sees of them, hears and tells.
+//!
+//! The decisions are those of `suspect`. An attempt that ends without its answer counts against
+//! its request once one of its targets turns out to be lost. Fresh evidence and condemnations
+//! are told to the other nodes at once; condemnations are kept in the store for nodes that start
+//! later.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::{DomainName, Event, TargetName};
+use hyper::{Response, StatusCode};
+use platform::kv::Write;
+use serde::{Deserialize, Serialize};
+use site::{State, Target, TargetKey};
+use suspect::{
+    Fingerprint, Interruption, Interruptions, Judgement, Loss, Place, Settings, Standing, Suspects,
+};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::answer::{Answer, later};
+use crate::call::Call;
+use crate::event::{CLEARED, CONDEMNED, HELD, REFUSED, SUSPECTED};
+use crate::node::Node;
+use crate::store::{Reply, Store};
+
+/// Prefix of the keys of condemned requests; the rest is the fingerprint in hexadecimal.
+pub(crate) const QUARANTINE_PREFIX: &str = "magnoliarun/quarantine/";
+/// Why a request is not offered to a target any more.
+pub(crate) const QUARANTINED: &str = "crashed its targets";
+
+/// How long a condemnation waits: a target that was only out of reach answers its first probe by
+/// then.
+const CONFIRM: Duration = Duration::from_millis(400);
+/// How long losses and condemnations count: callers repeat such a request for minutes. The
+/// longest time to live of the store's leases.
+const TTL: Duration = Duration::from_secs(600);
+/// Events of an answer on one path after which its request is no suspect any more.
+pub(crate) const CLEAR_EVENTS: u64 = 8;
+/// Time in which the end of an attempt shows whether a target has ended: engines give their
+/// reports within it.
+const CHECK_TIME: Duration = Duration::from_millis(40);
+/// Times that each word is told: datagrams are lost now and then.
+const TELLS: u8 = 3;
+/// Most words in one message.
+const MOST_WORDS: usize = 24;
+/// Most words that wait to be told.
+const MOST_WAITING: usize = 512;
+/// Time over which the nodes' writes of one condemnation spread: most then see the first's.
+const SAVE_SPREAD: Duration = Duration::from_millis(400);
+/// Pause before a write that failed is tried again.
+const SAVE_PAUSE: Duration = Duration::from_millis(500);
+
+/// What one node tells the others of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Word {
+    fingerprint: Fingerprint,
+    finding: Finding,
+}
+
+/// What was found of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Finding {
+    /// This target was lost under it.
+    Suspected(TargetName),
+    /// It was answered after all.
+    Cleared,
+    /// It is not to be run, as this target and others were lost under it.
+    Condemned(TargetName),
+}
+
+/// What this node knows of such requests.
+pub(crate) struct Quarantine {
+    settings: Settings,
+    suspects: RefCell<Suspects>,
+    interruptions: RefCell<Interruptions>,
+    /// Domains by their dense numbers.
+    domains: RefCell<Vec<DomainName>>,
+    /// Words to tell, with the times that are left.
+    words: RefCell<VecDeque<(Word, u8)>>,
+    /// Condemned here, and not yet seen in the store.
+    unsaved: RefCell<BTreeSet<Fingerprint>>,
+    /// Told when one is added.
+    to_save: Notify,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        let settings =
+            Settings::builder().confirm(CONFIRM).suspect_ttl(TTL).quarantine_ttl(TTL).build();
+        Self {
+            settings,
+            suspects: RefCell::default(),
+            interruptions: RefCell::default(),
+            domains: RefCell::default(),
+            words: RefCell::default(),
+            unsaved: RefCell::default(),
+            to_save: Notify::new(),
+        }
+    }
+}
+
+impl Quarantine {
+    /// Words that are to be told now.
+    pub(crate) fn take_words(&self) -> Vec<Word> {
+        let mut words = self.words.borrow_mut();
+        let due = words.len().min(MOST_WORDS);
+        let told: Vec<(Word, u8)> = words.drain(..due).collect();
+        let again = told.iter().filter(|(_, left)| *left > 1);
+        words.extend(again.map(|(word, left)| (word.clone(), left - 1)));
+        told.into_iter().map(|(word, _)| word).collect()
+    }
+
+    fn tell(&self, word: Word) {
+        let mut words = self.words.borrow_mut();
+        if words.len() == MOST_WAITING {
+            metrics::counter!("magnolia_quarantine_words_untold").increment(1);
+            words.pop_front();
+        }
+        words.push_back((word, TELLS));
+    }
+
+    /// Forgets what is over.
+    pub(crate) fn expire(&self, now: Duration) {
+        self.suspects.borrow_mut().expire(now, &self.settings);
+    }
+
+    fn place(&self, domain: Option<&DomainName>) -> Place {
+        let rack = Default::default();
+        let Some(domain) = domain else { return Place { domain: u16::MAX, rack } };
+        let mut domains = self.domains.borrow_mut();
+        let number = domains.iter().position(|known| known == domain).unwrap_or_else(|| {
+            domains.push(domain.clone());
+            domains.len() - 1
+        });
+        Place { domain: u16::try_from(number).unwrap_or(u16::MAX), rack }
+    }
+}
+
+/// Name of one start of a target: its id may start again.
+fn name(target: &Target) -> TargetName {
+    format!("{}/{}", target.id, target.born).into()
+}
+
+/// What is held against a request.
+enum Held<'a> {
+    /// This node saw the target go.
+    Here(&'a Target),
+    /// Another node tells.
+    Told(Option<DomainName>, TargetName),
+}
+
+impl Node {
+    /// Notes that an attempt, sent at `begun`, ended without its answer; `fresh` if nothing of
+    /// one had come.
+    pub(crate) fn interrupted<'a>(
+        &self,
+        call: &Call,
+        targets: impl Iterator<Item = &'a TargetKey>,
+        begun: Duration,
+        fresh: bool,
+    ) {
+        let now = self.now();
+        let targets: Vec<TargetKey> = targets.cloned().collect();
+        let lost = {
+            let table = self.table.borrow();
+            let went = |id: &&TargetKey| {
+                let down = table.entry(id).and_then(|entry| entry.health.down_for(now));
+                down.is_some_and(|down| now.saturating_sub(down) >= begun)
+            };
+            let lost = targets.iter().find(went).and_then(|id| table.entry(id));
+            lost.map(|entry| entry.target.clone())
+        };
+        let fingerprint = call.fingerprint;
+        match lost {
+            Some(target) => self.hold(fingerprint, Held::Here(&target), fresh),
+            None => {
+                let interruption = Interruption { fingerprint, targets, begun, ended: now, fresh };
+                self.quarantine.interruptions.borrow_mut().push(interruption);
+            }
+        }
+    }
+
+    /// Notes that a target is lost, or has started anew.
+    pub(crate) fn target_lost(&self, target: &Target) {
+        let mut interruptions = self.quarantine.interruptions.borrow_mut();
+        let ended = interruptions.take(self.now(), &target.id);
+        drop(interruptions);
+        for one in ended {
+            self.hold(one.fingerprint, Held::Here(target), one.fresh);
+        }
+    }
+
+    /// Notes that a target which was left out answers, and has not started anew meanwhile.
+    pub(crate) fn target_survived(&self, target: &Target) {
+        self.quarantine.suspects.borrow_mut().survived(&name(target));
+    }
+
+    /// Holds the loss of a target against a request.
+    fn hold(&self, fingerprint: Fingerprint, held: Held<'_>, fresh: bool) {
+        let (target, place, own) = match held {
+            // One that leaves ends by itself.
+            Held::Here(target) if target.state != State::Ready => return,
+            Held::Here(target) => (name(target), self.quarantine.place(Some(&target.domain)), true),
+            Held::Told(domain, target) => (target, self.quarantine.place(domain.as_ref()), false),
+        };
+        let settings = &self.quarantine.settings;
+        let mut suspects = self.quarantine.suspects.borrow_mut();
+        let loss = Loss { target: target.clone(), place, at: self.now() };
+        let loss = suspects.lose(loss, settings);
+        if !suspects.suspect(fingerprint, loss, fresh, settings) {
+            return;
+        }
+        drop(suspects);
+        let event = Event::new(SUSPECTED)
+            .with("fingerprint", format_args!("{fingerprint:016x}"))
+            .with("target", &target)
+            .with("fresh", fresh)
+            .with("own", own);
+        log::warn!("{event}");
+        metrics::counter!("magnolia_requests_suspected").increment(1);
+        // That an answer had begun before says little, and is not told.
+        if own && fresh {
+            self.quarantine.tell(Word { fingerprint, finding: Finding::Suspected(target) });
+            self.alarm.notify_one();
+        }
+    }
+
+    /// Notes that a request has run beyond what crashes targets.
+    pub(crate) fn cleared(&self, fingerprint: Fingerprint) {
+        if self.quarantine.suspects.borrow().is_fresh(fingerprint) {
+            self.quarantine.tell(Word { fingerprint, finding: Finding::Cleared });
+        }
+        self.clear(fingerprint, true);
+    }
+
+    fn clear(&self, fingerprint: Fingerprint, own: bool) {
+        if self.quarantine.suspects.borrow_mut().clear(fingerprint) {
+            let event = Event::new(CLEARED)
+                .with("fingerprint", format_args!("{fingerprint:016x}"))
+                .with("own", own);
+            log::info!("{event}");
+        }
+    }
+
+    /// Waits until a request may be sent to a target: one that is to be judged waits for that,
+    /// one that is to run apart from other suspects for its turn.
+    ///
+    /// # Errors
+    ///
+    /// For how long a condemned request is not to be run.
+    pub(crate) async fn admit(&self, call: &Call) -> Result<(), Duration> {
+        let mut held = false;
+        loop {
+            let now = self.now();
+            let until = match self.standing(call.fingerprint, now) {
+                Standing::Clear => return Ok(()),
+                Standing::Condemned(until) => return Err(until.saturating_sub(now)),
+                Standing::Pending(at) if now >= at => {
+                    self.judge(call.fingerprint, now);
+                    continue;
+                }
+                Standing::Pending(at) => at,
+                Standing::Suspect => match self.not_before(call.fingerprint, now) {
+                    Some(at) => at,
+                    None => return Ok(()),
+                },
+            };
+            if now >= call.ends {
+                return Ok(());
+            }
+            if !std::mem::replace(&mut held, true) {
+                let wait = until.saturating_sub(now);
+                log::info!("{}", call.event(HELD).with("wait_ms", wait.as_millis()));
+            }
+            tokio::select! {
+                () = sleep(until.min(call.ends).saturating_sub(now)) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    /// The answer to a request that is not to be run for the time `left`.
+    pub(crate) fn refuse_quarantined(&self, call: &Call, left: Duration) -> Response<Answer> {
+        let event = call.event(REFUSED).with("reason", QUARANTINED);
+        log::info!("{}", event.with("retry_after_ms", left.as_millis()));
+        metrics::counter!("magnolia_refusals", "reason" => QUARANTINED).increment(1);
+        later(StatusCode::SERVICE_UNAVAILABLE, QUARANTINED, left)
+    }
+
+    /// For how long a request is not to be run.
+    pub(crate) fn quarantined_for(&self, fingerprint: Fingerprint) -> Duration {
+        let now = self.now();
+        match self.standing(fingerprint, now) {
+            Standing::Condemned(until) => until.saturating_sub(now),
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn standing(&self, fingerprint: Fingerprint, now: Duration) -> Standing {
+        let suspects = self.quarantine.suspects.borrow();
+        suspects.standing(fingerprint, now, &self.quarantine.settings)
+    }
+
+    /// Until when a suspect waits; `None` once it may run. It waits while its last attempt may
+    /// yet turn out to have ended a target, and for its turn if it runs apart from others.
+    fn not_before(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
+        let ended = self.quarantine.interruptions.borrow().last_ended(fingerprint);
+        let known = ended.map(|ended| ended + CHECK_TIME).filter(|known| *known > now);
+        let suspects = self.quarantine.suspects.borrow();
+        let apart = suspects.is_apart(fingerprint, now);
+        let turn = suspects.turn(fingerprint, &self.quarantine.settings);
+        known.max(turn.filter(|turn| apart && *turn > now))
+    }
+
+    fn judge(&self, fingerprint: Fingerprint, now: Duration) {
+        let settings = &self.quarantine.settings;
+        let judgement = self.quarantine.suspects.borrow_mut().judge(fingerprint, now, settings);
+        let Judgement::Condemned(targets) = judgement else { return };
+        self.log_condemned(fingerprint, &targets, "judged");
+        self.quarantine.unsaved.borrow_mut().insert(fingerprint);
+        self.quarantine.to_save.notify_one();
+        for target in targets {
+            self.quarantine.tell(Word { fingerprint, finding: Finding::Condemned(target) });
+        }
+        self.alarm.notify_one();
+    }
+
+    fn log_condemned(&self, fingerprint: Fingerprint, targets: &[TargetName], source: &str) {
+        let event = Event::new(CONDEMNED)
+            .with("fingerprint", format_args!("{fingerprint:016x}"))
+            .with("targets", targets.join(","))
+            .with("source", source);
+        log::warn!("{event}");
+        metrics::counter!("magnolia_requests_condemned").increment(1);
+    }
+
+    /// Takes another node's word.
+    pub(crate) fn heard_word(&self, word: Word) {
+        let Word { fingerprint, finding } = word;
+        let target = match finding {
+            Finding::Suspected(target) => target,
+            Finding::Cleared => return self.clear(fingerprint, false),
+            Finding::Condemned(target) => {
+                self.quarantine.suspects.borrow_mut().settle(&target);
+                return self.condemned(fingerprint, &[target], "told");
+            }
+        };
+        let id = target.rsplit_once('/').map_or(target.as_str(), |(id, _)| id);
+        let domain = self.table.borrow().entry(id).map(|entry| entry.target.domain.clone());
+        self.hold(fingerprint, Held::Told(domain, target), true);
+    }
+
+    /// Takes the store's word that a request is condemned.
+    pub(crate) fn condemned_in_store(&self, fingerprint: &str) {
+        // A key that is no fingerprint is not this system's.
+        let Ok(fingerprint) = Fingerprint::from_str_radix(fingerprint, 16) else { return };
+        self.quarantine.unsaved.borrow_mut().remove(&fingerprint);
+        self.condemned(fingerprint, &[], "store");
+    }
+
+    fn condemned(&self, fingerprint: Fingerprint, targets: &[TargetName], source: &str) {
+        let now = self.now();
+        let known = matches!(self.standing(fingerprint, now), Standing::Condemned(_));
+        let until = now + self.quarantine.settings.quarantine_ttl;
+        self.quarantine.suspects.borrow_mut().condemn(fingerprint, until);
+        if !known {
+            self.log_condemned(fingerprint, targets, source);
+        }
+    }
+}
+
+/// Keeps condemnations in the store, for good.
+pub(crate) async fn keep(node: Rc<Node>, store: Rc<Store>) {
+    loop {
+        let next = node.quarantine.unsaved.borrow().first().copied();
+        let Some(fingerprint) = next else {
+            node.quarantine.to_save.notified().await;
+            continue;
+        };
+        sleep(SAVE_SPREAD.mul_f64(node.luck())).await;
+        if !node.quarantine.unsaved.borrow().contains(&fingerprint) {
+            continue;
+        }
+        if save(&store, fingerprint).await {
+            node.quarantine.unsaved.borrow_mut().remove(&fingerprint);
+        } else {
+            sleep(SAVE_PAUSE).await;
+        }
+    }
+}
+
+/// Writes a condemnation; whether the store has it then.
+async fn save(store: &Store, fingerprint: Fingerprint) -> bool {
+    let Some(lease) = store.lease(TTL).await else { return false };
+    let key = format!("{QUARANTINE_PREFIX}{fingerprint:016x}");
+    let write = Write { key: &key, expected: Some(0), value: b"", lease: lease.id };
+    matches!(store.write(write).await, Reply::Done(_) | Reply::Conflict)
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::offer::{Closed, NO_RETRY, Run};
 use crate::pump::pump;
+use crate::quarantine::QUARANTINED;
 use crate::reply::lost;
 
 /// Events that wait for a slow caller.
@@ -37,6 +38,7 @@
             // Other nodes have retries left, and this one leaves out the target by then.
             let after = match reason {
                 NO_RETRY => node.elsewhere(),
+                QUARANTINED => node.quarantined_for(run.call.fingerprint),
                 _ => node.comeback(&run.call, OVERLOAD),
             };
             let event = run
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -45,13 +45,7 @@
         let plain = ["p1", "p2"].map(|id| {
             platform.target(&host, Setup { id: id.into(), service: PLAIN, domain: "a", events: 0 })
         });
-        let start = |index: u8| {
-            let host = format!("127.82.{number}.{}", 10 + index);
-            let name = format!("n{index}");
-            let settings = Settings::new(&name, "a", &host, platform.store());
-            Entry::start(&format!("{number}-{name}"), &settings)
-        };
-        let nodes: Vec<Entry> = (0..nodes).map(start).collect();
+        let nodes: Vec<Entry> = (0..nodes).map(|index| entry(&platform, number, index)).collect();
         let site = Self { platform, nodes, engines: engines.into(), plain: plain.into() };
         for node in 0..site.nodes.len() {
             assert!(site.serves(node, document.keys.first().copied()), "node {node} serves");
@@ -101,6 +95,14 @@
     }
 }
 
+/// Starts a node.
+fn entry(platform: &Platform, number: u8, index: u8) -> Entry {
+    let host = format!("127.82.{number}.{}", 10 + index);
+    let name = format!("n{index}");
+    let settings = Settings::new(&name, "a", &host, platform.store());
+    Entry::start(&format!("{number}-{name}"), &settings)
+}
+
 fn ended(streams: Vec<JoinHandle<Reply>>) -> Vec<Reply> {
     streams.into_iter().map(|stream| stream.join().expect("a caller ends")).collect()
 }
@@ -336,3 +338,48 @@
         assert!(site.serves(node, None), "others are served");
     }
 }
+
+// Guards against a restart of all nodes setting a request free that had crashed its targets.
+#[test]
+fn condemned_request_stays_so_when_all_nodes_restart() {
+    let mut site = Site::start(55, 2, &Document::default());
+    site.platform.crash_on(CRASHING, Crash::First);
+    site.repeat_crashing(Route::Resumable, "r", 4);
+    let before = site.crashes();
+    let kept = || !site.platform.items("magnoliarun/quarantine/").is_empty();
+    assert!(site.platform.wait(SOON, kept), "the store has it");
+    site.nodes.clear();
+    site.nodes = (2..4).map(|index| entry(&site.platform, 55, index)).collect();
+    for node in 0..2 {
+        assert!(site.serves(node, None));
+    }
+    let replies = site.repeat_crashing(Route::Resumable, "s", 4);
+    assert_eq!(site.crashes(), before);
+    assert!(replies.iter().all(|reply| reply.status == Some(503)), "{replies:?}");
+}
+
+/// Bodies of requests that are well.
+const WELL: [&str; 6] = ["w0", "w1", "w2", "w3", "w4", "w5"];
+
+// Guards against requests being condemned that shared their targets with a crashing one.
+#[parameterized(first = { 56, Crash::First }, last = { 57, Crash::Last })]
+fn requests_beside_a_crashing_one_are_not_condemned(number: u8, crash: Crash) {
+    let site = Site::start(number, 2, &Document { attempts: 4, ..Document::default() });
+    site.platform.crash_on(CRASHING, crash);
+    for turn in 0..6 {
+        let well = |(at, &body): (usize, &&'static str)| {
+            let id = format!("w{turn}-{at}");
+            let what = Ask { body, ..Ask::new(Route::Resumable, &id) };
+            begin(site.nodes[(turn + at) % 2].front, what)
+        };
+        let callers: Vec<_> = WELL.iter().enumerate().map(well).collect();
+        site.repeat_crashing(Route::Resumable, &format!("r{turn}-"), 1);
+        ended(callers);
+    }
+    assert!(site.crashes() <= MOST_CRASHES, "{} targets ended", site.crashes());
+    for (at, &body) in WELL.iter().enumerate() {
+        let what = Ask { body, ..Ask::new(Route::Resumable, &format!("last{at}")) };
+        let served = || ask(site.nodes[at % 2].front, &what).is_whole(EVENTS);
+        assert!(site.platform.wait(Duration::from_secs(3), served), "{body} is served");
+    }
+}
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -212,6 +212,17 @@
         true
     }
 
+    /// Targets that must have ended if `target` lives: earlier starts of its id, and those at its
+    /// address.
+    pub fn replaced_by(&self, target: &Target) -> Vec<Target> {
+        let targets = self.entries.values().map(|entry| &entry.target);
+        let earlier = targets.filter(|other| {
+            let same = other.id == target.id || other.address == target.address;
+            same && other.born < target.born
+        });
+        earlier.cloned().collect()
+    }
+
     /// Notes that an entry is missing from the store, and counts as gone from `gone_at` on.
     pub fn lapse(&mut self, id: &str, gone_at: Duration) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/crates/suspect/src/interruption.rs
+++ b/crates/suspect/src/interruption.rs
@@ -42,6 +42,12 @@
         self.recent.push_back(interruption);
     }
 
+    /// When an attempt at a request ended last of which no target is known to be lost.
+    pub fn last_ended(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        let own = self.recent.iter().rev().find(|one| one.fingerprint == fingerprint);
+        own.map(|one| one.ended)
+    }
+
     /// Takes the attempts that the loss of a target, seen at `now`, can have ended. Each counts
     /// for one loss only, and not for one that was seen before it was sent.
     pub fn take(&mut self, now: Duration, target: &str) -> Vec<Interruption> {
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -318,6 +318,12 @@
         self.explained.retain(|(_, until)| *until > now);
     }
 
+    /// Whether a loss is held against a fingerprint in full.
+    pub fn is_fresh(&self, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.evidence.iter().any(|one| one.weight > HALF))
+    }
+
     /// Whether nothing is held against any fingerprint.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
