A request is judged when its time comes, not when it comes again

Judgements now fall due by themselves. A judgement that condemns nobody is logged too (1128): it was the one decision without a line.

condemned_request_stays_so_when_all_nodes_restart::came_once fails before (nothing in the store), judgement_falls_due_by_itself guards the decision. Tried and taken out: a digest of condemned requests in what nodes tell each other. It helps only a node that lost three datagrams and cannot read the store, and such a node is not heard by the others either.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, ready to be sent to a target.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -63,9 +64,7 @@
 impl Call {
     /// An event about this request.
     pub(crate) fn event(&self, kind: &'static EventKind) -> Event {
-        Event::new(kind)
-            .with("request", &self.id)
-            .with("fingerprint", format_args!("{:016x}", self.fingerprint))
+        Event::new(kind).with("request", &self.id).with("fingerprint", hex(self.fingerprint))
     }
 
     /// The request as it goes to a target.
@@ -99,6 +98,11 @@
     }
 }
 
+/// A fingerprint as logs and keys show it.
+pub(crate) fn hex(fingerprint: Fingerprint) -> impl fmt::Display {
+    fmt::from_fn(move |f| write!(f, "{fingerprint:016x}"))
+}
+
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     // Names and numbers from settings and the store; one that no header can carry is left out,
     // and the target refuses the request.
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -28,4 +28,5 @@
     CONDEMNED = 1125, "request-condemned", "The request crashed its targets and is not run for a while, by the judgement of this node, of another or by the store.";
     CLEARED = 1126, "request-cleared", "A suspected request was answered; nothing is held against it.";
     HELD = 1127, "request-held", "A suspected request waits for its judgement, or for its turn to run apart from others.";
+    SET_ASIDE = 1128, "request-set-aside", "The losses under a suspected request may have had another cause, or another request stands for them too; it runs apart from others next.";
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -108,9 +108,9 @@
         match tried {
             Tried::Answered { status, headers, body } => {
                 let response = whole(status, &headers, body);
-                node.cleared(call.fingerprint);
                 if !status.is_server_error() {
                     node.table.borrow_mut().success(address);
+                    node.cleared(call.fingerprint);
                     return response;
                 }
                 node.fault(address, Fault::Failed, "server error");
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -161,6 +161,7 @@
     loop {
         sleep(BATCH_INTERVAL).await;
         lines.pass_on();
+        node.judge_due();
         if node.now().saturating_sub(tidied) >= TIDY_INTERVAL {
             tidied = node.now();
             node.pool.tidy();
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -22,8 +22,8 @@
 use tokio::time::sleep;
 
 use crate::answer::{Answer, later};
-use crate::call::Call;
-use crate::event::{CLEARED, CONDEMNED, HELD, REFUSED, SUSPECTED};
+use crate::call::{Call, hex};
+use crate::event::{CLEARED, CONDEMNED, HELD, REFUSED, SET_ASIDE, SUSPECTED};
 use crate::node::Node;
 use crate::store::{Reply, Store};
 
@@ -66,7 +66,7 @@
 enum Finding {
     /// This target was lost under it.
     Suspected(TargetName),
-    /// It was answered after all.
+    /// It runs after all.
     Cleared,
     /// It is not to be run, as this target and others were lost under it.
     Condemned(TargetName),
@@ -216,7 +216,7 @@
         }
         drop(suspects);
         let event = Event::new(SUSPECTED)
-            .with("fingerprint", format_args!("{fingerprint:016x}"))
+            .with("fingerprint", hex(fingerprint))
             .with("target", &target)
             .with("fresh", fresh)
             .with("own", own);
@@ -231,17 +231,19 @@
 
     /// Notes that a request has run beyond what crashes targets.
     pub(crate) fn cleared(&self, fingerprint: Fingerprint) {
-        if self.quarantine.suspects.borrow().is_fresh(fingerprint) {
-            self.quarantine.tell(Word { fingerprint, finding: Finding::Cleared });
-        }
-        self.clear(fingerprint, true);
+        self.clear(fingerprint, Finding::Cleared, true);
     }
 
-    fn clear(&self, fingerprint: Fingerprint, own: bool) {
-        if self.quarantine.suspects.borrow_mut().clear(fingerprint) {
-            let event = Event::new(CLEARED)
-                .with("fingerprint", format_args!("{fingerprint:016x}"))
-                .with("own", own);
+    fn clear(&self, fingerprint: Fingerprint, finding: Finding, own: bool) {
+        let mut suspects = self.quarantine.suspects.borrow_mut();
+        let fresh = suspects.is_fresh(fingerprint);
+        let had = suspects.clear(fingerprint);
+        drop(suspects);
+        if own && fresh {
+            self.quarantine.tell(Word { fingerprint, finding });
+        }
+        if had {
+            let event = Event::new(CLEARED).with("fingerprint", hex(fingerprint)).with("own", own);
             log::info!("{event}");
         }
     }
@@ -316,10 +318,21 @@
         known.max(turn.filter(|turn| apart && *turn > now))
     }
 
+    /// Judges the requests that are due: nodes that start later must know of them too.
+    pub(crate) fn judge_due(&self) {
+        let now = self.now();
+        let settings = &self.quarantine.settings;
+        let due = self.quarantine.suspects.borrow_mut().take_due(now, settings);
+        due.into_iter().for_each(|fingerprint| self.judge(fingerprint, now));
+    }
+
     fn judge(&self, fingerprint: Fingerprint, now: Duration) {
         let settings = &self.quarantine.settings;
         let judgement = self.quarantine.suspects.borrow_mut().judge(fingerprint, now, settings);
-        let Judgement::Condemned(targets) = judgement else { return };
+        let Judgement::Condemned(targets) = judgement else {
+            let event = Event::new(SET_ASIDE);
+            return log::info!("{}", event.with("fingerprint", hex(fingerprint)));
+        };
         self.log_condemned(fingerprint, &targets, "judged");
         self.quarantine.unsaved.borrow_mut().insert(fingerprint);
         self.quarantine.to_save.notify_one();
@@ -331,7 +344,7 @@
 
     fn log_condemned(&self, fingerprint: Fingerprint, targets: &[TargetName], source: &str) {
         let event = Event::new(CONDEMNED)
-            .with("fingerprint", format_args!("{fingerprint:016x}"))
+            .with("fingerprint", hex(fingerprint))
             .with("targets", targets.join(","))
             .with("source", source);
         log::warn!("{event}");
@@ -343,7 +356,9 @@
         let Word { fingerprint, finding } = word;
         let target = match finding {
             Finding::Suspected(target) => target,
-            Finding::Cleared => return self.clear(fingerprint, false),
+            Finding::Cleared => {
+                return self.clear(fingerprint, finding, false);
+            }
             Finding::Condemned(target) => {
                 self.quarantine.suspects.borrow_mut().settle(&target);
                 return self.condemned(fingerprint, &[target], "told");
@@ -362,11 +377,11 @@
         self.condemned(fingerprint, &[], "store");
     }
 
+    /// Takes it from elsewhere that a request is not to be run.
     fn condemned(&self, fingerprint: Fingerprint, targets: &[TargetName], source: &str) {
         let now = self.now();
         let known = matches!(self.standing(fingerprint, now), Standing::Condemned(_));
-        let until = now + self.quarantine.settings.quarantine_ttl;
-        self.quarantine.suspects.borrow_mut().condemn(fingerprint, until);
+        self.quarantine.suspects.borrow_mut().condemn(fingerprint, now + TTL);
         if !known {
             self.log_condemned(fingerprint, targets, source);
         }
@@ -396,7 +411,7 @@
 /// Writes a condemnation; whether the store has it then.
 async fn save(store: &Store, fingerprint: Fingerprint) -> bool {
     let Some(lease) = store.lease(TTL).await else { return false };
-    let key = format!("{QUARANTINE_PREFIX}{fingerprint:016x}");
+    let key = format!("{QUARANTINE_PREFIX}{}", hex(fingerprint));
     let write = Write { key: &key, expected: Some(0), value: b"", lease: lease.id };
     matches!(store.write(write).await, Reply::Done(_) | Reply::Conflict)
 }
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -339,17 +339,18 @@
     }
 }
 
-// Guards against a restart of all nodes setting a request free that had crashed its targets.
-#[test]
-fn condemned_request_stays_so_when_all_nodes_restart() {
-    let mut site = Site::start(55, 2, &Document::default());
+// Guards against a restart of all nodes setting a request free that had crashed its targets,
+// also one that has not come again since.
+#[parameterized(came_once = { 55, 1 }, came_again = { 58, 4 })]
+fn condemned_request_stays_so_when_all_nodes_restart(number: u8, times: usize) {
+    let mut site = Site::start(number, 2, &Document::default());
     site.platform.crash_on(CRASHING, Crash::First);
-    site.repeat_crashing(Route::Resumable, "r", 4);
+    site.repeat_crashing(Route::Resumable, "r", times);
     let before = site.crashes();
     let kept = || !site.platform.items("magnoliarun/quarantine/").is_empty();
     assert!(site.platform.wait(SOON, kept), "the store has it");
     site.nodes.clear();
-    site.nodes = (2..4).map(|index| entry(&site.platform, 55, index)).collect();
+    site.nodes = (2..4).map(|index| entry(&site.platform, number, index)).collect();
     for node in 0..2 {
         assert!(site.serves(node, None));
     }
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -5,7 +5,7 @@
 //! it had passed tokens there before. Two full weights condemn, once the confirmation time
 //! has passed without a sign that the losses had another cause.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use fleet::TargetName;
@@ -101,6 +101,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     records: BTreeMap<Fingerprint, Record>,
+    /// Those that may wait for a judgement.
+    pending: BTreeSet<Fingerprint>,
     losses: VecDeque<Loss>,
     /// Losses that membership explains, with the time until which they are remembered.
     explained: Vec<(TargetName, Duration)>,
@@ -205,6 +207,7 @@
             let weight = if fresh { 1.0 } else { HALF };
             record.evidence.push(Evidence { loss, until, weight, set_aside: false });
             record.unjudged = true;
+            self.pending.insert(fingerprint);
         }
         !known
     }
@@ -318,10 +321,26 @@
         self.explained.retain(|(_, until)| *until > now);
     }
 
-    /// Whether a loss is held against a fingerprint in full.
+    /// Takes the fingerprints whose judgement is due, whether or not they come again.
+    pub fn take_due(&mut self, now: Duration, settings: &Settings) -> Vec<Fingerprint> {
+        let (mut due, mut later) = (Vec::new(), BTreeSet::new());
+        for fingerprint in std::mem::take(&mut self.pending) {
+            match self.standing(fingerprint, now, settings) {
+                Standing::Pending(at) if at <= now => due.push(fingerprint),
+                Standing::Pending(_) => drop(later.insert(fingerprint)),
+                Standing::Clear | Standing::Suspect | Standing::Condemned(_) => {}
+            }
+        }
+        self.pending = later;
+        due
+    }
+
+    /// Whether a loss is held against a fingerprint in full, or it is condemned.
     pub fn is_fresh(&self, fingerprint: Fingerprint) -> bool {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.evidence.iter().any(|one| one.weight > HALF))
+        record.is_some_and(|record| {
+            record.condemned.is_some() || record.evidence.iter().any(|one| one.weight > HALF)
+        })
     }
 
     /// Whether nothing is held against any fingerprint.
--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -80,6 +80,20 @@
     assert_eq!((crashing, other), (case.crashing, case.other));
 }
 
+// Guards against a judgement that waits until the request comes again.
+#[test]
+fn judgement_falls_due_by_itself() {
+    let settings = Settings::default();
+    let mut suspects = Suspects::default();
+    for target in ["a", "b"] {
+        let loss = loss(&mut suspects, target.into(), STEP, &settings);
+        suspects.suspect(CRASHING, loss, true, &settings);
+    }
+    assert!(suspects.take_due(STEP, &settings).is_empty());
+    assert_eq!(suspects.take_due(STEP + settings.confirm, &settings), [CRASHING]);
+    assert!(suspects.take_due(STEP + settings.confirm, &settings).is_empty(), "once");
+}
+
 /// What shows that a suspect is none.
 #[derive(Clone, Copy)]
 enum Sign {
