A request that many callers send is not condemned for what happens to targets meanwhile

A request that was answered whole lately does not crash its targets: each node remembers its last 4,096 answers (about 0.2 MB), holds nothing against them, and tells nodes that do.

The soak draws crashing requests, and checks the bound of the rule: at most three targets ended later than 3 s after the third, for each path and body. On first tries it counted all paths of a body as one request, which the rule does not, and took targets ended by crashing requests for living ones.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -110,7 +110,7 @@
                 let response = whole(status, &headers, body);
                 if !status.is_server_error() {
                     node.table.borrow_mut().success(address);
-                    node.cleared(call.fingerprint);
+                    node.answered(call.fingerprint);
                     return response;
                 }
                 node.fault(address, Fault::Failed, "server error");
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -200,7 +200,7 @@
             None if splitter.is_torn() => return Ended::Cut,
             None => {
                 node.pool.give_back(connection);
-                node.cleared(run.call.fingerprint);
+                node.answered(run.call.fingerprint);
                 return Ended::Complete;
             }
             Some(Err(_)) => {
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -16,7 +16,8 @@
 use serde::{Deserialize, Serialize};
 use site::{State, Target, TargetKey};
 use suspect::{
-    Fingerprint, Interruption, Interruptions, Judgement, Loss, Place, Settings, Standing, Suspects,
+    Answered, Fingerprint, Interruption, Interruptions, Judgement, Loss, Place, Settings, Standing,
+    Suspects,
 };
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -68,6 +69,8 @@
     Suspected(TargetName),
     /// It runs after all.
     Cleared,
+    /// It was answered whole lately: it crashes no target.
+    Answered,
     /// It is not to be run, as this target and others were lost under it.
     Condemned(TargetName),
 }
@@ -77,6 +80,7 @@
     settings: Settings,
     suspects: RefCell<Suspects>,
     interruptions: RefCell<Interruptions>,
+    answered: RefCell<Answered>,
     /// Domains by their dense numbers.
     domains: RefCell<Vec<DomainName>>,
     /// Words to tell, with the times that are left.
@@ -95,6 +99,7 @@
             settings,
             suspects: RefCell::default(),
             interruptions: RefCell::default(),
+            answered: RefCell::default(),
             domains: RefCell::default(),
             words: RefCell::default(),
             unsaved: RefCell::default(),
@@ -201,6 +206,12 @@
 
     /// Holds the loss of a target against a request.
     fn hold(&self, fingerprint: Fingerprint, held: Held<'_>, fresh: bool) {
+        if self.quarantine.answered.borrow().contains(fingerprint) {
+            if matches!(held, Held::Told(..)) {
+                self.quarantine.tell(Word { fingerprint, finding: Finding::Answered });
+            }
+            return;
+        }
         let (target, place, own) = match held {
             // One that leaves ends by itself.
             Held::Here(target) if target.state != State::Ready => return,
@@ -229,6 +240,13 @@
         }
     }
 
+    /// Notes that a request was answered whole. What many callers send is not condemned for what
+    /// happens to targets while they do.
+    pub(crate) fn answered(&self, fingerprint: Fingerprint) {
+        self.quarantine.answered.borrow_mut().note(fingerprint);
+        self.clear(fingerprint, Finding::Answered, true);
+    }
+
     /// Notes that a request has run beyond what crashes targets.
     pub(crate) fn cleared(&self, fingerprint: Fingerprint) {
         self.clear(fingerprint, Finding::Cleared, true);
@@ -237,7 +255,10 @@
     fn clear(&self, fingerprint: Fingerprint, finding: Finding, own: bool) {
         let mut suspects = self.quarantine.suspects.borrow_mut();
         let fresh = suspects.is_fresh(fingerprint);
-        let had = suspects.clear(fingerprint);
+        let had = match finding {
+            Finding::Answered => suspects.acquit(fingerprint),
+            _ => suspects.clear(fingerprint),
+        };
         drop(suspects);
         if own && fresh {
             self.quarantine.tell(Word { fingerprint, finding });
@@ -356,9 +377,12 @@
         let Word { fingerprint, finding } = word;
         let target = match finding {
             Finding::Suspected(target) => target,
-            Finding::Cleared => {
+            Finding::Cleared | Finding::Answered => {
                 return self.clear(fingerprint, finding, false);
             }
+            Finding::Condemned(_) if self.quarantine.answered.borrow().contains(fingerprint) => {
+                return self.quarantine.tell(Word { fingerprint, finding: Finding::Answered });
+            }
             Finding::Condemned(target) => {
                 self.quarantine.suspects.borrow_mut().settle(&target);
                 return self.condemned(fingerprint, &[target], "told");
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -8,17 +8,22 @@
 #[path = "soak/world.rs"]
 mod world;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use platform_standin::{Document, Route, Run};
-use world::{Asked, EVENTS, Shown, play};
+use world::{Asked, CRASHING, EVENTS, Shown, play};
 use yare::parameterized;
 
 /// Variable that names the seeds of a run by hand.
 const SEEDS: &str = "MAGNOLIA_SOAK";
 /// Seeds that are played beside each other.
 const BESIDE: usize = 4;
+/// Time after the third target that a request has crashed in which all nodes know.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Most targets that it may crash later.
+const LATE_CRASHES: usize = 3;
 /// First slot of hosts of the runs by hand; the cases have those before it.
 const FIRST_SLOT: u8 = 100;
 
@@ -32,12 +37,17 @@
             found.push(format!("{}: layers {:?}", run.request, run.layers));
         }
     }
+    let crashed = shown.runs.iter().filter_map(|run| run.crashed.clone());
+    let ended: Vec<String> = shown.ended.iter().cloned().chain(crashed).collect();
     for asked in &shown.asked {
         let ran = runs.get(asked.ask.id.as_str()).map_or(&[][..], Vec::as_slice);
-        found.extend(broken_promise(asked, ran, &shown.ended).map(|what| {
+        found.extend(broken_promise(asked, ran, &ended).map(|what| {
             format!("{} ({:?}): {what}; {:?}", asked.ask.id, asked.ask.route, asked.reply)
         }));
     }
+    for (body, _) in CRASHING {
+        found.extend(Route::ALL.iter().filter_map(|&route| late_crashes(shown, route, body)));
+    }
     if shown.exits > 0 {
         found.push(format!("{} nodes ended without a signal", shown.exits));
     }
@@ -50,6 +60,21 @@
     found
 }
 
+/// A request that crashes its targets must hardly reach any once it has crashed three.
+fn late_crashes(shown: &Shown, route: Route, body: &str) -> Option<String> {
+    let same = |asked: &&Asked| asked.ask.body == body && asked.ask.route == route;
+    let asked = shown.asked.iter().filter(same);
+    let ids: BTreeSet<&str> = asked.map(|asked| asked.ask.id.as_str()).collect();
+    let runs = shown.runs.iter().filter(|run| ids.contains(run.request.as_str()));
+    let mut crashes: Vec<Instant> =
+        runs.filter(|run| run.crashed.is_some()).map(|run| run.at).collect();
+    crashes.sort();
+    let third = *crashes.get(2)?;
+    let late = crashes.iter().filter(|at| **at > third + CONTACT).count();
+    println!("{body} ({route:?}): {} targets ended, {late} of them late", crashes.len());
+    (late > LATE_CRASHES).then(|| format!("{body} ({route:?}): {late} targets ended late"))
+}
+
 fn broken_promise(asked: &Asked, ran: &[&Run], ended: &[String]) -> Option<String> {
     let Asked { ask, reply } = asked;
     let is_stream = matches!(ask.route, Route::Resumable | Route::Stream);
@@ -72,7 +97,8 @@
         return Some(format!("ran {} times", ran.len()));
     }
     // Targets that ended meanwhile do not count.
-    let living = ran.iter().filter(|run| !ended.contains(&run.target)).count();
+    let lives = |run: &&&Run| !ended.contains(&run.target);
+    let living = ran.iter().filter(lives).count();
     if living > Document::default().attempts as usize {
         return Some(format!("ran at {living} targets"));
     }
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use platform_standin::{
-    Ask, Document, Harm, MODEL, PLAIN, Platform, Proxy, Reply, Route, Settings, Setup, Trouble, ask,
+    Ask, Crash, Document, Harm, MODEL, PLAIN, Platform, Proxy, Reply, Route, Settings, Setup,
+    Trouble, ask,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -27,6 +28,11 @@
 const LAPSE: Duration = Duration::from_millis(600);
 /// Longest wait for all nodes to serve again.
 const RECOVERY: Duration = Duration::from_secs(15);
+/// Bodies of requests that end targets, and how.
+pub(crate) const CRASHING: [(&str, Crash); 2] =
+    [("ends its first target", Crash::First), ("ends its last target", Crash::Last)];
+/// Share of them among all requests.
+const CRASHING_SHARE: f64 = 0.03;
 const CALLERS: usize = 8;
 const NODES: u8 = 3;
 const ENGINES: [(&str, &str); 6] =
@@ -137,7 +143,10 @@
             6..8 => Route::Safe,
             _ => Route::Unsafe,
         };
-        let what = Ask::new(route, &format!("c{number}-{count}"));
+        let mut what = Ask::new(route, &format!("c{number}-{count}"));
+        if rng.random_bool(CRASHING_SHARE) {
+            what.body = CRASHING[rng.random_range(0..CRASHING.len())].0;
+        }
         let reply = ask(fronts[rng.random_range(0..fronts.len())], &what);
         let refused = reply.status.is_none_or(|status| status != 200);
         asked.lock().unwrap_or_else(PoisonError::into_inner).push(Asked { ask: what, reply });
@@ -152,6 +161,9 @@
         let host = format!("127.84.{slot}.1");
         let platform = Platform::start(&host);
         platform.configure(&Document::default());
+        for (body, crash) in CRASHING {
+            platform.crash_on(body, crash);
+        }
         let node = |index: u8| {
             let host = format!("127.84.{slot}.{}", 10 + index);
             let proxy = Proxy::start(&host, platform.store());
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -5,12 +5,14 @@
 //! fingerprint, and condemns those that crash their targets. No clock, no socket: callers pass
 //! `now`, and tell other nodes.
 
+mod answered;
 mod fingerprint;
 mod interruption;
 mod loss;
 mod settings;
 mod suspects;
 
+pub use answered::Answered;
 pub use fingerprint::{Fingerprint, fingerprint};
 pub use interruption::{Interruption, Interruptions};
 pub use loss::{Loss, Place};
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -223,6 +223,11 @@
         had
     }
 
+    /// Drops everything against a fingerprint, a condemnation too; true if there was anything.
+    pub fn acquit(&mut self, fingerprint: Fingerprint) -> bool {
+        self.records.remove(&fingerprint).is_some()
+    }
+
     /// Membership explains the loss of these targets; fingerprints that are cleared by it.
     pub fn explain(&mut self, targets: &[TargetName], until: Duration) {
         self.explained.extend(targets.iter().map(|target| (target.clone(), until)));
--- /dev/null
+++ b/crates/suspect/tests/answered.rs
@@ -0,0 +1,31 @@
+//! Which requests count as answered lately.
+
+use suspect::Answered;
+use yare::parameterized;
+
+/// A request answered once, and others after it.
+struct Case {
+    others: u64,
+    /// Whether it is answered again among the others.
+    again: bool,
+    known: bool,
+}
+
+#[parameterized(
+    just_now = { Case { others: 0, again: false, known: true } },
+    some_time_ago = { Case { others: 4_000, again: false, known: true } },
+    long_ago = { Case { others: 5_000, again: false, known: false } },
+    popular = { Case { others: 20_000, again: true, known: true } },
+)]
+fn known_for_a_while(case: Case) {
+    let mut answered = Answered::default();
+    answered.note(0);
+    for other in 1..=case.others {
+        answered.note(other);
+        if case.again && other % 1_000 == 0 {
+            answered.note(0);
+        }
+    }
+    assert_eq!(answered.contains(0), case.known);
+    assert!(!answered.contains(u64::MAX));
+}
