--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -45,8 +45,8 @@
             let call = || platform::report_request(address);
             // A kept connection may have been dropped at the other end: asked once more on
             // another one.
-            let begun = match self.pool.send(address, call()).await {
-                Err(Unanswered::Unknown) => self.pool.send(address, call()).await,
+            let begun = match self.send(address, call()).await {
+                Err(Unanswered::Unknown) => self.send(address, call()).await,
                 other => other,
             };
             let (response, connection) = begun.ok()?.split();
@@ -72,6 +72,9 @@
     pub(crate) async fn diagnose(&self, path: &Path) {
         let first = path.first().address;
         let now = self.now();
+        if self.table.borrow().is_backing_off(now, first) {
+            return;
+        }
         let asked = self.reports.asked.borrow().get(&first).copied();
         if asked.is_some_and(|at| now.saturating_sub(at) < REPORT_AGE) {
             // Others that ask meanwhile go by what the call in progress finds.
@@ -132,6 +135,9 @@
     /// Finds out whether a plain target that broke a call off is gone.
     pub(crate) fn check(self: &Rc<Self>, address: SocketAddr) {
         let node = self.clone();
+        if node.table.borrow().is_backing_off(node.now(), address) {
+            return;
+        }
         tokio::task::spawn_local(async move {
             if crate::link::connect(address).await.is_none() {
                 node.fault(address, Fault::Silent, "no connection after a lost answer");
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -29,4 +29,6 @@
     CLEARED = 1126, "request-cleared", "A suspected request was answered; nothing is held against it.";
     HELD = 1127, "request-held", "A suspected request waits for its judgement, or for its turn to run apart from others.";
     SET_ASIDE = 1128, "request-set-aside", "The losses under a suspected request may have had another cause, or another request stands for them too; it runs apart from others next.";
+    TARGET_LEAVES = 1129, "target-leaves", "A target said in an answer that it leaves; it gets nothing new while it lives.";
+    BACKED_OFF = 1130, "target-backed-off", "A target that refused asked for a pause; it gets nothing until its end.";
 }
--- /dev/null
+++ b/crates/edge/src/heed.rs
@@ -0,0 +1,81 @@
+//! What targets say of themselves in their answers: that they leave, or want a pause.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::Event;
+use http_body_util::Full;
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode};
+
+use crate::event::{BACKED_OFF, TARGET_LEAVES};
+use crate::link::{Begun, Unanswered};
+use crate::node::Node;
+use crate::store::undecodable;
+
+/// Share of a pause by which its end is put off, at the most: not all nodes come at once.
+const SPREAD: f64 = 0.1;
+/// Shortest time by which it is put off, at the most.
+const LEAST_SPREAD: Duration = Duration::from_millis(100);
+
+impl Node {
+    /// Sends a request to a target, and heeds what its answer says of it.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Begun, Unanswered> {
+        let begun = self.pool.send(address, request).await?;
+        self.heed(address, begun.response.status(), begun.response.headers());
+        Ok(begun)
+    }
+
+    fn heed(&self, address: SocketAddr, status: StatusCode, headers: &HeaderMap) {
+        if let Err(error) = platform::backoff(status, headers) {
+            undecodable(&address.to_string(), &error);
+        }
+        let notice = platform::notice(status, headers);
+        if notice.is_empty() {
+            return;
+        }
+        if notice.draining {
+            self.heed_leaving(address);
+        }
+        if let Some(pause) = notice.backoff {
+            self.heed_backoff(address, pause);
+            // The engine at fault is meant as much as the one that answers for it.
+            if let Some(at_fault) = platform::at_fault(headers).filter(|other| *other != address) {
+                self.heed_backoff(at_fault, pause);
+            }
+        }
+    }
+
+    fn heed_leaving(&self, address: SocketAddr) {
+        let Some(target) = self.table.borrow_mut().drain(address) else { return };
+        let event = Event::new(TARGET_LEAVES).with("target", target).with("address", address);
+        log::warn!("{event}");
+        metrics::counter!("magnolia_targets_leaving").increment(1);
+        self.alarm.notify_one();
+        self.changed.notify_waiters();
+    }
+
+    fn heed_backoff(&self, address: SocketAddr, pause: Duration) {
+        let now = self.now();
+        let spread = pause.mul_f64(SPREAD).max(LEAST_SPREAD).mul_f64(self.luck());
+        let whole = pause.saturating_add(spread);
+        let Some(target) = self.table.borrow_mut().back_off(now, address, whole) else { return };
+        let event = Event::new(BACKED_OFF)
+            .with("target", target)
+            .with("address", address)
+            .with("pause_ms", pause.as_millis());
+        log::warn!("{event}");
+        metrics::counter!("magnolia_targets_backed_off").increment(1);
+        self.alarm.notify_one();
+    }
+
+    /// When a caller may come back for whom there is a target again after the time `left`.
+    pub(crate) fn after_backoff(&self, left: Duration) -> Duration {
+        left + left.mul_f64(SPREAD).mul_f64(self.luck())
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod follow;
 mod front;
+mod heed;
 mod lead;
 mod lines;
 mod link;
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -26,6 +26,8 @@
 const MOST_OFFERS: u32 = 5;
 /// Share of an engine's memory beyond which new requests are turned away.
 const MOST_PRESSURE: f64 = 1.0;
+/// Why a request is not offered to any path.
+pub(crate) const NO_PATH: &str = "no path";
 /// Why a request is not offered to another path though there is one.
 pub(crate) const NO_RETRY: &str = "no retry left";
 /// A refusal that took this long came after the engine had hung.
@@ -47,12 +49,21 @@
         let mut table = node.table.borrow_mut();
         for stage in &path.stages {
             table.begin(&stage.target, tokens);
+            table.sent(node.now(), &stage.target);
             table.read(&stage.target, reading);
         }
         drop(table);
         Self { node: node.clone(), path, begun: node.now(), tokens, reading }
     }
 
+    /// Notes that the engines have taken the request.
+    fn was_taken(&self) {
+        let mut table = self.node.table.borrow_mut();
+        for stage in &self.path.stages {
+            table.taken(self.node.now(), &stage.target);
+        }
+    }
+
     /// Notes that the prompt has been read.
     fn has_read(&mut self) {
         let reading = std::mem::take(&mut self.reading);
@@ -163,12 +174,18 @@
         find(&self.avoid).or_else(|| if resumes { find(&[]) } else { None })
     }
 
+    /// How long it takes until there is a path, if pauses of engines are all that is missing.
+    pub(crate) fn path_returns(&self) -> Option<Duration> {
+        let wish = Wish { service: &self.call.service, avoid: &[], tokens: self.call.tokens };
+        self.node.table.borrow().path_returns(self.node.now(), &self.model, &wish)
+    }
+
     /// Offers the request to paths until one answers.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Open, Closed> {
         let idempotent = self.call.kind.is_idempotent();
         let mut unknown = false;
         let mut failure = None;
-        let mut reason = "no path";
+        let mut reason = NO_PATH;
         loop {
             let now = self.node.now();
             if now >= self.call.ends || self.offers >= MOST_OFFERS {
@@ -249,7 +266,7 @@
         let first = path.first().clone();
         let request = call.request(begun, &first.target, Some(&path), last_event);
         let mut running = Running::begin(node, path, call.tokens, call.prompt);
-        let sending = node.pool.send(first.address, request);
+        let sending = node.send(first.address, request);
         pin!(sending);
         let answer = loop {
             let left = call.ends.saturating_sub(node.now());
@@ -309,6 +326,7 @@
             node.pool.give_back(connection);
             return Offered::Failed(whole(status, &parts.headers, body.to_bytes()));
         }
+        running.was_taken();
         Offered::Open(Open { response, connection, running })
     }
 
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -12,7 +12,7 @@
 use place::{Arrival, Engine, Move, Planner};
 use platform::Order;
 use platform::kv::Revision;
-use site::{Model, Service, State, TargetKey};
+use site::{Model, Service, TargetKey};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
@@ -93,8 +93,9 @@
             let held = |id: &TargetKey| table.entry(id).map(|entry| entry.layers);
             let overdue = self.book.settle(now, held).into_iter();
             let addresses = overdue.filter_map(|id| {
-                let address = table.entry(&id)?.target.address;
-                Some((id, address))
+                let entry = table.entry(&id)?;
+                let asked = !entry.marks.is_backing_off(now);
+                asked.then_some((id, entry.target.address))
             });
             addresses.collect()
         };
@@ -114,14 +115,14 @@
             let lost = entry.health.is_lost();
             // An empty engine that does not take orders is of no use to the plan.
             let idle = entry.layers.is_none() && self.book.is_paused(&entry.target.id);
-            let ready = entry.target.state == State::Ready && !lost && !idle;
+            let ready = !entry.is_draining() && !lost && !idle;
             entry.target.service == service.name && ready
         });
         let engines: Vec<Engine> = usable
             .map(|entry| {
                 let id = entry.target.id.clone();
                 let pending = self.book.pending(&id);
-                let down = entry.health.is_down();
+                let down = entry.health.is_down() || entry.marks.is_backing_off(now);
                 Engine {
                     domain: entry.target.domain.clone(),
                     card: entry.target.card.clone(),
@@ -226,7 +227,7 @@
 
 async fn send(node: &Node, address: SocketAddr, order: Order) -> Outcome {
     let exchange = async {
-        let begun = node.pool.send(address, platform::order(address, order)).await.ok()?;
+        let begun = node.send(address, platform::order(address, order)).await.ok()?;
         let (response, connection) = begun.split();
         let status = response.status();
         response.into_body().collect().await.ok()?;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -56,12 +56,17 @@
     down: Vec<(TargetKey, bool)>,
     /// Engines that have refused a request of the sender in the last moments.
     full: Vec<TargetKey>,
+    /// Targets that have told the sender that they leave, or want a pause.
+    unwilling: Vec<TargetKey>,
     /// The highest fencing number that the sender knows.
     fence: u64,
     /// Whether the sender can check keys.
     checks_keys: bool,
 }
 
+/// Most targets that leave or want a pause in one message.
+const MOST_UNWILLING: usize = 8;
+
 /// Interval between messages to one peer.
 pub(crate) fn interval(peers: usize) -> Duration {
     LEAST_INTERVAL.max(MESSAGE_SPACING * peers as u32)
@@ -137,8 +142,10 @@
         entry.is_engine() && refused.is_some_and(|since| since < recent)
     });
     let full = refusing.map(|entry| entry.target.id.clone()).take(MOST_FULL).collect();
+    let marked = table.entries().filter(|entry| entry.marks.is_set(now));
+    let unwilling = marked.map(|entry| entry.target.id.clone()).take(MOST_UNWILLING).collect();
     let fence = node.claim.borrow().highest();
-    View { loads, down, full, fence, checks_keys: node.may_honour_keys() }
+    View { loads, down, full, unwilling, fence, checks_keys: node.may_honour_keys() }
 }
 
 /// Listens to the peers for good.
@@ -172,6 +179,9 @@
     node.others.borrow_mut().hear(now, view.checks_keys);
     let until = now + interval(node.peers.borrow().len()) * 5;
     node.table.borrow_mut().share(from, view.loads, until);
+    for id in &view.unwilling {
+        node.table.borrow_mut().discourage(id, until);
+    }
     let address = |id: &TargetKey| node.table.borrow().entry(id).map(|entry| entry.target.address);
     for (id, mute) in &view.down {
         let fault = if *mute { Fault::ReportedMute } else { Fault::Reported };
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -142,15 +142,21 @@
         Some(response) => response,
         None if ran > 0 => lost(node, call),
         None if let Some(left) = quarantined => node.refuse_quarantined(call, left),
-        None => later(StatusCode::SERVICE_UNAVAILABLE, "no target", node.comeback(call, COMEBACK)),
+        None => {
+            let left = node.table.borrow().plain_returns(node.now(), &call.service);
+            let after = left.map(|left| node.after_backoff(left));
+            let after = after.unwrap_or_else(|| node.comeback(call, COMEBACK));
+            later(StatusCode::SERVICE_UNAVAILABLE, "no target", after)
+        }
     }
 }
 
 async fn offer(node: &Rc<Node>, call: &Call, target: &TargetKey, address: SocketAddr) -> Tried {
     node.table.borrow_mut().begin(target, 0.0);
+    node.table.borrow_mut().sent(node.now(), target);
     let _running = Running { node: node.clone(), target: target.clone() };
     let request = call.request(node.now(), target, None, None);
-    let begun = match node.pool.send(address, request).await {
+    let begun = match node.send(address, request).await {
         Ok(begun) => begun,
         Err(Unanswered::NotSent) => {
             node.fault(address, Fault::Silent, "no connection");
@@ -181,5 +187,6 @@
         }
         return Tried::NotRun("refused");
     }
+    node.table.borrow_mut().taken(node.now(), target);
     Tried::Answered { status: parts.status, headers: parts.headers, body: body.to_bytes() }
 }
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -12,6 +12,7 @@
 
 use fleet::{DomainName, Event, TargetName};
 use hyper::{Response, StatusCode};
+use path::Entry;
 use platform::kv::Write;
 use serde::{Deserialize, Serialize};
 use site::{State, Target, TargetKey};
@@ -204,6 +205,13 @@
         self.quarantine.suspects.borrow_mut().survived(&name(target));
     }
 
+    /// Whether a target is leaving, by its entry or its own word.
+    fn is_draining(&self, target: &Target) -> bool {
+        let table = self.table.borrow();
+        let said = table.entry(&target.id).is_some_and(Entry::is_draining);
+        said || target.state == State::Draining
+    }
+
     /// Holds the loss of a target against a request.
     fn hold(&self, fingerprint: Fingerprint, held: Held<'_>, fresh: bool) {
         if self.quarantine.answered.borrow().contains(fingerprint) {
@@ -214,7 +222,7 @@
         }
         let (target, place, own) = match held {
             // One that leaves ends by itself.
-            Held::Here(target) if target.state != State::Ready => return,
+            Held::Here(target) if self.is_draining(target) => return,
             Held::Here(target) => (name(target), self.quarantine.place(Some(&target.domain)), true),
             Held::Told(domain, target) => (target, self.quarantine.place(domain.as_ref()), false),
         };
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -12,7 +12,7 @@
 use crate::call::{Call, back};
 use crate::event::REFUSED;
 use crate::node::Node;
-use crate::offer::{Closed, NO_RETRY, Run};
+use crate::offer::{Closed, NO_PATH, NO_RETRY, Run};
 use crate::pump::pump;
 use crate::quarantine::QUARANTINED;
 use crate::reply::lost;
@@ -39,6 +39,7 @@
             let after = match reason {
                 NO_RETRY => node.elsewhere(),
                 QUARANTINED => node.quarantined_for(run.call.fingerprint),
+                NO_PATH if let Some(left) = run.path_returns() => node.after_backoff(left),
                 _ => node.comeback(&run.call, OVERLOAD),
             };
             let event = run
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -26,6 +26,8 @@
 const LASTS_MS: (u64, u64) = (200, 2000);
 /// Entries lapse this long after their target ended.
 const LAPSE: Duration = Duration::from_millis(600);
+/// Time between an engine's word that it leaves and its end.
+const NOTICE: Duration = Duration::from_millis(1500);
 /// Longest wait for all nodes to serve again.
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Bodies of requests that end targets, and how.
@@ -75,6 +77,16 @@
     Stopping,
 }
 
+/// How an engine goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    Killed,
+    /// Its entry says that it leaves.
+    Drains,
+    /// Its answers do.
+    SaysSo,
+}
+
 /// What ends, or follows a fault, at a time.
 enum Later {
     Resume(usize),
@@ -246,7 +258,7 @@
     fn draw(&mut self) {
         let index = self.rng.random_range(0..self.nodes.len());
         let ends = self.lasts();
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..11) {
             0 => {
                 self.signal(index, "TERM", State::Stopping);
             }
@@ -260,8 +272,9 @@
                 self.later.push((ends, Later::StoreBack));
                 self.note("the store refuses".to_owned());
             }
-            6 => self.lose_engine(false),
-            7 => self.lose_engine(true),
+            6 => self.lose_engine(Loss::Killed),
+            7 => self.lose_engine(Loss::Drains),
+            8 => self.lose_engine(Loss::SaysSo),
             _ => self.trouble_target(ends),
         }
     }
@@ -294,7 +307,7 @@
     }
 
     /// Ends an engine, with or without a word; another takes its place.
-    fn lose_engine(&mut self, drains: bool) {
+    fn lose_engine(&mut self, loss: Loss) {
         let engines: Vec<SocketAddr> = self
             .targets
             .iter()
@@ -303,14 +316,14 @@
             .collect();
         let target = engines[self.rng.random_range(0..engines.len())];
         self.targets.remove(&target);
-        self.note(format!("engine {target} {}", if drains { "drains" } else { "is killed" }));
-        let now = Instant::now();
-        if drains {
-            self.platform.drain(target);
-            self.later.push((now + Duration::from_millis(1500), Later::End(target)));
-        } else {
-            self.later.push((now, Later::End(target)));
+        self.note(format!("engine {target}: {loss:?}"));
+        match loss {
+            Loss::Killed => {}
+            Loss::Drains => self.platform.drain(target),
+            Loss::SaysSo => self.platform.trouble(target, Trouble::Leaves),
         }
+        let notice = if loss == Loss::Killed { Duration::ZERO } else { NOTICE };
+        self.later.push((Instant::now() + notice, Later::End(target)));
         self.started += 1;
         let domain = if self.rng.random() { "a" } else { "b" };
         self.add(format!("x{}", self.started), MODEL, domain);
@@ -319,7 +332,14 @@
     fn trouble_target(&mut self, ends: Instant) {
         let targets: Vec<SocketAddr> = self.targets.keys().copied().collect();
         let target = targets[self.rng.random_range(0..targets.len())];
-        let troubles = [Trouble::Refuses, Trouble::Cuts(5), Trouble::LosesAnswers, Trouble::Fails];
+        let troubles = [
+            Trouble::Refuses,
+            Trouble::Cuts(5),
+            Trouble::LosesAnswers,
+            Trouble::Fails,
+            Trouble::BacksOff("0.8"),
+            Trouble::BacksOffAll("0.4"),
+        ];
         let trouble = troubles[self.rng.random_range(0..troubles.len())];
         self.platform.trouble(target, trouble);
         self.later.push((ends, Later::Calm(target)));
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod budget;
 mod health;
+mod mark;
 mod search;
 mod table;
 
 pub use budget::Budget;
 pub use health::{Fault, Health};
+pub use mark::Marks;
 pub use search::{Path, Stage};
 pub use table::{Entry, Table, Wish};
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -23,6 +23,8 @@
 const FULL: f64 = 5.0;
 /// Cost of beginning at an engine whose streams pause, seconds.
 const DOUBT: f64 = 3.0;
+/// Cost of an engine that has told another VM that it wants nothing, seconds.
+const UNWILLING: f64 = 3.0;
 /// Cost of a slow engine, seconds for each whole time that it is slower: its streams pause.
 const SLOW_COST: f64 = 0.6;
 /// Weight of the time that a prompt waits to be read. It holds up a stream before it can be on
@@ -77,6 +79,8 @@
     pub(crate) entry: &'a Entry,
     /// Tokens that the requests of all VMs hold there.
     pub(crate) held: f64,
+    /// Whether it told another VM that it wants nothing.
+    pub(crate) discouraged: bool,
 }
 
 impl fmt::Display for Path {
@@ -169,11 +173,12 @@
         let full = if taken > 1.0 { FULL * taken } else { 0.0 };
         let failing = FAILURE_COST * entry.health.failure_rate();
         let slow = if entry.is_slow() { SLOW_COST * (entry.pace - 1.0) } else { 0.0 };
+        let unwilling = if able.discouraged { UNWILLING } else { 0.0 };
         let work = work(entry, model) * (1.0 + PRESSURE_WEIGHT * taken);
         Some(Self {
             layers,
             domain,
-            fixed: HOP + full + failing + slow,
+            fixed: HOP + full + failing + slow + unwilling,
             first: if entry.is_doubtful() { DOUBT } else { 0.0 },
             work,
             waiting: WAITING_WEIGHT * waiting(entry, model, vms),
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -8,6 +8,7 @@
 use site::{Model, Report, State, Target, TargetKey};
 
 use crate::health::{Fault, Health};
+use crate::mark::Marks;
 use crate::search::{self, Able, Path};
 
 /// A failing target looks this many times as loaded, at a failure rate of 1.
@@ -22,6 +23,12 @@
 /// Reports show an engine as it was some hundred milliseconds ago: until so long after a change
 /// that the store or the engine itself told of, they are older than it.
 const REPORT_LAG: Duration = Duration::from_millis(300);
+/// A plain target that has told another VM that it wants nothing looks loaded by this many more
+/// requests.
+const DISCOURAGED_WEIGHT: f64 = 10.0;
+/// How long marks of a target are kept whose entry is gone: as long as outages of the store, in
+/// which entries lapse of targets that live.
+const MARKS_KEPT: Duration = Duration::from_secs(600);
 /// A plain target in another failure domain looks loaded by this many more requests.
 const REMOTE_WEIGHT: f64 = 0.3;
 
@@ -42,6 +49,10 @@
     asked: Duration,
     /// What was seen.
     pub health: Health,
+    /// What it said that it wants.
+    pub marks: Marks,
+    /// Until when it is used less, as it told another VM that it wants nothing.
+    discouraged: Duration,
     /// Requests of this VM that it runs.
     pub running: u32,
     /// Tokens of memory that requests of this VM hold there.
@@ -68,6 +79,8 @@
             pace: 1.0,
             asked: Duration::ZERO,
             health: Health::default(),
+            marks: Marks::default(),
+            discouraged: Duration::ZERO,
             running: 0,
             tokens: 0.0,
             others: 0.0,
@@ -105,7 +118,22 @@
 
     /// Whether requests may be sent.
     pub fn is_usable(&self, now: Duration) -> bool {
-        self.target.state == State::Ready && self.health.is_usable(now)
+        self.is_usable_by(now, now)
+    }
+
+    /// Whether requests may be sent, as far as it wants any by `then`.
+    fn is_usable_by(&self, now: Duration, then: Duration) -> bool {
+        !self.is_draining() && self.marks.is_usable(then) && self.health.is_usable(now)
+    }
+
+    /// Whether it is to be used less, by another VM's word.
+    pub fn is_discouraged(&self, now: Duration) -> bool {
+        now < self.discouraged
+    }
+
+    /// Whether it is leaving, by its entry or its own word.
+    pub fn is_draining(&self) -> bool {
+        self.target.state == State::Draining || self.marks.is_draining()
     }
 }
 
@@ -133,10 +161,20 @@
     until: Duration,
 }
 
+/// Marks of a target whose entry is gone.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    born: u64,
+    marks: Marks,
+    until: Duration,
+}
+
 /// All targets known.
 #[derive(Clone, Debug)]
 pub struct Table {
     entries: HashMap<TargetKey, Entry>,
+    /// Marks of targets whose entries are gone: an entry can lapse and come back.
+    gone: HashMap<TargetKey, Gone>,
     home: DomainName,
     /// What other VMs tell of their requests, with the time until which it counts.
     others: HashMap<SocketAddr, Others>,
@@ -147,7 +185,7 @@
 impl Table {
     /// An empty table of a VM in the failure domain `home`.
     pub fn new(home: DomainName) -> Self {
-        Self { entries: HashMap::new(), home, others: HashMap::new(), vms: 1 }
+        Self { entries: HashMap::new(), gone: HashMap::new(), home, others: HashMap::new(), vms: 1 }
     }
 
     /// All entries.
@@ -168,7 +206,7 @@
     /// Whether a target must have ended: it failed while it was registered as ready. One that
     /// leaves goes on for a while after its entry has gone, and what it runs has run.
     pub fn has_failed(&self, id: &str) -> bool {
-        let ready = self.entry(id).filter(|entry| entry.target.state == State::Ready);
+        let ready = self.entry(id).filter(|entry| !entry.is_draining());
         ready.is_some_and(|entry| entry.health.is_down())
     }
 
@@ -190,7 +228,10 @@
                 || entry.target.born >= target.born
         });
         let Some(entry) = self.entries.get_mut(&target.id) else {
-            self.entries.insert(target.id.clone(), Entry::new(target));
+            let gone = self.gone.remove(&target.id).filter(|gone| gone.born == target.born);
+            let marks = gone.map(|gone| gone.marks).unwrap_or_default();
+            let entry = Entry { marks, ..Entry::new(target) };
+            self.entries.insert(entry.target.id.clone(), entry);
             return true;
         };
         entry.gone_at = None;
@@ -199,6 +240,9 @@
         }
         if entry.target.born != target.born || entry.target.address != target.address {
             entry.health = Health::default();
+            if entry.target.born != target.born {
+                entry.marks = Marks::default();
+            }
             entry.layers = target.layers;
             entry.orders = orders(&target);
             entry.changed = now;
@@ -235,8 +279,84 @@
     /// silent is forgotten too.
     pub fn expire(&mut self, now: Duration) -> Vec<Target> {
         self.forget_others(now);
+        self.gone.retain(|_, gone| gone.until > now);
         let gone = self.entries.extract_if(|_, entry| entry.gone_at.is_some_and(|at| at <= now));
-        gone.map(|(_, entry)| entry.target).collect()
+        let gone: Vec<Entry> = gone.map(|(_, entry)| entry).collect();
+        for entry in gone.iter().filter(|entry| entry.marks.is_set(now)) {
+            let (born, marks, until) = (entry.target.born, entry.marks, now + MARKS_KEPT);
+            self.gone.insert(entry.target.id.clone(), Gone { born, marks, until });
+        }
+        gone.into_iter().map(|entry| entry.target).collect()
+    }
+
+    /// Notes that the target at an address said that it leaves; returns it if that is news.
+    pub fn drain(&mut self, address: SocketAddr) -> Option<TargetKey> {
+        let entry = self.at(address)?;
+        let news = entry.marks.drain();
+        news.then(|| entry.target.id.clone())
+    }
+
+    /// Notes that the target at an address wants nothing for a time; returns it if its pause
+    /// has grown.
+    pub fn back_off(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        pause: Duration,
+    ) -> Option<TargetKey> {
+        let entry = self.at(address)?;
+        let news = entry.marks.back_off(now, pause);
+        news.then(|| entry.target.id.clone())
+    }
+
+    /// Whether the target at an address wants nothing now, not even a question.
+    pub fn is_backing_off(&self, now: Duration, address: SocketAddr) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.target.address == address && entry.marks.is_backing_off(now))
+    }
+
+    /// How long it takes until a plain service has a target again, where all that stay want
+    /// nothing now.
+    pub fn plain_returns(&self, now: Duration, service: &str) -> Option<Duration> {
+        let entries = self.entries.values().filter(|entry| entry.target.service == service);
+        let staying = entries.filter(|entry| !entry.is_draining());
+        // One that wants no pause may take requests again at any moment.
+        let left: Option<Vec<Duration>> =
+            staying.map(|entry| entry.marks.backoff_left(now)).collect();
+        left?.into_iter().min()
+    }
+
+    /// How long it takes until there is a path again, where engines that want nothing now are
+    /// all that is missing.
+    pub fn path_returns(&self, now: Duration, model: &Model, wish: &Wish<'_>) -> Option<Duration> {
+        let entries = self.entries.values().filter(|entry| entry.target.service == wish.service);
+        let mut ends: Vec<Duration> =
+            entries.filter_map(|entry| entry.marks.backoff_left(now)).collect();
+        ends.sort_unstable();
+        let lacks = |left: &Duration| self.path_at(now, now + *left, model, wish).is_none();
+        let first = ends.partition_point(lacks);
+        ends.get(first).copied()
+    }
+
+    /// Lets a target be used less until a time: it told another VM that it wants nothing.
+    pub fn discourage(&mut self, id: &str, until: Duration) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.discouraged = until;
+        }
+    }
+
+    /// Notes that a request is sent to a target.
+    pub fn sent(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.marks.begin(now);
+        }
+    }
+
+    /// Notes that a target has taken a request.
+    pub fn taken(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.marks.taken(now);
+        }
     }
 
     /// Notes a fault of the target at an address; returns the target when it is newly left out.
@@ -297,7 +417,8 @@
     /// Targets that are to be probed now: those that are left out, and slow ones.
     pub fn take_probes(&mut self, now: Duration) -> Vec<(TargetKey, SocketAddr)> {
         let entries = self.entries.values_mut();
-        let due = entries.filter_map(|entry| {
+        let asked = entries.filter(|entry| !entry.marks.is_backing_off(now));
+        let due = asked.filter_map(|entry| {
             let slow = entry.is_slow() && entry.take_question(now);
             let due = entry.health.take_probe(now) || slow;
             due.then(|| (entry.target.id.clone(), entry.target.address))
@@ -316,6 +437,7 @@
     pub fn take_questions(&mut self, now: Duration, path: &Path) -> Vec<(TargetKey, SocketAddr)> {
         let stages = path.stages.iter().filter(|stage| {
             let entry = self.entries.get_mut(&stage.target);
+            let entry = entry.filter(|entry| !entry.marks.is_backing_off(now));
             entry.is_some_and(|entry| entry.take_question(now))
         });
         stages.map(|stage| (stage.target.clone(), stage.address)).collect()
@@ -349,12 +471,24 @@
 
     /// The best path through the layers of a model.
     pub fn path(&self, now: Duration, model: &Model, wish: &Wish<'_>) -> Option<Path> {
+        self.path_at(now, now, model, wish)
+    }
+
+    /// The best path, if no engine wants a pause any more whose pause ends by `then`.
+    fn path_at(
+        &self,
+        now: Duration,
+        then: Duration,
+        model: &Model,
+        wish: &Wish<'_>,
+    ) -> Option<Path> {
         // VMs that do not tell what they hold count like this one.
         let silent = self.vms.saturating_sub(1 + self.others.len());
         let alike = (1 + silent) as f64;
-        let able = self
-            .able(now, wish)
-            .map(|entry| Able { entry, held: entry.tokens * alike + entry.others });
+        let able = self.able(now, then, wish).map(|entry| {
+            let held = entry.tokens * alike + entry.others;
+            Able { entry, held, discouraged: entry.is_discouraged(now) }
+        });
         let able: Vec<Able<'_>> = able.collect();
         search::search(&able, model, wish.tokens, self.vms)
     }
@@ -363,10 +497,11 @@
     pub fn plain(&self, now: Duration, wish: &Wish<'_>) -> Option<(TargetKey, SocketAddr)> {
         let weight = |entry: &Entry| {
             let remote = if entry.target.domain == self.home { 0.0 } else { REMOTE_WEIGHT };
-            let busy = 1.0 + f64::from(entry.running) + remote;
+            let discouraged = if entry.is_discouraged(now) { DISCOURAGED_WEIGHT } else { 0.0 };
+            let busy = 1.0 + f64::from(entry.running) + remote + discouraged;
             busy * (1.0 + FAILURE_WEIGHT * entry.health.failure_rate())
         };
-        let best = self.able(now, wish).min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
+        let best = self.able(now, now, wish).min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
         Some((best.target.id.clone(), best.target.address))
     }
 
@@ -402,15 +537,16 @@
         }
     }
 
-    /// Targets of a service that takes new work.
+    /// Targets of a service that take new work, as far as they want any by `then`.
     fn able<'a>(
         &'a self,
         now: Duration,
+        then: Duration,
         wish: &'a Wish<'_>,
     ) -> impl Iterator<Item = &'a Entry> + 'a {
         self.entries.values().filter(move |entry| {
             entry.target.service == wish.service
-                && entry.is_usable(now)
+                && entry.is_usable_by(now, then)
                 && !wish.avoid.contains(&entry.target.address)
         })
     }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -6,6 +6,7 @@
 mod bounds;
 mod config;
 mod model;
+mod notice;
 mod report;
 mod route;
 mod target;
@@ -13,6 +14,7 @@
 pub use bounds::{Bounds, Limits};
 pub use config::{Config, Organisation, Service};
 pub use model::{Card, Model};
+pub use notice::Notice;
 pub use report::{Report, Stall};
 pub use route::{Backend, Kind, Route};
 pub use target::{State, Target, TargetKey};
