--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,9 +12,9 @@
 use tokio::time::sleep;
 
 use crate::event::{CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
+use crate::keep::QUARANTINE_PREFIX;
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
 use crate::node::Node;
-use crate::quarantine::QUARANTINE_PREFIX;
 use crate::store::{Reply, Store, undecodable};
 use crate::watch::{Watch, gather_pause};
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod front;
 mod heed;
+mod keep;
 mod lead;
 mod lines;
 mod link;
@@ -35,6 +36,7 @@
 mod store;
 mod stream;
 mod watch;
+mod word;
 
 pub use book::{Book, Next, Outcome, Sent};
 pub use claim::Claim;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -74,9 +74,9 @@
             }
             let Some(fence) = fence else { continue };
             let Some(config) = self.node.config() else { continue };
+            self.settle().await;
             for service in config.services() {
                 if let Some(model) = &service.model {
-                    self.settle().await;
                     let moves = self.plan(service, model);
                     self.give(&moves, model, fence).await;
                 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::event::PEERS;
 use crate::loan::{self, Loan};
 use crate::node::Node;
-use crate::quarantine::Word;
+use crate::word::Word;
 
 /// Shortest interval between messages to one peer.
 const LEAST_INTERVAL: Duration = Duration::from_millis(150);
@@ -88,7 +88,7 @@
         }
         let view = Message::View(view(&node, interval(peers.len()) * 2));
         tell_all(&socket, &view, &peers);
-        let words = node.quarantine.take_words();
+        let words = node.quarantine.words.borrow_mut().take();
         if !words.is_empty() {
             tell_all(&socket, &Message::Suspects(words), &peers);
         }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -25,7 +25,7 @@
 use crate::node::Node;
 use crate::orders::Orders;
 use crate::store::Store;
-use crate::{diagnose, front, loan, peers, quarantine, ready};
+use crate::{diagnose, front, keep, loan, peers, ready};
 
 /// Port of the metrics.
 const METRICS_PORT: u16 = 9464;
@@ -132,7 +132,7 @@
     tokio::task::spawn_local(follower.run());
     tokio::task::spawn_local(keep_presence(node.clone(), store.clone(), leadership.clone()));
     tokio::task::spawn_local(keep_lead(node.clone(), store.clone(), leadership.clone()));
-    tokio::task::spawn_local(quarantine::keep(node.clone(), store.clone()));
+    tokio::task::spawn_local(keep::keep(node.clone(), store.clone()));
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
     tokio::task::spawn_local(peers::tell(node.clone(), socket.clone()));
     tokio::task::spawn_local(peers::hear(node.clone(), socket.clone()));
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -6,15 +6,12 @@
 //! later.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, VecDeque};
-use std::rc::Rc;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::{DomainName, Event, TargetName};
 use hyper::{Response, StatusCode};
 use path::Entry;
-use platform::kv::Write;
-use serde::{Deserialize, Serialize};
 use site::{State, Target, TargetKey};
 use suspect::{
     Answered, Fingerprint, Interruption, Interruptions, Judgement, Loss, Place, Settings, Standing,
@@ -27,10 +24,8 @@
 use crate::call::{Call, hex};
 use crate::event::{CLEARED, CONDEMNED, HELD, REFUSED, SET_ASIDE, SUSPECTED};
 use crate::node::Node;
-use crate::store::{Reply, Store};
+use crate::word::{Finding, Word, Words};
 
-/// Prefix of the keys of condemned requests; the rest is the fingerprint in hexadecimal.
-pub(crate) const QUARANTINE_PREFIX: &str = "magnoliarun/quarantine/";
 /// Why a request is not offered to a target any more.
 pub(crate) const QUARANTINED: &str = "crashed its targets";
 
@@ -39,43 +34,12 @@
 const CONFIRM: Duration = Duration::from_millis(400);
 /// How long losses and condemnations count: callers repeat such a request for minutes. The
 /// longest time to live of the store's leases.
-const TTL: Duration = Duration::from_secs(600);
+pub(crate) const TTL: Duration = Duration::from_secs(600);
 /// Events of an answer on one path after which its request is no suspect any more.
 pub(crate) const CLEAR_EVENTS: u64 = 8;
 /// Time in which the end of an attempt shows whether a target has ended: engines give their
 /// reports within it.
 const CHECK_TIME: Duration = Duration::from_millis(40);
-/// Times that each word is told: datagrams are lost now and then.
-const TELLS: u8 = 3;
-/// Most words in one message.
-const MOST_WORDS: usize = 24;
-/// Most words that wait to be told.
-const MOST_WAITING: usize = 512;
-/// Time over which the nodes' writes of one condemnation spread: most then see the first's.
-const SAVE_SPREAD: Duration = Duration::from_millis(400);
-/// Pause before a write that failed is tried again.
-const SAVE_PAUSE: Duration = Duration::from_millis(500);
-
-/// What one node tells the others of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Word {
-    fingerprint: Fingerprint,
-    finding: Finding,
-}
-
-/// What was found of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum Finding {
-    /// This target was lost under it.
-    Suspected(TargetName),
-    /// It runs after all.
-    Cleared,
-    /// It was answered whole lately: it crashes no target.
-    Answered,
-    /// It is not to be run, as this target and others were lost under it.
-    Condemned(TargetName),
-}
-
 /// What this node knows of such requests.
 pub(crate) struct Quarantine {
     settings: Settings,
@@ -84,12 +48,12 @@
     answered: RefCell<Answered>,
     /// Domains by their dense numbers.
     domains: RefCell<Vec<DomainName>>,
-    /// Words to tell, with the times that are left.
-    words: RefCell<VecDeque<(Word, u8)>>,
+    /// What is to be told to the other nodes.
+    pub(crate) words: RefCell<Words>,
     /// Condemned here, and not yet seen in the store.
-    unsaved: RefCell<BTreeSet<Fingerprint>>,
+    pub(crate) unsaved: RefCell<BTreeSet<Fingerprint>>,
     /// Told when one is added.
-    to_save: Notify,
+    pub(crate) to_save: Notify,
 }
 
 impl Default for Quarantine {
@@ -110,28 +74,10 @@
 }
 
 impl Quarantine {
-    /// Words that are to be told now.
-    pub(crate) fn take_words(&self) -> Vec<Word> {
-        let mut words = self.words.borrow_mut();
-        let due = words.len().min(MOST_WORDS);
-        let told: Vec<(Word, u8)> = words.drain(..due).collect();
-        let again = told.iter().filter(|(_, left)| *left > 1);
-        words.extend(again.map(|(word, left)| (word.clone(), left - 1)));
-        told.into_iter().map(|(word, _)| word).collect()
-    }
-
-    fn tell(&self, word: Word) {
-        let mut words = self.words.borrow_mut();
-        if words.len() == MOST_WAITING {
-            metrics::counter!("magnolia_quarantine_words_untold").increment(1);
-            words.pop_front();
-        }
-        words.push_back((word, TELLS));
-    }
-
     /// Forgets what is over.
     pub(crate) fn expire(&self, now: Duration) {
         self.suspects.borrow_mut().expire(now, &self.settings);
+        self.interruptions.borrow_mut().expire(now);
     }
 
     fn place(&self, domain: Option<&DomainName>) -> Place {
@@ -216,7 +162,7 @@
     fn hold(&self, fingerprint: Fingerprint, held: Held<'_>, fresh: bool) {
         if self.quarantine.answered.borrow().contains(fingerprint) {
             if matches!(held, Held::Told(..)) {
-                self.quarantine.tell(Word { fingerprint, finding: Finding::Answered });
+                self.tell(Word { fingerprint, finding: Finding::Answered });
             }
             return;
         }
@@ -243,11 +189,15 @@
         metrics::counter!("magnolia_requests_suspected").increment(1);
         // That an answer had begun before says little, and is not told.
         if own && fresh {
-            self.quarantine.tell(Word { fingerprint, finding: Finding::Suspected(target) });
+            self.tell(Word { fingerprint, finding: Finding::Suspected(target) });
             self.alarm.notify_one();
         }
     }
 
+    fn tell(&self, word: Word) {
+        self.quarantine.words.borrow_mut().tell(word);
+    }
+
     /// Notes that a request was answered whole. What many callers send is not condemned for what
     /// happens to targets while they do.
     pub(crate) fn answered(&self, fingerprint: Fingerprint) {
@@ -269,7 +219,7 @@
         };
         drop(suspects);
         if own && fresh {
-            self.quarantine.tell(Word { fingerprint, finding });
+            self.tell(Word { fingerprint, finding });
         }
         if had {
             let event = Event::new(CLEARED).with("fingerprint", hex(fingerprint)).with("own", own);
@@ -366,7 +316,7 @@
         self.quarantine.unsaved.borrow_mut().insert(fingerprint);
         self.quarantine.to_save.notify_one();
         for target in targets {
-            self.quarantine.tell(Word { fingerprint, finding: Finding::Condemned(target) });
+            self.tell(Word { fingerprint, finding: Finding::Condemned(target) });
         }
         self.alarm.notify_one();
     }
@@ -388,9 +338,6 @@
             Finding::Cleared | Finding::Answered => {
                 return self.clear(fingerprint, finding, false);
             }
-            Finding::Condemned(_) if self.quarantine.answered.borrow().contains(fingerprint) => {
-                return self.quarantine.tell(Word { fingerprint, finding: Finding::Answered });
-            }
             Finding::Condemned(target) => {
                 self.quarantine.suspects.borrow_mut().settle(&target);
                 return self.condemned(fingerprint, &[target], "told");
@@ -409,8 +356,11 @@
         self.condemned(fingerprint, &[], "store");
     }
 
-    /// Takes it from elsewhere that a request is not to be run.
+    /// Takes it from elsewhere that a request is not to be run, unless it was answered here.
     fn condemned(&self, fingerprint: Fingerprint, targets: &[TargetName], source: &str) {
+        if self.quarantine.answered.borrow().contains(fingerprint) {
+            return self.tell(Word { fingerprint, finding: Finding::Answered });
+        }
         let now = self.now();
         let known = matches!(self.standing(fingerprint, now), Standing::Condemned(_));
         self.quarantine.suspects.borrow_mut().condemn(fingerprint, now + TTL);
@@ -419,31 +369,3 @@
         }
     }
 }
-
-/// Keeps condemnations in the store, for good.
-pub(crate) async fn keep(node: Rc<Node>, store: Rc<Store>) {
-    loop {
-        let next = node.quarantine.unsaved.borrow().first().copied();
-        let Some(fingerprint) = next else {
-            node.quarantine.to_save.notified().await;
-            continue;
-        };
-        sleep(SAVE_SPREAD.mul_f64(node.luck())).await;
-        if !node.quarantine.unsaved.borrow().contains(&fingerprint) {
-            continue;
-        }
-        if save(&store, fingerprint).await {
-            node.quarantine.unsaved.borrow_mut().remove(&fingerprint);
-        } else {
-            sleep(SAVE_PAUSE).await;
-        }
-    }
-}
-
-/// Writes a condemnation; whether the store has it then.
-async fn save(store: &Store, fingerprint: Fingerprint) -> bool {
-    let Some(lease) = store.lease(TTL).await else { return false };
-    let key = format!("{QUARANTINE_PREFIX}{}", hex(fingerprint));
-    let write = Write { key: &key, expected: Some(0), value: b"", lease: lease.id };
-    matches!(store.write(write).await, Reply::Done(_) | Reply::Conflict)
-}
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -3,8 +3,8 @@
 mod entry;
 
 use std::net::SocketAddr;
-use std::thread::{JoinHandle, sleep};
-use std::time::Duration;
+use std::thread::{JoinHandle, sleep, spawn};
+use std::time::{Duration, Instant};
 
 use entry::{Entry, text};
 use platform_standin::{
@@ -384,3 +384,35 @@
         assert!(site.platform.wait(Duration::from_secs(3), served), "{body} is served");
     }
 }
+
+// Guards against a request that many callers send being condemned for losses of targets that it
+// did not cause.
+#[test]
+fn request_of_many_callers_is_served_after_losses_of_engines() {
+    let site = Site::start(59, 2, &Document { attempts: 4, ..Document::default() });
+    let until = Instant::now() + Duration::from_secs(4);
+    let call = |number: usize| {
+        let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
+        spawn(move || {
+            for turn in 0.. {
+                if Instant::now() > until {
+                    break;
+                }
+                let id = format!("m{number}-{turn}");
+                ask(fronts[(number + turn) % 2], &Ask::new(Route::Resumable, &id));
+            }
+        })
+    };
+    let callers: Vec<JoinHandle<()>> = (0..16).map(call).collect();
+    let mut lost = site.engines.iter().cycle();
+    while Instant::now() < until {
+        sleep(Duration::from_millis(120));
+        site.platform.restart(*lost.next().expect("engines"));
+    }
+    for caller in callers {
+        caller.join().expect("a caller ends");
+    }
+    for node in 0..2 {
+        assert!(site.serves(node, None), "node {node} serves");
+    }
+}
--- /dev/null
+++ b/crates/path/src/entry.rs
@@ -0,0 +1,128 @@
+//! One target as this VM sees it.
+
+use std::time::Duration;
+
+use fleet::Layers;
+use site::{State, Target};
+
+use crate::health::Health;
+use crate::mark::Marks;
+
+/// Shortest interval at which one VM asks an engine for its report.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(600);
+/// Streams that must pause before their first engine is in doubt: one alone may wait for a
+/// long prompt.
+const DOUBTFUL_STREAMS: u32 = 3;
+/// Pace from which an engine counts as slow: reports scatter around 1.
+const SLOW: f64 = 1.5;
+
+/// A target and what was seen of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it registered.
+    pub target: Target,
+    /// Layers that it holds, by its newest report or entry.
+    pub layers: Option<Layers>,
+    /// Orders that it has accepted since its start; `None` when that is not known.
+    pub orders: Option<u64>,
+    /// When the store or an answer to an order last told of a change of these two.
+    pub(crate) changed: Duration,
+    /// Time of its work relative to the usual; above 1 it is slow.
+    pub pace: f64,
+    /// When its report was last asked for.
+    pub(crate) asked: Duration,
+    /// What was seen.
+    pub health: Health,
+    /// What it said that it wants.
+    pub marks: Marks,
+    /// Until when it is used less, as it told another VM that it wants nothing.
+    pub(crate) discouraged: Duration,
+    /// Requests of this VM that it runs.
+    pub running: u32,
+    /// Tokens of memory that requests of this VM hold there.
+    pub tokens: f64,
+    /// Tokens of memory that requests of other VMs hold there, as far as they tell.
+    pub(crate) others: f64,
+    /// Tokens of prompts of this VM that are being read there.
+    pub reading: f64,
+    /// Streams of this VM that began at this engine.
+    pub streams: u32,
+    /// Streams that began at this engine and pause.
+    pub silent: u32,
+    /// Time at which an entry that is missing from the store counts as gone.
+    pub(crate) gone_at: Option<Duration>,
+}
+
+impl Entry {
+    /// A target that nothing was seen of yet.
+    pub(crate) fn new(target: Target) -> Self {
+        Self {
+            layers: target.layers,
+            orders: orders(&target),
+            changed: Duration::ZERO,
+            pace: 1.0,
+            asked: Duration::ZERO,
+            health: Health::default(),
+            marks: Marks::default(),
+            discouraged: Duration::ZERO,
+            running: 0,
+            tokens: 0.0,
+            others: 0.0,
+            reading: 0.0,
+            streams: 0,
+            silent: 0,
+            gone_at: None,
+            target,
+        }
+    }
+
+    /// Whether it runs layers of a model.
+    pub fn is_engine(&self) -> bool {
+        !self.target.card.is_empty()
+    }
+
+    /// Whether it works much slower than usual.
+    pub fn is_slow(&self) -> bool {
+        self.pace > SLOW
+    }
+
+    /// Whether most of the streams that began here pause: an engine of their path may be lost.
+    pub fn is_doubtful(&self) -> bool {
+        self.silent >= DOUBTFUL_STREAMS && self.silent * 2 > self.streams
+    }
+
+    /// Whether its report may be asked for; not again for a while.
+    pub(crate) fn take_question(&mut self, now: Duration) -> bool {
+        let due = now.saturating_sub(self.asked) >= QUESTION_INTERVAL;
+        if due {
+            self.asked = now;
+        }
+        due
+    }
+
+    /// Whether requests may be sent.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        self.is_usable_by(now, now)
+    }
+
+    /// Whether requests may be sent, as far as it wants any by `then`.
+    pub(crate) fn is_usable_by(&self, now: Duration, then: Duration) -> bool {
+        !self.is_draining() && self.marks.is_usable(then) && self.health.is_usable(now)
+    }
+
+    /// Whether it is to be used less, by another VM's word.
+    pub fn is_discouraged(&self, now: Duration) -> bool {
+        now < self.discouraged
+    }
+
+    /// Whether it is leaving, by its entry or its own word.
+    pub fn is_draining(&self) -> bool {
+        self.target.state == State::Draining || self.marks.is_draining()
+    }
+}
+
+/// Orders that a target has accepted when it registers. An engine that holds layers was
+/// ordered before this node knew it.
+pub(crate) fn orders(target: &Target) -> Option<u64> {
+    target.layers.is_none().then_some(0)
+}
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -5,13 +5,15 @@
 //! process began.
 
 mod budget;
+mod entry;
 mod health;
 mod mark;
 mod search;
 mod table;
 
 pub use budget::Budget;
+pub use entry::Entry;
 pub use health::{Fault, Health};
 pub use mark::Marks;
 pub use search::{Path, Stage};
-pub use table::{Entry, Table, Wish};
+pub use table::{Table, Wish};
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -9,7 +9,7 @@
 use fleet::{Layer, Layers};
 use site::{Model, TargetKey};
 
-use crate::table::Entry;
+use crate::entry::Entry;
 
 /// Cost of passing from one failure domain to another, seconds. The activations of a prompt
 /// hold up every stream on the link, so that a whole path elsewhere is always better, even
--- a/crates/suspect/src/interruption.rs
+++ b/crates/suspect/src/interruption.rs
@@ -42,6 +42,11 @@
         self.recent.push_back(interruption);
     }
 
+    /// Forgets those that ended too long ago.
+    pub fn expire(&mut self, now: Duration) {
+        self.recent.retain(|one| now.saturating_sub(one.ended) <= WINDOW);
+    }
+
     /// When an attempt at a request ended last of which no target is known to be lost.
     pub fn last_ended(&self, fingerprint: Fingerprint) -> Option<Duration> {
         let own = self.recent.iter().rev().find(|one| one.fingerprint == fingerprint);
@@ -51,7 +56,7 @@
     /// Takes the attempts that the loss of a target, seen at `now`, can have ended. Each counts
     /// for one loss only, and not for one that was seen before it was sent.
     pub fn take(&mut self, now: Duration, target: &str) -> Vec<Interruption> {
-        self.recent.retain(|one| now.saturating_sub(one.ended) <= WINDOW);
+        self.expire(now);
         let ended =
             |one: &Interruption| one.begun <= now && one.targets.iter().any(|name| name == target);
         let (taken, kept): (Vec<_>, Vec<_>) = self.recent.drain(..).partition(ended);
