--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -126,6 +126,8 @@
             log::info!("{}", event.with("age_ms", age.as_millis()));
         }
         self.node.synced.set(Some(before.max(at)));
+        let window = self.node.settings.bounds.retry_window;
+        self.node.sharers.borrow_mut().known(at, window);
     }
 
     fn drop_missing(&mut self, seen: &HashSet<String>, revision: Revision) {
@@ -171,6 +173,7 @@
         let addresses = self.nodes.iter().filter_map(|name| name.parse().ok());
         let peers: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
         self.node.table.borrow_mut().vms = peers.len() + 1;
+        self.node.sharers.borrow_mut().set(self.node.now(), peers.iter().copied().collect());
         *self.node.peers.borrow_mut() = peers;
     }
 
--- a/crates/edge/src/loan.rs
+++ b/crates/edge/src/loan.rs
@@ -109,7 +109,7 @@
         }
         for (service, count) in wanted {
             let nodes = some_peers(&node);
-            let question = node.loans.questions.borrow_mut().ask(&service, &nodes);
+            let question = node.loans.questions.borrow_mut().ask(node.now(), &service, &nodes);
             let retries = count.div_ceil(COVERING_NODES);
             let message = Message::Want(Loan { service, retries, question });
             nodes.into_iter().for_each(|peer| send(&socket, &message, peer));
@@ -135,9 +135,9 @@
 
 /// Takes retries that another node has lent.
 pub(crate) fn lent(node: &Node, from: SocketAddr, loan: &Loan) {
-    let expected = node.loans.questions.borrow_mut().answered(&loan.service, loan.question, from);
-    if expected {
-        node.borrow_retries(&loan.service, loan.retries);
+    let asked = node.loans.questions.borrow_mut().answered(&loan.service, loan.question, from);
+    if let Some(asked) = asked {
+        node.borrow_retries(&loan.service, asked, loan.retries);
         metrics::counter!("magnolia_retries_borrowed").increment(u64::from(loan.retries));
         node.loans.lent.notify_waiters();
     }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fleet::Event;
-use path::{Budget, Entry, Fault, Table};
+use path::{Budget, Entry, Fault, Share, Sharers, Table};
 use platform::Settings;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -46,6 +46,8 @@
     pub(crate) table: RefCell<Table>,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) budgets: RefCell<HashMap<SmolStr, Budget>>,
+    /// Who else spends retries.
+    pub(crate) sharers: RefCell<Sharers>,
     pub(crate) loans: Loans,
     /// Requests that crash their targets.
     pub(crate) quarantine: Quarantine,
@@ -89,6 +91,7 @@
             clock,
             config: RefCell::default(),
             budgets: RefCell::default(),
+            sharers: RefCell::default(),
             loans: Loans::default(),
             quarantine: Quarantine::default(),
             claim: RefCell::default(),
@@ -265,22 +268,23 @@
 
     /// Gives away up to `asked` retries of this node's part; returns how many.
     pub(crate) fn lend_retries(&self, service: &SmolStr, asked: u32) -> u32 {
-        self.budget(service, |budget, now, bounds, vms| budget.lend(now, bounds, vms, asked))
+        self.budget(service, |budget, now, bounds, share| budget.lend(now, bounds, share, asked))
     }
 
-    /// Takes retries that another node has lent.
-    pub(crate) fn borrow_retries(&self, service: &SmolStr, retries: u32) {
-        self.budget(service, |budget, now, _, _| budget.borrow(now, retries));
+    /// Takes retries that another node has lent, for which it was asked at `asked`.
+    pub(crate) fn borrow_retries(&self, service: &SmolStr, asked: Duration, retries: u32) {
+        self.budget(service, |budget, _, _, _| budget.borrow(asked, retries));
     }
 
     fn budget<T>(
         &self,
         service: &SmolStr,
-        with: impl FnOnce(&mut Budget, Duration, &Bounds, usize) -> T,
+        with: impl FnOnce(&mut Budget, Duration, &Bounds, Share) -> T,
     ) -> T {
-        let vms = self.table.borrow().vms;
+        let (now, bounds) = (self.now(), &self.settings.bounds);
+        let share = self.sharers.borrow_mut().share(now, bounds.retry_window);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        with(budget, self.now(), &self.settings.bounds, vms)
+        with(budget, now, bounds, share)
     }
 }
--- a/crates/edge/src/question.rs
+++ b/crates/edge/src/question.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use smol_str::SmolStr;
 
@@ -15,22 +16,25 @@
 #[derive(Debug)]
 struct Question {
     number: u64,
+    asked_at: Duration,
     asked: HashSet<SocketAddr>,
 }
 
 impl Questions {
     /// Numbers a new question to `nodes`; answers to the one before it on the same subject no
     /// longer count.
-    pub fn ask(&mut self, subject: &SmolStr, nodes: &[SocketAddr]) -> u64 {
+    pub fn ask(&mut self, now: Duration, subject: &SmolStr, nodes: &[SocketAddr]) -> u64 {
         self.newest += 1;
-        let question = Question { number: self.newest, asked: nodes.iter().copied().collect() };
+        let asked = nodes.iter().copied().collect();
+        let question = Question { number: self.newest, asked_at: now, asked };
         self.open.insert(subject.clone(), question);
         self.newest
     }
 
-    /// Whether an answer counts: it is the node's first to the newest question.
-    pub fn answered(&mut self, subject: &str, number: u64, node: SocketAddr) -> bool {
-        let question = self.open.get_mut(subject).filter(|question| question.number == number);
-        question.is_some_and(|question| question.asked.remove(&node))
+    /// When the question of an answer that counts was asked: the answer is the node's first to the
+    /// newest question.
+    pub fn answered(&mut self, subject: &str, number: u64, node: SocketAddr) -> Option<Duration> {
+        let question = self.open.get_mut(subject).filter(|question| question.number == number)?;
+        question.asked.remove(&node).then_some(question.asked_at)
     }
 }
--- a/crates/path/src/budget.rs
+++ b/crates/path/src/budget.rs
@@ -5,21 +5,20 @@
 
 use site::Bounds;
 
+use crate::sharers::Share;
+
 /// Slots that a window is divided into.
 const SLOTS: u32 = 20;
 
-/// Part of the budget that is spent. The rest covers what this VM cannot know: VMs that
-/// stopped and are counted again as others, and windows that slide between the slots.
+/// Part of the budget that is spent. The rest covers requests that other VMs count as well: their
+/// callers went there when a VM ended, and this is known only later.
 const SPENT_PART: f64 = 0.8;
 
-/// Windows after its start in which a VM takes nothing of the extra.
-const YOUNG: f64 = 0.5;
-
 /// Part of what is left that a VM lends at once: the rest is for its own streams.
 const LENT_PART: f64 = 0.5;
 
-/// How long a borrowed retry may be used. The lender has counted it when it lent it, so that it
-/// must fall into about the same window.
+/// How long after it was asked for a borrowed retry may be used: the lender counts it for so much
+/// longer.
 const LOAN_TIME: Duration = Duration::from_millis(200);
 
 /// Counts requests and retries of one service in a sliding window.
@@ -41,7 +40,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Slot {
-    number: u64,
+    begins: Duration,
     requests: u32,
     retries: u32,
 }
@@ -52,11 +51,9 @@
         self.slot(now, bounds).requests += 1;
     }
 
-    /// Takes one retry out of this VM's share, or one that it has borrowed, if any is left. `vms`
-    /// share the extra. A VM that has just started has a part of it only: the one that it
-    /// replaces may have spent the rest.
-    pub fn retry(&mut self, now: Duration, bounds: &Bounds, vms: usize) -> bool {
-        if self.left(now, bounds, vms) >= 1.0 {
+    /// Takes one retry out of this VM's share, or one that it has borrowed, if any is left.
+    pub fn retry(&mut self, now: Duration, bounds: &Bounds, share: Share) -> bool {
+        if self.left(now, bounds, share) >= 1.0 {
             self.slot(now, bounds).retries += 1;
             return true;
         }
@@ -67,38 +64,40 @@
     }
 
     /// Gives away up to `asked` retries of this VM's share; returns how many.
-    pub fn lend(&mut self, now: Duration, bounds: &Bounds, vms: usize, asked: u32) -> u32 {
-        let spare = self.left(now, bounds, vms) * LENT_PART;
+    pub fn lend(&mut self, now: Duration, bounds: &Bounds, share: Share, asked: u32) -> u32 {
+        let spare = self.left(now, bounds, share) * LENT_PART;
         let lent = asked.min(spare.max(0.0) as u32);
         self.slot(now, bounds).retries += lent;
         lent
     }
 
-    /// Takes retries that another VM has lent.
-    pub fn borrow(&mut self, now: Duration, retries: u32) {
-        self.loans.push_back(Loan { retries, until: now + LOAN_TIME });
+    /// Takes retries that another VM has lent, for which it was asked at `asked`.
+    pub fn borrow(&mut self, asked: Duration, retries: u32) {
+        self.loans.push_back(Loan { retries, until: asked + LOAN_TIME });
     }
 
     /// Retries that are left of this VM's share; below 0 when its share has shrunk.
-    fn left(&mut self, now: Duration, bounds: &Bounds, vms: usize) -> f64 {
+    fn left(&mut self, now: Duration, bounds: &Bounds, share: Share) -> f64 {
+        let window = bounds.retry_window;
         self.slot(now, bounds);
-        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
+        let within = self.slots.iter().filter(|slot| slot.begins + window >= now);
+        let requests: u32 = within.map(|slot| slot.requests).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
-        let age = now.as_secs_f64() / bounds.retry_window.as_secs_f64();
-        let part = (age - YOUNG).clamp(0.0, 1.0);
-        let extra = bounds.retry_extra / vms.max(1) as f64 * part;
-        let allowed = SPENT_PART * (bounds.retry_share * f64::from(requests) + extra);
-        allowed - f64::from(retries)
+        let allowed = bounds.retry_share * f64::from(requests) * share.requests
+            + bounds.retry_extra * share.extra;
+        SPENT_PART * allowed - f64::from(retries)
     }
 
+    /// The slot of this moment. Those are kept that may hold a retry, or the use of a loan, within
+    /// the window.
     fn slot(&mut self, now: Duration, bounds: &Bounds) -> &mut Slot {
         let length = bounds.retry_window / SLOTS;
-        let number = (now.as_nanos() / length.as_nanos().max(1)) as u64;
-        while self.slots.front().is_some_and(|slot| slot.number + u64::from(SLOTS) <= number) {
+        let kept = bounds.retry_window + length + LOAN_TIME;
+        while self.slots.front().is_some_and(|slot| slot.begins + kept < now) {
             self.slots.pop_front();
         }
-        if self.slots.back().is_none_or(|slot| slot.number < number) {
-            self.slots.push_back(Slot { number, requests: 0, retries: 0 });
+        if self.slots.back().is_none_or(|slot| slot.begins + length <= now) {
+            self.slots.push_back(Slot { begins: now, requests: 0, retries: 0 });
         }
         let last = self.slots.len() - 1;
         &mut self.slots[last]
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -9,6 +9,7 @@
 mod health;
 mod mark;
 mod search;
+mod sharers;
 mod table;
 
 pub use budget::Budget;
@@ -16,4 +17,5 @@
 pub use health::{Fault, Health};
 pub use mark::Marks;
 pub use search::{Path, Stage};
+pub use sharers::{Share, Sharers};
 pub use table::{Table, Wish};
