--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -145,6 +145,12 @@
         });
     }
 
+    /// Whether a path has an engine that is known to have ended without a word before.
+    pub(crate) fn is_lost(&self, path: &Path) -> bool {
+        let table = self.table.borrow();
+        path.stages.iter().any(|stage| table.is_lost(&stage.target))
+    }
+
     /// Whether a path has an engine that is left out.
     pub(crate) fn is_broken(&self, path: &Path) -> bool {
         let table = self.table.borrow();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod offer;
 mod orders;
 mod others;
+mod part;
 mod peers;
 mod plain;
 mod process;
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
-use path::{Fault, Path, Wish};
+use path::{Fault, Path, Stage, Wish};
 use site::{Model, TargetKey};
 use tokio::pin;
 use tokio::time::{Instant, timeout};
@@ -18,11 +18,12 @@
 use crate::event::RETRIED;
 use crate::link::{Connection, Unanswered};
 use crate::node::Node;
+use crate::part::Part;
 use crate::quarantine::QUARANTINED;
 use crate::reply::{is_not_run, is_of, log_failure, whole};
 use crate::silence::STUCK;
 
-/// Most paths that a request is offered to.
+/// Most paths that a request is offered to before it is answered, or goes on.
 const MOST_OFFERS: u32 = 5;
 /// Share of an engine's memory beyond which new requests are turned away.
 const MOST_PRESSURE: f64 = 1.0;
@@ -30,6 +31,8 @@
 pub(crate) const NO_PATH: &str = "no path";
 /// Why a request is not offered to another path though there is one.
 pub(crate) const NO_RETRY: &str = "no retry left";
+/// Why a stream does not go on though there is a path: it may run at no further engine.
+const NO_ATTEMPT: &str = "no attempt left";
 /// A refusal that took this long came after the engine had hung.
 const HUNG: Duration = Duration::from_millis(800);
 
@@ -102,10 +105,17 @@
 }
 
 impl Closed {
+    /// Whether another try soon may find a path. One without a retry left is not helped by
+    /// waiting: its caller goes on at another node.
+    pub(crate) fn may_pass(&self) -> bool {
+        matches!(self, Closed::NotRun(reason) if *reason != NO_RETRY && *reason != QUARANTINED)
+    }
+
     /// How a stream ends that cannot be resumed for this reason.
     pub(crate) fn cut(&self) -> &'static str {
         match self {
             Closed::NotRun(NO_RETRY) => "cut, no retry left",
+            Closed::NotRun(NO_ATTEMPT) => "cut, no attempt left",
             Closed::NotRun(_) => "cut, no other path",
             Closed::Unknown => "cut, lost on other paths too",
             Closed::Failed(_) => "cut, another target failed",
@@ -146,8 +156,10 @@
     model: Arc<Model>,
     avoid: Vec<SocketAddr>,
     pub(crate) offers: u32,
-    /// Offers that may have run at an engine that goes on living.
-    pub(crate) ran: u32,
+    /// Engines at which it may have run: the first ones of the paths that took it.
+    ran: Vec<Stage>,
+    /// The part of the stream that goes on if no other path takes it.
+    pub(crate) held: Option<Part>,
     /// Share of memory taken on the best path that was found last.
     pub(crate) pressure: f64,
 }
@@ -155,28 +167,59 @@
 impl Run {
     /// A request that has not been offered yet.
     pub(crate) fn new(node: &Rc<Node>, call: Rc<Call>, model: Arc<Model>) -> Self {
-        let (avoid, offers, ran, pressure) = (Vec::new(), 0, 0, 0.0);
-        Self { node: node.clone(), call, model, avoid, offers, ran, pressure }
+        Self {
+            node: node.clone(),
+            call,
+            model,
+            avoid: Vec::new(),
+            offers: 0,
+            ran: Vec::new(),
+            held: None,
+            pressure: 0.0,
+        }
+    }
+
+    /// Notes that the request may have run at the first engine of a path, and that it is to go
+    /// elsewhere.
+    pub(crate) fn has_run(&mut self, path: &Path) {
+        let first = path.first();
+        if !self.ran.iter().any(|other| other.target == first.target) {
+            self.ran.push(first.clone());
+        }
+        // With every engine of the path in use, only the one that cut can be at fault.
+        if !self.node.is_broken(path) {
+            self.avoid.push(first.address);
+        }
     }
 
-    /// Leaves a target out of the paths of this request, if there is another.
-    pub(crate) fn avoid(&mut self, address: SocketAddr) {
-        self.avoid.push(address);
+    /// Whether the request has run at as many engines as it may. Those that have failed do not
+    /// count, those that left as planned do.
+    fn is_spent(&self) -> bool {
+        let table = self.node.table.borrow();
+        let living = self.ran.iter().filter(|stage| !table.has_failed(&stage.target));
+        living.count() >= self.call.attempts as usize
     }
 
     /// The best path now. A stream that was cut goes on at a target that cut it before rather
-    /// than not at all.
-    fn path(&self, now: Duration, resumes: bool) -> Option<Path> {
-        let find = |avoid: &[SocketAddr]| {
-            let wish = Wish { service: &self.call.service, avoid, tokens: self.call.tokens };
+    /// than not at all; one that has run at as many engines as it may begins at one of them.
+    fn path(&self, now: Duration, resumes: bool) -> Result<Path, &'static str> {
+        let find = |avoid: &[SocketAddr], first: Option<&[SocketAddr]>| {
+            let (service, tokens) = (&self.call.service, self.call.tokens);
+            let wish = Wish { service, avoid, first, tokens };
             self.node.table.borrow().path(now, &self.model, &wish)
         };
-        find(&self.avoid).or_else(|| if resumes { find(&[]) } else { None })
+        if resumes && self.is_spent() {
+            let before: Vec<SocketAddr> = self.ran.iter().map(|stage| stage.address).collect();
+            return find(&self.avoid, Some(&before)).ok_or(NO_ATTEMPT);
+        }
+        let path = find(&self.avoid, None);
+        path.or_else(|| if resumes { find(&[], None) } else { None }).ok_or(NO_PATH)
     }
 
     /// How long it takes until there is a path, if pauses of engines are all that is missing.
     pub(crate) fn path_returns(&self) -> Option<Duration> {
-        let wish = Wish { service: &self.call.service, avoid: &[], tokens: self.call.tokens };
+        let (service, tokens) = (&self.call.service, self.call.tokens);
+        let wish = Wish { service, avoid: &[], first: None, tokens };
         self.node.table.borrow().path_returns(self.node.now(), &self.model, &wish)
     }
 
@@ -186,16 +229,23 @@
         let mut unknown = false;
         let mut failure = None;
         let mut reason = NO_PATH;
+        let most = self.offers + MOST_OFFERS;
         loop {
             let now = self.node.now();
-            if now >= self.call.ends || self.offers >= MOST_OFFERS {
+            if now >= self.call.ends || self.offers >= most {
                 break;
             }
             if self.node.admit(&self.call).await.is_err() {
                 reason = QUARANTINED;
                 break;
             }
-            let Some(path) = self.path(now, last_event.is_some()) else { break };
+            let path = match self.path(now, last_event.is_some()) {
+                Ok(path) => path,
+                Err(lacks) => {
+                    reason = lacks;
+                    break;
+                }
+            };
             self.pressure = path.pressure;
             if path.pressure > MOST_PRESSURE && last_event.is_none() {
                 reason = "full";
@@ -216,7 +266,9 @@
             }
             self.offers += 1;
             let first = path.first().clone();
-            let offered = self.offer(path, last_event).await;
+            // An engine is not to run the same request twice at a time.
+            self.held.take_if(|held| held.path().first().address == first.address);
+            let offered = self.offer(path.clone(), last_event).await;
             if let Some((reason, ran)) = offered.failure() {
                 // A later engine of the path can be the one that refused.
                 let target = match &offered {
@@ -230,16 +282,16 @@
                 Offered::NotRun(_) => continue,
                 Offered::Hangs => {
                     unknown = true;
-                    self.ran += 1;
+                    self.has_run(&path);
                 }
                 Offered::Unknown => {
                     unknown = true;
-                    self.ran += 1;
-                    self.avoid(first.address);
+                    self.has_run(&path);
+                    self.avoid.push(first.address);
                 }
                 Offered::Failed(response) => {
-                    self.ran += 1;
-                    self.avoid(first.address);
+                    self.has_run(&path);
+                    self.avoid.push(first.address);
                     failure = Some(response);
                 }
                 Offered::TimedOut => {
@@ -247,7 +299,7 @@
                     break;
                 }
             }
-            if !idempotent || self.ran >= self.call.attempts {
+            if !idempotent || last_event.is_none() && self.is_spent() {
                 break;
             }
         }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -75,7 +75,7 @@
             quarantined = Some(left);
             break;
         }
-        let wish = Wish { service: &call.service, avoid: &avoid, tokens: 0.0 };
+        let wish = Wish { service: &call.service, avoid: &avoid, first: None, tokens: 0.0 };
         let picked = node.table.borrow().plain(node.now(), &wish);
         let Some((target, address)) = picked else { break };
         let again = offers > 0;
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -3,129 +3,56 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use site::Kind;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 use crate::answer::Broken;
 use crate::event::ANSWERED;
-use crate::node::Node;
-use crate::offer::{Open, Run};
-use crate::quarantine::CLEAR_EVENTS;
-use crate::silence::{Silence, Verdict};
-use crate::split::Splitter;
+use crate::offer::{Closed, Open, Run};
+use crate::part::{Ended, Part, Progress};
 
-/// A stream counted at the first engine of its path while its events are passed on.
-struct Flow<'a> {
-    node: &'a Node,
-    first: &'a str,
-    silent: bool,
-}
-
-impl<'a> Flow<'a> {
-    fn begin(node: &'a Node, first: &'a str) -> Self {
-        node.table.borrow_mut().stream(first, 1, 0);
-        Self { node, first, silent: false }
-    }
-
-    /// Notes whether the stream pauses.
-    fn set_silent(&mut self, silent: bool) {
-        if silent != self.silent {
-            self.silent = silent;
-            let change = if silent { 1 } else { -1 };
-            self.node.table.borrow_mut().stream(self.first, 0, change);
-        }
-    }
-}
-
-impl Drop for Flow<'_> {
-    fn drop(&mut self) {
-        self.set_silent(false);
-        self.node.table.borrow_mut().stream(self.first, -1, 0);
-    }
-}
+/// How long a path is sought for a stream that has none: callers wait two seconds for an event.
+const SEEK_TIME: Duration = Duration::from_millis(1000);
+/// Pause between two tries.
+const SEEK_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How a part of a stream ended.
-enum Ended {
-    Complete,
-    /// The engines do not go on.
-    Cut,
-    /// The caller has gone.
-    Left,
-    TimedOut,
+/// How a stream goes on.
+enum Next {
+    /// Along another path.
+    Moved(Open),
+    /// Along the path that it had.
+    Held(Part),
 }
 
-/// What was passed on so far.
-#[derive(Default)]
-struct Progress {
-    last: Option<u64>,
-    events: u64,
-    first_at: Option<Duration>,
-    last_at: Duration,
-    /// Longest pause between events.
-    pause: Duration,
-    /// When the event after the longest pause came.
-    pause_at: Duration,
-    /// Engines of the path that was taken last.
-    path: String,
-}
-
-impl Progress {
-    /// Notes an event that was passed on.
-    fn note(&mut self, id: Option<u64>, now: Duration) {
-        if self.first_at.is_some() {
-            let pause = now.saturating_sub(self.last_at);
-            if pause > self.pause {
-                self.pause = pause;
-                self.pause_at = now;
-            }
-        }
-        self.first_at.get_or_insert(now);
-        self.last_at = now;
-        self.last = id.or(self.last);
-        self.events += 1;
-    }
-}
-
-/// Passes events on until the stream is complete, from other paths where one is cut.
-pub(crate) async fn pump(mut run: Run, mut open: Open, sender: Sender<Result<Bytes, Broken>>) {
+/// Passes events on until the stream is complete, from other paths where one is cut or stops.
+pub(crate) async fn pump(mut run: Run, open: Open, sender: Sender<Result<Bytes, Broken>>) {
     let mut progress = Progress::default();
     let mut moves = 0;
+    let mut part = Part::new(&run.node, open, 0);
+    let mut taken = part.path().to_string();
     let outcome = loop {
-        let path = open.running.path.clone();
-        progress.path = path.to_string();
-        let (begun, before) = (open.running.begun, progress.events);
-        let part = pass_on(&run, open, &sender, &mut progress).await;
-        let resumable = matches!(run.call.kind, Kind::Stream { resumable: true });
-        match part {
+        let ended = part.pass_on(&run, &sender, &mut progress).await;
+        match ended {
             Ended::Complete => break "complete",
             Ended::Left => break "caller left",
             Ended::TimedOut => break "timed out",
-            Ended::Cut => run.interrupted(&path, begun, progress.events == before),
+            Ended::Cut | Ended::Stopped => {}
         }
-        if !resumable {
-            break "cut";
-        }
-        moves += 1;
-        // A target that has ended does not count among those that ran the request.
-        if !run.node.table.borrow().has_failed(&path.first().target) {
-            run.ran += 1;
-            // With every engine of the path in use, only the one that cut can be at fault.
-            if !run.node.is_broken(&path) {
-                run.avoid(path.first().address);
-            }
-        }
-        if run.ran >= run.call.attempts {
-            break "cut, no attempt left";
-        }
-        open = tokio::select! {
-            opened = run.open(progress.last) => match opened {
-                Ok(open) => open,
-                Err(closed) => break closed.cut(),
-            },
+        let next = tokio::select! {
+            next = go_on(&mut run, part, ended, &progress) => next,
             () = sender.closed() => break "caller left",
         };
+        part = match next {
+            Ok(Next::Held(part)) => part,
+            Ok(Next::Moved(open)) => {
+                moves += 1;
+                let part = Part::new(&run.node, open, progress.events);
+                taken = part.path().to_string();
+                part
+            }
+            Err(closed) => break closed.cut(),
+        };
     };
     if !matches!(outcome, "complete" | "caller left") {
         // A caller that has gone meanwhile needs no word.
@@ -144,7 +71,7 @@
         .with("first_ms", progress.first_at.map_or(0, since))
         .with("pause_ms", progress.pause.as_millis())
         .with("pause_at_ms", since(progress.pause_at))
-        .with("path", &progress.path)
+        .with("path", &taken)
         .with("ms", since(node.now()));
     log::info!("{event}");
     metrics::counter!("magnolia_streams", "outcome" => outcome).increment(1);
@@ -155,79 +82,42 @@
     }
 }
 
-/// Passes on the events of one path.
-async fn pass_on(
-    run: &Run,
-    open: Open,
-    sender: &Sender<Result<Bytes, Broken>>,
-    progress: &mut Progress,
-) -> Ended {
-    let Open { response, connection, running } = open;
-    let mut body = response.into_body();
-    let mut splitter = Splitter::default();
-    let node = &run.node;
-    let ends = run.ends();
-    let mut silence = Silence::new(node.now());
-    let first = running.path.first().target.clone();
-    let mut flow = Flow::begin(node, &first);
-    let clear_at = progress.events + CLEAR_EVENTS;
+/// Lets a stream go on whose part has ended: along another path, or along the one it has if that
+/// has only stopped and there is no other.
+async fn go_on(
+    run: &mut Run,
+    part: Part,
+    ended: Ended,
+    progress: &Progress,
+) -> Result<Next, Closed> {
+    let Kind::Stream { resumable } = run.call.kind else { return Err(Closed::Unknown) };
+    let (path, begun, fresh) = (part.path().clone(), part.begun(), part.is_fresh(progress));
+    run.has_run(&path);
+    if ended == Ended::Stopped {
+        run.held = Some(part);
+    }
+    let until = run.node.now() + SEEK_TIME;
     loop {
-        let frame = tokio::select! {
-            frame = body.frame() => frame,
-            () = sender.closed() => return Ended::Left,
-            () = sleep_until(ends) => return Ended::TimedOut,
-            () = node.changed.notified() => {
-                if silence.learn(node.now(), node.is_broken(&running.path)) {
-                    return Ended::Cut;
-                }
-                continue;
-            }
-            () = sleep(silence.look_at().saturating_sub(node.now())) => {
-                let verdict = silence.look(node.now(), node.is_broken(&running.path));
-                if verdict == Verdict::Wait {
-                    continue;
+        let closed = match resumable {
+            true => match run.open(progress.last).await {
+                Ok(open) => {
+                    run.held = None;
+                    run.interrupted(&path, begun, fresh);
+                    return Ok(Next::Moved(open));
                 }
-                flow.set_silent(true);
-                node.question(&running.path);
-                let searched = verdict == Verdict::Search && run.is_stuck(&running.path);
-                if verdict == Verdict::GiveUp || searched {
-                    return Ended::Cut;
-                }
-                continue;
-            }
-        };
-        let bytes = match frame {
-            None if splitter.is_torn() => return Ended::Cut,
-            None => {
-                node.pool.give_back(connection);
-                node.answered(run.call.fingerprint);
-                return Ended::Complete;
-            }
-            Some(Err(_)) => {
-                run.is_stuck(&running.path);
-                return Ended::Cut;
-            }
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(bytes) => bytes,
-                Err(_) => continue,
+                Err(closed) => closed,
             },
+            false => Closed::Unknown,
         };
-        let heard = node.now();
-        silence.hear(heard);
-        flow.set_silent(false);
-        splitter.push(&bytes);
-        while let Some(event) = splitter.pop() {
-            // An event that the caller has already.
-            if event.id.is_some() && event.id <= progress.last {
-                continue;
-            }
-            progress.note(event.id, heard);
-            if progress.events == clear_at {
-                node.cleared(run.call.fingerprint);
-            }
-            if sender.send(Ok(event.bytes)).await.is_err() {
-                return Ended::Left;
-            }
+        // Silence alone ends nothing: an engine that leaves is waited for as long as it goes on.
+        if let Some(mut held) = run.held.take().filter(|_| !run.node.is_lost(&path)) {
+            held.hold(run.node.now());
+            return Ok(Next::Held(held));
+        }
+        if !closed.may_pass() || run.node.now() >= until {
+            run.interrupted(&path, begun, fresh);
+            return Err(closed);
         }
+        sleep(SEEK_INTERVAL).await;
     }
 }
--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -18,6 +18,10 @@
 const KNOWN_INTERVALS: u32 = 6;
 /// Silence after which the first engine of a path is asked which engine hangs.
 pub(crate) const STUCK: Duration = Duration::from_millis(200);
+/// First pause before another path is sought again for a stream that found none.
+const HOLD: Duration = Duration::from_millis(50);
+/// Longest such pause.
+const MOST_HOLD: Duration = Duration::from_millis(400);
 /// Interval of looks at a path that stays silent.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -46,12 +50,24 @@
     intervals: u32,
     /// The longest of them.
     longest: Duration,
+    /// Until when the path is not given up, as there was no other.
+    held: Duration,
+    /// Length of that pause.
+    hold: Duration,
 }
 
 impl Silence {
     /// A stream from which something was heard at `now`.
     pub fn new(now: Duration) -> Self {
-        Self { heard: now, look_at: now + SLOW, intervals: 0, longest: Duration::ZERO }
+        let (longest, held, hold) = (Duration::ZERO, Duration::ZERO, HOLD);
+        Self { heard: now, look_at: now + SLOW, intervals: 0, longest, held, hold }
+    }
+
+    /// Notes that there was no other path: the stream is not given up for a while.
+    pub fn hold(&mut self, now: Duration) {
+        self.held = now + self.hold;
+        self.look_at = self.held;
+        self.hold = (self.hold * 2).min(MOST_HOLD);
     }
 
     /// Notes that something was heard.
@@ -101,7 +117,7 @@
         if !is_broken {
             return false;
         }
-        let until = self.heard + self.broken();
+        let until = self.held.max(self.heard + self.broken());
         if now < until {
             self.look_at = self.look_at.min(until);
         }
--- a/crates/edge/tests/silence.rs
+++ b/crates/edge/tests/silence.rs
@@ -123,3 +123,21 @@
     assert_eq!(silence.look_at(), ms(215));
     assert!(!silence.learn(ms(230), true));
 }
+
+/// A stream whose path is broken and that finds no other is not given up at once again, whatever is
+/// learned meanwhile; an event ends the pause.
+#[test]
+fn held_stream_is_looked_at_less_and_less_often() {
+    let mut silence = Silence::new(ms(0));
+    let mut now = ms(500);
+    assert_eq!(silence.look(now, true), Verdict::GiveUp);
+    for pause in [50, 100, 200, 400, 400] {
+        silence.hold(now);
+        assert!(!silence.learn(now + ms(pause - 1), true));
+        assert_eq!(silence.look_at(), now + ms(pause));
+        now += ms(pause);
+        assert_eq!(silence.look(now, true), Verdict::GiveUp);
+    }
+    silence.hear(now);
+    assert_eq!(silence.look(now + ms(500), true), Verdict::GiveUp);
+}
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -51,8 +51,8 @@
             let serves = || site.ask(node, Route::Resumable, "probe") == Some(200);
             assert!(site.platform.wait(SOON, serves), "node {node} serves");
         }
-        // All engines hold their layers before the case begins.
-        sleep(Duration::from_millis(800));
+        // All engines hold their layers before the case begins, and nodes may retry.
+        sleep(Settings::NO_RETRIES);
         site
     }
 
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -46,6 +46,7 @@
             platform.target(&host, Setup { id: id.into(), service: PLAIN, domain: "a", events: 0 })
         });
         let nodes: Vec<Entry> = (0..nodes).map(|index| entry(&platform, number, index)).collect();
+        sleep(Settings::NO_RETRIES);
         let site = Self { platform, nodes, engines: engines.into(), plain: plain.into() };
         for node in 0..site.nodes.len() {
             assert!(site.serves(node, document.keys.first().copied()), "node {node} serves");
--- /dev/null
+++ b/crates/node/tests/replace.rs
@@ -0,0 +1,193 @@
+//! Engines that are replaced one after the other, as planned, while streams pass them that last
+//! longer than the pause between two replacements, and a node that is stopped then: none is cut.
+
+mod entry;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::thread::{JoinHandle, sleep};
+use std::time::Duration;
+
+use entry::Entry;
+use platform_standin::{
+    Arrival, Ask, Document, MODEL, Platform, Reply, Route, Run, Settings, Setup, ask, begin,
+};
+use yare::parameterized;
+
+/// Events of each stream; they take 10 ms each.
+const EVENTS: u64 = 350;
+/// Longest wait for a state that follows soon.
+const SOON: Duration = Duration::from_secs(15);
+/// Time between two streams of a node.
+const CALL_INTERVAL: Duration = Duration::from_millis(60);
+/// How long an engine goes on after it has said that it leaves.
+const LINGER: Duration = Duration::from_millis(900);
+/// Engines of a failure domain.
+const EACH: usize = 3;
+/// Ids of the engines, by failure domain.
+const ENGINES: [(&str, &str); 6] =
+    [("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("b2", "b"), ("b3", "b")];
+
+/// Which engines are replaced.
+#[derive(Clone, Copy)]
+enum Which {
+    /// All of these failure domains.
+    Domains(&'static [&'static str]),
+    /// The last one of the newest path, so many times.
+    Last(usize),
+}
+
+/// A replacement of engines.
+struct Case {
+    which: Which,
+    /// Whether the configuration changes with each replacement.
+    configures: bool,
+    /// Engines at which a request may run.
+    attempts: u32,
+}
+
+struct Site {
+    host: String,
+    platform: Platform,
+    nodes: Vec<Entry>,
+    engines: Vec<(SocketAddr, &'static str)>,
+    /// Ids of the engines that have left.
+    left: BTreeSet<String>,
+}
+
+impl Site {
+    fn start(number: u8, attempts: u32) -> Self {
+        let host = format!("127.86.{number}.1");
+        let platform = Platform::start(&host);
+        platform.configure(&document(1, attempts));
+        let target = |(id, domain): (&'static str, &'static str)| {
+            let setup = Setup { id: id.into(), service: MODEL, domain, events: EVENTS };
+            (platform.target(&host, setup), domain)
+        };
+        let engines = ENGINES.map(target).into();
+        let node = |index: u8| {
+            let host = format!("127.86.{number}.{}", 10 + index);
+            let settings = Settings::new(&format!("n{index}"), "a", &host, platform.store());
+            Entry::start(&format!("replace-{number}-{index}"), &settings)
+        };
+        let nodes: Vec<Entry> = (0..2).map(node).collect();
+        sleep(Settings::NO_RETRIES);
+        let site = Self { host, platform, nodes, engines, left: BTreeSet::new() };
+        for node in 0..2 {
+            let probe = Ask::new(Route::Resumable, &format!("probe{node}"));
+            let serves = || ask(site.nodes[node].front, &probe).is_whole(EVENTS);
+            assert!(site.platform.wait(SOON, serves), "node {node} serves");
+        }
+        site
+    }
+
+    /// The engine that runs the last layers on the path that was taken last.
+    fn last_engine(&self) -> usize {
+        let runs = self.platform.runs();
+        let last = runs.last().and_then(|run| run.engines.last()).expect("streams run");
+        self.engines.iter().position(|(engine, _)| engine == last).expect("it has not left")
+    }
+
+    /// Lets an engine leave, and a new one come in its place.
+    fn replace(&mut self, index: usize) {
+        let (engine, domain) = self.engines[index];
+        self.platform.drain(engine);
+        sleep(LINGER);
+        self.platform.forget(engine);
+        self.platform.kill(engine);
+        self.left.extend(self.platform.id(engine));
+        let id = format!("{}-{}", ENGINES[index].0, self.left.len()).into();
+        let setup = Setup { id, service: MODEL, domain, events: EVENTS };
+        self.engines[index].0 = self.platform.target(&self.host, setup);
+    }
+}
+
+fn document(version: u64, attempts: u32) -> Document {
+    Document { version, attempts, ..Document::default() }
+}
+
+/// Begins streams at all nodes for a time.
+fn call(fronts: &[SocketAddr], turns: usize) -> Vec<(String, JoinHandle<Reply>)> {
+    let mut streams = Vec::new();
+    for turn in 0..turns {
+        for (node, front) in fronts.iter().enumerate() {
+            let id = format!("s{turn}-{node}");
+            let what = Ask::new(Route::Resumable, &id);
+            streams.push((id, begin(*front, what)));
+        }
+        sleep(CALL_INTERVAL);
+    }
+    streams
+}
+
+// Guards against streams being cut by replacements of engines that were announced, while they may
+// still run elsewhere.
+#[parameterized(
+    one_domain = { 1, Case { which: Which::Domains(&["a"]), configures: false, attempts: 2 } },
+    one_domain_while_configured = { 2, Case { which: Which::Domains(&["a"]), configures: true, attempts: 2 } },
+    all_domains = { 3, Case { which: Which::Domains(&["a", "b"]), configures: false, attempts: 2 } },
+    one_attempt = { 4, Case { which: Which::Domains(&["a", "b"]), configures: true, attempts: 1 } },
+    last_stages = { 5, Case { which: Which::Last(5), configures: false, attempts: 2 } },
+    last_stages_while_configured = { 6, Case { which: Which::Last(5), configures: true, attempts: 2 } },
+    last_stages_one_attempt = { 7, Case { which: Which::Last(5), configures: false, attempts: 1 } },
+)]
+fn planned_replacement_cuts_no_stream(number: u8, case: Case) {
+    let mut site = Site::start(number, case.attempts);
+    let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
+    let times = match case.which {
+        Which::Domains(domains) => domains.len() * EACH,
+        Which::Last(times) => times,
+    };
+    let turns = (LINGER.as_millis() / CALL_INTERVAL.as_millis()) as usize * times;
+    let callers = std::thread::spawn(move || call(&fronts, turns));
+    for (version, turn) in (2..).zip(0..times) {
+        sleep(CALL_INTERVAL);
+        let index = match case.which {
+            // They stand in the order of their domains.
+            Which::Domains(_) => turn,
+            Which::Last(_) => site.last_engine(),
+        };
+        site.replace(index);
+        if case.configures {
+            site.platform.configure(&document(version, case.attempts));
+        }
+    }
+    let streams = callers.join().expect("callers begin streams");
+    // A planned stop of a node at the same time cuts nothing either.
+    site.nodes[1].signal("TERM");
+    let ended = |(id, stream): (String, JoinHandle<Reply>)| (id, stream.join().expect("it ends"));
+    let replies: Vec<(String, Reply)> = streams.into_iter().map(ended).collect();
+    let runs = site.platform.runs();
+    for (id, reply) in &replies {
+        let is_cut = reply.status == Some(200) && !reply.is_whole(EVENTS);
+        assert!(!is_cut || site.has_used_up(&runs, id, case.attempts), "{id} is cut: {reply:?}");
+    }
+    let served = replies.iter().filter(|(_, reply)| reply.status == Some(200)).count();
+    assert!(served * 10 >= replies.len() * 9, "{served} of {} served", replies.len());
+    assert!(runs.iter().all(|run| run.is_whole(Document::DEPTH)));
+    for run in &runs {
+        let firsts = firsts(&runs, &run.request).len();
+        assert!(firsts <= case.attempts as usize, "{run:?} of {firsts} engines");
+    }
+}
+
+impl Site {
+    /// Whether a request has run at as many engines as it may, and none of them can begin a path
+    /// for it any more: it has left, or was given other layers.
+    fn has_used_up(&self, runs: &[Run], request: &str, attempts: u32) -> bool {
+        let orders: Vec<Arrival> = self.platform.arrivals();
+        let is_given_others = |run: &Run| {
+            let mut orders = orders.iter().filter(|one| one.path == "/order" && one.at >= run.at);
+            orders.any(|order| run.engines.first() == Some(&order.target))
+        };
+        let cannot = |run: &Run| self.left.contains(&run.target) || is_given_others(run);
+        let mut own = runs.iter().filter(|run| run.request == request);
+        firsts(runs, request).len() == attempts as usize && own.all(cannot)
+    }
+}
+
+/// The engines at which a request has run.
+fn firsts<'a>(runs: &'a [Run], request: &str) -> BTreeSet<&'a str> {
+    let runs = runs.iter().filter(|run| run.request == request);
+    runs.map(|run| run.target.as_str()).collect()
+}
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -81,6 +81,8 @@
     pub(crate) held: f64,
     /// Whether it told another VM that it wants nothing.
     pub(crate) discouraged: bool,
+    /// Whether a path may begin at it.
+    pub(crate) may_begin: bool,
 }
 
 impl fmt::Display for Path {
@@ -149,7 +151,7 @@
     domain: usize,
     /// Cost of the engine itself, seconds.
     fixed: f64,
-    /// Cost beyond that of beginning a path here, seconds.
+    /// Cost of beginning a path here, seconds; infinite where none may begin.
     first: f64,
     /// Cost of running all layers, seconds.
     work: f64,
@@ -179,7 +181,11 @@
             layers,
             domain,
             fixed: HOP + full + failing + slow + unwilling,
-            first: if entry.is_doubtful() { DOUBT } else { 0.0 },
+            first: match able.may_begin {
+                false => f64::INFINITY,
+                true if entry.is_doubtful() => DOUBT,
+                true => 0.0,
+            },
             work,
             waiting: WAITING_WEIGHT * waiting(entry, model, vms),
         })
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -33,6 +33,8 @@
     pub service: &'a str,
     /// Targets that are not to be used.
     pub avoid: &'a [SocketAddr],
+    /// Engines at which a path may begin; any, without it.
+    pub first: Option<&'a [SocketAddr]>,
     /// Prompt and expected answer, tokens.
     pub tokens: f64,
 }
@@ -93,6 +95,11 @@
         ready.is_some_and(|entry| entry.health.is_down())
     }
 
+    /// Whether a target is known to have ended without a word before: probes tell so.
+    pub fn is_lost(&self, id: &str) -> bool {
+        self.entry(id).is_some_and(|entry| entry.health.is_lost() && !entry.is_draining())
+    }
+
     /// Takes what a target registered. Returns whether something that matters changed.
     ///
     /// Of two targets at one address only the younger lives: the entry of the other stays in
@@ -370,7 +377,9 @@
         let alike = (1 + silent) as f64;
         let able = self.able(now, then, wish).map(|entry| {
             let held = entry.tokens * alike + entry.others;
-            Able { entry, held, discouraged: entry.is_discouraged(now) }
+            let address = &entry.target.address;
+            let may_begin = wish.first.is_none_or(|first| first.contains(address));
+            Able { entry, held, discouraged: entry.is_discouraged(now), may_begin }
         });
         let able: Vec<Able<'_>> = able.collect();
         search::search(&able, model, wish.tokens, self.vms)
--- a/crates/path/tests/marks.rs
+++ b/crates/path/tests/marks.rs
@@ -128,7 +128,7 @@
 /// Targets that would be sent something now: requests, probes and questions.
 fn reached(table: &mut Table, now: Duration) -> Vec<SocketAddr> {
     let mut reached = Vec::new();
-    let wish = |service| Wish { service, avoid: &[], tokens: 10.0 };
+    let wish = |service| Wish { service, avoid: &[], first: None, tokens: 10.0 };
     if let Some(path) = table.path(now, &model(), &wish(SERVICE)) {
         reached.extend(path.stages.iter().map(|stage| stage.address));
     }
@@ -192,7 +192,7 @@
     table.back_off(now, address(0), Duration::from_secs(2));
     table.back_off(now, address(1), Duration::from_secs(5));
     table.back_off(now, address(2), Duration::from_secs(9));
-    let wish = Wish { service: SERVICE, avoid: &[], tokens: 10.0 };
+    let wish = Wish { service: SERVICE, avoid: &[], first: None, tokens: 10.0 };
     assert!(table.path(now, &model(), &wish).is_none());
     assert_eq!(table.path_returns(now, &model(), &wish), Some(Duration::from_secs(5)));
 }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -56,7 +56,7 @@
 }
 
 fn wish(avoid: &[SocketAddr]) -> Wish<'_> {
-    Wish { service: "s", avoid, tokens: 900.0 }
+    Wish { service: "s", avoid, first: None, tokens: 900.0 }
 }
 
 fn names(path: &Path) -> Vec<String> {
@@ -87,6 +87,34 @@
     assert_eq!(path.as_ref().map(names), expected);
 }
 
+struct Begun {
+    /// Targets that are left out.
+    down: &'static [u8],
+    /// Targets at which the path may begin.
+    first: &'static [u8],
+    /// Targets of the path; none when there is no path.
+    path: Option<&'static [&'static str]>,
+}
+
+/// A stream that has run at as many engines as it may goes on at one of them, if it can.
+#[parameterized(
+    whole_chain = { Begun { down: &[], first: &[3], path: Some(&["t3", "t4"]) } },
+    better_of_two = { Begun { down: &[2], first: &[1, 3], path: Some(&["t3", "t4"]) } },
+    crossing = { Begun { down: &[4], first: &[3], path: Some(&["t3", "t2"]) } },
+    left_out = { Begun { down: &[3], first: &[3], path: None } },
+    without_the_first_layers = { Begun { down: &[], first: &[2], path: None } },
+)]
+fn path_begins_where_it_may(case: Begun) {
+    let mut table = table();
+    for &number in case.down {
+        table.fault(NOW, address(number), Fault::Silent);
+    }
+    let first: Vec<SocketAddr> = case.first.iter().map(|&number| address(number)).collect();
+    let path = table.path(NOW, &model(), &Wish { first: Some(&first), ..wish(&[]) });
+    let expected = case.path.map(|path| path.iter().map(|name| (*name).to_owned()).collect());
+    assert_eq!(path.as_ref().map(names), expected);
+}
+
 #[test]
 fn requests_spread_over_domains_by_load() {
     let mut table = table();
