Placement: fast engines form the chains, room by the streams that end in a second

An engine's layers were chosen so that all of a domain keep the same room for requests, as much as fits; the largest engines came first.

Now. place::rate works out, for each room, how many streams the chains of the fastest engines carry (token steps with what running streams add to them, prompts, slots; the service's own figures, of which the model now has the two that were not decoded), and takes the best. Gaps and copies go to the fastest engine. A gap that spares and neighbours cannot close whole is dealt anew at once. An engine that is not needed loads the layers where it saves most of a token's time, if that is a twentieth of the domain's (place::upgrade); those that held them are copies then.

--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -22,6 +22,8 @@
         answer: 200,
         slots: 100,
         step: Duration::from_millis(1),
+        step_per_stream: Duration::ZERO,
+        step_per_token: Duration::ZERO,
         read_per_s: 100_000.0,
         cards: vec![card("c", 6_000.0)],
     }
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -1,18 +1,20 @@
 //! Covering the layers of a model in each failure domain.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use fleet::{DomainName, Layer, Layers};
 use site::Model;
 
 use crate::engine::{Engine, Move};
+use crate::rate::best_room;
 
 /// Tokens of requests for which an engine of a chain keeps room, at the most: beyond, memory
 /// is worth more as a spare.
-const MOST_TOKENS: f64 = 180_000.0;
+pub(crate) const MOST_TOKENS: f64 = 180_000.0;
 /// Tokens of requests for which an engine keeps room, at the least: below, a handful of
 /// prompts fill it.
-const LEAST_TOKENS: f64 = 12_000.0;
+pub(crate) const LEAST_TOKENS: f64 = 12_000.0;
 /// Share of the usual room for requests that an engine keeps when it takes some of a gap
 /// beside what it holds. With less it would hold up the whole chain.
 const EXTENDED_ROOM: f64 = 0.35;
@@ -106,7 +108,9 @@
 impl<'a> Domain<'a> {
     fn new(engines: &'a [&'a Engine], model: &'a Model) -> Self {
         let copies = copies(engines, model);
-        let room = room(engines, model, SPARE * f64::from(copies));
+        let spare = SPARE * f64::from(copies);
+        let best = best_room(engines, model, copies, spare);
+        let room = best.unwrap_or_else(|| room(engines, model, spare));
         Self {
             engines,
             model,
@@ -120,26 +124,50 @@
         }
     }
 
+    /// Layers that an engine usually holds.
+    pub(crate) fn usual(&self, index: usize) -> Layer {
+        self.usual[index]
+    }
+
     /// Layers that an engine holds beside room for `tokens` tokens.
     fn beside(&self, index: usize, tokens: f64) -> u16 {
         beside(self.engines[index], self.model, tokens)
     }
 
     fn plan(mut self) -> Vec<Move> {
-        while let Some(gap) = first_below(&self.held, self.whole, 1) {
-            if !self.close(gap) {
-                self.shift(gap);
-                break;
-            }
-        }
+        self.close_gaps();
         if self.moves.is_empty() {
             self.bypass();
         }
         self.add_copies();
         self.level();
+        self.upgrade();
         self.moves
     }
 
+    /// Lets engines load what none holds. Where spares and neighbours cannot take all of it, the
+    /// layers are dealt anew rather than a part of the gap closed: the domain serves no sooner.
+    fn close_gaps(&mut self) {
+        let Some(first) = first_below(&self.held, self.whole, 1) else { return };
+        let (held, fixed) = (self.held.clone(), self.fixed.clone());
+        while let Some(gap) = first_below(&self.held, self.whole, 1) {
+            if self.close(gap) {
+                continue;
+            }
+            let part = std::mem::take(&mut self.moves);
+            let after = (
+                std::mem::replace(&mut self.held, held),
+                std::mem::replace(&mut self.fixed, fixed),
+            );
+            self.shift(first);
+            if self.moves.is_empty() {
+                self.moves = part;
+                (self.held, self.fixed) = after;
+            }
+            break;
+        }
+    }
+
     /// Lets engines that are not needed hold layers again, so that the loss of one leaves no
     /// gap and requests have more room.
     ///
@@ -159,8 +187,8 @@
         }
     }
 
-    /// The largest engine whose layers, if any, are held often enough without it.
-    fn surplus(&self) -> Option<usize> {
+    /// The fastest engine whose layers, if any, are held often enough without it.
+    pub(crate) fn surplus(&self) -> Option<usize> {
         let depth = self.whole.end;
         let counts = counts(&self.held, depth);
         let free = (0..self.engines.len()).filter(|&index| {
@@ -168,7 +196,15 @@
             let needed = held.into_iter().any(|layer| counts[usize::from(layer)] <= self.copies);
             !self.fixed[index] && self.usual[index] > 0 && !needed
         });
-        free.max_by_key(|&index| (self.usual[index], std::cmp::Reverse(index)))
+        free.max_by(|&a, &b| self.by_speed(a, b))
+    }
+
+    /// Orders engines by their speed, those of one kind by the layers that they usually hold; of
+    /// equals the first is the greatest.
+    fn by_speed(&self, a: usize, b: usize) -> Ordering {
+        let pace = |index: usize| pace(self.engines[index], self.model);
+        let by_size = self.usual[a].cmp(&self.usual[b]);
+        pace(b).total_cmp(&pace(a)).then(by_size).then(b.cmp(&a))
     }
 
     /// Lets others hold what slow engines hold, as far as spares and neighbours can.
@@ -215,14 +251,12 @@
     }
 
     /// Gives the first part of a gap to the smallest engine that takes all of it, else to the
-    /// largest.
+    /// fastest.
     fn fill(&mut self, gap: Layers, engines: Vec<usize>) -> bool {
         let whole = engines.iter().copied().filter(|&index| self.usual[index] >= gap.len());
         let smallest = whole.min_by_key(|&index| self.usual[index]);
-        let by_size = |&index: &usize| (self.usual[index], std::cmp::Reverse(index));
-        let Some(index) = smallest.or_else(|| engines.into_iter().max_by_key(by_size)) else {
-            return false;
-        };
+        let fastest = || engines.iter().copied().max_by(|&a, &b| self.by_speed(a, b));
+        let Some(index) = smallest.or_else(fastest) else { return false };
         let layers = fit(gap, self.usual[index]);
         self.order(index, layers);
         true
@@ -334,10 +368,15 @@
 }
 
 /// Layers that an engine holds beside room for `tokens` tokens.
-fn beside(engine: &Engine, model: &Model, tokens: f64) -> u16 {
+pub(crate) fn beside(engine: &Engine, model: &Model, tokens: f64) -> u16 {
     model.layers(memory(engine, model), tokens)
 }
 
+/// Factor on the time of a token step at an engine.
+pub(crate) fn pace(engine: &Engine, model: &Model) -> f64 {
+    model.card(&engine.card).map_or(f64::INFINITY, |card| card.pace)
+}
+
 /// Memory of an engine, megabytes; none for a kind of accelerator that the model does not know.
 fn memory(engine: &Engine, model: &Model) -> f64 {
     model.card(&engine.card).map_or(0.0, |card| card.mb)
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,6 +10,8 @@
 mod engine;
 mod level;
 mod planner;
+mod rate;
+mod upgrade;
 
 pub use arrival::Arrival;
 pub use cover::{gaps, plan};
--- /dev/null
+++ b/crates/place/tests/rate.rs
@@ -0,0 +1,66 @@
+//! Chains of the engines that carry most streams.
+
+use place::{Engine, plan};
+use sample::{carry_out, covers, engines, model, settle};
+use yare::parameterized;
+
+/// Layers that the engines of a kind hold, together.
+fn held(engines: &[Engine], card: &str) -> u16 {
+    let kind = engines.iter().filter(|engine| engine.card == card);
+    kind.filter_map(|engine| engine.layers).map(|layers| layers.len()).sum()
+}
+
+struct Case {
+    counts: &'static [(&'static str, usize)],
+    /// The slowest kind: it holds layers only where all others do.
+    slow: &'static str,
+}
+
+/// Load pattern: more streams than chains of slow engines carry (Lonestar scale-1: 0.54 served).
+/// An l4 has more memory than a v100 and takes three times as long for a token.
+#[parameterized(
+    small_and_fast = { Case { counts: &[("h100", 1), ("v100", 10), ("l4", 4)], slow: "l4" } },
+    large_and_fast = { Case { counts: &[("h100", 2), ("a100s", 4), ("l4", 4)], slow: "l4" } },
+    few_are_slow = { Case { counts: &[("v100", 20), ("l4", 3)], slow: "l4" } },
+)]
+fn fast_engines_form_the_chain(case: Case) {
+    let mut all = engines("a", case.counts);
+    settle(&mut all);
+    assert!(covers(&all, "a"));
+    let fast = all.iter().filter(|engine| engine.card != case.slow);
+    assert!(fast.into_iter().all(|engine| engine.layers.is_some()), "{all:?}");
+    assert!(held(&all, case.slow) < 10);
+}
+
+/// Load pattern: the only fast engine of a domain is lost under load, and is back empty some
+/// seconds later. It held five layers from then on, and the domain carried a third.
+#[parameterized(
+    beside_slow = { &[("h100", 1), ("l4", 10)] },
+    beside_others = { &[("h100", 1), ("v100", 6), ("l4", 6)] },
+)]
+fn fast_engine_that_returns_takes_its_part_again(counts: &[(&str, usize)]) {
+    let mut all = engines("a", counts);
+    settle(&mut all);
+    let before = held(&all, "h100");
+    let returned = all.remove(0);
+    settle(&mut all);
+    assert!(covers(&all, "a"));
+    all.insert(0, Engine { layers: None, ..returned });
+    settle(&mut all);
+    assert_eq!(held(&all, "h100"), before);
+}
+
+/// The same: spares and neighbours could take a part of its layers only. They took it, one after
+/// another, and four seconds later all layers were dealt anew.
+#[parameterized(
+    few_spares = { &[("h100", 1), ("v100", 6), ("l4", 6)] },
+    no_spares = { &[("h100", 1), ("a100s", 1), ("l4", 5), ("t4", 2)] },
+)]
+fn large_gap_is_closed_by_one_plan(counts: &[(&str, usize)]) {
+    let mut all = engines("a", counts);
+    settle(&mut all);
+    all.remove(0);
+    let moves = plan(&all, &model());
+    carry_out(&mut all, &moves);
+    assert!(covers(&all, "a"), "{moves:?}");
+}
--- a/crates/sample/src/lib.rs
+++ b/crates/sample/src/lib.rs
@@ -6,7 +6,7 @@
 use place::{Engine, Move, plan};
 use site::{Card, Model};
 
-/// A model of 80 layers and 140 GB, on four kinds of accelerator.
+/// A model of 80 layers and 140 GB, on five kinds of accelerator.
 pub fn model() -> Model {
     let card =
         |name: &str, mb: f64, pace: f64, read: f64| Card { name: name.into(), mb, pace, read };
@@ -20,10 +20,13 @@
         answer: 172,
         slots: 192,
         step: Duration::from_micros(850),
+        step_per_stream: Duration::from_nanos(3_820),
+        step_per_token: Duration::from_nanos(5),
         read_per_s: 196_000.0,
         cards: vec![
             card("h100", 72_000.0, 1.4, 1.0),
             card("a100s", 36_000.0, 3.1, 3.2),
+            card("v100", 14_400.0, 5.3, 7.9),
             card("l4", 21_600.0, 16.0, 8.2),
             card("t4", 14_400.0, 15.0, 15.0),
         ],
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -26,6 +26,10 @@
     pub slots: u32,
     /// Time of one token step of all layers at the reference pace.
     pub step: Duration,
+    /// What each stream that runs adds to a token step.
+    pub step_per_stream: Duration,
+    /// What each token that running streams hold adds to a token step.
+    pub step_per_token: Duration,
     /// Prompt tokens read per second by all layers at the reference pace.
     pub read_per_s: f64,
     /// Kinds of accelerator.
@@ -51,6 +55,11 @@
         self.cards.iter().find(|card| card.name == name)
     }
 
+    /// What a stream that holds `tokens` tokens adds to a token step.
+    pub fn step_of_stream(&self, tokens: f64) -> Duration {
+        self.step_per_stream + self.step_per_token.mul_f64(tokens)
+    }
+
     /// Tokens of requests that fit beside `layers` layers in `mb` megabytes.
     pub fn tokens(&self, mb: f64, layers: u16) -> f64 {
         if layers == 0 {
