--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -6,15 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use path::{Fault, Path};
 use site::Report;
 use tokio::pin;
 use tokio::time::timeout;
 
-use crate::link::Unanswered;
+use crate::link::{Unanswered, read};
 use crate::node::Node;
 
+/// Most bytes of a report.
+const MOST_REPORT_BYTES: usize = 1 << 20;
 /// Longest wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait for the report of an engine on whose path streams pause: engines answer within
@@ -53,9 +54,9 @@
             if !response.status().is_success() {
                 return None;
             }
-            let body = response.into_body().collect().await.ok()?;
+            let body = read(response.into_body(), MOST_REPORT_BYTES).await?;
             self.pool.give_back(connection);
-            platform::report(&body.to_bytes()).ok()
+            platform::report(&body).ok()
         };
         metrics::counter!("magnolia_reports").increment(1);
         timeout(REPORT_TIMEOUT, exchange).await.ok().flatten()
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -29,6 +29,14 @@
 /// Smallest read buffer that the library takes.
 const BUFFER_BYTES: usize = 8 << 10;
 
+/// Longest wait for the rest of an answer that is not needed.
+const DRAIN_TIME: Duration = Duration::from_millis(50);
+/// Most bytes of it.
+const MOST_REST_BYTES: usize = 64 << 10;
+
+/// Most bytes of an answer that is read as a whole: many are read at a time.
+pub(crate) const MOST_ANSWER_BYTES: usize = 4 << 20;
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Why a call got no answer.
@@ -119,6 +127,15 @@
         list.push(Idle { sender: connection.sender, until });
     }
 
+    /// Takes back a connection once the rest of an answer that is not needed has come. One on which
+    /// it does not come soon is closed.
+    pub(crate) async fn drain(&self, body: Incoming, connection: Connection) {
+        let rest = timeout(DRAIN_TIME, read(body, MOST_REST_BYTES)).await;
+        if rest.is_ok_and(|rest| rest.is_some()) {
+            self.give_back(connection);
+        }
+    }
+
     /// Closes connections that have been idle too long.
     pub(crate) fn tidy(&self) {
         let now = self.clock.now();
@@ -157,6 +174,12 @@
     Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
 }
 
+/// Reads a body to its end; `None` if it is cut, or longer than `most` bytes.
+pub(crate) async fn read(body: Incoming, most: usize) -> Option<Bytes> {
+    let whole = Limited::new(body, most).collect().await.ok()?;
+    Some(whole.to_bytes())
+}
+
 /// Opens a connection. Its driver ends when the connection does.
 pub(crate) async fn connect(address: SocketAddr) -> Option<Sender> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use path::{Fault, Path, Stage, Wish};
@@ -16,7 +15,7 @@
 use crate::answer::Answer;
 use crate::call::Call;
 use crate::event::RETRIED;
-use crate::link::{Connection, Unanswered};
+use crate::link::{Connection, MOST_ANSWER_BYTES, Unanswered, read};
 use crate::node::Node;
 use crate::part::Part;
 use crate::quarantine::QUARANTINED;
@@ -365,18 +364,18 @@
                 _ if hung => node.fault(address, Fault::Silent, "refused after a long wait"),
                 _ => node.refused(address),
             }
-            if response.into_body().collect().await.is_ok() {
-                node.pool.give_back(connection);
-            }
+            node.pool.drain(response.into_body(), connection).await;
             let at_fault = running.path.stages.iter().find(|stage| stage.address == address);
             return Offered::NotRun(at_fault.map_or(first.target, |stage| stage.target.clone()));
         }
         if status != StatusCode::OK {
             node.fault(first.address, Fault::Failed, "failure status");
             let (parts, body) = response.into_parts();
-            let Ok(body) = body.collect().await else { return Offered::Unknown };
+            let left = call.ends.saturating_sub(node.now());
+            let body = timeout(left, read(body, MOST_ANSWER_BYTES)).await;
+            let Some(body) = body.ok().flatten() else { return Offered::Unknown };
             node.pool.give_back(connection);
-            return Offered::Failed(whole(status, &parts.headers, body.to_bytes()));
+            return Offered::Failed(whole(status, &parts.headers, body));
         }
         running.was_taken();
         Offered::Open(Open { response, connection, running })
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use fleet::{DomainName, Event, Layers};
-use http_body_util::BodyExt;
 use hyper::StatusCode;
 use path::Fault;
 use place::{Arrival, Engine, Move, Planner};
@@ -230,8 +229,7 @@
         let begun = node.send(address, platform::order(address, order)).await.ok()?;
         let (response, connection) = begun.split();
         let status = response.status();
-        response.into_body().collect().await.ok()?;
-        node.pool.give_back(connection);
+        node.pool.drain(response.into_body(), connection).await;
         Some(status)
     };
     match timeout(ORDER_TIMEOUT, exchange).await {
--- a/crates/edge/src/part.rs
+++ b/crates/edge/src/part.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use path::Path;
+use path::{Fault, Path};
 use site::TargetKey;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{sleep, sleep_until};
@@ -60,6 +60,10 @@
     pub(crate) pause: Duration,
     /// When the event after the longest pause came.
     pub(crate) pause_at: Duration,
+    /// Times that the stream went on along another path.
+    pub(crate) moves: u32,
+    /// The path that was taken last.
+    pub(crate) path: String,
 }
 
 impl Progress {
@@ -194,10 +198,12 @@
                 },
             };
             let heard = node.now();
-            self.silence.hear(heard);
-            self.flow.set_silent(false);
             self.splitter.push(&bytes);
             while let Some(event) = self.splitter.pop() {
+                if !event.is_comment {
+                    self.silence.hear(heard);
+                    self.flow.set_silent(false);
+                }
                 // An event that the caller has already.
                 if event.id.is_some() && event.id <= progress.last {
                     continue;
@@ -206,10 +212,18 @@
                 if progress.events == clear_at {
                     node.cleared(run.call.fingerprint);
                 }
-                if sender.send(Ok(event.bytes)).await.is_err() {
-                    return Ended::Left;
+                tokio::select! {
+                    sent = sender.send(Ok(event.bytes)) => if sent.is_err() {
+                        return Ended::Left;
+                    },
+                    // A caller that reads too slowly.
+                    () = sleep_until(ends) => return Ended::TimedOut,
                 }
             }
+            if self.splitter.is_overlong() {
+                node.fault(path.first().address, Fault::Failed, "an event without end");
+                return Ended::Cut;
+            }
         }
     }
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use path::{Fault, Wish};
@@ -15,7 +14,7 @@
 use crate::answer::{Answer, later};
 use crate::call::Call;
 use crate::event::RETRIED;
-use crate::link::Unanswered;
+use crate::link::{MOST_ANSWER_BYTES, Unanswered, read};
 use crate::node::Node;
 use crate::reply::{is_not_run, is_of, log_failure, lost, whole};
 
@@ -169,17 +168,13 @@
     };
     let (response, connection) = begun.split();
     let (parts, body) = response.into_parts();
-    let Ok(body) = body.collect().await else {
-        node.fault(address, Fault::Failed, "answer cut");
-        return Tried::Unknown("answer cut");
-    };
     if !is_of(&parts.headers, call) {
         // An answer that was left over from another request; the connection is dropped.
         node.fault(address, Fault::Failed, "answer to another request");
         return Tried::Unknown("answer to another request");
     }
-    node.pool.give_back(connection);
     if is_not_run(parts.status, &parts.headers) {
+        node.pool.drain(body, connection).await;
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             node.fault(address, Fault::Astray, "refused");
         } else {
@@ -187,6 +182,11 @@
         }
         return Tried::NotRun("refused");
     }
+    let Some(body) = read(body, MOST_ANSWER_BYTES).await else {
+        node.fault(address, Fault::Failed, "answer cut, or too long");
+        return Tried::Unknown("answer cut, or too long");
+    };
+    node.pool.give_back(connection);
     node.table.borrow_mut().taken(node.now(), target);
-    Tried::Answered { status: parts.status, headers: parts.headers, body: body.to_bytes() }
+    Tried::Answered { status: parts.status, headers: parts.headers, body }
 }
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -28,36 +28,49 @@
 /// Passes events on until the stream is complete, from other paths where one is cut or stops.
 pub(crate) async fn pump(mut run: Run, open: Open, sender: Sender<Result<Bytes, Broken>>) {
     let mut progress = Progress::default();
-    let mut moves = 0;
+    let outcome = pass_all(&mut run, open, &sender, &mut progress).await;
+    log_end(&run, outcome, &progress);
+    if !matches!(outcome, "complete" | "caller left") {
+        // A caller that has gone meanwhile needs no word.
+        sender.send(Err(Broken)).await.ok();
+    }
+}
+
+/// Passes events on; returns how the stream ended.
+async fn pass_all(
+    run: &mut Run,
+    open: Open,
+    sender: &Sender<Result<Bytes, Broken>>,
+    progress: &mut Progress,
+) -> &'static str {
     let mut part = Part::new(&run.node, open, 0);
-    let mut taken = part.path().to_string();
-    let outcome = loop {
-        let ended = part.pass_on(&run, &sender, &mut progress).await;
+    progress.path = part.path().to_string();
+    loop {
+        let ended = part.pass_on(run, sender, progress).await;
         match ended {
-            Ended::Complete => break "complete",
-            Ended::Left => break "caller left",
-            Ended::TimedOut => break "timed out",
+            Ended::Complete => return "complete",
+            Ended::Left => return "caller left",
+            Ended::TimedOut => return "timed out",
             Ended::Cut | Ended::Stopped => {}
         }
         let next = tokio::select! {
-            next = go_on(&mut run, part, ended, &progress) => next,
-            () = sender.closed() => break "caller left",
+            next = go_on(run, part, ended, progress) => next,
+            () = sender.closed() => return "caller left",
         };
         part = match next {
             Ok(Next::Held(part)) => part,
             Ok(Next::Moved(open)) => {
-                moves += 1;
                 let part = Part::new(&run.node, open, progress.events);
-                taken = part.path().to_string();
+                progress.moves += 1;
+                progress.path = part.path().to_string();
                 part
             }
-            Err(closed) => break closed.cut(),
+            Err(closed) => return closed.cut(),
         };
-    };
-    if !matches!(outcome, "complete" | "caller left") {
-        // A caller that has gone meanwhile needs no word.
-        sender.send(Err(Broken)).await.ok();
     }
+}
+
+fn log_end(run: &Run, outcome: &'static str, progress: &Progress) {
     let node = &run.node;
     let since = |at: Duration| at.saturating_sub(run.call.begun).as_millis();
     let event = run
@@ -66,12 +79,12 @@
         .with("route", &run.call.route)
         .with("outcome", outcome)
         .with("offers", run.offers)
-        .with("moves", moves)
+        .with("moves", progress.moves)
         .with("events", progress.events)
         .with("first_ms", progress.first_at.map_or(0, since))
         .with("pause_ms", progress.pause.as_millis())
         .with("pause_at_ms", since(progress.pause_at))
-        .with("path", &taken)
+        .with("path", &progress.path)
         .with("ms", since(node.now()));
     log::info!("{event}");
     metrics::counter!("magnolia_streams", "outcome" => outcome).increment(1);
--- a/crates/edge/src/split.rs
+++ b/crates/edge/src/split.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Most bytes of an event.
+const MOST_EVENT_BYTES: usize = 1 << 20;
+
 /// One whole event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -9,6 +12,8 @@
     pub id: Option<u64>,
     /// Its bytes, with the empty line that ends it.
     pub bytes: Bytes,
+    /// Whether it holds nothing but comments, which show that a connection is alive.
+    pub is_comment: bool,
 }
 
 /// Gathers bytes and hands out whole events.
@@ -34,7 +39,12 @@
         };
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
-        Some(Event { id: id(&bytes), bytes })
+        Some(Event { id: id(&bytes), is_comment: is_comment(&bytes), bytes })
+    }
+
+    /// Whether what has come without the end of an event is too long for one.
+    pub fn is_overlong(&self) -> bool {
+        self.buffer.len() > MOST_EVENT_BYTES
     }
 
     /// Whether an event has begun and is not complete.
@@ -57,6 +67,11 @@
     })
 }
 
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|&byte| byte == b'\n').filter(|line| !line.trim_ascii().is_empty());
+    lines.all(|line| line.starts_with(b":"))
+}
+
 fn id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|&byte| byte == b'\n');
     let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -7,18 +7,21 @@
 
 use bytes::Bytes;
 use fleet::Event;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use platform::kv::{self, LeaseId, Page, Revision, Write};
 use tokio::time::timeout;
 
 use crate::event::{STORE_BACK, STORE_LOST, UNDECODABLE};
-use crate::link::Unanswered;
+use crate::link::{Unanswered, read};
 use crate::node::Node;
 
 /// Longest wait for an answer of the store, beyond what a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Most bytes of an answer: a page holds about a megabyte of values, or one larger value.
+const MOST_PAGE_BYTES: usize = 16 << 20;
+
 /// What came of a call.
 #[derive(Debug)]
 pub(crate) enum Reply {
@@ -127,10 +130,12 @@
         };
         let (response, connection) = begun.split();
         let status = response.status();
-        let Ok(body) = response.into_body().collect().await else { return Reply::Unknown };
+        let Some(body) = read(response.into_body(), MOST_PAGE_BYTES).await else {
+            return Reply::Unknown;
+        };
         self.node.pool.give_back(connection);
         match status {
-            StatusCode::OK => Reply::Done(body.to_bytes()),
+            StatusCode::OK => Reply::Done(body),
             StatusCode::NOT_FOUND => Reply::Missing,
             StatusCode::PRECONDITION_FAILED => Reply::Conflict,
             StatusCode::GONE => Reply::HistoryLost,
--- a/crates/edge/tests/split.rs
+++ b/crates/edge/tests/split.rs
@@ -39,3 +39,27 @@
     let sent = case.pieces.concat();
     assert!(sent.as_bytes().starts_with(&bytes), "no byte is changed");
 }
+
+#[parameterized(
+    comment = { ": alive\n\n", true },
+    two_comments = { ":\n: alive\r\n\r\n", true },
+    data = { "data: x\n\n", false },
+    both = { ": alive\nid: 3\ndata: x\n\n", false },
+)]
+fn comments_are_told_from_events(text: &str, is_comment: bool) {
+    let mut splitter = Splitter::default();
+    splitter.push(text.as_bytes());
+    assert_eq!(splitter.pop().map(|event| event.is_comment), Some(is_comment));
+}
+
+#[test]
+fn bytes_without_the_end_of_an_event_are_overlong_in_the_end() {
+    let mut splitter = Splitter::default();
+    let piece = [b'x'; 64 << 10];
+    for _ in 0..16 {
+        splitter.push(&piece);
+        assert!(splitter.pop().is_none() && !splitter.is_overlong());
+    }
+    splitter.push(&piece);
+    assert!(splitter.is_overlong());
+}
