Store: few nodes prove to the others that nothing has changed

Four nodes, or one for each sixteen, chosen by a hash of their addresses, ask the store every second. The others ask one of them every 0.6 s which revision it knows and how old that is; one that knows the same revision knows as much, as of so long before it asked. While proofs come, their own call waits for changes only; without one for 2.2 s they ask the store as before. Changes still reach each node from the store. Deployments of four nodes or fewer are as before.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use fleet::Event;
-use platform::kv::{Item, Revision};
+use platform::kv::{Item, Page, Revision};
 use platform::{CONFIG_KEY, TARGET_PREFIX};
 use site::{Config, Service};
+use tokio::pin;
 use tokio::time::sleep;
 
 use crate::event::{CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
@@ -22,6 +23,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause, when calls fail again and again.
 const MOST_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Age of what is known at which a node asks the store although others had proved it before.
+const STALE_AFTER: Duration = Duration::from_millis(2200);
 /// An outage after which entries may have lapsed though their targets live.
 const OUTAGE: Duration = Duration::from_millis(3000);
 /// Within this time of the store's return, targets that live have registered again.
@@ -75,6 +78,7 @@
             }
             if !page.more || after.is_none() {
                 self.drop_missing(&seen, revision);
+                self.node.revision.set(revision);
                 self.synced(asked);
                 return Some(revision);
             }
@@ -89,13 +93,16 @@
             let now = self.node.now();
             let watch = match is_lost {
                 true => Watch::at_once(now),
-                false => Watch::new(now, self.node.synced.get()),
+                false => self.next_watch(now),
             };
-            match self.store.watch("", revision, watch.wait()).await {
-                Ok(page) => {
+            match self.answer(revision, watch).await {
+                // Nobody proves any more that nothing changes: asked anew, for less long.
+                None => {}
+                Some(Ok(page)) => {
                     let has_changes = !page.items.is_empty();
                     self.synced(watch.proves(self.node.now(), has_changes));
                     revision = revision.max(page.revision);
+                    self.node.revision.set(revision);
                     (pause, is_lost) = (RETRY_PAUSE, false);
                     let leads = page.items.iter().any(|item| item.key == LEADER_KEY);
                     for item in page.items {
@@ -106,8 +113,8 @@
                         sleep(gather_pause(vms)).await;
                     }
                 }
-                Err(Reply::HistoryLost) => return,
-                Err(_) => {
+                Some(Err(Reply::HistoryLost)) => return,
+                Some(Err(_)) => {
                     sleep(pause).await;
                     pause = (pause * 2).min(MOST_RETRY_PAUSE);
                     is_lost = true;
@@ -116,6 +123,39 @@
         }
     }
 
+    /// The next call for changes, at `now`.
+    fn next_watch(&self, now: Duration) -> Watch {
+        let synced = self.node.synced.get();
+        let relay = self.node.relay.borrow();
+        let is_fresh = synced.is_some_and(|synced| now.saturating_sub(synced) < STALE_AFTER / 2);
+        if is_fresh && relay.is_proved(now) {
+            return Watch::long(now);
+        }
+        let watch = Watch::new(now, synced);
+        if relay.is_asked() { watch.shortened() } else { watch }
+    }
+
+    /// The answer to a watch, while other nodes prove that nothing has changed; `None` when they
+    /// do no longer.
+    async fn answer(&mut self, revision: Revision, watch: Watch) -> Option<Result<Page, Reply>> {
+        let store = self.store.clone();
+        let answer = store.watch("", revision, watch.wait());
+        pin!(answer);
+        loop {
+            let synced = self.node.synced.get().unwrap_or_default();
+            let stale = (synced + STALE_AFTER).saturating_sub(self.node.now());
+            tokio::select! {
+                answer = &mut answer => return Some(answer),
+                () = self.node.proved.notified() => {
+                    if let Some(proof) = self.node.proof.take() {
+                        self.synced(proof);
+                    }
+                }
+                () = sleep(stale), if watch.is_long() => return None,
+            }
+        }
+    }
+
     /// Notes that everything up to the moment `at` is known.
     fn synced(&mut self, at: Duration) {
         let before = self.node.synced.get().unwrap_or_default();
@@ -174,6 +214,7 @@
         let peers: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
         self.node.table.borrow_mut().vms = peers.len() + 1;
         self.node.sharers.borrow_mut().set(self.node.now(), peers.iter().copied().collect());
+        self.node.relay.borrow_mut().set(own, &peers);
         *self.node.peers.borrow_mut() = peers;
     }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,6 +9,7 @@
 use fleet::Event;
 use path::{Budget, Entry, Fault, Share, Sharers, Table};
 use platform::Settings;
+use platform::kv::Revision;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use site::{Bounds, Config};
@@ -24,6 +25,7 @@
 use crate::loan::Loans;
 use crate::others::Others;
 use crate::quarantine::Quarantine;
+use crate::relay::Relay;
 
 /// How long before the bound on withdrawn keys a node that cannot reach the store refuses
 /// keys: the request has to reach its target and begin within it.
@@ -57,6 +59,14 @@
     pub(crate) reports: Reports,
     /// Up to when the store's state is known to be in force here.
     pub(crate) synced: Cell<Option<Duration>>,
+    /// The revision of the store that is in force here.
+    pub(crate) revision: Cell<Revision>,
+    /// Who else proves how old that is.
+    pub(crate) relay: RefCell<Relay>,
+    /// Up to when the state is known by another node's word, until the follower takes it.
+    pub(crate) proof: Cell<Option<Duration>>,
+    /// Told when there is such a proof.
+    pub(crate) proved: Notify,
     /// What is heard of the other nodes.
     pub(crate) others: RefCell<Others>,
     /// Whether a stop was asked for.
@@ -98,6 +108,10 @@
             pool: Pool::new(clock),
             reports: Reports::default(),
             synced: Cell::new(None),
+            revision: Cell::new(0),
+            relay: RefCell::default(),
+            proof: Cell::new(None),
+            proved: Notify::new(),
             others: RefCell::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::event::PEERS;
 use crate::loan::{self, Loan};
 use crate::node::Node;
+use crate::relay::Known;
 use crate::word::Word;
 
 /// Shortest interval between messages to one peer.
@@ -26,6 +27,8 @@
 const MESSAGE_SPACING: Duration = Duration::from_millis(15);
 /// Time in which faults that are seen together go into one message.
 const ALARM_GATHER: Duration = Duration::from_millis(5);
+/// Interval at which a follower of the store is asked.
+const ASK_INTERVAL: Duration = Duration::from_millis(600);
 /// Largest message, bytes: one datagram that no link divides.
 const MESSAGE_BYTES: usize = 1400;
 /// Most targets in one message: each takes about 20 bytes.
@@ -44,6 +47,10 @@
     Lend(Loan),
     /// What the sender knows of requests that crash their targets.
     Suspects(Vec<Word>),
+    /// The sender asks which revision of the store is known, by the number of its question.
+    Ask(u64),
+    /// The answer to that.
+    Known(Known),
 }
 
 /// What a node tells of itself and of targets.
@@ -165,6 +172,8 @@
             Ok(Message::View(view)) => take(&node, from, view),
             Ok(Message::Want(loan)) => loan::wanted(&node, &socket, from, loan),
             Ok(Message::Lend(loan)) => loan::lent(&node, from, &loan),
+            Ok(Message::Ask(question)) => answer(&node, &socket, from, question),
+            Ok(Message::Known(known)) => take_known(&node, from, &known),
             Ok(Message::Suspects(words)) => {
                 words.into_iter().for_each(|word| node.heard_word(word))
             }
@@ -173,6 +182,33 @@
     }
 }
 
+/// Asks followers of the store how old its state is, for good.
+pub(crate) async fn ask(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        sleep(ASK_INTERVAL).await;
+        let asked = node.relay.borrow_mut().ask(node.now(), node.luck());
+        if let Some((follower, question)) = asked {
+            send(&socket, &Message::Ask(question), follower);
+        }
+    }
+}
+
+/// Tells a node that asks which revision is known here, and how old that is.
+fn answer(node: &Node, socket: &UdpSocket, from: SocketAddr, question: u64) {
+    let Some(synced) = node.synced.get() else { return };
+    let age = node.now().saturating_sub(synced);
+    let known = Known { question, revision: node.revision.get(), age };
+    send(socket, &Message::Known(known), from);
+}
+
+fn take_known(node: &Node, from: SocketAddr, known: &Known) {
+    let proof = node.relay.borrow_mut().proves(from, known, node.revision.get());
+    if proof > node.synced.get() {
+        node.proof.set(proof);
+        node.proved.notify_one();
+    }
+}
+
 fn take(node: &Node, from: SocketAddr, view: View) {
     node.claim.borrow_mut().heard(view.fence);
     let now = node.now();
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -136,6 +136,7 @@
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
     tokio::task::spawn_local(peers::tell(node.clone(), socket.clone()));
     tokio::task::spawn_local(peers::hear(node.clone(), socket.clone()));
+    tokio::task::spawn_local(peers::ask(node.clone(), socket.clone()));
     tokio::task::spawn_local(loan::ask(node.clone(), socket));
     tokio::task::spawn_local(diagnose::probe(node.clone()));
     let accepting = tokio::task::spawn_local(front::serve(node.clone(), callers));
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -5,6 +5,11 @@
 /// How long the store holds a watch that has nothing to tell. A connection gone silent is
 /// noticed no later than this after it should have answered.
 const MOST_WAIT: Duration = Duration::from_millis(2000);
+/// The same where other nodes go by the answer.
+const ASKED_WAIT: Duration = Duration::from_millis(1000);
+/// The same where other nodes prove that nothing has changed; the store holds no call longer than
+/// half a minute.
+const LONG_WAIT: Duration = Duration::from_secs(25);
 /// Age that what is known of the store does not pass while it answers: below the one at which
 /// a node asks for no new callers.
 const MOST_AGE: Duration = Duration::from_millis(2700);
@@ -32,6 +37,22 @@
         Self { asked: now, wait: MOST_WAIT.min(MOST_AGE.saturating_sub(age)) }
     }
 
+    /// A call that is answered when something changes, and hardly else: that nothing does others
+    /// prove.
+    pub fn long(now: Duration) -> Self {
+        Self { asked: now, wait: LONG_WAIT }
+    }
+
+    /// Whether nothing but a change is waited for.
+    pub fn is_long(&self) -> bool {
+        self.wait == LONG_WAIT
+    }
+
+    /// The same for a node by which others go, so that what they know is not much older.
+    pub fn shortened(self) -> Self {
+        Self { wait: self.wait.min(ASKED_WAIT), ..self }
+    }
+
     /// A call that is to be answered at once: one that the store holds would hide its return.
     pub fn at_once(now: Duration) -> Self {
         Self { asked: now, wait: Duration::ZERO }
--- /dev/null
+++ b/crates/edge/tests/relay.rs
@@ -0,0 +1,93 @@
+//! Which nodes follow the store closely, and what their word proves to the others.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use edge::{Known, Relay};
+use yare::parameterized;
+
+const NOW: Duration = Duration::from_secs(50);
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn node(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, (number % 5) as u8, (number / 250) as u8, (number % 250) as u8], 80))
+}
+
+/// What each of some nodes knows of the others.
+fn relays(count: usize) -> Vec<Relay> {
+    let relay = |own: usize| {
+        let mut relay = Relay::default();
+        // Each hears of the others in an order of its own.
+        let others: Vec<SocketAddr> = (1..count).map(|other| node((own + other) % count)).collect();
+        relay.set(node(own), &others);
+        relay
+    };
+    (0..count).map(relay).collect()
+}
+
+#[parameterized(
+    alone = { 1, 1 },
+    small = { 4, 4 },
+    some = { 29, 4 },
+    large = { 118, 8 },
+    largest = { 620, 39 },
+)]
+fn few_nodes_follow_and_all_agree_which(count: usize, followers: usize) {
+    let mut relays = relays(count);
+    let asked: Vec<Option<SocketAddr>> =
+        relays.iter_mut().map(|relay| relay.ask(NOW, 0.4).map(|(node, _)| node)).collect();
+    let following: Vec<usize> = (0..count).filter(|&own| asked[own].is_none()).collect();
+    assert_eq!(following.len(), followers);
+    for follower in asked.iter().flatten() {
+        assert!(following.iter().any(|&own| node(own) == *follower), "{follower} follows");
+    }
+}
+
+/// A node that asks others.
+fn asking() -> Relay {
+    let asking = relays(40).into_iter().find_map(|mut relay| {
+        relay.ask(NOW, 0.0)?;
+        Some(relay)
+    });
+    asking.expect("a node that does not follow")
+}
+
+struct Case {
+    /// The revision that the asking node knows.
+    own: u64,
+    /// What the follower knows, and how long ago that was all there was, milliseconds.
+    follower: (u64, u64),
+    /// How long before now it is proved that nothing was missing, milliseconds.
+    age: Option<u64>,
+}
+
+#[parameterized(
+    the_same = { Case { own: 7, follower: (7, 300), age: Some(300) } },
+    just_now = { Case { own: 7, follower: (7, 0), age: Some(0) } },
+    knows_more = { Case { own: 9, follower: (7, 300), age: Some(300) } },
+    lacks_a_change = { Case { own: 6, follower: (7, 0), age: None } },
+    older_than_its_start = { Case { own: 7, follower: (7, 60_000), age: None } },
+)]
+fn word_counts_from_the_question(case: Case) {
+    let mut relay = asking();
+    let (from, question) = relay.ask(NOW, 0.3).expect("a follower");
+    let known = Known { question, revision: case.follower.0, age: ms(case.follower.1) };
+    let expected = case.age.map(|age| NOW - ms(age));
+    assert_eq!(relay.proves(from, &known, case.own), expected);
+    assert_eq!(relay.is_proved(NOW + ms(1400)), case.own >= case.follower.0);
+    assert!(!relay.is_proved(NOW + ms(1600)));
+    // Neither a second copy nor an answer to an older question proves anything.
+    assert_eq!(relay.proves(from, &known, case.own), None);
+}
+
+#[test]
+fn answer_to_the_question_before_proves_nothing() {
+    let mut relay = asking();
+    let (from, question) = relay.ask(NOW, 0.3).expect("a follower");
+    relay.ask(NOW + ms(600), 0.3);
+    let known = Known { question, revision: 7, age: ms(0) };
+    assert_eq!(relay.proves(from, &known, 7), None);
+}
