Logs: streams that are kept, and nodes that go by others' word on the store

Both decide over requests and had no line of their own: 1131 when a stream waits for a path that has stopped because no other takes it, with what is missing; 1132 when a node begins or ceases to go by other nodes' word, with revision and age.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -31,4 +31,6 @@
     SET_ASIDE = 1128, "request-set-aside", "The losses under a suspected request may have had another cause, or another request stands for them too; it runs apart from others next.";
     TARGET_LEAVES = 1129, "target-leaves", "A target said in an answer that it leaves; it gets nothing new while it lives.";
     BACKED_OFF = 1130, "target-backed-off", "A target that refused asked for a pause; it gets nothing until its end.";
+    KEPT = 1131, "stream-kept", "A stream whose path has stopped goes on waiting for it; `lacks` tells why no other path takes it.";
+    RELAYED = 1132, "store-word", "This node has begun or ceased to go by the word of other nodes on how old the store's state is.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,7 +12,7 @@
 use tokio::pin;
 use tokio::time::sleep;
 
-use crate::event::{CONFIGURED, HISTORY_LOST, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
+use crate::event::{CONFIGURED, HISTORY_LOST, RELAYED, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
 use crate::keep::QUARANTINE_PREFIX;
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
 use crate::node::Node;
@@ -41,13 +41,15 @@
     nodes: HashSet<String>,
     /// Until when a missing entry does not count as gone.
     lenient_until: Duration,
+    /// Whether this node goes by other nodes' word that nothing has changed.
+    relayed: bool,
 }
 
 impl Follower {
     /// A follower that knows nothing yet.
     pub(crate) fn new(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) -> Self {
-        let (known, nodes, lenient_until) = Default::default();
-        Self { node, store, leadership, known, nodes, lenient_until }
+        let (known, nodes, lenient_until, relayed) = Default::default();
+        Self { node, store, leadership, known, nodes, lenient_until, relayed }
     }
 
     /// Follows for good.
@@ -95,9 +97,12 @@
                 true => Watch::at_once(now),
                 false => self.next_watch(now),
             };
+            if watch.is_long() {
+                self.set_relayed(true);
+            }
             match self.answer(revision, watch).await {
                 // Nobody proves any more that nothing changes: asked anew, for less long.
-                None => {}
+                None => self.set_relayed(false),
                 Some(Ok(page)) => {
                     let has_changes = !page.items.is_empty();
                     self.synced(watch.proves(self.node.now(), has_changes));
@@ -135,6 +140,19 @@
         if relay.is_asked() { watch.shortened() } else { watch }
     }
 
+    /// Notes whether this node goes by other nodes' word.
+    fn set_relayed(&mut self, relayed: bool) {
+        if relayed == std::mem::replace(&mut self.relayed, relayed) {
+            return;
+        }
+        let age = self.node.now().saturating_sub(self.node.synced.get().unwrap_or_default());
+        let event = Event::new(RELAYED)
+            .with("goes_by_others", relayed)
+            .with("revision", self.node.revision.get())
+            .with("age_ms", age.as_millis());
+        log::info!("{event}");
+    }
+
     /// The answer to a watch, while other nodes prove that nothing has changed; `None` when they
     /// do no longer.
     async fn answer(&mut self, revision: Revision, watch: Watch) -> Option<Result<Page, Reply>> {
--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -110,6 +110,15 @@
         matches!(self, Closed::NotRun(reason) if *reason != NO_RETRY && *reason != QUARANTINED)
     }
 
+    /// What is missing.
+    pub(crate) fn lacks(&self) -> &'static str {
+        match self {
+            Closed::NotRun(reason) => reason,
+            Closed::Unknown => "no answer",
+            Closed::Failed(_) => "another target failed",
+        }
+    }
+
     /// How a stream ends that cannot be resumed for this reason.
     pub(crate) fn cut(&self) -> &'static str {
         match self {
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::answer::Broken;
-use crate::event::ANSWERED;
+use crate::event::{ANSWERED, KEPT};
 use crate::offer::{Closed, Open, Run};
 use crate::part::{Ended, Part, Progress};
 
@@ -124,6 +124,8 @@
         };
         // Silence alone ends nothing: an engine that leaves is waited for as long as it goes on.
         if let Some(mut held) = run.held.take().filter(|_| !run.node.is_lost(&path)) {
+            let event = run.call.event(KEPT).with("lacks", closed.lacks()).with("path", &path);
+            log::info!("{event}");
             held.hold(run.node.now());
             return Ok(Next::Held(held));
         }
