Streams: an engine that is only left out counts among those that ran a request

An engine whose report came late was left out, and what it had run did not count, though it went on: the rule excuses engines that have ended. The failure of all_domains seen once before without its message may have been the same.

Now an engine counts unless it was registered as ready and has answered no probe, twice. Table::has_failed goes; the table of cases in path asks is_lost, and has the engine that is only left out as one more case.

--- a/crates/edge/src/offer.rs
+++ b/crates/edge/src/offer.rs
@@ -200,11 +200,11 @@
         }
     }
 
-    /// Whether the request has run at as many engines as it may. Those that have failed do not
-    /// count, those that left as planned do.
+    /// Whether the request has run at as many engines as it may. Those that have ended without a
+    /// word before do not count; those that left as planned do.
     fn is_spent(&self) -> bool {
         let table = self.node.table.borrow();
-        let living = self.ran.iter().filter(|stage| !table.has_failed(&stage.target));
+        let living = self.ran.iter().filter(|stage| !table.is_lost(&stage.target));
         living.count() >= self.call.attempts as usize
     }
 
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -88,14 +88,9 @@
         self.entry(id).is_none_or(|entry| entry.health.is_down())
     }
 
-    /// Whether a target must have ended: it failed while it was registered as ready. One that
-    /// leaves goes on for a while after its entry has gone, and what it runs has run.
-    pub fn has_failed(&self, id: &str) -> bool {
-        let ready = self.entry(id).filter(|entry| !entry.is_draining());
-        ready.is_some_and(|entry| entry.health.is_down())
-    }
-
-    /// Whether a target is known to have ended without a word before: probes tell so.
+    /// Whether a target is known to have ended without a word before: it was registered as ready
+    /// and answers no probe. One that is only left out may be well, and one that leaves goes on for
+    /// a while after its entry has gone; what they run has run.
     pub fn is_lost(&self, id: &str) -> bool {
         self.entry(id).is_some_and(|entry| entry.health.is_lost() && !entry.is_draining())
     }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -246,7 +246,10 @@
 /// An engine that a stream was cut at.
 struct Cut {
     state: State,
+    /// Whether it is left out.
     silent: bool,
+    /// Probes that it has not answered since.
+    probes: usize,
     removed: bool,
     /// Whether it counts as ended, so that the stream may run on one more.
     failed: bool,
@@ -256,23 +259,27 @@
 /// and again by the next (hunt, Floorline mix --seed 114652713193: 16 requests on 3 engines where
 /// their routes allow 2).
 #[parameterized(
-    lost = { Cut { state: State::Ready, silent: true, removed: false, failed: true } },
-    well = { Cut { state: State::Ready, silent: false, removed: false, failed: false } },
-    leaving = { Cut { state: State::Draining, silent: false, removed: false, failed: false } },
-    leaving_and_silent = { Cut { state: State::Draining, silent: true, removed: false, failed: false } },
-    left = { Cut { state: State::Draining, silent: false, removed: true, failed: false } },
+    lost = { Cut { state: State::Ready, silent: true, probes: 2, removed: false, failed: true } },
+    left_out_for_a_late_report = { Cut { state: State::Ready, silent: true, probes: 0, removed: false, failed: false } },
+    well = { Cut { state: State::Ready, silent: false, probes: 0, removed: false, failed: false } },
+    leaving = { Cut { state: State::Draining, silent: false, probes: 0, removed: false, failed: false } },
+    leaving_and_silent = { Cut { state: State::Draining, silent: true, probes: 2, removed: false, failed: false } },
+    left = { Cut { state: State::Draining, silent: false, probes: 0, removed: true, failed: false } },
 )]
 fn engine_that_leaves_counts_among_those_that_ran_a_request(case: Cut) {
     let mut table = table();
     table.set(NOW, Target { state: case.state, ..target(1, "a", (0, 40)) });
     if case.silent {
         table.fault(NOW, address(1), Fault::Silent);
+        for _ in 0..case.probes {
+            table.unanswered("t1", NOW);
+        }
     }
     if case.removed {
         table.lapse("t1", NOW);
         table.expire(NOW);
     }
-    assert_eq!(table.has_failed("t1"), case.failed);
+    assert_eq!(table.is_lost("t1"), case.failed);
 }
 
 #[test]
