Streams: an attempt that ended is noted before the next one is judged

Found by reading the diff: since streams are held on to, what a path did not bring was noted after another path had been sought. So the quarantine judged a request that crashes its targets without the last loss, and a target that had started anew meanwhile was no evidence any more. It is noted first again, once for each part of a stream; the part of a stream that was cut is let go before the next path is chosen, as before. No test failed for it: cases of crashing requests allow three targets.

--- a/crates/edge/src/part.rs
+++ b/crates/edge/src/part.rs
@@ -106,6 +106,8 @@
     flow: Flow,
     /// Events that had been passed on when it began.
     before: u64,
+    /// Whether it is noted that it ended without its answer.
+    is_interrupted: bool,
 }
 
 impl Part {
@@ -120,6 +122,7 @@
             splitter: Splitter::default(),
             silence: Silence::new(node.now()),
             before,
+            is_interrupted: false,
         }
     }
 
@@ -128,14 +131,13 @@
         &self.running.path
     }
 
-    /// When its request was sent.
-    pub(crate) fn begun(&self) -> Duration {
-        self.running.begun
-    }
-
-    /// Whether nothing has come along its path.
-    pub(crate) fn is_fresh(&self, progress: &Progress) -> bool {
-        progress.events == self.before
+    /// Notes, once, that the path has not brought the answer: whether a request may be sent on is
+    /// judged by that.
+    pub(crate) fn interrupt(&mut self, run: &Run, progress: &Progress) {
+        if !std::mem::replace(&mut self.is_interrupted, true) {
+            let fresh = progress.events == self.before;
+            run.interrupted(&self.running.path, self.running.begun, fresh);
+        }
     }
 
     /// Goes on waiting for a stopped engine, as there is no other path now.
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -99,15 +99,19 @@
 /// has only stopped and there is no other.
 async fn go_on(
     run: &mut Run,
-    part: Part,
+    mut part: Part,
     ended: Ended,
     progress: &Progress,
 ) -> Result<Next, Closed> {
-    let Kind::Stream { resumable } = run.call.kind else { return Err(Closed::Unknown) };
-    let (path, begun, fresh) = (part.path().clone(), part.begun(), part.is_fresh(progress));
+    let resumable = matches!(run.call.kind, Kind::Stream { resumable: true });
+    let path = part.path().clone();
+    part.interrupt(run, progress);
     run.has_run(&path);
     if ended == Ended::Stopped {
         run.held = Some(part);
+    } else {
+        // What it held at the engines is free for the next path.
+        drop(part);
     }
     let until = run.node.now() + SEEK_TIME;
     loop {
@@ -115,7 +119,6 @@
             true => match run.open(progress.last).await {
                 Ok(open) => {
                     run.held = None;
-                    run.interrupted(&path, begun, fresh);
                     return Ok(Next::Moved(open));
                 }
                 Err(closed) => closed,
@@ -130,7 +133,6 @@
             return Ok(Next::Held(held));
         }
         if !closed.may_pass() || run.node.now() >= until {
-            run.interrupted(&path, begun, fresh);
             return Err(closed);
         }
         sleep(SEEK_INTERVAL).await;
