--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -12,11 +12,14 @@
 };
 use hyper::{Method, Request, Uri};
 use path::Path;
-use platform::head;
+use platform::{PartId, head};
 use site::Kind;
 use smol_str::SmolStr;
 use suspect::Fingerprint;
 
+/// Maximum parts of a prompt that are considered; further ones are ignored.
+const MAX_PARTS: usize = 16;
+
 /// Headers that apply to a single connection.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
     CONNECTION,
@@ -36,6 +39,8 @@
     pub(crate) id: SmolStr,
     /// Fingerprint of the request, equal for all attempts at it.
     pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share: all but the last one.
+    pub(crate) parts: Vec<PartId>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// Headers that are forwarded to targets.
@@ -66,6 +71,11 @@
         Event::new(kind).with("request", &self.id).with("fingerprint", hex(self.fingerprint))
     }
 
+    /// Returns the shared parts of the prompt as they appear in log lines.
+    pub(crate) fn listed_parts(&self) -> String {
+        self.parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the request in the form in which a target receives it.
     pub(crate) fn request(
         &self,
@@ -97,6 +107,14 @@
     }
 }
 
+/// Returns the parts of the prompt that other requests may share. The last part belongs to the
+/// request or to its session.
+pub(crate) fn shared_parts(headers: &HeaderMap) -> Vec<PartId> {
+    let mut parts = platform::prompt_parts(headers, MAX_PARTS);
+    parts.pop();
+    parts
+}
+
 /// Formats a fingerprint as it appears in logs and store keys.
 pub(crate) fn hex(fingerprint: Fingerprint) -> impl fmt::Display {
     fmt::from_fn(move |f| write!(f, "{fingerprint:016x}"))
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -211,6 +211,7 @@
     let call = Call {
         id: id.into(),
         fingerprint: suspect::fingerprint(caller, path, &body),
+        parts: call::shared_parts(&parts.headers),
         method: parts.method,
         uri: parts.uri,
         body,
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -82,6 +82,7 @@
         .call
         .event(ANSWERED)
         .with("route", &dispatch.call.route)
+        .with("parts", dispatch.call.listed_parts())
         .with("outcome", outcome)
         .with("offers", dispatch.offers)
         .with("moves", progress.moves)
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -55,6 +55,7 @@
     let event = call
         .event(FAILED)
         .with("target", target)
+        .with("parts", call.listed_parts())
         .with("reason", reason)
         .with("ran", ran)
         .with("ms", node.now().saturating_sub(sent).as_millis());
