--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, ready to be sent to targets.
 
+use std::cell::Cell;
 use std::fmt;
 use std::time::Duration;
 
@@ -33,6 +34,13 @@
     EXPECT,
 ];
 
+/// A part of a prompt that other requests may share.
+pub(crate) struct Part {
+    pub(crate) id: PartId,
+    /// Identifies the part together with the service that runs it.
+    pub(crate) fingerprint: Fingerprint,
+}
+
 /// A request with its route, service and limits.
 pub(crate) struct Call {
     /// Id of this attempt, given by the caller.
@@ -40,7 +48,9 @@
     /// Fingerprint of the request, equal for all attempts at it.
     pub(crate) fingerprint: Fingerprint,
     /// Parts of the prompt that other requests may share: all but the last one.
-    pub(crate) parts: Vec<PartId>,
+    pub(crate) parts: Vec<Part>,
+    /// Whether the request has run past the point at which requests crash targets.
+    pub(crate) has_run: Cell<bool>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// Headers that are forwarded to targets.
@@ -73,7 +83,12 @@
 
     /// Returns the shared parts of the prompt as they appear in log lines.
     pub(crate) fn listed_parts(&self) -> String {
-        self.parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join(",")
+        self.parts.iter().map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+    }
+
+    /// Returns the fingerprints of the shared parts of the prompt.
+    pub(crate) fn part_fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.parts.iter().map(|part| part.fingerprint)
     }
 
     /// Returns the request in the form in which a target receives it.
@@ -109,10 +124,11 @@
 
 /// Returns the parts of the prompt that other requests may share. The last part belongs to the
 /// request or to its session.
-pub(crate) fn shared_parts(headers: &HeaderMap) -> Vec<PartId> {
-    let mut parts = platform::prompt_parts(headers, MAX_PARTS);
-    parts.pop();
-    parts
+pub(crate) fn shared_parts(headers: &HeaderMap, service: &str) -> Vec<Part> {
+    let mut ids = platform::prompt_parts(headers, MAX_PARTS);
+    ids.pop();
+    let part = |id| Part { id, fingerprint: suspect::part_fingerprint(service, id) };
+    ids.into_iter().map(part).collect()
 }
 
 /// Formats a fingerprint as it appears in logs and store keys.
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -24,8 +24,8 @@
     LAYOUT = 1121, "layout", "The layers that no engine of a failure domain holds have changed.";
     FAILED = 1122, "attempt-failed", "An attempt at a target gave no usable answer; `ran` states whether the request can have run.";
     TARGET_PAUSED = 1123, "target-paused", "A target refused a request of this or another node and receives no requests for a while.";
-    REQUEST_SUSPECTED = 1124, "request-suspected", "A target was lost during an attempt at the request, as observed by this or another node; `fresh` if no part of an answer had arrived.";
-    REQUEST_QUARANTINED = 1125, "request-condemned", "The request crashed its targets and does not run for a while, by decision of this node, of another node or of an entry in the store.";
+    REQUEST_SUSPECTED = 1124, "request-suspected", "A target was lost during an attempt at the request, as observed by this or another node; `fresh` if no part of an answer had arrived. The fingerprint is that of the request if `breadth` is 0, else of a part of its prompt.";
+    REQUEST_QUARANTINED = 1125, "request-condemned", "The request, or all requests with this part in their prompts, crashed targets and do not run for a while, by decision of this node, of another node or of an entry in the store.";
     REQUEST_CLEARED = 1126, "request-cleared", "A suspected request was answered, or ran past the point at which requests crash targets; it is no longer suspected.";
     REQUEST_HELD = 1127, "request-held", "A suspected request waits for a decision, or for its turn to run isolated from other suspects.";
     REQUEST_ISOLATED = 1128, "request-set-aside", "The losses during a suspected request may have another cause, or are shared with another request; it runs isolated from other suspects next.";
@@ -33,4 +33,5 @@
     BACKED_OFF = 1130, "target-backed-off", "A target that refused a request asked for a pause and receives no requests until its end.";
     KEPT = 1131, "stream-kept", "A stream continues to wait for its stalled path; `lacks` states why no other path is used.";
     RELAYED = 1132, "store-word", "This node started or stopped relying on other nodes' proofs of the store state's age.";
+    PART_TRIED = 1133, "part-tried", "One request with a quarantined part of a prompt may run at this node, to find out whether the part still crashes targets.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -197,6 +197,11 @@
         let missing: Vec<String> =
             self.known.keys().filter(|key| !seen.contains(*key)).cloned().collect();
         for key in missing {
+            if key.starts_with(QUARANTINE_PREFIX) {
+                self.known.remove(&key);
+                self.node.restore_quarantine_entry(&key);
+                continue;
+            }
             self.apply_item(Item { key, value: None, revision, created: 0 });
         }
     }
@@ -223,11 +228,8 @@
                 None => self.nodes.remove(name),
             };
             self.update_nodes();
-        } else if let Some(fingerprint) = item.key.strip_prefix(QUARANTINE_PREFIX)
-            && item.value.is_some()
-        {
-            // An entry that lapses needs no action: the quarantine ends by this node's clock.
-            self.node.load_quarantined(fingerprint);
+        } else if item.key.starts_with(QUARANTINE_PREFIX) {
+            self.node.apply_quarantine_entry(&item);
         }
     }
 
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,5 +1,6 @@
 //! The port for callers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -211,7 +212,8 @@
     let call = Call {
         id: id.into(),
         fingerprint: suspect::fingerprint(caller, path, &body),
-        parts: call::shared_parts(&parts.headers),
+        parts: call::shared_parts(&parts.headers, service),
+        has_run: Cell::new(false),
         method: parts.method,
         uri: parts.uri,
         body,
--- a/crates/edge/src/persistence.rs
+++ b/crates/edge/src/persistence.rs
@@ -1,49 +1,230 @@
-//! Writes quarantine decisions to the store, for nodes that start later.
+//! Entries of the store on quarantined requests and parts of prompts, for nodes that start later.
+//!
+//! Entries have no lease, so that they outlast an outage of the store that ends its leases; each
+//! holds the time of its end. A node that knows of a quarantine whose entry is missing writes it
+//! again. The trials of a part are counted in its entry: the node whose conditional write succeeds
+//! may let one request run.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use platform::kv::Write;
+use fleet::Event;
+use platform::kv::{Item, Revision, Write, decode_write};
+use serde::{Deserialize, Serialize};
 use suspect::Fingerprint;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::call::hex;
+use crate::event::PART_TRIED;
 use crate::node::Node;
 use crate::quarantine::TTL;
 use crate::store::{Reply, Store};
 
-/// Prefix of the keys of quarantined requests, followed by the fingerprint in hexadecimal.
+/// Prefix of the keys of quarantined requests and parts, followed by the fingerprint in
+/// hexadecimal.
 pub(crate) const QUARANTINE_PREFIX: &str = "magnoliarun/quarantine/";
-/// Time over which the nodes spread their writes of the same decision: most then see the first
-/// write and skip theirs.
-const SAVE_SPREAD: Duration = Duration::from_millis(400);
+/// Time over which the nodes spread their writes of the same change: most then see the first write
+/// and skip theirs.
+const WRITE_SPREAD: Duration = Duration::from_millis(400);
 /// Pause before a failed write is retried.
-const SAVE_RETRY_PAUSE: Duration = Duration::from_millis(500);
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time after the end of a quarantine at which its entry is removed. Longer than the difference
+/// between the clocks of the nodes.
+const REMOVAL_DELAY: Duration = Duration::from_secs(30);
+/// Lease of a key that does not end.
+const NO_LEASE: u64 = 0;
 
-/// Writes unsaved quarantine decisions to the store until the process ends.
+/// Value of an entry.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Value {
+    /// Number of trials of a part so far.
+    trials: u32,
+    /// End of the quarantine, milliseconds since the Unix epoch.
+    until_unix_ms: u64,
+}
+
+impl Value {
+    /// Returns the value of a quarantine that starts, or continues, now.
+    fn starting_now(trials: u32) -> Self {
+        Self { trials, until_unix_ms: unix_ms() + TTL.as_millis() as u64 }
+    }
+
+    /// Returns the time left; zero once the quarantine has ended.
+    fn time_left(self) -> Duration {
+        Duration::from_millis(self.until_unix_ms.saturating_sub(unix_ms())).min(TTL)
+    }
+
+    /// Returns whether the quarantine ended some time ago.
+    fn is_obsolete(self) -> bool {
+        self.until_unix_ms + (REMOVAL_DELAY.as_millis() as u64) < unix_ms()
+    }
+}
+
+fn unix_ms() -> u64 {
+    // A clock before the epoch counts as the epoch: entries then last their full time.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+/// Change of an entry that is to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// Write the entry if it is missing.
+    Save,
+    /// Count a trial, and permit one request to run if the write succeeds.
+    Try,
+    /// Remove the entry.
+    Remove,
+}
+
+/// Entries of the store, and changes of them that are to be written.
+#[derive(Default)]
+pub(crate) struct Entries {
+    known: RefCell<BTreeMap<Fingerprint, (Revision, Value)>>,
+    changes: RefCell<BTreeMap<Fingerprint, Change>>,
+    /// Notified when a change is requested.
+    change_requested: Notify,
+}
+
+impl Entries {
+    /// Requests a change. It replaces an earlier one of the same entry.
+    pub(crate) fn request(&self, fingerprint: Fingerprint, change: Change) {
+        self.changes.borrow_mut().insert(fingerprint, change);
+        self.change_requested.notify_one();
+    }
+
+    /// Requests the removal of entries whose quarantine has ended.
+    pub(crate) fn remove_obsolete(&self) {
+        let known = self.known.borrow();
+        let obsolete = known.iter().filter(|(_, (_, value))| value.is_obsolete());
+        obsolete.for_each(|(&fingerprint, _)| self.request(fingerprint, Change::Remove));
+    }
+
+    fn revision(&self, fingerprint: Fingerprint) -> Option<Revision> {
+        self.known.borrow().get(&fingerprint).map(|(revision, _)| *revision)
+    }
+}
+
+/// Returns the fingerprint in the key of an entry; `None` for a key that this system did not write.
+fn fingerprint(key: &str) -> Option<Fingerprint> {
+    Fingerprint::from_str_radix(key.strip_prefix(QUARANTINE_PREFIX)?, 16).ok()
+}
+
+impl Node {
+    /// Applies an entry of the store, or its removal.
+    pub(crate) fn apply_quarantine_entry(&self, item: &Item) {
+        let Some(fingerprint) = fingerprint(&item.key) else { return };
+        let entries = &self.quarantine.entries;
+        let Some(bytes) = &item.value else {
+            entries.known.borrow_mut().remove(&fingerprint);
+            return self.release_quarantined(fingerprint);
+        };
+        // Entries of older versions have no value.
+        let value = postcard::from_bytes(bytes).unwrap_or_else(|_| Value::starting_now(0));
+        entries.known.borrow_mut().insert(fingerprint, (item.revision, value));
+        entries
+            .changes
+            .borrow_mut()
+            .retain(|other, change| *other != fingerprint || *change == Change::Remove);
+        let left = value.time_left();
+        if left.is_zero() {
+            return;
+        }
+        self.quarantine_request(fingerprint, &[], left, "store");
+        if !self.is_quarantined(fingerprint) {
+            return;
+        }
+        let mut trials = self.quarantine.trials.borrow_mut();
+        trials.schedule(fingerprint, value.trials, self.now());
+    }
+
+    /// Records that an entry is missing although no node has removed it, as far as this node knows.
+    /// Writes it again if the quarantine is still in force here.
+    pub(crate) fn restore_quarantine_entry(&self, key: &str) {
+        let Some(fingerprint) = fingerprint(key) else { return };
+        self.quarantine.entries.known.borrow_mut().remove(&fingerprint);
+        if self.is_quarantined(fingerprint) {
+            self.quarantine.entries.request(fingerprint, Change::Save);
+        }
+    }
+}
+
+/// Writes requested changes to the store until the process ends.
 pub(crate) async fn persist_quarantine(node: Rc<Node>, store: Rc<Store>) {
+    let entries = &node.quarantine.entries;
     loop {
-        let next = node.quarantine.unsaved.borrow().first().copied();
+        let next = entries.changes.borrow().keys().next().copied();
         let Some(fingerprint) = next else {
-            node.quarantine.save_needed.notified().await;
+            entries.change_requested.notified().await;
             continue;
         };
-        sleep(SAVE_SPREAD.mul_f64(node.random_fraction())).await;
-        if !node.quarantine.unsaved.borrow().contains(&fingerprint) {
+        sleep(WRITE_SPREAD.mul_f64(node.random_fraction())).await;
+        let Some(change) = entries.changes.borrow().get(&fingerprint).copied() else { continue };
+        let is_done = match change {
+            Change::Save => save(&node, &store, fingerprint).await,
+            Change::Try => try_part(&node, &store, fingerprint).await,
+            Change::Remove => remove(&node, &store, fingerprint).await,
+        };
+        if !is_done {
+            sleep(RETRY_PAUSE).await;
             continue;
         }
-        if save(&store, fingerprint).await {
-            node.quarantine.unsaved.borrow_mut().remove(&fingerprint);
-        } else {
-            sleep(SAVE_RETRY_PAUSE).await;
+        let mut changes = entries.changes.borrow_mut();
+        if changes.get(&fingerprint) == Some(&change) {
+            changes.remove(&fingerprint);
         }
     }
 }
 
-/// Writes a quarantine decision. Returns whether the store has it afterwards.
-async fn save(store: &Store, fingerprint: Fingerprint) -> bool {
-    let Some(lease) = store.lease(TTL).await else { return false };
-    let key = format!("{QUARANTINE_PREFIX}{}", hex(fingerprint));
-    let write = Write { key: &key, expected: Some(0), value: b"", lease: lease.id };
-    matches!(store.write(write).await, Reply::Done(_) | Reply::Conflict)
+/// Writes an entry that is missing. Returns whether the store has it afterwards.
+async fn save(node: &Node, store: &Store, fingerprint: Fingerprint) -> bool {
+    if node.quarantine.entries.revision(fingerprint).is_some() || !node.is_quarantined(fingerprint)
+    {
+        return true;
+    }
+    let trials = node.quarantine.trials.borrow().number(fingerprint);
+    let reply = write(store, fingerprint, 0, Value::starting_now(trials)).await;
+    matches!(reply, Reply::Done(_) | Reply::Conflict)
+}
+
+/// Counts a trial in the entry of a part, and permits one request to run if this succeeds. A failed
+/// trial is not repeated: the next request with the part asks for another one.
+async fn try_part(node: &Node, store: &Store, part: Fingerprint) -> bool {
+    let Some(revision) = node.quarantine.entries.revision(part) else {
+        // Without its entry, other nodes could permit the same trial.
+        return save(node, store, part).await;
+    };
+    let number = node.quarantine.trials.borrow().number(part) + 1;
+    let reply = write(store, part, revision, Value::starting_now(number)).await;
+    if let Reply::Done(bytes) = &reply
+        && decode_write(bytes).is_ok()
+    {
+        let mut trials = node.quarantine.trials.borrow_mut();
+        trials.schedule(part, number, node.now());
+        trials.permit(part);
+        let event = Event::new(PART_TRIED).with("fingerprint", hex(part)).with("trial", number);
+        log::info!("{event}");
+    }
+    true
+}
+
+/// Removes an entry. Returns whether the store no longer has it, or has another version of it.
+async fn remove(node: &Node, store: &Store, fingerprint: Fingerprint) -> bool {
+    let Some(revision) = node.quarantine.entries.revision(fingerprint) else { return true };
+    let reply = store.remove(&key(fingerprint), revision).await;
+    matches!(reply, Reply::Done(_) | Reply::Conflict | Reply::Missing)
+}
+
+async fn write(store: &Store, fingerprint: Fingerprint, expected: Revision, value: Value) -> Reply {
+    // Numbers always serialise.
+    let value = postcard::to_allocvec(&value).unwrap_or_default();
+    let (key, expected) = (key(fingerprint), Some(expected));
+    store.write(Write { key: &key, expected, value: &value, lease: NO_LEASE }).await
+}
+
+fn key(fingerprint: Fingerprint) -> String {
+    format!("{QUARANTINE_PREFIX}{}", hex(fingerprint))
 }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -169,6 +169,7 @@
             last_sweep = node.now();
             node.pool.close_expired();
             node.quarantine.expire(node.now());
+            node.quarantine.entries.remove_obsolete();
         }
     }
 }
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -1,13 +1,13 @@
-//! Quarantine of requests that crash their targets: what this node observes of them, and what it
-//! exchanges with other nodes.
+//! Quarantine of requests that crash their targets, and of parts of prompts with which all requests
+//! do: what this node observes of them, and what it exchanges with other nodes.
 //!
 //! The decisions are made by `suspect`. An attempt that ends without its answer counts against its
-//! request once one of its targets turns out to be lost. Evidence from attempts without any part of
-//! an answer and quarantine decisions are sent to the other nodes at once. Decisions are also
-//! written to the store for nodes that start later.
+//! request, and against the parts of its prompt that other requests share, once one of its targets
+//! turns out to be lost. Evidence from attempts without any part of an answer and quarantine
+//! decisions are sent to the other nodes at once. Decisions are also written to the store for nodes
+//! that start later.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::{DomainName, Event, TargetName};
@@ -15,10 +15,9 @@
 use path::Entry;
 use site::{State, Target, TargetKey};
 use suspect::{
-    Answered, Decision, Fingerprint, Interruption, Interruptions, Loss, Place, Settings, Status,
-    Suspects,
+    Answered, Decision, Fingerprint, Interruption, Interruptions, Loss, Passes, Place, Scope,
+    Settings, Status, Subject, Suspects, Trials,
 };
-use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::answer::{Answer, retry_later};
@@ -27,8 +26,9 @@
     REFUSED, REQUEST_CLEARED, REQUEST_HELD, REQUEST_ISOLATED, REQUEST_QUARANTINED,
     REQUEST_SUSPECTED,
 };
-use crate::evidence::{Evidence, Finding, Outbox};
+use crate::evidence::{Evidence, Finding, Outbox, Suspicion};
 use crate::node::Node;
+use crate::persistence::{Change, Entries};
 
 /// Reason of a request that is not sent to any target because it is in quarantine.
 pub(crate) const QUARANTINED: &str = "crashed its targets";
@@ -36,8 +36,9 @@
 /// Delay before a quarantine decision. A target that was only unreachable answers its first probe
 /// within it.
 const CONFIRM_DELAY: Duration = Duration::from_millis(400);
+/// Shortest time after which the caller of a quarantined request may return.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time for which losses and quarantine decisions count: callers repeat such a request for minutes.
-/// Equals the longest time to live of the store's leases.
 pub(crate) const TTL: Duration = Duration::from_secs(600);
 /// Number of events of an answer on one path after which its request is no longer a suspect.
 pub(crate) const CLEARING_EVENTS: u64 = 8;
@@ -51,14 +52,15 @@
     suspects: RefCell<Suspects>,
     interruptions: RefCell<Interruptions>,
     answered: RefCell<Answered>,
+    passes: RefCell<Passes>,
+    /// Trials of quarantined parts of prompts.
+    pub(crate) trials: RefCell<Trials>,
     /// Failure domains, indexed by the numbers that `suspect` uses.
     domains: RefCell<Vec<DomainName>>,
     /// Evidence to be sent to the other nodes.
     pub(crate) outbox: RefCell<Outbox>,
-    /// Requests quarantined by this node that are not yet known to be in the store.
-    pub(crate) unsaved: RefCell<BTreeSet<Fingerprint>>,
-    /// Notified when a request is added to `unsaved`.
-    pub(crate) save_needed: Notify,
+    /// Entries of the store.
+    pub(crate) entries: Entries,
 }
 
 impl Default for Quarantine {
@@ -73,10 +75,11 @@
             suspects: RefCell::default(),
             interruptions: RefCell::default(),
             answered: RefCell::default(),
+            passes: RefCell::default(),
+            trials: RefCell::default(),
             domains: RefCell::default(),
             outbox: RefCell::default(),
-            unsaved: RefCell::default(),
-            save_needed: Notify::new(),
+            entries: Entries::default(),
         }
     }
 }
@@ -105,6 +108,27 @@
     format!("{}/{}", target.id, target.started_unix_ms).into()
 }
 
+/// What a target ran when it was lost.
+struct Load<'a> {
+    /// Fingerprint of the request.
+    request: Fingerprint,
+    /// Fingerprints of the shared parts of its prompt, in the order of the prompt.
+    parts: &'a [Fingerprint],
+    /// Whether no part of an answer had arrived.
+    fresh: bool,
+}
+
+/// What becomes of a request that is about to be sent.
+enum Admission {
+    Run,
+    /// The request must not run for this time.
+    Refuse(Duration),
+    /// A decision on this fingerprint is due.
+    Decide(Fingerprint),
+    /// The request waits until this time.
+    Wait(Duration),
+}
+
 /// Source of the information that a target was lost.
 enum Source<'a> {
     /// This node observed the loss.
@@ -134,12 +158,19 @@
             let lost = targets.iter().find(was_lost).and_then(|id| table.entry(id));
             lost.map(|entry| entry.target.clone())
         };
-        let fingerprint = call.fingerprint;
+        let parts = match call.has_run.get() {
+            true => Vec::new(),
+            false => call.part_fingerprints().collect(),
+        };
         match lost {
-            Some(target) => self.record_loss(fingerprint, Source::Observed(&target), fresh),
+            Some(target) => {
+                let load = Load { request: call.fingerprint, parts: &parts, fresh };
+                self.record_loss(&load, Source::Observed(&target));
+            }
             None => {
                 let interruption = Interruption {
-                    fingerprint,
+                    fingerprint: call.fingerprint,
+                    parts,
                     targets,
                     sent_at: begun,
                     ended_at: now,
@@ -156,11 +187,12 @@
         let affected = interruptions.take_lost_with(self.now(), &target.id);
         drop(interruptions);
         for interruption in affected {
-            self.record_loss(
-                interruption.fingerprint,
-                Source::Observed(target),
-                interruption.before_output,
-            );
+            let load = Load {
+                request: interruption.fingerprint,
+                parts: &interruption.parts,
+                fresh: interruption.before_output,
+            };
+            self.record_loss(&load, Source::Observed(target));
         }
     }
 
@@ -176,14 +208,9 @@
         is_marked || target.state == State::Draining
     }
 
-    /// Counts the loss of a target against a request.
-    fn record_loss(&self, fingerprint: Fingerprint, source: Source<'_>, fresh: bool) {
-        if self.quarantine.answered.borrow().contains(fingerprint) {
-            if matches!(source, Source::Reported(..)) {
-                self.queue_evidence(Evidence { fingerprint, finding: Finding::Answered });
-            }
-            return;
-        }
+    /// Counts the loss of a target against the request that it ran, and against the parts of its
+    /// prompt.
+    fn record_loss(&self, load: &Load<'_>, source: Source<'_>) {
         let (target, place, own) = match source {
             // A draining target ends on its own.
             Source::Observed(target) if self.is_draining(target) => return,
@@ -194,55 +221,121 @@
                 (target, self.quarantine.place(domain.as_ref()), false)
             }
         };
+        let subjects = self.suspected_subjects(load, own);
+        if subjects.is_empty() {
+            return;
+        }
         let settings = &self.quarantine.settings;
         let mut suspects = self.quarantine.suspects.borrow_mut();
         let loss = Loss { target: target.clone(), place, at: self.now() };
         let loss = suspects.record_loss(loss, settings);
-        if !suspects.add_evidence(fingerprint, loss, fresh, settings) {
-            return;
+        let mut is_new = false;
+        for subject in subjects {
+            if suspects.add_evidence(subject, loss.clone(), load.fresh, settings) {
+                is_new = true;
+                log_suspected(&subject, &target, load.fresh, own);
+            }
         }
         drop(suspects);
-        let event = Event::new(REQUEST_SUSPECTED)
-            .with("fingerprint", hex(fingerprint))
-            .with("target", &target)
-            .with("fresh", fresh)
-            .with("own", own);
-        log::warn!("{event}");
-        metrics::counter!("magnolia_requests_suspected").increment(1);
-        // A loss after part of an answer is weak evidence and is not sent to other nodes.
-        if own && fresh {
-            self.queue_evidence(Evidence { fingerprint, finding: Finding::Suspected(target) });
+        // A loss after part of an answer is weak evidence against the request itself and is not
+        // sent to other nodes for it.
+        if is_new && own && (load.fresh || !load.parts.is_empty()) {
+            let parts = load.parts.to_vec();
+            let finding = Finding::Suspected(Suspicion { target, parts, fresh: load.fresh });
+            self.queue_evidence(Evidence { fingerprint: load.request, finding });
             self.alarm.notify_one();
         }
     }
 
+    /// Returns what a loss counts against: the request and the parts of its prompt, except those
+    /// that are known to be harmless. If another node reports the loss, it is informed of these and
+    /// of the parts with which requests have run before.
+    fn suspected_subjects(&self, load: &Load<'_>, own: bool) -> Vec<Subject> {
+        let now = self.now();
+        let passes = self.quarantine.passes.borrow();
+        let mut suspected = Vec::new();
+        if self.quarantine.answered.borrow().contains(load.request) {
+            if !own {
+                let finding = Finding::Answered;
+                self.queue_evidence(Evidence { fingerprint: load.request, finding });
+            }
+        } else if own || load.fresh {
+            suspected.push(Subject::request(load.request));
+        }
+        for subject in Subject::parts(load.request, load.parts, &passes) {
+            let fingerprint = subject.fingerprint;
+            if let Some(last) = passes.last(fingerprint).filter(|_| !own) {
+                let finding = Finding::Passed(now.saturating_sub(last));
+                self.queue_evidence(Evidence { fingerprint, finding });
+            }
+            if !passes.is_harmless(fingerprint, now) {
+                suspected.push(subject);
+            }
+        }
+        suspected
+    }
+
     fn queue_evidence(&self, evidence: Evidence) {
         self.quarantine.outbox.borrow_mut().push(evidence);
     }
 
     /// Records that a request was answered completely. A request that many callers send is then not
     /// quarantined for losses of targets that coincide with it.
-    pub(crate) fn record_completed(&self, fingerprint: Fingerprint) {
-        self.quarantine.answered.borrow_mut().record(fingerprint);
-        self.clear(fingerprint, Finding::Answered, true);
+    pub(crate) fn record_completed(&self, call: &Call) {
+        self.quarantine.answered.borrow_mut().record(call.fingerprint);
+        self.clear(call.fingerprint, Finding::Answered, true);
+        self.record_run(call);
     }
 
     /// Records that a request has run past the point at which requests crash targets.
-    pub(crate) fn record_cleared(&self, fingerprint: Fingerprint) {
-        self.clear(fingerprint, Finding::Cleared, true);
+    pub(crate) fn record_cleared(&self, call: &Call) {
+        self.clear(call.fingerprint, Finding::Cleared, true);
+        self.record_run(call);
+    }
+
+    /// Records, once for a request, that the parts of its prompt crash no targets. The end of a
+    /// long answer shows nothing more: its parts may have begun to crash targets since it began.
+    fn record_run(&self, call: &Call) {
+        if call.has_run.replace(true) {
+            return;
+        }
+        let now = self.now();
+        for part in call.part_fingerprints() {
+            self.quarantine.passes.borrow_mut().record(part, now);
+            self.clear(part, Finding::Passed(Duration::ZERO), true);
+        }
+    }
+
+    /// Applies another node's news that a request with a part has run, `age` ago.
+    fn apply_pass(&self, part: Fingerprint, age: Duration) {
+        let now = self.now();
+        self.quarantine.outbox.borrow_mut().drop_passed(part);
+        self.quarantine.passes.borrow_mut().record(part, now.saturating_sub(age));
+        if self.quarantine.passes.borrow().is_harmless(part, now) {
+            self.clear(part, Finding::Passed(age), false);
+        } else {
+            self.quarantine.suspects.borrow_mut().record_earlier_run(part);
+        }
     }
 
     fn clear(&self, fingerprint: Fingerprint, finding: Finding, own: bool) {
         let mut suspects = self.quarantine.suspects.borrow_mut();
         let fresh = suspects.has_full_evidence(fingerprint);
-        let was_suspect = match finding {
-            Finding::Answered => suspects.release(fingerprint),
-            _ => suspects.clear_evidence(fingerprint),
+        let releases = matches!(finding, Finding::Answered | Finding::Passed(_));
+        let was_suspect = match releases {
+            true => suspects.release(fingerprint),
+            false => suspects.clear_evidence(fingerprint),
         };
         drop(suspects);
         if own && fresh {
+            if releases {
+                self.quarantine.entries.request(fingerprint, Change::Remove);
+            }
             self.queue_evidence(Evidence { fingerprint, finding });
         }
+        if releases {
+            self.quarantine.trials.borrow_mut().remove(fingerprint);
+        }
         if was_suspect {
             let event =
                 Event::new(REQUEST_CLEARED).with("fingerprint", hex(fingerprint)).with("own", own);
@@ -260,18 +353,14 @@
         let mut logged = false;
         loop {
             let now = self.now();
-            let until = match self.standing(call.fingerprint, now) {
-                Status::Clear => return Ok(()),
-                Status::Quarantined(until) => return Err(until.saturating_sub(now)),
-                Status::Pending(at) if now >= at => {
-                    self.decide(call.fingerprint, now);
+            let until = match self.admission(call, now) {
+                Admission::Run => return Ok(()),
+                Admission::Refuse(left) => return Err(left),
+                Admission::Decide(fingerprint) => {
+                    self.decide(fingerprint, now);
                     continue;
                 }
-                Status::Pending(at) => at,
-                Status::Suspect => match self.earliest_start(call.fingerprint, now) {
-                    Some(at) => at,
-                    None => return Ok(()),
-                },
+                Admission::Wait(until) => until,
             };
             if now >= call.deadline {
                 return Ok(());
@@ -287,21 +376,67 @@
         }
     }
 
+    fn admission(&self, call: &Call, now: Duration) -> Admission {
+        let mut quarantined = Vec::new();
+        for part in call.part_fingerprints() {
+            match self.standing(part, now) {
+                Status::Clear | Status::Suspect => {}
+                Status::Quarantined(_) => quarantined.push(part),
+                Status::Pending(at) if now >= at => return Admission::Decide(part),
+                Status::Pending(at) => return Admission::Wait(at),
+            }
+        }
+        match self.standing(call.fingerprint, now) {
+            Status::Clear if self.may_try(&quarantined) => Admission::Run,
+            Status::Suspect if self.may_try(&quarantined) => {
+                let start = self.earliest_start(call.fingerprint, now);
+                start.map_or(Admission::Run, Admission::Wait)
+            }
+            Status::Pending(at) if now >= at => Admission::Decide(call.fingerprint),
+            Status::Pending(at) => Admission::Wait(at),
+            _ => Admission::Refuse(self.quarantined_for(call)),
+        }
+    }
+
+    /// Returns whether a request with these quarantined parts may run: if there are none, or as
+    /// their trial. Requests the permission for a trial that is due.
+    fn may_try(&self, quarantined: &[Fingerprint]) -> bool {
+        let now = self.now();
+        let mut trials = self.quarantine.trials.borrow_mut();
+        let permitted = quarantined.iter().filter(|part| trials.take_permission(**part)).count();
+        if permitted == quarantined.len() {
+            return true;
+        }
+        for &part in quarantined {
+            if trials.time_left(part, now).is_some_and(|left| left.is_zero()) {
+                self.quarantine.entries.request(part, Change::Try);
+            }
+        }
+        false
+    }
+
     /// Returns the refusal of a request that stays in quarantine for the time `left`.
     pub(crate) fn refuse_quarantined(&self, call: &Call, left: Duration) -> Response<Answer> {
         let event = call.event(REFUSED).with("reason", QUARANTINED);
+        let event = event.with("parts", call.listed_parts());
         log::info!("{}", event.with("retry_after_ms", left.as_millis()));
         metrics::counter!("magnolia_refusals", "reason" => QUARANTINED).increment(1);
         retry_later(StatusCode::SERVICE_UNAVAILABLE, QUARANTINED, left)
     }
 
-    /// Returns how long a request stays in quarantine, or zero if it is not quarantined.
-    pub(crate) fn quarantined_for(&self, fingerprint: Fingerprint) -> Duration {
+    /// Returns how long a request or a part of its prompt stays in quarantine, or zero if none of
+    /// them is quarantined.
+    pub(crate) fn quarantined_for(&self, call: &Call) -> Duration {
         let now = self.now();
-        match self.standing(fingerprint, now) {
-            Status::Quarantined(until) => until.saturating_sub(now),
+        let left = |fingerprint: Fingerprint| match self.standing(fingerprint, now) {
+            Status::Quarantined(until) => {
+                let trial = self.quarantine.trials.borrow().time_left(fingerprint, now);
+                let left = until.saturating_sub(now);
+                trial.map_or(left, |trial| trial.clamp(MIN_RETRY_AFTER, left.max(MIN_RETRY_AFTER)))
+            }
             _ => Duration::ZERO,
-        }
+        };
+        call.part_fingerprints().map(left).fold(left(call.fingerprint), Duration::max)
     }
 
     fn standing(&self, fingerprint: Fingerprint, now: Duration) -> Status {
@@ -333,15 +468,23 @@
     fn decide(&self, fingerprint: Fingerprint, now: Duration) {
         let settings = &self.quarantine.settings;
         let decision = self.quarantine.suspects.borrow_mut().decide(fingerprint, now, settings);
-        let Decision::Quarantined(targets) = decision else {
-            let event = Event::new(REQUEST_ISOLATED);
-            return log::info!("{}", event.with("fingerprint", hex(fingerprint)));
+        let targets = match decision {
+            Decision::Quarantined(targets) => targets,
+            Decision::Dropped(doubt) => {
+                let event = Event::new(REQUEST_ISOLATED).with("fingerprint", hex(fingerprint));
+                return log::info!("{}", event.with("doubt", format_args!("{doubt:?}")));
+            }
         };
         self.log_quarantined(fingerprint, &targets, "judged");
-        self.quarantine.unsaved.borrow_mut().insert(fingerprint);
-        self.quarantine.save_needed.notify_one();
+        self.quarantine.trials.borrow_mut().schedule(fingerprint, 0, now);
+        self.quarantine.entries.request(fingerprint, Change::Save);
+        let is_part = self.quarantine.suspects.borrow().is_part(fingerprint);
         for target in targets {
-            self.queue_evidence(Evidence { fingerprint, finding: Finding::Quarantined(target) });
+            let finding = match is_part {
+                true => Finding::PartQuarantined(target),
+                false => Finding::Quarantined(target),
+            };
+            self.queue_evidence(Evidence { fingerprint, finding });
         }
         self.alarm.notify_one();
     }
@@ -358,40 +501,76 @@
     /// Applies evidence that another node sent.
     pub(crate) fn apply_evidence(&self, evidence: Evidence) {
         let Evidence { fingerprint, finding } = evidence;
-        let target = match finding {
-            Finding::Suspected(target) => target,
+        let suspicion = match finding {
+            Finding::Suspected(suspicion) => suspicion,
             Finding::Cleared | Finding::Answered => {
                 return self.clear(fingerprint, finding, false);
             }
+            Finding::Passed(age) => return self.apply_pass(fingerprint, age),
             Finding::Quarantined(target) => {
-                self.quarantine.suspects.borrow_mut().drop_evidence_for(&target);
-                return self.quarantine_request(fingerprint, &[target], "told");
+                return self.apply_quarantine(fingerprint, target, Scope::Request);
+            }
+            Finding::PartQuarantined(target) => {
+                return self.apply_quarantine(fingerprint, target, Scope::Part);
             }
         };
+        let Suspicion { target, parts, fresh } = suspicion;
         let id = target.rsplit_once('/').map_or(target.as_str(), |(id, _)| id);
         let domain = self.table.borrow().entry(id).map(|entry| entry.target.domain.clone());
-        self.record_loss(fingerprint, Source::Reported(domain, target), true);
+        let load = Load { request: fingerprint, parts: &parts, fresh };
+        self.record_loss(&load, Source::Reported(domain, target));
     }
 
-    /// Applies a quarantine entry of the store.
-    pub(crate) fn load_quarantined(&self, fingerprint: &str) {
-        // Keys that are not fingerprints were not written by this system.
-        let Ok(fingerprint) = Fingerprint::from_str_radix(fingerprint, 16) else { return };
-        self.quarantine.unsaved.borrow_mut().remove(&fingerprint);
-        self.quarantine_request(fingerprint, &[], "store");
+    /// Applies another node's decision to quarantine a request or a part for the loss of a target.
+    fn apply_quarantine(&self, fingerprint: Fingerprint, target: TargetName, scope: Scope) {
+        self.quarantine.suspects.borrow_mut().drop_evidence_for(&target, scope);
+        self.quarantine_request(fingerprint, &[target], TTL, "told");
     }
 
-    /// Quarantines a request by the decision of another node or the store, unless it was answered
-    /// here.
-    fn quarantine_request(&self, fingerprint: Fingerprint, targets: &[TargetName], source: &str) {
+    /// Quarantines a request or a part by the decision of another node or the store, for `ttl` and
+    /// unless it was answered here.
+    pub(crate) fn quarantine_request(
+        &self,
+        fingerprint: Fingerprint,
+        targets: &[TargetName],
+        ttl: Duration,
+        source: &str,
+    ) {
+        let now = self.now();
         if self.quarantine.answered.borrow().contains(fingerprint) {
             return self.queue_evidence(Evidence { fingerprint, finding: Finding::Answered });
         }
-        let now = self.now();
-        let known = matches!(self.standing(fingerprint, now), Status::Quarantined(_));
-        self.quarantine.suspects.borrow_mut().quarantine(fingerprint, now + TTL);
+        if self.quarantine.passes.borrow().is_harmless(fingerprint, now) {
+            let finding = Finding::Passed(Duration::ZERO);
+            return self.queue_evidence(Evidence { fingerprint, finding });
+        }
+        let known = self.is_quarantined(fingerprint);
+        self.quarantine.suspects.borrow_mut().quarantine(fingerprint, now + ttl);
+        self.quarantine.trials.borrow_mut().schedule(fingerprint, 0, now);
         if !known {
             self.log_quarantined(fingerprint, targets, source);
         }
     }
+
+    /// Returns whether a request or a part is quarantined.
+    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        matches!(self.standing(fingerprint, self.now()), Status::Quarantined(_))
+    }
+
+    /// Releases a request or a part, because its entry was removed from the store.
+    pub(crate) fn release_quarantined(&self, fingerprint: Fingerprint) {
+        self.clear(fingerprint, Finding::Answered, false);
+    }
+}
+
+fn log_suspected(subject: &Subject, target: &TargetName, fresh: bool, own: bool) {
+    let event = Event::new(REQUEST_SUSPECTED)
+        .with("fingerprint", hex(subject.fingerprint))
+        .with("request_fingerprint", hex(subject.request))
+        .with("breadth", subject.breadth)
+        .with("target", target)
+        .with("fresh", fresh)
+        .with("own", own);
+    log::warn!("{event}");
+    metrics::counter!("magnolia_requests_suspected").increment(1);
 }
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -187,7 +187,7 @@
                     if let Some(connection) = self.connection.take() {
                         node.pool.release(connection);
                     }
-                    node.record_completed(dispatch.call.fingerprint);
+                    node.record_completed(&dispatch.call);
                     return Ended::Complete;
                 }
                 Some(Err(_)) => {
@@ -212,7 +212,7 @@
                 }
                 progress.record_event(event.id, arrived_at);
                 if progress.events == clear_at {
-                    node.record_cleared(dispatch.call.fingerprint);
+                    node.record_cleared(&dispatch.call);
                 }
                 tokio::select! {
                     sent = sender.send(Ok(event.bytes)) => if sent.is_err() {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -100,6 +100,12 @@
         self.call("write", kv::write_request(self.address, write), Duration::ZERO).await
     }
 
+    /// Removes a key that still has the revision `expected`.
+    pub(crate) async fn remove(&self, key: &str, expected: Revision) -> Reply {
+        let call = kv::remove_request(self.address, key, expected);
+        self.call("remove", call, Duration::ZERO).await
+    }
+
     async fn call(
         &self,
         purpose: &'static str,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -43,7 +43,7 @@
             // failed target.
             let after = match reason {
                 NO_RETRY => node.other_node_retry_after(),
-                QUARANTINED => node.quarantined_for(dispatch.call.fingerprint),
+                QUARANTINED => node.quarantined_for(&dispatch.call),
                 NO_PATH if let Some(left) = dispatch.time_to_path() => node.after_backoff(left),
                 _ => node.retry_after(&dispatch.call, OVERLOAD_RETRY_AFTER),
             };
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -110,7 +110,7 @@
                 let response = passthrough(status, &headers, body);
                 if !status.is_server_error() {
                     node.table.borrow_mut().record_success(address);
-                    node.record_completed(call.fingerprint);
+                    node.record_completed(call);
                     return response;
                 }
                 node.record_fault(address, Fault::Failed, "server error");
--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -49,7 +49,7 @@
         Status::Pending(at) if step.now < at => hold_back(state, step, id, at, "judgement"),
         Status::Pending(_) => {
             match state.suspects.decide(fingerprint, step.now, &state.settings.suspicion()) {
-                Decision::Dropped => launch(state, step, id),
+                Decision::Dropped(_) => launch(state, step, id),
                 Decision::Quarantined(targets) => quarantine(state, step, fingerprint, &targets),
             }
         }
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fleet::{AttemptId, Event, RequestId, TargetId, TargetName, TokenIndex};
-use suspect::{Loss, Place};
+use suspect::{Loss, Place, Subject};
 
 use crate::finish::{cancel, finish, give_up};
 use crate::launch::{format_id, launch};
@@ -220,7 +220,12 @@
     let fresh = entry.last_progress.is_none() && entry.next_token == entry.first_token;
     let fingerprint = entry.request.fingerprint;
     let target = loss.target.clone();
-    if !state.suspects.add_evidence(fingerprint, loss, fresh, &state.settings.suspicion()) {
+    if !state.suspects.add_evidence(
+        Subject::request(fingerprint),
+        loss,
+        fresh,
+        &state.settings.suspicion(),
+    ) {
         return;
     }
     let ttl = state.settings.suspect_ttl;
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -4,7 +4,7 @@
 
 use fleet::{AttemptId, Event, RequestId, TokenIndex};
 use rand::rngs::SmallRng;
-use suspect::{Loss, Place};
+use suspect::{Loss, Place, Scope, Subject};
 
 use crate::finish::{cancel, end_quarantined};
 use crate::launch::{PROMPT_OVERHEAD_TOKENS, launch};
@@ -229,7 +229,7 @@
     }
     let Quarantine { fingerprint, target, confirmed, ttl } = fact;
     if confirmed {
-        state.suspects.drop_evidence_for(&target);
+        state.suspects.drop_evidence_for(&target, Scope::Request);
         state.suspects.quarantine(fingerprint, step.now + ttl);
         return end_quarantined(state, step, fingerprint, ttl);
     }
@@ -242,7 +242,12 @@
     };
     let loss = Loss { target, place: Place { domain, rack }, at: step.now };
     let loss = state.suspects.record_loss(loss, &state.settings.suspicion());
-    state.suspects.add_evidence(fingerprint, loss, true, &state.settings.suspicion());
+    state.suspects.add_evidence(
+        Subject::request(fingerprint),
+        loss,
+        true,
+        &state.settings.suspicion(),
+    );
 }
 
 /// Returns until when a request waits because another node has just suspected its fingerprint.
--- a/crates/suspect/src/fingerprint.rs
+++ b/crates/suspect/src/fingerprint.rs
@@ -12,10 +12,20 @@
 /// The hash has no secret key. A caller that constructs two requests with the same fingerprint
 /// harms only the organisation for which it sends them.
 pub fn fingerprint(organisation: &str, path: &str, body: &[u8]) -> Fingerprint {
+    hash(&[organisation.as_bytes(), path.as_bytes(), body])
+}
+
+/// Returns the fingerprint of a part of prompts that a service runs, which is the same on all nodes
+/// and for all organisations.
+pub fn part_fingerprint(service: &str, part: u64) -> Fingerprint {
+    hash(&[b"prompt part", service.as_bytes(), &part.to_le_bytes()])
+}
+
+fn hash(fields: &[&[u8]]) -> Fingerprint {
     let mut hasher = SipHasher24::new();
-    for part in [organisation.as_bytes(), path.as_bytes(), body] {
-        hasher.write_usize(part.len());
-        hasher.write(part);
+    for field in fields {
+        hasher.write_usize(field.len());
+        hasher.write(field);
     }
     hasher.finish()
 }
--- a/crates/suspect/src/interruption.rs
+++ b/crates/suspect/src/interruption.rs
@@ -18,6 +18,9 @@
 pub struct Interruption {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the shared parts of its prompt, in the order of the prompt; empty once the
+    /// request has run past the point at which requests crash targets.
+    pub parts: Vec<Fingerprint>,
     /// Targets on the path of the attempt.
     pub targets: Vec<TargetName>,
     /// Time at which the attempt was sent.
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -1,17 +1,24 @@
-//! Requests that are suspected of crashing targets, and those that are quarantined for it.
+//! Requests and parts of prompts that are suspected of crashing targets, and those that are
+//! quarantined for it.
 //!
 //! A record is kept for each fingerprint that ran on a target when the target was lost. Evidence is
 //! a lost target. It has full weight if no part of the answer had arrived, and half weight if the
 //! target had already passed tokens of the request. Two full weights lead to quarantine, once the
 //! confirmation time has passed without a sign that the losses had another cause.
+//!
+//! A part of prompts needs losses under two different requests: what happens under one request only
+//! may be due to the rest of it. Of several parts that explain the same losses, the narrowest is
+//! quarantined, so that requests that share only the broader ones are served.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use fleet::TargetName;
 use smol_str::SmolStr;
 
-use crate::{Fingerprint, Loss, Settings};
+use crate::record::{Evidence, HALF_WEIGHT, Record, incidents, moments, targets, weight};
+use crate::{Fingerprint, Loss, Settings, Subject};
 
 /// Weight of evidence that leads to quarantine.
 const QUARANTINE_WEIGHT: f64 = 2.0;
@@ -20,8 +27,9 @@
 const CORRELATED_QUARANTINE_WEIGHT: f64 = 3.0;
 /// Weight that leads to quarantine if another fingerprint has the same losses.
 const SHARED_QUARANTINE_WEIGHT: f64 = 4.0;
-/// Weight of a target that was lost after it had passed tokens of the request.
-const HALF_WEIGHT: f64 = 0.5;
+/// Additional incidents that lead to the quarantine of a part if another part that is as likely to
+/// be the cause explains as many of them.
+const SHARED_PART_INCIDENTS: usize = 2;
 /// Maximum turns that a suspect waits, of half a confirmation time each.
 const MAX_TURNS: u32 = 5;
 /// Number of other losses in the same rack at the same time that explain a loss.
@@ -35,48 +43,6 @@
 /// Maximum records kept.
 const MAX_RECORDS: usize = 65_536;
 
-#[derive(Clone, Debug, Default)]
-struct Record {
-    evidence: Vec<Evidence>,
-    /// Whether there is evidence that no decision has considered.
-    undecided: bool,
-    quarantined_until: Option<Duration>,
-}
-
-impl Record {
-    /// Returns the unexpired evidence that no decision has set aside.
-    fn counted(&self, now: Duration) -> impl Iterator<Item = &Evidence> {
-        self.unexpired(now).filter(|evidence| !evidence.set_aside)
-    }
-
-    /// Returns the weight of all unexpired evidence, where evidence within `correlation_window` of
-    /// other evidence counts once, at the highest weight.
-    fn weight_of_causes(&self, now: Duration, correlation_window: Duration) -> f64 {
-        let mut unexpired: Vec<&Evidence> = self.unexpired(now).collect();
-        unexpired.sort_by_key(|evidence| evidence.loss.at);
-        let causes = unexpired.chunk_by(|a, b| b.loss.at - a.loss.at < correlation_window);
-        causes.map(|one| one.iter().map(|evidence| evidence.weight).fold(0.0, f64::max)).sum()
-    }
-
-    /// Returns all unexpired evidence.
-    fn unexpired(&self, now: Duration) -> impl Iterator<Item = &Evidence> {
-        self.evidence.iter().filter(move |evidence| evidence.until > now)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Evidence {
-    loss: Loss,
-    until: Duration,
-    weight: f64,
-    /// Whether a decision found that the loss may have had another cause.
-    set_aside: bool,
-}
-
-fn weight<'a>(evidence: impl Iterator<Item = &'a Evidence>) -> f64 {
-    evidence.map(|evidence| evidence.weight).sum()
-}
-
 /// Status of a fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Status {
@@ -90,11 +56,31 @@
     Quarantined(Duration),
 }
 
+/// Why losses do not show that a request or a part is their cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// Other targets were lost at the same time.
+    Correlated,
+    /// Another suspect explains the same losses.
+    Shared,
+    /// There is no evidence any more.
+    Cleared,
+}
+
+/// What was quarantined for a loss.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// A request.
+    Request,
+    /// A part of prompts.
+    Part,
+}
+
 /// Outcome of a decision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// The losses had another cause, or fit several fingerprints.
-    Dropped,
+    /// The request is not quarantined, for this reason.
+    Dropped(Doubt),
     /// The request is quarantined for the loss of these targets.
     Quarantined(Vec<TargetName>),
 }
@@ -120,8 +106,12 @@
         let Some(last) = record.unexpired(now).map(|evidence| evidence.loss.at).max() else {
             return Status::Clear;
         };
-        let is_sufficient = weight(record.counted(now)) >= QUARANTINE_WEIGHT
-            || weight(record.unexpired(now)) >= CORRELATED_QUARANTINE_WEIGHT;
+        let is_sufficient = if record.is_part() {
+            record.is_enough(record.unexpired(now))
+        } else {
+            weight(record.counted(now)) >= QUARANTINE_WEIGHT
+                || weight(record.unexpired(now)) >= CORRELATED_QUARANTINE_WEIGHT
+        };
         if is_sufficient && record.undecided {
             Status::Pending(last + settings.confirmation_time)
         } else {
@@ -182,11 +172,11 @@
         loss
     }
 
-    /// Adds a loss as evidence against a fingerprint, at full weight if it happened `before_output`
-    /// of the request. Returns whether the evidence is new.
+    /// Adds a loss as evidence against a request or a part, at full weight if it happened
+    /// `before_output` of the request. Returns whether the evidence is new.
     pub fn add_evidence(
         &mut self,
-        fingerprint: Fingerprint,
+        subject: Subject,
         loss: Loss,
         before_output: bool,
         settings: &Settings,
@@ -194,18 +184,18 @@
         if self.explained.iter().any(|(name, until)| *name == loss.target && *until > loss.at) {
             return false;
         }
+        let Subject { fingerprint, request, breadth, has_run } = subject;
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
             return false;
         }
         let until = loss.at + settings.suspect_ttl;
         let record = self.records.entry(fingerprint).or_default();
-        let known = record.evidence.iter().any(|evidence| {
-            evidence.loss.target == loss.target
-                && (!evidence.set_aside || evidence.loss.at == loss.at)
-        });
+        record.breadth = record.breadth.max(breadth);
+        record.has_run |= has_run;
+        let known = record.holds(&loss, request);
         if !known {
             let weight = if before_output { 1.0 } else { HALF_WEIGHT };
-            record.evidence.push(Evidence { loss, until, weight, set_aside: false });
+            record.evidence.push(Evidence { loss, request, until, weight, set_aside: false });
             record.undecided = true;
             self.pending.insert(fingerprint);
         }
@@ -233,7 +223,7 @@
     /// until `until`.
     pub fn explain_losses(&mut self, targets: &[TargetName], until: Duration) {
         self.explained.extend(targets.iter().map(|target| (target.clone(), until)));
-        self.retain_evidence(|evidence| !targets.contains(&evidence.loss.target));
+        self.retain_evidence(|_, evidence| !targets.contains(&evidence.loss.target));
     }
 
     /// Returns whether a decision has set aside evidence against a fingerprint, which must then run
@@ -247,7 +237,7 @@
     pub fn record_survival(&mut self, target: &str) {
         if self.losses.iter().any(|loss| loss.target == target) {
             self.losses.retain(|loss| loss.target != target);
-            self.retain_evidence(|evidence| evidence.loss.target != target);
+            self.retain_evidence(|_, evidence| evidence.loss.target != target);
         }
     }
 
@@ -265,7 +255,7 @@
             return;
         }
         self.losses.retain(|loss| !is_disproved(loss));
-        self.retain_evidence(|evidence| !is_disproved(&evidence.loss));
+        self.retain_evidence(|_, evidence| !is_disproved(&evidence.loss));
     }
 
     /// Decides on a fingerprint whose confirmation time is over.
@@ -275,7 +265,12 @@
         now: Duration,
         settings: &Settings,
     ) -> Decision {
-        let Some(record) = self.records.get(&fingerprint) else { return Decision::Dropped };
+        let Some(record) = self.records.get(&fingerprint) else {
+            return Decision::Dropped(Doubt::Cleared);
+        };
+        if record.is_part() {
+            return self.decide_part(fingerprint, now, settings);
+        }
         let total = record.weight_of_causes(now, settings.correlation_window);
         let mut evidence: Vec<Evidence> = record.counted(now).cloned().collect();
         if settings.correlate_losses {
@@ -284,7 +279,8 @@
         }
         let targets: Vec<TargetName> =
             evidence.iter().map(|evidence| evidence.loss.target.clone()).collect();
-        let is_cause = match self.is_shared(fingerprint, &targets, now) {
+        let is_shared = self.is_shared(fingerprint, &targets, now);
+        let is_cause = match is_shared {
             true => total >= SHARED_QUARANTINE_WEIGHT,
             false => {
                 weight(evidence.iter()) >= QUARANTINE_WEIGHT
@@ -301,13 +297,89 @@
                     evidence.set_aside |= Some(&evidence.loss.target) != oldest;
                 }
             }
-            return Decision::Dropped;
+            return Decision::Dropped(if is_shared { Doubt::Shared } else { Doubt::Correlated });
         }
-        // The losses under this fingerprint count against no other.
-        let targets: Vec<TargetName> =
-            record.unexpired(now).map(|evidence| evidence.loss.target.clone()).collect();
+        self.quarantine_for_losses(fingerprint, now, settings)
+    }
+
+    /// Decides on a part of prompts. Its evidence stays if it is dropped, for the next decision.
+    fn decide_part(
+        &mut self,
+        fingerprint: Fingerprint,
+        now: Duration,
+        settings: &Settings,
+    ) -> Decision {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.undecided = false;
+        }
+        let Some(record) = self.records.get(&fingerprint) else {
+            return Decision::Dropped(Doubt::Cleared);
+        };
+        let all: Vec<Evidence> = record.unexpired(now).cloned().collect();
+        let certain = all
+            .iter()
+            .filter(|one| !settings.correlate_losses || !self.is_correlated(one, &all, settings));
+        let certain: Vec<Evidence> = certain.cloned().collect();
+        let moments = moments(all.iter(), settings.correlation_window);
+        let is_cause = record.is_enough(certain.iter()) || moments > record.needed_incidents();
+        let is_beyond_doubt =
+            incidents(all.iter()) >= record.needed_incidents() + SHARED_PART_INCIDENTS;
+        let is_identified = match self.likeliest_rival(fingerprint, record, now) {
+            Some(Ordering::Less) => false,
+            Some(Ordering::Equal) => is_beyond_doubt,
+            Some(Ordering::Greater) | None => true,
+        };
+        if !is_cause {
+            return Decision::Dropped(Doubt::Correlated);
+        }
+        if !is_identified {
+            return Decision::Dropped(Doubt::Shared);
+        }
+        self.quarantine_for_losses(fingerprint, now, settings)
+    }
+
+    /// Records that requests with a part have run before, so that more losses are needed to show
+    /// that it crashes targets.
+    pub fn record_earlier_run(&mut self, part: Fingerprint) {
+        if let Some(record) = self.records.get_mut(&part) {
+            record.has_run = true;
+        }
+    }
+
+    /// Compares a part with the likeliest of the others that explain as many of its incidents:
+    /// `Less` if that one is likelier to be the cause. A part with which no request has run before
+    /// is likelier, and then a narrower one, because it leaves more requests to be served.
+    fn likeliest_rival(
+        &self,
+        fingerprint: Fingerprint,
+        record: &Record,
+        now: Duration,
+    ) -> Option<Ordering> {
+        let explained = targets(record.unexpired(now));
+        let total = incidents(record.unexpired(now));
+        let explains_as_much = |other: &Record| {
+            let same = other.unexpired(now).filter(|one| explained.contains(&one.loss.target));
+            other.is_part() && incidents(same) >= total
+        };
+        let others = self.records.iter().filter(|(other, _)| **other != fingerprint);
+        let rivals = others.map(|(_, other)| other).filter(|other| explains_as_much(other));
+        let rank = |record: &Record| (record.has_run, record.breadth);
+        rivals.map(|rival| rank(rival).cmp(&rank(record))).min()
+    }
+
+    /// Quarantines a fingerprint for its losses, which then count against no other.
+    fn quarantine_for_losses(
+        &mut self,
+        fingerprint: Fingerprint,
+        now: Duration,
+        settings: &Settings,
+    ) -> Decision {
+        let record = self.records.get(&fingerprint);
+        let is_part = record.is_some_and(Record::is_part);
+        let scope = if is_part { Scope::Part } else { Scope::Request };
+        let targets = targets(record.into_iter().flat_map(|record| record.unexpired(now)));
         self.quarantine(fingerprint, now + settings.quarantine_ttl);
-        self.retain_evidence(|evidence| !targets.contains(&evidence.loss.target));
+        targets.iter().for_each(|target| self.drop_evidence_for(target, scope));
         Decision::Quarantined(targets)
     }
 
@@ -320,9 +392,12 @@
     }
 
     /// Drops the evidence for the loss of a target, because another fingerprint was quarantined for
-    /// it.
-    pub fn drop_evidence_for(&mut self, target: &TargetName) {
-        self.retain_evidence(|evidence| evidence.loss.target != *target);
+    /// it. If that was a request, evidence against parts of prompts stays, as it may be a part that
+    /// makes the request crash its targets.
+    pub fn drop_evidence_for(&mut self, target: &TargetName, scope: Scope) {
+        self.retain_evidence(|record, evidence| {
+            evidence.loss.target != *target || scope == Scope::Request && record.is_part()
+        });
     }
 
     /// Drops what has expired.
@@ -360,6 +435,11 @@
         })
     }
 
+    /// Returns whether a fingerprint is known to be that of a part of prompts.
+    pub fn is_part(&self, fingerprint: Fingerprint) -> bool {
+        self.records.get(&fingerprint).is_some_and(Record::is_part)
+    }
+
     /// Returns whether there is no record of any fingerprint.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -386,10 +466,13 @@
             || others.iter().filter(in_domain).count() >= MIN_DOMAIN_LOSSES
     }
 
-    /// Returns whether another record has the same losses, so that their cause cannot be
+    /// Returns whether another request has the same losses, so that their cause cannot be
     /// identified.
     fn is_shared(&self, fingerprint: Fingerprint, targets: &[TargetName], now: Duration) -> bool {
         let holds = |record: &Record| {
+            if record.is_part() {
+                return false;
+            }
             let same =
                 record.unexpired(now).filter(|evidence| targets.contains(&evidence.loss.target));
             weight(same) >= QUARANTINE_WEIGHT
@@ -397,9 +480,11 @@
         self.records.iter().any(|(other, record)| *other != fingerprint && holds(record))
     }
 
-    fn retain_evidence(&mut self, keep: impl Fn(&Evidence) -> bool) {
+    fn retain_evidence(&mut self, keep: impl Fn(&Record, &Evidence) -> bool) {
         for record in self.records.values_mut() {
-            record.evidence.retain(&keep);
+            let mut evidence = std::mem::take(&mut record.evidence);
+            evidence.retain(|one| keep(record, one));
+            record.evidence = evidence;
         }
         self.records
             .retain(|_, record| record.quarantined_until.is_some() || !record.evidence.is_empty());
--- a/crates/suspect/tests/interruptions.rs
+++ b/crates/suspect/tests/interruptions.rs
@@ -27,6 +27,7 @@
     let mut interruptions = Interruptions::default();
     let interruption = Interruption {
         fingerprint: 1,
+        parts: Vec::new(),
         targets: vec!["a".into(), "b".into()],
         sent_at: at(case.sent),
         ended_at: at(case.ended),
--- /dev/null
+++ b/crates/suspect/tests/parts.rs
@@ -0,0 +1,165 @@
+//! Parts of prompts that are quarantined for the targets lost under requests with them.
+
+use std::time::Duration;
+
+use suspect::{
+    Decision, Fingerprint, Loss, Passes, Place, Scope, Settings, Status, Subject, Suspects, Trials,
+};
+use yare::parameterized;
+
+/// First part of all prompts.
+const FIRST: Fingerprint = 10;
+/// Part that crashes targets.
+const CRASHING: Fingerprint = 11;
+/// Part of harmless requests.
+const OTHER: Fingerprint = 12;
+/// Time between two losses of a case, longer than the correlation window.
+const STEP: Duration = Duration::from_secs(2);
+
+/// A loss of a target.
+#[derive(Clone, Copy)]
+struct Lost {
+    /// Requests that ran on the target, with the parts of their prompts.
+    under: &'static [(Fingerprint, &'static [Fingerprint])],
+    before_output: bool,
+    /// Other targets of the domain that are lost at the same moment.
+    others: u16,
+    /// Parts with which requests run after the loss.
+    passes: &'static [Fingerprint],
+}
+
+const fn lost(under: &'static [(Fingerprint, &'static [Fingerprint])]) -> Lost {
+    Lost { under, before_output: true, others: 0, passes: &[] }
+}
+
+const A: Lost = lost(&[(1, &[FIRST, CRASHING])]);
+const B: Lost = lost(&[(2, &[FIRST, CRASHING])]);
+const C: Lost = lost(&[(3, &[FIRST, CRASHING])]);
+const D: Lost = lost(&[(4, &[FIRST, CRASHING])]);
+const A_BESIDE: Lost = lost(&[(1, &[FIRST, CRASHING]), (5, &[FIRST, OTHER])]);
+const B_BESIDE: Lost = lost(&[(2, &[FIRST, CRASHING]), (6, &[FIRST, OTHER])]);
+const X: Lost = lost(&[(5, &[FIRST, OTHER])]);
+
+/// Losses in order, each followed by decisions after the confirmation time.
+struct Case {
+    losses: &'static [Lost],
+    /// Parts with which requests have run before.
+    run_before: &'static [Fingerprint],
+    quarantined: &'static [Fingerprint],
+}
+
+const fn case(losses: &'static [Lost], quarantined: &'static [Fingerprint]) -> Case {
+    Case { losses, run_before: &[], quarantined }
+}
+
+#[parameterized(
+    two_requests = { case(&[A, B], &[CRASHING]) },
+    one_request_twice = { case(&[A, A], &[1]) },
+    request_quarantined_first = { case(&[A, A, B], &[1, CRASHING]) },
+    run_between = { case(&[A, Lost { passes: &[FIRST, CRASHING], ..B }], &[]) },
+    run_between_with_the_first_part = { case(&[Lost { passes: &[FIRST], ..A }, B], &[CRASHING]) },
+    beside_another_twice = { case(&[A_BESIDE, B_BESIDE], &[]) },
+    beside_another_then_alone = { case(&[A_BESIDE, B_BESIDE, C], &[CRASHING]) },
+    beside_another_that_runs = {
+        case(&[A_BESIDE, Lost { passes: &[OTHER], ..B_BESIDE }], &[CRASHING])
+    },
+    beside_another_that_ran_before = {
+        Case { run_before: &[OTHER], ..case(&[A_BESIDE, B_BESIDE], &[CRASHING]) }
+    },
+    ran_before = { Case { run_before: &[CRASHING, FIRST], ..case(&[A, B, C], &[]) } },
+    ran_before_and_crashes_now = {
+        Case { run_before: &[CRASHING, FIRST], ..case(&[A, B, C, D], &[CRASHING]) }
+    },
+    different_parts = { case(&[A, X], &[FIRST]) },
+    different_parts_after_runs = { Case { run_before: &[FIRST], ..case(&[A, X], &[]) } },
+    with_others_twice = { case(&[Lost { others: 2, ..A }, Lost { others: 2, ..B }], &[]) },
+    with_others_three_times = {
+        case(&[Lost { others: 2, ..A }, Lost { others: 2, ..B }, Lost { others: 2, ..C }], &[CRASHING])
+    },
+    after_output_twice = {
+        case(&[Lost { before_output: false, ..A }, Lost { before_output: false, ..B }], &[])
+    },
+)]
+fn part_is_quarantined_for_losses(case: Case) {
+    let settings = Settings::default();
+    let (mut suspects, mut passes) = (Suspects::default(), Passes::default());
+    case.run_before.iter().for_each(|&part| passes.record(part, Duration::ZERO));
+    let mut now = STEP * 2;
+    for (number, lost) in case.losses.iter().enumerate() {
+        for other in 0..lost.others {
+            record_loss(&mut suspects, format!("beside-{number}-{other}"), now, &settings);
+        }
+        let loss = record_loss(&mut suspects, format!("t{number}"), now, &settings);
+        for &(request, parts) in lost.under {
+            let subjects = Subject::parts(request, parts, &passes);
+            for subject in subjects.chain([Subject::request(request)]) {
+                suspects.add_evidence(subject, loss.clone(), lost.before_output, &settings);
+            }
+        }
+        for &part in lost.passes {
+            passes.record(part, now);
+            suspects.release(part);
+        }
+        now += STEP;
+        for due in suspects.take_due_decisions(now, &settings) {
+            suspects.decide(due, now, &settings);
+        }
+    }
+    let is_quarantined = |fingerprint: &Fingerprint| {
+        matches!(suspects.status(*fingerprint, now, &settings), Status::Quarantined(_))
+    };
+    let quarantined: Vec<Fingerprint> = (1..=OTHER).filter(is_quarantined).collect();
+    assert_eq!(quarantined, case.quarantined);
+}
+
+fn record_loss(
+    suspects: &mut Suspects,
+    target: String,
+    now: Duration,
+    settings: &Settings,
+) -> Loss {
+    let place = Place { domain: 0, rack: Default::default() };
+    suspects.record_loss(Loss { target: target.into(), place, at: now }, settings)
+}
+
+// Guards against evidence on a part being lost when a request with it is quarantined.
+#[parameterized(request = { Scope::Request, true }, part = { Scope::Part, false })]
+fn quarantine_elsewhere_keeps_evidence_on_parts(scope: Scope, kept: bool) {
+    let settings = Settings::default();
+    let (mut suspects, passes) = (Suspects::default(), Passes::default());
+    for (number, request) in [1, 2].into_iter().enumerate() {
+        let loss = record_loss(&mut suspects, format!("t{number}"), STEP, &settings);
+        for subject in Subject::parts(request, &[CRASHING], &passes) {
+            suspects.add_evidence(subject, loss.clone(), true, &settings);
+        }
+    }
+    suspects.drop_evidence_for(&"t0".into(), scope);
+    let decision = suspects.decide(CRASHING, STEP * 2, &settings);
+    assert_eq!(matches!(decision, Decision::Quarantined(_)), kept);
+}
+
+/// Number of trials so far and the delay of the next one.
+#[parameterized(first = { 0, 15 }, second = { 1, 60 }, third = { 2, 240 }, later = { 40, 86_400 })]
+fn trials_become_rarer(number: u32, delay_s: u64) {
+    let mut trials = Trials::default();
+    trials.schedule(CRASHING, number, STEP);
+    let delay = Duration::from_secs(delay_s);
+    assert_eq!(trials.time_left(CRASHING, STEP), Some(delay));
+    assert_eq!(trials.time_left(CRASHING, STEP + delay), Some(Duration::ZERO));
+    trials.schedule(CRASHING, number, STEP * 2);
+    assert_eq!(trials.time_left(CRASHING, STEP), Some(delay), "the schedule stays");
+}
+
+#[test]
+fn permission_is_for_one_request() {
+    let mut trials = Trials::default();
+    trials.permit(CRASHING);
+    assert!(!trials.take_permission(CRASHING), "the part is not quarantined");
+    trials.schedule(CRASHING, 1, STEP);
+    trials.permit(CRASHING);
+    assert!(trials.take_permission(CRASHING));
+    assert!(!trials.take_permission(CRASHING));
+    trials.permit(CRASHING);
+    trials.remove(CRASHING);
+    assert!(!trials.take_permission(CRASHING));
+}
