--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -51,6 +51,7 @@
                 .call
                 .event(REFUSED)
                 .with("reason", reason)
+                .with("parts", dispatch.call.listed_parts())
                 .with("offers", dispatch.offers)
                 .with("left_ms", dispatch.call.deadline.saturating_sub(node.now()).as_millis())
                 .with("pressure", format_args!("{:.2}", dispatch.pressure))
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use platform_standin::{Document, Route, Run};
-use world::{CRASHING, EVENTS, Exchange, Outcome, run_seed};
+use world::{CRASHING, CRASHING_PART, EVENTS, Exchange, Outcome, run_seed};
 use yare::parameterized;
 
 /// Environment variable with the range of seeds of a manual run.
@@ -23,6 +23,8 @@
 const MAX_PARALLEL_SEEDS: usize = 4;
 /// Time after the third crash caused by a request within which all nodes quarantine it.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+/// Crash by requests with a part after which all nodes quarantine the part.
+const LAST_UNBOUNDED_CRASH_BY_PART: usize = 5;
 /// Maximum number of targets that the request may crash after that time.
 const MAX_LATE_CRASHES: usize = 3;
 /// First host slot of manual runs; the fixed cases use lower slots.
@@ -58,12 +60,27 @@
     if outcome.unavailable > 0 {
         found.push(format!("{} nodes did not serve again after the faults", outcome.unavailable));
     }
+    found.extend(late_requests_with_part(outcome));
     if !outcome.exchanges.iter().any(|exchange| exchange.reply.status == Some(200)) {
         found.push("no request was served".to_owned());
     }
     found
 }
 
+/// Returns a violation if requests with the crashing part still reach too many targets after
+/// `PROPAGATION_LIMIT`.
+fn late_requests_with_part(outcome: &Outcome) -> Option<String> {
+    let has_part = |run: &&Run| run.parts.iter().any(|part| part == CRASHING_PART);
+    let runs: Vec<&Run> = outcome.runs.iter().filter(has_part).collect();
+    let mut crashes: Vec<Instant> =
+        runs.iter().filter(|run| run.crashed.is_some()).map(|run| run.at).collect();
+    crashes.sort();
+    let known = *crashes.get(LAST_UNBOUNDED_CRASH_BY_PART - 1)? + PROPAGATION_LIMIT;
+    let late = runs.iter().filter(|run| run.at > known).count();
+    println!("part {CRASHING_PART}: {} targets ended, {late} requests late", crashes.len());
+    (late > MAX_LATE_CRASHES).then(|| format!("part {CRASHING_PART}: {late} requests late"))
+}
+
 /// Returns a violation if a crashing request still ends too many targets after `PROPAGATION_LIMIT`.
 fn late_crashes(outcome: &Outcome, route: Route, body: &str) -> Option<String> {
     let same = |exchange: &&Exchange| exchange.call.body == body && exchange.call.route == route;
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -34,6 +34,10 @@
 /// Bodies of requests that crash targets, with the engine of the path that crashes.
 pub(crate) const CRASHING: [(&str, Crash); 2] =
     [("ends its first target", Crash::First), ("ends its last target", Crash::Last)];
+/// Part of prompts that crashes the first target of a request's path.
+pub(crate) const CRASHING_PART: &str = "dd";
+/// Number of harmless parts that requests share.
+const HARMLESS_PARTS: u32 = 8;
 /// Share of crashing requests among all requests.
 const CRASHING_SHARE: f64 = 0.03;
 const CALLERS: usize = 8;
@@ -167,6 +171,9 @@
         if rng.random_bool(CRASHING_SHARE) {
             what.body = CRASHING[rng.random_range(0..CRASHING.len())].0;
         }
+        if route == Route::Resumable {
+            what.parts = random_parts(&mut rng);
+        }
         let reply = send_call(fronts[rng.random_range(0..fronts.len())], &what);
         let refused = reply.status.is_none_or(|status| status != 200);
         exchanges
@@ -179,6 +186,19 @@
     }
 }
 
+/// Returns the parts of a prompt: one that all prompts start with, at times a harmless or a
+/// crashing one, and one of its own.
+fn random_parts(rng: &mut SmallRng) -> String {
+    let own: u32 = rng.random();
+    if rng.random_bool(CRASHING_SHARE) {
+        return format!("a0:40,{CRASHING_PART}:20,{own:x}:40");
+    }
+    match rng.random_range(0..2 * HARMLESS_PARTS) {
+        part if part < HARMLESS_PARTS => format!("a0:40,e{part}:20,{own:x}:40"),
+        _ => format!("a0:40,{own:x}:60"),
+    }
+}
+
 impl World {
     fn start(seed: u64, slot: u8) -> Self {
         let host = format!("127.84.{slot}.1");
@@ -187,6 +207,7 @@
         for (body, crash) in CRASHING {
             platform.crash_on(body, crash);
         }
+        platform.set_crashing_part(CRASHING_PART, true);
         let node = |index: u8| {
             let host = format!("127.84.{slot}.{}", 10 + index);
             let proxy = Proxy::start(&host, platform.store());
