Store: eras, so that a store that comes back from a copy is followed

Callers would see, after such a return: no later configuration in force, keys withdrawn or added later ignored, no engine placed anew, a quarantine lost at the next restart of the nodes.

Cause: revisions were compared although they go back. Class: a number that orders states only within one history, compared across two.

Change: the store's answers state an era; a node drops answers of earlier eras, and at a higher one lists all keys anew, comparing with none of the known revisions. Proofs between nodes hold within an era. Fencing numbers are the era above the revision. A leader stops acting until its lease is renewed in the new era. A draining target stays draining until it restarts, whatever an older copy of its entry says.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -34,4 +34,5 @@
     KEPT = 1131, "stream-kept", "A stream continues to wait for its stalled path; `lacks` states why no other path is used.";
     RELAYED = 1132, "store-word", "This node started or stopped relying on other nodes' proofs of the store state's age.";
     PART_TRIED = 1133, "part-tried", "One request with a quarantined part of a prompt may run at this node, to find out whether the part still crashes targets.";
+    STORE_RESTORED = 1134, "store-restored", "The store has come back from a copy: its era is higher than the known one. All keys are listed again; revisions of the earlier era no longer count.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::Event;
-use platform::kv::{Item, Page, Revision};
+use platform::kv::{Era, Item, Page, Revision};
 use platform::{CONFIG_KEY, TARGET_PREFIX};
 use site::{Config, Service};
 use tokio::pin;
@@ -38,6 +38,8 @@
     leadership: Rc<Leadership>,
     /// Revisions of the known keys.
     known: HashMap<String, Revision>,
+    /// Era of these revisions.
+    era: Era,
     /// Other nodes and this one, as registered in the store.
     nodes: HashSet<String>,
     /// Time until which a missing entry does not remove its target.
@@ -49,8 +51,8 @@
 impl Follower {
     /// Returns a follower without any state.
     pub(crate) fn new(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) -> Self {
-        let (known, nodes, lenient_until, relayed) = Default::default();
-        Self { node, store, leadership, known, nodes, lenient_until, relayed }
+        let (known, era, nodes, lenient_until, relayed) = Default::default();
+        Self { node, store, leadership, known, era, nodes, lenient_until, relayed }
     }
 
     /// Follows the store until the process ends.
@@ -61,18 +63,29 @@
                 continue;
             };
             self.watch(revision).await;
-            log::warn!("{}", Event::new(HISTORY_LOST));
+            if self.node.era.get() == self.era {
+                log::warn!("{}", Event::new(HISTORY_LOST));
+            }
         }
     }
 
-    /// Lists all keys. Returns the revision from which to watch for changes.
+    /// Lists all keys. Returns the revision from which to watch for changes; `None` if the list
+    /// failed, or if a new era of the store began meanwhile.
     async fn list(&mut self) -> Option<Revision> {
         let started_at = self.node.now();
+        let mut is_new_era = false;
         let mut first = None;
         let mut seen = HashSet::new();
         let mut after: Option<String> = None;
         loop {
             let page = self.store.range("", after.as_deref()).await?;
+            if self.node.era.get() != self.era {
+                if first.is_some() {
+                    return None;
+                }
+                self.begin_era();
+                is_new_era = true;
+            }
             let revision = *first.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
             for item in page.items {
@@ -80,7 +93,12 @@
                 self.apply_item(item);
             }
             if !page.has_more || after.is_none() {
+                if is_new_era {
+                    // Targets write their entries again.
+                    self.lenient_until = self.node.now() + REREGISTRATION_TIME;
+                }
                 self.remove_missing(&seen, revision);
+                self.node.applied_era.set(self.era);
                 self.node.revision.set(revision);
                 self.record_synced(started_at);
                 return Some(revision);
@@ -88,11 +106,20 @@
         }
     }
 
-    /// Watches for changes until the store no longer has their history.
+    /// Begins with the keys of a new era: their revisions do not compare with known ones.
+    fn begin_era(&mut self) {
+        self.era = self.node.era.get();
+        self.known.values_mut().for_each(|revision| *revision = 0);
+    }
+
+    /// Watches for changes until the store no longer has their history, or a new era begins.
     async fn watch(&mut self, mut revision: Revision) {
         let mut pause = RETRY_PAUSE;
         let mut has_failed = false;
         loop {
+            if self.node.era.get() != self.era {
+                return;
+            }
             let now = self.node.now();
             let watch = match has_failed {
                 true => Watch::immediate(now),
@@ -101,7 +128,11 @@
             if watch.is_long() {
                 self.set_relayed(true);
             }
-            match self.next_answer(revision, watch).await {
+            let answer = self.next_answer(revision, watch).await;
+            if self.node.era.get() != self.era {
+                return;
+            }
+            match answer {
                 // No node proves the state any more. The next watch is shorter.
                 None => self.set_relayed(false),
                 Some(Ok(page)) => {
@@ -175,6 +206,7 @@
                     }
                 }
                 () = sleep(stale), if watch.is_long() => return None,
+                () = self.node.era_changed.notified() => return None,
             }
         }
     }
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::Event;
-use platform::kv::{Item, LeaseId, Revision, Write};
+use platform::kv::{Era, Item, LeaseId, Revision, Write};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -34,6 +34,10 @@
 /// Maximum time over which claims spread.
 const MAX_CLAIM_SPREAD: Duration = Duration::from_millis(600);
 
+/// Bits of a fencing number below the era. Revisions stay below this for decades at the highest
+/// write rate; the number stays exact in JSON for the first 8,192 eras.
+const ERA_SHIFT: u32 = 40;
+
 /// The leases of this node.
 pub(crate) struct Leadership {
     /// Lease of the leader key.
@@ -54,7 +58,7 @@
     pub(crate) fn update_leader(&self, node: &Node, item: &Item) {
         let holder = item.value.as_ref().map(|value| {
             let name = String::from_utf8_lossy(value).into_owned();
-            (name, item.created)
+            (name, fence_number(node.era.get(), item.created))
         });
         node.claim.borrow_mut().set_holder(holder);
         if node.claim.borrow().is_vacant() {
@@ -69,6 +73,12 @@
     }
 }
 
+/// Returns the fencing number of a leader key that was created at a revision. It is higher than all
+/// those of earlier eras, in which revisions may have been higher.
+fn fence_number(era: Era, created: Revision) -> u64 {
+    era << ERA_SHIFT | created
+}
+
 /// Returns the fencing number of this node's orders, if it leads.
 pub(crate) fn fence(node: &Node) -> Option<Revision> {
     let fenced = node.settings.bounds.fenced;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,7 +9,7 @@
 use fleet::Event;
 use path::{Budget, Entry, Fault, Participants, Share, Table};
 use platform::Settings;
-use platform::kv::Revision;
+use platform::kv::{Era, Revision};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use site::{Bounds, Config};
@@ -60,6 +60,12 @@
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
     pub(crate) synced: Cell<Option<Duration>>,
+    /// Highest era that the store's answers have stated; 0 if they state none.
+    pub(crate) era: Cell<Era>,
+    /// Notified when `era` rises.
+    pub(crate) era_changed: Notify,
+    /// Era of `revision`.
+    pub(crate) applied_era: Cell<Era>,
     /// Store revision that is in force on this node.
     pub(crate) revision: Cell<Revision>,
     /// Exchange of proofs of the store state's age with other nodes.
@@ -109,6 +115,9 @@
             pool: Pool::new(clock),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
+            era: Cell::new(0),
+            era_changed: Notify::new(),
+            applied_era: Cell::new(0),
             revision: Cell::new(0),
             relay: RefCell::default(),
             peer_proof: Cell::new(None),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -201,12 +201,17 @@
 fn answer_query(node: &Node, socket: &UdpSocket, from: SocketAddr, query: u64) {
     let Some(synced) = node.synced.get() else { return };
     let age = node.now().saturating_sub(synced);
-    let freshness = Freshness { query, revision: node.revision.get(), age };
+    let (era, revision) = (node.applied_era.get(), node.revision.get());
+    let freshness = Freshness { query, era, revision, age };
     send(socket, &Message::Freshness(freshness), from);
 }
 
 fn apply_freshness(node: &Node, from: SocketAddr, freshness: &Freshness) {
-    let proof = node.relay.borrow_mut().accept_answer(from, freshness, node.revision.get());
+    let proof = node.relay.borrow_mut().accept_answer(
+        from,
+        freshness,
+        (node.applied_era.get(), node.revision.get()),
+    );
     if proof > node.synced.get() {
         node.peer_proof.set(proof);
         node.proof_received.notify_one();
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform::kv::Revision;
+use platform::kv::{Era, Revision};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -31,7 +31,9 @@
 pub struct Freshness {
     /// Number of the query.
     pub query: u64,
-    /// The revision that the follower knows.
+    /// The store's era that the follower knows.
+    pub era: Era,
+    /// The revision that the follower knows in this era.
     pub revision: Revision,
     /// Time since this was known to be the store's revision.
     pub age: Duration,
@@ -73,16 +75,16 @@
         Some((follower, self.queries.register(now, &SUBJECT, &[follower])))
     }
 
-    /// Returns the time up to which a node that knows `revision` is up to date, as proved by a
-    /// follower's answer; `None` if the answer proves nothing.
+    /// Returns the time up to which a node that knows `revision` of `era` is up to date, as proved
+    /// by a follower's answer; `None` if the answer proves nothing.
     pub fn accept_answer(
         &mut self,
         from: SocketAddr,
         answer: &Freshness,
-        revision: Revision,
+        (era, revision): (Era, Revision),
     ) -> Option<Duration> {
         let sent_at = self.queries.accept_answer(&SUBJECT, answer.query, from)?;
-        if revision < answer.revision {
+        if era != answer.era || revision < answer.revision {
             return None;
         }
         self.last_proof = Some(sent_at);
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -9,10 +9,10 @@
 use fleet::Event;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use platform::kv::{self, LeaseId, Page, Revision, Write};
+use platform::kv::{self, Era, LeaseId, Page, Revision, Write};
 use tokio::time::timeout;
 
-use crate::event::{STORE_BACK, STORE_LOST, UNDECODABLE};
+use crate::event::{STORE_BACK, STORE_LOST, STORE_RESTORED, UNDECODABLE};
 use crate::node::Node;
 use crate::pool::{Unanswered, read_body};
 
@@ -128,6 +128,31 @@
         reply
     }
 
+    /// Records the era that an answer states. Returns whether the answer is of the latest one. An
+    /// answer without a readable era counts as one of the known era.
+    fn accept_era(&self, stated: Option<Era>) -> bool {
+        let known = self.node.era.get();
+        let Some(stated) = stated.filter(|stated| *stated != known) else { return true };
+        if stated < known {
+            metrics::counter!("magnolia_store_answers_of_earlier_eras").increment(1);
+            return false;
+        }
+        let is_first = self.node.synced.get().is_none();
+        self.node.era.set(stated);
+        metrics::gauge!("magnolia_store_era").set(stated as f64);
+        if !is_first {
+            let event = Event::new(STORE_RESTORED)
+                .with("era", stated)
+                .with("before", known)
+                .with("revision", self.node.revision.get());
+            log::warn!("{event}");
+            // The lease of the leader may have been granted after the copy was taken.
+            self.node.claim.borrow_mut().clear_lease();
+            self.node.era_changed.notify_waiters();
+        }
+        true
+    }
+
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Reply {
         let exchange = match self.node.pool.send(self.address, request).await {
             Ok(exchange) => exchange,
@@ -136,6 +161,9 @@
         };
         let (response, connection) = exchange.split();
         let status = response.status();
+        if !self.accept_era(kv::era(response.headers())) {
+            return Reply::Unknown;
+        }
         let Some(body) = read_body(response.into_body(), MAX_PAGE_BYTES).await else {
             return Reply::Unknown;
         };
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -74,13 +74,13 @@
 fn proof_dates_from_the_query(case: Case) {
     let mut relay = non_follower();
     let (from, query) = relay.next_query(NOW, 0.3).expect("a follower");
-    let answer = Freshness { query, revision: case.follower.0, age: ms(case.follower.1) };
+    let answer = Freshness { query, era: 0, revision: case.follower.0, age: ms(case.follower.1) };
     let expected = case.age.map(|age| NOW - ms(age));
-    assert_eq!(relay.accept_answer(from, &answer, case.own), expected);
+    assert_eq!(relay.accept_answer(from, &answer, (0, case.own)), expected);
     assert_eq!(relay.has_recent_proof(NOW + ms(1400)), case.own >= case.follower.0);
     assert!(!relay.has_recent_proof(NOW + ms(1600)));
     // Neither a second copy nor an answer to an older query proves anything.
-    assert_eq!(relay.accept_answer(from, &answer, case.own), None);
+    assert_eq!(relay.accept_answer(from, &answer, (0, case.own)), None);
 }
 
 #[test]
@@ -88,6 +88,15 @@
     let mut relay = non_follower();
     let (from, query) = relay.next_query(NOW, 0.3).expect("a follower");
     relay.next_query(NOW + ms(600), 0.3);
-    let answer = Freshness { query, revision: 7, age: ms(0) };
-    assert_eq!(relay.accept_answer(from, &answer, 7), None);
+    let answer = Freshness { query, era: 0, revision: 7, age: ms(0) };
+    assert_eq!(relay.accept_answer(from, &answer, (0, 7)), None);
+}
+
+// Guards against a node that takes a revision for current which the store has given out again.
+#[parameterized(same = { 2, true }, later = { 3, false }, earlier = { 1, false })]
+fn revisions_of_another_era_prove_nothing(era: u64, proved: bool) {
+    let mut relay = non_follower();
+    let (from, query) = relay.next_query(NOW, 0.3).expect("a follower");
+    let answer = Freshness { query, era, revision: 7, age: ms(0) };
+    assert_eq!(relay.accept_answer(from, &answer, (2, 7)).is_some(), proved);
 }
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::DomainName;
-use site::{Model, Report, Target, TargetKey};
+use site::{Model, Report, State, Target, TargetKey};
 
 use crate::availability::Availability;
 use crate::entry::{Entry, initial_orders};
@@ -130,6 +130,13 @@
             return true;
         };
         entry.removed_at = None;
+        let mut target = target;
+        // A target that drains ends; only an old copy of its entry can say otherwise.
+        if entry.target.started_unix_ms == target.started_unix_ms
+            && entry.target.state == State::Draining
+        {
+            target.state = State::Draining;
+        }
         if entry.target == target {
             return false;
         }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -289,6 +289,16 @@
     assert_eq!(table.is_lost("t1"), case.counts_as_lost);
 }
 
+/// Guards against new requests to a draining target after the store has come back from a copy in
+/// which it does not drain yet.
+#[parameterized(same_start = { 1, true }, restarted = { 2, false })]
+fn draining_target_drains_until_it_restarts(started_unix_ms: u64, drains: bool) {
+    let mut table = table();
+    table.set(NOW, Target { state: State::Draining, ..target(1, "a", (0, 40)) });
+    table.set(NOW, Target { started_unix_ms, ..target(1, "a", (0, 40)) });
+    assert_eq!(table.entry("t1").expect("an entry").is_draining(), drains);
+}
+
 #[test]
 fn entry_that_reappears_is_not_removed() {
     let mut table = table();
