Test: the port that refuses connections is kept by a bound socket

The test relied on a freed port staying free: another test can listen there and break the booking's connection, after which the node rightly says that the outcome is unknown. That this was the cause is inferred, not traced.

--- a/crates/node/tests/failure.rs
+++ b/crates/node/tests/failure.rs
@@ -4,12 +4,13 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use common::{Bench, Call, Responder, Scripted, engine, service, text, wait_for};
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use yare::parameterized;
 
 const TOKENS: usize = 6;
@@ -273,9 +274,11 @@
 
 #[test]
 fn a_booking_is_sent_to_another_target_when_no_connection_is_established() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("port");
-    let closed = listener.local_addr().expect("address");
-    drop(listener);
+    // A bound socket that does not listen refuses connections and keeps the port from others.
+    let bound = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    bound.bind(&any.into()).expect("port");
+    let closed = bound.local_addr().ok().and_then(|address| address.as_socket()).expect("address");
     let target = Scripted::start(|_, back| back.answer(200, "", r#"{"booked":1}"#));
     let bench = Bench::start(vec![
         service("b1", closed, "booking", false),
