--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -76,7 +76,7 @@
 /// Returns the fencing number of a leader key that was created at a revision. It is higher than all
 /// those of earlier eras, in which revisions may have been higher.
 fn fence_number(era: Era, created: Revision) -> u64 {
-    era << ERA_SHIFT | created
+    era.saturating_mul(1 << ERA_SHIFT) | created
 }
 
 /// Returns the fencing number of this node's orders, if it leads.
--- a/crates/edge/src/persistence.rs
+++ b/crates/edge/src/persistence.rs
@@ -13,7 +13,7 @@
 use fleet::Event;
 use platform::kv::{Item, Revision, Write, decode_write};
 use serde::{Deserialize, Serialize};
-use suspect::Fingerprint;
+use suspect::{Fingerprint, Scope, Trials};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -40,26 +40,29 @@
 /// Value of an entry.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Value {
-    /// Number of trials of a part so far.
-    trials: u32,
+    /// Number of trials so far; `None` for a request, which is not tried.
+    trials: Option<u32>,
     /// End of the quarantine, milliseconds since the Unix epoch.
     until_unix_ms: u64,
 }
 
 impl Value {
-    /// Returns the value of a quarantine that starts, or continues, now.
-    fn starting_now(trials: u32) -> Self {
-        Self { trials, until_unix_ms: unix_ms() + TTL.as_millis() as u64 }
+    /// Returns the value of a quarantine that starts, or continues, now. That of a part lasts beyond
+    /// its next trial.
+    fn starting_now(trials: Option<u32>) -> Self {
+        let ttl = TTL + trials.map(Trials::delay).unwrap_or_default();
+        Self { trials, until_unix_ms: unix_ms().saturating_add(ttl.as_millis() as u64) }
     }
 
     /// Returns the time left; zero once the quarantine has ended.
     fn time_left(self) -> Duration {
-        Duration::from_millis(self.until_unix_ms.saturating_sub(unix_ms())).min(TTL)
+        let longest = TTL + self.trials.map(Trials::delay).unwrap_or_default();
+        Duration::from_millis(self.until_unix_ms.saturating_sub(unix_ms())).min(longest)
     }
 
     /// Returns whether the quarantine ended some time ago.
     fn is_obsolete(self) -> bool {
-        self.until_unix_ms + (REMOVAL_DELAY.as_millis() as u64) < unix_ms()
+        self.until_unix_ms.saturating_add(REMOVAL_DELAY.as_millis() as u64) < unix_ms()
     }
 }
 
@@ -123,7 +126,7 @@
             return self.release_quarantined(fingerprint);
         };
         // Entries of older versions have no value.
-        let value = postcard::from_bytes(bytes).unwrap_or_else(|_| Value::starting_now(0));
+        let value = postcard::from_bytes(bytes).unwrap_or_else(|_| Value::starting_now(None));
         entries.known.borrow_mut().insert(fingerprint, (item.revision, value));
         entries
             .changes
@@ -133,12 +136,11 @@
         if left.is_zero() {
             return;
         }
-        self.quarantine_request(fingerprint, &[], left, "store");
-        if !self.is_quarantined(fingerprint) {
-            return;
+        let scope = if value.trials.is_some() { Scope::Part } else { Scope::Request };
+        self.quarantine_subject((fingerprint, scope), &[], left, "store");
+        if let Some(trials) = value.trials.filter(|_| self.is_quarantined(fingerprint)) {
+            self.quarantine.trials.borrow_mut().schedule(fingerprint, trials, self.now());
         }
-        let mut trials = self.quarantine.trials.borrow_mut();
-        trials.schedule(fingerprint, value.trials, self.now());
     }
 
     /// Records that an entry is missing although no node has removed it, as far as this node knows.
@@ -197,8 +199,8 @@
         // Without its entry, other nodes could permit the same trial.
         return save(node, store, part).await;
     };
-    let number = node.quarantine.trials.borrow().number(part) + 1;
-    let reply = write(store, part, revision, Value::starting_now(number)).await;
+    let number = node.quarantine.trials.borrow().number(part).map_or(1, |number| number + 1);
+    let reply = write(store, part, revision, Value::starting_now(Some(number))).await;
     if let Reply::Done(bytes) = &reply
         && decode_write(bytes).is_ok()
     {
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -476,9 +476,11 @@
             }
         };
         self.log_quarantined(fingerprint, &targets, "judged");
-        self.quarantine.trials.borrow_mut().schedule(fingerprint, 0, now);
-        self.quarantine.entries.request(fingerprint, Change::Save);
         let is_part = self.quarantine.suspects.borrow().is_part(fingerprint);
+        if is_part {
+            self.quarantine.trials.borrow_mut().schedule(fingerprint, 0, now);
+        }
+        self.quarantine.entries.request(fingerprint, Change::Save);
         for target in targets {
             let finding = match is_part {
                 true => Finding::PartQuarantined(target),
@@ -524,14 +526,14 @@
     /// Applies another node's decision to quarantine a request or a part for the loss of a target.
     fn apply_quarantine(&self, fingerprint: Fingerprint, target: TargetName, scope: Scope) {
         self.quarantine.suspects.borrow_mut().drop_evidence_for(&target, scope);
-        self.quarantine_request(fingerprint, &[target], TTL, "told");
+        self.quarantine_subject((fingerprint, scope), &[target], TTL, "told");
     }
 
     /// Quarantines a request or a part by the decision of another node or the store, for `ttl` and
     /// unless it was answered here.
-    pub(crate) fn quarantine_request(
+    pub(crate) fn quarantine_subject(
         &self,
-        fingerprint: Fingerprint,
+        (fingerprint, scope): (Fingerprint, Scope),
         targets: &[TargetName],
         ttl: Duration,
         source: &str,
@@ -546,7 +548,9 @@
         }
         let known = self.is_quarantined(fingerprint);
         self.quarantine.suspects.borrow_mut().quarantine(fingerprint, now + ttl);
-        self.quarantine.trials.borrow_mut().schedule(fingerprint, 0, now);
+        if scope == Scope::Part {
+            self.quarantine.trials.borrow_mut().schedule(fingerprint, 0, now);
+        }
         if !known {
             self.log_quarantined(fingerprint, targets, source);
         }
--- a/crates/suspect/src/trials.rs
+++ b/crates/suspect/src/trials.rs
@@ -37,15 +37,19 @@
         if self.parts.get(&part).is_some_and(|known| known.number >= number) {
             return;
         }
-        let factor = DELAY_FACTOR.saturating_pow(number);
-        let due_at = now + FIRST_DELAY.saturating_mul(factor).min(MAX_DELAY);
+        let due_at = now + Self::delay(number);
         let permitted = self.parts.get(&part).is_some_and(|known| known.permitted);
         self.parts.insert(part, Trial { number, due_at, permitted });
     }
 
-    /// Returns the number of trials of a part so far.
-    pub fn number(&self, part: Fingerprint) -> u32 {
-        self.parts.get(&part).map_or(0, |trial| trial.number)
+    /// Returns the delay before the next trial of a part that was tried `number` times.
+    pub fn delay(number: u32) -> Duration {
+        FIRST_DELAY.saturating_mul(DELAY_FACTOR.saturating_pow(number)).min(MAX_DELAY)
+    }
+
+    /// Returns the number of trials of a part so far; `None` if no trial is scheduled.
+    pub fn number(&self, part: Fingerprint) -> Option<u32> {
+        self.parts.get(&part).map(|trial| trial.number)
     }
 
     /// Returns the time until the next trial of a part is due; `None` if none is scheduled.
