Dispatch: a stream cut before its first event keeps to its attempts

Cause: the bound on attempts was checked before an offer only if the stream had events. A stream whose head had arrived and whose path broke before the first event was opened anew as if it had not run. Requests that crash engines break paths just then.

Change: the bound is checked before every offer.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -209,15 +209,15 @@
     }
 
     /// Returns the best path at `now`. A stream that was cut may resume at an excluded target if
-    /// there is no other. A stream without an attempt left may resume only at engines where it has
-    /// run.
+    /// there is no other. A request without an attempt left, also one whose stream was cut before
+    /// its first event, may run only at engines where it has run.
     fn find_path(&self, now: Duration, resumes: bool) -> Result<Path, &'static str> {
         let find = |avoid: &[SocketAddr], first: Option<&[SocketAddr]>| {
             let (service, tokens) = (&self.call.service, self.call.tokens);
             let criteria = Query { service, excluded: avoid, allowed_first: first, tokens };
             self.node.table.borrow().path(now, &self.model, &criteria)
         };
-        if resumes && self.attempts_exhausted() {
+        if self.attempts_exhausted() {
             let before: Vec<SocketAddr> = self.ran.iter().map(|stage| stage.address).collect();
             return find(&self.excluded, Some(&before)).ok_or(NO_ATTEMPT);
         }
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -3,6 +3,7 @@
 mod entry;
 mod site;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::thread::{JoinHandle, sleep, spawn};
 use std::time::{Duration, Instant};
@@ -247,6 +248,18 @@
     }
 }
 
+// Guards against a stream whose path breaks before the first event running at more targets than its
+// route allows.
+#[test]
+fn stream_cut_before_its_first_event_keeps_to_its_attempts() {
+    let site = Site::start(60, 1, &Document { attempts: 1, ..Document::default() });
+    site.platform.crash_on(CRASHING, Crash::Last);
+    let call = Call { body: CRASHING, ..Call::new(Route::Resumable, "cut") };
+    let reply = send_call(site.nodes[0].front, &call);
+    let targets: BTreeSet<String> = site.runs("cut").into_iter().map(|run| run.target).collect();
+    assert_eq!(targets.len(), 1, "{targets:?}, {reply:?}");
+}
+
 // Guards against a restart of all nodes lifting the quarantine of a request that crashed its
 // targets, also when it was not sent again before the restart.
 #[parameterized(sent_once = { 55, 1 }, sent_again = { 58, 4 })]
