Observability: log when a target counts as lost

The logs said when a target is left out, but not when and on what evidence it counts as ended, on which both streams and attempts depend: event 1135, with the time since it was left out and the unanswered probes. No change of logic.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -6,11 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::Event;
 use path::{Fault, Path};
 use site::Report;
 use tokio::pin;
 use tokio::time::timeout;
 
+use crate::event::TARGET_LOST;
 use crate::node::Node;
 use crate::pool::{Unanswered, read_body};
 
@@ -159,6 +161,22 @@
         });
     }
 
+    /// Records that the probe sent to a target at `sent_at` was not answered, and logs it if the
+    /// target counts as lost as a result.
+    fn record_unanswered_probe(&self, id: &str, sent_at: Duration) {
+        if !self.table.borrow_mut().record_unanswered_probe(id, sent_at) {
+            return;
+        }
+        let table = self.table.borrow();
+        let Some(health) = table.entry(id).map(|entry| &entry.health) else { return };
+        let down = health.time_down(self.now()).unwrap_or_default();
+        let event = Event::new(TARGET_LOST)
+            .with("target", id)
+            .with("down_ms", down.as_millis())
+            .with("probes", health.unanswered_probes());
+        log::warn!("{event}");
+    }
+
     /// Returns whether an engine of a path is known to have been lost without notice.
     pub(crate) fn is_lost(&self, path: &Path) -> bool {
         let table = self.table.borrow();
@@ -192,7 +210,7 @@
                     connected
                 };
                 if !answered {
-                    node.table.borrow_mut().record_unanswered_probe(&id, asked_at);
+                    node.record_unanswered_probe(&id, asked_at);
                 }
             });
         }
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -183,12 +183,20 @@
         self.down.is_some_and(|down| down.report_timeout_only)
     }
 
-    /// Records that the probe sent at `sent_at` was not answered. Ignores probes sent before the
-    /// target was last taken out of use, as they say nothing about the present fault.
-    pub fn record_unanswered_probe(&mut self, sent_at: Duration) {
+    /// Records that the probe sent at `sent_at` was not answered. Returns whether the target counts
+    /// as lost from now on. Ignores probes sent before the target was last taken out of use, as they
+    /// say nothing about the present fault.
+    pub fn record_unanswered_probe(&mut self, sent_at: Duration) -> bool {
+        let was_lost = self.is_lost();
         if let Some(down) = self.down.as_mut().filter(|down| down.since <= sent_at) {
             down.unanswered_probes += 1;
         }
+        !was_lost && self.is_lost()
+    }
+
+    /// Returns the number of probes that were not answered since the target was taken out of use.
+    pub fn unanswered_probes(&self) -> u32 {
+        self.down.map_or(0, |down| down.unanswered_probes)
     }
 
     /// Returns whether the target counts as lost: it leaves probes unanswered as well. A single
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -347,11 +347,11 @@
         due.collect()
     }
 
-    /// Records that the probe sent to a target at `sent_at` was not answered.
-    pub fn record_unanswered_probe(&mut self, id: &str, sent_at: Duration) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.health.record_unanswered_probe(sent_at);
-        }
+    /// Records that the probe sent to a target at `sent_at` was not answered. Returns whether the
+    /// target counts as lost from now on.
+    pub fn record_unanswered_probe(&mut self, id: &str, sent_at: Duration) -> bool {
+        let entry = self.entries.get_mut(id);
+        entry.is_some_and(|entry| entry.health.record_unanswered_probe(sent_at))
     }
 
     /// Returns the engines of a path for which a report request is due.
