--- /dev/null
+++ b/crates/node/tests/silence.rs
@@ -0,0 +1,99 @@
+//! Sound engines that fall silent for a second and go on: no caller loses its answer, and no request
+//! runs at more engines than its route allows.
+
+mod entry;
+mod site;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use platform_standin::{Call, Document, Route, spawn_call};
+use site::{EVENTS, Site, ended};
+use yare::parameterized;
+
+/// Streams in progress when the first engine falls silent.
+const STREAMS: usize = 6;
+/// Longest wait until the streams run.
+const START_LIMIT: Duration = Duration::from_secs(2);
+/// Time between the start of the last stream and the silence.
+const BEFORE_SILENCE: Duration = Duration::from_millis(100);
+
+/// Engines that fall silent, in the order of a stream's path.
+#[derive(Clone, Copy)]
+enum Which {
+    /// All engines.
+    All,
+    /// The first engine of the streams' path.
+    First,
+    /// The last engine of the streams' path.
+    Last,
+    /// The first engine of the path, and after this time the first engine of the path to which the
+    /// streams have moved.
+    FirstThenNext(Duration),
+}
+
+struct Case {
+    route: Route,
+    which: Which,
+    silence: Duration,
+    /// Maximum number of targets that one request may be sent to.
+    attempts: u32,
+}
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+// Guards against streams cut and requests run at one engine too many because a sound engine was
+// silent for a second and counted as lost.
+#[parameterized(
+    cannot_resume = { 1, Case { route: Route::Stream, which: Which::First, silence: ms(1200), attempts: 2 } },
+    cannot_resume_last_stage = { 2, Case { route: Route::Stream, which: Which::Last, silence: ms(1200), attempts: 2 } },
+    one_attempt = { 3, Case { route: Route::Resumable, which: Which::First, silence: ms(1200), attempts: 1 } },
+    no_other_path = { 4, Case { route: Route::Resumable, which: Which::All, silence: ms(1800), attempts: 2 } },
+    two_in_turn = { 5, Case { route: Route::Resumable, which: Which::FirstThenNext(ms(350)), silence: ms(1600), attempts: 2 } },
+)]
+fn silent_engine_is_not_taken_for_lost(number: u8, case: Case) {
+    let document = Document { attempts: case.attempts, ..Document::default() };
+    let site = Site::start(140 + number, 1, &document);
+    let call =
+        |index: usize| spawn_call(site.nodes[0].front, Call::new(case.route, &format!("s{index}")));
+    let streams = (0..STREAMS).map(call).collect();
+    assert!(site.platform.wait(START_LIMIT, || site.runs("s").len() == STREAMS), "streams run");
+    sleep(BEFORE_SILENCE);
+    let until = Instant::now() + case.silence;
+    let silent = fall_silent(&site, case.which);
+    // A change of the configuration meanwhile makes no difference.
+    site.platform.configure(&Document { version: 2, ..document });
+    sleep(until.saturating_duration_since(Instant::now()));
+    silent.into_iter().for_each(|engine| site.platform.set_silent(engine, false));
+
+    for (index, reply) in ended(streams).iter().enumerate() {
+        assert!(reply.is_complete(EVENTS), "stream {index}: {reply:?}");
+    }
+    for index in 0..STREAMS {
+        let runs = site.runs(&format!("s{index}"));
+        let targets: BTreeSet<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+        assert!(targets.len() <= case.attempts as usize, "stream {index} ran at {targets:?}");
+    }
+}
+
+/// Makes engines silent and returns them.
+fn fall_silent(site: &Site, which: Which) -> Vec<SocketAddr> {
+    let path = site.path("s");
+    let mut silent = match which {
+        Which::All => site.engines.clone(),
+        Which::First | Which::FirstThenNext(_) => path[..1].to_vec(),
+        Which::Last => path[path.len() - 1..].to_vec(),
+    };
+    silent.iter().for_each(|&engine| site.platform.set_silent(engine, true));
+    if let Which::FirstThenNext(pause) = which {
+        sleep(pause);
+        let next = site.path("s")[0];
+        site.platform.set_silent(next, true);
+        silent.push(next);
+    }
+    silent
+}
