Health: silence for a second is no loss; silent paths are waited for

What callers saw: streams closed in the middle, and requests that ran at three engines where two are allowed, while a sound engine was silent for a second.

Cause: a target that left two probes unanswered, about half a second, counted as lost. On that rested that a stalled stream with nowhere to go was cut instead of kept, and that an engine no longer counted among those at which a request may run, though it went on a moment later.

Change: such a target is unresponsive, which placement goes by as before. It is lost only if the last probe was refused as well, or after two seconds, when engines give up a silent one themselves. An attempt at a silent target is given up only if the request has another target and a retry; before, it ended with 502 when there was none. The table of the test of lost engines gets times, and a case for one second.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fleet::Event;
-use path::{Fault, Path};
+use path::{Fault, Path, ProbeFailure};
 use site::Report;
 use tokio::pin;
 use tokio::time::timeout;
@@ -43,7 +43,7 @@
 
 impl Node {
     /// Fetches an engine's report.
-    pub(crate) async fn fetch_report(&self, address: SocketAddr) -> Option<Report> {
+    async fn fetch_report(&self, address: SocketAddr) -> Result<Report, ProbeFailure> {
         let exchange = async {
             let call = || platform::report_request(address);
             // The target may have closed an idle connection, so the request is retried once on
@@ -52,23 +52,32 @@
                 Err(Unanswered::Unknown) => self.send(address, call()).await,
                 other => other,
             };
-            let (response, connection) = answer.ok()?.split();
+            let (response, connection) = answer.map_err(probe_failure)?.split();
             if !response.status().is_success() {
-                return None;
+                return Err(ProbeFailure::Timeout);
             }
-            let body = read_body(response.into_body(), MAX_REPORT_BYTES).await?;
+            let body = read_body(response.into_body(), MAX_REPORT_BYTES).await;
+            let body = body.ok_or(ProbeFailure::Timeout)?;
             self.pool.release(connection);
-            platform::decode_report(&body).ok()
+            platform::decode_report(&body).map_err(|_| ProbeFailure::Timeout)
         };
         metrics::counter!("magnolia_reports").increment(1);
-        timeout(REPORT_TIMEOUT, exchange).await.ok().flatten()
+        timeout(REPORT_TIMEOUT, exchange).await.unwrap_or(Err(ProbeFailure::Timeout))
     }
 
     /// Fetches an engine's report and applies it.
-    pub(crate) async fn refresh(&self, id: &str, address: SocketAddr) -> Option<Report> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no report.
+    pub(crate) async fn refresh(
+        &self,
+        id: &str,
+        address: SocketAddr,
+    ) -> Result<Report, ProbeFailure> {
         let report = self.fetch_report(address).await?;
         self.apply_report(id, &report);
-        Some(report)
+        Ok(report)
     }
 
     /// Finds the engine that blocks requests on `path`, and records the fault.
@@ -85,8 +94,8 @@
         }
         self.diagnoses.last_asked.borrow_mut().insert(first, now);
         match self.fetch_report(first).await {
-            None => self.record_fault(first, Fault::Unresponsive, "no report"),
-            Some(report) => {
+            Err(_) => self.record_fault(first, Fault::Unresponsive, "no report"),
+            Ok(report) => {
                 for stall in &report.stalls {
                     self.record_fault(
                         stall.address,
@@ -133,13 +142,13 @@
         let first = self.refresh(id, address);
         pin!(first);
         if let Ok(report) = timeout(HEDGE_AFTER, &mut first).await {
-            return report;
+            return report.ok();
         }
         let second = self.refresh(id, address);
         pin!(second);
         tokio::select! {
-            Some(report) = &mut first => Some(report),
-            Some(report) = &mut second => Some(report),
+            Ok(report) = &mut first => Some(report),
+            Ok(report) = &mut second => Some(report),
             else => None,
         }
     }
@@ -151,7 +160,7 @@
             return;
         }
         tokio::task::spawn_local(async move {
-            if crate::pool::connect(address).await.is_none() {
+            if crate::pool::connect(address).await.is_err() {
                 node.record_fault(
                     address,
                     Fault::Unresponsive,
@@ -161,26 +170,28 @@
         });
     }
 
-    /// Records that the probe sent to a target at `sent_at` was not answered, and logs it if the
-    /// target counts as lost as a result.
-    fn record_unanswered_probe(&self, id: &str, sent_at: Duration) {
-        if !self.table.borrow_mut().record_unanswered_probe(id, sent_at) {
+    /// Records that the probe sent to a target at `sent_at` was not answered, and logs it if this
+    /// shows that the target is lost.
+    fn record_unanswered_probe(&self, id: &str, sent_at: Duration, failure: ProbeFailure) {
+        let now = self.now();
+        if !self.table.borrow_mut().record_unanswered_probe(now, id, sent_at, failure) {
             return;
         }
         let table = self.table.borrow();
         let Some(health) = table.entry(id).map(|entry| &entry.health) else { return };
-        let down = health.time_down(self.now()).unwrap_or_default();
+        let down = health.time_down(now).unwrap_or_default();
         let event = Event::new(TARGET_LOST)
             .with("target", id)
             .with("down_ms", down.as_millis())
-            .with("probes", health.unanswered_probes());
+            .with("probes", health.unanswered_probes())
+            .with("last_probe", format_args!("{failure:?}"));
         log::warn!("{event}");
     }
 
     /// Returns whether an engine of a path is known to have been lost without notice.
     pub(crate) fn is_lost(&self, path: &Path) -> bool {
-        let table = self.table.borrow();
-        path.stages.iter().any(|stage| table.is_lost(&stage.target))
+        let (table, now) = (self.table.borrow(), self.now());
+        path.stages.iter().any(|stage| table.is_lost(now, &stage.target))
     }
 
     /// Returns whether an engine of a path is down.
@@ -190,6 +201,14 @@
     }
 }
 
+/// Returns what a probe that got no answer shows.
+fn probe_failure(unanswered: Unanswered) -> ProbeFailure {
+    match unanswered {
+        Unanswered::Refused => ProbeFailure::Refused,
+        Unanswered::NotSent | Unanswered::Unknown => ProbeFailure::Timeout,
+    }
+}
+
 /// Probes targets that are down until the process ends.
 pub(crate) async fn probe(node: Rc<Node>) {
     loop {
@@ -200,17 +219,14 @@
         for (id, address) in due {
             let node = node.clone();
             tokio::task::spawn_local(async move {
-                let answered = if node.is_engine(&id) {
-                    node.refresh(&id, address).await.is_some()
+                let answer = if node.is_engine(&id) {
+                    node.refresh(&id, address).await.map(drop)
                 } else {
-                    let connected = crate::pool::connect(address).await.is_some();
-                    if connected {
-                        node.mark_reachable(&id);
-                    }
-                    connected
+                    let connected = crate::pool::connect(address).await;
+                    connected.map(|_| node.mark_reachable(&id)).map_err(probe_failure)
                 };
-                if !answered {
-                    node.record_unanswered_probe(&id, asked_at);
+                if let Err(failure) = answer {
+                    node.record_unanswered_probe(&id, asked_at, failure);
                 }
             });
         }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatch of a streaming request to paths, one after another until one answers.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -164,6 +165,8 @@
     model: Arc<Model>,
     excluded: Vec<SocketAddr>,
     pub(crate) offers: u32,
+    /// Whether the retry for the next offer has been taken from the budget already.
+    retry_taken: Cell<bool>,
     /// Engines at which the request may have run: the first engine of each path that accepted it.
     ran: Vec<Stage>,
     /// Segment of a stalled stream that continues if no other path accepts the request.
@@ -180,6 +183,7 @@
             model,
             excluded: Vec::new(),
             offers: 0,
+            retry_taken: Cell::new(false),
             ran: Vec::new(),
             fallback: None,
             pressure: 0.0,
@@ -203,8 +207,14 @@
     /// Returns whether the request has run at as many engines as its route allows. Engines that
     /// were lost without notice do not count; those that drained do.
     fn attempts_exhausted(&self) -> bool {
-        let table = self.node.table.borrow();
-        let alive = self.ran.iter().filter(|stage| !table.is_lost(&stage.target));
+        self.would_exhaust_attempts(None)
+    }
+
+    /// Returns the same for the case that the request has also run at `next`.
+    fn would_exhaust_attempts(&self, next: Option<&Stage>) -> bool {
+        let (table, now) = (self.node.table.borrow(), self.node.now());
+        let next = next.filter(|next| self.ran.iter().all(|stage| stage.target != next.target));
+        let alive = self.ran.iter().chain(next).filter(|stage| !table.is_lost(now, &stage.target));
         alive.count() >= self.call.attempts as usize
     }
 
@@ -212,19 +222,46 @@
     /// there is no other. A request without an attempt left, also one whose stream was cut before
     /// its first event, may run only at engines where it has run.
     fn find_path(&self, now: Duration, resumes: bool) -> Result<Path, &'static str> {
+        self.find_path_after(now, None, resumes)
+    }
+
+    /// Returns the path that [`Dispatch::find_path`] returns once the request has also run at
+    /// `next`.
+    fn find_path_after(
+        &self,
+        now: Duration,
+        next: Option<&Stage>,
+        resumes: bool,
+    ) -> Result<Path, &'static str> {
         let find = |avoid: &[SocketAddr], first: Option<&[SocketAddr]>| {
             let (service, tokens) = (&self.call.service, self.call.tokens);
             let criteria = Query { service, excluded: avoid, allowed_first: first, tokens };
             self.node.table.borrow().path(now, &self.model, &criteria)
         };
-        if self.attempts_exhausted() {
-            let before: Vec<SocketAddr> = self.ran.iter().map(|stage| stage.address).collect();
+        if self.would_exhaust_attempts(next) {
+            let ran = self.ran.iter().chain(next);
+            let before: Vec<SocketAddr> = ran.map(|stage| stage.address).collect();
             return find(&self.excluded, Some(&before)).ok_or(NO_ATTEMPT);
         }
         let path = find(&self.excluded, None);
         path.or_else(|| if resumes { find(&[], None) } else { None }).ok_or(NO_PATH)
     }
 
+    /// Returns whether to give up a path on which the request waits and an engine is down. A silent
+    /// engine may go on at any moment, so the request waits on unless it can be sent elsewhere, or
+    /// the engine is lost. Takes the retry for the other path.
+    async fn may_give_up(&self, path: &Path, resumes: bool) -> bool {
+        if self.node.is_lost(path) {
+            return true;
+        }
+        if self.find_path_after(self.node.now(), Some(path.first()), resumes).is_err() {
+            return false;
+        }
+        let taken = self.node.take_retry(&self.call.service).await;
+        self.retry_taken.set(taken);
+        taken
+    }
+
     /// Returns the time until a path is available, if paused engines are the only obstacle.
     pub(crate) fn time_to_path(&self) -> Option<Duration> {
         let (service, tokens) = (&self.call.service, self.call.tokens);
@@ -265,7 +302,8 @@
                 break;
             }
             if self.offers > 0 {
-                if !self.node.take_retry(&self.call.service).await {
+                let taken = self.retry_taken.take();
+                if !taken && !self.node.take_retry(&self.call.service).await {
                     reason = NO_RETRY;
                     break;
                 }
@@ -342,8 +380,12 @@
             match timeout(STALL_TIMEOUT.min(left), &mut sending).await {
                 Ok(answer) => break answer,
                 Err(_) => {
-                    if self.check_stalled(&in_flight.path) && call.kind.is_idempotent() {
-                        self.record_interruption(&in_flight.path, in_flight.sent_at, true);
+                    let path = &in_flight.path;
+                    if self.check_stalled(path)
+                        && call.kind.is_idempotent()
+                        && self.may_give_up(path, last_event.is_some()).await
+                    {
+                        self.record_interruption(path, in_flight.sent_at, true);
                         return Outcome::Stalled;
                     }
                 }
@@ -351,7 +393,7 @@
         };
         let exchange = match answer {
             Ok(exchange) => exchange,
-            Err(Unanswered::NotSent) => {
+            Err(Unanswered::Refused | Unanswered::NotSent) => {
                 node.record_fault(first.address, Fault::Unresponsive, "no connection");
                 return Outcome::NotRun(first.target);
             }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -35,5 +35,5 @@
     RELAYED = 1132, "store-word", "This node started or stopped relying on other nodes' proofs of the store state's age.";
     PART_TRIED = 1133, "part-tried", "One request with a quarantined part of a prompt may run at this node, to find out whether the part still crashes targets.";
     STORE_RESTORED = 1134, "store-restored", "The store has come back from a copy: its era is higher than the known one. All keys are listed again; revisions of the earlier era no longer count.";
-    TARGET_LOST = 1135, "target-lost", "A target that was left out counts as ended: paths through it are not waited for, and it does not count among the targets at which a request may run. `probes` were unanswered since it was left out.";
+    TARGET_LOST = 1135, "target-lost", "A target that was left out counts as ended: paths through it are not waited for, and it does not count among the targets at which a request may run. `probes` were unanswered since it was left out, the last one as `last_probe` says.";
 }
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -101,7 +101,7 @@
         };
         for (id, address) in overdue {
             let report = self.node.refresh(&id, address).await;
-            if report.is_some_and(|report| report.order_in_progress) {
+            if report.is_ok_and(|report| report.order_in_progress) {
                 self.tracker.pause(id, now);
             }
         }
@@ -113,7 +113,7 @@
         let usable = table.entries().filter(|entry| {
             // Moving layers takes seconds. An engine that may only be unreachable is kept in the
             // plan.
-            let lost = entry.health.is_lost();
+            let lost = entry.health.is_unresponsive();
             // An empty engine that does not accept orders cannot take part in the plan.
             let is_unusable = entry.layers.is_none() && self.tracker.is_paused(&entry.target.id);
             let ready = !entry.is_draining() && !lost && !is_unusable;
@@ -221,7 +221,8 @@
             match self.tracker.record(&id, sent, outcome, now) {
                 FollowUp::CountAccepted => self.node.table.borrow_mut().record_order(now, &id),
                 FollowUp::Refresh => {
-                    self.node.refresh(&id, address).await;
+                    // Without a report the next plan goes by what is known.
+                    self.node.refresh(&id, address).await.ok();
                 }
                 FollowUp::MarkDown => {
                     self.node.record_fault(address, Fault::ReportTimeout, "no answer to an order")
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -42,6 +43,8 @@
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unanswered {
+    /// The target refused the connection. Nothing was sent.
+    Refused,
     /// Nothing was sent.
     NotSent,
     /// The request was sent and may have run.
@@ -104,7 +107,7 @@
                 },
             }
         }
-        let mut sender = connect(address).await.ok_or(Unanswered::NotSent)?;
+        let mut sender = connect(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(exchange(address, sender, response)),
             Err(mut failed) => match failed.take_message() {
@@ -180,20 +183,33 @@
 }
 
 /// Opens a connection and spawns the task that drives it.
-pub(crate) async fn connect(address: SocketAddr) -> Option<Sender> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+///
+/// # Errors
+///
+/// Returns [`Unanswered::Refused`] if no process listens at the address, and
+/// [`Unanswered::NotSent`] if the connection cannot be established for another reason.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Sender, Unanswered> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| Unanswered::NotSent)?.map_err(connect_failure)?;
     metrics::counter!("magnolia_connections").increment(1);
     set_socket_timeouts(&stream);
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES * 4)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await;
-    let (sender, connection) = handshake.ok()?;
+    let (sender, connection) = handshake.map_err(|_| Unanswered::NotSent)?;
     tokio::task::spawn_local(async move {
         // The request that used the connection receives the error as well.
         connection.await.ok();
     });
-    Some(sender)
+    Ok(sender)
+}
+
+fn connect_failure(error: io::Error) -> Unanswered {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => Unanswered::Refused,
+        _ => Unanswered::NotSent,
+    }
 }
 
 /// Sets socket options that make a connection fail within seconds if its other side becomes
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -156,7 +156,7 @@
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Reply {
         let exchange = match self.node.pool.send(self.address, request).await {
             Ok(exchange) => exchange,
-            Err(Unanswered::NotSent) => return Reply::NotDone,
+            Err(Unanswered::Refused | Unanswered::NotSent) => return Reply::NotDone,
             Err(Unanswered::Unknown) => return Reply::Unknown,
         };
         let (response, connection) = exchange.split();
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -9,6 +9,7 @@
 use hyper::{Response, StatusCode};
 use path::{Fault, Query};
 use site::TargetKey;
+use tokio::pin;
 use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later};
@@ -69,6 +70,7 @@
     let mut offers = 0;
     let mut failed: Option<Response<Answer>> = None;
     let mut quarantined = None;
+    let mut retry_taken = false;
     loop {
         if let Err(left) = node.admit(call).await {
             quarantined = Some(left);
@@ -79,7 +81,8 @@
         let candidate = node.table.borrow().best_target(node.now(), &criteria);
         let Some((target, address)) = candidate else { break };
         let is_retry = offers > 0;
-        if is_retry && !node.take_retry(&call.service).await {
+        let taken = std::mem::take(&mut retry_taken);
+        if is_retry && !taken && !node.take_retry(&call.service).await {
             break;
         }
         if is_retry {
@@ -92,16 +95,23 @@
             break;
         }
         let may_repeat = call.kind.is_idempotent() && ran + 1 < call.attempts;
-        let limit = if may_repeat { left.mul_f64(ATTEMPT_SHARE) } else { left };
         excluded.push(address);
         let sent_at = node.now();
-        let outcome = match timeout(limit, try_target(node, call, &target, address)).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                node.record_fault(address, Fault::Failed, "no answer in time");
-                Outcome::Unknown("no answer in time")
-            }
-        };
+        let attempt = try_target(node, call, &target, address);
+        pin!(attempt);
+        let mut answer = None;
+        if may_repeat {
+            answer = timeout(left.mul_f64(ATTEMPT_SHARE), &mut attempt).await.ok();
+            retry_taken = answer.is_none() && take_alternative(node, call, &excluded).await;
+        }
+        if answer.is_none() && !retry_taken {
+            let left = call.deadline.saturating_sub(node.now());
+            answer = timeout(left, attempt).await.ok();
+        }
+        let outcome = answer.unwrap_or_else(|| {
+            node.record_fault(address, Fault::Failed, "no answer in time");
+            Outcome::Unknown("no answer in time")
+        });
         if let Some((reason, ran)) = outcome.failure() {
             log_failed_attempt(node, call, &target, reason, ran, sent_at);
         }
@@ -151,6 +161,14 @@
     }
 }
 
+/// Takes a retry for another target, if there is one. A request that cannot be sent elsewhere waits
+/// on: its target may be silent for a while and go on.
+async fn take_alternative(node: &Node, call: &Call, excluded: &[SocketAddr]) -> bool {
+    let criteria = Query { service: &call.service, excluded, allowed_first: None, tokens: 0.0 };
+    let other = node.table.borrow().best_target(node.now(), &criteria);
+    other.is_some() && node.take_retry(&call.service).await
+}
+
 async fn try_target(
     node: &Rc<Node>,
     call: &Call,
@@ -163,7 +181,7 @@
     let request = call.request(node.now(), target, None, None);
     let exchange = match node.send(address, request).await {
         Ok(exchange) => exchange,
-        Err(Unanswered::NotSent) => {
+        Err(Unanswered::Refused | Unanswered::NotSent) => {
             node.record_fault(address, Fault::Unresponsive, "no connection");
             return Outcome::NotRun("no connection");
         }
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -40,6 +40,15 @@
     silence: Duration,
     /// Maximum number of targets that one request may be sent to.
     attempts: u32,
+    /// What the operator does meanwhile.
+    operator: Operator,
+}
+
+/// What the operator does while an engine is silent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Operator {
+    Reconfigures,
+    StopsNode,
 }
 
 const fn ms(millis: u64) -> Duration {
@@ -49,11 +58,12 @@
 // Guards against streams cut and requests run at one engine too many because a sound engine was
 // silent for a second and counted as lost.
 #[parameterized(
-    cannot_resume = { 1, Case { route: Route::Stream, which: Which::First, silence: ms(1200), attempts: 2 } },
-    cannot_resume_last_stage = { 2, Case { route: Route::Stream, which: Which::Last, silence: ms(1200), attempts: 2 } },
-    one_attempt = { 3, Case { route: Route::Resumable, which: Which::First, silence: ms(1200), attempts: 1 } },
-    no_other_path = { 4, Case { route: Route::Resumable, which: Which::All, silence: ms(1800), attempts: 2 } },
-    two_in_turn = { 5, Case { route: Route::Resumable, which: Which::FirstThenNext(ms(350)), silence: ms(1600), attempts: 2 } },
+    cannot_resume = { 1, Case { route: Route::Stream, which: Which::First, silence: ms(1200), attempts: 2, operator: Operator::Reconfigures } },
+    cannot_resume_last_stage = { 2, Case { route: Route::Stream, which: Which::Last, silence: ms(1200), attempts: 2, operator: Operator::Reconfigures } },
+    one_attempt = { 3, Case { route: Route::Resumable, which: Which::First, silence: ms(1200), attempts: 1, operator: Operator::Reconfigures } },
+    no_other_path = { 4, Case { route: Route::Resumable, which: Which::All, silence: ms(1800), attempts: 2, operator: Operator::Reconfigures } },
+    planned_stop = { 6, Case { route: Route::Stream, which: Which::First, silence: ms(1200), attempts: 2, operator: Operator::StopsNode } },
+    two_in_turn = { 5, Case { route: Route::Resumable, which: Which::FirstThenNext(ms(350)), silence: ms(1600), attempts: 2, operator: Operator::Reconfigures } },
 )]
 fn silent_engine_is_not_taken_for_lost(number: u8, case: Case) {
     let document = Document { attempts: case.attempts, ..Document::default() };
@@ -65,8 +75,10 @@
     sleep(BEFORE_SILENCE);
     let until = Instant::now() + case.silence;
     let silent = fall_silent(&site, case.which);
-    // A change of the configuration meanwhile makes no difference.
-    site.platform.configure(&Document { version: 2, ..document });
+    match case.operator {
+        Operator::Reconfigures => site.platform.configure(&Document { version: 2, ..document }),
+        Operator::StopsNode => site.nodes[0].signal("TERM"),
+    }
     sleep(until.saturating_duration_since(Instant::now()));
     silent.into_iter().for_each(|engine| site.platform.set_silent(engine, false));
 
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -9,8 +9,11 @@
 /// Delay before the first probe of a target whose only fault is a missed report. On links that lose
 /// packets most such targets are healthy.
 const MISSED_REPORT_PROBE_DELAY: Duration = Duration::from_millis(50);
-/// Consecutive unanswered probes after which a target counts as lost.
+/// Consecutive unanswered probes after which a target counts as unresponsive.
 const MAX_UNANSWERED_PROBES: u32 = 2;
+/// Time without an answer after which an unresponsive target counts as lost. A sound target may be
+/// silent for more than a second; engines give up a silent engine of their path after this time.
+const LOSS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum delay between probes.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(2);
 /// First pause after a target has refused a request because it is full.
@@ -62,6 +65,15 @@
     }
 }
 
+/// Why a probe of a target was not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeFailure {
+    /// The target did not answer in time, or not with a report.
+    Timeout,
+    /// The target refused the connection: no process listens there any more.
+    Refused,
+}
+
 /// Health of one target.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -91,6 +103,21 @@
     report_timeout_only: bool,
     /// Number of unanswered probes.
     unanswered_probes: u32,
+    /// Whether the last probe was refused.
+    refused: bool,
+    /// Whether the loss has been reported by [`Health::record_unanswered_probe`].
+    loss_reported: bool,
+}
+
+impl Down {
+    fn is_unresponsive(&self) -> bool {
+        self.unanswered_probes >= MAX_UNANSWERED_PROBES
+    }
+
+    fn is_lost(&self, now: Duration) -> bool {
+        let silent_too_long = now.saturating_sub(self.since) >= LOSS_TIMEOUT;
+        self.is_unresponsive() && (self.refused || silent_too_long)
+    }
 }
 
 impl Health {
@@ -173,6 +200,8 @@
             local,
             report_timeout_only,
             unanswered_probes: 0,
+            refused: false,
+            loss_reported: false,
         };
         self.down = Some(down);
         true
@@ -183,15 +212,23 @@
         self.down.is_some_and(|down| down.report_timeout_only)
     }
 
-    /// Records that the probe sent at `sent_at` was not answered. Returns whether the target counts
-    /// as lost from now on. Ignores probes sent before the target was last taken out of use, as they
-    /// say nothing about the present fault.
-    pub fn record_unanswered_probe(&mut self, sent_at: Duration) -> bool {
-        let was_lost = self.is_lost();
-        if let Some(down) = self.down.as_mut().filter(|down| down.since <= sent_at) {
-            down.unanswered_probes += 1;
-        }
-        !was_lost && self.is_lost()
+    /// Records that the probe sent at `sent_at` was not answered. Returns whether this shows for the
+    /// first time that the target is lost. Ignores probes sent before the target was last taken out
+    /// of use, as they say nothing about the present fault.
+    pub fn record_unanswered_probe(
+        &mut self,
+        now: Duration,
+        sent_at: Duration,
+        failure: ProbeFailure,
+    ) -> bool {
+        let Some(down) = self.down.as_mut().filter(|down| down.since <= sent_at) else {
+            return false;
+        };
+        down.unanswered_probes += 1;
+        down.refused = failure == ProbeFailure::Refused;
+        let was_reported = down.loss_reported;
+        down.loss_reported |= down.is_lost(now);
+        down.loss_reported && !was_reported
     }
 
     /// Returns the number of probes that were not answered since the target was taken out of use.
@@ -199,10 +236,16 @@
         self.down.map_or(0, |down| down.unanswered_probes)
     }
 
-    /// Returns whether the target counts as lost: it leaves probes unanswered as well. A single
-    /// fault may be that of a link.
-    pub fn is_lost(&self) -> bool {
-        self.down.is_some_and(|down| down.unanswered_probes >= MAX_UNANSWERED_PROBES)
+    /// Returns whether the target leaves probes unanswered as well. A single fault may be that of a
+    /// link. The target may have ended, or be silent for a while and go on.
+    pub fn is_unresponsive(&self) -> bool {
+        self.down.is_some_and(|down| down.is_unresponsive())
+    }
+
+    /// Returns whether the target must have ended or been cut off: it refuses connections, or has
+    /// been silent for longer than a sound target is.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        self.down.is_some_and(|down| down.is_lost(now))
     }
 
     /// Returns whether this VM itself observed the fault for which the target is out of use.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -15,7 +15,7 @@
 pub use availability::Availability;
 pub use budget::Budget;
 pub use entry::Entry;
-pub use health::{Fault, Health};
+pub use health::{Fault, Health, ProbeFailure};
 pub use participants::{Participants, Share};
 pub use search::{Path, Stage};
 pub use table::{Query, Table};
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -9,7 +9,7 @@
 
 use crate::availability::Availability;
 use crate::entry::{Entry, initial_orders};
-use crate::health::{Fault, Health};
+use crate::health::{Fault, Health, ProbeFailure};
 use crate::search::{self, Candidate, Path};
 
 /// Weight of the failure rate in the apparent load of a target.
@@ -95,11 +95,11 @@
     }
 
     /// Returns whether a target is known to have ended without notice: it is registered as ready,
-    /// and leaves probes unanswered. A target that is only out of use may be healthy, and a
-    /// draining target goes on for a while after its entry has been removed; the requests that it
-    /// ran count as run.
-    pub fn is_lost(&self, id: &str) -> bool {
-        self.entry(id).is_some_and(|entry| entry.health.is_lost() && !entry.is_draining())
+    /// and refuses probes or has left them unanswered for long. A target that is only out of use or
+    /// silent may be healthy, and a draining target goes on for a while after its entry has been
+    /// removed; the requests that it ran count as run.
+    pub fn is_lost(&self, now: Duration, id: &str) -> bool {
+        self.entry(id).is_some_and(|entry| entry.health.is_lost(now) && !entry.is_draining())
     }
 
     /// Stores a registration. Returns whether anything relevant changed.
@@ -347,11 +347,17 @@
         due.collect()
     }
 
-    /// Records that the probe sent to a target at `sent_at` was not answered. Returns whether the
-    /// target counts as lost from now on.
-    pub fn record_unanswered_probe(&mut self, id: &str, sent_at: Duration) -> bool {
+    /// Records that the probe sent to a target at `sent_at` was not answered. Returns whether this
+    /// shows for the first time that the target is lost.
+    pub fn record_unanswered_probe(
+        &mut self,
+        now: Duration,
+        id: &str,
+        sent_at: Duration,
+        failure: ProbeFailure,
+    ) -> bool {
         let entry = self.entries.get_mut(id);
-        entry.is_some_and(|entry| entry.health.record_unanswered_probe(sent_at))
+        entry.is_some_and(|entry| entry.health.record_unanswered_probe(now, sent_at, failure))
     }
 
     /// Returns the engines of a path for which a report request is due.
--- a/crates/path/tests/availability.rs
+++ b/crates/path/tests/availability.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::Layers;
-use path::{Fault, Query, Table};
+use path::{Fault, ProbeFailure, Query, Table};
 use proptest::prelude::*;
 use site::{Model, Report, State, Target};
 
@@ -118,7 +118,9 @@
             table.set(now, target(number, announced.start, State::Ready));
         }
         Event::ProbeAnswered => drop(table.restore(now, &id)),
-        Event::ProbeUnanswered => table.record_unanswered_probe(&id, now),
+        Event::ProbeUnanswered => {
+            let _lost = table.record_unanswered_probe(now, &id, now, ProbeFailure::Timeout);
+        }
         Event::Fault => drop(table.record_fault(now, at, Fault::Unresponsive)),
         Event::Accepted => table.request_accepted(now, &id),
         Event::BackoffReported => table.deprioritise(&id, now + Duration::from_secs(1)),
--- a/crates/path/tests/health.rs
+++ b/crates/path/tests/health.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use path::{Fault, Health};
+use path::{Fault, Health, ProbeFailure};
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -84,7 +84,7 @@
     answered: bool,
     /// Time from the fault to the first probe, milliseconds.
     first_probe_ms: u64,
-    lost: bool,
+    unresponsive: bool,
 }
 
 /// Guards against moving layers because of lost packets. Links lose one packet in twenty: healthy
@@ -93,26 +93,26 @@
 /// ordered, 49 requests in a second refused for lack of memory). A missed report leads to an early
 /// probe, and layers move only if probes are unanswered as well.
 #[parameterized(
-    lost_packet = { ReportFault { fault: Fault::ReportTimeout, unanswered: 0, answered: true, first_probe_ms: 50, lost: false } },
-    reported_by_peer = { ReportFault { fault: Fault::ReportedTimeout, unanswered: 0, answered: true, first_probe_ms: 50, lost: false } },
-    two_packets = { ReportFault { fault: Fault::ReportTimeout, unanswered: 1, answered: true, first_probe_ms: 50, lost: false } },
-    unclear = { ReportFault { fault: Fault::ReportTimeout, unanswered: 1, answered: false, first_probe_ms: 50, lost: false } },
-    unanswered = { ReportFault { fault: Fault::ReportTimeout, unanswered: 2, answered: false, first_probe_ms: 50, lost: true } },
-    hangs = { ReportFault { fault: Fault::Unresponsive, unanswered: 0, answered: true, first_probe_ms: 300, lost: false } },
+    lost_packet = { ReportFault { fault: Fault::ReportTimeout, unanswered: 0, answered: true, first_probe_ms: 50, unresponsive: false } },
+    reported_by_peer = { ReportFault { fault: Fault::ReportedTimeout, unanswered: 0, answered: true, first_probe_ms: 50, unresponsive: false } },
+    two_packets = { ReportFault { fault: Fault::ReportTimeout, unanswered: 1, answered: true, first_probe_ms: 50, unresponsive: false } },
+    unclear = { ReportFault { fault: Fault::ReportTimeout, unanswered: 1, answered: false, first_probe_ms: 50, unresponsive: false } },
+    unanswered = { ReportFault { fault: Fault::ReportTimeout, unanswered: 2, answered: false, first_probe_ms: 50, unresponsive: true } },
+    hangs = { ReportFault { fault: Fault::Unresponsive, unanswered: 0, answered: true, first_probe_ms: 300, unresponsive: false } },
 )]
-fn missed_report_counts_as_lost_only_after_unanswered_probes(case: ReportFault) {
+fn missed_report_counts_as_unresponsive_only_after_unanswered_probes(case: ReportFault) {
     let mut health = Health::default();
     assert!(health.record_fault(NOW, case.fault));
     let probe = NOW + Duration::from_millis(case.first_probe_ms);
     assert!(!health.poll_probe(probe - Duration::from_millis(1)));
     assert!(health.poll_probe(probe));
     for _ in 0..case.unanswered {
-        health.record_unanswered_probe(probe);
+        health.record_unanswered_probe(probe, probe, ProbeFailure::Timeout);
     }
-    assert_eq!(health.is_lost(), case.lost);
+    assert_eq!(health.is_unresponsive(), case.unresponsive);
     if case.answered {
         assert!(health.restore(probe));
-        assert!(health.is_usable(probe) && !health.is_lost());
+        assert!(health.is_usable(probe) && !health.is_unresponsive());
     }
 }
 
@@ -127,11 +127,46 @@
     let early = NOW + ms(50);
     health.restore(NOW + ms(100));
     health.record_fault(NOW + ms(150), Fault::ReportTimeout);
-    health.record_unanswered_probe(early);
-    health.record_unanswered_probe(NOW + ms(200));
-    assert!(!health.is_lost(), "one probe of this outage has failed");
-    health.record_unanswered_probe(NOW + ms(300));
-    assert!(health.is_lost());
+    let mut unanswered =
+        |sent_at| health.record_unanswered_probe(NOW + ms(300), sent_at, ProbeFailure::Timeout);
+    unanswered(early);
+    unanswered(NOW + ms(200));
+    assert!(!health.is_unresponsive(), "one probe of this outage has failed");
+    health.record_unanswered_probe(NOW + ms(400), NOW + ms(300), ProbeFailure::Timeout);
+    assert!(health.is_unresponsive());
+}
+
+/// A target that is left out, its unanswered probes, and a time after the fault, milliseconds.
+struct Silence {
+    fault: Fault,
+    probes: &'static [ProbeFailure],
+    at: u64,
+    lost: bool,
+}
+
+/// Guards against taking silence for loss: a sound engine may be silent for more than a second. Its
+/// streams were cut, and requests that had run there ran at one engine more than allowed, because
+/// two unanswered probes, half a second, counted as proof that it had ended.
+#[parameterized(
+    second = { Silence { fault: Fault::ReportTimeout, probes: &[ProbeFailure::Timeout; 3], at: 1500, lost: false } },
+    longer = { Silence { fault: Fault::ReportTimeout, probes: &[ProbeFailure::Timeout; 4], at: 2000, lost: true } },
+    unresponsive = { Silence { fault: Fault::Unresponsive, probes: &[ProbeFailure::Timeout; 2], at: 1200, lost: false } },
+    one_probe_is_not_enough = { Silence { fault: Fault::Unresponsive, probes: &[ProbeFailure::Timeout], at: 5000, lost: false } },
+    refused = { Silence { fault: Fault::Unresponsive, probes: &[ProbeFailure::Timeout, ProbeFailure::Refused], at: 400, lost: true } },
+    refused_once = { Silence { fault: Fault::Unresponsive, probes: &[ProbeFailure::Refused], at: 400, lost: false } },
+    refused_before = { Silence { fault: Fault::Unresponsive, probes: &[ProbeFailure::Refused, ProbeFailure::Timeout], at: 400, lost: false } },
+)]
+fn silent_target_is_lost_only_after_longer_than_sound_targets_are_silent(case: Silence) {
+    let now = NOW + Duration::from_millis(case.at);
+    let mut health = Health::default();
+    health.record_fault(NOW, case.fault);
+    let reported = case.probes.iter().map(|failure| {
+        let sent_at = NOW + Duration::from_millis(100);
+        health.record_unanswered_probe(now, sent_at, *failure)
+    });
+    let reported = reported.filter(|is_new| *is_new).count();
+    assert_eq!(health.is_lost(now), case.lost);
+    assert_eq!(reported, usize::from(case.lost), "the loss is reported once");
 }
 
 /// Guards against each VM finding out by its own request that an engine refuses. An engine drains
