Diagnosis: a target that ends may close its connections before its port

Cause: after a lost answer the node opens a connection to see whether the plain target is gone. The target closes the caller's connection first and its port a moment later, so that the connection was still accepted, and the loss counted only if the restarted target was seen within a second.

Change: the connection has to stay open for 25 ms as well.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -10,7 +10,7 @@
 use path::{Fault, Path, ProbeFailure};
 use site::Report;
 use tokio::pin;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::event::TARGET_LOST;
 use crate::node::Node;
@@ -31,6 +31,8 @@
 const TIMER_OVERRUN: Duration = Duration::from_millis(15);
 /// Interval in which only one request triggers a diagnosis at an engine; the others use its result.
 const DIAGNOSE_INTERVAL: Duration = Duration::from_millis(80);
+/// Time within which a process that ends closes its port after its first connection.
+const PORT_CLOSE_TIME: Duration = Duration::from_millis(25);
 /// Interval of probes of targets that are down.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -160,7 +162,7 @@
             return;
         }
         tokio::task::spawn_local(async move {
-            if crate::pool::connect(address).await.is_err() {
+            if !stays_connected(address).await {
                 node.record_fault(
                     address,
                     Fault::Unresponsive,
@@ -201,6 +203,14 @@
     }
 }
 
+/// Returns whether a connection to a target can be opened and stays open: a process that ends may
+/// close its connections before its port.
+async fn stays_connected(address: SocketAddr) -> bool {
+    let Ok(connection) = crate::pool::connect(address).await else { return false };
+    sleep(PORT_CLOSE_TIME).await;
+    !connection.is_closed()
+}
+
 /// Returns what a probe that got no answer shows.
 fn probe_failure(unanswered: Unanswered) -> ProbeFailure {
     match unanswered {
@@ -212,7 +222,7 @@
 /// Probes targets that are down until the process ends.
 pub(crate) async fn probe(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        sleep(PROBE_INTERVAL).await;
         crate::follow::expire(&node);
         let asked_at = node.now();
         let due = node.table.borrow_mut().due_probes(asked_at);
