--- /dev/null
+++ b/crates/node/tests/cut.rs
@@ -0,0 +1,130 @@
+//! Nodes that are cut off from all targets while callers, the store and the other nodes still reach
+//! them: their callers are served all the same.
+
+mod entry;
+mod site;
+
+use std::collections::BTreeMap;
+use std::thread::sleep;
+use std::time::Duration;
+
+use platform_standin::{Call, Cut, Document, Reply, Route, spawn_call};
+use site::{EVENTS, Site, ended};
+use yare::parameterized;
+
+/// Nodes of the site.
+const NODES: u8 = 3;
+/// Time from the start of a cut from which callers have to be served.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Requests of each route sent to each node during the cut.
+const REQUESTS: usize = 12;
+/// Pause between two requests to a node.
+const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time after the end of a cut until a node uses the targets itself again.
+const RECOVERY_TIME: Duration = Duration::from_secs(5);
+/// Streams in progress at the start of a cut.
+const STREAMS: usize = 4;
+
+struct Case {
+    cut: Cut,
+    /// Number of nodes that are cut off.
+    nodes: usize,
+}
+
+fn is_served(route: Route, reply: &Reply) -> bool {
+    match route {
+        Route::Resumable | Route::Stream => reply.is_complete(EVENTS),
+        Route::Safe | Route::Unsafe => reply.status == Some(200) && reply.stamp.is_some(),
+    }
+}
+
+/// Cuts nodes off from all targets, or ends the cut.
+fn set_cut(site: &Site, nodes: usize, cut: Option<Cut>) {
+    for node in &site.nodes[..nodes] {
+        site.platform.set_cut(node.child.id(), cut);
+    }
+}
+
+/// Returns how many requests a node has forwarded to other nodes.
+fn forwarded(site: &Site, node: usize) -> u64 {
+    let metrics = site.metrics(node);
+    let lines = metrics.lines().filter(|line| line.starts_with("magnolia_forwarded"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+// Guards against a node that reaches no target refusing all its callers, although the nodes beside
+// it reach all targets.
+#[parameterized(
+    silent = { 1, Case { cut: Cut::Silent, nodes: 1 } },
+    reset = { 2, Case { cut: Cut::Reset, nodes: 1 } },
+    new_connections_only = { 3, Case { cut: Cut::NewOnly, nodes: 1 } },
+    two_of_three = { 4, Case { cut: Cut::Silent, nodes: 2 } },
+)]
+fn callers_of_a_node_without_targets_are_served(number: u8, case: Case) {
+    let site = Site::start(150 + number, NODES, &Document::default());
+    set_cut(&site, case.nodes, Some(case.cut));
+    sleep(CONTACT_TIME);
+    let mut calls = Vec::new();
+    for index in 0..REQUESTS {
+        for (node, entry) in site.nodes.iter().enumerate() {
+            for route in Route::ALL {
+                let id = format!("{route:?}-{node}-{index}");
+                calls.push((
+                    node,
+                    route,
+                    id.clone(),
+                    spawn_call(entry.front, Call::new(route, &id)),
+                ));
+            }
+        }
+        sleep(REQUEST_PAUSE);
+    }
+    let mut unserved: BTreeMap<usize, Vec<String>> = BTreeMap::new();
+    for (node, route, id, call) in calls {
+        let reply = call.join().expect("a caller thread ends");
+        if !is_served(route, &reply) {
+            unserved.entry(node).or_default().push(format!("{id}: {reply:?}"));
+        }
+        let once = matches!(route, Route::Unsafe | Route::Stream);
+        let runs = site.runs(&id).iter().filter(|run| run.request == id).count();
+        assert!(!once || runs <= 1, "{id} ran {runs} times");
+    }
+    assert!(unserved.is_empty(), "{unserved:#?}");
+
+    set_cut(&site, case.nodes, None);
+    sleep(RECOVERY_TIME);
+    let before = forwarded(&site, 0);
+    for route in Route::ALL {
+        let reply = site.ask(0, route, &format!("after-{route:?}"));
+        assert!(is_served(route, &reply), "{reply:?}");
+    }
+    assert_eq!(forwarded(&site, 0), before, "the node reaches the targets itself again");
+}
+
+// Guards against streams in progress being cut when their node loses the targets.
+#[parameterized(silent = { 1, Cut::Silent }, reset = { 2, Cut::Reset })]
+fn streams_in_progress_go_on(number: u8, cut: Cut) {
+    let site = Site::start(160 + number, NODES, &Document::default());
+    let streams = site.streams(0, "s", STREAMS);
+    sleep(Duration::from_millis(150));
+    set_cut(&site, 1, Some(cut));
+    for reply in ended(streams) {
+        assert!(reply.is_complete(EVENTS), "{reply:?}");
+    }
+}
+
+// Guards against requests of callers elsewhere being cut by the planned stop of the node that runs
+// them.
+#[test]
+fn planned_stop_of_the_node_that_helps_cuts_nothing() {
+    let site = Site::start(165, NODES, &Document::default());
+    set_cut(&site, 1, Some(Cut::Silent));
+    sleep(CONTACT_TIME);
+    let mut streams = site.streams(0, "before", STREAMS);
+    sleep(Duration::from_millis(100));
+    site.nodes[1].signal("TERM");
+    streams.extend(site.streams(0, "after", STREAMS));
+    for reply in ended(streams) {
+        assert!(reply.is_complete(EVENTS), "{reply:?}");
+    }
+}
