Health: a loss by silence needs a late probe; a waiting request is given up for a sure path only

Cause, first: a target counted as lost two seconds after it was left out by the clock alone, also without a newer probe, and for up to a second after it had answered streams again. Now the unanswered probe itself must have been sent two seconds after, so that the loss shows after 3.2 s or more; a refused probe shows it at once as before, until one is accepted.

Second: a request that waits for a silent engine was given up when any path existed, also one that it would not be sent to (memory full, attempts used up, offers used up), and ended with 502. A retry taken for another path and not used is dropped instead of used much later. A plain request no longer takes a retry after its deadline.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -175,13 +175,12 @@
     /// Records that the probe sent to a target at `sent_at` was not answered, and logs it if this
     /// shows that the target is lost.
     fn record_unanswered_probe(&self, id: &str, sent_at: Duration, failure: ProbeFailure) {
-        let now = self.now();
-        if !self.table.borrow_mut().record_unanswered_probe(now, id, sent_at, failure) {
+        if !self.table.borrow_mut().record_unanswered_probe(id, sent_at, failure) {
             return;
         }
         let table = self.table.borrow();
         let Some(health) = table.entry(id).map(|entry| &entry.health) else { return };
-        let down = health.time_down(now).unwrap_or_default();
+        let down = health.time_down(self.now()).unwrap_or_default();
         let event = Event::new(TARGET_LOST)
             .with("target", id)
             .with("down_ms", down.as_millis())
@@ -192,8 +191,8 @@
 
     /// Returns whether an engine of a path is known to have been lost without notice.
     pub(crate) fn is_lost(&self, path: &Path) -> bool {
-        let (table, now) = (self.table.borrow(), self.now());
-        path.stages.iter().any(|stage| table.is_lost(now, &stage.target))
+        let table = self.table.borrow();
+        path.stages.iter().any(|stage| table.is_lost(&stage.target))
     }
 
     /// Returns whether an engine of a path is down.
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -167,6 +167,8 @@
     pub(crate) offers: u32,
     /// Whether the retry for the next offer has been taken from the budget already.
     retry_taken: Cell<bool>,
+    /// Number of offers after which the present call of [`Dispatch::open_stream`] ends.
+    max_offers: u32,
     /// Engines at which the request may have run: the first engine of each path that accepted it.
     ran: Vec<Stage>,
     /// Segment of a stalled stream that continues if no other path accepts the request.
@@ -184,6 +186,7 @@
             excluded: Vec::new(),
             offers: 0,
             retry_taken: Cell::new(false),
+            max_offers: 0,
             ran: Vec::new(),
             fallback: None,
             pressure: 0.0,
@@ -212,9 +215,9 @@
 
     /// Returns the same for the case that the request has also run at `next`.
     fn would_exhaust_attempts(&self, next: Option<&Stage>) -> bool {
-        let (table, now) = (self.node.table.borrow(), self.node.now());
+        let table = self.node.table.borrow();
         let next = next.filter(|next| self.ran.iter().all(|stage| stage.target != next.target));
-        let alive = self.ran.iter().chain(next).filter(|stage| !table.is_lost(now, &stage.target));
+        let alive = self.ran.iter().chain(next).filter(|stage| !table.is_lost(&stage.target));
         alive.count() >= self.call.attempts as usize
     }
 
@@ -254,7 +257,16 @@
         if self.node.is_lost(path) {
             return true;
         }
-        if self.find_path_after(self.node.now(), Some(path.first()), resumes).is_err() {
+        let next = self.find_path_after(self.node.now(), Some(path.first()), resumes);
+        let may_be_sent = match next {
+            // Below, only a stream that resumes is sent without an attempt left or to full engines.
+            Ok(_) if resumes => true,
+            Ok(next) => {
+                next.pressure <= MAX_PRESSURE && !self.would_exhaust_attempts(Some(path.first()))
+            }
+            Err(_) => false,
+        };
+        if !may_be_sent || self.offers >= self.max_offers {
             return false;
         }
         let taken = self.node.take_retry(&self.call.service).await;
@@ -279,10 +291,12 @@
         let mut unknown = false;
         let mut failure = None;
         let mut reason = NO_PATH;
-        let max_offers = self.offers + MAX_OFFERS;
+        self.max_offers = self.offers + MAX_OFFERS;
+        // A retry that was taken for an offer and not used is too old for this one.
+        self.retry_taken.set(false);
         loop {
             let now = self.node.now();
-            if now >= self.call.deadline || self.offers >= max_offers {
+            if now >= self.call.deadline || self.offers >= self.max_offers {
                 break;
             }
             if self.node.admit(&self.call).await.is_err() {
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -80,6 +80,10 @@
             Query { service: &call.service, excluded: &excluded, allowed_first: None, tokens: 0.0 };
         let candidate = node.table.borrow().best_target(node.now(), &criteria);
         let Some((target, address)) = candidate else { break };
+        let left = call.deadline.saturating_sub(node.now());
+        if left.is_zero() {
+            break;
+        }
         let is_retry = offers > 0;
         let taken = std::mem::take(&mut retry_taken);
         if is_retry && !taken && !node.take_retry(&call.service).await {
@@ -90,10 +94,6 @@
             log::info!("{event}");
         }
         offers += 1;
-        let left = call.deadline.saturating_sub(node.now());
-        if left.is_zero() {
-            break;
-        }
         let may_repeat = call.kind.is_idempotent() && ran + 1 < call.attempts;
         excluded.push(address);
         let sent_at = node.now();
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -11,8 +11,8 @@
 const MISSED_REPORT_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Consecutive unanswered probes after which a target counts as unresponsive.
 const MAX_UNANSWERED_PROBES: u32 = 2;
-/// Time without an answer after which an unresponsive target counts as lost. A sound target may be
-/// silent for more than a second; engines give up a silent engine of their path after this time.
+/// Time after which an unanswered probe shows that an unresponsive target is lost. A sound target
+/// may be silent for more than a second.
 const LOSS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum delay between probes.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(2);
@@ -103,21 +103,14 @@
     report_timeout_only: bool,
     /// Number of unanswered probes.
     unanswered_probes: u32,
-    /// Whether the last probe was refused.
-    refused: bool,
-    /// Whether the loss has been reported by [`Health::record_unanswered_probe`].
-    loss_reported: bool,
+    /// Whether an unanswered probe shows that the target is lost.
+    lost: bool,
 }
 
 impl Down {
     fn is_unresponsive(&self) -> bool {
         self.unanswered_probes >= MAX_UNANSWERED_PROBES
     }
-
-    fn is_lost(&self, now: Duration) -> bool {
-        let silent_too_long = now.saturating_sub(self.since) >= LOSS_TIMEOUT;
-        self.is_unresponsive() && (self.refused || silent_too_long)
-    }
 }
 
 impl Health {
@@ -200,8 +193,7 @@
             local,
             report_timeout_only,
             unanswered_probes: 0,
-            refused: false,
-            loss_reported: false,
+            lost: false,
         };
         self.down = Some(down);
         true
@@ -215,20 +207,16 @@
     /// Records that the probe sent at `sent_at` was not answered. Returns whether this shows for the
     /// first time that the target is lost. Ignores probes sent before the target was last taken out
     /// of use, as they say nothing about the present fault.
-    pub fn record_unanswered_probe(
-        &mut self,
-        now: Duration,
-        sent_at: Duration,
-        failure: ProbeFailure,
-    ) -> bool {
+    pub fn record_unanswered_probe(&mut self, sent_at: Duration, failure: ProbeFailure) -> bool {
         let Some(down) = self.down.as_mut().filter(|down| down.since <= sent_at) else {
             return false;
         };
         down.unanswered_probes += 1;
-        down.refused = failure == ProbeFailure::Refused;
-        let was_reported = down.loss_reported;
-        down.loss_reported |= down.is_lost(now);
-        down.loss_reported && !was_reported
+        let silent_too_long = sent_at.saturating_sub(down.since) >= LOSS_TIMEOUT;
+        let shows_loss = failure == ProbeFailure::Refused || silent_too_long;
+        let was_lost = down.lost;
+        down.lost = down.is_unresponsive() && shows_loss;
+        down.lost && !was_lost
     }
 
     /// Returns the number of probes that were not answered since the target was taken out of use.
@@ -244,8 +232,8 @@
 
     /// Returns whether the target must have ended or been cut off: it refuses connections, or has
     /// been silent for longer than a sound target is.
-    pub fn is_lost(&self, now: Duration) -> bool {
-        self.down.is_some_and(|down| down.is_lost(now))
+    pub fn is_lost(&self) -> bool {
+        self.down.is_some_and(|down| down.lost)
     }
 
     /// Returns whether this VM itself observed the fault for which the target is out of use.
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -98,8 +98,8 @@
     /// and refuses probes or has left them unanswered for long. A target that is only out of use or
     /// silent may be healthy, and a draining target goes on for a while after its entry has been
     /// removed; the requests that it ran count as run.
-    pub fn is_lost(&self, now: Duration, id: &str) -> bool {
-        self.entry(id).is_some_and(|entry| entry.health.is_lost(now) && !entry.is_draining())
+    pub fn is_lost(&self, id: &str) -> bool {
+        self.entry(id).is_some_and(|entry| entry.health.is_lost() && !entry.is_draining())
     }
 
     /// Stores a registration. Returns whether anything relevant changed.
@@ -351,13 +351,12 @@
     /// shows for the first time that the target is lost.
     pub fn record_unanswered_probe(
         &mut self,
-        now: Duration,
         id: &str,
         sent_at: Duration,
         failure: ProbeFailure,
     ) -> bool {
         let entry = self.entries.get_mut(id);
-        entry.is_some_and(|entry| entry.health.record_unanswered_probe(now, sent_at, failure))
+        entry.is_some_and(|entry| entry.health.record_unanswered_probe(sent_at, failure))
     }
 
     /// Returns the engines of a path for which a report request is due.
