Sockets: a single lost keep-alive probe does not end a connection

Cause: TCP_USER_TIMEOUT, 2.5 s, also decides when keep-alive probes give up, and was shorter than the 3 s to the first probe. One lost probe ended a connection a second later, whatever the number of probes that was set; also that of a caller who waits for an answer.

Change: first probe after 2 s, three probes a second apart, user timeout 4.5 s: three probes in a row have to be lost, and a side that has vanished is noticed after 5 s in place of 4 s.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -43,6 +43,7 @@
 pub use event::EVENTS;
 pub use lines::line_format;
 pub use node::UNREADY_AFTER;
+pub use pool::set_socket_timeouts;
 pub use process::{Failure, check, run};
 pub use query::Queries;
 pub use reachability::Reachability;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -21,8 +21,15 @@
 /// Maximum time to connect: failure domains are less than a millisecond apart, and a lost SYN is
 /// retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time that sent bytes may remain unacknowledged before the connection fails.
-const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time without any byte from the other side after which keep-alive probes are sent.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
+/// Interval of keep-alive probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of keep-alive probes that must be lost before the connection fails.
+const KEEPALIVE_PROBES: u32 = 3;
+/// Time that sent bytes may remain unacknowledged before the connection fails. It also ends the
+/// keep-alive probes, whatever their number, so it lies after the last of them and before another.
+const USER_TIMEOUT: Duration = Duration::from_millis(4500);
 /// Time for which an idle connection is kept if the target does not announce its timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Margin before the target's own idle timeout at which a connection is no longer used.
@@ -214,12 +221,12 @@
 
 /// Sets socket options that make a connection fail within seconds if its other side becomes
 /// unreachable.
-pub(crate) fn set_socket_timeouts(stream: &TcpStream) {
+pub fn set_socket_timeouts(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
-        .with_time(Duration::from_secs(3))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
     let set = stream
         .set_nodelay(true)
         .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
