Retries: an offer that was not sent takes no retry

What callers saw: 503 for lack of a retry although no target had received the request, as the first connection was refused. On a node whose connections fail, each such offer also used up the retries that its streams need.

Cause: every offer after the first took a retry, also when none of those before had been sent. The budget limits what arrives at targets.

Change: a retry is taken only once an offer has been sent. Refusals and missing connections are told apart in the log.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -135,7 +135,9 @@
 /// Outcome of an attempt at one path.
 enum Outcome {
     Accepted(Accepted),
-    /// This engine refused the request, or the request was not sent.
+    /// No connection to the first engine could be established.
+    NotSent,
+    /// This engine refused the request.
     NotRun(TargetKey),
     Unknown,
     /// An engine of the path does not respond.
@@ -149,7 +151,8 @@
     fn failure(&self) -> Option<(&'static str, &'static str)> {
         match self {
             Outcome::Accepted(_) => None,
-            Outcome::NotRun(_) => Some(("refused, or not sent", "no")),
+            Outcome::NotSent => Some(("no connection", "no")),
+            Outcome::NotRun(_) => Some(("refused", "no")),
             Outcome::Unknown => Some(("connection lost, or invalid answer", "unknown")),
             Outcome::Stalled => Some(("an engine of the path does not respond", "unknown")),
             Outcome::Failed(_) => Some(("failure status", "yes")),
@@ -165,6 +168,8 @@
     model: Arc<Model>,
     excluded: Vec<SocketAddr>,
     pub(crate) offers: u32,
+    /// Number of offers that were not sent. They are no load on any engine and take no retry.
+    unsent: u32,
     /// Whether the retry for the next offer has been taken from the budget already.
     retry_taken: Cell<bool>,
     /// Number of offers after which the present call of [`Dispatch::open_stream`] ends.
@@ -185,6 +190,7 @@
             model,
             excluded: Vec::new(),
             offers: 0,
+            unsent: 0,
             retry_taken: Cell::new(false),
             max_offers: 0,
             ran: Vec::new(),
@@ -316,7 +322,7 @@
                 break;
             }
             if self.offers > 0 {
-                let taken = self.retry_taken.take();
+                let taken = self.retry_taken.take() || self.offers == self.unsent;
                 if !taken && !self.node.take_retry(&self.call.service).await {
                     reason = NO_RETRY;
                     break;
@@ -344,6 +350,10 @@
             }
             match outcome {
                 Outcome::Accepted(accepted) => return Ok(accepted),
+                Outcome::NotSent => {
+                    self.unsent += 1;
+                    continue;
+                }
                 Outcome::NotRun(_) => continue,
                 Outcome::Stalled => {
                     unknown = true;
@@ -409,7 +419,7 @@
             Ok(exchange) => exchange,
             Err(Unanswered::Refused | Unanswered::NotSent) => {
                 node.record_fault(first.address, Fault::Unresponsive, "no connection");
-                return Outcome::NotRun(first.target);
+                return Outcome::NotSent;
             }
             Err(Unanswered::Unknown) => {
                 // A single lost connection does not show that an engine is gone; an engine that is
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -31,8 +31,10 @@
 enum Outcome {
     /// The target's complete answer.
     Answered { status: StatusCode, headers: HeaderMap, body: Bytes },
-    /// The target has not run the request.
-    NotRun(&'static str),
+    /// No connection could be established.
+    NotSent,
+    /// The target refused the request.
+    NotRun,
     /// The target may have run the request.
     Unknown(&'static str),
 }
@@ -45,7 +47,8 @@
                 Some(("server error", "yes"))
             }
             Outcome::Answered { .. } => None,
-            Outcome::NotRun(reason) => Some((reason, "no")),
+            Outcome::NotSent => Some(("no connection", "no")),
+            Outcome::NotRun => Some(("refused", "no")),
             Outcome::Unknown(reason) => Some((reason, "unknown")),
         }
     }
@@ -68,6 +71,8 @@
     let mut excluded: Vec<SocketAddr> = Vec::new();
     let mut ran = 0;
     let mut offers = 0;
+    // Offers that were not sent are no load on any target and take no retry.
+    let mut unsent = 0;
     let mut failed: Option<Response<Answer>> = None;
     let mut quarantined = None;
     let mut retry_taken = false;
@@ -85,7 +90,7 @@
             break;
         }
         let is_retry = offers > 0;
-        let taken = std::mem::take(&mut retry_taken);
+        let taken = std::mem::take(&mut retry_taken) || offers == unsent;
         if is_retry && !taken && !node.take_retry(&call.service).await {
             break;
         }
@@ -130,7 +135,8 @@
                     break;
                 }
             }
-            Outcome::NotRun(_) => {
+            Outcome::NotSent | Outcome::NotRun => {
+                unsent += u32::from(matches!(outcome, Outcome::NotSent));
                 if offers >= MAX_OFFERS {
                     break;
                 }
@@ -183,7 +189,7 @@
         Ok(exchange) => exchange,
         Err(Unanswered::Refused | Unanswered::NotSent) => {
             node.record_fault(address, Fault::Unresponsive, "no connection");
-            return Outcome::NotRun("no connection");
+            return Outcome::NotSent;
         }
         Err(Unanswered::Unknown) => {
             node.record_fault(address, Fault::Failed, "connection lost");
@@ -204,7 +210,7 @@
         } else {
             node.pause_target(address, true);
         }
-        return Outcome::NotRun("refused");
+        return Outcome::NotRun;
     }
     let Some(body) = read_body(body, MAX_ANSWER_BYTES).await else {
         node.record_fault(address, Fault::Failed, "answer truncated or too large");
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -181,6 +181,25 @@
     assert_eq!(status(Some("k2")), Some(401), "a configuration never reverts");
 }
 
+// Guards against requests refused for lack of a retry although no target has received them: targets
+// that have ended refuse connections.
+#[parameterized(streams = { 45, Route::Resumable }, plain = { 46, Route::Unsafe })]
+fn offer_that_is_not_sent_takes_no_retry(number: u8, route: Route) {
+    let mut site = Site::start(number, 1, &Document::default());
+    let (engines, plain) = (site.engines.clone(), site.plain.clone());
+    let ended = if route == Route::Unsafe { &plain[..1] } else { &engines[..2] };
+    ended.iter().for_each(|&target| site.platform.kill(target));
+    for turn in 1..=4 {
+        // A node that has just started has no share of the retry budget.
+        site.nodes.push(start_node(&site.platform, number, turn));
+        let node = site.nodes.len() - 1;
+        for request in 0..4 {
+            let reply = site.ask(node, route, &format!("r{turn}-{request}"));
+            assert_eq!(reply.status, Some(200), "{reply:?}");
+        }
+    }
+}
+
 #[test]
 fn full_memory_refuses_at_once_with_retry_after() {
     let site = Site::start(44, 1, &Document::default());
