--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -18,6 +18,8 @@
 use smol_str::SmolStr;
 use suspect::Fingerprint;
 
+use crate::forward::{Origin, remove_internal};
+
 /// Maximum parts of a prompt that are considered; further ones are ignored.
 const MAX_PARTS: usize = 16;
 
@@ -55,6 +57,12 @@
     pub(crate) uri: Uri,
     /// Headers that are forwarded to targets.
     pub(crate) headers: HeaderMap,
+    /// The caller's key as it came, for another node that handles the request instead.
+    pub(crate) authorization: Option<HeaderValue>,
+    pub(crate) origin: Origin,
+    /// Whether the request is counted for the retry budget of its service, at this node or at the
+    /// one that has forwarded it.
+    pub(crate) counted: Cell<bool>,
     pub(crate) body: Bytes,
     pub(crate) route: SmolStr,
     pub(crate) kind: Kind,
@@ -148,6 +156,7 @@
 pub(crate) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     remove_connection_headers(&mut headers);
     headers.remove(AUTHORIZATION);
+    remove_internal(&mut headers);
     for name in head::RESERVED {
         headers.remove(name);
     }
--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -33,6 +33,8 @@
 const DIAGNOSE_INTERVAL: Duration = Duration::from_millis(80);
 /// Time within which a process that ends closes its port after its first connection.
 const PORT_CLOSE_TIME: Duration = Duration::from_millis(25);
+/// Number of engines that a node tries once others have failed.
+const DOUBT_SAMPLE: usize = 3;
 /// Interval of probes of targets that are down.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -126,6 +128,25 @@
         }
     }
 
+    /// Asks engines for their reports, because no target has answered this node for a while: it may
+    /// be cut off without a request that shows it.
+    fn check_answers(self: &Rc<Self>) {
+        let is_doubtful = self.doubts_targets();
+        if !is_doubtful && self.table.borrow().has_backing_off(self.now()) {
+            // A service that asks for pauses is not asked for more than its callers need.
+            return;
+        }
+        let count = if is_doubtful { DOUBT_SAMPLE } else { 1 };
+        for (id, address) in self.sample_engines(count) {
+            let node = self.clone();
+            tokio::task::spawn_local(async move {
+                if node.refresh(&id, address).await.is_err() {
+                    node.record_fault(address, Fault::ReportTimeout, "no report on a quiet node");
+                }
+            });
+        }
+    }
+
     /// Returns whether an engine gives its report within [`CHECK_TIMEOUT`].
     async fn responds_in_time(&self, id: &str, address: SocketAddr) -> bool {
         let asked_at = self.now();
@@ -189,8 +210,12 @@
         log::warn!("{event}");
     }
 
-    /// Returns whether an engine of a path is known to have been lost without notice.
+    /// Returns whether an engine of a path is known to have been lost without notice. A node that
+    /// reaches no target cannot know.
     pub(crate) fn is_lost(&self, path: &Path) -> bool {
+        if !self.reaches_targets() {
+            return false;
+        }
         let table = self.table.borrow();
         path.stages.iter().any(|stage| table.is_lost(&stage.target))
     }
@@ -202,6 +227,27 @@
     }
 }
 
+/// Tries to connect to some targets, because several others could not be connected to.
+async fn check_connections(node: Rc<Node>) {
+    let targets = node.sample_engines(DOUBT_SAMPLE);
+    let attempts = targets.into_iter().map(|(_, address)| {
+        tokio::task::spawn_local(async move { crate::pool::connect(address).await.is_ok() })
+    });
+    let attempts: Vec<_> = attempts.collect();
+    let mut connected = false;
+    for attempt in attempts {
+        connected |= attempt.await.unwrap_or(false);
+    }
+    if connected {
+        return node.record_connection();
+    }
+    let now = node.now();
+    let is_lost = node.contact.borrow_mut().record_failed_check(now);
+    if is_lost {
+        node.lose_contact();
+    }
+}
+
 /// Returns whether a connection to a target can be opened and stays open: a process that ends may
 /// close its connections before its port.
 async fn stays_connected(address: SocketAddr) -> bool {
@@ -224,6 +270,13 @@
         sleep(PROBE_INTERVAL).await;
         crate::follow::expire(&node);
         let asked_at = node.now();
+        node.update_contact();
+        if node.contact.borrow_mut().poll_answer_check(asked_at) {
+            node.check_answers();
+        }
+        if node.contact.borrow_mut().poll_connect_check(asked_at) {
+            tokio::task::spawn_local(check_connections(node.clone()));
+        }
         let due = node.table.borrow_mut().due_probes(asked_at);
         for (id, address) in due {
             let node = node.clone();
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -16,8 +16,9 @@
 use crate::answer::Answer;
 use crate::call::Call;
 use crate::event::RETRIED;
+use crate::forward::{self, Forward, MAX_UNSENT, Origin};
 use crate::node::Node;
-use crate::pool::{Connection, MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::pool::{Connection, Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::quarantine::QUARANTINED;
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough};
 use crate::segment::Segment;
@@ -27,6 +28,11 @@
 const MAX_OFFERS: u32 = 5;
 /// Share of an engine's memory above which new requests are refused.
 const MAX_PRESSURE: f64 = 1.0;
+/// Time for which a retry that was taken and not used may be used for another offer: it counts in the
+/// window in which it was taken.
+const RETRY_VALIDITY: Duration = Duration::from_millis(1000);
+/// Reason of a stream that other nodes refuse to resume.
+const REFUSED_BY_NODES: &str = "refused by other nodes";
 /// Reason of a request for which no path is available.
 pub(crate) const NO_PATH: &str = "no path";
 /// Reason of a request that has a path but no retry left in the budget.
@@ -161,6 +167,14 @@
     }
 }
 
+/// An answer to a streaming request, whose head has arrived.
+pub(crate) enum Opened {
+    /// From the first engine of a path.
+    Path(Accepted),
+    /// From another node, to which the request was forwarded.
+    Node(Exchange),
+}
+
 /// The attempts at one request.
 pub(crate) struct Dispatch {
     pub(crate) node: Rc<Node>,
@@ -170,8 +184,8 @@
     pub(crate) offers: u32,
     /// Number of offers that were not sent. They are no load on any engine and take no retry.
     unsent: u32,
-    /// Whether the retry for the next offer has been taken from the budget already.
-    retry_taken: Cell<bool>,
+    /// When a retry was taken from the budget that has not been used.
+    retry_taken_at: Cell<Option<Duration>>,
     /// Number of offers after which the present call of [`Dispatch::open_stream`] ends.
     max_offers: u32,
     /// Engines at which the request may have run: the first engine of each path that accepted it.
@@ -191,7 +205,7 @@
             excluded: Vec::new(),
             offers: 0,
             unsent: 0,
-            retry_taken: Cell::new(false),
+            retry_taken_at: Cell::new(None),
             max_offers: 0,
             ran: Vec::new(),
             fallback: None,
@@ -260,7 +274,8 @@
     /// engine may go on at any moment, so the request waits on unless it can be sent elsewhere, or
     /// the engine is lost. Takes the retry for the other path.
     async fn may_give_up(&self, path: &Path, resumes: bool) -> bool {
-        if self.node.is_lost(path) {
+        let cut_off = !self.node.reaches_targets() && !self.node.reaching_peers(1).is_empty();
+        if cut_off || self.node.is_lost(path) {
             return true;
         }
         let next = self.find_path_after(self.node.now(), Some(path.first()), resumes);
@@ -275,11 +290,34 @@
         if !may_be_sent || self.offers >= self.max_offers {
             return false;
         }
-        let taken = self.node.take_retry(&self.call.service).await;
-        self.retry_taken.set(taken);
+        let taken = self.take_retry().await;
+        if taken {
+            self.retry_taken_at.set(Some(self.node.now()));
+        }
         taken
     }
 
+    /// Takes a retry for another offer, unless none has been sent yet. Uses one that was taken a
+    /// moment ago for an offer that was not made.
+    async fn take_retry(&self) -> bool {
+        if self.offers == self.unsent {
+            return true;
+        }
+        let now = self.node.now();
+        let unused = self.retry_taken_at.take();
+        if unused.is_some_and(|at| now.saturating_sub(at) < RETRY_VALIDITY) {
+            return true;
+        }
+        self.node.take_retry(&self.call.service).await
+    }
+
+    /// Keeps a retry that was taken for an offer that did not arrive anywhere.
+    fn keep_retry(&self) {
+        if self.offers > self.unsent {
+            self.retry_taken_at.set(Some(self.node.now()));
+        }
+    }
+
     /// Returns the time until a path is available, if paused engines are the only obstacle.
     pub(crate) fn time_to_path(&self) -> Option<Duration> {
         let (service, tokens) = (&self.call.service, self.call.tokens);
@@ -287,24 +325,89 @@
         self.node.table.borrow().path_available_in(self.node.now(), &self.model, &criteria)
     }
 
+    /// Sends the request to paths, or to another node if this one does not reach the engines. A
+    /// stream resumes after `last_event`.
+    pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Opened, Failure> {
+        if !self.node.reaches_targets()
+            && let Some(opened) = self.forward(last_event).await
+        {
+            return opened;
+        }
+        let unsent = self.unsent;
+        let failure = match self.open_stream(last_event).await {
+            Ok(accepted) => return Ok(Opened::Path(accepted)),
+            Err(failure) => failure,
+        };
+        // The paths that failed show that this node does not reach the engines.
+        let is_cut_off = self.unsent > unsent || self.node.doubts_targets();
+        if is_cut_off
+            && !matches!(failure, Failure::Failed(_) | Failure::NotRun(QUARANTINED))
+            && let Some(opened) = self.forward(last_event).await
+        {
+            return opened;
+        }
+        Err(failure)
+    }
+
+    /// Forwards the request to another node. Returns `None` if it may not be forwarded, or if no
+    /// node takes it.
+    async fn forward(&mut self, last_event: Option<u64>) -> Option<Result<Opened, Failure>> {
+        let (node, call) = (self.node.clone(), self.call.clone());
+        let has_run = !self.ran.is_empty();
+        let mut attempts = call.attempts.saturating_sub(self.ran.len() as u32);
+        if !node.reaches_targets() {
+            // The engines that the request was sent to are cut off from this node and do not count.
+            attempts = attempts.max(1);
+        }
+        let is_allowed = !has_run || call.kind.is_idempotent();
+        if call.origin == Origin::Node || attempts == 0 || !is_allowed {
+            return None;
+        }
+        if node.reaching_peers(1).is_empty() {
+            return None;
+        }
+        if !self.take_retry().await {
+            return None;
+        }
+        let forward = Forward { call: &call, attempts, counted: call.counted.get(), last_event };
+        match forward.send(&node).await {
+            Ok(exchange) => {
+                self.offers += 1;
+                Some(Ok(Opened::Node(exchange)))
+            }
+            Err(forward::Failure::NoNode) => {
+                self.keep_retry();
+                None
+            }
+            Err(forward::Failure::Refused(_)) if last_event.is_some() => {
+                self.keep_retry();
+                Some(Err(Failure::NotRun(REFUSED_BY_NODES)))
+            }
+            Err(forward::Failure::Refused(response)) => Some(Err(Failure::Failed(response))),
+            Err(forward::Failure::Unknown) => Some(Err(Failure::Unknown)),
+        }
+    }
+
     /// Sends the request to one path after another until one answers. A stream resumes after
     /// `last_event`.
-    pub(crate) async fn open_stream(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<Accepted, Failure> {
+    async fn open_stream(&mut self, last_event: Option<u64>) -> Result<Accepted, Failure> {
         let idempotent = self.call.kind.is_idempotent();
         let mut unknown = false;
         let mut failure = None;
         let mut reason = NO_PATH;
+        self.node.count_call(&self.call);
         self.max_offers = self.offers + MAX_OFFERS;
-        // A retry that was taken for an offer and not used is too old for this one.
-        self.retry_taken.set(false);
+        let unsent_before = self.unsent;
         loop {
             let now = self.node.now();
             if now >= self.call.deadline || self.offers >= self.max_offers {
                 break;
             }
+            if self.unsent >= unsent_before + MAX_UNSENT && !self.node.reaching_peers(1).is_empty()
+            {
+                // Another node can serve the request at once.
+                break;
+            }
             if self.node.admit(&self.call).await.is_err() {
                 reason = QUARANTINED;
                 break;
@@ -322,8 +425,7 @@
                 break;
             }
             if self.offers > 0 {
-                let taken = self.retry_taken.take() || self.offers == self.unsent;
-                if !taken && !self.node.take_retry(&self.call.service).await {
+                if !self.take_retry().await {
                     reason = NO_RETRY;
                     break;
                 }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -36,4 +36,7 @@
     PART_TRIED = 1133, "part-tried", "One request with a quarantined part of a prompt may run at this node, to find out whether the part still crashes targets.";
     STORE_RESTORED = 1134, "store-restored", "The store has come back from a copy: its era is higher than the known one. All keys are listed again; revisions of the earlier era no longer count.";
     TARGET_LOST = 1135, "target-lost", "A target that was left out counts as ended: paths through it are not waited for, and it does not count among the targets at which a request may run. `probes` were unanswered since it was left out, the last one as `last_probe` says.";
+    CONTACT_LOST = 1136, "targets-out-of-reach", "This node reaches no target any more: `silent` targets gave no answer one after another, with none in between for `silent_ms`, or `unconnected` targets could not be connected to one after another. Its callers' requests are forwarded to other nodes.";
+    CONTACT_BACK = 1137, "targets-in-reach", "A target answered again after this node had reached none for `after_ms`.";
+    FORWARDED = 1138, "request-forwarded", "A request is sent to another node, because this one does not reach the targets.";
 }
--- /dev/null
+++ b/crates/edge/src/forward.rs
@@ -0,0 +1,262 @@
+//! Forwarding of callers' requests to other nodes, while this node does not reach the targets.
+//!
+//! The other node handles a forwarded request like one of its own callers: it checks the key, finds
+//! the route and the targets, and takes retries from its own share of the budget. It never forwards
+//! the request again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use platform::head;
+use tokio::sync::mpsc::Sender;
+use tokio::time::{sleep_until, timeout};
+
+use crate::answer::{Answer, Broken};
+use crate::call::{Call, returned_headers};
+use crate::dispatch::Dispatch;
+use crate::event::FORWARDED;
+use crate::node::Node;
+use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::reply::{passthrough, unknown_outcome};
+use crate::segment::{Ended, Progress};
+use crate::split::Splitter;
+
+/// Number of offers without a connection after which a request is forwarded to another node.
+pub(crate) const MAX_UNSENT: u32 = 2;
+/// Maximum number of nodes to which one request is forwarded in turn.
+const MAX_NODES: usize = 3;
+/// Number of targets at which a forwarded request may still run.
+const ATTEMPTS: HeaderName = HeaderName::from_static("magnolia-attempts");
+/// Present if the forwarding node has counted the request for the retry budget.
+const COUNTED: HeaderName = HeaderName::from_static("magnolia-counted");
+/// Address of the target that gave an answer to a forwarded request.
+const TARGET: HeaderName = HeaderName::from_static("magnolia-target");
+
+/// Headers between nodes. Those of callers are removed.
+const INTERNAL: [HeaderName; 3] = [ATTEMPTS, COUNTED, TARGET];
+
+/// Who sent a request to this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    Caller,
+    /// Another node forwards a request of its caller.
+    Node,
+}
+
+/// What the forwarding node states about a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Statement {
+    /// Number of targets at which the request may still run; `None` if the request is not
+    /// forwarded.
+    pub(crate) attempts: Option<u32>,
+    /// Whether the request is counted for the retry budget already.
+    pub(crate) counted: bool,
+}
+
+impl Statement {
+    /// Reads the statement from the head of a request.
+    pub(crate) fn read(origin: Origin, headers: &HeaderMap) -> Self {
+        if origin == Origin::Caller {
+            return Self::default();
+        }
+        let attempts = headers.get(ATTEMPTS).and_then(|value| value.to_str().ok()?.parse().ok());
+        Self { attempts, counted: headers.contains_key(COUNTED) }
+    }
+}
+
+/// Why a request could not be forwarded.
+pub(crate) enum Failure {
+    /// No other node reaches the targets, or none could be connected to.
+    NoNode,
+    /// The other nodes refused the request, which has not run.
+    Refused(Response<Answer>),
+    /// The request may have run.
+    Unknown,
+}
+
+/// A request to be forwarded.
+pub(crate) struct Forward<'a> {
+    pub(crate) call: &'a Call,
+    /// Number of targets at which the request may still run.
+    pub(crate) attempts: u32,
+    /// Whether this node has counted the request for the retry budget.
+    pub(crate) counted: bool,
+    /// Number of the event after which a stream resumes.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl Forward<'_> {
+    fn request(&self, now: Duration) -> Request<Full<Bytes>> {
+        let call = self.call;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = call.headers.clone();
+        let headers = request.headers_mut();
+        let left = call.deadline.saturating_sub(now).as_millis().max(1);
+        headers.insert(head::DEADLINE, number(left as u64));
+        headers.insert(ATTEMPTS, number(self.attempts.into()));
+        if self.counted {
+            headers.insert(COUNTED, number(1));
+        }
+        if let Some(event) = self.last_event {
+            headers.insert(head::LAST_EVENT_ID, number(event));
+        }
+        if let Some(key) = &call.authorization {
+            headers.insert(AUTHORIZATION, key.clone());
+        }
+        request
+    }
+
+    /// Sends the request to other nodes in turn until one answers other than with a refusal.
+    pub(crate) async fn send(&self, node: &Node) -> Result<Exchange, Failure> {
+        let mut refused = None;
+        for peer in node.reaching_peers(MAX_NODES) {
+            let left = self.call.deadline.saturating_sub(node.now());
+            let event = self
+                .call
+                .event(FORWARDED)
+                .with("node", peer)
+                .with("after_event", format_args!("{:?}", self.last_event))
+                .with("attempts", self.attempts)
+                .with("left_ms", left.as_millis());
+            log::info!("{event}");
+            metrics::counter!("magnolia_forwarded").increment(1);
+            match timeout(left, node.pool.send(peer, self.request(node.now()))).await {
+                Ok(Ok(exchange)) if is_refusal(&exchange) => {
+                    refused = Some(whole_answer(node, self.call, exchange).await);
+                }
+                Ok(Ok(exchange)) => {
+                    apply_notice(node, &exchange);
+                    return Ok(exchange);
+                }
+                Ok(Err(Unanswered::Refused | Unanswered::NotSent)) => {
+                    node.reachability.borrow_mut().forget(peer);
+                }
+                Ok(Err(Unanswered::Unknown)) | Err(_) => return Err(Failure::Unknown),
+            }
+        }
+        Err(refused.map_or(Failure::NoNode, Failure::Refused))
+    }
+}
+
+fn number(number: u64) -> HeaderValue {
+    HeaderValue::from(number)
+}
+
+/// Returns whether a node itself refused a request: targets sign their answers.
+fn is_refusal(exchange: &Exchange) -> bool {
+    let response = &exchange.response;
+    let refuses = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    refuses && !response.headers().contains_key(head::STAMP)
+}
+
+/// Applies what the target that gave an answer states about itself.
+fn apply_notice(node: &Node, exchange: &Exchange) {
+    let headers = exchange.response.headers();
+    let target = headers.get(TARGET).and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(target) = target {
+        node.apply_notice(target, exchange.response.status(), headers);
+    }
+}
+
+/// Names the target of an answer if the caller is another node, which then knows whose notices the
+/// answer carries.
+pub(crate) fn name_target(call: &Call, target: SocketAddr, response: &mut Response<Answer>) {
+    if call.origin == Origin::Node {
+        // An address is always a valid header value.
+        if let Ok(value) = HeaderValue::from_str(&target.to_string()) {
+            response.headers_mut().insert(TARGET, value);
+        }
+    }
+}
+
+/// Removes the headers between nodes.
+pub(crate) fn remove_internal(headers: &mut HeaderMap) {
+    for name in INTERNAL {
+        headers.remove(name);
+    }
+}
+
+/// Reads an answer of another node to its end.
+pub(crate) async fn whole_answer(node: &Node, call: &Call, exchange: Exchange) -> Response<Answer> {
+    let (response, connection) = exchange.split();
+    let (mut parts, body) = response.into_parts();
+    remove_internal(&mut parts.headers);
+    let left = call.deadline.saturating_sub(node.now());
+    match timeout(left, read_body(body, MAX_ANSWER_BYTES)).await {
+        Ok(Some(body)) => {
+            node.pool.release(connection);
+            passthrough(parts.status, &parts.headers, body)
+        }
+        Ok(None) | Err(_) => unknown_outcome(node, call),
+    }
+}
+
+/// Returns the head of a stream that another node sends.
+pub(crate) fn stream_head(exchange: &Exchange) -> HeaderMap {
+    let mut headers = returned_headers(exchange.response.headers());
+    remove_internal(&mut headers);
+    headers
+}
+
+/// Forwards a request with a single answer. Returns `None` if no other node can be reached that
+/// reaches the targets.
+pub(crate) async fn forward_unary(
+    node: &Node,
+    call: &Call,
+    attempts: u32,
+) -> Option<Response<Answer>> {
+    let forward = Forward { call, attempts, counted: call.counted.get(), last_event: None };
+    match forward.send(node).await {
+        Ok(exchange) => Some(whole_answer(node, call, exchange).await),
+        Err(Failure::Refused(response)) => Some(response),
+        Err(Failure::Unknown) => Some(unknown_outcome(node, call)),
+        Err(Failure::NoNode) => None,
+    }
+}
+
+/// Forwards the events of a stream that another node sends.
+pub(crate) async fn relay_events(
+    dispatch: &Dispatch,
+    exchange: Exchange,
+    sender: &Sender<Result<Bytes, Broken>>,
+    progress: &mut Progress,
+) -> Ended {
+    let node = &dispatch.node;
+    let deadline = dispatch.deadline();
+    let (response, connection) = exchange.split();
+    let mut body = response.into_body();
+    let mut splitter = Splitter::default();
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = sender.closed() => return Ended::CallerGone,
+            () = sleep_until(deadline) => return Ended::TimedOut,
+        };
+        match frame {
+            None if splitter.is_partial() => return Ended::Cut,
+            None => {
+                node.pool.release(connection);
+                return Ended::Complete;
+            }
+            Some(Err(_)) => return Ended::Cut,
+            Some(Ok(frame)) => {
+                let Ok(bytes) = frame.into_data() else { continue };
+                splitter.push(&bytes);
+            }
+        }
+        while let Some(event) = splitter.pop() {
+            if let Some(ended) = progress.deliver(event, node.now(), sender, deadline).await {
+                return ended;
+            }
+        }
+        if splitter.is_oversized() {
+            return Ended::Cut;
+        }
+    }
+}
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -9,7 +9,7 @@
 use fleet::Event;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -22,6 +22,7 @@
 use crate::answer::{Answer, retry_later, text};
 use crate::call::{self, Call};
 use crate::event::{ANSWERED, REFUSED};
+use crate::forward::{Origin, Statement};
 use crate::node::Node;
 use crate::pool::set_socket_timeouts;
 use crate::{stream, unary};
@@ -39,14 +40,23 @@
 
 /// Accepts callers until the process ends. Waits for the first configuration, so that early callers
 /// are delayed for a moment rather than refused.
-pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
     let started = node.now();
     while node.config().is_none() && node.now().saturating_sub(started) < MAX_CONFIG_WAIT {
         tokio::time::sleep(CONFIG_POLL_INTERVAL).await;
     }
+    serve(node, listener, Origin::Caller).await;
+}
+
+/// Accepts other nodes, which forward requests of their callers, until the process ends.
+pub(crate) async fn serve_nodes(node: Rc<Node>, listener: TcpListener) {
+    serve(node, listener, Origin::Node).await;
+}
+
+async fn serve(node: Rc<Node>, listener: TcpListener, origin: Origin) {
     loop {
         let stream = accept(&listener).await;
-        tokio::task::spawn_local(handle_connection(node.clone(), stream));
+        tokio::task::spawn_local(handle_connection(node.clone(), stream, origin));
     }
 }
 
@@ -78,7 +88,7 @@
     }
 }
 
-async fn handle_connection(node: Rc<Node>, stream: TcpStream) {
+async fn handle_connection(node: Rc<Node>, stream: TcpStream, origin: Origin) {
     let _guard = ConnectionGuard::new(&node);
     set_socket_timeouts(&stream);
     let limits = node.config().map(|config| config.limits.clone()).unwrap_or_default();
@@ -86,7 +96,7 @@
         let node = node.clone();
         service_fn(move |request| {
             let node = node.clone();
-            async move { Ok::<_, Infallible>(handle(node, request).await) }
+            async move { Ok::<_, Infallible>(handle(node, request, origin).await) }
         })
     };
     let connection = hyper::server::conn::http1::Builder::new()
@@ -112,15 +122,13 @@
     RetryLater(&'static str, Duration),
 }
 
-async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Answer> {
-    let received_at = node.now();
+async fn handle(node: Rc<Node>, request: Request<Incoming>, origin: Origin) -> Response<Answer> {
     let id = request_id(&request);
-    let (call, config) = match prepare(&node, request, received_at).await {
+    let (call, config) = match prepare(&node, request, origin).await {
         Ok(prepared) => prepared,
         Err(refusal) => return refuse(&node, &id, refusal),
     };
     let model = config.service(&call.service).and_then(|service| service.model.clone());
-    node.count_request(&call.service);
     let call = Rc::new(call);
     if let (Kind::Stream { .. }, Some(model)) = (call.kind, model) {
         let response = stream::forward(&node, call.clone(), model).await;
@@ -178,8 +186,9 @@
 async fn prepare(
     node: &Node,
     request: Request<Incoming>,
-    received_at: Duration,
+    origin: Origin,
 ) -> Result<(Call, Rc<Config>), Refusal> {
+    let received_at = node.now();
     if node.closed.get() {
         return Err(Refusal::RetryLater("stopping", node.other_node_retry_after()));
     }
@@ -206,6 +215,8 @@
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let body = read_request_body(body, &config, allowed).await?;
     let size = platform::tokens(&parts.headers);
+    let statement = Statement::read(origin, &parts.headers);
+    let attempts = statement.attempts.map_or(route.attempts, |left| left.min(route.attempts));
     let priority = organisation.as_ref().and_then(|organisation| organisation.priority);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let caller = organisation.as_ref().map_or("", |organisation| organisation.name.as_str());
@@ -220,7 +231,10 @@
         route: route.name.clone(),
         kind: route.kind,
         service: service.clone(),
-        attempts: route.attempts,
+        attempts,
+        counted: Cell::new(statement.counted),
+        authorization: parts.headers.get(AUTHORIZATION).cloned(),
+        origin,
         priority: priority.unwrap_or(route.priority),
         organisation: organisation.map(|organisation| organisation.name.clone()),
         received_at,
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -21,6 +21,8 @@
 
 /// Time to live of the leader's lease.
 const LEASE_TTL: Duration = Duration::from_millis(1600);
+/// Time without contact to any target after which the leader gives up its key.
+const RESIGN_AFTER: Duration = Duration::from_millis(500);
 /// Interval of renewals: allows for two lost ones.
 const RENEW_INTERVAL: Duration = Duration::from_millis(450);
 
@@ -141,7 +143,11 @@
     leadership: Rc<Leadership>,
 ) {
     while !node.stopping.get() {
-        if let Some(lease) = leadership.lease.get() {
+        let unable = node.contact.borrow().lost_for(node.now());
+        let unable = unable.is_some_and(|lost_for| lost_for >= RESIGN_AFTER);
+        if let Some(lease) = leadership.lease.get().filter(|_| unable) {
+            resign(&node, &store, &leadership, lease).await;
+        } else if let Some(lease) = leadership.lease.get() {
             renew(&node, &store, &leadership, lease).await;
         } else if is_vacant(&node) {
             // Most nodes see the winner's key before they claim.
@@ -160,7 +166,16 @@
 
 /// Returns whether the store was listed and the leader key is vacant.
 fn is_vacant(node: &Node) -> bool {
-    node.synced.get().is_some() && node.claim.borrow().is_vacant() && !node.stopping.get()
+    let able = node.reaches_targets() && !node.stopping.get();
+    able && node.synced.get().is_some() && node.claim.borrow().is_vacant()
+}
+
+/// Gives up the leader key, because this node does not reach the engines.
+async fn resign(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) {
+    leadership.step_down(node);
+    // A lease that could not be ended lapses on its own.
+    store.end(lease).await;
+    log::info!("{}", Event::new(LEADING).with("resigned", true));
 }
 
 async fn renew(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,16 +11,18 @@
 use platform::Settings;
 use platform::kv::{Era, Revision};
 use rand::rngs::SmallRng;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
-use site::{Bounds, Config};
+use site::{Bounds, Config, Target, TargetKey};
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
 use crate::call::Call;
 use crate::claim::Claim;
 use crate::clock::Clock;
+use crate::contact::Contact;
 use crate::diagnose::Diagnoses;
-use crate::event::{TARGET_DOWN, TARGET_PAUSED, TARGET_UP};
+use crate::event::{CONTACT_BACK, CONTACT_LOST, TARGET_DOWN, TARGET_PAUSED, TARGET_UP};
 use crate::loan::Loans;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
@@ -76,6 +78,8 @@
     pub(crate) proof_received: Notify,
     /// When other nodes were last heard, and whether they can check keys.
     pub(crate) reachability: RefCell<Reachability>,
+    /// Whether this node reaches its targets.
+    pub(crate) contact: RefCell<Contact>,
     /// Whether the process was asked to stop.
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused because the process is about to end.
@@ -123,6 +127,7 @@
             peer_proof: Cell::new(None),
             proof_received: Notify::new(),
             reachability: RefCell::default(),
+            contact: RefCell::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
             stop_requested: Notify::new(),
@@ -197,6 +202,10 @@
     /// waiting tasks.
     pub(crate) fn record_fault(&self, address: SocketAddr, fault: Fault, reason: &str) {
         let now = self.now();
+        if matches!(fault, Fault::Unresponsive | Fault::ReportTimeout) {
+            self.contact.borrow_mut().record_silence(address);
+            self.update_contact();
+        }
         let down = self.table.borrow_mut().record_fault(now, address, fault);
         if let Some(target) = down {
             let event = Event::new(TARGET_DOWN)
@@ -209,7 +218,7 @@
             if !matches!(fault, Fault::Reported | Fault::ReportedTimeout) {
                 self.alarm.notify_one();
             }
-            if fault != Fault::WrongTarget {
+            if fault != Fault::WrongTarget && self.reaches_targets() {
                 self.record_down(&target);
             }
             self.routing_changed.notify_waiters();
@@ -275,6 +284,10 @@
     }
 
     fn log_target_up(&self, id: &str) {
+        if !self.reaches_targets() {
+            // The others can probably be reached again too.
+            self.table.borrow_mut().probe_all(self.now());
+        }
         log::info!("{}", Event::new(TARGET_UP).with("target", id));
         self.routing_changed.notify_waiters();
     }
@@ -285,6 +298,117 @@
         table.entry(id).is_some_and(Entry::is_engine)
     }
 
+    /// Counts a request in the retry budget of its service, once.
+    pub(crate) fn count_call(&self, call: &Call) {
+        if !call.counted.replace(true) {
+            self.count_request(&call.service);
+        }
+    }
+
+    /// Returns up to `max` other nodes that reach the targets, in random order.
+    pub(crate) fn reaching_peers(&self, max: usize) -> Vec<SocketAddr> {
+        let mut peers = self.reachability.borrow().reaching(self.now());
+        peers.shuffle(&mut *self.rng.borrow_mut());
+        peers.truncate(max);
+        peers
+    }
+
+    /// Returns up to `max` engines that may be asked for reports, at random, those in use first.
+    pub(crate) fn sample_engines(&self, max: usize) -> Vec<(TargetKey, SocketAddr)> {
+        let now = self.now();
+        let table = self.table.borrow();
+        let asked = table
+            .entries()
+            .filter(|entry| entry.is_engine() && !entry.availability.is_backing_off(now));
+        let (down, used): (Vec<&Entry>, Vec<&Entry>) =
+            asked.partition(|entry| entry.health.is_down());
+        let rng = &mut *self.rng.borrow_mut();
+        let mut sample = used.into_iter().sample(rng, max);
+        sample.extend(down.into_iter().sample(rng, max - sample.len()));
+        sample.iter().map(|entry| (entry.target.id.clone(), entry.target.address)).collect()
+    }
+
+    /// Returns whether this node reaches targets.
+    pub(crate) fn reaches_targets(&self) -> bool {
+        !self.contact.borrow().is_lost()
+    }
+
+    /// Returns whether this node may be cut off from its targets.
+    pub(crate) fn doubts_targets(&self) -> bool {
+        self.contact.borrow().is_doubtful(self.now())
+    }
+
+    /// Records that a target answered this node.
+    pub(crate) fn record_contact(&self, now: Duration) {
+        if self.contact.borrow().has_silent_targets() {
+            // What this node held back while it doubted its own connections.
+            self.alarm.notify_one();
+        }
+        let regained = self.contact.borrow_mut().record_answer(now);
+        self.regain_contact(now, regained);
+    }
+
+    /// Records that this node connected to a target.
+    pub(crate) fn record_connection(&self) {
+        let now = self.now();
+        let regained = self.contact.borrow_mut().record_connection(now);
+        self.regain_contact(now, regained);
+    }
+
+    fn regain_contact(&self, now: Duration, lost_for: Option<Duration>) {
+        let Some(lost_for) = lost_for else { return };
+        log::info!("{}", Event::new(CONTACT_BACK).with("after_ms", lost_for.as_millis()));
+        // The others can probably be used as well.
+        self.table.borrow_mut().probe_all(now);
+        self.alarm.notify_one();
+    }
+
+    /// Checks whether this node has lost its targets: none answers, or most are out of reach.
+    pub(crate) fn update_contact(&self) {
+        let now = self.now();
+        let (known, unreached) = {
+            let table = self.table.borrow();
+            let staying = table.entries().filter(|entry| !entry.is_draining());
+            staying.fold((0, 0), |(known, unreached), entry| {
+                (known + 1, unreached + usize::from(entry.health.is_locally_observed()))
+            })
+        };
+        let regained = self.contact.borrow_mut().record_reached(now, unreached, known);
+        self.regain_contact(now, regained);
+        let is_silent = self.contact.borrow_mut().poll_loss(now, known);
+        let misses_most = self.contact.borrow_mut().record_unreached(now, unreached, known);
+        if is_silent || misses_most {
+            self.lose_contact();
+        }
+    }
+
+    /// Logs that this node has lost its targets, and withdraws what it concluded from it.
+    pub(crate) fn lose_contact(&self) {
+        let now = self.now();
+        let (silent, unconnected) = self.contact.borrow().failed();
+        let event = Event::new(CONTACT_LOST)
+            .with("silent", silent)
+            .with("silent_ms", self.contact.borrow().silence(now).as_millis())
+            .with("unconnected", unconnected)
+            .with("nodes", self.reachability.borrow().reaching(now).len());
+        log::warn!("{event}");
+        metrics::counter!("magnolia_contact_lost").increment(1);
+        self.withdraw_losses();
+        self.alarm.notify_one();
+        self.routing_changed.notify_waiters();
+    }
+
+    /// Withdraws what losses of targets count against requests: not the targets were lost, but this
+    /// node's way to them.
+    fn withdraw_losses(&self) {
+        let down: Vec<Target> = {
+            let table = self.table.borrow();
+            let down = table.entries().filter(|entry| entry.health.is_down());
+            down.map(|entry| entry.target.clone()).collect()
+        };
+        down.iter().for_each(|target| self.record_target_survival(target));
+    }
+
     /// Counts a caller's request in the retry budget of its service.
     pub(crate) fn count_request(&self, service: &SmolStr) {
         self.with_budget(service, |budget, now, bounds, _| budget.count_request(now, bounds));
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -27,12 +27,26 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, Unanswered> {
-        let exchange = self.pool.send(address, request).await?;
+        let exchange = self.pool.send(address, request).await.inspect_err(|unanswered| {
+            if matches!(unanswered, Unanswered::Refused | Unanswered::NotSent) {
+                self.contact.borrow_mut().record_no_connection(address);
+            }
+        })?;
+        self.record_contact(self.now());
+        if exchange.is_new_connection {
+            self.record_connection();
+        }
         self.apply_notice(address, exchange.response.status(), exchange.response.headers());
         Ok(exchange)
     }
 
-    fn apply_notice(&self, address: SocketAddr, status: StatusCode, headers: &HeaderMap) {
+    /// Applies the notices in an answer of the target at `address`.
+    pub(crate) fn apply_notice(
+        &self,
+        address: SocketAddr,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
         if let Err(error) = platform::retry_after(status, headers) {
             log_undecodable(&address.to_string(), &error);
         }
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -73,6 +73,10 @@
                 );
             }
             let Some(fence) = fence else { continue };
+            if self.node.doubts_targets() {
+                // What this node sees of the engines says nothing about them.
+                continue;
+            }
             let Some(config) = self.node.config() else { continue };
             self.refresh_overdue().await;
             for service in config.services() {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -69,6 +69,8 @@
     fence: u64,
     /// Whether the sender can check keys.
     checks_keys: bool,
+    /// Whether the sender reaches targets.
+    reaches_targets: bool,
 }
 
 /// Maximum number of draining or paused targets in one message.
@@ -139,8 +141,11 @@
         .collect();
     loads.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
     loads.truncate(MAX_LOADS);
+    // What a node that may be cut off observes says nothing about the targets.
+    let may_report = !node.doubts_targets();
     let failed = table.entries().filter(|entry| {
-        entry.health.is_locally_observed()
+        may_report
+            && entry.health.is_locally_observed()
             && entry.health.time_down(now).is_some_and(|down| down < recent)
     });
     let down = failed
@@ -156,7 +161,8 @@
     let marked = table.entries().filter(|entry| entry.availability.is_restricted(now));
     let declining = marked.map(|entry| entry.target.id.clone()).take(MAX_DECLINING).collect();
     let fence = node.claim.borrow().highest();
-    View { loads, down, refusing, declining, fence, checks_keys: node.may_honour_keys() }
+    let (checks_keys, reaches_targets) = (node.may_honour_keys(), node.reaches_targets());
+    View { loads, down, refusing, declining, fence, checks_keys, reaches_targets }
 }
 
 /// Receives messages until the process ends.
@@ -222,6 +228,7 @@
     node.claim.borrow_mut().observe_fence(view.fence);
     let now = node.now();
     node.reachability.borrow_mut().record(now, view.checks_keys);
+    node.reachability.borrow_mut().record_contact(now, from, view.reaches_targets);
     let until = now + interval(node.peers.borrow().len()) * 5;
     node.table.borrow_mut().record_peer_load(from, view.loads, until);
     for id in &view.declining {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -74,6 +74,8 @@
 /// An answer whose head has arrived, and its connection.
 pub(crate) struct Exchange {
     pub(crate) response: Response<Incoming>,
+    /// Whether the connection was opened for this request.
+    pub(crate) is_new_connection: bool,
     connection: Connection,
 }
 
@@ -106,7 +108,7 @@
     ) -> Result<Exchange, Unanswered> {
         while let Some(mut sender) = self.take_idle(address) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(exchange(address, sender, response)),
+                Ok(response) => return Ok(exchange(address, sender, response, false)),
                 Err(mut failed) => match failed.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) => request = unsent,
@@ -116,7 +118,7 @@
         }
         let mut sender = connect(address).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(exchange(address, sender, response)),
+            Ok(response) => Ok(exchange(address, sender, response, true)),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(Unanswered::NotSent),
                 None => Err(Unanswered::Unknown),
@@ -164,9 +166,15 @@
     }
 }
 
-fn exchange(address: SocketAddr, sender: Sender, response: Response<Incoming>) -> Exchange {
+fn exchange(
+    address: SocketAddr,
+    sender: Sender,
+    response: Response<Incoming>,
+    is_new_connection: bool,
+) -> Exchange {
     let idle_timeout = idle_timeout(response.headers());
-    Exchange { response, connection: Connection { address, sender, idle_timeout } }
+    let connection = Connection { address, sender, idle_timeout };
+    Exchange { response, is_new_connection, connection }
 }
 
 /// Returns how long a connection may be idle after an answer with these headers.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -116,6 +116,7 @@
     let probes = bind(settings.ready).await?;
     let metrics = bind(SocketAddr::new(settings.front.ip(), METRICS_PORT)).await?;
     let internal = SocketAddr::new(settings.front.ip(), settings.internal_ports.0);
+    let nodes = bind(internal).await?;
     let socket = UdpSocket::bind(internal).await;
     let socket = Rc::new(socket.map_err(|error| Failure::Bind(internal, error))?);
     let mut terminate = signal(SignalKind::terminate()).map_err(Failure::System)?;
@@ -141,7 +142,8 @@
     tokio::task::spawn_local(peers::query_followers(node.clone(), socket.clone()));
     tokio::task::spawn_local(loan::request_loans(node.clone(), socket));
     tokio::task::spawn_local(diagnose::probe(node.clone()));
-    let accepting = tokio::task::spawn_local(front::serve(node.clone(), callers));
+    let accepting = tokio::task::spawn_local(front::serve_callers(node.clone(), callers));
+    tokio::task::spawn_local(front::serve_nodes(node.clone(), nodes));
     tokio::task::spawn_local(ready::serve_ready(node.clone(), probes));
     tokio::task::spawn_local(ready::serve_metrics(recorder, metrics));
     let lines = Rc::new(lines);
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -8,8 +8,9 @@
 use tokio::time::sleep;
 
 use crate::answer::Broken;
-use crate::dispatch::{Accepted, Dispatch, Failure};
+use crate::dispatch::{Dispatch, Failure, Opened};
 use crate::event::{ANSWERED, KEPT};
+use crate::forward;
 use crate::segment::{Ended, Progress, Segment};
 
 /// Time for which a path is sought for a stream that has none: callers wait two seconds for an
@@ -20,8 +21,8 @@
 
 /// How a stream continues.
 enum Continuation {
-    /// On another path.
-    Moved(Accepted),
+    /// On another path, or from another node.
+    Moved(Opened),
     /// On the path that it had.
     Kept(Segment),
 }
@@ -29,11 +30,11 @@
 /// Forwards events until the stream is complete. Resumes on other paths if one is cut or stalls.
 pub(crate) async fn pump(
     mut dispatch: Dispatch,
-    accepted: Accepted,
+    opened: Opened,
     sender: Sender<Result<Bytes, Broken>>,
 ) {
     let mut progress = Progress::default();
-    let outcome = forward_all(&mut dispatch, accepted, &sender, &mut progress).await;
+    let outcome = forward_all(&mut dispatch, opened, &sender, &mut progress).await;
     log_end(&dispatch, outcome, &progress);
     if !matches!(outcome, "complete" | "caller left") {
         // The send fails only if the caller has disconnected, which needs no further action.
@@ -44,34 +45,38 @@
 /// Forwards events. Returns the outcome of the stream.
 async fn forward_all(
     dispatch: &mut Dispatch,
-    accepted: Accepted,
+    opened: Opened,
     sender: &Sender<Result<Bytes, Broken>>,
     progress: &mut Progress,
 ) -> &'static str {
-    let mut segment = Segment::new(&dispatch.node, accepted, 0);
-    progress.path = segment.path().to_string();
+    let mut next = Continuation::Moved(opened);
     loop {
-        let ended = segment.forward_events(dispatch, sender, progress).await;
-        match ended {
-            Ended::Complete => return "complete",
-            Ended::CallerGone => return "caller left",
-            Ended::TimedOut => return "timed out",
-            Ended::Cut | Ended::Stalled => {}
-        }
-        let next = tokio::select! {
-            next = resume(dispatch, segment, ended, progress) => next,
-            () = sender.closed() => return "caller left",
-        };
-        segment = match next {
-            Ok(Continuation::Kept(segment)) => segment,
-            Ok(Continuation::Moved(accepted)) => {
+        let mut segment = match next {
+            Continuation::Kept(segment) => segment,
+            Continuation::Moved(Opened::Path(accepted)) => {
                 let segment = Segment::new(&dispatch.node, accepted, progress.events);
-                progress.moves += 1;
                 progress.path = segment.path().to_string();
                 segment
             }
+            Continuation::Moved(Opened::Node(exchange)) => {
+                progress.path = "another node".to_owned();
+                let ended = forward::relay_events(dispatch, exchange, sender, progress).await;
+                return ended.outcome().unwrap_or("cut by another node");
+            }
+        };
+        let ended = segment.forward_events(dispatch, sender, progress).await;
+        if let Some(outcome) = ended.outcome() {
+            return outcome;
+        }
+        let resumed = tokio::select! {
+            resumed = resume(dispatch, segment, ended, progress) => resumed,
+            () = sender.closed() => return "caller left",
+        };
+        next = match resumed {
+            Ok(next) => next,
             Err(failure) => return failure.stream_outcome(),
         };
+        progress.moves += u32::from(matches!(next, Continuation::Moved(_)));
     }
 }
 
@@ -122,10 +127,10 @@
     let until = dispatch.node.now() + RESUME_TIMEOUT;
     loop {
         let failure = match resumable {
-            true => match dispatch.open_stream(progress.last_event).await {
-                Ok(accepted) => {
+            true => match dispatch.open(progress.last_event).await {
+                Ok(opened) => {
                     dispatch.fallback = None;
-                    return Ok(Continuation::Moved(accepted));
+                    return Ok(Continuation::Moved(opened));
                 }
                 Err(failure) => failure,
             },
@@ -140,7 +145,8 @@
             kept.defer_checks(dispatch.node.now());
             return Ok(Continuation::Kept(kept));
         }
-        if !failure.is_transient() || dispatch.node.now() >= until {
+        let may_change = failure.is_transient() || dispatch.node.doubts_targets();
+        if !may_change || dispatch.node.now() >= until {
             return Err(failure);
         }
         sleep(RESUME_RETRY_INTERVAL).await;
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -9,14 +9,14 @@
 use path::{Fault, Path};
 use site::TargetKey;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::answer::Broken;
 use crate::dispatch::{Accepted, Dispatch, InFlight};
 use crate::node::Node;
 use crate::pool::Connection;
 use crate::quarantine::CLEARING_EVENTS;
-use crate::split::Splitter;
+use crate::split::{Event, Splitter};
 use crate::watchdog::{Verdict, Watchdog};
 
 /// Counts a stream at the first engine of its path while its events are forwarded.
@@ -67,6 +67,26 @@
 }
 
 impl Progress {
+    /// Sends an event to the caller, unless the caller has it already. Returns how the stream ends
+    /// if it cannot be sent.
+    pub(crate) async fn deliver(
+        &mut self,
+        event: Event,
+        arrived_at: Duration,
+        sender: &Sender<Result<Bytes, Broken>>,
+        deadline: Instant,
+    ) -> Option<Ended> {
+        if event.id.is_some() && event.id <= self.last_event {
+            return None;
+        }
+        self.record_event(event.id, arrived_at);
+        tokio::select! {
+            sent = sender.send(Ok(event.bytes)) => sent.err().map(|_| Ended::CallerGone),
+            // The caller reads too slowly to finish before the deadline.
+            () = sleep_until(deadline) => Some(Ended::TimedOut),
+        }
+    }
+
     /// Records an event that is forwarded.
     fn record_event(&mut self, id: Option<u64>, now: Duration) {
         if self.first_at.is_some() {
@@ -97,6 +117,18 @@
     TimedOut,
 }
 
+impl Ended {
+    /// Returns the outcome that is logged for the stream; `None` if it may go on elsewhere.
+    pub(crate) fn outcome(self) -> Option<&'static str> {
+        match self {
+            Ended::Complete => Some("complete"),
+            Ended::CallerGone => Some("caller left"),
+            Ended::TimedOut => Some("timed out"),
+            Ended::Cut | Ended::Stalled => None,
+        }
+    }
+}
+
 /// A stream that arrives over one path.
 pub(crate) struct Segment {
     body: Incoming,
@@ -200,27 +232,20 @@
                 },
             };
             let arrived_at = node.now();
+            node.record_contact(arrived_at);
             self.splitter.push(&bytes);
             while let Some(event) = self.splitter.pop() {
                 if !event.is_comment {
                     self.watchdog.record_event(arrived_at);
                     self.stream_guard.set_silent(false);
                 }
-                // The caller has received this event over an earlier path.
-                if event.id.is_some() && event.id <= progress.last_event {
-                    continue;
+                let delivered = progress.events;
+                if let Some(ended) = progress.deliver(event, arrived_at, sender, deadline).await {
+                    return ended;
                 }
-                progress.record_event(event.id, arrived_at);
-                if progress.events == clear_at {
+                if progress.events > delivered && progress.events == clear_at {
                     node.record_cleared(&dispatch.call);
                 }
-                tokio::select! {
-                    sent = sender.send(Ok(event.bytes)) => if sent.is_err() {
-                        return Ended::CallerGone;
-                    },
-                    // The caller reads too slowly to finish before the deadline.
-                    () = sleep_until(deadline) => return Ended::TimedOut,
-                }
             }
             if self.splitter.is_oversized() {
                 node.record_fault(
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -10,8 +10,9 @@
 
 use crate::answer::{Answer, retry_later};
 use crate::call::{Call, returned_headers};
-use crate::dispatch::{Dispatch, Failure, NO_PATH, NO_RETRY};
+use crate::dispatch::{Dispatch, Failure, NO_PATH, NO_RETRY, Opened};
 use crate::event::REFUSED;
+use crate::forward::{name_target, stream_head, whole_answer};
 use crate::node::Node;
 use crate::pump::pump;
 use crate::quarantine::QUARANTINED;
@@ -29,13 +30,23 @@
     model: Arc<Model>,
 ) -> Response<Answer> {
     let mut dispatch = Dispatch::new(node, call, model);
-    match dispatch.open_stream(None).await {
-        Ok(open) => {
-            let mut response = Response::new(());
-            *response.headers_mut() = returned_headers(open.response.headers());
+    match dispatch.open(None).await {
+        Ok(Opened::Node(exchange)) if exchange.response.status() != StatusCode::OK => {
+            whole_answer(node, &dispatch.call, exchange).await
+        }
+        Ok(opened) => {
             let (sender, receiver) = channel(EVENT_QUEUE_LENGTH);
-            tokio::task::spawn_local(pump(dispatch, open, sender));
-            response.map(|()| Answer::Events(receiver))
+            let mut response = Response::new(Answer::Events(receiver));
+            match &opened {
+                Opened::Path(accepted) => {
+                    let first = accepted.in_flight.path.first().address;
+                    *response.headers_mut() = returned_headers(accepted.response.headers());
+                    name_target(&dispatch.call, first, &mut response);
+                }
+                Opened::Node(exchange) => *response.headers_mut() = stream_head(exchange),
+            }
+            tokio::task::spawn_local(pump(dispatch, opened, sender));
+            response
         }
         Err(Failure::Failed(response)) => response,
         Err(Failure::NotRun(reason)) => {
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -15,6 +15,7 @@
 use crate::answer::{Answer, retry_later};
 use crate::call::Call;
 use crate::event::RETRIED;
+use crate::forward::{MAX_UNSENT, Origin, forward_unary, name_target};
 use crate::node::Node;
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
@@ -68,6 +69,13 @@
 
 /// Sends a request to a target, and to further ones if it fails and may be repeated.
 pub(crate) async fn forward(node: &Rc<Node>, call: &Call) -> Response<Answer> {
+    if call.origin == Origin::Caller
+        && !node.reaches_targets()
+        && let Some(response) = forward_unary(node, call, call.attempts).await
+    {
+        return response;
+    }
+    node.count_call(call);
     let mut excluded: Vec<SocketAddr> = Vec::new();
     let mut ran = 0;
     let mut offers = 0;
@@ -122,7 +130,8 @@
         }
         match outcome {
             Outcome::Answered { status, headers, body } => {
-                let response = passthrough(status, &headers, body);
+                let mut response = passthrough(status, &headers, body);
+                name_target(call, address, &mut response);
                 if !status.is_server_error() {
                     node.table.borrow_mut().record_success(address);
                     node.record_completed(call);
@@ -137,7 +146,7 @@
             }
             Outcome::NotSent | Outcome::NotRun => {
                 unsent += u32::from(matches!(outcome, Outcome::NotSent));
-                if offers >= MAX_OFFERS {
+                if offers >= MAX_OFFERS || is_forwardable(node, call, offers, unsent) {
                     break;
                 }
             }
@@ -154,6 +163,14 @@
             }
         }
     }
+    let has_run = ran > 0 && call.kind.is_idempotent() && ran < call.attempts;
+    let may_run = if has_run { retry_taken } else { quarantined.is_none() };
+    if (has_run || is_forwardable(node, call, offers, unsent))
+        && may_run
+        && let Some(response) = forward_unary(node, call, call.attempts - ran).await
+    {
+        return response;
+    }
     match failed {
         Some(response) => response,
         None if ran > 0 => unknown_outcome(node, call),
@@ -167,12 +184,22 @@
     }
 }
 
+/// Returns whether a request is to be forwarded to another node, because none of its offers could be
+/// sent.
+fn is_forwardable(node: &Node, call: &Call, offers: u32, unsent: u32) -> bool {
+    let is_cut_off = unsent >= MAX_UNSENT || node.doubts_targets();
+    call.origin == Origin::Caller && offers == unsent && is_cut_off
+}
+
 /// Takes a retry for another target, if there is one. A request that cannot be sent elsewhere waits
 /// on: its target may be silent for a while and go on.
 async fn take_alternative(node: &Node, call: &Call, excluded: &[SocketAddr]) -> bool {
     let criteria = Query { service: &call.service, excluded, allowed_first: None, tokens: 0.0 };
     let other = node.table.borrow().best_target(node.now(), &criteria);
-    other.is_some() && node.take_retry(&call.service).await
+    let cut_off = call.origin == Origin::Caller
+        && !node.reaches_targets()
+        && !node.reaching_peers(1).is_empty();
+    (other.is_some() || cut_off) && node.take_retry(&call.service).await
 }
 
 async fn try_target(
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -252,6 +252,13 @@
         self.down.take().is_some()
     }
 
+    /// Makes a probe due at once, if the target is out of use.
+    pub fn probe_at_once(&mut self, now: Duration) {
+        if let Some(down) = &mut self.down {
+            down.probe_at = now;
+        }
+    }
+
     /// Returns whether a probe is due, and if so schedules the next one after a longer delay.
     pub fn poll_probe(&mut self, now: Duration) -> bool {
         match &mut self.down {
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -225,6 +225,11 @@
             .any(|entry| entry.target.address == address && entry.availability.is_backing_off(now))
     }
 
+    /// Returns whether any target is backing off.
+    pub fn has_backing_off(&self, now: Duration) -> bool {
+        self.entries.values().any(|entry| entry.availability.is_backing_off(now))
+    }
+
     /// Returns the time until a service has a target again, if all of its targets that do not drain
     /// are backing off.
     pub fn service_available_in(&self, now: Duration, service: &str) -> Option<Duration> {
@@ -335,6 +340,11 @@
         self.entries.get_mut(id).is_some_and(|entry| entry.health.restore(now))
     }
 
+    /// Makes a probe of each target that is out of use due at once.
+    pub fn probe_all(&mut self, now: Duration) {
+        self.entries.values_mut().for_each(|entry| entry.health.probe_at_once(now));
+    }
+
     /// Returns the targets for which a probe is due: those out of use, and slow engines.
     pub fn due_probes(&mut self, now: Duration) -> Vec<(TargetKey, SocketAddr)> {
         let entries = self.entries.values_mut();
