Health: a target that refuses connections is probed at once

What callers saw: after engines ended, seconds without any path.

Cause: a target that gives no report is probed after 0.3 s and again after 0.9 s, and counts as unresponsive only then. That delay is for targets that hang; one that refuses connections has ended.

Change: such a target has a fault of its own, with probes after 0.05 and 0.15 s.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -98,7 +98,7 @@
         }
         self.diagnoses.last_asked.borrow_mut().insert(first, now);
         match self.fetch_report(first).await {
-            Err(_) => self.record_fault(first, Fault::Unresponsive, "no report"),
+            Err(failure) => self.record_fault(first, probe_fault(failure), "no report"),
             Ok(report) => {
                 for stall in &report.stalls {
                     self.record_fault(
@@ -117,12 +117,12 @@
         for (id, address) in due {
             let node = self.clone();
             tokio::task::spawn_local(async move {
-                if !node.responds_in_time(&id, address).await {
-                    node.record_fault(
-                        address,
-                        Fault::ReportTimeout,
-                        "no report while streams pause",
-                    );
+                if let Err(failure) = node.responds_in_time(&id, address).await {
+                    let fault = match failure {
+                        ProbeFailure::Refused => Fault::Refused,
+                        ProbeFailure::Timeout => Fault::ReportTimeout,
+                    };
+                    node.record_fault(address, fault, "no report while streams pause");
                 }
             });
         }
@@ -147,8 +147,8 @@
         }
     }
 
-    /// Returns whether an engine gives its report within [`CHECK_TIMEOUT`].
-    async fn responds_in_time(&self, id: &str, address: SocketAddr) -> bool {
+    /// Waits for the report of an engine for [`CHECK_TIMEOUT`].
+    async fn responds_in_time(&self, id: &str, address: SocketAddr) -> Result<(), ProbeFailure> {
         let asked_at = self.now();
         let answer = self.refresh_hedged(id, address);
         pin!(answer);
@@ -156,23 +156,23 @@
         if report.is_err() && self.now().saturating_sub(asked_at) > CHECK_TIMEOUT + TIMER_OVERRUN {
             report = timeout(CHECK_TIMEOUT, answer).await;
         }
-        report.ok().flatten().is_some()
+        report.unwrap_or(Err(ProbeFailure::Timeout)).map(drop)
     }
 
     /// Fetches an engine's report, with a second attempt after [`HEDGE_AFTER`]. Returns the first
     /// report.
-    async fn refresh_hedged(&self, id: &str, address: SocketAddr) -> Option<Report> {
+    async fn refresh_hedged(&self, id: &str, address: SocketAddr) -> Result<Report, ProbeFailure> {
         let first = self.refresh(id, address);
         pin!(first);
         if let Ok(report) = timeout(HEDGE_AFTER, &mut first).await {
-            return report.ok();
+            return report;
         }
         let second = self.refresh(id, address);
         pin!(second);
         tokio::select! {
-            Ok(report) = &mut first => Some(report),
-            Ok(report) = &mut second => Some(report),
-            else => None,
+            Ok(report) = &mut first => Ok(report),
+            Ok(report) = &mut second => Ok(report),
+            else => Err(ProbeFailure::Timeout),
         }
     }
 
@@ -183,12 +183,9 @@
             return;
         }
         tokio::task::spawn_local(async move {
-            if !stays_connected(address).await {
-                node.record_fault(
-                    address,
-                    Fault::Unresponsive,
-                    "no connection after a lost answer",
-                );
+            if let Err(failure) = stays_connected(address).await {
+                let fault = probe_fault(failure);
+                node.record_fault(address, fault, "no connection after a lost answer");
             }
         });
     }
@@ -248,16 +245,24 @@
     }
 }
 
-/// Returns whether a connection to a target can be opened and stays open: a process that ends may
-/// close its connections before its port.
-async fn stays_connected(address: SocketAddr) -> bool {
-    let Ok(connection) = crate::pool::connect(address).await else { return false };
+/// Opens a connection to a target and waits whether it stays open: a process that ends may close its
+/// connections before its port.
+async fn stays_connected(address: SocketAddr) -> Result<(), ProbeFailure> {
+    let connection = crate::pool::connect(address).await.map_err(probe_failure)?;
     sleep(PORT_CLOSE_TIME).await;
-    !connection.is_closed()
+    if connection.is_closed() { Err(ProbeFailure::Refused) } else { Ok(()) }
+}
+
+/// Returns the fault of a target that gave no answer.
+pub(crate) fn probe_fault(failure: ProbeFailure) -> Fault {
+    match failure {
+        ProbeFailure::Refused => Fault::Refused,
+        ProbeFailure::Timeout => Fault::Unresponsive,
+    }
 }
 
 /// Returns what a probe that got no answer shows.
-fn probe_failure(unanswered: Unanswered) -> ProbeFailure {
+pub(crate) fn probe_failure(unanswered: Unanswered) -> ProbeFailure {
     match unanswered {
         Unanswered::Refused => ProbeFailure::Refused,
         Unanswered::NotSent | Unanswered::Unknown => ProbeFailure::Timeout,
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::Answer;
 use crate::call::Call;
+use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
 use crate::forward::{self, Forward, MAX_UNSENT, Origin};
 use crate::node::Node;
@@ -519,8 +520,9 @@
         };
         let exchange = match answer {
             Ok(exchange) => exchange,
-            Err(Unanswered::Refused | Unanswered::NotSent) => {
-                node.record_fault(first.address, Fault::Unresponsive, "no connection");
+            Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
+                let fault = probe_fault(probe_failure(unsent));
+                node.record_fault(first.address, fault, "no connection");
                 return Outcome::NotSent;
             }
             Err(Unanswered::Unknown) => {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -202,7 +202,7 @@
     /// waiting tasks.
     pub(crate) fn record_fault(&self, address: SocketAddr, fault: Fault, reason: &str) {
         let now = self.now();
-        if matches!(fault, Fault::Unresponsive | Fault::ReportTimeout) {
+        if matches!(fault, Fault::Unresponsive | Fault::Refused | Fault::ReportTimeout) {
             self.contact.borrow_mut().record_silence(address);
             self.update_contact();
         }
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::{Answer, retry_later};
 use crate::call::Call;
+use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
 use crate::forward::{MAX_UNSENT, Origin, forward_unary, name_target};
 use crate::node::Node;
@@ -214,8 +215,9 @@
     let request = call.request(node.now(), target, None, None);
     let exchange = match node.send(address, request).await {
         Ok(exchange) => exchange,
-        Err(Unanswered::Refused | Unanswered::NotSent) => {
-            node.record_fault(address, Fault::Unresponsive, "no connection");
+        Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
+            let fault = probe_fault(probe_failure(unsent));
+            node.record_fault(address, fault, "no connection");
             return Outcome::NotSent;
         }
         Err(Unanswered::Unknown) => {
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -6,9 +6,10 @@
 /// Delay before the first probe of a failed target. A target that hangs answers probes
 /// nevertheless.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(300);
-/// Delay before the first probe of a target whose only fault is a missed report. On links that lose
-/// packets most such targets are healthy.
-const MISSED_REPORT_PROBE_DELAY: Duration = Duration::from_millis(50);
+/// Delay before the first probe of a target that a probe decides on: one that has only missed a
+/// report, on links that lose packets, is mostly healthy, and one that refuses connections has mostly
+/// ended.
+const EARLY_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Consecutive unanswered probes after which a target counts as unresponsive.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 /// Time after which an unanswered probe shows that an unresponsive target is lost. A sound target
@@ -31,8 +32,10 @@
 /// A fault of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// The target does not answer, or refuses connections.
+    /// The target does not answer.
     Unresponsive,
+    /// The target refuses connections: no process listens there any more.
+    Refused,
     /// The target did not report in time.
     ReportTimeout,
     /// Another VM saw the target fail.
@@ -54,6 +57,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Fault::Unresponsive => "Silent",
+            Fault::Refused => "Refused",
             Fault::ReportTimeout => "Mute",
             Fault::Reported => "Reported",
             Fault::ReportedTimeout => "ReportedMute",
@@ -141,16 +145,15 @@
             Fault::Full => self.pause(now, true),
             Fault::ReportedFull => self.pause(now, false),
             Fault::Failed => self.failure_rate += FAILURE_RATE_WEIGHT * (1.0 - self.failure_rate),
-            Fault::Unresponsive | Fault::WrongTarget => {
+            Fault::Unresponsive | Fault::Refused | Fault::WrongTarget => {
                 self.failure_rate += FAILURE_RATE_WEIGHT * (1.0 - self.failure_rate);
-                return self.mark_down(now, true, false);
+                return self.mark_down(now, fault);
             }
-            Fault::ReportTimeout => return self.mark_down(now, true, true),
+            Fault::ReportTimeout => return self.mark_down(now, fault),
             Fault::Reported | Fault::ReportedTimeout if now < self.peer_faults_ignored_until => {
                 return false;
             }
-            Fault::Reported => return self.mark_down(now, false, false),
-            Fault::ReportedTimeout => return self.mark_down(now, false, true),
+            Fault::Reported | Fault::ReportedTimeout => return self.mark_down(now, fault),
         }
         false
     }
@@ -179,13 +182,16 @@
         is_active.then(|| (now + self.pause).saturating_sub(self.paused_until))
     }
 
-    fn mark_down(&mut self, now: Duration, local: bool, report_timeout_only: bool) -> bool {
+    fn mark_down(&mut self, now: Duration, fault: Fault) -> bool {
+        let local = !matches!(fault, Fault::Reported | Fault::ReportedTimeout);
+        let report_timeout_only = matches!(fault, Fault::ReportTimeout | Fault::ReportedTimeout);
         if let Some(down) = &mut self.down {
             down.local |= local;
             down.report_timeout_only &= report_timeout_only;
             return false;
         }
-        let pause = if report_timeout_only { MISSED_REPORT_PROBE_DELAY } else { FIRST_PROBE_DELAY };
+        let is_early = report_timeout_only || fault == Fault::Refused;
+        let pause = if is_early { EARLY_PROBE_DELAY } else { FIRST_PROBE_DELAY };
         let down = Down {
             since: now,
             probe_at: now + pause,
--- a/crates/path/tests/health.rs
+++ b/crates/path/tests/health.rs
@@ -17,6 +17,7 @@
 #[parameterized(
     unresponsive = { FaultCase { fault: Fault::Unresponsive, usable: false, is_down: true } },
     wrong_target = { FaultCase { fault: Fault::WrongTarget, usable: false, is_down: true } },
+    refused = { FaultCase { fault: Fault::Refused, usable: false, is_down: true } },
     reported = { FaultCase { fault: Fault::Reported, usable: false, is_down: true } },
     full = { FaultCase { fault: Fault::Full, usable: false, is_down: false } },
     failed = { FaultCase { fault: Fault::Failed, usable: true, is_down: false } },
@@ -99,6 +100,7 @@
     two_packets = { ReportFault { fault: Fault::ReportTimeout, unanswered: 1, answered: true, first_probe_ms: 50, unresponsive: false } },
     unclear = { ReportFault { fault: Fault::ReportTimeout, unanswered: 1, answered: false, first_probe_ms: 50, unresponsive: false } },
     unanswered = { ReportFault { fault: Fault::ReportTimeout, unanswered: 2, answered: false, first_probe_ms: 50, unresponsive: true } },
+    refuses_connections = { ReportFault { fault: Fault::Refused, unanswered: 2, answered: false, first_probe_ms: 50, unresponsive: true } },
     hangs = { ReportFault { fault: Fault::Unresponsive, unanswered: 0, answered: true, first_probe_ms: 300, unresponsive: false } },
 )]
 fn missed_report_counts_as_unresponsive_only_after_unanswered_probes(case: ReportFault) {
