--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -9,7 +9,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use platform_standin::{Call, Document, Route, spawn_call};
+use platform_standin::{Call, Document, Route, send_call, spawn_call};
 use site::{EVENTS, Site, ended};
 use yare::parameterized;
 
@@ -20,6 +20,9 @@
 /// Time between the start of the last stream and the silence.
 const BEFORE_SILENCE: Duration = Duration::from_millis(100);
 
+/// Time for which engines are silent beside a request that has not run before.
+const SILENCE: Duration = Duration::from_millis(1800);
+
 /// Engines that fall silent, in the order of a stream's path.
 #[derive(Clone, Copy)]
 enum Which {
@@ -109,3 +112,21 @@
     }
     silent
 }
+
+// Guards against a sound request that is quarantined because the engines that it waited for were
+// silent: its attempts were counted as losses of those engines.
+#[test]
+fn silence_quarantines_no_request() {
+    let site = Site::start(149, 1, &Document { attempts: 3, ..Document::default() });
+    ended(site.streams(0, "w", 4 * STREAMS));
+    let firsts: BTreeSet<SocketAddr> = site.runs("w").iter().map(|run| run.engines[0]).collect();
+    firsts.iter().for_each(|&engine| site.platform.set_silent(engine, true));
+    let unseen = |id: &str| Call { body: "unseen", ..Call::new(Route::Resumable, id) };
+    let waiting = spawn_call(site.nodes[0].front, unseen("q"));
+    sleep(SILENCE);
+    firsts.iter().for_each(|&engine| site.platform.set_silent(engine, false));
+    let reply = waiting.join().expect("a caller thread ends");
+    assert!(reply.is_complete(EVENTS), "{reply:?}");
+    let again = send_call(site.nodes[0].front, &unseen("q2"));
+    assert!(again.is_complete(EVENTS), "{again:?}");
+}
