Watch: waits fit the bound on withdrawn keys

What callers saw: 503 for a valid key while the store answers, in withdrawn_and_unconfirmed_keys_are_refused on a busy machine. The log of such a node has 1117, reason "keys cannot be checked", store_age_ms from 1800 on.

Cause: a node checks keys while what it knows of the store is younger than the bound on withdrawn keys less 0.7 s, 1.8 s for the bound of 2.5 s in the settings of the tests. Its watch waited 2 s whatever the bound, so that keys were refused for the last 0.2 s of each watch. An answer with a change proves only the state when the watch was sent; with the pause and the next watch after it, the state grew 2.7 s old and keys were refused for up to 0.9 s. The test passed while its requests fell into the other part of a watch, which a busy machine shifts. With the default bound of 5 s the limit is 4.3 s, and nothing was refused.

Change: wait and pause are derived from the age at which the node stops serving: 3 s as before (unready), or the limit for keys if that is lower, with the same margins. A node with a limit below 3 s asks the store itself instead of relying on the proofs of others, which can be over a second old.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,7 +14,7 @@
 
 use crate::event::{CONFIGURED, HISTORY_LOST, RELAYED, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
-use crate::node::Node;
+use crate::node::{Node, UNREADY_AFTER};
 use crate::persistence::QUARANTINE_PREFIX;
 use crate::store::{Reply, Store, log_undecodable};
 use crate::watch::{Watch, batch_pause};
@@ -147,7 +147,7 @@
                     }
                     if has_changes && !changes_leader {
                         let vms = self.node.table.borrow().vms;
-                        sleep(batch_pause(vms)).await;
+                        sleep(batch_pause(vms, self.node.max_store_age())).await;
                     }
                 }
                 Some(Err(Reply::HistoryLost)) => return,
@@ -165,10 +165,12 @@
         let synced = self.node.synced.get();
         let relay = self.node.relay.borrow();
         let is_fresh = synced.is_some_and(|synced| now.saturating_sub(synced) < STALE_AFTER / 2);
-        if is_fresh && relay.has_recent_proof(now) {
+        let max_age = self.node.max_store_age();
+        // Proofs of other nodes are too old for a bound on withdrawn keys below this age.
+        if is_fresh && max_age >= UNREADY_AFTER && relay.has_recent_proof(now) {
             return Watch::long(now);
         }
-        let watch = Watch::new(now, synced);
+        let watch = Watch::new(now, synced, max_age);
         if relay.serves_others() { watch.shortened() } else { watch }
     }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -158,10 +158,22 @@
 
     /// Returns whether the configuration is recent enough to accept keys.
     pub(crate) fn may_honour_keys(&self) -> bool {
-        let bounds = &self.settings.bounds;
         let Some(synced) = self.synced.get() else { return false };
-        let limit = bounds.revoke.saturating_sub(REVOKE_MARGIN);
-        !bounds.strict_revoke || self.now().saturating_sub(synced) < limit
+        let age = self.now().saturating_sub(synced);
+        self.key_check_age().is_none_or(|limit| age < limit)
+    }
+
+    /// Returns the age of the store's state at which this node refuses keys; `None` if it accepts
+    /// them at any age.
+    fn key_check_age(&self) -> Option<Duration> {
+        let bounds = &self.settings.bounds;
+        bounds.strict_revoke.then(|| bounds.revoke.saturating_sub(REVOKE_MARGIN))
+    }
+
+    /// Returns the age of the store's state at which this node refuses keys or reports that it is
+    /// not ready.
+    pub(crate) fn max_store_age(&self) -> Duration {
+        self.key_check_age().map_or(UNREADY_AFTER, |limit| limit.min(UNREADY_AFTER))
     }
 
     /// Returns the retry delay for a caller whose key cannot be checked here.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -2,17 +2,22 @@
 
 use std::time::Duration;
 
-/// Time for which the store holds a watch without changes. A dead connection is detected at most
-/// this long after the answer was due.
+/// Maximum time for which the store holds a watch without changes. A dead connection is detected at
+/// most this long after the answer was due.
 const MAX_WAIT: Duration = Duration::from_millis(2000);
+/// Minimum time for which the store holds a watch without changes, unless the known state is already
+/// old: limits the rate of calls.
+const MIN_WAIT: Duration = Duration::from_millis(100);
 /// Time for which the store holds a watch of a node that others query.
 const FOLLOWER_WAIT: Duration = Duration::from_millis(1000);
 /// Time for which the store holds a watch while other nodes prove that nothing has changed; the
 /// store holds no call for longer than 30 s.
 const LONG_WAIT: Duration = Duration::from_secs(25);
-/// Maximum age of the known state while the store answers: lower than the age at which a node
-/// reports that it is not ready.
-const MAX_AGE: Duration = Duration::from_millis(2700);
+/// Margin between the age of the known state at which an answer is due at the latest and the maximum
+/// age of the state.
+const AGE_MARGIN: Duration = Duration::from_millis(300);
+/// Time that the answers to a watch and to the one after it may take.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Minimum pause after changes before the next watch, so that one answer carries several changes.
 const MIN_BATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum pause after changes: delays what targets or operators write by this much.
@@ -30,12 +35,13 @@
 }
 
 impl Watch {
-    /// Returns a watch sent at `now`, when the state up to the time `known` is known. An answer
-    /// with changes proves little about the state's age, so the next watch waits less, which keeps
-    /// the age within `MAX_AGE`.
-    pub fn new(now: Duration, known: Option<Duration>) -> Self {
+    /// Returns a watch sent at `now`, when the state up to the time `known` is known. `max_age` is
+    /// the age of the state at which the node stops serving callers. An answer with changes proves
+    /// little about the state's age, so the next watch waits less.
+    pub fn new(now: Duration, known: Option<Duration>, max_age: Duration) -> Self {
         let age = now.saturating_sub(known.unwrap_or(now));
-        Self { sent_at: now, wait: MAX_WAIT.min(MAX_AGE.saturating_sub(age)) }
+        let latest = max_age.saturating_sub(AGE_MARGIN).max(MIN_WAIT);
+        Self { sent_at: now, wait: longest_wait(max_age).min(latest.saturating_sub(age)) }
     }
 
     /// Returns a watch that is answered only on changes, while other nodes prove that there are
@@ -75,7 +81,15 @@
     }
 }
 
-/// Returns the pause after changes if `vms` nodes watch the store.
-pub fn batch_pause(vms: usize) -> Duration {
-    (BATCH_PAUSE_PER_NODE * vms as u32).clamp(MIN_BATCH_PAUSE, MAX_BATCH_PAUSE)
+/// Returns the longest wait of a watch that leaves time for the pause after changes and for answers
+/// before the known state is `max_age` old.
+fn longest_wait(max_age: Duration) -> Duration {
+    max_age.saturating_sub(MAX_BATCH_PAUSE + ANSWER_MARGIN).clamp(MIN_WAIT, MAX_WAIT)
+}
+
+/// Returns the pause after changes if `vms` nodes watch the store and the known state must be
+/// younger than `max_age`.
+pub fn batch_pause(vms: usize, max_age: Duration) -> Duration {
+    let pause = (BATCH_PAUSE_PER_NODE * vms as u32).clamp(MIN_BATCH_PAUSE, MAX_BATCH_PAUSE);
+    pause.min(max_age.saturating_sub(longest_wait(max_age) + ANSWER_MARGIN))
 }
