Route: a domain with two losses is left

Cause (303 reason=incomplete, 903 reason=attempts_spent): the list does not show the loss in this script, so no 312 is sent, and eject_share bounds how many targets a node ejects. A request whose chain lay in the lost domain kept the surviving stages there and covered the gap with other engines of that domain: each attempt ended as unreachable at one more lost target, until all eight were spent. One such request: dar-c-h100-1-0 broken, then in the lost domain h100-0-0, a10-4-1, l4-3-1, a100-2-1, h100-1-1, h100-0-1, a100-2-2 unreachable.

Change: a request remembers the targets that it found lost. After two of one failure domain, its next attempt uses no target of that domain, and keeps no stage there, if the other domains cover the layers; otherwise it goes on as before.

Test: lost_domain_is_left_after_two_losses (1, 3 and 5 engines for each span, 50 seeds, no processes) and surviving_stages_are_kept_in_the_only_domain. No test was changed.

--- a/crates/route/src/launch.rs
+++ b/crates/route/src/launch.rs
@@ -13,6 +13,7 @@
 use crate::outlier::Admission;
 use crate::pool::Pool;
 use crate::state::{State, Step};
+use crate::table::Entry;
 use crate::{Action, Dispatch, Outcome, Reason, Settings, event};
 
 /// Interval after which a request that waits for targets without other suspects is tried again.
@@ -23,6 +24,9 @@
 const FIRST_TOKEN_TIMEOUT_FACTOR: f64 = 3.0;
 /// Minimum timeout to the first token.
 const MIN_FIRST_TOKEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of targets of one failure domain whose loss by the same request shows that the domain may
+/// be lost as a whole.
+const MIN_DOMAIN_LOSSES: usize = 2;
 /// Added to the number of prompt tokens for the part of the first token's time that does not
 /// depend on the prompt.
 pub(crate) const PROMPT_OVERHEAD_TOKENS: f64 = 256.0;
@@ -88,7 +92,10 @@
         warm_up_draw: step.rng.random(),
         allow_ejected: false,
     };
-    let mut picks = choose_picks(state, pool, &entry.survivors, &criteria, step);
+    let mut picks = choose_outside_lost_domains(state, pool, entry, &criteria, step);
+    if picks.is_none() {
+        picks = choose_picks(state, pool, &entry.survivors, &criteria, step);
+    }
     if picks.is_none() && !suspect {
         criteria.allow_ejected = true;
         picks = choose_picks(state, pool, &entry.survivors, &criteria, step);
@@ -117,6 +124,33 @@
     }
 }
 
+/// Returns stages outside the failure domains of which the request has found several targets lost.
+/// Without this, each attempt keeps the surviving stages in such a domain and finds one more of its
+/// targets lost, until no attempt is left. Returns `None` if there is no such domain, or if the
+/// other domains do not cover the layers.
+fn choose_outside_lost_domains(
+    state: &State,
+    pool: &Pool,
+    entry: &Entry,
+    criteria: &Criteria<'_>,
+    step: &mut Step<'_>,
+) -> Option<Vec<Pick>> {
+    let domain = |target: TargetId| state.view.entry(target).domain;
+    let losses = |of: u16| entry.lost.iter().filter(|&&target| domain(target) == of).count();
+    let is_in_lost_domain = |target: TargetId| losses(domain(target)) >= MIN_DOMAIN_LOSSES;
+    if !state.settings.mechanism.exclude
+        || !entry.lost.iter().any(|&target| is_in_lost_domain(target))
+    {
+        return None;
+    }
+    let outside = |pick: &Pick| !is_in_lost_domain(pick.target);
+    let survivors: Vec<Pick> = entry.survivors.iter().copied().filter(outside).collect();
+    let lost = pool.targets.iter().copied().filter(|&target| is_in_lost_domain(target));
+    let excluded: Vec<TargetId> = criteria.excluded.iter().copied().chain(lost).collect();
+    let criteria = Criteria { excluded: &excluded, ..*criteria };
+    choose_picks(state, pool, &survivors, &criteria, step)
+}
+
 /// Returns the surviving stages with the gaps between them covered, or a whole new chain if that
 /// is not possible.
 fn choose_picks(
--- a/crates/route/src/recover.rs
+++ b/crates/route/src/recover.rs
@@ -110,7 +110,7 @@
         Ending::Unreachable { target } => {
             let at_first = not_run_at(state, id, &target);
             if let Some(target) = state.view.id(&target) {
-                record_loss(state, step, target);
+                record_loss(state, step, id, target);
                 eject(state, step, target, Cause::Failed);
             }
             at_first
@@ -179,7 +179,7 @@
     if let Some(entry) = state.table.get_mut(&id) {
         entry.stalled.retain(|stalled| *stalled != target);
     }
-    let loss = record_loss(state, step, target);
+    let loss = record_loss(state, step, id, target);
     eject(state, step, target, Cause::Failed);
     add_suspicion(state, step, id, target, loss);
 }
@@ -191,8 +191,13 @@
     }
 }
 
-/// Records the loss of a target.
-fn record_loss(state: &mut State, step: &Step<'_>, target: TargetId) -> Loss {
+/// Records that a request found a target lost.
+fn record_loss(state: &mut State, step: &Step<'_>, id: RequestId, target: TargetId) -> Loss {
+    if let Some(request) = state.table.get_mut(&id)
+        && !request.lost.contains(&target)
+    {
+        request.lost.push(target);
+    }
     let entry = state.view.entry(target);
     let place = Place { domain: entry.domain, rack: entry.target.rack.clone() };
     let loss = Loss { target: entry.target.name.clone(), place, at: step.now };
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -81,7 +81,7 @@
     pub warm_up: bool,
     /// Retries are limited by recent successes.
     pub budget: bool,
-    /// The next attempt avoids the failed stages.
+    /// The next attempt avoids the failed stages, and failure domains of which several were lost.
     pub exclude: bool,
     /// The next attempt keeps the surviving stages.
     pub reuse: bool,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -32,6 +32,8 @@
     pub(crate) failed: Vec<TargetId>,
     /// Excluded targets that only stalled. They may be slow rather than lost.
     pub(crate) stalled: Vec<TargetId>,
+    /// Targets that were lost while they ran the request, or before it reached them.
+    pub(crate) lost: Vec<TargetId>,
     /// Stages of the last attempt that did not fail.
     pub(crate) survivors: Vec<Pick>,
     /// Stages that the running attempt reuses from the previous one.
@@ -67,6 +69,7 @@
             plan: Plan { stages: Vec::new() },
             failed: Vec::new(),
             stalled: Vec::new(),
+            lost: Vec::new(),
             survivors: Vec::new(),
             reused: Vec::new(),
             sent_at: Duration::ZERO,
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -322,3 +322,64 @@
     assert!(slots.contains(&0), "{slots:?}");
     assert!(slots.last().is_some_and(|slots| *slots > 0), "{slots:?}");
 }
+
+/// Layers of the stages of each chain of [`domains`].
+const SPANS: [(u16, u16); 4] = [(0, 12), (12, 24), (24, 36), (36, 48)];
+
+/// Returns this many engines for each span in each of the failure domains. Those of domain "c" are
+/// the fastest, so that most chains start there.
+fn domains(names: &[&str], engines_per_span: usize) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for domain in names {
+        let rate = if *domain == "c" { 9000.0 } else { 900.0 };
+        for (index, span) in SPANS.into_iter().enumerate() {
+            for number in 0..engines_per_span {
+                targets.push(engine(&format!("{domain}-{number}-{index}"), domain, span, rate));
+            }
+        }
+    }
+    targets
+}
+
+/// Returns how an attempt ends if all targets of domain "c" are lost; `None` if it uses none.
+fn ending_without_domain(dispatch: &Dispatch) -> Option<Ending> {
+    let lost = |target: &fleet::TargetName| target.starts_with("c-");
+    let stage = dispatch.plan.stages.iter().position(|stage| lost(&stage.target))?;
+    let target = dispatch.plan.stages[stage].target.clone();
+    Some(match stage {
+        0 => Ending::Unreachable { target },
+        _ => Ending::Broken { target: Some(target) },
+    })
+}
+
+/// Guards against requests given up when a failure domain is lost and no other node or list has
+/// said so: each attempt kept the surviving stages in that domain and found one more target lost
+/// (script `dar_domain_lost` on a busy machine: eight attempts spent).
+#[parameterized(one_engine = { 1 }, three_engines = { 3 }, five_engines = { 5 })]
+fn lost_domain_is_left_after_two_losses(engines_per_span: usize) {
+    for seed in 0..50 {
+        let mut bench = Bench::new(domains(&["a", "b", "c"], engines_per_span));
+        bench.rng = SmallRng::seed_from_u64(seed);
+        let mut sent = find_dispatch(&bench.start(1, "plank", true));
+        while let Some(ending) = ending_without_domain(&sent) {
+            assert!(sent.attempt <= 2, "seed {seed}: {:?}", sent.plan);
+            sent = find_dispatch(&bench.end_attempt(&sent, 15, ending));
+        }
+        let end = bench.end_attempt(&sent, 50, Ending::Complete);
+        assert_eq!(find_outcome(&end), Some(Outcome::Complete));
+    }
+}
+
+/// Guards against leaving the only failure domain, and computing the prompt again, because two of
+/// its targets were lost.
+#[test]
+fn surviving_stages_are_kept_in_the_only_domain() {
+    let mut bench = Bench::new(domains(&["c"], 4));
+    let mut sent = find_dispatch(&bench.start(1, "plank", true));
+    for _ in 0..3 {
+        let others: Vec<_> = sent.plan.stages[1..].iter().map(|s| s.target.clone()).collect();
+        let target = first_target(&sent);
+        sent = find_dispatch(&bench.end_attempt(&sent, 15, Ending::Unreachable { target }));
+        assert_eq!(sent.reuse, others);
+    }
+}
