Test: the tests of keys send no signals

clippy found the unused function of the shared module; the attribute is that of copy.rs and parts.rs.

--- a/crates/node/tests/keys.rs
+++ b/crates/node/tests/keys.rs
@@ -1,5 +1,6 @@
 //! Callers with a valid key are served as long as the store answers.
 
+#[allow(dead_code, reason = "no signals are sent here")]
 mod entry;
 mod site;
 
