--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,12 +1,12 @@
 //! Follows the store: the configuration, the targets, and the nodes of this system.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use fleet::Event;
-use platform::kv::{Era, Item, Page, Revision};
+use platform::kv::{Item, Page};
 use platform::{CONFIG_KEY, TARGET_PREFIX};
 use site::{Config, Service};
 use tokio::pin;
@@ -16,6 +16,7 @@
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
 use crate::node::Node;
 use crate::persistence::QUARANTINE_PREFIX;
+use crate::replica::Listing;
 use crate::store::{Reply, Store, log_undecodable};
 use crate::watch::{Watch, batch_pause};
 
@@ -36,10 +37,6 @@
     node: Rc<Node>,
     store: Rc<Store>,
     leadership: Rc<Leadership>,
-    /// Revisions of the known keys.
-    known: HashMap<String, Revision>,
-    /// Era of these revisions.
-    era: Era,
     /// Other nodes and this one, as registered in the store.
     nodes: HashSet<String>,
     /// Time until which a missing entry does not remove its target.
@@ -51,73 +48,67 @@
 impl Follower {
     /// Returns a follower without any state.
     pub(crate) fn new(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) -> Self {
-        let (known, era, nodes, lenient_until, relayed) = Default::default();
-        Self { node, store, leadership, known, era, nodes, lenient_until, relayed }
+        let (nodes, lenient_until, relayed) = Default::default();
+        Self { node, store, leadership, nodes, lenient_until, relayed }
     }
 
     /// Follows the store until the process ends.
     pub(crate) async fn run(mut self) {
         loop {
-            let Some(revision) = self.list().await else {
+            if !self.list().await {
                 sleep(RETRY_PAUSE).await;
                 continue;
-            };
-            self.watch(revision).await;
-            if self.node.era.get() == self.era {
+            }
+            self.watch().await;
+            if self.node.replica.borrow().is_listed() {
                 log::warn!("{}", Event::new(HISTORY_LOST));
             }
         }
     }
 
-    /// Lists all keys. Returns the revision from which to watch for changes; `None` if the list
-    /// failed, or if a new era of the store began meanwhile.
-    async fn list(&mut self) -> Option<Revision> {
+    /// Lists all keys. Returns whether the list is complete: a call may fail, or a new era of the
+    /// store begin meanwhile.
+    async fn list(&mut self) -> bool {
         let started_at = self.node.now();
-        let mut is_new_era = false;
-        let mut first = None;
-        let mut seen = HashSet::new();
+        let mut listing = Listing::default();
         let mut after: Option<String> = None;
         loop {
-            let page = self.store.range("", after.as_deref()).await?;
-            if self.node.era.get() != self.era {
-                if first.is_some() {
-                    return None;
-                }
-                self.begin_era();
-                is_new_era = true;
+            let Some(page) = self.store.range("", after.as_deref()).await else { return false };
+            if !self.node.replica.borrow().accept_page(&mut listing, &page) {
+                return false;
             }
-            let revision = *first.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
-            for item in page.items {
-                seen.insert(item.key.clone());
-                self.apply_item(item);
-            }
+            page.items.into_iter().for_each(|item| self.apply_item(item));
             if !page.has_more || after.is_none() {
-                if is_new_era {
-                    // Targets write their entries again.
-                    self.lenient_until = self.node.now() + REREGISTRATION_TIME;
-                }
-                self.remove_missing(&seen, revision);
-                self.node.applied_era.set(self.era);
-                self.node.revision.set(revision);
+                self.complete_list(listing);
                 self.record_synced(started_at);
-                return Some(revision);
+                return true;
             }
         }
     }
 
-    /// Begins with the keys of a new era: their revisions do not compare with known ones.
-    fn begin_era(&mut self) {
-        self.era = self.node.era.get();
-        self.known.values_mut().for_each(|revision| *revision = 0);
+    /// Removes the known keys that a list does not have.
+    fn complete_list(&mut self, listing: Listing) {
+        if !self.node.replica.borrow().is_listed() {
+            // Targets write their entries again after a change of era.
+            self.lenient_until = self.node.now() + REREGISTRATION_TIME;
+        }
+        let removals = self.node.replica.borrow_mut().complete(listing);
+        for item in removals {
+            if item.key.starts_with(QUARANTINE_PREFIX) {
+                self.node.restore_quarantine_entry(&item.key);
+            } else {
+                self.apply_change(item);
+            }
+        }
     }
 
     /// Watches for changes until the store no longer has their history, or a new era begins.
-    async fn watch(&mut self, mut revision: Revision) {
+    async fn watch(&mut self) {
         let mut pause = RETRY_PAUSE;
         let mut has_failed = false;
         loop {
-            if self.node.era.get() != self.era {
+            if !self.node.replica.borrow().is_listed() {
                 return;
             }
             let now = self.node.now();
@@ -128,18 +119,15 @@
             if watch.is_long() {
                 self.set_relayed(true);
             }
-            let answer = self.next_answer(revision, watch).await;
-            if self.node.era.get() != self.era {
-                return;
-            }
-            match answer {
+            match self.next_answer(watch).await {
                 // No node proves the state any more. The next watch is shorter.
                 None => self.set_relayed(false),
                 Some(Ok(page)) => {
+                    if !self.node.replica.borrow_mut().accept_changes(&page) {
+                        return;
+                    }
                     let has_changes = !page.items.is_empty();
                     self.record_synced(watch.known_until(self.node.now(), has_changes));
-                    revision = revision.max(page.revision);
-                    self.node.revision.set(revision);
                     (pause, has_failed) = (RETRY_PAUSE, false);
                     let changes_leader = page.items.iter().any(|item| item.key == LEADER_KEY);
                     for item in page.items {
@@ -180,19 +168,16 @@
         let age = self.node.now().saturating_sub(self.node.synced.get().unwrap_or_default());
         let event = Event::new(RELAYED)
             .with("goes_by_others", relayed)
-            .with("revision", self.node.revision.get())
+            .with("revision", self.node.replica.borrow().position().revision())
             .with("age_ms", age.as_millis());
         log::info!("{event}");
     }
 
     /// Waits for the answer to a watch and applies proofs of other nodes meanwhile. Returns `None`
     /// when a long watch is pending and the proofs have stopped.
-    async fn next_answer(
-        &mut self,
-        revision: Revision,
-        watch: Watch,
-    ) -> Option<Result<Page, Reply>> {
+    async fn next_answer(&mut self, watch: Watch) -> Option<Result<Page, Reply>> {
         let store = self.store.clone();
+        let revision = self.node.replica.borrow().position().revision();
         let answer = store.watch("", revision, watch.wait());
         pin!(answer);
         loop {
@@ -225,29 +210,14 @@
         self.node.sharers.borrow_mut().confirm_present(at, window);
     }
 
-    fn remove_missing(&mut self, seen: &HashSet<String>, revision: Revision) {
-        let missing: Vec<String> =
-            self.known.keys().filter(|key| !seen.contains(*key)).cloned().collect();
-        for key in missing {
-            if key.starts_with(QUARANTINE_PREFIX) {
-                self.known.remove(&key);
-                self.node.restore_quarantine_entry(&key);
-                continue;
-            }
-            self.apply_item(Item { key, value: None, revision, created: 0 });
+    /// Applies an item unless the known one of its key is as late.
+    fn apply_item(&mut self, item: Item) {
+        if self.node.replica.borrow_mut().accept_item(&item) {
+            self.apply_change(item);
         }
     }
 
-    fn apply_item(&mut self, item: Item) {
-        let known = self.known.get(&item.key).copied().unwrap_or(0);
-        if item.revision <= known {
-            return;
-        }
-        if item.value.is_some() {
-            self.known.insert(item.key.clone(), item.revision);
-        } else {
-            self.known.remove(&item.key);
-        }
+    fn apply_change(&mut self, item: Item) {
         if item.key == CONFIG_KEY {
             self.apply_config(&item);
         } else if let Some(id) = item.key.strip_prefix(TARGET_PREFIX) {
@@ -291,7 +261,7 @@
         let event = Event::new(CONFIGURED)
             .with("version", config.version)
             .with("before", current)
-            .with("revision", item.revision)
+            .with("revision", item.position.revision())
             .with("services", list_services(&config));
         log::info!("{event}");
         metrics::gauge!("magnolia_configuration_version").set(config.version as f64);
@@ -316,7 +286,7 @@
                     .with("born", target.started_unix_ms)
                     .with("state", format_args!("{:?}", target.state))
                     .with("layers", format_args!("{:?}", target.layers))
-                    .with("revision", item.revision);
+                    .with("revision", item.position.revision());
                 let replaced = self.node.table.borrow().replaced_by(&target);
                 if self.node.table.borrow_mut().set(self.node.now(), target) {
                     log::info!("{event}");
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::Event;
-use platform::kv::{Era, Item, LeaseId, Revision, Write};
+use platform::kv::{Item, LeaseId, Position, Revision, Write};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -58,7 +58,7 @@
     pub(crate) fn update_leader(&self, node: &Node, item: &Item) {
         let holder = item.value.as_ref().map(|value| {
             let name = String::from_utf8_lossy(value).into_owned();
-            (name, fence_number(node.era.get(), item.created))
+            (name, fence_number(item.created))
         });
         node.claim.borrow_mut().set_holder(holder);
         if node.claim.borrow().is_vacant() {
@@ -73,10 +73,10 @@
     }
 }
 
-/// Returns the fencing number of a leader key that was created at a revision. It is higher than all
+/// Returns the fencing number of a leader key that was created at a position. It is higher than all
 /// those of earlier eras, in which revisions may have been higher.
-fn fence_number(era: Era, created: Revision) -> u64 {
-    era.saturating_mul(1 << ERA_SHIFT) | created
+fn fence_number(created: Position) -> u64 {
+    created.era().saturating_mul(1 << ERA_SHIFT) | created.revision()
 }
 
 /// Returns the fencing number of this node's orders, if it leads.
@@ -115,7 +115,7 @@
                     leadership.presence.set(None);
                     Duration::ZERO
                 }
-                Reply::Done(_) => PRESENCE_INTERVAL,
+                Reply::Done(..) => PRESENCE_INTERVAL,
                 _ => PRESENCE_INTERVAL / 4,
             },
         };
@@ -127,7 +127,7 @@
     let Some(lease) = store.lease(PRESENCE_TTL).await else { return PRESENCE_INTERVAL / 4 };
     let key = format!("{NODE_PREFIX}{}", node.internal_address());
     let write = Write { key: &key, expected: None, value: b"", lease: lease.id };
-    if !matches!(store.write(write).await, Reply::Done(_)) {
+    if !matches!(store.write(write).await, Reply::Done(..)) {
         return PRESENCE_INTERVAL / 4;
     }
     leadership.presence.set(Some(lease.id));
@@ -166,7 +166,7 @@
 async fn renew(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) {
     let sent_at = node.now();
     match store.renew(lease).await {
-        Reply::Done(_) => {
+        Reply::Done(..) => {
             let ttl = LEASE_TTL.max(node.settings.min_lease_ttl);
             node.claim.borrow_mut().set_lease_end(sent_at + ttl);
         }
@@ -186,10 +186,10 @@
         Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease: lease_id };
     let reply = store.write(write).await;
     // A write without an answer may have succeeded: the watch shows whether it did.
-    if matches!(reply, Reply::Done(_) | Reply::Unknown) {
+    if matches!(reply, Reply::Done(..) | Reply::Unknown) {
         leadership.lease.set(Some(lease_id));
         node.claim.borrow_mut().set_lease_end(sent_at + lease.ttl);
     }
-    let event = Event::new(LEADING).with("claimed", matches!(reply, Reply::Done(_)));
+    let event = Event::new(LEADING).with("claimed", matches!(reply, Reply::Done(..)));
     log::info!("{event}");
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,7 +9,6 @@
 use fleet::Event;
 use path::{Budget, Entry, Fault, Participants, Share, Table};
 use platform::Settings;
-use platform::kv::{Era, Revision};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use site::{Bounds, Config};
@@ -26,6 +25,7 @@
 use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
 use crate::relay::Relay;
+use crate::replica::Replica;
 
 /// Margin before the bound on revoked keys at which a node that cannot reach the store refuses
 /// keys: an accepted request must reach its target and start within the margin.
@@ -60,14 +60,10 @@
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
     pub(crate) synced: Cell<Option<Duration>>,
-    /// Highest era that the store's answers have stated; 0 if they state none.
-    pub(crate) era: Cell<Era>,
-    /// Notified when `era` rises.
+    /// The store's era, and the positions that are in force on this node.
+    pub(crate) replica: RefCell<Replica>,
+    /// Notified when the store states a later era.
     pub(crate) era_changed: Notify,
-    /// Era of `revision`.
-    pub(crate) applied_era: Cell<Era>,
-    /// Store revision that is in force on this node.
-    pub(crate) revision: Cell<Revision>,
     /// Exchange of proofs of the store state's age with other nodes.
     pub(crate) relay: RefCell<Relay>,
     /// Time up to which another node proved the state, until the follower applies it.
@@ -115,10 +111,8 @@
             pool: Pool::new(clock),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
-            era: Cell::new(0),
+            replica: RefCell::default(),
             era_changed: Notify::new(),
-            applied_era: Cell::new(0),
-            revision: Cell::new(0),
             relay: RefCell::default(),
             peer_proof: Cell::new(None),
             proof_received: Notify::new(),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -197,21 +197,18 @@
     }
 }
 
-/// Answers a freshness query with the revision in force on this node and its age.
+/// Answers a freshness query with the position in force on this node and its age.
 fn answer_query(node: &Node, socket: &UdpSocket, from: SocketAddr, query: u64) {
     let Some(synced) = node.synced.get() else { return };
     let age = node.now().saturating_sub(synced);
-    let (era, revision) = (node.applied_era.get(), node.revision.get());
-    let freshness = Freshness { query, era, revision, age };
+    let position = node.replica.borrow().position();
+    let freshness = Freshness { query, position, age };
     send(socket, &Message::Freshness(freshness), from);
 }
 
 fn apply_freshness(node: &Node, from: SocketAddr, freshness: &Freshness) {
-    let proof = node.relay.borrow_mut().accept_answer(
-        from,
-        freshness,
-        (node.applied_era.get(), node.revision.get()),
-    );
+    let replica = node.replica.borrow();
+    let proof = node.relay.borrow_mut().accept_answer(from, freshness, &replica);
     if proof > node.synced.get() {
         node.peer_proof.set(proof);
         node.proof_received.notify_one();
--- a/crates/edge/src/persistence.rs
+++ b/crates/edge/src/persistence.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fleet::Event;
-use platform::kv::{Item, Revision, Write, decode_write};
+use platform::kv::{Item, Position, Revision, Write, decode_write};
 use serde::{Deserialize, Serialize};
 use suspect::{Fingerprint, Scope, Trials};
 use tokio::sync::Notify;
@@ -86,7 +86,7 @@
 /// Entries of the store, and changes of them that are to be written.
 #[derive(Default)]
 pub(crate) struct Entries {
-    known: RefCell<BTreeMap<Fingerprint, (Revision, Value)>>,
+    known: RefCell<BTreeMap<Fingerprint, (Position, Value)>>,
     changes: RefCell<BTreeMap<Fingerprint, Change>>,
     /// Notified when a change is requested.
     change_requested: Notify,
@@ -106,8 +106,8 @@
         obsolete.for_each(|(&fingerprint, _)| self.request(fingerprint, Change::Remove));
     }
 
-    fn revision(&self, fingerprint: Fingerprint) -> Option<Revision> {
-        self.known.borrow().get(&fingerprint).map(|(revision, _)| *revision)
+    fn position(&self, fingerprint: Fingerprint) -> Option<Position> {
+        self.known.borrow().get(&fingerprint).map(|(position, _)| *position)
     }
 }
 
@@ -127,7 +127,7 @@
         };
         // Entries of older versions have no value.
         let value = postcard::from_bytes(bytes).unwrap_or_else(|_| Value::starting_now(None));
-        entries.known.borrow_mut().insert(fingerprint, (item.revision, value));
+        entries.known.borrow_mut().insert(fingerprint, (item.position, value));
         entries
             .changes
             .borrow_mut()
@@ -183,25 +183,28 @@
 
 /// Writes an entry that is missing. Returns whether the store has it afterwards.
 async fn save(node: &Node, store: &Store, fingerprint: Fingerprint) -> bool {
-    if node.quarantine.entries.revision(fingerprint).is_some() || !node.is_quarantined(fingerprint)
+    if node.quarantine.entries.position(fingerprint).is_some() || !node.is_quarantined(fingerprint)
     {
         return true;
     }
     let trials = node.quarantine.trials.borrow().number(fingerprint);
     let reply = write(store, fingerprint, 0, Value::starting_now(trials)).await;
-    matches!(reply, Reply::Done(_) | Reply::Conflict)
+    matches!(reply, Reply::Done(..) | Reply::Conflict)
 }
 
 /// Counts a trial in the entry of a part, and permits one request to run if this succeeds. A failed
 /// trial is not repeated: the next request with the part asks for another one.
 async fn try_part(node: &Node, store: &Store, part: Fingerprint) -> bool {
-    let Some(revision) = node.quarantine.entries.revision(part) else {
+    let Some(position) = node.quarantine.entries.position(part) else {
         // Without its entry, other nodes could permit the same trial.
         return save(node, store, part).await;
     };
+    let current = node.replica.borrow().current_revision(position);
+    // A revision of an earlier era says nothing about the present entry: no trial.
+    let Some(revision) = current else { return true };
     let number = node.quarantine.trials.borrow().number(part).map_or(1, |number| number + 1);
     let reply = write(store, part, revision, Value::starting_now(Some(number))).await;
-    if let Reply::Done(bytes) = &reply
+    if let Reply::Done(bytes, _) = &reply
         && decode_write(bytes).is_ok()
     {
         let mut trials = node.quarantine.trials.borrow_mut();
@@ -215,9 +218,12 @@
 
 /// Removes an entry. Returns whether the store no longer has it, or has another version of it.
 async fn remove(node: &Node, store: &Store, fingerprint: Fingerprint) -> bool {
-    let Some(revision) = node.quarantine.entries.revision(fingerprint) else { return true };
+    let Some(position) = node.quarantine.entries.position(fingerprint) else { return true };
+    // After a change of era the entry is removed once it has been listed again.
+    let current = node.replica.borrow().current_revision(position);
+    let Some(revision) = current else { return false };
     let reply = store.remove(&key(fingerprint), revision).await;
-    matches!(reply, Reply::Done(_) | Reply::Conflict | Reply::Missing)
+    matches!(reply, Reply::Done(..) | Reply::Conflict | Reply::Missing)
 }
 
 async fn write(store: &Store, fingerprint: Fingerprint, expected: Revision, value: Value) -> Reply {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -3,19 +3,20 @@
 //!
 //! Every node keeps a watch open at the store that is answered when something changes. Only for
 //! followers the store also answers every second without a change, which proves that nothing has
-//! changed. The other nodes query a follower: its answer names the revision that it knows, and how
-//! long ago that was the store's latest. A node that knows the same revision is up to date as of
+//! changed. The other nodes query a follower: its answer names the position of its state, and how
+//! long ago that was the store's latest. A node that knows the same position is up to date as of
 //! that long before it sent the query. The time that the answer takes does not matter.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform::kv::{Era, Revision};
+use platform::kv::Position;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::query::Queries;
+use crate::replica::Replica;
 
 /// Minimum number of followers: some may be lost at any time.
 const MIN_FOLLOWERS: usize = 4;
@@ -31,14 +32,23 @@
 pub struct Freshness {
     /// Number of the query.
     pub query: u64,
-    /// The store's era that the follower knows.
-    pub era: Era,
-    /// The revision that the follower knows in this era.
-    pub revision: Revision,
-    /// Time since this was known to be the store's revision.
+    /// The position of the follower's state.
+    pub position: Position,
+    /// Time since this was known to be the store's position.
     pub age: Duration,
 }
 
+impl Freshness {
+    /// Returns the time up to which a node that has sent the query at `sent_at` is up to date;
+    /// `None` if the answer proves nothing.
+    pub fn proves(&self, replica: &Replica, sent_at: Duration) -> Option<Duration> {
+        if !replica.includes(self.position) {
+            return None;
+        }
+        sent_at.checked_sub(self.age)
+    }
+}
+
 /// Chooses the followers and evaluates their proofs.
 #[derive(Debug, Default)]
 pub struct Relay {
@@ -75,20 +85,19 @@
         Some((follower, self.queries.register(now, &SUBJECT, &[follower])))
     }
 
-    /// Returns the time up to which a node that knows `revision` of `era` is up to date, as proved
-    /// by a follower's answer; `None` if the answer proves nothing.
+    /// Returns the time up to which this node's state is up to date, as proved by a follower's
+    /// answer; `None` if the answer proves nothing.
     pub fn accept_answer(
         &mut self,
         from: SocketAddr,
         answer: &Freshness,
-        (era, revision): (Era, Revision),
+        replica: &Replica,
     ) -> Option<Duration> {
         let sent_at = self.queries.accept_answer(&SUBJECT, answer.query, from)?;
-        if era != answer.era || revision < answer.revision {
-            return None;
+        if replica.includes(answer.position) {
+            self.last_proof = Some(sent_at);
         }
-        self.last_proof = Some(sent_at);
-        sent_at.checked_sub(answer.age)
+        answer.proves(replica, sent_at)
     }
 
     /// Returns whether other nodes query this one.
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -15,6 +15,7 @@
 use crate::event::{STORE_BACK, STORE_LOST, STORE_RESTORED, UNDECODABLE};
 use crate::node::Node;
 use crate::pool::{Unanswered, read_body};
+use crate::replica::Stated;
 
 /// Maximum wait for an answer of the store, in addition to the wait of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -25,8 +26,8 @@
 /// Outcome of a call.
 #[derive(Debug)]
 pub(crate) enum Reply {
-    /// The call succeeded.
-    Done(Bytes),
+    /// The call succeeded. Holds the body of the answer, and its era.
+    Done(Bytes, Era),
     /// The condition of the call did not hold (412).
     Conflict,
     /// The key or lease that the call names does not exist (404).
@@ -56,10 +57,10 @@
     /// Lists a page of the keys under `prefix` that follow `after`.
     pub(crate) async fn range(&self, prefix: &str, after: Option<&str>) -> Option<Page> {
         let call = kv::range_request(self.address, prefix, after);
-        let Reply::Done(bytes) = self.call("range", call, Duration::ZERO).await else {
+        let Reply::Done(bytes, era) = self.call("range", call, Duration::ZERO).await else {
             return None;
         };
-        ok_or_log("range", kv::decode_range(&bytes))
+        ok_or_log("range", kv::decode_range(&bytes, era))
     }
 
     /// Waits for changes under `prefix` after the revision `after`.
@@ -71,8 +72,8 @@
     ) -> Result<Page, Reply> {
         let call = kv::watch_request(self.address, prefix, after, wait);
         match self.call("watch", call, wait).await {
-            Reply::Done(bytes) => {
-                ok_or_log("watch", kv::decode_watch(&bytes)).ok_or(Reply::NotDone)
+            Reply::Done(bytes, era) => {
+                ok_or_log("watch", kv::decode_watch(&bytes, era)).ok_or(Reply::NotDone)
             }
             other => Err(other),
         }
@@ -81,7 +82,7 @@
     /// Requests a lease.
     pub(crate) async fn lease(&self, ttl: Duration) -> Option<kv::Lease> {
         let call = kv::lease_request(self.address, ttl);
-        let Reply::Done(bytes) = self.call("lease", call, Duration::ZERO).await else {
+        let Reply::Done(bytes, _) = self.call("lease", call, Duration::ZERO).await else {
             return None;
         };
         ok_or_log("lease", kv::decode_lease(&bytes))
@@ -128,29 +129,35 @@
         reply
     }
 
-    /// Records the era that an answer states. Returns whether the answer is of the latest one. An
-    /// answer without a readable era counts as one of the known era.
-    fn accept_era(&self, stated: Option<Era>) -> bool {
-        let known = self.node.era.get();
-        let Some(stated) = stated.filter(|stated| *stated != known) else { return true };
-        if stated < known {
-            metrics::counter!("magnolia_store_answers_of_earlier_eras").increment(1);
-            return false;
+    /// Records the era that an answer states. Returns the era of the answer, `None` if it is not
+    /// the latest one. An answer without a readable era counts as one of the known era.
+    fn accept_era(&self, stated: Option<Era>) -> Option<Era> {
+        let verdict = self.node.replica.borrow_mut().accept_era(stated);
+        let era = self.node.replica.borrow().era();
+        match verdict {
+            Stated::Known => {}
+            Stated::Earlier => {
+                metrics::counter!("magnolia_store_answers_of_earlier_eras").increment(1);
+                return None;
+            }
+            Stated::Later { before } => self.begin_era(era, before),
         }
-        let is_first = self.node.synced.get().is_none();
-        self.node.era.set(stated);
-        metrics::gauge!("magnolia_store_era").set(stated as f64);
-        if !is_first {
-            let event = Event::new(STORE_RESTORED)
-                .with("era", stated)
-                .with("before", known)
-                .with("revision", self.node.revision.get());
-            log::warn!("{event}");
-            // The lease of the leader may have been granted after the copy was taken.
-            self.node.claim.borrow_mut().clear_lease();
-            self.node.era_changed.notify_waiters();
+        Some(era)
+    }
+
+    fn begin_era(&self, era: Era, before: Era) {
+        metrics::gauge!("magnolia_store_era").set(era as f64);
+        if self.node.synced.get().is_none() {
+            return;
         }
-        true
+        let event = Event::new(STORE_RESTORED)
+            .with("era", era)
+            .with("before", before)
+            .with("revision", self.node.replica.borrow().position().revision());
+        log::warn!("{event}");
+        // The lease of the leader may have been granted after the copy was taken.
+        self.node.claim.borrow_mut().clear_lease();
+        self.node.era_changed.notify_waiters();
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Reply {
@@ -161,15 +168,15 @@
         };
         let (response, connection) = exchange.split();
         let status = response.status();
-        if !self.accept_era(kv::era(response.headers())) {
+        let Some(era) = self.accept_era(kv::era(response.headers())) else {
             return Reply::Unknown;
-        }
+        };
         let Some(body) = read_body(response.into_body(), MAX_PAGE_BYTES).await else {
             return Reply::Unknown;
         };
         self.node.pool.release(connection);
         match status {
-            StatusCode::OK => Reply::Done(body),
+            StatusCode::OK => Reply::Done(body, era),
             StatusCode::NOT_FOUND => Reply::Missing,
             StatusCode::PRECONDITION_FAILED => Reply::Conflict,
             StatusCode::GONE => Reply::HistoryLost,
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use edge::{Freshness, Relay};
+use edge::{Freshness, Listing, Relay, Replica};
+use platform::kv::{Page, Position};
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(50);
@@ -55,6 +56,16 @@
     non_follower.expect("a node that does not follow")
 }
 
+/// Returns the positions of a node that knows a revision of an era.
+fn replica(era: u64, revision: u64) -> Replica {
+    let (mut replica, mut listing) = (Replica::default(), Listing::default());
+    replica.accept_era(Some(era));
+    let page = Page { items: vec![], has_more: false, position: Position::new(era, revision) };
+    assert!(replica.accept_page(&mut listing, &page));
+    replica.complete(listing);
+    replica
+}
+
 struct Case {
     /// Revision that the querying node knows.
     own: u64,
@@ -74,13 +85,14 @@
 fn proof_dates_from_the_query(case: Case) {
     let mut relay = non_follower();
     let (from, query) = relay.next_query(NOW, 0.3).expect("a follower");
-    let answer = Freshness { query, era: 0, revision: case.follower.0, age: ms(case.follower.1) };
+    let answer =
+        Freshness { query, position: Position::new(0, case.follower.0), age: ms(case.follower.1) };
     let expected = case.age.map(|age| NOW - ms(age));
-    assert_eq!(relay.accept_answer(from, &answer, (0, case.own)), expected);
+    assert_eq!(relay.accept_answer(from, &answer, &replica(0, case.own)), expected);
     assert_eq!(relay.has_recent_proof(NOW + ms(1400)), case.own >= case.follower.0);
     assert!(!relay.has_recent_proof(NOW + ms(1600)));
     // Neither a second copy nor an answer to an older query proves anything.
-    assert_eq!(relay.accept_answer(from, &answer, (0, case.own)), None);
+    assert_eq!(relay.accept_answer(from, &answer, &replica(0, case.own)), None);
 }
 
 #[test]
@@ -88,8 +100,8 @@
     let mut relay = non_follower();
     let (from, query) = relay.next_query(NOW, 0.3).expect("a follower");
     relay.next_query(NOW + ms(600), 0.3);
-    let answer = Freshness { query, era: 0, revision: 7, age: ms(0) };
-    assert_eq!(relay.accept_answer(from, &answer, (0, 7)), None);
+    let answer = Freshness { query, position: Position::new(0, 7), age: ms(0) };
+    assert_eq!(relay.accept_answer(from, &answer, &replica(0, 7)), None);
 }
 
 // Guards against a node that takes a revision for current which the store has given out again.
@@ -97,6 +109,6 @@
 fn revisions_of_another_era_prove_nothing(era: u64, proved: bool) {
     let mut relay = non_follower();
     let (from, query) = relay.next_query(NOW, 0.3).expect("a follower");
-    let answer = Freshness { query, era, revision: 7, age: ms(0) };
-    assert_eq!(relay.accept_answer(from, &answer, (2, 7)).is_some(), proved);
+    let answer = Freshness { query, position: Position::new(era, 7), age: ms(0) };
+    assert_eq!(relay.accept_answer(from, &answer, &replica(2, 7)).is_some(), proved);
 }
