Orders: entries from a copy of the store undo no known layers

Cause: after a return from a copy the leader, whose lease was in the copy, took the engines' entries of the copy for the present ones. Where an engine had loaded layers since the copy, it was ordered to load them again, with the right number of orders, so that the engine accepted. Found by the soak with drills.

Change: entries of the first list of an era do not change the layers known of the same start of a target, and an entry of an earlier start is ignored. Entries written in the new era and reports count as before.

`path` copied_entry_does_not_undo_known_layers, 4 cases, one of them for entries that are not copied.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -288,7 +288,13 @@
                     .with("layers", format_args!("{:?}", target.layers))
                     .with("revision", item.position.revision());
                 let replaced = self.node.table.borrow().replaced_by(&target);
-                if self.node.table.borrow_mut().set(self.node.now(), target) {
+                let now = self.node.now();
+                let is_copied = !self.node.replica.borrow().is_listed();
+                let mut table = self.node.table.borrow_mut();
+                let is_changed =
+                    if is_copied { table.set_copied(now, target) } else { table.set(now, target) };
+                drop(table);
+                if is_changed {
                     log::info!("{event}");
                     self.node.routing_changed.notify_waiters();
                 }
--- a/crates/node/tests/copy.rs
+++ b/crates/node/tests/copy.rs
@@ -6,7 +6,7 @@
 mod site;
 
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform_standin::{Call, Document, Route, StoreCopy, send_call};
 use site::{EVENTS, STATE_TIMEOUT, Site, start_node};
@@ -100,6 +100,37 @@
     }
 }
 
+// Guards against engines being ordered to load the layers that they hold, because their entries in
+// the copy are from before they had loaded them.
+#[test]
+fn no_order_is_repeated_after_a_copy() {
+    let site = Site::start(135, 2, &Document::default());
+    let placed = site.platform.placements().len();
+    site.engines.iter().for_each(|engine| site.platform.restart(*engine));
+    // The lease of the leader is in the copy and goes on.
+    let mut copy = site.platform.copy_store();
+    let until = Instant::now() + STATE_TIMEOUT;
+    while site.platform.placements().len() == placed {
+        assert!(Instant::now() < until, "the engines are placed");
+        sleep(Duration::from_millis(10));
+        let next = site.platform.copy_store();
+        if site.platform.placements().len() == placed {
+            copy = next;
+        }
+    }
+    sleep(Duration::from_millis(300));
+    site.platform.set_unavailable(true);
+    sleep(Duration::from_millis(100));
+    site.platform.restore_content(copy);
+    site.platform.set_unavailable(false);
+    sleep(Duration::from_millis(1500));
+    site.platform.register_targets();
+    sleep(REWRITE_LIMIT);
+    let repeated = site.platform.placements().into_iter();
+    let repeated: Vec<_> = repeated.filter(|order| order.before == Some(order.layers)).collect();
+    assert!(repeated.is_empty(), "{repeated:#?}");
+}
+
 // Guards against what the nodes keep in the store being lost with a copy.
 #[test]
 fn entries_of_the_nodes_are_written_again_after_a_copy() {
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -160,6 +160,20 @@
         true
     }
 
+    /// Updates a target from an entry of a store that has come back from a copy. What is known of
+    /// the same start of the target is later, and so is a later start. Returns as [`Table::set`].
+    pub fn set_copied(&mut self, now: Duration, mut target: Target) -> bool {
+        if let Some(entry) = self.entries.get(&target.id) {
+            if entry.target.started_unix_ms > target.started_unix_ms {
+                return false;
+            }
+            if entry.target.started_unix_ms == target.started_unix_ms {
+                target.layers = entry.target.layers;
+            }
+        }
+        self.set(now, target)
+    }
+
     /// Returns the targets that must have ended if `target` is running: earlier starts of its id,
     /// and older targets at its address.
     pub fn replaced_by(&self, target: &Target) -> Vec<Target> {
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -352,6 +352,27 @@
     assert_eq!(entry.orders, Some(case.orders));
 }
 
+/// Guards against orders for layers that an engine holds: the store came back from a copy in which
+/// the engine held others, or had not been started again yet.
+#[parameterized(
+    same_start = { 2, true, (0, 45) },
+    earlier_start = { 1, true, (0, 45) },
+    later_start = { 3, true, (46, 80) },
+    not_copied = { 2, false, (46, 80) },
+)]
+fn copied_entry_does_not_undo_known_layers(started: u64, is_copied: bool, layers: (u16, u16)) {
+    let mut table = Table::new("a".into());
+    table.set(NOW, Target { started_unix_ms: 2, ..target(1, "a", (0, 45)) });
+    let entry = Target { started_unix_ms: started, ..target(1, "a", (46, 80)) };
+    if is_copied {
+        table.set_copied(NOW, entry)
+    } else {
+        table.set(NOW, entry)
+    };
+    let known = table.entry("t1").expect("an entry").layers;
+    assert_eq!(known, Some(Layers::from(layers)));
+}
+
 /// Guards against paths through a target that has been replaced. On Floorline trouble-3, an engine
 /// restarted under another id while the store was down, and both entries remained. Paths through
 /// both ids were refused as no path.
