Test: drills of any age beside a disturbed node, and surprising eras

Copies 0.1, 1 and 8 s old, each with a node down, started, stopped, cut off from the store or none, and two drills in a row (17 cases): a target started and a key withdrawn after the copy, configuration and entries written again 1 and 1.5 s after the return. Checked: no node accepts the withdrawn key once it has refused it, or after revoke_ms; the valid key is never unknown; two seconds after the return all plain targets are used; no order is repeated; no process ends; the next configuration is in force. Eras (6 cases): below the known one, missing, no number, negative, higher by three, two in turn for two seconds; answers of the lower era are dropped and counted.

Found: a node that is started while the store holds the copy accepts a key that was withdrawn after it, until the operators have written again.

--- a/crates/node/tests/copy.rs
+++ b/crates/node/tests/copy.rs
@@ -1,15 +1,18 @@
 //! Tests the entry process when the store comes back from a copy: what was written since the copy
 //! is gone, and revisions are given out again.
 
-#[allow(dead_code, reason = "no signals are sent here")]
 mod entry;
 mod site;
 
+use std::collections::BTreeSet;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use platform_standin::{Call, Document, Route, StoreCopy, send_call};
-use site::{EVENTS, STATE_TIMEOUT, Site, start_node};
+use platform_standin::{
+    Call, Document, Impairment, PLAIN, Proxy, Route, Setup, StatedEra, StoreCopy, send_call,
+    spawn_call,
+};
+use site::{EVENTS, STATE_TIMEOUT, Site, ended, start_node, start_node_at};
 use yare::parameterized;
 
 /// Time within which an accepted configuration is in force.
@@ -161,3 +164,317 @@
     assert!(site.platform.wait(STATE_TIMEOUT, served));
     assert_eq!(send_call(site.nodes[0].front, &call("last")).status, Some(503));
 }
+
+/// Time after which no node accepts a withdrawn key.
+const REVOKE: Duration = Duration::from_millis(2500);
+/// Time from the return until the operators write the configuration again.
+const CONFIGURE_DELAY: Duration = Duration::from_millis(1000);
+/// Time from the return until the targets write their entries again.
+const REGISTER_DELAY: Duration = Duration::from_millis(1500);
+/// Time from the return until all targets are in use.
+const TARGETS_LIMIT: Duration = Duration::from_secs(2);
+/// Time from the return for which keys are checked.
+const CHECK_PERIOD: Duration = Duration::from_secs(4);
+/// Time for which surprising eras are stated: longer than the pause between two calls of a node.
+const SURPRISE_PERIOD: Duration = Duration::from_secs(2);
+/// Number of calls at the same time that use all plain targets.
+const CALLS: usize = 48;
+/// Node that something happens to during a drill.
+const DISTURBED: usize = 1;
+
+/// What happens to one node during a drill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disturbance {
+    None,
+    /// It is down from the absence until one second after the return.
+    Down,
+    /// It is down before the absence and started at the return.
+    Started,
+    /// Its process is stopped from the absence until one second after the return.
+    Stopped,
+    /// It does not reach the store from the absence until one second after the return.
+    CutOff,
+}
+
+/// What is to happen at a time after the return.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Start,
+    Undo,
+    Configure,
+    Register,
+    CheckTargets,
+}
+
+struct Drill {
+    age: Duration,
+    disturbance: Disturbance,
+    number: usize,
+}
+
+impl Drill {
+    const fn new(age_ms: u64, disturbance: Disturbance) -> Self {
+        Self { age: Duration::from_millis(age_ms), disturbance, number: 1 }
+    }
+}
+
+/// A site with a proxy between one of its nodes and the store.
+struct DrillSite {
+    site: Site,
+    proxy: Proxy,
+    slot: u8,
+    version: u64,
+    /// Whether each node has refused the withdrawn key.
+    has_refused: [bool; 2],
+    withdrawn_at: Instant,
+}
+
+impl DrillSite {
+    fn start(slot: u8) -> Self {
+        let mut site = Site::start(slot, 1, &document(1, &["k1", "k2"]));
+        let proxy = Proxy::start(&format!("127.82.{slot}.2"), site.platform.store());
+        site.nodes.push(start_node_at(proxy.address(), slot, DISTURBED as u8));
+        assert!(site.serves(DISTURBED, Some("k1")));
+        let (version, has_refused, withdrawn_at) = (1, [false; 2], Instant::now());
+        Self { site, proxy, slot, version, has_refused, withdrawn_at }
+    }
+
+    fn configure(&mut self, keys: &[&'static str]) {
+        self.version += 1;
+        self.site.platform.configure(&document(self.version, keys));
+    }
+
+    fn start_disturbed(&mut self) {
+        let node = start_node_at(self.proxy.address(), self.slot, DISTURBED as u8);
+        self.site.nodes.truncate(DISTURBED);
+        self.site.nodes.push(node);
+    }
+
+    /// Ends the process of the disturbed node without notice.
+    fn kill_disturbed(&mut self) {
+        let node = &mut self.site.nodes[DISTURBED].child;
+        node.kill().expect("the process is killed");
+        node.wait().expect("the process has ended");
+    }
+
+    fn disturb(&mut self, disturbance: Disturbance) {
+        match disturbance {
+            Disturbance::None | Disturbance::Started => {}
+            Disturbance::Down => self.kill_disturbed(),
+            Disturbance::Stopped => self.site.nodes[DISTURBED].signal("STOP"),
+            Disturbance::CutOff => self.proxy.set_impairment(Impairment::Silence),
+        }
+    }
+
+    fn undo(&mut self, disturbance: Disturbance) {
+        match disturbance {
+            Disturbance::None | Disturbance::Started => {}
+            Disturbance::Down => self.start_disturbed(),
+            Disturbance::Stopped => self.site.nodes[DISTURBED].signal("CONT"),
+            Disturbance::CutOff => self.proxy.set_impairment(Impairment::None),
+        }
+    }
+
+    /// Plays one drill and returns what was wrong, one line each.
+    fn play(&mut self, drill: &Drill) -> Vec<String> {
+        self.configure(&["k1", "k2"]);
+        assert!(self.site.all_answer("k2", 200));
+        if drill.disturbance == Disturbance::Started {
+            self.kill_disturbed();
+        }
+        let copy = self.site.platform.copy_store();
+        let added = Setup { id: format!("p3-{}", self.version).into(), ..ADDED };
+        self.site.platform.start_target(&format!("127.82.{}.1", self.slot), added);
+        self.configure(&["k1"]);
+        (self.withdrawn_at, self.has_refused) = (Instant::now(), [false; 2]);
+        let mut found = Vec::new();
+        let leaves_at = Instant::now() + drill.age;
+        while Instant::now() < leaves_at {
+            self.check_keys(&[0], &mut found);
+            sleep(Duration::from_millis(20));
+        }
+        self.site.platform.set_unavailable(true);
+        self.disturb(drill.disturbance);
+        sleep(ABSENCE);
+        self.site.platform.restore_content(copy);
+        self.site.platform.set_unavailable(false);
+        self.follow_return(drill.disturbance, &mut found);
+        found
+    }
+
+    /// Carries out what happens after the return, and checks keys meanwhile.
+    fn follow_return(&mut self, disturbance: Disturbance, found: &mut Vec<String>) {
+        let returned_at = Instant::now();
+        let mut steps = vec![
+            (Duration::from_secs(1), Step::Undo),
+            (CONFIGURE_DELAY, Step::Configure),
+            (REGISTER_DELAY, Step::Register),
+            (TARGETS_LIMIT, Step::CheckTargets),
+        ];
+        if disturbance == Disturbance::Started {
+            steps.insert(0, (Duration::ZERO, Step::Start));
+        }
+        let mut is_undisturbed = disturbance == Disturbance::None;
+        while returned_at.elapsed() < CHECK_PERIOD {
+            while let Some((_, step)) = steps.first().filter(|(at, _)| *at <= returned_at.elapsed())
+            {
+                match step {
+                    Step::Start => self.start_disturbed(),
+                    Step::Undo => self.undo(disturbance),
+                    Step::Configure => {
+                        self.site.platform.configure(&document(self.version, &["k1"]));
+                    }
+                    Step::Register => self.site.platform.register_targets(),
+                    Step::CheckTargets => self.check_targets(disturbance, found),
+                }
+                is_undisturbed |= matches!(step, Step::Start | Step::Undo);
+                steps.remove(0);
+            }
+            let nodes: &[usize] = if is_undisturbed { &[0, DISTURBED] } else { &[0] };
+            self.check_keys(nodes, found);
+            sleep(Duration::from_millis(30));
+        }
+    }
+
+    /// Checks that no node accepts the withdrawn key once it has refused it, or once the time of
+    /// `REVOKE` has passed and a node has refused it; and that none refuses the other key as unknown.
+    fn check_keys(&mut self, nodes: &[usize], found: &mut Vec<String>) {
+        for &node in nodes {
+            let after = self.withdrawn_at.elapsed();
+            let is_known = after > REVOKE && self.has_refused.contains(&true);
+            match self.site.status(node, "k2") {
+                Some(401) => self.has_refused[node] = true,
+                Some(200) if is_known || self.has_refused[node] => {
+                    found.push(format!("node {node} accepts the withdrawn key after {after:?}"));
+                }
+                _ => {}
+            }
+            if self.site.status(node, "k1") == Some(401) {
+                found.push(format!("node {node} does not know the valid key after {after:?}"));
+            }
+        }
+    }
+
+    /// Checks that the node that stays in touch uses all plain targets.
+    fn check_targets(&self, disturbance: Disturbance, found: &mut Vec<String>) {
+        let nodes = if disturbance == Disturbance::None { 0..2 } else { 0..1 };
+        for node in nodes {
+            let call = Call { key: Some("k1"), ..Call::new(Route::Safe, "t") };
+            // Calls at the same time spread over the targets.
+            let front = self.site.nodes[node].front;
+            let calls: Vec<_> = (0..CALLS).map(|_| spawn_call(front, call.clone())).collect();
+            let used: BTreeSet<String> =
+                ended(calls).into_iter().filter_map(|reply| reply.stamp).collect();
+            let expected = self.site.plain.len() + self.added_targets();
+            if used.len() != expected {
+                found.push(format!("node {node} uses {used:?}, not {expected} targets"));
+            }
+        }
+    }
+
+    fn added_targets(&self) -> usize {
+        let entries = self.site.platform.items("servers/p3");
+        entries.len()
+    }
+}
+
+const ADDED: Setup =
+    Setup { id: std::borrow::Cow::Borrowed(""), service: PLAIN, domain: "a", events: 0 };
+
+// Guards against a withdrawn key that is accepted again, a configuration that is taken back, targets
+// that are lost and orders that are repeated, with copies of any age and whatever happens to a node.
+#[parameterized(
+    age_100ms = { 0, Drill::new(100, Disturbance::None) },
+    age_1s = { 1, Drill::new(1000, Disturbance::None) },
+    age_8s = { 2, Drill::new(8000, Disturbance::None) },
+    age_100ms_down = { 3, Drill::new(100, Disturbance::Down) },
+    age_1s_down = { 4, Drill::new(1000, Disturbance::Down) },
+    age_8s_down = { 5, Drill::new(8000, Disturbance::Down) },
+    age_100ms_started = { 6, Drill::new(100, Disturbance::Started) },
+    age_1s_started = { 7, Drill::new(1000, Disturbance::Started) },
+    age_8s_started = { 8, Drill::new(8000, Disturbance::Started) },
+    age_100ms_stopped = { 9, Drill::new(100, Disturbance::Stopped) },
+    age_1s_stopped = { 10, Drill::new(1000, Disturbance::Stopped) },
+    age_8s_stopped = { 11, Drill::new(8000, Disturbance::Stopped) },
+    age_100ms_cut_off = { 12, Drill::new(100, Disturbance::CutOff) },
+    age_1s_cut_off = { 13, Drill::new(1000, Disturbance::CutOff) },
+    age_8s_cut_off = { 14, Drill::new(8000, Disturbance::CutOff) },
+    two_drills = { 15, Drill { number: 2, ..Drill::new(1000, Disturbance::None) } },
+    two_drills_cut_off = { 16, Drill { number: 2, ..Drill::new(1000, Disturbance::CutOff) } },
+)]
+fn drill_takes_nothing_back(number: u8, drill: Drill) {
+    let mut site = DrillSite::start(200 + number);
+    let mut found = Vec::new();
+    for _ in 0..drill.number {
+        found.extend(site.play(&drill));
+    }
+    site.configure(&["k1", "k3"]);
+    assert!(site.site.all_answer("k3", 200), "the next configuration is in force");
+    assert!(site.site.all_answer("k2", 401));
+    let repeated = site.site.platform.placements().into_iter();
+    let repeated = repeated.filter(|order| order.before == Some(order.layers));
+    found.extend(repeated.map(|order| format!("repeated {order:?}")));
+    found.extend(site.exits());
+    assert!(found.is_empty(), "{} of {found:#?}", found.len());
+}
+
+impl DrillSite {
+    /// Returns a line for each process that has ended.
+    fn exits(&mut self) -> Vec<String> {
+        let nodes = self.site.nodes.iter_mut().enumerate();
+        let ended = nodes.filter_map(|(index, node)| {
+            let status = node.child.try_wait().expect("the state of the process is known")?;
+            Some(format!("node {index} ended: {status}"))
+        });
+        ended.collect()
+    }
+}
+
+struct Surprise {
+    stated: StatedEra,
+    /// Rise of the era at a return before.
+    rise: u64,
+    /// Whether answers are dropped, and counted, as those of an earlier era.
+    drops: bool,
+}
+
+// Guards against a store whose answers state surprising eras for a while making nodes end, miss the
+// next configuration or take one back.
+#[parameterized(
+    below = { 0, Surprise { stated: StatedEra::Text("1"), rise: 2, drops: true } },
+    missing = { 1, Surprise { stated: StatedEra::Missing, rise: 1, drops: false } },
+    no_number = { 2, Surprise { stated: StatedEra::Text("latest"), rise: 1, drops: false } },
+    negative = { 3, Surprise { stated: StatedEra::Text("-1"), rise: 1, drops: false } },
+    higher_by_three = { 4, Surprise { stated: StatedEra::Own, rise: 3, drops: false } },
+    in_turn = { 5, Surprise { stated: StatedEra::NextInTurn, rise: 1, drops: true } },
+)]
+fn surprising_era_changes_nothing(number: u8, surprise: Surprise) {
+    let mut site = DrillSite::start(230 + number);
+    let copy = site.site.platform.copy_store();
+    site.configure(&["k1"]);
+    assert!(site.site.all_answer("k2", 401));
+    site.site.platform.restore_content_as(copy, surprise.rise);
+    site.site.platform.register_targets();
+    sleep(REVOKE);
+    site.site.platform.set_stated_era(surprise.stated);
+    let until = Instant::now() + SURPRISE_PERIOD;
+    while Instant::now() < until {
+        for node in 0..2 {
+            assert_ne!(site.site.status(node, "k2"), Some(200), "node {node} accepts k2 again");
+            assert_ne!(site.site.status(node, "k1"), Some(401), "node {node} refuses k1");
+        }
+    }
+    if surprise.stated == StatedEra::NextInTurn {
+        // The higher of the two stands: the store goes on in it.
+        let copy = site.site.platform.copy_store();
+        site.site.platform.restore_content(copy);
+    }
+    site.site.platform.set_stated_era(StatedEra::Own);
+    // A node may get no answer meanwhile, or only those of the higher era.
+    let drops = |node| site.site.metrics(node).contains("magnolia_store_answers_of_earlier_eras");
+    assert_eq!((0..2).any(drops), surprise.drops, "answers are dropped and counted");
+    site.configure(&["k1", "k3"]);
+    assert!(site.site.all_answer("k3", 200), "the next configuration is in force");
+    assert!(site.site.all_answer("k2", 401));
+    assert_eq!(site.exits(), Vec::<String>::new());
+}
