--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -61,7 +61,7 @@
         let start = |index: u8| {
             let host = node_host(number, index);
             let store = if views { platform.add_view(&view_of(&host)) } else { platform.store() };
-            start_node_at(&host, number, index, store)
+            start_node_at(store, number, index)
         };
         let nodes: Vec<Entry> = (0..nodes).map(start).collect();
         sleep(Settings::STARTUP_WITHOUT_RETRIES);
@@ -117,12 +117,13 @@
 
 /// Starts a node.
 pub(crate) fn start_node(platform: &Platform, number: u8, index: u8) -> Entry {
-    start_node_at(&node_host(number, index), number, index, platform.store())
+    start_node_at(platform.store(), number, index)
 }
 
-fn start_node_at(host: &str, number: u8, index: u8, store: SocketAddr) -> Entry {
+/// Starts a node that reaches the store at this address.
+pub(crate) fn start_node_at(store: SocketAddr, number: u8, index: u8) -> Entry {
     let name = format!("n{index}");
-    let settings = Settings::new(&name, "a", host, store);
+    let settings = Settings::new(&name, "a", &node_host(number, index), store);
     Entry::start(&format!("{number}-{name}"), &settings)
 }
 
