--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -294,7 +294,6 @@
                 };
                 if let Err(failure) = answer {
                     node.record_unanswered_probe(&id, asked_at, failure);
-                    node.record_end(address);
                 }
             });
         }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -224,16 +224,17 @@
             if !matches!(fault, Fault::Reported | Fault::ReportedTimeout) {
                 self.alarm.notify_one();
             }
+            if fault != Fault::WrongTarget && self.reaches_targets() {
+                self.record_down(&target);
+            }
             self.routing_changed.notify_waiters();
         }
-        self.record_end(address);
     }
 
-    /// Records the loss of the target at an address if it is known to have ended. What it ran may be
-    /// the cause; a target that is only silent has lost nothing.
-    pub(crate) fn record_end(&self, address: SocketAddr) {
-        let ended = self.table.borrow_mut().poll_end(address);
-        if let Some(target) = ended.filter(|_| self.reaches_targets()) {
+    /// Records the loss of a target that is newly down.
+    fn record_down(&self, id: &str) {
+        let target = self.table.borrow().entry(id).map(|entry| entry.target.clone());
+        if let Some(target) = target {
             self.record_target_loss(&target);
         }
     }
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -152,8 +152,7 @@
         let lost = {
             let table = self.table.borrow();
             let was_lost = |id: &&TargetKey| {
-                let entry = table.entry(id).filter(|entry| entry.health.has_ended());
-                let down = entry.and_then(|entry| entry.health.time_down(now));
+                let down = table.entry(id).and_then(|entry| entry.health.time_down(now));
                 down.is_some_and(|down| now.saturating_sub(down) >= begun)
             };
             let lost = targets.iter().find(was_lost).and_then(|id| table.entry(id));
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -109,10 +109,6 @@
     unanswered_probes: u32,
     /// Whether an unanswered probe shows that the target is lost.
     lost: bool,
-    /// Whether the target has refused a connection.
-    refused: bool,
-    /// Whether [`Health::poll_end`] has returned the end.
-    end_polled: bool,
 }
 
 impl Down {
@@ -192,7 +188,6 @@
         if let Some(down) = &mut self.down {
             down.local |= local;
             down.report_timeout_only &= report_timeout_only;
-            down.refused |= fault == Fault::Refused;
             return false;
         }
         let is_early = report_timeout_only || fault == Fault::Refused;
@@ -205,8 +200,6 @@
             report_timeout_only,
             unanswered_probes: 0,
             lost: false,
-            refused: fault == Fault::Refused,
-            end_polled: false,
         };
         self.down = Some(down);
         true
@@ -226,9 +219,7 @@
         };
         down.unanswered_probes += 1;
         let silent_too_long = sent_at.saturating_sub(down.since) >= LOSS_TIMEOUT;
-        let refused = failure == ProbeFailure::Refused;
-        down.refused |= refused;
-        let shows_loss = refused || silent_too_long;
+        let shows_loss = failure == ProbeFailure::Refused || silent_too_long;
         let was_lost = down.lost;
         down.lost = down.is_unresponsive() && shows_loss;
         down.lost && !was_lost
@@ -251,18 +242,6 @@
         self.down.is_some_and(|down| down.lost)
     }
 
-    /// Returns whether the target has refused a connection since it was taken out of use, which a
-    /// silent one does not: its process has ended.
-    pub fn has_ended(&self) -> bool {
-        self.down.is_some_and(|down| down.refused)
-    }
-
-    /// Returns whether the target has ended, once each time that it is taken out of use.
-    pub fn poll_end(&mut self) -> bool {
-        let Some(down) = &mut self.down else { return false };
-        down.refused && !std::mem::replace(&mut down.end_polled, down.refused)
-    }
-
     /// Returns whether this VM itself observed the fault for which the target is out of use.
     pub fn is_locally_observed(&self) -> bool {
         self.down.is_some_and(|down| down.local)
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -321,12 +321,6 @@
         Some((entry.target.id.clone(), pause))
     }
 
-    /// Returns the target at an address if it has ended, once each time that it is taken out of use.
-    pub fn poll_end(&mut self, address: SocketAddr) -> Option<Target> {
-        let entry = self.entry_at(address)?;
-        entry.health.poll_end().then(|| entry.target.clone())
-    }
-
     /// Records a correct answer of the target at an address.
     pub fn record_success(&mut self, address: SocketAddr) {
         if let Some(entry) = self.entry_at(address) {
