Forwarding: one check whether a request may be forwarded, one builder of resent requests

Whether a request may be sent to another node was asked in five places in three ways. The plain face asked only some of the time whose request it was, so that one forwarded by another node could be sent on, against what the design says, when a second target vanished between two looks. Node::may_forward asks both questions, and Forward::send asks it, whoever calls. It also no longer shuffles the list of nodes to see whether there is one.

No test was added for the second hop: it was read, not seen in a run.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -107,13 +107,8 @@
         path: Option<&Path>,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
+        let mut request = self.resent(now, last_event);
         let headers = request.headers_mut();
-        let left = self.deadline.saturating_sub(now).as_millis().max(1);
-        set(headers, head::DEADLINE, &left.to_string());
         set(headers, head::EXPECT_TARGET, target);
         set(headers, head::PRIORITY, &self.priority.min(9).to_string());
         if let Some(organisation) = &self.organisation {
@@ -123,6 +118,19 @@
             let stages = path.stages.iter().map(|stage| (stage.address, stage.layers));
             set(headers, head::PATH, &platform::encode_path(stages));
         }
+        request
+    }
+
+    /// Returns the caller's request with the time that is left, and for a stream that resumes the
+    /// number of the event after which it does.
+    pub(crate) fn resent(&self, now: Duration, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let left = self.deadline.saturating_sub(now).as_millis().max(1);
+        set(headers, head::DEADLINE, &left.to_string());
         if let Some(number) = last_event {
             set(headers, head::LAST_EVENT_ID, &number.to_string());
         }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
-use crate::forward::{self, Forward, MAX_UNSENT, Origin};
+use crate::forward::{self, Forward, MAX_UNSENT};
 use crate::node::Node;
 use crate::pool::{Connection, Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::quarantine::QUARANTINED;
@@ -275,7 +275,7 @@
     /// engine may go on at any moment, so the request waits on unless it can be sent elsewhere, or
     /// the engine is lost. Takes the retry for the other path.
     async fn may_give_up(&self, path: &Path, resumes: bool) -> bool {
-        let cut_off = !self.node.reaches_targets() && !self.node.reaching_peers(1).is_empty();
+        let cut_off = !self.node.reaches_targets() && self.node.may_forward(&self.call);
         if cut_off || self.node.is_lost(path) {
             return true;
         }
@@ -361,16 +361,13 @@
             attempts = attempts.max(1);
         }
         let is_allowed = !has_run || call.kind.is_idempotent();
-        if call.origin == Origin::Node || attempts == 0 || !is_allowed {
-            return None;
-        }
-        if node.reaching_peers(1).is_empty() {
+        if attempts == 0 || !is_allowed || !node.may_forward(&call) {
             return None;
         }
         if !self.take_retry().await {
             return None;
         }
-        let forward = Forward { call: &call, attempts, counted: call.counted.get(), last_event };
+        let forward = Forward { call: &call, attempts, last_event };
         match forward.send(&node).await {
             Ok(exchange) => {
                 self.offers += 1;
@@ -404,8 +401,7 @@
             if now >= self.call.deadline || self.offers >= self.max_offers {
                 break;
             }
-            if self.unsent >= unsent_before + MAX_UNSENT && !self.node.reaching_peers(1).is_empty()
-            {
+            if self.unsent >= unsent_before + MAX_UNSENT && self.node.may_forward(&self.call) {
                 // Another node can serve the request at once.
                 break;
             }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -83,37 +83,30 @@
     pub(crate) call: &'a Call,
     /// Number of targets at which the request may still run.
     pub(crate) attempts: u32,
-    /// Whether this node has counted the request for the retry budget.
-    pub(crate) counted: bool,
     /// Number of the event after which a stream resumes.
     pub(crate) last_event: Option<u64>,
 }
 
 impl Forward<'_> {
     fn request(&self, now: Duration) -> Request<Full<Bytes>> {
-        let call = self.call;
-        let mut request = Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.uri.clone();
-        *request.headers_mut() = call.headers.clone();
+        let mut request = self.call.resent(now, self.last_event);
         let headers = request.headers_mut();
-        let left = call.deadline.saturating_sub(now).as_millis().max(1);
-        headers.insert(head::DEADLINE, number(left as u64));
-        headers.insert(ATTEMPTS, number(self.attempts.into()));
-        if self.counted {
-            headers.insert(COUNTED, number(1));
-        }
-        if let Some(event) = self.last_event {
-            headers.insert(head::LAST_EVENT_ID, number(event));
+        headers.insert(ATTEMPTS, self.attempts.into());
+        if self.call.counted.get() {
+            headers.insert(COUNTED, HeaderValue::from_static("1"));
         }
-        if let Some(key) = &call.authorization {
+        if let Some(key) = &self.call.authorization {
             headers.insert(AUTHORIZATION, key.clone());
         }
         request
     }
 
-    /// Sends the request to other nodes in turn until one answers other than with a refusal.
+    /// Sends the request to other nodes in turn until one answers other than with a refusal. A
+    /// request that another node has forwarded is not sent on.
     pub(crate) async fn send(&self, node: &Node) -> Result<Exchange, Failure> {
+        if !node.may_forward(self.call) {
+            return Err(Failure::NoNode);
+        }
         let mut refused = None;
         for peer in node.reaching_peers(MAX_NODES) {
             let left = self.call.deadline.saturating_sub(node.now());
@@ -144,10 +137,6 @@
     }
 }
 
-fn number(number: u64) -> HeaderValue {
-    HeaderValue::from(number)
-}
-
 /// Returns whether a node itself refused a request: targets sign their answers.
 fn is_refusal(exchange: &Exchange) -> bool {
     let response = &exchange.response;
@@ -211,7 +200,7 @@
     call: &Call,
     attempts: u32,
 ) -> Option<Response<Answer>> {
-    let forward = Forward { call, attempts, counted: call.counted.get(), last_event: None };
+    let forward = Forward { call, attempts, last_event: None };
     match forward.send(node).await {
         Ok(exchange) => Some(whole_answer(node, call, exchange).await),
         Err(Failure::Refused(response)) => Some(response),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -22,6 +22,7 @@
 use crate::contact::Contact;
 use crate::diagnose::Diagnoses;
 use crate::event::{CONTACT_BACK, CONTACT_LOST, TARGET_DOWN, TARGET_PAUSED, TARGET_UP};
+use crate::forward::Origin;
 use crate::loan::Loans;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
@@ -319,6 +320,12 @@
         peers
     }
 
+    /// Returns whether a request may be forwarded: it is a caller's, and another node reaches the
+    /// targets.
+    pub(crate) fn may_forward(&self, call: &Call) -> bool {
+        call.origin == Origin::Caller && self.reachability.borrow().any_reaching(self.now())
+    }
+
     /// Returns up to `max` engines that may be asked for reports, at random, those in use first.
     pub(crate) fn sample_engines(&self, max: usize) -> Vec<(TargetKey, SocketAddr)> {
         let now = self.now();
--- a/crates/edge/src/reachability.rs
+++ b/crates/edge/src/reachability.rs
@@ -47,6 +47,11 @@
         recent.map(|(node, _)| *node).collect()
     }
 
+    /// Returns whether any node reaches targets.
+    pub fn any_reaching(&self, now: Duration) -> bool {
+        self.reaching.values().any(|at| is_recent(now, *at))
+    }
+
     /// Returns whether other nodes can check the keys that this node cannot: either one reported
     /// so, or none of `peers` nodes is heard any more and this node is the one that is cut off.
     pub fn can_check_keys(&self, now: Duration, peers: usize) -> bool {
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -16,7 +16,7 @@
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
-use crate::forward::{MAX_UNSENT, Origin, forward_unary, name_target};
+use crate::forward::{MAX_UNSENT, forward_unary, name_target};
 use crate::node::Node;
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
@@ -70,8 +70,7 @@
 
 /// Sends a request to a target, and to further ones if it fails and may be repeated.
 pub(crate) async fn forward(node: &Rc<Node>, call: &Call) -> Response<Answer> {
-    if call.origin == Origin::Caller
-        && !node.reaches_targets()
+    if !node.reaches_targets()
         && let Some(response) = forward_unary(node, call, call.attempts).await
     {
         return response;
@@ -189,7 +188,7 @@
 /// sent.
 fn is_forwardable(node: &Node, call: &Call, offers: u32, unsent: u32) -> bool {
     let is_cut_off = unsent >= MAX_UNSENT || node.doubts_targets();
-    call.origin == Origin::Caller && offers == unsent && is_cut_off
+    offers == unsent && is_cut_off && node.may_forward(call)
 }
 
 /// Takes a retry for another target, if there is one. A request that cannot be sent elsewhere waits
@@ -197,9 +196,7 @@
 async fn take_alternative(node: &Node, call: &Call, excluded: &[SocketAddr]) -> bool {
     let criteria = Query { service: &call.service, excluded, allowed_first: None, tokens: 0.0 };
     let other = node.table.borrow().best_target(node.now(), &criteria);
-    let cut_off = call.origin == Origin::Caller
-        && !node.reaches_targets()
-        && !node.reaching_peers(1).is_empty();
+    let cut_off = !node.reaches_targets() && node.may_forward(call);
     (other.is_some() || cut_off) && node.take_retry(&call.service).await
 }
 
--- a/crates/edge/tests/contact.rs
+++ b/crates/edge/tests/contact.rs
@@ -106,4 +106,5 @@
     }
     let reaching = reachability.reaching(Duration::from_millis(10_000));
     assert_eq!(reaching.contains(&target(1)), case.expected);
+    assert_eq!(reachability.any_reaching(Duration::from_millis(10_000)), case.expected);
 }
