Retries: a request waits on at a silent target while another one is tried

Callers saw 502 although the target that had their request went on a moment later.

Cause: a request that waited at a silent target was given up there as soon as another path or target was known, before that had taken it; it may refuse.

The attempt now goes on beside the next one, for streams before their first event and for plain calls that may be repeated, and is given up when another target answers, its engine is lost, or the next path begins at the same engine. It counts against a request as an end without an answer only then. Unary calls have a type for their attempts, as streams have.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,6 @@
 use hyper::{Response, StatusCode};
 use path::{Fault, Path, Query, Stage};
 use site::{Model, TargetKey};
-use tokio::pin;
 use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
@@ -36,6 +36,8 @@
 const REFUSED_BY_NODES: &str = "refused by other nodes";
 /// Reason of a request for which no path is available.
 pub(crate) const NO_PATH: &str = "no path";
+/// Reason of a request whose best path has no memory left.
+const FULL: &str = "full";
 /// Reason of a request that has a path but no retry left in the budget.
 pub(crate) const NO_RETRY: &str = "no retry left";
 /// Reason of a stream that has a path but may not run at any further engine.
@@ -94,6 +96,19 @@
     }
 }
 
+/// A request that was sent to a path and has no answer yet. Dropping it closes the connection, which
+/// cancels the request at the engines.
+struct Attempt {
+    in_flight: InFlight,
+    answer: Pin<Box<dyn Future<Output = Result<Exchange, Unanswered>>>>,
+}
+
+impl Attempt {
+    fn path(&self) -> &Path {
+        &self.in_flight.path
+    }
+}
+
 /// An answer whose head has arrived.
 pub(crate) struct Accepted {
     pub(crate) response: Response<Incoming>,
@@ -141,8 +156,10 @@
     /// This engine refused the request.
     NotRun(TargetKey),
     Unknown,
-    /// An engine of the path does not respond.
-    Stalled,
+    /// An engine of the path is lost, or this node has lost its targets.
+    Lost,
+    /// An engine of the path does not respond, and there is another path.
+    Stalled(Attempt),
     Failed(Response<Answer>),
     TimedOut,
 }
@@ -155,7 +172,8 @@
             Outcome::NotSent => Some(("no connection", "no")),
             Outcome::NotRun(_) => Some(("refused", "no")),
             Outcome::Unknown => Some(("connection lost, or invalid answer", "unknown")),
-            Outcome::Stalled => Some(("an engine of the path does not respond", "unknown")),
+            Outcome::Lost => Some(("an engine of the path was lost", "unknown")),
+            Outcome::Stalled(_) => Some(("an engine of the path does not respond", "unknown")),
             Outcome::Failed(_) => Some(("failure status", "yes")),
             Outcome::TimedOut => Some(("no answer in time", "unknown")),
         }
@@ -187,6 +205,8 @@
     ran: Vec<Stage>,
     /// Segment of a stalled stream that continues if no other path accepts the request.
     pub(crate) fallback: Option<Segment>,
+    /// Attempts at silent paths, which go on if no other path accepts the request.
+    waiting: Vec<Attempt>,
     /// Share of memory in use on the best path of the last search.
     pub(crate) pressure: f64,
 }
@@ -204,6 +224,7 @@
             max_offers: 0,
             ran: Vec::new(),
             fallback: None,
+            waiting: Vec::new(),
             pressure: 0.0,
         }
     }
@@ -279,14 +300,9 @@
         path.or_else(|| if resumes { find(&[], None) } else { None }).ok_or(NO_PATH)
     }
 
-    /// Returns whether to give up a path on which the request waits and an engine is down. A silent
-    /// engine may go on at any moment, so the request waits on unless it can be sent elsewhere, or
-    /// the engine is lost. Takes the retry for the other path.
-    async fn may_give_up(&self, path: &Path, resumes: bool) -> bool {
-        let cut_off = !self.node.reaches_targets() && self.node.may_forward(&self.call);
-        if cut_off || self.node.is_lost(path) {
-            return true;
-        }
+    /// Returns whether to try another path while the request waits at `path`, of which an engine is
+    /// down. Takes the retry for it.
+    async fn may_try_another(&self, path: &Path, resumes: bool) -> bool {
         let next = self.find_path_after(self.node.now(), Some(path.first()), resumes);
         let may_be_sent = match next {
             // Below, only a stream that resumes is sent without an attempt left or to full engines.
@@ -397,66 +413,42 @@
     /// Sends the request to one path after another until one answers. A stream resumes after
     /// `last_event`.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Result<Accepted, Failure> {
+        self.node.count_call(&self.call);
+        self.max_offers = self.offers + MAX_OFFERS;
+        let result = self.try_paths(last_event).await;
+        self.give_up_waiting(|_| true);
+        result
+    }
+
+    async fn try_paths(&mut self, last_event: Option<u64>) -> Result<Accepted, Failure> {
         let idempotent = self.call.kind.is_idempotent();
         let mut unknown = false;
         let mut failure = None;
-        let mut reason = NO_PATH;
-        self.node.count_call(&self.call);
-        self.max_offers = self.offers + MAX_OFFERS;
         let unsent_before = self.unsent;
-        loop {
-            let now = self.node.now();
-            if now >= self.call.deadline || self.offers >= self.max_offers {
-                break;
-            }
-            if self.unsent >= unsent_before + MAX_UNSENT && self.node.may_forward(&self.call) {
-                // Another node can serve the request at once.
-                break;
-            }
-            if self.node.admit(&self.call).await.is_err() {
-                reason = QUARANTINED;
-                break;
-            }
-            let path = match self.find_path(now, last_event.is_some()) {
-                Ok(path) => path,
-                Err(missing) => {
-                    reason = missing;
-                    break;
-                }
+        let reason = loop {
+            let may_run_elsewhere =
+                !unknown && failure.is_none() || last_event.is_some() || !self.attempts_exhausted();
+            let next = match may_run_elsewhere {
+                true => self.next_path(unsent_before, last_event).await,
+                false => Err(NO_ATTEMPT),
             };
-            self.pressure = path.pressure;
-            if path.pressure > MAX_PRESSURE && last_event.is_none() {
-                reason = "full";
-                break;
-            }
-            if self.offers > 0 {
-                if !self.take_retry().await {
-                    reason = NO_RETRY;
-                    break;
-                }
-                let event = self
-                    .call
-                    .event(RETRIED)
-                    .with("offer", self.offers)
-                    .with("after_event", format_args!("{last_event:?}"))
-                    .with("drops_stalled", self.is_fallback_at(path.first().address))
-                    .with("target", &path.first().target);
-                log::info!("{event}");
-            }
-            self.offers += 1;
-            let first = path.first().clone();
-            // An engine must not run two attempts at the same request at a time.
-            if self.is_fallback_at(first.address) {
-                self.fallback = None;
-            }
-            let outcome = self.try_path(path.clone(), last_event).await;
+            let attempt = match next {
+                Ok(path) => self.start(path, last_event),
+                Err(reason) => match self.waiting.pop() {
+                    Some(attempt) => attempt,
+                    None => break reason,
+                },
+            };
+            let (path, sent_at) = (attempt.path().clone(), attempt.in_flight.sent_at);
+            let outcome = self.finish(attempt, last_event).await;
+            let first = path.first().address;
             if let Some((reason, ran)) = outcome.failure() {
                 // A later engine of the path may have refused the request.
                 let target = match &outcome {
                     Outcome::NotRun(target) => target,
-                    _ => &first.target,
+                    _ => &path.first().target,
                 };
-                log_failed_attempt(&self.node, &self.call, target, reason, ran, now);
+                log_failed_attempt(&self.node, &self.call, target, reason, ran, sent_at);
             }
             match outcome {
                 Outcome::Accepted(accepted) => return Ok(accepted),
@@ -465,29 +457,38 @@
                     continue;
                 }
                 Outcome::NotRun(_) => continue,
-                Outcome::Stalled => {
+                Outcome::Lost => {
                     unknown = true;
                     self.record_run(&path);
                 }
+                Outcome::Stalled(attempt) => {
+                    unknown = true;
+                    self.record_run(&path);
+                    self.waiting.push(attempt);
+                    // A stalled segment is kept instead: its stream goes on without a new prefill.
+                    if self.fallback.is_some() {
+                        self.give_up_waiting(|_| true);
+                    }
+                }
                 Outcome::Unknown => {
                     unknown = true;
                     self.record_run(&path);
-                    self.excluded.push(first.address);
+                    self.excluded.push(first);
                 }
                 Outcome::Failed(response) => {
                     self.record_run(&path);
-                    self.excluded.push(first.address);
+                    self.excluded.push(first);
                     failure = Some(response);
                 }
                 Outcome::TimedOut => {
                     unknown = true;
-                    break;
+                    break NO_PATH;
                 }
             }
-            if !idempotent || last_event.is_none() && self.attempts_exhausted() {
-                break;
+            if !idempotent {
+                break NO_ATTEMPT;
             }
-        }
+        };
         match failure {
             Some(response) => Err(Failure::Failed(response)),
             None if unknown => Err(Failure::Unknown),
@@ -495,41 +496,110 @@
         }
     }
 
+    /// Returns the path to which the request is sent next, and takes the retry for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is sent to no further path.
+    async fn next_path(
+        &mut self,
+        unsent_before: u32,
+        last_event: Option<u64>,
+    ) -> Result<Path, &'static str> {
+        let now = self.node.now();
+        if now >= self.call.deadline || self.offers >= self.max_offers {
+            return Err(NO_PATH);
+        }
+        if self.unsent >= unsent_before + MAX_UNSENT && self.node.may_forward(&self.call) {
+            // Another node can serve the request at once.
+            return Err(NO_PATH);
+        }
+        if self.node.admit(&self.call).await.is_err() {
+            return Err(QUARANTINED);
+        }
+        let path = self.find_path(now, last_event.is_some())?;
+        self.pressure = path.pressure;
+        if path.pressure > MAX_PRESSURE && last_event.is_none() {
+            return Err(FULL);
+        }
+        if self.offers > 0 {
+            if !self.take_retry().await {
+                return Err(NO_RETRY);
+            }
+            let event = self
+                .call
+                .event(RETRIED)
+                .with("offer", self.offers)
+                .with("after_event", format_args!("{last_event:?}"))
+                .with("drops_stalled", self.is_fallback_at(path.first().address))
+                .with("target", &path.first().target);
+            log::info!("{event}");
+        }
+        Ok(path)
+    }
+
     /// Returns whether the stalled segment is kept at an engine.
     fn is_fallback_at(&self, first: SocketAddr) -> bool {
         self.fallback.as_ref().is_some_and(|kept| kept.path().first().address == first)
     }
 
-    /// Sends the request to one path and waits for the head of the answer.
-    async fn try_path(&self, path: Path, last_event: Option<u64>) -> Outcome {
+    /// Sends the request to a path. Gives up what waits at its first engine, which must not run two
+    /// attempts at the same request at a time.
+    fn start(&mut self, path: Path, last_event: Option<u64>) -> Attempt {
+        let first = path.first().clone();
+        self.offers += 1;
+        self.give_up_waiting(|path| path.first().address == first.address);
+        if self.is_fallback_at(first.address) {
+            self.fallback = None;
+        }
+        let (node, call) = (self.node.clone(), &self.call);
+        let request = call.request(node.now(), &first.target, Some(&path), last_event);
+        let in_flight = InFlight::start(&node, path, call.tokens, call.prompt_tokens);
+        let answer = Box::pin(async move { node.send(first.address, request).await });
+        Attempt { in_flight, answer }
+    }
+
+    /// Gives up the waiting attempts at these paths.
+    fn give_up_waiting(&mut self, is_given_up: impl Fn(&Path) -> bool) {
+        for attempt in std::mem::take(&mut self.waiting) {
+            if is_given_up(attempt.path()) {
+                self.record_interruption(attempt.path(), attempt.in_flight.sent_at, true);
+            } else {
+                self.waiting.push(attempt);
+            }
+        }
+    }
+
+    /// Waits for the head of the answer to an attempt. A silent engine may go on at any moment, so
+    /// the attempt is given up only for another path, or if an engine is lost.
+    async fn finish(&self, mut attempt: Attempt, last_event: Option<u64>) -> Outcome {
         let node = &self.node;
         let call = &self.call;
-        let started_at = node.now();
-        let first = path.first().clone();
-        let request = call.request(started_at, &first.target, Some(&path), last_event);
-        let mut in_flight = InFlight::start(node, path, call.tokens, call.prompt_tokens);
-        let sending = node.send(first.address, request);
-        pin!(sending);
+        let sent_at = attempt.in_flight.sent_at;
+        let first = attempt.path().first().clone();
         let answer = loop {
-            let left = call.deadline.saturating_sub(node.now());
+            let left = self.time_left();
             if left.is_zero() {
-                self.record_interruption(&in_flight.path, in_flight.sent_at, true);
+                self.record_interruption(attempt.path(), sent_at, true);
                 return Outcome::TimedOut;
             }
-            match timeout(STALL_TIMEOUT.min(left), &mut sending).await {
+            match timeout(STALL_TIMEOUT.min(left), &mut attempt.answer).await {
                 Ok(answer) => break answer,
+                Err(_) if !self.check_stalled(attempt.path()) || !call.kind.is_idempotent() => {}
                 Err(_) => {
-                    let path = &in_flight.path;
-                    if self.check_stalled(path)
-                        && call.kind.is_idempotent()
-                        && self.may_give_up(path, last_event.is_some()).await
-                    {
-                        self.record_interruption(path, in_flight.sent_at, true);
-                        return Outcome::Stalled;
+                    let path = attempt.path();
+                    let is_cut_off = !node.reaches_targets() && node.may_forward(call);
+                    if is_cut_off || node.is_lost(path) {
+                        self.record_interruption(path, sent_at, true);
+                        return Outcome::Lost;
+                    }
+                    if self.may_try_another(path, last_event.is_some()).await {
+                        return Outcome::Stalled(attempt);
                     }
                 }
             }
         };
+        let mut in_flight = attempt.in_flight;
         let exchange = match answer {
             Ok(exchange) => exchange,
             Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
@@ -542,7 +612,7 @@
                 // gone gives no report.
                 node.record_fault(first.address, Fault::Failed, "connection lost");
                 self.check_stalled(&in_flight.path);
-                self.record_interruption(&in_flight.path, in_flight.sent_at, true);
+                self.record_interruption(&in_flight.path, sent_at, true);
                 return Outcome::Unknown;
             }
         };
@@ -555,7 +625,7 @@
         let status = response.status();
         if is_not_run(status, response.headers()) {
             let address = platform::faulty_engine(response.headers()).unwrap_or(first.address);
-            let slow = node.now().saturating_sub(started_at) > SLOW_REFUSAL;
+            let slow = node.now().saturating_sub(sent_at) > SLOW_REFUSAL;
             match status {
                 StatusCode::MISDIRECTED_REQUEST => {
                     node.record_fault(address, Fault::WrongTarget, "refused")
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -1,7 +1,10 @@
 //! Requests with a single answer.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +12,6 @@
 use hyper::{Response, StatusCode};
 use path::{Fault, Query};
 use site::TargetKey;
-use tokio::pin;
 use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later};
@@ -68,6 +70,37 @@
     }
 }
 
+/// An attempt that has no answer yet. Dropping it closes the connection.
+struct Attempt<'a> {
+    target: TargetKey,
+    address: SocketAddr,
+    sent_at: Duration,
+    /// Whether it counts among the targets at which the request has run.
+    counted: bool,
+    outcome: Pin<Box<dyn Future<Output = Outcome> + 'a>>,
+}
+
+/// The attempts at one request.
+struct Dispatch<'a> {
+    node: &'a Rc<Node>,
+    call: &'a Call,
+    /// Targets that the request was sent to.
+    excluded: Vec<SocketAddr>,
+    /// Number of targets at which the request may have run.
+    ran: u32,
+    offers: u32,
+    /// Number of offers that were not sent. They are no load on any target and take no retry.
+    unsent: u32,
+    /// Whether a retry was taken for the next offer.
+    retry_taken: bool,
+    /// Attempts without an answer: the last one, and those at silent targets, which may go on.
+    pending: Vec<Attempt<'a>>,
+    /// The answer of a target that failed.
+    failed: Option<Response<Answer>>,
+    /// Time left in quarantine, if the request is in one.
+    quarantined: Option<Duration>,
+}
+
 /// Sends a request to a target, and to further ones if it fails and may be repeated.
 pub(crate) async fn forward(node: &Rc<Node>, call: &Call) -> Response<Answer> {
     if !node.reaches_targets()
@@ -76,55 +109,181 @@
         return response;
     }
     node.count_call(call);
-    let mut excluded: Vec<SocketAddr> = Vec::new();
-    let mut ran = 0;
-    let mut offers = 0;
-    // Offers that were not sent are no load on any target and take no retry.
-    let mut unsent = 0;
-    let mut failed: Option<Response<Answer>> = None;
-    let mut quarantined = None;
-    let mut retry_taken = false;
-    loop {
-        if let Err(left) = node.admit(call).await {
-            quarantined = Some(left);
-            break;
-        }
-        let criteria =
-            Query { service: &call.service, excluded: &excluded, allowed_first: None, tokens: 0.0 };
-        let candidate = node.table.borrow().best_target(node.now(), &criteria);
-        let Some((target, address)) = candidate else { break };
-        let left = call.deadline.saturating_sub(node.now());
-        if left.is_zero() {
-            break;
-        }
-        let is_retry = offers > 0;
-        let taken = std::mem::take(&mut retry_taken) || offers == unsent;
-        if is_retry && !taken && !node.take_retry(&call.service).await {
-            break;
-        }
-        if is_retry {
-            let event = call.event(RETRIED).with("target", &target);
+    let mut dispatch = Dispatch::new(node, call);
+    if let Some(response) = dispatch.run().await {
+        return response;
+    }
+    dispatch.give_up();
+    let (ran, retry_taken, quarantined) =
+        (dispatch.ran, dispatch.retry_taken, dispatch.quarantined);
+    let has_run = ran > 0 && call.kind.is_idempotent() && ran < call.attempts;
+    let may_run = if has_run { retry_taken } else { quarantined.is_none() };
+    if (has_run || dispatch.is_forwardable())
+        && may_run
+        && let Some(response) = forward_unary(node, call, call.attempts - ran).await
+    {
+        return response;
+    }
+    match dispatch.failed {
+        Some(response) => response,
+        None if ran > 0 => unknown_outcome(node, call),
+        None if let Some(left) = quarantined => node.refuse_quarantined(call, left),
+        None => {
+            let left = node.table.borrow().service_available_in(node.now(), &call.service);
+            let after = left.map(|left| node.after_backoff(left));
+            let after = after.unwrap_or_else(|| node.retry_after(call, MIN_RETRY_AFTER));
+            retry_later(StatusCode::SERVICE_UNAVAILABLE, "no target", after)
+        }
+    }
+}
+
+impl<'a> Dispatch<'a> {
+    fn new(node: &'a Rc<Node>, call: &'a Call) -> Self {
+        Self {
+            node,
+            call,
+            excluded: Vec::new(),
+            ran: 0,
+            offers: 0,
+            unsent: 0,
+            retry_taken: false,
+            pending: Vec::new(),
+            failed: None,
+            quarantined: None,
+        }
+    }
+
+    /// Sends the request to one target after another. Returns the answer that ends the request;
+    /// `None` if no target gives one.
+    async fn run(&mut self) -> Option<Response<Answer>> {
+        loop {
+            let next = if self.may_offer() { self.next_target().await } else { None };
+            match next {
+                Some((target, address)) => self.start(target, address),
+                None if self.pending.is_empty() || self.retry_taken && self.is_cut_off() => {
+                    return None;
+                }
+                None => {}
+            }
+            let Some((attempt, outcome)) = self.wait().await else {
+                if self.time_left().is_zero() {
+                    return None;
+                }
+                continue;
+            };
+            if let Some(response) = self.record(attempt, outcome) {
+                self.give_up();
+                return Some(response);
+            }
+        }
+    }
+
+    /// Returns whether the request may be sent to a target, or to another one.
+    fn may_offer(&self) -> bool {
+        let may_run = (self.ran == 0 || self.may_repeat()) && self.quarantined.is_none();
+        may_run && self.offers < MAX_OFFERS && !(self.offers > 0 && self.is_forwardable())
+    }
+
+    /// Returns whether the request may run at one more target than now.
+    fn may_repeat(&self) -> bool {
+        self.call.kind.is_idempotent() && self.ran < self.call.attempts
+    }
+
+    fn time_left(&self) -> Duration {
+        self.call.deadline.saturating_sub(self.node.now())
+    }
+
+    /// Returns the target that the request is sent to next, and takes the retry for it.
+    async fn next_target(&mut self) -> Option<(TargetKey, SocketAddr)> {
+        self.quarantined = self.node.admit(self.call).await.err();
+        if self.quarantined.is_some() || self.time_left().is_zero() {
+            return None;
+        }
+        let target = self.best_target()?;
+        let taken = std::mem::take(&mut self.retry_taken) || self.offers == self.unsent;
+        if !taken && !self.node.take_retry(&self.call.service).await {
+            return None;
+        }
+        if self.offers > 0 {
+            let event = self.call.event(RETRIED).with("target", &target.0);
             log::info!("{event}");
         }
-        offers += 1;
-        let may_repeat = call.kind.is_idempotent() && ran + 1 < call.attempts;
-        excluded.push(address);
-        let sent_at = node.now();
-        let attempt = try_target(node, call, &target, address);
-        pin!(attempt);
-        let mut answer = None;
+        Some(target)
+    }
+
+    fn best_target(&self) -> Option<(TargetKey, SocketAddr)> {
+        let (service, excluded) = (&self.call.service, &self.excluded);
+        let criteria = Query { service, excluded, allowed_first: None, tokens: 0.0 };
+        self.node.table.borrow().best_target(self.node.now(), &criteria)
+    }
+
+    fn start(&mut self, target: TargetKey, address: SocketAddr) {
+        self.offers += 1;
+        self.excluded.push(address);
+        let outcome = Box::pin(try_target(self.node, self.call, target.clone(), address));
+        let sent_at = self.node.now();
+        self.pending.push(Attempt { target, address, sent_at, counted: false, outcome });
+    }
+
+    /// Waits until an attempt ends. Returns `None` if the request is to be sent to another target
+    /// too, or its deadline has passed.
+    async fn wait(&mut self) -> Option<(Attempt<'a>, Outcome)> {
+        let left = self.time_left();
+        let is_last_counted = self.pending.last().is_none_or(|attempt| attempt.counted);
+        let may_repeat = match is_last_counted {
+            true => self.may_offer(),
+            false => self.call.kind.is_idempotent() && self.ran + 1 < self.call.attempts,
+        };
         if may_repeat {
-            answer = timeout(left.mul_f64(ATTEMPT_SHARE), &mut attempt).await.ok();
-            retry_taken = answer.is_none() && take_alternative(node, call, &excluded).await;
+            let ended = timeout(left.mul_f64(ATTEMPT_SHARE), next_ended(&mut self.pending)).await;
+            if let Ok(ended) = ended {
+                return Some(ended);
+            }
+            self.retry_taken = self.retry_taken || self.take_alternative().await;
+            if self.retry_taken {
+                self.count_silent();
+                return None;
+            }
         }
-        if answer.is_none() && !retry_taken {
-            let left = call.deadline.saturating_sub(node.now());
-            answer = timeout(left, attempt).await.ok();
+        let ended = timeout(self.time_left(), next_ended(&mut self.pending)).await.ok();
+        if ended.is_none() {
+            self.count_silent();
+        }
+        ended
+    }
+
+    /// Takes a retry for another target, if there is one. A request that cannot be sent elsewhere
+    /// waits on: its target may be silent for a while and go on.
+    async fn take_alternative(&self) -> bool {
+        let is_available = self.best_target().is_some() || self.is_cut_off();
+        is_available && self.node.take_retry(&self.call.service).await
+    }
+
+    /// Counts the attempts that have given no answer in time.
+    fn count_silent(&mut self) {
+        let mut silent: Vec<&mut Attempt<'_>> =
+            self.pending.iter_mut().filter(|attempt| !attempt.counted).collect();
+        for attempt in &mut silent {
+            attempt.counted = true;
+            let reason = "no answer in time";
+            self.node.record_fault(attempt.address, Fault::Failed, reason);
+            log_failed_attempt(
+                self.node,
+                self.call,
+                &attempt.target,
+                reason,
+                "unknown",
+                attempt.sent_at,
+            );
+            self.node.check_connection(attempt.address);
         }
-        let outcome = answer.unwrap_or_else(|| {
-            node.record_fault(address, Fault::Failed, "no answer in time");
-            Outcome::Unknown("no answer in time")
-        });
+        self.ran += silent.len() as u32;
+    }
+
+    /// Records the end of an attempt. Returns the answer if it ends the request.
+    fn record(&mut self, attempt: Attempt<'a>, outcome: Outcome) -> Option<Response<Answer>> {
+        let (node, call) = (self.node, self.call);
+        let Attempt { target, address, sent_at, counted, .. } = attempt;
         if let Some((reason, ran)) = outcome.failure() {
             log_failed_attempt(node, call, &target, reason, ran, sent_at);
         }
@@ -135,81 +294,71 @@
                 if !status.is_server_error() {
                     node.table.borrow_mut().record_success(address);
                     node.record_completed(call);
-                    return response;
+                    return Some(response);
                 }
                 node.record_fault(address, Fault::Failed, "server error");
-                failed = Some(response);
-                ran += 1;
-                if !call.kind.is_idempotent() || ran >= call.attempts {
-                    break;
-                }
-            }
-            Outcome::NotSent | Outcome::NotRun => {
-                unsent += u32::from(matches!(outcome, Outcome::NotSent));
-                if offers >= MAX_OFFERS || is_forwardable(node, call, offers, unsent) {
-                    break;
-                }
+                self.failed = Some(response);
+                self.ran += u32::from(!counted);
             }
+            Outcome::NotSent => self.unsent += 1,
+            Outcome::NotRun => self.ran -= u32::from(counted),
             Outcome::Unknown(_) => {
                 node.record_interruption(call, std::iter::once(&target), sent_at, true);
                 node.check_connection(address);
-                ran += 1;
+                self.ran += u32::from(!counted);
                 if !call.kind.is_idempotent() {
-                    return unknown_outcome(node, call);
-                }
-                if ran >= call.attempts {
-                    break;
+                    return Some(unknown_outcome(node, call));
                 }
             }
         }
+        None
     }
-    let has_run = ran > 0 && call.kind.is_idempotent() && ran < call.attempts;
-    let may_run = if has_run { retry_taken } else { quarantined.is_none() };
-    if (has_run || is_forwardable(node, call, offers, unsent))
-        && may_run
-        && let Some(response) = forward_unary(node, call, call.attempts - ran).await
-    {
-        return response;
-    }
-    match failed {
-        Some(response) => response,
-        None if ran > 0 => unknown_outcome(node, call),
-        None if let Some(left) = quarantined => node.refuse_quarantined(call, left),
-        None => {
-            let left = node.table.borrow().service_available_in(node.now(), &call.service);
-            let after = left.map(|left| node.after_backoff(left));
-            let after = after.unwrap_or_else(|| node.retry_after(call, MIN_RETRY_AFTER));
-            retry_later(StatusCode::SERVICE_UNAVAILABLE, "no target", after)
+
+    /// Gives up the attempts that are left. They have ended without their answers.
+    fn give_up(&mut self) {
+        for attempt in self.pending.drain(..) {
+            let target = std::iter::once(&attempt.target);
+            self.node.record_interruption(self.call, target, attempt.sent_at, true);
         }
     }
-}
 
-/// Returns whether a request is to be forwarded to another node, because none of its offers could be
-/// sent.
-fn is_forwardable(node: &Node, call: &Call, offers: u32, unsent: u32) -> bool {
-    let is_cut_off = unsent >= MAX_UNSENT || node.doubts_targets();
-    offers == unsent && is_cut_off && node.may_forward(call)
+    /// Returns whether the request is to be forwarded to another node, because this one has lost its
+    /// targets.
+    fn is_cut_off(&self) -> bool {
+        !self.node.reaches_targets() && self.node.may_forward(self.call)
+    }
+
+    /// Returns whether the request is to be forwarded to another node, because none of its offers
+    /// could be sent.
+    fn is_forwardable(&self) -> bool {
+        let is_unreached = self.unsent >= MAX_UNSENT || self.node.doubts_targets();
+        self.offers == self.unsent && is_unreached && self.node.may_forward(self.call)
+    }
 }
 
-/// Takes a retry for another target, if there is one. A request that cannot be sent elsewhere waits
-/// on: its target may be silent for a while and go on.
-async fn take_alternative(node: &Node, call: &Call, excluded: &[SocketAddr]) -> bool {
-    let criteria = Query { service: &call.service, excluded, allowed_first: None, tokens: 0.0 };
-    let other = node.table.borrow().best_target(node.now(), &criteria);
-    let cut_off = !node.reaches_targets() && node.may_forward(call);
-    (other.is_some() || cut_off) && node.take_retry(&call.service).await
+/// Waits until one of the attempts ends, and takes it from the list.
+async fn next_ended<'a>(attempts: &mut Vec<Attempt<'a>>) -> (Attempt<'a>, Outcome) {
+    poll_fn(|context| {
+        for index in 0..attempts.len() {
+            if let Poll::Ready(outcome) = attempts[index].outcome.as_mut().poll(context) {
+                return Poll::Ready((attempts.remove(index), outcome));
+            }
+        }
+        Poll::Pending
+    })
+    .await
 }
 
 async fn try_target(
     node: &Rc<Node>,
     call: &Call,
-    target: &TargetKey,
+    target: TargetKey,
     address: SocketAddr,
 ) -> Outcome {
-    node.table.borrow_mut().add_request(target, 0.0);
-    node.table.borrow_mut().request_sent(node.now(), target);
+    node.table.borrow_mut().add_request(&target, 0.0);
+    node.table.borrow_mut().request_sent(node.now(), &target);
     let _in_flight = InFlight { node: node.clone(), target: target.clone() };
-    let request = call.request(node.now(), target, None, None);
+    let request = call.request(node.now(), &target, None, None);
     let exchange = match node.send(address, request).await {
         Ok(exchange) => exchange,
         Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
@@ -243,6 +392,6 @@
         return Outcome::Unknown("answer truncated or too large");
     };
     node.pool.release(connection);
-    node.table.borrow_mut().request_accepted(node.now(), target);
+    node.table.borrow_mut().request_accepted(node.now(), &target);
     Outcome::Answered { status: parts.status, headers: parts.headers, body }
 }
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -78,3 +78,40 @@
     let placements = site.platform.placements();
     placements.iter().any(|order| Some(&order.target.as_str()) == target && order.before.is_some())
 }
+
+/// Time for which the targets that have the request are silent.
+const SILENCE: Duration = Duration::from_millis(1400);
+
+struct Waiting {
+    route: Route,
+    /// Time that the caller grants the request.
+    deadline: Duration,
+}
+
+// Guards against a request that gives up a silent target for another one, which refuses it, and so
+// ends without an answer although the silent target goes on a moment later.
+#[parameterized(
+    stream = { 4, Waiting { route: Route::Resumable, deadline: DEADLINE } },
+    plain = { 5, Waiting { route: Route::Safe, deadline: ms(2400) } },
+)]
+fn request_waits_for_a_silent_target_if_others_refuse(number: u8, case: Waiting) {
+    let site = Site::start(170 + number, 1, &Document { attempts: 2, ..Document::default() });
+    let (silent, refusing) = match case.route {
+        Route::Safe => (site.plain[..1].to_vec(), site.plain[1..].to_vec()),
+        _ => (site.engines[..3].to_vec(), site.engines[3..].to_vec()),
+    };
+    silent.iter().for_each(|&target| site.platform.set_silent(target, true));
+    site.set_fault(&refusing, Fault::Refuses);
+    let call = |index: usize| {
+        let call = Call::new(case.route, &format!("w{index}"));
+        spawn_call(site.nodes[0].front, Call { deadline: case.deadline, ..call })
+    };
+    let calls: Vec<_> = (0..STREAMS).map(call).collect();
+    sleep(SILENCE);
+    silent.iter().for_each(|&target| site.platform.set_silent(target, false));
+
+    for (index, reply) in ended(calls).iter().enumerate() {
+        assert_eq!(reply.status, Some(200), "request {index}: {reply:?}");
+        assert!(case.route == Route::Safe || reply.is_complete(EVENTS), "{index}: {reply:?}");
+    }
+}
