Streams: a stream without an attempt left may go on where it was broken off

Callers saw a stream cut although the only engine at which it might still run was sound: one that had broken it off once stayed excluded for the rest of the request.

Cause: the exclusion served to prefer other engines, but with no attempt left there are none. A stream whose head the caller has may now return there, also before its first event.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -203,6 +203,8 @@
     max_offers: u32,
     /// Engines at which the request may have run: the first engine of each path that accepted it.
     ran: Vec<Stage>,
+    /// Whether the caller has received the head of the answer, so that the stream has to go on.
+    pub(crate) has_begun: bool,
     /// Segment of a stalled stream that continues if no other path accepts the request.
     pub(crate) fallback: Option<Segment>,
     /// Attempts at silent paths, which go on if no other path accepts the request.
@@ -223,6 +225,7 @@
             retry_taken_at: Cell::new(None),
             max_offers: 0,
             ran: Vec::new(),
+            has_begun: false,
             fallback: None,
             waiting: Vec::new(),
             pressure: 0.0,
@@ -274,39 +277,34 @@
     /// Returns the best path at `now`. A stream that was cut may resume at an excluded target if
     /// there is no other. A request without an attempt left, also one whose stream was cut before
     /// its first event, may run only at engines where it has run.
-    fn find_path(&self, now: Duration, resumes: bool) -> Result<Path, &'static str> {
-        self.find_path_after(now, None, resumes)
+    fn find_path(&self, now: Duration) -> Result<Path, &'static str> {
+        self.find_path_after(now, None)
     }
 
     /// Returns the path that [`Dispatch::find_path`] returns once the request has also run at
     /// `next`.
-    fn find_path_after(
-        &self,
-        now: Duration,
-        next: Option<&Stage>,
-        resumes: bool,
-    ) -> Result<Path, &'static str> {
+    fn find_path_after(&self, now: Duration, next: Option<&Stage>) -> Result<Path, &'static str> {
         let find = |avoid: &[SocketAddr], first: Option<&[SocketAddr]>| {
             let (service, tokens) = (&self.call.service, self.call.tokens);
             let criteria = Query { service, excluded: avoid, allowed_first: first, tokens };
             self.node.table.borrow().path(now, &self.model, &criteria)
         };
-        if self.would_exhaust_attempts(next) {
-            let ran = self.ran.iter().chain(next);
-            let before: Vec<SocketAddr> = ran.map(|stage| stage.address).collect();
-            return find(&self.excluded, Some(&before)).ok_or(NO_ATTEMPT);
-        }
-        let path = find(&self.excluded, None);
-        path.or_else(|| if resumes { find(&[], None) } else { None }).ok_or(NO_PATH)
+        let ran = self.ran.iter().chain(next).map(|stage| stage.address).collect::<Vec<_>>();
+        let (allowed_first, missing) = match self.would_exhaust_attempts(next) {
+            true => (Some(ran.as_slice()), NO_ATTEMPT),
+            false => (None, NO_PATH),
+        };
+        let path = find(&self.excluded, allowed_first);
+        path.or_else(|| if self.has_begun { find(&[], allowed_first) } else { None }).ok_or(missing)
     }
 
     /// Returns whether to try another path while the request waits at `path`, of which an engine is
     /// down. Takes the retry for it.
-    async fn may_try_another(&self, path: &Path, resumes: bool) -> bool {
-        let next = self.find_path_after(self.node.now(), Some(path.first()), resumes);
+    async fn may_try_another(&self, path: &Path) -> bool {
+        let next = self.find_path_after(self.node.now(), Some(path.first()));
         let may_be_sent = match next {
             // Below, only a stream that resumes is sent without an attempt left or to full engines.
-            Ok(_) if resumes => true,
+            Ok(_) if self.has_begun => true,
             Ok(next) => {
                 next.pressure <= MAX_PRESSURE && !self.would_exhaust_attempts(Some(path.first()))
             }
@@ -401,7 +399,7 @@
                 self.keep_retry();
                 None
             }
-            Err(forward::Failure::Refused(_)) if last_event.is_some() => {
+            Err(forward::Failure::Refused(_)) if self.has_begun => {
                 self.keep_retry();
                 Some(Err(Failure::NotRun(REFUSED_BY_NODES)))
             }
@@ -427,7 +425,7 @@
         let unsent_before = self.unsent;
         let reason = loop {
             let may_run_elsewhere =
-                !unknown && failure.is_none() || last_event.is_some() || !self.attempts_exhausted();
+                !unknown && failure.is_none() || self.has_begun || !self.attempts_exhausted();
             let next = match may_run_elsewhere {
                 true => self.next_path(unsent_before, last_event).await,
                 false => Err(NO_ATTEMPT),
@@ -440,7 +438,7 @@
                 },
             };
             let (path, sent_at) = (attempt.path().clone(), attempt.in_flight.sent_at);
-            let outcome = self.finish(attempt, last_event).await;
+            let outcome = self.finish(attempt).await;
             let first = path.first().address;
             if let Some((reason, ran)) = outcome.failure() {
                 // A later engine of the path may have refused the request.
@@ -517,9 +515,9 @@
         if self.node.admit(&self.call).await.is_err() {
             return Err(QUARANTINED);
         }
-        let path = self.find_path(now, last_event.is_some())?;
+        let path = self.find_path(now)?;
         self.pressure = path.pressure;
-        if path.pressure > MAX_PRESSURE && last_event.is_none() {
+        if path.pressure > MAX_PRESSURE && !self.has_begun {
             return Err(FULL);
         }
         if self.offers > 0 {
@@ -572,7 +570,7 @@
 
     /// Waits for the head of the answer to an attempt. A silent engine may go on at any moment, so
     /// the attempt is given up only for another path, or if an engine is lost.
-    async fn finish(&self, mut attempt: Attempt, last_event: Option<u64>) -> Outcome {
+    async fn finish(&self, mut attempt: Attempt) -> Outcome {
         let node = &self.node;
         let call = &self.call;
         let sent_at = attempt.in_flight.sent_at;
@@ -593,7 +591,7 @@
                         self.record_interruption(path, sent_at, true);
                         return Outcome::Lost;
                     }
-                    if self.may_try_another(path, last_event.is_some()).await {
+                    if self.may_try_another(path).await {
                         return Outcome::Stalled(attempt);
                     }
                 }
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -48,6 +48,7 @@
     sender: &Sender<Result<Bytes, Broken>>,
     progress: &mut Progress,
 ) -> &'static str {
+    dispatch.has_begun = true;
     let mut next = Continuation::Moved(opened);
     loop {
         let mut segment = match next {
@@ -112,7 +113,7 @@
     dispatch: &mut Dispatch,
     mut segment: Segment,
     ended: Ended,
-    progress: &Progress,
+    progress: &mut Progress,
 ) -> Result<Continuation, Failure> {
     let resumable = matches!(dispatch.call.kind, Kind::Stream { resumable: true });
     let path = segment.path().clone();
@@ -127,12 +128,18 @@
     log::info!("{event}");
     segment.record_interruption(dispatch, progress);
     dispatch.record_run(&path);
+    let is_cut_empty = ended == Ended::Cut && segment.is_empty(progress);
+    progress.empty_segments = if is_cut_empty { progress.empty_segments + 1 } else { 0 };
     if ended == Ended::Stalled {
         dispatch.fallback = Some(segment);
     } else {
         // Dropping the segment frees its memory at the engines for the next path.
         drop(segment);
     }
+    if progress.empty_segments > 1 {
+        // Engines that accept a stream and break it off at once would use up the retries of others.
+        sleep(MAX_RESUME_PAUSE.min(dispatch.time_left())).await;
+    }
     let mut pause = MIN_RESUME_PAUSE;
     loop {
         let failure = match resumable {
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -62,6 +62,8 @@
     pub(crate) longest_gap_at: Duration,
     /// Number of times the stream resumed on another path.
     pub(crate) moves: u32,
+    /// Number of segments in a row that were cut before their first event.
+    pub(crate) empty_segments: u32,
     /// The path in use, for the log.
     pub(crate) path: String,
 }
@@ -163,11 +165,16 @@
         &self.in_flight.path
     }
 
+    /// Returns whether no event of this segment was forwarded.
+    pub(crate) fn is_empty(&self, progress: &Progress) -> bool {
+        progress.events == self.events_before
+    }
+
     /// Records, at most once, that the path did not complete the answer. The quarantine judges from
     /// this record whether the request may be sent again.
     pub(crate) fn record_interruption(&mut self, dispatch: &Dispatch, progress: &Progress) {
         if !std::mem::replace(&mut self.interruption_recorded, true) {
-            let fresh = progress.events == self.events_before;
+            let fresh = self.is_empty(progress);
             dispatch.record_interruption(&self.in_flight.path, self.in_flight.sent_at, fresh);
         }
     }
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -115,3 +115,41 @@
         assert!(case.route == Route::Safe || reply.is_complete(EVENTS), "{index}: {reply:?}");
     }
 }
+
+/// Events after which engines break streams off.
+const EVENTS_BEFORE_CUT: u64 = 10;
+
+// Guards against a stream without an attempt left that is cut for good because the only engine at
+// which it may run broke it off once.
+#[test]
+fn stream_without_an_attempt_left_goes_on_where_it_was_broken_off() {
+    let site = Site::start(176, 1, &Document { attempts: 1, ..Document::default() });
+    site.set_fault(&site.engines, Fault::Cuts(EVENTS_BEFORE_CUT));
+    let replies = ended(site.streams(0, "b", STREAMS));
+    for (index, reply) in replies.iter().enumerate() {
+        assert!(reply.is_complete(EVENTS), "stream {index}: {reply:?}");
+        let runs = site.runs(&format!("b{index}"));
+        let targets: BTreeSet<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+        assert_eq!(targets.len(), 1, "stream {index}");
+    }
+}
+
+/// Time for which all engines accept streams and break them off before an event.
+const EMPTY_PERIOD: Duration = Duration::from_millis(1500);
+/// Maximum number of runs of one stream in that time.
+const MAX_EMPTY_RUNS: usize = 8;
+
+// Guards against one stream that uses up the retries of all others, because engines accept it and
+// break it off at once, again and again.
+#[test]
+fn stream_that_is_broken_off_at_once_is_sent_few_times() {
+    let site = Site::start(177, 1, &Document { attempts: 1, ..Document::default() });
+    site.set_fault(&site.engines, Fault::Cuts(0));
+    let streams = site.streams(0, "e", 1);
+    sleep(EMPTY_PERIOD);
+    let runs = site.runs("e").len();
+    assert!(runs <= MAX_EMPTY_RUNS, "{runs} runs");
+    site.set_fault(&site.engines, Fault::None);
+    let replies = ended(streams);
+    assert!(replies[0].is_complete(EVENTS), "{replies:?}");
+}
