--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -9,15 +9,14 @@
 
 use crate::answer::Broken;
 use crate::dispatch::{Dispatch, Failure, Opened};
-use crate::event::{ANSWERED, KEPT};
+use crate::event::{ANSWERED, INTERRUPTED, KEPT};
 use crate::forward;
 use crate::segment::{Ended, Progress, Segment};
 
-/// Time for which a path is sought for a stream that has none: callers wait two seconds for an
-/// event.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Pause between attempts to find a path.
-const RESUME_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+/// First pause between attempts to find a path.
+const MIN_RESUME_PAUSE: Duration = Duration::from_millis(150);
+/// Maximum pause between attempts to find a path: callers wait two seconds for an event.
+const MAX_RESUME_PAUSE: Duration = Duration::from_millis(600);
 
 /// How a stream continues.
 enum Continuation {
@@ -49,6 +48,7 @@
     sender: &Sender<Result<Bytes, Broken>>,
     progress: &mut Progress,
 ) -> &'static str {
+    dispatch.has_begun = true;
     let mut next = Continuation::Moved(opened);
     loop {
         let mut segment = match next {
@@ -107,24 +107,40 @@
 }
 
 /// Resumes a stream whose segment has ended: on another path, or on the same one if that has only
-/// stalled and no other is available.
+/// stalled and no other is available. An attempt that fails says nothing about the next one, so a
+/// path is sought until the caller leaves, its deadline passes, or no engine may run the request.
 async fn resume(
     dispatch: &mut Dispatch,
     mut segment: Segment,
     ended: Ended,
-    progress: &Progress,
+    progress: &mut Progress,
 ) -> Result<Continuation, Failure> {
     let resumable = matches!(dispatch.call.kind, Kind::Stream { resumable: true });
     let path = segment.path().clone();
+    let event = dispatch
+        .call
+        .event(INTERRUPTED)
+        .with("ended", format_args!("{ended:?}"))
+        .with("events", progress.events)
+        .with("is_broken", dispatch.node.is_broken(&path))
+        .with("left_ms", dispatch.time_left().as_millis())
+        .with("path", &path);
+    log::info!("{event}");
     segment.record_interruption(dispatch, progress);
     dispatch.record_run(&path);
+    let is_cut_empty = ended == Ended::Cut && segment.is_empty(progress);
+    progress.empty_segments = if is_cut_empty { progress.empty_segments + 1 } else { 0 };
     if ended == Ended::Stalled {
         dispatch.fallback = Some(segment);
     } else {
         // Dropping the segment frees its memory at the engines for the next path.
         drop(segment);
     }
-    let until = dispatch.node.now() + RESUME_TIMEOUT;
+    if progress.empty_segments > 1 {
+        // Engines that accept a stream and break it off at once would use up the retries of others.
+        sleep(MAX_RESUME_PAUSE.min(dispatch.time_left())).await;
+    }
+    let mut pause = MIN_RESUME_PAUSE;
     loop {
         let failure = match resumable {
             true => match dispatch.open(progress.last_event).await {
@@ -145,10 +161,11 @@
             kept.defer_checks(dispatch.node.now());
             return Ok(Continuation::Kept(kept));
         }
-        let may_change = failure.is_transient() || dispatch.node.doubts_targets();
-        if !may_change || dispatch.node.now() >= until {
+        let left = dispatch.time_left();
+        if !resumable || left.is_zero() || !dispatch.may_resume_later(&failure) {
             return Err(failure);
         }
-        sleep(RESUME_RETRY_INTERVAL).await;
+        sleep(pause.min(left)).await;
+        pause = (pause * 2).min(MAX_RESUME_PAUSE);
     }
 }
