Health: a target from which something arrives is not lost

Cause: a target counts as lost once a probe that was sent two seconds after it was left out is unanswered. Probes wait for a quarter of a second.

Change: whatever arrives on a stream ends the silence of its first engine, and so does the end of a cut for all targets; loss is judged from then on. Placement goes by unanswered probes as before.

Test: target_from_which_something_arrives_is_not_lost. It needs the new call, so it cannot be run on the code before.

--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -233,6 +233,7 @@
             };
             let arrived_at = node.now();
             node.record_contact(arrived_at);
+            node.table.borrow_mut().record_arrival(arrived_at, &path.first().target);
             self.splitter.push(&bytes);
             while let Some(event) = self.splitter.pop() {
                 if !event.is_comment {
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -99,6 +99,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Down {
     since: Duration,
+    /// Time since which nothing has come from the target, as far as this VM could have received it.
+    silent_since: Duration,
     probe_at: Duration,
     pause: Duration,
     /// Whether this VM has observed the fault itself.
@@ -194,6 +196,7 @@
         let pause = if is_early { EARLY_PROBE_DELAY } else { FIRST_PROBE_DELAY };
         let down = Down {
             since: now,
+            silent_since: now,
             probe_at: now + pause,
             pause,
             local,
@@ -218,8 +221,10 @@
             return false;
         };
         down.unanswered_probes += 1;
-        let silent_too_long = sent_at.saturating_sub(down.since) >= LOSS_TIMEOUT;
-        let shows_loss = failure == ProbeFailure::Refused || silent_too_long;
+        let silent_for = sent_at.checked_sub(down.silent_since);
+        let shows_loss = silent_for.is_some_and(|silent_for| {
+            failure == ProbeFailure::Refused || silent_for >= LOSS_TIMEOUT
+        });
         let was_lost = down.lost;
         down.lost = down.is_unresponsive() && shows_loss;
         down.lost && !was_lost
@@ -242,6 +247,21 @@
         self.down.is_some_and(|down| down.lost)
     }
 
+    /// Records that something came from the target, if not an answer to a probe, or that this VM
+    /// could receive nothing until now: the target is not lost by what was observed so far.
+    pub fn end_silence(&mut self, now: Duration) {
+        if let Some(down) = &mut self.down {
+            down.silent_since = now;
+            down.lost = false;
+        }
+    }
+
+    /// Returns whether nothing has come from a target out of use for longer than a sound one is
+    /// silent.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        self.down.is_some_and(|down| now.saturating_sub(down.silent_since) >= LOSS_TIMEOUT)
+    }
+
     /// Returns whether this VM itself observed the fault for which the target is out of use.
     pub fn is_locally_observed(&self) -> bool {
         self.down.is_some_and(|down| down.local)
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -102,6 +102,24 @@
         self.entry(id).is_some_and(|entry| entry.health.is_lost() && !entry.is_draining())
     }
 
+    /// Returns whether nothing has come from a target out of use for longer than a sound one is
+    /// silent, and it does not drain.
+    pub fn is_silent(&self, now: Duration, id: &str) -> bool {
+        self.entry(id).is_some_and(|entry| entry.health.is_silent(now) && !entry.is_draining())
+    }
+
+    /// Returns whether another target has taken the address of one that has no entry any more.
+    pub fn is_replaced(&self, id: &str, address: SocketAddr) -> bool {
+        self.entry(id).is_none() && self.entries().any(|entry| entry.target.address == address)
+    }
+
+    /// Records that something came from a target.
+    pub fn record_arrival(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.health.end_silence(now);
+        }
+    }
+
     /// Stores a registration. Returns whether anything relevant changed.
     ///
     /// Of two targets at one address only the younger one is alive. The entry of the other stays in
@@ -354,9 +372,13 @@
         self.entries.get_mut(id).is_some_and(|entry| entry.health.restore(now))
     }
 
-    /// Makes a probe of each target that is out of use due at once.
+    /// Makes a probe of each target that is out of use due at once, because this VM was cut off: what
+    /// it observed meanwhile does not show that a target is lost.
     pub fn probe_all(&mut self, now: Duration) {
-        self.entries.values_mut().for_each(|entry| entry.health.probe_at_once(now));
+        for entry in self.entries.values_mut() {
+            entry.health.end_silence(now);
+            entry.health.probe_at_once(now);
+        }
     }
 
     /// Returns the targets for which a probe is due: those out of use, and slow engines.
--- a/crates/path/tests/health.rs
+++ b/crates/path/tests/health.rs
@@ -170,6 +170,43 @@
     assert!(!health.is_lost());
 }
 
+/// A target that is left out, and what this VM observes of it: milliseconds from the fault to each.
+struct Arrivals {
+    /// Unanswered probes, and why they were not answered.
+    probes: &'static [(u64, ProbeFailure)],
+    /// Arrivals from the target that answer no probe.
+    arrivals: &'static [u64],
+    lost: bool,
+    /// Whether the target is silent for longer than a sound one at 3600 ms.
+    silent: bool,
+}
+
+/// Guards against a target that counts as lost while the events of its streams arrive. Its path
+/// delays or loses packets, so that no probe is answered in time.
+#[parameterized(
+    none = { Arrivals { probes: &[(50, Timeout), (1550, Timeout), (3150, Timeout)], arrivals: &[], lost: true, silent: true } },
+    throughout = { Arrivals { probes: &[(50, Timeout), (1550, Timeout), (3150, Timeout)], arrivals: &[500, 1000, 2000, 3000], lost: false, silent: false } },
+    long_before = { Arrivals { probes: &[(50, Timeout), (1550, Timeout), (3150, Timeout)], arrivals: &[400], lost: true, silent: true } },
+    after_the_loss = { Arrivals { probes: &[(50, Timeout), (1550, Timeout), (3150, Timeout)], arrivals: &[3200], lost: false, silent: false } },
+    after_refusals = { Arrivals { probes: &[(50, Refused), (150, Refused)], arrivals: &[200], lost: false, silent: true } },
+    before_refusals = { Arrivals { probes: &[(150, Refused), (350, Refused)], arrivals: &[100], lost: true, silent: true } },
+)]
+fn target_from_which_something_arrives_is_not_lost(case: Arrivals) {
+    let ms = Duration::from_millis;
+    let mut health = Health::default();
+    health.record_fault(NOW, Fault::ReportTimeout);
+    let mut arrivals = case.arrivals.iter().peekable();
+    for (at, failure) in case.probes {
+        while let Some(arrival) = arrivals.next_if(|arrival| *arrival <= at) {
+            health.end_silence(NOW + ms(*arrival));
+        }
+        health.record_unanswered_probe(NOW + ms(*at), *failure);
+    }
+    arrivals.for_each(|arrival| health.end_silence(NOW + ms(*arrival)));
+    assert_eq!(health.is_lost(), case.lost);
+    assert_eq!(health.is_silent(NOW + ms(3600)), case.silent);
+}
+
 /// Guards against each VM finding out by its own request that an engine refuses. An engine drains
 /// while the store is unavailable, and 32 VMs each have a request for it every half second (grown
 /// Kinywaji trouble-3, seconds 27 to 30: 234 refusals by three engines, 34 requests refused for
