Attempts: engines count until they have ended or are cut off for two seconds

What it looks like: a request with one attempt ran at two sound engines.

Cause: a node that believes to reach no target let another node run a request at one engine more, whatever its route allows. It believes so after 120 ms without an answer and three silent targets, which sound engines that are silent for a second give at a quiet node. An attempt that another node took without an answer was not counted either (read, not seen).

Change: edge::Attempts counts the engines of a request in one place. An engine stops counting once it is known to have ended, also after its entry was replaced, or, at a node that reaches no target, after it has been silent for two seconds. Attempts left to another node count as used. Log: 1151 names the engines that do not count.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fleet::Event;
-use path::{Fault, Path, ProbeFailure};
+use path::{Fault, Path, ProbeFailure, Stage};
 use site::Report;
 use tokio::pin;
 use tokio::time::{sleep, timeout};
@@ -217,6 +217,17 @@
         path.stages.iter().any(|stage| table.is_lost(&stage.target))
     }
 
+    /// Returns whether an engine at which a request has run must have ended without notice, or is cut
+    /// off from this node for longer than a sound engine is silent.
+    pub(crate) fn has_ended(&self, engine: &Stage) -> bool {
+        let table = self.table.borrow();
+        let is_gone = match self.reaches_targets() {
+            true => table.is_lost(&engine.target),
+            false => table.is_silent(self.now(), &engine.target),
+        };
+        is_gone || table.is_replaced(&engine.target, engine.address)
+    }
+
     /// Returns whether an engine of a path is down.
     pub(crate) fn is_broken(&self, path: &Path) -> bool {
         let table = self.table.borrow();
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -14,9 +14,10 @@
 use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
+use crate::attempts::Attempts;
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
-use crate::event::RETRIED;
+use crate::event::{RETRIED, UNCOUNTED};
 use crate::forward::{self, Forward, MAX_UNSENT};
 use crate::node::Node;
 use crate::pool::{Connection, Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
@@ -189,8 +190,8 @@
     retry_taken_at: Cell<Option<Duration>>,
     /// Number of offers after which the present call of [`Dispatch::open_stream`] ends.
     max_offers: u32,
-    /// Engines at which the request may have run: the first engine of each path that accepted it.
-    ran: Vec<Stage>,
+    /// Engines at which the request may have run.
+    ran: Attempts,
     /// Segment of a stalled stream that continues if no other path accepts the request.
     pub(crate) fallback: Option<Segment>,
     /// Share of memory in use on the best path of the last search.
@@ -208,7 +209,7 @@
             unsent: 0,
             retry_taken_at: Cell::new(None),
             max_offers: 0,
-            ran: Vec::new(),
+            ran: Attempts::default(),
             fallback: None,
             pressure: 0.0,
         }
@@ -218,9 +219,7 @@
     /// engine from further attempts unless another engine of the path is down.
     pub(crate) fn record_run(&mut self, path: &Path) {
         let first = path.first();
-        if !self.ran.iter().any(|other| other.target == first.target) {
-            self.ran.push(first.clone());
-        }
+        self.ran.record(first);
         // If no engine of the path is down, only the first one, which ended the answer, can be at
         // fault.
         if !self.node.is_broken(path) {
@@ -229,24 +228,48 @@
     }
 
     /// Returns whether the request has run at as many engines as its route allows. Engines that
-    /// were lost without notice do not count; those that drained do.
+    /// ended without notice do not count; those that drained do.
     fn attempts_exhausted(&self) -> bool {
         self.would_exhaust_attempts(None)
     }
 
     /// Returns the same for the case that the request has also run at `next`.
     fn would_exhaust_attempts(&self, next: Option<&Stage>) -> bool {
-        let table = self.node.table.borrow();
-        let next = next.filter(|next| self.ran.iter().all(|stage| stage.target != next.target));
-        let alive = self.ran.iter().chain(next).filter(|stage| !table.is_lost(&stage.target));
-        alive.count() >= self.call.attempts as usize
+        self.attempts_left(next) == 0
+    }
+
+    /// Returns at how many further engines the request may run.
+    fn attempts_left(&self, next: Option<&Stage>) -> u32 {
+        let counted = self.ran.count(next, |engine| self.node.has_ended(engine));
+        self.call.attempts.saturating_sub(counted)
+    }
+
+    /// Logs that the request is sent `to` one more engine than its route allows, because some of those
+    /// at which it has run have ended.
+    fn log_uncounted(&self, to: &str) {
+        if self.ran.iter().count() < self.call.attempts as usize {
+            return;
+        }
+        let ran: Vec<&str> = self.ran.iter().map(|engine| engine.target.as_str()).collect();
+        let event = self
+            .call
+            .event(UNCOUNTED)
+            .with("to", to)
+            .with("ran", ran.join(","))
+            .with("ended", self.ran.ended().join(","))
+            .with("reaches_targets", self.node.reaches_targets());
+        log::info!("{event}");
     }
 
     /// Returns the best path at `now`. A stream that was cut may resume at an excluded target if
     /// there is no other. A request without an attempt left, also one whose stream was cut before
     /// its first event, may run only at engines where it has run.
     fn find_path(&self, now: Duration, resumes: bool) -> Result<Path, &'static str> {
-        self.find_path_after(now, None, resumes)
+        let path = self.find_path_after(now, None, resumes)?;
+        if !self.ran.contains(path.first()) {
+            self.log_uncounted(&path.first().target);
+        }
+        Ok(path)
     }
 
     /// Returns the path that [`Dispatch::find_path`] returns once the request has also run at
@@ -355,11 +378,7 @@
     async fn forward(&mut self, last_event: Option<u64>) -> Option<Result<Opened, Failure>> {
         let (node, call) = (self.node.clone(), self.call.clone());
         let has_run = !self.ran.is_empty();
-        let mut attempts = call.attempts.saturating_sub(self.ran.len() as u32);
-        if !node.reaches_targets() {
-            // The engines that the request was sent to are cut off from this node and do not count.
-            attempts = attempts.max(1);
-        }
+        let attempts = self.attempts_left(None);
         let is_allowed = !has_run || call.kind.is_idempotent();
         if attempts == 0 || !is_allowed || !node.may_forward(&call) {
             return None;
@@ -367,9 +386,11 @@
         if !self.take_retry().await {
             return None;
         }
+        self.log_uncounted("another node");
         let forward = Forward { call: &call, attempts, last_event };
         match forward.send(&node).await {
             Ok(exchange) => {
+                self.ran.record_forwarded(attempts);
                 self.offers += 1;
                 Some(Ok(Opened::Node(exchange)))
             }
@@ -382,7 +403,10 @@
                 Some(Err(Failure::NotRun(REFUSED_BY_NODES)))
             }
             Err(forward::Failure::Refused(response)) => Some(Err(Failure::Failed(response))),
-            Err(forward::Failure::Unknown) => Some(Err(Failure::Unknown)),
+            Err(forward::Failure::Unknown) => {
+                self.ran.record_forwarded(attempts);
+                Some(Err(Failure::Unknown))
+            }
         }
     }
 
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -39,4 +39,5 @@
     CONTACT_LOST = 1136, "targets-out-of-reach", "This node reaches no target any more: `silent` targets gave no answer one after another, with none in between for `silent_ms`, or `unconnected` targets could not be connected to one after another. Its callers' requests are forwarded to other nodes.";
     CONTACT_BACK = 1137, "targets-in-reach", "A target answered again after this node had reached none for `after_ms`.";
     FORWARDED = 1138, "request-forwarded", "A request is sent to another node, because this one does not reach the targets.";
+    UNCOUNTED = 1151, "attempts-uncounted", "A request that has run at as many engines as its route allows is sent `to` a further one, or to another node, because the engines `ended` must have ended or been cut off, and do not count. `reaches_targets` states whether this node reaches its targets.";
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions of `path` and `place`. Only formatted log lines are handed to another thread.
 
 mod answer;
+mod attempts;
 mod call;
 mod claim;
 mod clock;
@@ -42,6 +43,7 @@
 mod watch;
 mod watchdog;
 
+pub use attempts::Attempts;
 pub use claim::Claim;
 pub use contact::Contact;
 pub use event::EVENTS;
