Edge: no request goes twice over one connection

Cause: an answer was matched to its request by Request-Id only. An engine that refused a request could get it again over the same kept connection, at once if another path began there. A faulty engine that wrote the refusal once more there was believed: the request, which now ran, counted as refused and was sent on (TWICE), or its caller was told that it had not run (REFUSED).

Change: connections are numbered. A request knows those that it has used and gets another one, or a new one where it has used all idle ones to the engine. The refused connection stays in the pool for other requests.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -19,6 +19,7 @@
 use suspect::Fingerprint;
 
 use crate::forward::{Origin, remove_internal};
+use crate::used::Used;
 
 /// Maximum parts of a prompt that are considered; further ones are ignored.
 const MAX_PARTS: usize = 16;
@@ -60,6 +61,8 @@
     /// The caller's key as it came, for another node that handles the request instead.
     pub(crate) authorization: Option<HeaderValue>,
     pub(crate) origin: Origin,
+    /// Connections that carried the request before.
+    pub(crate) used: Used,
     /// Whether the request is counted for the retry budget of its service, at this node or at the
     /// one that has forwarded it.
     pub(crate) counted: Cell<bool>,
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -492,7 +492,7 @@
         let first = path.first().clone();
         let request = call.request(started_at, &first.target, Some(&path), last_event);
         let mut in_flight = InFlight::start(node, path, call.tokens, call.prompt_tokens);
-        let sending = node.send(first.address, request);
+        let sending = node.send(first.address, request, &call.used);
         pin!(sending);
         let answer = loop {
             let left = call.deadline.saturating_sub(node.now());
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -119,7 +119,8 @@
                 .with("left_ms", left.as_millis());
             log::info!("{event}");
             metrics::counter!("magnolia_forwarded").increment(1);
-            match timeout(left, node.pool.send(peer, self.request(node.now()))).await {
+            let sending = node.pool.send(peer, self.request(node.now()), &self.call.used);
+            match timeout(left, sending).await {
                 Ok(Ok(exchange)) if is_refusal(&exchange) => {
                     refused = Some(whole_answer(node, self.call, exchange).await);
                 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -25,6 +25,7 @@
 use crate::forward::{Origin, Statement};
 use crate::node::Node;
 use crate::pool::set_socket_timeouts;
+use crate::used::Used;
 use crate::{stream, unary};
 
 /// Minimum size of the read buffer that `hyper` accepts.
@@ -235,6 +236,7 @@
         counted: Cell::new(statement.counted),
         authorization: parts.headers.get(AUTHORIZATION).cloned(),
         origin,
+        used: Used::default(),
         priority: priority.unwrap_or(route.priority),
         organisation: organisation.map(|organisation| organisation.name.clone()),
         received_at,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 mod stream;
 mod tracker;
 mod unary;
+mod used;
 mod watch;
 mod watchdog;
 
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -13,6 +13,7 @@
 use crate::node::Node;
 use crate::pool::{Exchange, Unanswered};
 use crate::store::log_undecodable;
+use crate::used::Used;
 
 /// Upper limit of the random extension of a pause, as a share of it: prevents all nodes from
 /// returning at once.
@@ -21,13 +22,15 @@
 const MIN_SPREAD: Duration = Duration::from_millis(100);
 
 impl Node {
-    /// Sends a request to a target, and applies the notices in its answer.
+    /// Sends a request to a target over a connection that it has not used yet, and applies the
+    /// notices in the answer.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        used: &Used,
     ) -> Result<Exchange, Unanswered> {
-        let exchange = self.pool.send(address, request).await.inspect_err(|unanswered| {
+        let exchange = self.pool.send(address, request, used).await.inspect_err(|unanswered| {
             if matches!(unanswered, Unanswered::Refused | Unanswered::NotSent) {
                 self.contact.borrow_mut().record_no_connection(address);
             }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of connections to targets.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::used::{ConnectionNumber, Used};
 
 /// Maximum time to connect: failure domains are less than a millisecond apart, and a lost SYN is
 /// retransmitted only after a second.
@@ -62,6 +63,7 @@
 
 struct Idle {
     sender: Sender,
+    number: ConnectionNumber,
     until: Duration,
 }
 
@@ -69,6 +71,8 @@
 pub(crate) struct Pool {
     clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Number of connections opened so far.
+    opened: Cell<ConnectionNumber>,
 }
 
 /// An answer whose head has arrived, and its connection.
@@ -83,6 +87,7 @@
 pub(crate) struct Connection {
     address: SocketAddr,
     sender: Sender,
+    number: ConnectionNumber,
     /// Time for which the connection may be idle; `None` if it must be closed.
     idle_timeout: Option<Duration>,
 }
@@ -96,19 +101,21 @@
 
 impl Pool {
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, idle: RefCell::default() }
+        Self { clock, idle: RefCell::default(), opened: Cell::default() }
     }
 
-    /// Sends a request and waits for the head of the answer. Dropping the future closes the
-    /// connection, which cancels the request at the target.
+    /// Sends a request over a connection that it has not used yet, and waits for the head of the
+    /// answer. Dropping the future closes the connection, which cancels the request at the target.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        used: &Used,
     ) -> Result<Exchange, Unanswered> {
-        while let Some(mut sender) = self.take_idle(address) {
+        while let Some((mut sender, number)) = self.take_idle(address, used) {
+            used.record(number);
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(exchange(address, sender, response, false)),
+                Ok(response) => return Ok(exchange(address, sender, number, response, false)),
                 Err(mut failed) => match failed.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) => request = unsent,
@@ -117,8 +124,10 @@
             }
         }
         let mut sender = connect(address).await?;
+        let number = self.next_number();
+        used.record(number);
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(exchange(address, sender, response, true)),
+            Ok(response) => Ok(exchange(address, sender, number, response, true)),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(Unanswered::NotSent),
                 None => Err(Unanswered::Unknown),
@@ -135,7 +144,7 @@
         let until = self.clock.now() + idle_timeout;
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.address).or_default();
-        list.push(Idle { sender: connection.sender, until });
+        list.push(Idle { sender: connection.sender, number: connection.number, until });
     }
 
     /// Reads and discards the rest of an answer, then returns the connection to the pool. Closes
@@ -156,24 +165,34 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn next_number(&self) -> ConnectionNumber {
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
+        number
+    }
+
+    /// Takes the idle connection to a target that was used last, except for those in `used`.
+    fn take_idle(&self, address: SocketAddr, used: &Used) -> Option<(Sender, ConnectionNumber)> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         list.retain(|idle| idle.until > now && !idle.sender.is_closed());
-        let newest = list.iter().rposition(|idle| idle.sender.is_ready())?;
-        Some(list.remove(newest).sender)
+        let is_free = |idle: &Idle| idle.sender.is_ready() && !used.contains(idle.number);
+        let newest = list.iter().rposition(is_free)?;
+        let Idle { sender, number, .. } = list.remove(newest);
+        Some((sender, number))
     }
 }
 
 fn exchange(
     address: SocketAddr,
     sender: Sender,
+    number: ConnectionNumber,
     response: Response<Incoming>,
     is_new_connection: bool,
 ) -> Exchange {
     let idle_timeout = idle_timeout(response.headers());
-    let connection = Connection { address, sender, idle_timeout };
+    let connection = Connection { address, sender, number, idle_timeout };
     Exchange { response, is_new_connection, connection }
 }
 
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::pool::{Unanswered, read_body};
 use crate::replica::Stated;
+use crate::used::Used;
 
 /// Maximum wait for an answer of the store, in addition to the wait of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -161,7 +162,7 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Reply {
-        let exchange = match self.node.pool.send(self.address, request).await {
+        let exchange = match self.node.pool.send(self.address, request, &Used::default()).await {
             Ok(exchange) => exchange,
             Err(Unanswered::Refused | Unanswered::NotSent) => return Reply::NotDone,
             Err(Unanswered::Unknown) => return Reply::Unknown,
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -210,7 +210,7 @@
     node.table.borrow_mut().request_sent(node.now(), target);
     let _in_flight = InFlight { node: node.clone(), target: target.clone() };
     let request = call.request(node.now(), target, None, None);
-    let exchange = match node.send(address, request).await {
+    let exchange = match node.send(address, request, &call.used).await {
         Ok(exchange) => exchange,
         Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
             let fault = probe_fault(probe_failure(unsent));
