Edge: a request's answer is no answer to an order or a report call

Cause: calls of the node's own bear no id, and any answer counted. A copy of a request's refusal on a kept connection was read as a refused order or a missing report: the engine was taken out of use, or not counted as ordered. A refused order's copy could answer the next order, and `{}` passed as a report of an engine without layers.

Change: Node::ask sends such calls; an answer that names a request closes the connection and counts as none (a report is then asked for once more, as before). The connection of a refused order is closed, so that no copy of the refusal can follow. A report is a 200 with `sequence`, which engines always send.

Guard: repeats.rs, repeated_refusals_answer_no_call_of_the_node.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fleet::Event;
+use hyper::StatusCode;
 use path::{Fault, Path, ProbeFailure};
 use site::Report;
 use tokio::pin;
@@ -52,12 +53,12 @@
             let call = || platform::report_request(address);
             // The target may have closed an idle connection, so the request is retried once on
             // another one.
-            let answer = match self.send(address, call()).await {
-                Err(Unanswered::Unknown) => self.send(address, call()).await,
+            let answer = match self.ask(address, call()).await {
+                Err(Unanswered::Unknown) => self.ask(address, call()).await,
                 other => other,
             };
             let (response, connection) = answer.map_err(probe_failure)?.split();
-            if !response.status().is_success() {
+            if response.status() != StatusCode::OK {
                 return Err(ProbeFailure::Timeout);
             }
             let body = read_body(response.into_body(), MAX_REPORT_BYTES).await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions of `path` and `place`. Only formatted log lines are handed to another thread.
 
 mod answer;
+mod ask;
 mod call;
 mod claim;
 mod clock;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -238,10 +238,14 @@
 
 async fn send_order(node: &Node, address: SocketAddr, order: Order) -> Outcome {
     let exchange = async {
-        let answer = node.send(address, platform::order_request(address, order)).await.ok()?;
+        let answer = node.ask(address, platform::order_request(address, order)).await.ok()?;
         let (response, connection) = answer.split();
         let status = response.status();
-        node.pool.drain(response.into_body(), connection).await;
+        // A refusal bears nothing that tells it from one of a later order on the same connection,
+        // should the engine repeat it.
+        if status.is_success() {
+            node.pool.drain(response.into_body(), connection).await;
+        }
         Some(status)
     };
     match timeout(ORDER_TIMEOUT, exchange).await {
--- a/crates/node/tests/repeats.rs
+++ b/crates/node/tests/repeats.rs
@@ -4,6 +4,9 @@
 mod entry;
 mod site;
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use platform_standin::{Document, Fault, Repeat, Reply, Route};
 use site::Site;
 use yare::parameterized;
@@ -11,6 +14,14 @@
 /// Requests of a test, one after another.
 const REQUESTS: usize = 40;
 
+/// Refused requests after which the only idle connection has a copy left to write: the second one
+/// closes the connection on which it receives the first copy.
+const REFUSED: usize = 2;
+/// Number of times that the node is quiet.
+const ROUNDS: usize = 4;
+/// Time for which it is: idle connections are kept for as long.
+const QUIET_TIME: Duration = Duration::from_secs(4);
+
 struct Case {
     route: Route,
     repeat: Repeat,
@@ -51,3 +62,35 @@
 fn promises_no_run(reply: &Reply) -> bool {
     matches!(reply.status, Some(408 | 421 | 429 | 503))
 }
+
+// Guards against a copy of a request's refusal being taken for the answer to a call of the node's
+// own: a sound engine was taken out of use because it gave no report.
+#[test]
+fn repeated_refusals_answer_no_call_of_the_node() {
+    let site = Site::start(187, 1, &Document::default());
+    // With few engines, the node often asks the one that the requests were sent to.
+    for &engine in &site.engines[2..] {
+        site.platform.kill(engine);
+        site.platform.deregister(engine);
+    }
+    sleep(QUIET_TIME);
+    let down_before = targets_down(&site);
+    site.set_fault(&site.engines[..2], Fault::RepeatsRefusals(Repeat::WithNextRequest));
+    for round in 0..ROUNDS {
+        for number in 0..REFUSED {
+            site.ask(0, Route::Resumable, &format!("r{round}-{number}-"));
+        }
+        // A quiet node asks an engine for its report from time to time.
+        sleep(QUIET_TIME);
+    }
+    let asked = site.platform.arrivals().into_iter().filter(|arrival| arrival.path == "/report");
+    assert!(asked.count() >= ROUNDS, "the node asks for reports");
+    assert_eq!(targets_down(&site), down_before);
+}
+
+/// Returns how many times a target was taken out of use.
+fn targets_down(site: &Site) -> u64 {
+    let metrics = site.metrics(0);
+    let lines = metrics.lines().filter(|line| line.starts_with("magnolia_targets_down"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
