--- a/crates/site/src/route.rs
+++ b/crates/site/src/route.rs
@@ -62,8 +62,8 @@
 impl Route {
     /// Returns the service for a request with the random number `draw`, from 0 to 1.
     pub fn backend(&self, draw: f64) -> Option<&SmolStr> {
-        let total: u32 = self.backends.iter().map(|backend| backend.weight).sum();
-        let mut left = draw * f64::from(total);
+        let total: f64 = self.backends.iter().map(|backend| f64::from(backend.weight)).sum();
+        let mut left = draw * total;
         for backend in &self.backends {
             left -= f64::from(backend.weight);
             if left < 0.0 {
