--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -574,10 +574,10 @@
         if self.is_fallback_at(first.address) {
             self.fallback = None;
         }
-        let (node, call) = (self.node.clone(), &self.call);
+        let (node, call) = (self.node.clone(), self.call.clone());
         let request = call.request(node.now(), &first.target, Some(&path), last_event);
         let in_flight = InFlight::start(&node, path, call.tokens, call.prompt_tokens);
-        let answer = Box::pin(async move { node.send(first.address, request).await });
+        let answer = Box::pin(async move { node.send(first.address, request, &call.used).await });
         Attempt { in_flight, answer }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions of `path` and `place`. Only formatted log lines are handed to another thread.
 
 mod answer;
+mod ask;
 mod attempts;
 mod call;
 mod claim;
@@ -40,6 +41,7 @@
 mod stream;
 mod tracker;
 mod unary;
+mod used;
 mod watch;
 mod watchdog;
 
--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -1,5 +1,7 @@
 //! Starts an entry process for a test and sends it signals and requests.
 
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
 use std::fs;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
