--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -16,14 +16,16 @@
 
 /// What one node reports of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Evidence {
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) finding: Finding,
+pub struct Evidence {
+    /// Fingerprint of the request or of the part of prompts.
+    pub fingerprint: Fingerprint,
+    /// What is reported.
+    pub finding: Finding,
 }
 
 /// Whether a request is suspected of crashing its targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Finding {
+pub enum Finding {
     /// A target was lost while it ran the request.
     Suspected(Suspicion),
     /// The request runs past the point at which requests crash targets.
@@ -41,12 +43,13 @@
 
 /// A loss of a target under a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Suspicion {
-    pub(crate) target: TargetName,
+pub struct Suspicion {
+    /// The lost target.
+    pub target: TargetName,
     /// Fingerprints of the shared parts of the prompt, in the order of the prompt.
-    pub(crate) parts: Vec<Fingerprint>,
+    pub parts: Vec<Fingerprint>,
     /// Whether the loss came before any part of an answer.
-    pub(crate) fresh: bool,
+    pub fresh: bool,
 }
 
 /// Evidence to be sent, with the number of times left for each item.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -13,11 +13,11 @@
 use tokio::time::sleep;
 
 use crate::event::{CONFIGURED, HISTORY_LOST, RELAYED, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
-use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
+use crate::lead::Leadership;
 use crate::node::{Node, UNREADY_AFTER};
-use crate::persistence::QUARANTINE_PREFIX;
 use crate::replica::Listing;
 use crate::store::{Reply, Store, log_undecodable};
+use crate::stored::{LEADER_KEY, NODE_PREFIX, QUARANTINE_PREFIX};
 use crate::watch::{Watch, batch_pause};
 
 /// Pause before a failed call is retried.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -36,12 +36,13 @@
 /// Address of the target that gave an answer to a forwarded request.
 const TARGET: HeaderName = HeaderName::from_static("magnolia-target");
 
-/// Headers between nodes. Those of callers are removed.
-const INTERNAL: [HeaderName; 3] = [ATTEMPTS, COUNTED, TARGET];
+/// Start of the names of all headers between nodes, also of those that other builds send.
+const INTERNAL_PREFIX: &str = "magnolia-";
 
 /// Who sent a request to this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Origin {
+pub enum Origin {
+    /// A caller.
     Caller,
     /// Another node forwards a request of its caller.
     Node,
@@ -49,23 +50,33 @@
 
 /// What the forwarding node states about a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Statement {
+pub struct Statement {
     /// Number of targets at which the request may still run; `None` if the request is not
     /// forwarded.
-    pub(crate) attempts: Option<u32>,
+    pub attempts: Option<u32>,
     /// Whether the request is counted for the retry budget already.
-    pub(crate) counted: bool,
+    pub counted: bool,
 }
 
 impl Statement {
     /// Reads the statement from the head of a request.
-    pub(crate) fn read(origin: Origin, headers: &HeaderMap) -> Self {
+    pub fn read(origin: Origin, headers: &HeaderMap) -> Self {
         if origin == Origin::Caller {
             return Self::default();
         }
         let attempts = headers.get(ATTEMPTS).and_then(|value| value.to_str().ok()?.parse().ok());
         Self { attempts, counted: headers.contains_key(COUNTED) }
     }
+
+    /// Adds the statement to the head of a request.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        if let Some(attempts) = self.attempts {
+            headers.insert(ATTEMPTS, attempts.into());
+        }
+        if self.counted {
+            headers.insert(COUNTED, HeaderValue::from_static("1"));
+        }
+    }
 }
 
 /// Why a request could not be forwarded.
@@ -91,10 +102,8 @@
     fn request(&self, now: Duration) -> Request<Full<Bytes>> {
         let mut request = self.call.resent(now, self.last_event);
         let headers = request.headers_mut();
-        headers.insert(ATTEMPTS, self.attempts.into());
-        if self.call.counted.get() {
-            headers.insert(COUNTED, HeaderValue::from_static("1"));
-        }
+        let counted = self.call.counted.get();
+        Statement { attempts: Some(self.attempts), counted }.write(headers);
         if let Some(key) = &self.call.authorization {
             headers.insert(AUTHORIZATION, key.clone());
         }
@@ -164,9 +173,12 @@
     }
 }
 
-/// Removes the headers between nodes.
-pub(crate) fn remove_internal(headers: &mut HeaderMap) {
-    for name in INTERNAL {
+/// Removes the headers between nodes: those of callers do not count, and callers and targets get
+/// none.
+pub fn remove_internal(headers: &mut HeaderMap) {
+    let is_internal = |name: &&HeaderName| name.as_str().starts_with(INTERNAL_PREFIX);
+    let internal: Vec<HeaderName> = headers.keys().filter(is_internal).cloned().collect();
+    for name in internal {
         headers.remove(name);
     }
 }
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -6,18 +6,14 @@
 use std::time::Duration;
 
 use fleet::Event;
-use platform::kv::{Item, LeaseId, Position, Revision, Write};
+use platform::kv::{Item, LeaseId, Revision, Write};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::event::LEADING;
 use crate::node::Node;
 use crate::store::{Reply, Store};
-
-/// Key that the leading node holds.
-pub(crate) const LEADER_KEY: &str = "magnoliarun/leader";
-/// Prefix of the keys under which nodes register.
-pub(crate) const NODE_PREFIX: &str = "magnoliarun/nodes/";
+use crate::stored::{LEADER_KEY, fence_number, node_key};
 
 /// Time to live of the leader's lease.
 const LEASE_TTL: Duration = Duration::from_millis(1600);
@@ -36,10 +32,6 @@
 /// Maximum time over which claims spread.
 const MAX_CLAIM_SPREAD: Duration = Duration::from_millis(600);
 
-/// Bits of a fencing number below the era. Revisions stay below this for decades at the highest
-/// write rate; the number stays exact in JSON for the first 8,192 eras.
-const ERA_SHIFT: u32 = 40;
-
 /// The leases of this node.
 pub(crate) struct Leadership {
     /// Lease of the leader key.
@@ -75,12 +67,6 @@
     }
 }
 
-/// Returns the fencing number of a leader key that was created at a position. It is higher than all
-/// those of earlier eras, in which revisions may have been higher.
-fn fence_number(created: Position) -> u64 {
-    created.era().saturating_mul(1 << ERA_SHIFT) | created.revision()
-}
-
 /// Returns the fencing number of this node's orders, if it leads.
 pub(crate) fn fence(node: &Node) -> Option<Revision> {
     let fenced = node.settings.bounds.fenced;
@@ -127,7 +113,7 @@
 
 async fn register(node: &Node, store: &Store, leadership: &Leadership) -> Duration {
     let Some(lease) = store.lease(PRESENCE_TTL).await else { return PRESENCE_INTERVAL / 4 };
-    let key = format!("{NODE_PREFIX}{}", node.internal_address());
+    let key = node_key(node.internal_address());
     let write = Write { key: &key, expected: None, value: b"", lease: lease.id };
     if !matches!(store.write(write).await, Reply::Done(..)) {
         return PRESENCE_INTERVAL / 4;
--- a/crates/edge/src/loan.rs
+++ b/crates/edge/src/loan.rs
@@ -17,8 +17,9 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::message::Message;
 use crate::node::Node;
-use crate::peers::{Message, send};
+use crate::peers::send;
 use crate::query::Queries;
 
 /// Maximum wait for retries of other nodes, which answer within a few milliseconds.
@@ -31,14 +32,14 @@
 const ASSUMED_LENDERS: u32 = 3;
 
 /// A number of retries that is requested or granted.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Loan {
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
     /// Service whose retry budget is concerned.
-    service: SmolStr,
+    pub service: SmolStr,
     /// Number of retries.
-    retries: u32,
+    pub retries: u32,
     /// Number of the query, unique on the requesting node.
-    query: u64,
+    pub query: u64,
 }
 
 /// Loans that this node requests.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,5 +1,5 @@
-//! Messages between nodes: how much memory their requests use at each target, which targets they
-//! have observed to fail or refuse, and replies to queries.
+//! Exchange of messages between nodes: how much memory their requests use at each target, which
+//! targets they have observed to fail or refuse, and replies to queries.
 //!
 //! Messages are datagrams and may be lost; there are no acknowledgements. A node that receives none
 //! relies on what it observes itself.
@@ -10,14 +10,13 @@
 
 use fleet::Event;
 use path::Fault;
-use serde::{Deserialize, Serialize};
 use site::TargetKey;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::event::PEERS;
-use crate::evidence::Evidence;
-use crate::loan::{self, Loan};
+use crate::event::{MESSAGE_UNREADABLE, PEERS};
+use crate::loan;
+use crate::message::{MAX_MESSAGE_BYTES, Message, Refusals, Unreadable, View, decode, encode};
 use crate::node::Node;
 use crate::relay::Freshness;
 
@@ -29,50 +28,10 @@
 const ALARM_DELAY: Duration = Duration::from_millis(5);
 /// Interval of queries to a follower of the store.
 const QUERY_INTERVAL: Duration = Duration::from_millis(600);
-/// Maximum size of a message: one datagram that is not fragmented on any link.
-const MAX_MESSAGE_BYTES: usize = 1400;
 /// Maximum number of targets in one message, about 20 bytes each.
 const MAX_LOADS: usize = 60;
 /// Maximum number of refusing engines in one message.
 const MAX_REFUSING: usize = 8;
-
-/// A message to another node.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) enum Message {
-    /// The sender's view of the targets.
-    View(View),
-    /// Requests retries.
-    LoanRequest(Loan),
-    /// Grants retries.
-    LoanGrant(Loan),
-    /// Evidence on requests that crash their targets.
-    Evidence(Vec<Evidence>),
-    /// Asks for the store revision that the receiver knows. Carries the number of the query.
-    FreshnessQuery(u64),
-    /// Answers a freshness query.
-    Freshness(Freshness),
-}
-
-/// One node's view of itself and the targets.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct View {
-    /// Tokens that the sender's requests use at each target with at least one.
-    loads: Vec<(TargetKey, u32)>,
-    /// Targets that the sender has recently observed to fail, and whether the only symptom is a
-    /// report that did not arrive in time.
-    down: Vec<(TargetKey, bool)>,
-    /// Engines that have recently refused a request of the sender.
-    refusing: Vec<TargetKey>,
-    /// Targets that have notified the sender that they are draining or request a pause.
-    declining: Vec<TargetKey>,
-    /// The highest fencing number known to the sender.
-    fence: u64,
-    /// Whether the sender can check keys.
-    checks_keys: bool,
-    /// Whether the sender reaches targets.
-    reaches_targets: bool,
-}
-
 /// Maximum number of draining or paused targets in one message.
 const MAX_DECLINING: usize = 8;
 
@@ -106,7 +65,10 @@
 
 /// Sends a message to all of `peers`.
 fn send_to_all(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
-    let Some(bytes) = encode(message) else { return };
+    let Some(bytes) = encode(message) else {
+        metrics::counter!("magnolia_peer_messages_too_long").increment(1);
+        return;
+    };
     peers.iter().for_each(|&peer| send_datagram(socket, &bytes, peer));
 }
 
@@ -115,16 +77,6 @@
     send_to_all(socket, message, &[peer]);
 }
 
-fn encode(message: &Message) -> Option<Vec<u8>> {
-    // Names and numbers always serialise.
-    let bytes = postcard::to_allocvec(message).ok()?;
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        metrics::counter!("magnolia_peer_messages_too_long").increment(1);
-        return None;
-    }
-    Some(bytes)
-}
-
 fn send_datagram(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
     if socket.try_send_to(bytes, peer).is_err() {
         metrics::counter!("magnolia_peer_messages_unsent").increment(1);
@@ -168,6 +120,7 @@
 /// Receives messages until the process ends.
 pub(crate) async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_MESSAGE_BYTES];
+    let mut refusals = Refusals::default();
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // A datagram that could not be delivered causes an error in the next call.
@@ -178,7 +131,7 @@
         if !node.peers.borrow().contains(&from) {
             continue;
         }
-        match postcard::from_bytes::<Message>(&buffer[..length]) {
+        match decode(&buffer[..length]) {
             Ok(Message::View(view)) => apply_view(&node, from, view),
             Ok(Message::LoanRequest(loan)) => loan::handle_request(&node, &socket, from, loan),
             Ok(Message::LoanGrant(loan)) => loan::handle_grant(&node, from, &loan),
@@ -187,11 +140,22 @@
             Ok(Message::Evidence(evidence)) => {
                 evidence.into_iter().for_each(|evidence| node.apply_evidence(evidence))
             }
-            Err(_) => metrics::counter!("magnolia_peer_messages_undecodable").increment(1),
+            Err(unreadable) => refuse(&mut refusals, from, &unreadable),
         }
     }
 }
 
+/// Counts a message that cannot be read, and logs the first one of its kind. During an upgrade it
+/// may be one of a newer build.
+fn refuse(refusals: &mut Refusals, from: SocketAddr, unreadable: &Unreadable) {
+    let kind = unreadable.kind();
+    metrics::counter!("magnolia_peer_messages_undecodable", "kind" => kind).increment(1);
+    if refusals.record(unreadable) {
+        let event = Event::new(MESSAGE_UNREADABLE).with("node", from).with("reason", unreadable);
+        log::warn!("{event}");
+    }
+}
+
 /// Queries followers of the store for the age of its state until the process ends.
 pub(crate) async fn query_followers(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
--- a/crates/edge/src/persistence.rs
+++ b/crates/edge/src/persistence.rs
@@ -12,20 +12,17 @@
 
 use fleet::Event;
 use platform::kv::{Item, Position, Revision, Write, decode_write};
-use serde::{Deserialize, Serialize};
 use suspect::{Fingerprint, Scope, Trials};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::call::hex;
-use crate::event::PART_TRIED;
+use crate::event::{PART_TRIED, UNDECODABLE};
 use crate::node::Node;
 use crate::quarantine::TTL;
 use crate::store::{Reply, Store};
+use crate::stored::{Quarantine, quarantine_key, quarantined};
 
-/// Prefix of the keys of quarantined requests and parts, followed by the fingerprint in
-/// hexadecimal.
-pub(crate) const QUARANTINE_PREFIX: &str = "magnoliarun/quarantine/";
 /// Time over which the nodes spread their writes of the same change: most then see the first write
 /// and skip theirs.
 const WRITE_SPREAD: Duration = Duration::from_millis(400);
@@ -37,33 +34,27 @@
 /// Lease of a key that does not end.
 const NO_LEASE: u64 = 0;
 
-/// Value of an entry.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct Value {
-    /// Number of trials so far; `None` for a request, which is not tried.
-    trials: Option<u32>,
-    /// End of the quarantine, milliseconds since the Unix epoch.
-    until_unix_ms: u64,
+/// Returns the value of a quarantine that starts, or continues, now. That of a part lasts beyond its
+/// next trial.
+fn starting_now(trials: Option<u32>) -> Quarantine {
+    let ttl = longest(trials);
+    Quarantine { trials, until_unix_ms: unix_ms().saturating_add(ttl.as_millis() as u64) }
 }
 
-impl Value {
-    /// Returns the value of a quarantine that starts, or continues, now. That of a part lasts beyond
-    /// its next trial.
-    fn starting_now(trials: Option<u32>) -> Self {
-        let ttl = TTL + trials.map(Trials::delay).unwrap_or_default();
-        Self { trials, until_unix_ms: unix_ms().saturating_add(ttl.as_millis() as u64) }
-    }
+/// Returns the time left; zero once the quarantine has ended.
+fn time_left(value: Quarantine) -> Duration {
+    let left = value.until_unix_ms.saturating_sub(unix_ms());
+    Duration::from_millis(left).min(longest(value.trials))
+}
 
-    /// Returns the time left; zero once the quarantine has ended.
-    fn time_left(self) -> Duration {
-        let longest = TTL + self.trials.map(Trials::delay).unwrap_or_default();
-        Duration::from_millis(self.until_unix_ms.saturating_sub(unix_ms())).min(longest)
-    }
+/// Returns whether the quarantine ended some time ago.
+fn is_obsolete(value: Quarantine) -> bool {
+    value.until_unix_ms.saturating_add(REMOVAL_DELAY.as_millis() as u64) < unix_ms()
+}
 
-    /// Returns whether the quarantine ended some time ago.
-    fn is_obsolete(self) -> bool {
-        self.until_unix_ms.saturating_add(REMOVAL_DELAY.as_millis() as u64) < unix_ms()
-    }
+/// Returns the time from the last change of an entry to the end of its quarantine.
+fn longest(trials: Option<u32>) -> Duration {
+    TTL + trials.map(Trials::delay).unwrap_or_default()
 }
 
 fn unix_ms() -> u64 {
@@ -86,7 +77,7 @@
 /// Entries of the store, and changes of them that are to be written.
 #[derive(Default)]
 pub(crate) struct Entries {
-    known: RefCell<BTreeMap<Fingerprint, (Position, Value)>>,
+    known: RefCell<BTreeMap<Fingerprint, (Position, Quarantine)>>,
     changes: RefCell<BTreeMap<Fingerprint, Change>>,
     /// Notified when a change is requested.
     change_requested: Notify,
@@ -102,7 +93,7 @@
     /// Requests the removal of entries whose quarantine has ended.
     pub(crate) fn remove_obsolete(&self) {
         let known = self.known.borrow();
-        let obsolete = known.iter().filter(|(_, (_, value))| value.is_obsolete());
+        let obsolete = known.iter().filter(|(_, (_, value))| is_obsolete(*value));
         obsolete.for_each(|(&fingerprint, _)| self.request(fingerprint, Change::Remove));
     }
 
@@ -111,28 +102,31 @@
     }
 }
 
-/// Returns the fingerprint in the key of an entry; `None` for a key that this system did not write.
-fn fingerprint(key: &str) -> Option<Fingerprint> {
-    Fingerprint::from_str_radix(key.strip_prefix(QUARANTINE_PREFIX)?, 16).ok()
+/// Decodes the value of an entry. One that cannot be read, as those of old builds that have none,
+/// counts as that of a request whose quarantine starts now.
+fn decode(key: &str, bytes: &[u8]) -> Quarantine {
+    Quarantine::decode(bytes).unwrap_or_else(|unreadable| {
+        log::warn!("{}", Event::new(UNDECODABLE).with("key", key).with("reason", unreadable));
+        starting_now(None)
+    })
 }
 
 impl Node {
     /// Applies an entry of the store, or its removal.
     pub(crate) fn apply_quarantine_entry(&self, item: &Item) {
-        let Some(fingerprint) = fingerprint(&item.key) else { return };
+        let Some(fingerprint) = quarantined(&item.key) else { return };
         let entries = &self.quarantine.entries;
         let Some(bytes) = &item.value else {
             entries.known.borrow_mut().remove(&fingerprint);
             return self.release_quarantined(fingerprint);
         };
-        // Entries of older versions have no value.
-        let value = postcard::from_bytes(bytes).unwrap_or_else(|_| Value::starting_now(None));
+        let value = decode(&item.key, bytes);
         entries.known.borrow_mut().insert(fingerprint, (item.position, value));
         entries
             .changes
             .borrow_mut()
             .retain(|other, change| *other != fingerprint || *change == Change::Remove);
-        let left = value.time_left();
+        let left = time_left(value);
         if left.is_zero() {
             return;
         }
@@ -146,7 +140,7 @@
     /// Records that an entry is missing although no node has removed it, as far as this node knows.
     /// Writes it again if the quarantine is still in force here.
     pub(crate) fn restore_quarantine_entry(&self, key: &str) {
-        let Some(fingerprint) = fingerprint(key) else { return };
+        let Some(fingerprint) = quarantined(key) else { return };
         self.quarantine.entries.known.borrow_mut().remove(&fingerprint);
         if self.is_quarantined(fingerprint) {
             self.quarantine.entries.request(fingerprint, Change::Save);
@@ -188,7 +182,7 @@
         return true;
     }
     let trials = node.quarantine.trials.borrow().number(fingerprint);
-    let reply = write(store, fingerprint, 0, Value::starting_now(trials)).await;
+    let reply = write(store, fingerprint, 0, starting_now(trials)).await;
     matches!(reply, Reply::Done(..) | Reply::Conflict)
 }
 
@@ -203,7 +197,7 @@
     // A revision of an earlier era says nothing about the present entry: no trial.
     let Some(revision) = current else { return true };
     let number = node.quarantine.trials.borrow().number(part).map_or(1, |number| number + 1);
-    let reply = write(store, part, revision, Value::starting_now(Some(number))).await;
+    let reply = write(store, part, revision, starting_now(Some(number))).await;
     if let Reply::Done(bytes, _) = &reply
         && decode_write(bytes).is_ok()
     {
@@ -222,17 +216,16 @@
     // After a change of era the entry is removed once it has been listed again.
     let current = node.replica.borrow().current_revision(position);
     let Some(revision) = current else { return false };
-    let reply = store.remove(&key(fingerprint), revision).await;
+    let reply = store.remove(&quarantine_key(fingerprint), revision).await;
     matches!(reply, Reply::Done(..) | Reply::Conflict | Reply::Missing)
 }
 
-async fn write(store: &Store, fingerprint: Fingerprint, expected: Revision, value: Value) -> Reply {
-    // Numbers always serialise.
-    let value = postcard::to_allocvec(&value).unwrap_or_default();
-    let (key, expected) = (key(fingerprint), Some(expected));
-    store.write(Write { key: &key, expected, value: &value, lease: NO_LEASE }).await
-}
-
-fn key(fingerprint: Fingerprint) -> String {
-    format!("{QUARANTINE_PREFIX}{}", hex(fingerprint))
+async fn write(
+    store: &Store,
+    fingerprint: Fingerprint,
+    expected: Revision,
+    value: Quarantine,
+) -> Reply {
+    let (key, expected) = (quarantine_key(fingerprint), Some(expected));
+    store.write(Write { key: &key, expected, value: &value.encode(), lease: NO_LEASE }).await
 }
