--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -32,8 +33,13 @@
 impl Entry {
     /// Starts a process and waits until its readiness port listens.
     pub(crate) fn start(name: &str, settings: &Settings) -> Self {
-        let mut command = command(name, &settings.text);
-        let child = command.stdout(Stdio::null()).spawn().expect("the process starts");
+        Self::start_command(command(name, &settings.text).stdout(Stdio::null()), settings)
+    }
+
+    /// Starts a process by a command with these settings and waits until its readiness port
+    /// listens.
+    pub(crate) fn start_command(command: &mut Command, settings: &Settings) -> Self {
+        let child = command.spawn().expect("the process starts");
         let entry = Self { child, front: settings.front, ready: settings.ready };
         let limit = Instant::now() + START_LIMIT;
         while status(entry.ready, "/ready").is_none() {
@@ -54,9 +60,14 @@
 
 /// Writes the settings to a temporary file and returns the command that runs a process with it.
 pub(crate) fn command(name: &str, text: &str) -> Command {
+    command_of(Path::new(env!("CARGO_BIN_EXE_magnoliarun")), name, text)
+}
+
+/// Writes the settings to a temporary file and returns the command that runs this program with it.
+pub(crate) fn command_of(program: &Path, name: &str, text: &str) -> Command {
     let file = std::env::temp_dir().join(format!("magnolia-{}-{name}.conf", std::process::id()));
     fs::write(&file, text).expect("a settings file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_magnoliarun"));
+    let mut command = Command::new(program);
     command.arg("front").env("MAGNOLIARUN_NODE_FILE", file);
     command
 }
