Placement: new engines are kept free for the layers of those that they replace

Cause: a release starts an engine and stops the old one a second later. The new one was empty meanwhile, so that `upgrade` had it load other layers, which took longer than that second (an h100 was given 48-80, 5.6 s, before the engine with 0-24 left). The gap then went to engines that were to replace others.

Test: place/tests/release.rs, on the code before: new_engine_is_kept_free::mixed ... FAILED: beside a-h100-0 left: [Move { target: "a-h100-100", layers: Layers { start: 48, end: 80 } }] right: [] ::few_kinds and ::mostly_l4 FAILED alike (an a100s is given 59-71, 28-40).

--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -20,6 +20,9 @@
 use crate::node::Node;
 use crate::tracker::{FollowUp, Outcome, Sent, Tracker};
 
+/// Time for which a new engine is kept free for the layers of one that it may replace: a release
+/// starts an engine some time before it stops the old one.
+const REPLACEMENT_WAIT: Duration = Duration::from_secs(3);
 /// Interval at which the leader plans the placement.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two plans above which the VM must have been suspended: waiting for orders takes
@@ -134,6 +137,7 @@
                     layers: pending.or(entry.layers),
                     order_pending: pending.is_some() || self.tracker.is_paused(&id) || down,
                     slow: entry.is_slow(),
+                    new: now.saturating_sub(entry.registered_at) < REPLACEMENT_WAIT,
                     id,
                 }
             })
--- a/crates/path/src/entry.rs
+++ b/crates/path/src/entry.rs
@@ -21,6 +21,8 @@
 pub struct Entry {
     /// The registration.
     pub target: Target,
+    /// Time at which this VM learned of the target.
+    pub registered_at: Duration,
     /// Layers that the target holds, from its latest report or store entry.
     pub layers: Option<Layers>,
     /// Number of orders that the target has accepted since its start; `None` while unknown.
@@ -56,8 +58,9 @@
 
 impl Entry {
     /// Returns the entry of a target that has not been observed yet.
-    pub(crate) fn new(target: Target) -> Self {
+    pub(crate) fn new(now: Duration, target: Target) -> Self {
         Self {
+            registered_at: now,
             layers: target.layers,
             orders: initial_orders(&target),
             layers_changed_at: Duration::ZERO,
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -125,7 +125,7 @@
                 .remove(&target.id)
                 .filter(|removed| removed.started_unix_ms == target.started_unix_ms);
             let availability = removed.map(|removed| removed.availability).unwrap_or_default();
-            let entry = Entry { availability, ..Entry::new(target) };
+            let entry = Entry { availability, ..Entry::new(now, target) };
             self.entries.insert(entry.target.id.clone(), entry);
             return true;
         };
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Returns whether no engine of the domain holds layers yet.
+    fn is_first_layout(&self) -> bool {
+        self.engines.iter().all(|engine| engine.layers.is_none())
+    }
+
     /// Returns the number of layers that an engine usually holds.
     pub(crate) fn usual_layers(&self, index: usize) -> Layer {
         self.usual_layers[index]
@@ -179,14 +184,14 @@
     ///
     /// Loads share the source of the weights, so none of these starts while a gap is being closed.
     fn add_copies(&mut self) {
-        let first_layout = self.engines.iter().all(|engine| engine.layers.is_none());
+        let first_layout = self.is_first_layout();
         let loading = !self.moves.is_empty() || self.fixed.iter().any(|fixed| *fixed);
         if loading && !first_layout {
             return;
         }
         for copies in 2..=self.copies {
             while let Some(range) = first_undercovered(&self.held, self.whole, copies) {
-                let Some(index) = self.fastest_surplus_engine() else { return };
+                let Some(index) = self.fastest_surplus_engine(first_layout) else { return };
                 let layers = fit_to_gap(range, self.usual_layers[index]);
                 self.assign(index, layers);
             }
@@ -194,14 +199,15 @@
     }
 
     /// Returns the fastest engine that holds no layers, or only layers that are held often enough
-    /// without it.
-    pub(crate) fn fastest_surplus_engine(&self) -> Option<usize> {
+    /// without it. New engines count only `with_new`.
+    pub(crate) fn fastest_surplus_engine(&self, with_new: bool) -> Option<usize> {
         let depth = self.whole.end;
         let counts = holder_counts(&self.held, depth);
         let free = (0..self.engines.len()).filter(|&index| {
             let held = self.held[index].map_or(0..0, |own| own.start..own.end.min(depth));
             let needed = held.into_iter().any(|layer| counts[usize::from(layer)] <= self.copies);
-            !self.fixed[index] && self.usual_layers[index] > 0 && !needed
+            let kept_free = self.engines[index].new && !with_new;
+            !self.fixed[index] && self.usual_layers[index] > 0 && !needed && !kept_free
         });
         free.max_by(|&a, &b| self.compare_speed(a, b))
     }
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -19,6 +19,9 @@
     pub order_pending: bool,
     /// Whether the engine is much slower than usual. Others hold its layers as well where they can.
     pub slow: bool,
+    /// Whether the engine has registered only now. It probably replaces one that is about to leave,
+    /// so that it only gets layers that would be missing otherwise.
+    pub new: bool,
 }
 
 /// A new layer range for an engine.
--- a/crates/place/src/upgrade.rs
+++ b/crates/place/src/upgrade.rs
@@ -16,7 +16,8 @@
         if !self.moves.is_empty() || self.fixed.iter().any(|fixed| *fixed) {
             return;
         }
-        let Some(index) = self.fastest_surplus_engine().filter(|&index| !self.engines[index].slow)
+        let Some(index) =
+            self.fastest_surplus_engine(false).filter(|&index| !self.engines[index].slow)
         else {
             return;
         };
--- /dev/null
+++ b/crates/place/tests/release.rs
@@ -0,0 +1,38 @@
+//! Plans while a release replaces engines one after the other: the new engine registers first, and
+//! the old one leaves somewhat later.
+
+use place::{Engine, plan};
+use sample::{engine, engines, model, plan_until_stable};
+use yare::parameterized;
+
+const FLOORLINE: [(&str, usize); 3] = [("a100s", 2), ("l4", 4), ("t4", 7)];
+const MIXED: [(&str, usize); 4] = [("h100", 1), ("a100s", 1), ("l4", 5), ("t4", 7)];
+const MOSTLY_L4: [(&str, usize); 3] = [("a100s", 1), ("l4", 8), ("t4", 3)];
+
+/// Returns the settled engines of a domain.
+fn settled(counts: &[(&str, usize)]) -> Vec<Engine> {
+    let mut all = engines("a", counts);
+    plan_until_stable(&mut all);
+    all
+}
+
+/// Returns an engine of the same kind as `old` that has registered only now.
+fn successor(old: &Engine, number: usize) -> Engine {
+    Engine { new: true, ..engine("a", &old.card, number) }
+}
+
+// Guards against a new engine that loads other layers, and so is not there when the engine that it
+// replaces leaves.
+#[parameterized(
+    few_kinds = { &FLOORLINE },
+    mixed = { &MIXED },
+    mostly_l4 = { &MOSTLY_L4 },
+)]
+fn new_engine_is_kept_free(counts: &[(&str, usize)]) {
+    let before = settled(counts);
+    for old in &before {
+        let mut all = before.clone();
+        all.push(successor(old, 100));
+        assert_eq!(plan(&all, &model()), [], "beside {}", old.id);
+    }
+}
--- a/crates/sample/src/lib.rs
+++ b/crates/sample/src/lib.rs
@@ -47,6 +47,7 @@
         layers: None,
         order_pending: false,
         slow: false,
+        new: false,
     }
 }
 
