Placement: one engine takes over a whole gap

Cause: an engine took the layers of one that left only if its usual number of layers was as large. Each new engine of a release raises the usual memory for requests, and so lowers that number by one: an a100s that held 0-13 was followed by two engines with 0-7 and 7-13, the second of them kept for another engine.

Change: where the domain has been laid out before, the smallest empty engine that can hold the whole gap with 0.7 of the usual memory for requests takes it.

Test: place/tests/release.rs, on the code before: one_engine_takes_over_from_the_one_that_leaves::mostly_l4 ... FAILED for a-a100s-0, before a-l4-0: left: [Some(Layers { start: 0, end: 7 }), Some(Layers { start: 7, end: 13 })] right: [Some(Layers { start: 0, end: 13 })]

--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -18,6 +18,9 @@
 /// Fraction of the usual token capacity that an engine keeps when it takes part of a gap in
 /// addition to its own layers. With less it would delay the whole chain.
 const EXTENDED_CAPACITY_FRACTION: f64 = 0.35;
+/// Fraction of the usual token capacity with which an engine takes a whole gap by itself. Dividing
+/// the gap would use up the engines that are to replace others.
+const WHOLE_GAP_FRACTION: f64 = 0.7;
 /// Factor by which the layers that a domain holds exceed its chains. The excess is spares.
 const SPARE_FACTOR: f64 = 1.08;
 /// Minimum token capacity of each engine where a domain holds its layers more than once. Below
@@ -270,11 +273,15 @@
     /// Assigns the first part of a gap to the smallest engine that can take all of it, else to the
     /// fastest.
     fn assign_gap_to(&mut self, gap: Layers, engines: Vec<usize>) -> bool {
-        let whole = engines.iter().copied().filter(|&index| self.usual_layers[index] >= gap.len());
+        let fraction = if self.is_first_layout() { 1.0 } else { WHOLE_GAP_FRACTION };
+        let tokens = (self.token_capacity * fraction).max(MIN_TOKENS);
+        let takes_whole = |index: &usize| self.layer_capacity(*index, tokens) >= gap.len();
+        let whole = engines.iter().copied().filter(takes_whole);
         let smallest = whole.min_by_key(|&index| self.usual_layers[index]);
         let fastest = || engines.iter().copied().max_by(|&a, &b| self.compare_speed(a, b));
         let Some(index) = smallest.or_else(fastest) else { return false };
-        let layers = fit_to_gap(gap, self.usual_layers[index]);
+        let layers =
+            if takes_whole(&index) { gap } else { fit_to_gap(gap, self.usual_layers[index]) };
         self.assign(index, layers);
         true
     }
--- a/crates/place/tests/release.rs
+++ b/crates/place/tests/release.rs
@@ -36,3 +36,24 @@
         assert_eq!(plan(&all, &model()), [], "beside {}", old.id);
     }
 }
+
+// Guards against layers of an engine that leaves being dealt to several engines, among them those
+// that are to replace others.
+#[parameterized(
+    few_kinds = { &FLOORLINE },
+    mixed = { &MIXED },
+    mostly_l4 = { &MOSTLY_L4 },
+)]
+fn one_engine_takes_over_from_the_one_that_leaves(counts: &[(&str, usize)]) {
+    let before = settled(counts);
+    let used = before.iter().filter(|old| old.layers.is_some());
+    let pairs = used.flat_map(|old| before.iter().map(move |other| (old, other)));
+    for (old, other) in pairs.filter(|(old, other)| old.id != other.id) {
+        let mut all = before.clone();
+        all.retain(|engine| engine.id != old.id);
+        all.extend([successor(old, 100), successor(other, 101)]);
+        let moves = plan(&all, &model());
+        let layers: Vec<_> = moves.iter().map(|change| Some(change.layers)).collect();
+        assert_eq!(layers, [old.layers], "for {}, before {}: {moves:?}", old.id, other.id);
+    }
+}
