--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -11,7 +11,7 @@
 use hyper::{Response, StatusCode};
 use path::{Fault, Path, Query, Stage};
 use site::{Model, TargetKey};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::Answer;
 use crate::attempts::Attempts;
@@ -30,6 +30,11 @@
 const MAX_OFFERS: u32 = 5;
 /// Share of an engine's memory above which new requests are refused.
 const MAX_PRESSURE: f64 = 1.0;
+/// Maximum wait for the link between failure domains. Engines mostly load layers that are missing
+/// in a domain in less time.
+const MAX_CROSSING_WAIT: Duration = Duration::from_millis(800);
+/// Interval at which a waiting request looks for a path that does not cross, or for a free link.
+const CROSSING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which a retry that was taken and not used may be used for another offer: it counts in the
 /// window in which it was taken.
 const RETRY_VALIDITY: Duration = Duration::from_millis(1000);
@@ -41,6 +46,8 @@
 const FULL: &str = "full";
 /// Reason of a request that has a path but no retry left in the budget.
 pub(crate) const NO_RETRY: &str = "no retry left";
+/// Reason of a request whose paths all cross failure domains, while the link is in use.
+const LINK_BUSY: &str = "link busy";
 /// Reason of a stream that has a path but may not run at any further engine.
 const NO_ATTEMPT: &str = "no attempt left";
 /// A refusal that takes longer than this indicates that the engine had stalled.
@@ -55,6 +62,8 @@
     tokens: f64,
     /// Tokens that the engines process before the first event.
     prefill: f64,
+    /// Whether the prompt counts as one that crosses failure domains.
+    crossing: bool,
 }
 
 impl InFlight {
@@ -65,8 +74,12 @@
             table.request_sent(node.now(), &stage.target);
             table.add_prefill(&stage.target, prefill);
         }
+        let crossing = path.crosses;
+        if crossing {
+            table.crossing_started();
+        }
         drop(table);
-        Self { node: node.clone(), path, sent_at: node.now(), tokens, prefill }
+        Self { node: node.clone(), path, sent_at: node.now(), tokens, prefill, crossing }
     }
 
     /// Records that the engines have accepted the request.
@@ -84,6 +97,9 @@
         for stage in &self.path.stages {
             table.add_prefill(&stage.target, -prefill);
         }
+        if std::mem::take(&mut self.crossing) {
+            table.crossing_ended();
+        }
     }
 }
 
@@ -539,11 +555,7 @@
         if self.node.admit(&self.call).await.is_err() {
             return Err(QUARANTINED);
         }
-        let path = self.find_path(now)?;
-        self.pressure = path.pressure;
-        if path.pressure > MAX_PRESSURE && !self.has_begun {
-            return Err(FULL);
-        }
+        let path = self.await_path().await?;
         if self.offers > 0 {
             if !self.take_retry().await {
                 return Err(NO_RETRY);
@@ -560,6 +572,32 @@
         Ok(path)
     }
 
+    /// Returns the best path that has room for the request. Waits if it crosses failure domains while
+    /// the link between them is in use.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    async fn await_path(&mut self) -> Result<Path, &'static str> {
+        let called_at = self.node.now();
+        loop {
+            let now = self.node.now();
+            let path = self.find_path(now)?;
+            self.pressure = path.pressure;
+            if path.pressure > MAX_PRESSURE && !self.has_begun {
+                return Err(FULL);
+            }
+            // A stream that resumes does not wait: its caller has been waiting for some time.
+            if !path.crosses || self.has_begun || self.node.table.borrow().may_cross() {
+                return Ok(path);
+            }
+            if now.saturating_sub(called_at) >= MAX_CROSSING_WAIT {
+                return Err(LINK_BUSY);
+            }
+            sleep(CROSSING_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns whether the stalled segment is kept at an engine.
     fn is_fallback_at(&self, first: SocketAddr) -> bool {
         self.fallback.as_ref().is_some_and(|kept| kept.path().first().address == first)
--- a/crates/node/tests/parts.rs
+++ b/crates/node/tests/parts.rs
@@ -1,7 +1,6 @@
 //! Tests the quarantine of parts of prompts that crash engines: real processes between callers and
 //! stand-ins.
 
-#[allow(dead_code, reason = "no signals are sent here")]
 mod entry;
 mod site;
 
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,7 +1,6 @@
 //! Tests nodes of two builds side by side: the commit in production, built from the history, and
 //! the present files. See `docs/design/upgrades.md`.
 
-#[allow(dead_code, reason = "the processes are of two builds")]
 mod entry;
 #[path = "upgrade/fleet.rs"]
 mod fleet;
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -18,6 +18,9 @@
 /// Fraction of the usual token capacity that an engine keeps when it takes part of a gap in
 /// addition to its own layers. With less it would delay the whole chain.
 const EXTENDED_CAPACITY_FRACTION: f64 = 0.35;
+/// Fraction of the usual token capacity with which an engine takes a whole gap by itself. Dividing
+/// the gap would use up the engines that are to replace others.
+const WHOLE_GAP_FRACTION: f64 = 0.7;
 /// Factor by which the layers that a domain holds exceed its chains. The excess is spares.
 const SPARE_FACTOR: f64 = 1.08;
 /// Minimum token capacity of each engine where a domain holds its layers more than once. Below
@@ -128,6 +131,11 @@
         }
     }
 
+    /// Returns whether no engine of the domain holds layers yet.
+    fn is_first_layout(&self) -> bool {
+        self.engines.iter().all(|engine| engine.layers.is_none())
+    }
+
     /// Returns the number of layers that an engine usually holds.
     pub(crate) fn usual_layers(&self, index: usize) -> Layer {
         self.usual_layers[index]
@@ -179,14 +187,14 @@
     ///
     /// Loads share the source of the weights, so none of these starts while a gap is being closed.
     fn add_copies(&mut self) {
-        let first_layout = self.engines.iter().all(|engine| engine.layers.is_none());
+        let first_layout = self.is_first_layout();
         let loading = !self.moves.is_empty() || self.fixed.iter().any(|fixed| *fixed);
         if loading && !first_layout {
             return;
         }
         for copies in 2..=self.copies {
             while let Some(range) = first_undercovered(&self.held, self.whole, copies) {
-                let Some(index) = self.fastest_surplus_engine() else { return };
+                let Some(index) = self.fastest_surplus_engine(first_layout) else { return };
                 let layers = fit_to_gap(range, self.usual_layers[index]);
                 self.assign(index, layers);
             }
@@ -194,14 +202,15 @@
     }
 
     /// Returns the fastest engine that holds no layers, or only layers that are held often enough
-    /// without it.
-    pub(crate) fn fastest_surplus_engine(&self) -> Option<usize> {
+    /// without it. New engines count only `with_new`.
+    pub(crate) fn fastest_surplus_engine(&self, with_new: bool) -> Option<usize> {
         let depth = self.whole.end;
         let counts = holder_counts(&self.held, depth);
         let free = (0..self.engines.len()).filter(|&index| {
             let held = self.held[index].map_or(0..0, |own| own.start..own.end.min(depth));
             let needed = held.into_iter().any(|layer| counts[usize::from(layer)] <= self.copies);
-            !self.fixed[index] && self.usual_layers[index] > 0 && !needed
+            let kept_free = self.engines[index].new && !with_new;
+            !self.fixed[index] && self.usual_layers[index] > 0 && !needed && !kept_free
         });
         free.max_by(|&a, &b| self.compare_speed(a, b))
     }
@@ -264,11 +273,15 @@
     /// Assigns the first part of a gap to the smallest engine that can take all of it, else to the
     /// fastest.
     fn assign_gap_to(&mut self, gap: Layers, engines: Vec<usize>) -> bool {
-        let whole = engines.iter().copied().filter(|&index| self.usual_layers[index] >= gap.len());
+        let fraction = if self.is_first_layout() { 1.0 } else { WHOLE_GAP_FRACTION };
+        let tokens = (self.token_capacity * fraction).max(MIN_TOKENS);
+        let takes_whole = |index: &usize| self.layer_capacity(*index, tokens) >= gap.len();
+        let whole = engines.iter().copied().filter(takes_whole);
         let smallest = whole.min_by_key(|&index| self.usual_layers[index]);
         let fastest = || engines.iter().copied().max_by(|&a, &b| self.compare_speed(a, b));
         let Some(index) = smallest.or_else(fastest) else { return false };
-        let layers = fit_to_gap(gap, self.usual_layers[index]);
+        let layers =
+            if takes_whole(&index) { gap } else { fit_to_gap(gap, self.usual_layers[index]) };
         self.assign(index, layers);
         true
     }
