--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
+use fleet::Version;
 use serde::{Deserialize, Serialize};
 use site::TargetKey;
 
@@ -30,6 +31,8 @@
     FreshnessQuery(u64),
     /// Answers a freshness query.
     Freshness(Freshness),
+    /// The version of the configuration in force on the sender, while the store's is older.
+    ConfigVersion(Version),
 }
 
 /// One node's view of itself and the targets. New fields are added at the end.
@@ -67,13 +70,14 @@
 }
 
 /// All variants, in order.
-const KINDS: [Kind; 6] = [
+const KINDS: [Kind; 7] = [
     Kind { name: "view", appended_bytes: 1 },
     Kind::new("loan-request"),
     Kind::new("loan-grant"),
     Kind::new("evidence"),
     Kind::new("freshness-query"),
     Kind::new("freshness"),
+    Kind::new("config-version"),
 ];
 
 /// Why a message cannot be read.
--- a/crates/edge/src/stored.rs
+++ b/crates/edge/src/stored.rs
@@ -18,6 +18,9 @@
 /// Prefix of the keys of quarantined requests and parts, followed by the fingerprint in
 /// hexadecimal.
 pub const QUARANTINE_PREFIX: &str = "magnoliarun/quarantine/";
+/// Key of the mark that names the era whose configuration is the operators' newest. The value is the
+/// era's number in decimal digits.
+pub const MARK_KEY: &str = "magnoliarun/settled-era";
 
 /// Bits of a fencing number below the era. Revisions stay below this for decades at the highest
 /// write rate; the number stays exact in JSON for the first 8,192 eras.
--- a/crates/edge/tests/layouts.rs
+++ b/crates/edge/tests/layouts.rs
@@ -71,6 +71,16 @@
 const EVIDENCE: &str = "0306ef9bafcdf8acd191010003692d310205ffffffffffffffffff010102010302\
                         04033d80cab5ee01050403692d31060503692d32";
 
+// Guards against a change of the layout of a message that later builds than c2cc6f3 send.
+#[parameterized(
+    config_version = { Encoded { message: Message::ConfigVersion(300), hex: "06ac02" } },
+)]
+fn later_messages_keep_their_layout(case: Encoded) {
+    let golden = bytes(case.hex);
+    assert_eq!(decode(&golden), Ok(case.message.clone()));
+    assert_eq!(encode(&case.message).expect("it fits into a datagram"), golden);
+}
+
 // Guards against a message that one of two builds side by side cannot read.
 #[parameterized(
     empty_view = { Encoded { message: Message::View(View::default()), hex: "0000000000000000" } },
@@ -194,6 +204,7 @@
 #[test]
 fn stored_keys_and_fencing_numbers_are_the_same() {
     assert_eq!(stored::LEADER_KEY, "magnoliarun/leader");
+    assert_eq!(stored::MARK_KEY, "magnoliarun/settled-era");
     let node = "10.1.0.40:7340".parse().expect("an address");
     assert_eq!(stored::node_key(node), "magnoliarun/nodes/10.1.0.40:7340");
     let key = "magnoliarun/quarantine/0000000000000abc";
