Path, place: layers that the model does not have do not count

Cause: the search for a path and the plan of layers took the layers of every entry as they came. One entry of another writer with layers from 100 on (of 8) made the search end beyond the last layer: no path for any request. One with layers from 0 to 65535 hid a gap from the plan, and counted as a holder of it.

Change: an engine with layers beyond the model is no part of a path, and counts as empty in the plan. The number of an engine's orders no longer overflows.

--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::DomainName;
+use fleet::{DomainName, Layers};
 use site::{Model, Report, State, Target, TargetKey};
 
 use crate::availability::Availability;
@@ -345,7 +345,7 @@
     pub fn record_order(&mut self, now: Duration, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.layers_changed_at = now;
-            entry.orders = entry.orders.map(|orders| orders + 1);
+            entry.orders = entry.orders.map(|orders| orders.saturating_add(1));
         }
     }
 
@@ -444,7 +444,12 @@
         // A VM that does not report its load is assumed to place the same load as this one.
         let unreported = self.vms.saturating_sub(1 + self.peer_loads.len());
         let assumed_vms = (1 + unreported) as f64;
-        let usable = self.usable(now, then, query).map(|entry| {
+        let whole = Layers::new(0, model.depth);
+        // The entry of another writer may name layers that the model does not have.
+        let usable = self
+            .usable(now, then, query)
+            .filter(|entry| entry.layers.is_none_or(|layers| whole.contains(layers)));
+        let usable = usable.map(|entry| {
             let held = entry.tokens * assumed_vms + entry.peer_tokens;
             let address = &entry.target.address;
             let may_start = query.allowed_first.is_none_or(|first| first.contains(address));
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -43,12 +43,20 @@
 pub fn gaps(engines: &[Engine], model: &Model) -> Vec<(DomainName, Layers)> {
     let whole = Layers::new(0, model.depth);
     let first = by_domain(engines).into_iter().filter_map(|(domain, local)| {
-        let held: Vec<Option<Layers>> = local.iter().map(|engine| engine.layers).collect();
+        let held: Vec<Option<Layers>> =
+            local.iter().map(|engine| held_layers(engine, model)).collect();
         first_undercovered(&held, whole, 1).map(|gap| (domain.clone(), gap))
     });
     first.collect()
 }
 
+/// Returns the layers of the model that an engine holds. One that states others, by its own fault or
+/// in the entry of another writer, counts as empty.
+fn held_layers(engine: &Engine, model: &Model) -> Option<Layers> {
+    let whole = Layers::new(0, model.depth);
+    engine.layers.filter(|layers| whole.contains(*layers) && !layers.is_empty())
+}
+
 /// Groups the engines by failure domain.
 fn by_domain(engines: &[Engine]) -> BTreeMap<&DomainName, Vec<&Engine>> {
     let mut domains: BTreeMap<&DomainName, Vec<&Engine>> = BTreeMap::new();
@@ -117,7 +125,7 @@
             model,
             whole: Layers::new(0, model.depth),
             copies,
-            held: engines.iter().map(|engine| engine.layers).collect(),
+            held: engines.iter().map(|engine| held_layers(engine, model)).collect(),
             fixed: engines.iter().map(|engine| engine.order_pending).collect(),
             token_capacity,
             usual_layers: engines
@@ -179,7 +187,8 @@
     ///
     /// Loads share the source of the weights, so none of these starts while a gap is being closed.
     fn add_copies(&mut self) {
-        let first_layout = self.engines.iter().all(|engine| engine.layers.is_none());
+        let holds_none = |engine: &&Engine| held_layers(engine, self.model).is_none();
+        let first_layout = self.engines.iter().all(holds_none);
         let loading = !self.moves.is_empty() || self.fixed.iter().any(|fixed| *fixed);
         if loading && !first_layout {
             return;
