Edge: odd entries and odd idle times leave the engines beside them in use

Causes: an entry of a service that no configuration names counted as a target: one at the address of an engine, and younger, removed the engine from the table. And `Keep-Alive: timeout=` overflowed the sum of times when the connection went back to the pool, which ended the request's task.

Change: entries of services that the configuration does not name are held back until one does (a target that is known already stays). Idle connections are kept for an hour at most. A quarantine entry's number of trials no longer overflows.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -8,7 +8,7 @@
 use fleet::Event;
 use platform::kv::{Item, Page};
 use platform::{CONFIG_KEY, TARGET_PREFIX};
-use site::{Config, Service};
+use site::{Config, Service, Target};
 use tokio::pin;
 use tokio::time::sleep;
 
@@ -18,6 +18,7 @@
 use crate::persistence::QUARANTINE_PREFIX;
 use crate::replica::Listing;
 use crate::store::{Reply, Store, log_undecodable};
+use crate::unnamed::Unnamed;
 use crate::watch::{Watch, batch_pause};
 
 /// Pause before a failed call is retried.
@@ -39,6 +40,8 @@
     leadership: Rc<Leadership>,
     /// Other nodes and this one, as registered in the store.
     nodes: HashSet<String>,
+    /// Entries whose service the configuration does not name.
+    unnamed: Unnamed,
     /// Time until which a missing entry does not remove its target.
     lenient_until: Duration,
     /// Whether this node relies on other nodes' proofs that nothing has changed.
@@ -48,8 +51,8 @@
 impl Follower {
     /// Returns a follower without any state.
     pub(crate) fn new(node: Rc<Node>, store: Rc<Store>, leadership: Rc<Leadership>) -> Self {
-        let (nodes, lenient_until, relayed) = Default::default();
-        Self { node, store, leadership, nodes, lenient_until, relayed }
+        let (nodes, unnamed, lenient_until, relayed) = Default::default();
+        Self { node, store, leadership, nodes, unnamed, lenient_until, relayed }
     }
 
     /// Follows the store until the process ends.
@@ -250,7 +253,7 @@
         *self.node.peers.borrow_mut() = peers;
     }
 
-    fn apply_config(&self, item: &Item) {
+    fn apply_config(&mut self, item: &Item) {
         let Some(value) = &item.value else { return };
         let config = match platform::decode_config(value) {
             Ok(config) => config,
@@ -269,9 +272,20 @@
         metrics::gauge!("magnolia_configuration_version").set(config.version as f64);
         *self.node.config.borrow_mut() = Some(Rc::new(config));
         self.node.routing_changed.notify_waiters();
+        for item in self.unnamed.take_all() {
+            self.apply_change(item);
+        }
+    }
+
+    /// Returns whether an entry names a target of a known service, or one that is known already.
+    fn is_named(&self, target: &Target) -> bool {
+        let config = self.node.config();
+        let is_service = config.is_none_or(|config| config.service(&target.service).is_some());
+        is_service || self.node.table.borrow().entry(&target.id).is_some()
     }
 
-    fn apply_target(&self, id: &str, item: &Item) {
+    fn apply_target(&mut self, id: &str, item: &Item) {
+        self.unnamed.remove(&item.key);
         let now = self.node.now();
         let Some(value) = &item.value else {
             self.node.table.borrow_mut().mark_missing(id, now.max(self.lenient_until));
@@ -279,6 +293,7 @@
             return;
         };
         match platform::decode_target(id, value) {
+            Ok(target) if !self.is_named(&target) => self.unnamed.insert(item.clone()),
             Ok(target) => {
                 let event = Event::new(TARGET_CHANGED)
                     .with("target", id)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod stream;
 mod tracker;
 mod unary;
+mod unnamed;
 mod used;
 mod watch;
 mod watchdog;
--- a/crates/edge/src/persistence.rs
+++ b/crates/edge/src/persistence.rs
@@ -202,7 +202,8 @@
     let current = node.replica.borrow().current_revision(position);
     // A revision of an earlier era says nothing about the present entry: no trial.
     let Some(revision) = current else { return true };
-    let number = node.quarantine.trials.borrow().number(part).map_or(1, |number| number + 1);
+    let number =
+        node.quarantine.trials.borrow().number(part).map_or(1, |number| number.saturating_add(1));
     let reply = write(store, part, revision, Value::starting_now(Some(number))).await;
     if let Reply::Done(bytes, _) = &reply
         && decode_write(bytes).is_ok()
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -35,6 +35,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Margin before the target's own idle timeout at which a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(1500);
+/// Maximum time for which an idle connection is kept, whatever the target announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
 /// Minimum size of the read buffer that `hyper` accepts.
 const BUFFER_BYTES: usize = 8 << 10;
 
@@ -207,7 +209,7 @@
     let Some(seconds) = timeout.and_then(|seconds| seconds.parse().ok()) else {
         return Some(DEFAULT_IDLE_TIMEOUT);
     };
-    Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
+    Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT).checked_sub(IDLE_MARGIN)
 }
 
 /// Reads a body to its end. Returns `None` if it is truncated or larger than `max_bytes`.
--- a/crates/node/tests/repeats.rs
+++ b/crates/node/tests/repeats.rs
@@ -39,7 +39,7 @@
     safe_late = { 186, Case { route: Route::Safe, repeat: Repeat::WithNextRequest } },
 )]
 fn repeated_refusals_answer_no_request(number: u8, case: Case) {
-    let site = Site::start(number, 1, &Document::default());
+    let mut site = Site::start(number, 1, &Document::default());
     // A plain target gets a request only once, so that another one has to run it.
     let targets = [&site.engines[..], &site.plain[..1]].concat();
     site.set_fault(&targets, Fault::RepeatsRefusals(case.repeat));
@@ -52,6 +52,9 @@
     }
     let runs = site.runs("r").len();
     assert!(runs >= REQUESTS / 4, "{runs} requests ran");
+    site.nodes[0].signal("TERM");
+    let ended = site.nodes[0].child.wait().expect("it ends");
+    assert_eq!(ended.code(), Some(0));
 }
 
 fn is_idempotent(route: Route) -> bool {
