--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod stream;
 mod tracker;
 mod unary;
+mod unnamed;
 mod used;
 mod watch;
 mod watchdog;
