Placement: only successors of engines that are there are kept free

Cause: a new engine was kept free for 3 s also where it replaced none, as after the loss of a domain's only h100.

Change: a new engine is kept free only if another one of its kind in the domain holds layers.

Test: place/tests/release.rs, on the code before: new_engine_without_another_of_its_kind_is_used_at_once ... FAILED left: [] right: ["a-h100-100"]

--- a/crates/place/src/balance.rs
+++ b/crates/place/src/balance.rs
@@ -155,7 +155,7 @@
         if best.is_some() || min_capacity >= SPARE_USE_FRACTION * self.usual_capacity() {
             return best;
         }
-        empty.retain(|&other| !self.engines[other].new);
+        empty.retain(|&other| !self.is_successor(other));
         empty.sort_by(|&a, &b| {
             self.token_capacity_at(b, 1).total_cmp(&self.token_capacity_at(a, 1))
         });
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -202,19 +202,27 @@
     }
 
     /// Returns the fastest engine that holds no layers, or only layers that are held often enough
-    /// without it. New engines count only `with_new`.
+    /// without it. Successors of other engines count only `with_new`.
     pub(crate) fn fastest_surplus_engine(&self, with_new: bool) -> Option<usize> {
         let depth = self.whole.end;
         let counts = holder_counts(&self.held, depth);
         let free = (0..self.engines.len()).filter(|&index| {
             let held = self.held[index].map_or(0..0, |own| own.start..own.end.min(depth));
             let needed = held.into_iter().any(|layer| counts[usize::from(layer)] <= self.copies);
-            let kept_free = self.engines[index].new && !with_new;
+            let kept_free = self.is_successor(index) && !with_new;
             !self.fixed[index] && self.usual_layers[index] > 0 && !needed && !kept_free
         });
         free.max_by(|&a, &b| self.compare_speed(a, b))
     }
 
+    /// Returns whether an engine probably replaces another one that is about to leave: it is new,
+    /// and another one of its kind holds layers.
+    pub(crate) fn is_successor(&self, index: usize) -> bool {
+        let engine = self.engines[index];
+        let mut others = self.engines.iter().filter(|other| other.id != engine.id);
+        engine.new && others.any(|other| other.card == engine.card && other.layers.is_some())
+    }
+
     /// Compares engines by speed, those of one kind by the number of layers that they usually hold.
     /// Of equal engines the first is the greatest.
     fn compare_speed(&self, a: usize, b: usize) -> Ordering {
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -19,8 +19,8 @@
     pub order_pending: bool,
     /// Whether the engine is much slower than usual. Others hold its layers as well where they can.
     pub slow: bool,
-    /// Whether the engine has registered only now. It probably replaces one that is about to leave,
-    /// so that it only gets layers that would be missing otherwise.
+    /// Whether the engine has registered only now. If there is another one of its kind, it probably
+    /// replaces that one, and only gets layers that would be missing otherwise.
     pub new: bool,
 }
 
--- a/crates/place/tests/release.rs
+++ b/crates/place/tests/release.rs
@@ -57,3 +57,17 @@
         assert_eq!(layers, [old.layers], "for {}, before {}: {moves:?}", old.id, other.id);
     }
 }
+
+// Guards against a fast engine that waits for 3 s although it replaces none: one that follows a
+// lost engine was then missing in the next seconds of trouble.
+#[test]
+fn new_engine_without_another_of_its_kind_is_used_at_once() {
+    let mut all = settled(&MIXED);
+    let lost = all.remove(0);
+    assert_eq!(lost.card, "h100");
+    plan_until_stable(&mut all);
+    all.push(successor(&lost, 100));
+    let moves = plan(&all, &model());
+    let targets: Vec<_> = moves.iter().map(|change| change.target.as_str()).collect();
+    assert_eq!(targets, ["a-h100-100"]);
+}
