Edge: nothing but its next events follows in a stream that was resumed

Cause: a 200 to a resumed request counted as the rest of the stream, whatever it was: text with an empty line was passed on as an event, an HTTP head in the body too, events with a gap or of a run from the start as well, and an empty body of any type ended the stream as complete. An answer of another node was relayed without a look at its status: an empty 404 ended the stream as complete.

A success without a signature is no answer to any request. In a stream with numbers, each event has a number and consists of fields; another run goes on with the next number (a later one if the numbers have skipped before). Anything else is Ended::Foreign: the engine's fault, and the stream goes on elsewhere or is cut. A stream whose events bear no numbers is not resumed. The text of a failure is not waited for while a stream is resumed.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use path::{Fault, Path, Query, Stage};
@@ -22,6 +23,7 @@
 use crate::pool::{Connection, Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::quarantine::QUARANTINED;
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough};
+use crate::resumed::{is_signed, is_stream};
 use crate::segment::Segment;
 use crate::watchdog::STALL_TIMEOUT;
 
@@ -369,6 +371,10 @@
         }
         let forward = Forward { call: &call, attempts, last_event };
         match forward.send(&node).await {
+            Ok(exchange) if last_event.is_some() && !is_stream(&exchange.response) => {
+                // The connection is closed: its answer is of no use to a stream that has begun.
+                Some(Err(Failure::Unknown))
+            }
             Ok(exchange) => {
                 self.offers += 1;
                 Some(Ok(Opened::Node(exchange)))
@@ -556,12 +562,25 @@
         if status != StatusCode::OK {
             node.record_fault(first.address, Fault::Failed, "failure status");
             let (parts, body) = response.into_parts();
+            if last_event.is_some() {
+                // Its text is of no use to a stream that has begun.
+                node.pool.drain(body, connection).await;
+                return Outcome::Failed(passthrough(status, &parts.headers, Bytes::new()));
+            }
             let left = call.deadline.saturating_sub(node.now());
             let body = timeout(left, read_body(body, MAX_ANSWER_BYTES)).await;
             let Some(body) = body.ok().flatten() else { return Outcome::Unknown };
             node.pool.release(connection);
             return Outcome::Failed(passthrough(status, &parts.headers, body));
         }
+        let is_answer = match last_event {
+            Some(_) => is_stream(&response),
+            None => is_signed(response.headers()),
+        };
+        if !is_answer {
+            node.record_fault(first.address, Fault::Failed, "success without a stream");
+            return Outcome::Unknown;
+        }
         in_flight.record_accepted();
         Outcome::Accepted(Accepted { response, connection, in_flight })
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod replica;
 mod reply;
+mod resumed;
 mod segment;
 mod split;
 mod store;
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -54,11 +54,13 @@
         let mut segment = match next {
             Continuation::Kept(segment) => segment,
             Continuation::Moved(Opened::Path(accepted)) => {
+                progress.begin_segment();
                 let segment = Segment::new(&dispatch.node, accepted, progress.events);
                 progress.path = segment.path().to_string();
                 segment
             }
             Continuation::Moved(Opened::Node(exchange)) => {
+                progress.begin_segment();
                 progress.path = "another node".to_owned();
                 let ended = forward::relay_events(dispatch, exchange, sender, progress).await;
                 return ended.outcome().unwrap_or("cut by another node");
@@ -114,7 +116,8 @@
     ended: Ended,
     progress: &Progress,
 ) -> Result<Continuation, Failure> {
-    let resumable = matches!(dispatch.call.kind, Kind::Stream { resumable: true });
+    let resumable =
+        matches!(dispatch.call.kind, Kind::Stream { resumable: true }) && !progress.is_unnumbered;
     let path = segment.path().clone();
     segment.record_interruption(dispatch, progress);
     dispatch.record_run(&path);
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -53,6 +53,12 @@
 #[derive(Default)]
 pub(crate) struct Progress {
     pub(crate) last_event: Option<u64>,
+    /// Whether the next event is the first one of another run of the request.
+    resumes: bool,
+    /// Whether the numbers of the events have skipped some.
+    skips: bool,
+    /// Whether an event without a number was forwarded: such a stream cannot be resumed.
+    pub(crate) is_unnumbered: bool,
     pub(crate) events: u64,
     pub(crate) first_at: Option<Duration>,
     last_at: Duration,
@@ -76,10 +82,16 @@
         sender: &Sender<Result<Bytes, Broken>>,
         deadline: Instant,
     ) -> Option<Ended> {
-        if event.id.is_some() && event.id <= self.last_event {
-            return None;
+        if !event.is_comment {
+            if !self.is_expected(&event) {
+                return Some(Ended::Foreign);
+            }
+            if event.id.is_some() && event.id <= self.last_event {
+                return None;
+            }
+            self.resumes = false;
         }
-        self.record_event(event.id, arrived_at);
+        self.record_event(&event, arrived_at);
         tokio::select! {
             sent = sender.send(Ok(event.bytes)) => sent.err().map(|_| Ended::CallerGone),
             // The caller reads too slowly to finish before the deadline.
@@ -87,8 +99,25 @@
         }
     }
 
+    /// Starts another segment. The events of its run have to follow those forwarded so far.
+    pub(crate) fn begin_segment(&mut self) {
+        self.resumes = self.last_event.is_some();
+    }
+
+    /// Returns whether an event can be one of this stream. In a stream with numbers each event has
+    /// one, and another run goes on with the next one.
+    fn is_expected(&self, event: &Event) -> bool {
+        let Some(last) = self.last_event else { return true };
+        let Some(id) = event.id.filter(|_| event.is_valid) else { return false };
+        !self.resumes || id == last + 1 || self.skips && id > last
+    }
+
     /// Records an event that is forwarded.
-    fn record_event(&mut self, id: Option<u64>, now: Duration) {
+    fn record_event(&mut self, event: &Event, now: Duration) {
+        let id = event.id;
+        let skipped = self.last_event.zip(id).is_some_and(|(last, id)| id > last + 1);
+        self.skips |= skipped;
+        self.is_unnumbered |= id.is_none() && !event.is_comment;
         if self.first_at.is_some() {
             let longest_gap = now.saturating_sub(self.last_at);
             if longest_gap > self.longest_gap {
@@ -109,6 +138,8 @@
     Complete,
     /// The answer ended before it was complete, or contained an oversized event.
     Cut,
+    /// The answer contained something that is no event of this stream, which was not forwarded.
+    Foreign,
     /// An engine of the path makes no progress. The connection stays open in case no other path
     /// accepts the stream.
     Stalled,
@@ -124,7 +155,7 @@
             Ended::Complete => Some("complete"),
             Ended::CallerGone => Some("caller left"),
             Ended::TimedOut => Some("timed out"),
-            Ended::Cut | Ended::Stalled => None,
+            Ended::Cut | Ended::Foreign | Ended::Stalled => None,
         }
     }
 }
@@ -241,6 +272,10 @@
                 }
                 let delivered = progress.events;
                 if let Some(ended) = progress.deliver(event, arrived_at, sender, deadline).await {
+                    if ended == Ended::Foreign {
+                        let first = path.first().address;
+                        node.record_fault(first, Fault::Failed, "no event of this stream");
+                    }
                     return ended;
                 }
                 if progress.events > delivered && progress.events == clear_at {
--- a/crates/edge/src/split.rs
+++ b/crates/edge/src/split.rs
@@ -14,6 +14,8 @@
     pub bytes: Bytes,
     /// Whether the event consists of comments only, which serve as keep-alives.
     pub is_comment: bool,
+    /// Whether each line is a field or a comment. Other text is no event.
+    pub is_valid: bool,
 }
 
 /// Collects bytes and returns complete events.
@@ -39,7 +41,9 @@
         };
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
-        Some(Event { id: id(&bytes), is_comment: is_comment(&bytes), bytes })
+        let (id, is_comment) = (id(&bytes), is_comment(&bytes));
+        let is_valid = lines(&bytes).all(is_field);
+        Some(Event { id, bytes, is_comment, is_valid })
     }
 
     /// Returns whether the incomplete event in the buffer exceeds the maximum size.
@@ -68,8 +72,19 @@
 }
 
 fn is_comment(event: &[u8]) -> bool {
-    let mut lines = event.split(|&byte| byte == b'\n').filter(|line| !line.trim_ascii().is_empty());
-    lines.all(|line| line.starts_with(b":"))
+    lines(event).all(|line| line.starts_with(b":"))
+}
+
+/// Returns the lines of an event that are not empty.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|&byte| byte == b'\n').filter(|line| !line.trim_ascii().is_empty())
+}
+
+/// Returns whether a line starts with the name of a field and a colon, or is a comment.
+fn is_field(line: &[u8]) -> bool {
+    let is_name = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    let end = line.iter().position(|&byte| !is_name(byte));
+    end.is_some_and(|end| line[end] == b':')
 }
 
 fn id(event: &[u8]) -> Option<u64> {
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
+use crate::resumed::is_signed;
 
 /// Maximum number of targets that a request is sent to, including those that refused it.
 const MAX_OFFERS: u32 = 4;
@@ -238,6 +239,10 @@
         }
         return Outcome::NotRun;
     }
+    if parts.status.is_success() && !is_signed(&parts.headers) {
+        node.record_fault(address, Fault::Failed, "success without a signature");
+        return Outcome::Unknown("success without a signature");
+    }
     let Some(body) = read_body(body, MAX_ANSWER_BYTES).await else {
         node.record_fault(address, Fault::Failed, "answer truncated or too large");
         return Outcome::Unknown("answer truncated or too large");
