--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod relay;
 mod replica;
 mod reply;
+mod resumed;
 mod segment;
 mod split;
 mod store;
