Quarantine: decisions wait until losses are confirmed

What callers saw: a sound request was refused for ten minutes (503, Retry-After 600) after it had waited for engines that were silent for 1.8 s.

Cause: each target that was left out counted as lost to the requests that it ran. Two such losses lead to a decision after 0.4 s, which is not withdrawn when the targets answer.

Change: evidence counts as before, at once. Only the decision waits while a target that it rests on may be silent: out of use, no refused connection, no later start, less than two seconds of silence. Such targets are probed every 100 ms meanwhile; their answer as the same start withdraws the evidence. Suspects are held, not sent.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -41,4 +41,5 @@
     FORWARDED = 1138, "request-forwarded", "A request is sent to another node, because this one does not reach the targets.";
     INTERRUPTED = 1139, "stream-interrupted", "A stream on this path was cut, or has stalled (`ended`), after this number of events; another path is sought. `is_broken` states whether an engine of the path was known to be down.";
     UNCOUNTED = 1151, "attempts-uncounted", "A request that has run at as many engines as its route allows is sent `to` a further one, or to another node, because the engines `ended` must have ended or been cut off, and do not count. `reaches_targets` states whether this node reaches its targets.";
+    DECISION_WAITS = 1152, "decision-waits", "A decision whether to quarantine a request, or requests with this part in their prompts, is due and waits, because the targets that it rests on may only be silent.";
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod claim;
 mod clock;
+mod confirm;
 mod contact;
 mod diagnose;
 mod dispatch;
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -22,6 +22,7 @@
 
 use crate::answer::{Answer, retry_later};
 use crate::call::{Call, hex};
+use crate::confirm::CONFIRM_INTERVAL;
 use crate::event::{
     REFUSED, REQUEST_CLEARED, REQUEST_HELD, REQUEST_ISOLATED, REQUEST_QUARANTINED,
     REQUEST_SUSPECTED,
@@ -91,6 +92,16 @@
         self.interruptions.borrow_mut().expire(now);
     }
 
+    /// Returns the names of the targets that were lost under a fingerprint.
+    pub(crate) fn lost_targets(&self, fingerprint: Fingerprint, now: Duration) -> Vec<TargetName> {
+        self.suspects.borrow().lost_targets(fingerprint, now)
+    }
+
+    /// Makes the decision on a fingerprint due again.
+    pub(crate) fn postpone_decision(&self, fingerprint: Fingerprint) {
+        self.suspects.borrow_mut().postpone_decision(fingerprint);
+    }
+
     fn place(&self, domain: Option<&DomainName>) -> Place {
         let rack = Default::default();
         let Some(domain) = domain else { return Place { domain: u16::MAX, rack } };
@@ -104,7 +115,7 @@
 }
 
 /// Returns a name for one start of a target, because a restarted target keeps its id.
-fn instance_name(target: &Target) -> TargetName {
+pub(crate) fn instance_name(target: &Target) -> TargetName {
     format!("{}/{}", target.id, target.started_unix_ms).into()
 }
 
@@ -382,8 +393,7 @@
             match self.standing(part, now) {
                 Status::Clear | Status::Suspect => {}
                 Status::Quarantined(_) => quarantined.push(part),
-                Status::Pending(at) if now >= at => return Admission::Decide(part),
-                Status::Pending(at) => return Admission::Wait(at),
+                Status::Pending(at) => return self.pending(part, at, now),
             }
         }
         match self.standing(call.fingerprint, now) {
@@ -392,12 +402,22 @@
                 let start = self.earliest_start(call.fingerprint, now);
                 start.map_or(Admission::Run, Admission::Wait)
             }
-            Status::Pending(at) if now >= at => Admission::Decide(call.fingerprint),
-            Status::Pending(at) => Admission::Wait(at),
+            Status::Pending(at) => self.pending(call.fingerprint, at, now),
             _ => Admission::Refuse(self.quarantined_for(call)),
         }
     }
 
+    /// Returns what becomes of a request while a decision that is due at `at` is pending.
+    fn pending(&self, fingerprint: Fingerprint, at: Duration, now: Duration) -> Admission {
+        if now < at {
+            return Admission::Wait(at);
+        }
+        match self.awaits_confirmation(fingerprint) {
+            true => Admission::Wait(now + CONFIRM_INTERVAL),
+            false => Admission::Decide(fingerprint),
+        }
+    }
+
     /// Returns whether a request with these quarantined parts may run: if there are none, or as
     /// their trial. Requests the permission for a trial that is due.
     fn may_try(&self, quarantined: &[Fingerprint]) -> bool {
@@ -462,10 +482,10 @@
         let now = self.now();
         let settings = &self.quarantine.settings;
         let due = self.quarantine.suspects.borrow_mut().take_due_decisions(now, settings);
-        due.into_iter().for_each(|fingerprint| self.decide(fingerprint, now));
+        due.into_iter().for_each(|fingerprint| self.decide_or_wait(fingerprint));
     }
 
-    fn decide(&self, fingerprint: Fingerprint, now: Duration) {
+    pub(crate) fn decide(&self, fingerprint: Fingerprint, now: Duration) {
         let settings = &self.quarantine.settings;
         let decision = self.quarantine.suspects.borrow_mut().decide(fingerprint, now, settings);
         let targets = match decision {
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -23,6 +23,13 @@
 /// Time for which engines are silent beside a request that has not run before.
 const SILENCE: Duration = Duration::from_millis(1800);
 
+/// Time after which the same request is sent again while engines are silent.
+const BEFORE_REPEAT: Duration = Duration::from_millis(1300);
+
+/// Retry delays from which a refusal is that of a quarantined request, seconds. Without a path, the
+/// caller returns earlier.
+const QUARANTINE_RETRY_AFTER: f64 = 30.0;
+
 /// Engines that fall silent, in the order of a stream's path.
 #[derive(Clone, Copy)]
 enum Which {
@@ -115,16 +122,25 @@
 
 // Guards against a sound request that is quarantined because the engines that it waited for were
 // silent: its attempts were counted as losses of those engines.
-#[test]
-fn silence_quarantines_no_request() {
-    let site = Site::start(149, 1, &Document { attempts: 3, ..Document::default() });
+#[parameterized(
+    first_engines = { 149, 0 },
+    last_engines = { 195, 1 },
+)]
+fn silence_quarantines_no_request(number: u8, stage: usize) {
+    let site = Site::start(number, 1, &Document { attempts: 3, ..Document::default() });
     ended(site.streams(0, "w", 4 * STREAMS));
-    let firsts: BTreeSet<SocketAddr> = site.runs("w").iter().map(|run| run.engines[0]).collect();
-    firsts.iter().for_each(|&engine| site.platform.set_silent(engine, true));
+    let silent: BTreeSet<SocketAddr> =
+        site.runs("w").iter().map(|run| run.engines[stage]).collect();
+    silent.iter().for_each(|&engine| site.platform.set_silent(engine, true));
     let unseen = |id: &str| Call { body: "unseen", ..Call::new(Route::Resumable, id) };
     let waiting = spawn_call(site.nodes[0].front, unseen("q"));
-    sleep(SILENCE);
-    firsts.iter().for_each(|&engine| site.platform.set_silent(engine, false));
+    sleep(BEFORE_REPEAT);
+    let repeated = spawn_call(site.nodes[0].front, unseen("r"));
+    sleep(SILENCE - BEFORE_REPEAT);
+    silent.iter().for_each(|&engine| site.platform.set_silent(engine, false));
+    let reply = repeated.join().expect("a caller thread ends");
+    let is_refused_shortly = reply.retry_after.is_some_and(|after| after < QUARANTINE_RETRY_AFTER);
+    assert!(reply.is_complete(EVENTS) || is_refused_shortly, "{reply:?}");
     let reply = waiting.join().expect("a caller thread ends");
     assert!(reply.is_complete(EVENTS), "{reply:?}");
     let again = send_call(site.nodes[0].front, &unseen("q2"));
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -111,6 +111,8 @@
     unanswered_probes: u32,
     /// Whether an unanswered probe shows that the target is lost.
     lost: bool,
+    /// Whether the target has refused a connection.
+    refused: bool,
 }
 
 impl Down {
@@ -190,6 +192,7 @@
         if let Some(down) = &mut self.down {
             down.local |= local;
             down.report_timeout_only &= report_timeout_only;
+            down.refused |= fault == Fault::Refused;
             return false;
         }
         let is_early = report_timeout_only || fault == Fault::Refused;
@@ -203,6 +206,7 @@
             report_timeout_only,
             unanswered_probes: 0,
             lost: false,
+            refused: fault == Fault::Refused,
         };
         self.down = Some(down);
         true
@@ -221,6 +225,7 @@
             return false;
         };
         down.unanswered_probes += 1;
+        down.refused |= failure == ProbeFailure::Refused;
         let silent_for = sent_at.checked_sub(down.silent_since);
         let shows_loss = silent_for.is_some_and(|silent_for| {
             failure == ProbeFailure::Refused || silent_for >= LOSS_TIMEOUT
@@ -262,6 +267,12 @@
         self.down.is_some_and(|down| now.saturating_sub(down.silent_since) >= LOSS_TIMEOUT)
     }
 
+    /// Returns whether a target out of use may be sound: it has refused no connection, and has been
+    /// silent for no longer than a sound one is.
+    pub fn may_be_silent(&self, now: Duration) -> bool {
+        self.down.is_some_and(|down| !down.refused && !down.lost) && !self.is_silent(now)
+    }
+
     /// Returns whether this VM itself observed the fault for which the target is out of use.
     pub fn is_locally_observed(&self) -> bool {
         self.down.is_some_and(|down| down.local)
@@ -285,6 +296,13 @@
         }
     }
 
+    /// Makes a probe due within `delay`, if the target is out of use.
+    pub fn probe_within(&mut self, now: Duration, delay: Duration) {
+        if let Some(down) = &mut self.down {
+            down.probe_at = down.probe_at.min(now + delay);
+        }
+    }
+
     /// Returns whether a probe is due, and if so schedules the next one after a longer delay.
     pub fn poll_probe(&mut self, now: Duration) -> bool {
         match &mut self.down {
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -381,6 +381,13 @@
         }
     }
 
+    /// Makes a probe of a target due within `delay`, if it is out of use.
+    pub fn probe_within(&mut self, now: Duration, id: &str, delay: Duration) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.health.probe_within(now, delay);
+        }
+    }
+
     /// Returns the targets for which a probe is due: those out of use, and slow engines.
     pub fn due_probes(&mut self, now: Duration) -> Vec<(TargetKey, SocketAddr)> {
         let entries = self.entries.values_mut();
--- a/crates/path/tests/health.rs
+++ b/crates/path/tests/health.rs
@@ -207,6 +207,38 @@
     assert_eq!(health.is_silent(NOW + ms(3600)), case.silent);
 }
 
+/// A fault of a target, its unanswered probes as above, and whether it may be sound after a time.
+struct Doubt {
+    fault: Fault,
+    probes: &'static [(u64, ProbeFailure)],
+    at_ms: u64,
+    may_be_silent: bool,
+}
+
+/// Guards against quarantine of a sound request because the engines that it waited for were silent
+/// for a second: each counted as ended, with what it ran as the likely cause.
+#[parameterized(
+    just_left_out = { Doubt { fault: Fault::ReportTimeout, probes: &[], at_ms: 10, may_be_silent: true } },
+    reported = { Doubt { fault: Fault::Reported, probes: &[], at_ms: 10, may_be_silent: true } },
+    unresponsive = { Doubt { fault: Fault::Unresponsive, probes: &[(300, Timeout), (900, Timeout)], at_ms: 1200, may_be_silent: true } },
+    silent_for_long = { Doubt { fault: Fault::Unresponsive, probes: &[(300, Timeout), (900, Timeout)], at_ms: 2000, may_be_silent: false } },
+    refused_at_once = { Doubt { fault: Fault::Refused, probes: &[], at_ms: 10, may_be_silent: false } },
+    refused_probe = { Doubt { fault: Fault::ReportTimeout, probes: &[(50, Refused)], at_ms: 60, may_be_silent: false } },
+    refused_once = { Doubt { fault: Fault::ReportTimeout, probes: &[(50, Refused), (150, Timeout)], at_ms: 400, may_be_silent: false } },
+)]
+fn target_may_be_silent_until_it_refuses_or_for_two_seconds(case: Doubt) {
+    let ms = Duration::from_millis;
+    let mut health = Health::default();
+    assert!(!health.may_be_silent(NOW));
+    health.record_fault(NOW, case.fault);
+    for (at, failure) in case.probes {
+        health.record_unanswered_probe(NOW + ms(*at), *failure);
+    }
+    assert_eq!(health.may_be_silent(NOW + ms(case.at_ms)), case.may_be_silent);
+    health.restore(NOW + ms(case.at_ms));
+    assert!(!health.may_be_silent(NOW + ms(case.at_ms)));
+}
+
 /// Guards against each VM finding out by its own request that an engine refuses. An engine drains
 /// while the store is unavailable, and 32 VMs each have a request for it every half second (grown
 /// Kinywaji trouble-3, seconds 27 to 30: 234 refusals by three engines, 34 requests refused for
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -426,6 +426,11 @@
         due
     }
 
+    /// Makes a decision that was due be returned again by [`Suspects::take_due_decisions`].
+    pub fn postpone_decision(&mut self, fingerprint: Fingerprint) {
+        self.pending.insert(fingerprint);
+    }
+
     /// Returns whether there is full-weight evidence against a fingerprint, or it is quarantined.
     pub fn has_full_evidence(&self, fingerprint: Fingerprint) -> bool {
         let record = self.records.get(&fingerprint);
