--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -43,4 +43,5 @@
     MESSAGE_UNREADABLE = 1145, "message-unreadable", "A message of another node cannot be read and is ignored; logged once for each kind. During an upgrade, the other node may run a newer build.";
     ERA_SETTLED = 1148, "era-settled", "The configuration in force is the operators' newest in this era of the store. The store states so from now on, for nodes that start.";
     UNCOUNTED = 1151, "attempts-uncounted", "A request that has run at as many engines as its route allows is sent `to` a further one, or to another node, because the engines `ended` must have ended or been cut off, and do not count. `reaches_targets` states whether this node reaches its targets.";
+    DECISION_WAITS = 1152, "decision-waits", "A decision whether to quarantine a request, or requests with this part in their prompts, is due and waits, because the targets that it rests on may only be silent.";
 }
