Targets: a removed target is known until the requests that it runs have ended

Cause: some engines leave without a notice but the removal of their entry, and serve for seconds on.

Change: the entry stays, as one that drains, while requests of this node run there; faults and probes are recorded as for others. When the entry returns, the target is used again. A removed target counts neither as lost nor as replaced by a younger one at its address.

Test: path/tests/paths.rs, on the code before: removed_target_is_known_until_its_requests_end ... FAILED "its request goes on" (removed_target_is_used_again_when_its_entry_returns passes before as well: there the entry is new.)

--- a/crates/path/src/entry.rs
+++ b/crates/path/src/entry.rs
@@ -54,6 +54,10 @@
     pub stalled_streams: u32,
     /// Time from which a target without a store entry counts as removed.
     pub(crate) removed_at: Option<Duration>,
+    /// Whether the target has been removed. It is known until the last request of this VM there has
+    /// ended: some targets leave without a notice but the removal of their entry, and serve the
+    /// requests that they have.
+    pub(crate) removed: bool,
 }
 
 impl Entry {
@@ -76,6 +80,7 @@
             streams: 0,
             stalled_streams: 0,
             removed_at: None,
+            removed: false,
             target,
         }
     }
@@ -120,9 +125,10 @@
         now < self.deprioritised_until
     }
 
-    /// Returns whether the target drains, by its store entry or its own announcement.
+    /// Returns whether the target drains, by its store entry or the lack of one, or its own
+    /// announcement.
     pub fn is_draining(&self) -> bool {
-        self.target.state == State::Draining || self.availability.is_draining()
+        self.removed || self.target.state == State::Draining || self.availability.is_draining()
     }
 }
 
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -137,6 +137,7 @@
             return true;
         };
         entry.removed_at = None;
+        let was_removed = std::mem::take(&mut entry.removed);
         let mut target = target;
         // A target that drains ends; only an old copy of its entry can say otherwise.
         if entry.target.started_unix_ms == target.started_unix_ms
@@ -145,7 +146,7 @@
             target.state = State::Draining;
         }
         if entry.target == target {
-            return false;
+            return was_removed;
         }
         if entry.target.started_unix_ms != target.started_unix_ms
             || entry.target.address != target.address
@@ -184,7 +185,8 @@
     /// Returns the targets that must have ended if `target` is running: earlier starts of its id,
     /// and older targets at its address.
     pub fn replaced_by(&self, target: &Target) -> Vec<Target> {
-        let targets = self.entries.values().map(|entry| &entry.target);
+        let known = self.entries.values().filter(|entry| !entry.removed);
+        let targets = known.map(|entry| &entry.target);
         let earlier = targets.filter(|other| {
             let same = other.id == target.id || other.address == target.address;
             same && other.started_unix_ms < target.started_unix_ms
@@ -206,16 +208,26 @@
     pub fn expire(&mut self, now: Duration) -> Vec<Target> {
         self.expire_peer_loads(now);
         self.removed.retain(|_, removed| removed.until > now);
-        let removed =
-            self.entries.extract_if(|_, entry| entry.removed_at.is_some_and(|at| at <= now));
-        let removed: Vec<Entry> = removed.map(|(_, entry)| entry).collect();
-        for entry in removed.iter().filter(|entry| entry.availability.is_restricted(now)) {
+        let lapsed = self.entries.values_mut().filter(|entry| {
+            !entry.removed && entry.removed_at.is_some_and(|removed_at| removed_at <= now)
+        });
+        let lapsed = lapsed.map(|entry| {
+            entry.removed = true;
+            entry.target.clone()
+        });
+        let lapsed = lapsed.collect();
+        self.forget_removed(now);
+        lapsed
+    }
+
+    /// Drops removed targets on which no request of this VM runs.
+    fn forget_removed(&mut self, now: Duration) {
+        let idle = self.entries.extract_if(|_, entry| entry.removed && entry.running_requests == 0);
+        for (id, entry) in idle.filter(|(_, entry)| entry.availability.is_restricted(now)) {
             let (started_unix_ms, availability, until) =
                 (entry.target.started_unix_ms, entry.availability, now + AVAILABILITY_TTL);
-            self.removed
-                .insert(entry.target.id.clone(), Removed { started_unix_ms, availability, until });
+            self.removed.insert(id, Removed { started_unix_ms, availability, until });
         }
-        removed.into_iter().map(|entry| entry.target).collect()
     }
 
     /// Records that the target at an address drains. Returns its id if this was not known before.
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -441,3 +441,36 @@
     table.crossing_ended();
     assert!(table.may_cross());
 }
+
+// Guards against streams that leave a sound engine at their first pause of 0.1 s, because its entry
+// has been removed: some engines leave without another notice, and go on serving for seconds.
+#[test]
+fn removed_target_is_known_until_its_requests_end() {
+    let mut table = table();
+    table.add_request("t1", 800.0);
+    table.mark_missing("t1", NOW);
+    let removed: Vec<_> = table.expire(NOW).into_iter().map(|target| target.id).collect();
+    assert_eq!(removed, ["t1"]);
+    assert!(table.expire(NOW).is_empty(), "removed once");
+    assert!(!table.is_down("t1"), "its request goes on");
+    let path = table.path(NOW, &model(), &query(&[])).expect("a path");
+    assert_eq!(names(&path), ["t3", "t4"], "nothing new");
+    table.record_fault(NOW, address(1), Fault::Unresponsive);
+    assert!(table.is_down("t1"), "a fault is recorded");
+    assert!(!table.is_lost("t1"), "it leaves as planned");
+    table.remove_request("t1", 800.0);
+    table.expire(NOW);
+    assert!(table.entry("t1").is_none());
+}
+
+// Guards against a target that stays out of use after its entry has lapsed and come back.
+#[test]
+fn removed_target_is_used_again_when_its_entry_returns() {
+    let mut table = table();
+    table.add_request("t1", 800.0);
+    table.mark_missing("t1", NOW);
+    table.expire(NOW);
+    assert!(table.set(NOW, target(1, "a", (0, 40))), "a change");
+    let path = table.path(NOW, &model(), &query(&[address(3)])).expect("a path");
+    assert_eq!(names(&path), ["t1", "t2"]);
+}
