Retries: a plain call has one attempt at a time that does not count yet

Callers' safe requests ran at three targets where their route allows two.

Cause: since attempts at silent targets go on, one that ended while another was under way made room for a third, and the one under way was not counted.

A further target is tried only once all attempts count. Also: an offer that was not sent, or was refused, after it had been counted no longer counts; a target that refused while another one is silent may be tried again after its pause; and the refusal of another node is no longer told to a caller whose request may have run here.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -130,7 +130,7 @@
             metrics::counter!("magnolia_forwarded").increment(1);
             let sending = node.pool.send(peer, self.request(node.now()), &self.call.used);
             match timeout(left, sending).await {
-                Ok(Ok(exchange)) if is_refusal(&exchange) => {
+                Ok(Ok(exchange)) if is_refusal(&exchange.response) => {
                     refused = Some(whole_answer(node, self.call, exchange).await);
                 }
                 Ok(Ok(exchange)) => {
@@ -148,8 +148,7 @@
 }
 
 /// Returns whether a node itself refused a request: targets sign their answers.
-fn is_refusal(exchange: &Exchange) -> bool {
-    let response = &exchange.response;
+pub(crate) fn is_refusal<B>(response: &Response<B>) -> bool {
     let refuses = response.status() == StatusCode::SERVICE_UNAVAILABLE;
     refuses && !response.headers().contains_key(head::STAMP)
 }
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -18,7 +18,7 @@
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
-use crate::forward::{MAX_UNSENT, forward_unary, name_target};
+use crate::forward::{MAX_UNSENT, forward_unary, is_refusal, name_target};
 use crate::node::Node;
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
@@ -123,7 +123,12 @@
         && may_run
         && let Some(response) = forward_unary(node, call, call.attempts - ran).await
     {
-        return response;
+        // The refusal of another node promises only that the request has not run there.
+        return if ran > 0 && is_refusal(&response) {
+            unknown_outcome(node, call)
+        } else {
+            response
+        };
     }
     match dispatch.failed {
         Some(response) => response,
@@ -158,12 +163,12 @@
     /// `None` if no target gives one.
     async fn run(&mut self) -> Option<Response<Answer>> {
         loop {
-            let next = if self.may_offer() { self.next_target().await } else { None };
+            let is_left_to_others = self.retry_taken && self.is_cut_off();
+            let may_offer = self.may_offer() && !is_left_to_others;
+            let next = if may_offer { self.next_target().await } else { None };
             match next {
                 Some((target, address)) => self.start(target, address),
-                None if self.pending.is_empty() || self.retry_taken && self.is_cut_off() => {
-                    return None;
-                }
+                None if self.pending.is_empty() || is_left_to_others => return None,
                 None => {}
             }
             let Some((attempt, outcome)) = self.wait().await else {
@@ -179,9 +184,11 @@
         }
     }
 
-    /// Returns whether the request may be sent to a target, or to another one.
+    /// Returns whether the request may be sent to a target, or to another one. At most one attempt at
+    /// a time does not count yet among those that have run.
     fn may_offer(&self) -> bool {
-        let may_run = (self.ran == 0 || self.may_repeat()) && self.quarantined.is_none();
+        let is_due = self.pending.iter().all(|attempt| attempt.counted);
+        let may_run = (self.ran == 0 || self.may_repeat()) && self.quarantined.is_none() && is_due;
         may_run && self.offers < MAX_OFFERS && !(self.offers > 0 && self.is_forwardable())
     }
 
@@ -230,8 +237,8 @@
     /// too, or its deadline has passed.
     async fn wait(&mut self) -> Option<(Attempt<'a>, Outcome)> {
         let left = self.time_left();
-        let is_last_counted = self.pending.last().is_none_or(|attempt| attempt.counted);
-        let may_repeat = match is_last_counted {
+        let are_all_counted = self.pending.iter().all(|attempt| attempt.counted);
+        let may_repeat = match are_all_counted {
             true => self.may_offer(),
             false => self.call.kind.is_idempotent() && self.ran + 1 < self.call.attempts,
         };
@@ -301,8 +308,17 @@
                 self.failed = Some(response);
                 self.ran += u32::from(!counted);
             }
-            Outcome::NotSent => self.unsent += 1,
-            Outcome::NotRun => self.ran -= u32::from(counted),
+            Outcome::NotSent => {
+                self.unsent += 1;
+                self.ran -= u32::from(counted);
+            }
+            Outcome::NotRun => {
+                self.ran -= u32::from(counted);
+                if !self.pending.is_empty() {
+                    // It may accept the request after its pause, while another target is silent.
+                    self.excluded.retain(|excluded| *excluded != address);
+                }
+            }
             Outcome::Unknown(_) => {
                 node.record_interruption(call, std::iter::once(&target), sent_at, true);
                 node.check_connection(address);
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -8,7 +8,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use platform_standin::{Call, Document, Fault, Route, spawn_call};
+use platform_standin::{Call, Document, Fault, PLAIN, Route, Setup, spawn_call};
 use site::{EVENTS, Site, ended};
 use yare::parameterized;
 
@@ -153,3 +153,63 @@
     let replies = ended(streams);
     assert!(replies[0].is_complete(EVENTS), "{replies:?}");
 }
+
+/// Time until the engines of one failure domain go on, while the others stay silent.
+const FIRST_SILENCE: Duration = Duration::from_millis(1400);
+/// Time until the others go on.
+const LONG_SILENCE: Duration = Duration::from_millis(4500);
+/// Time within which a stream begins once an engine that has the request goes on.
+const BEGIN_LIMIT: Duration = Duration::from_millis(2500);
+
+// Guards against an answer that is not read because the request waits for another engine too.
+#[test]
+fn any_engine_that_goes_on_answers() {
+    let site = Site::start(178, 1, &Document { attempts: 2, ..Document::default() });
+    site.engines.iter().for_each(|&engine| site.platform.set_silent(engine, true));
+    let streams = site.streams(0, "a", STREAMS);
+    sleep(FIRST_SILENCE);
+    site.engines[..3].iter().for_each(|&engine| site.platform.set_silent(engine, false));
+    sleep(LONG_SILENCE - FIRST_SILENCE);
+    site.engines[3..].iter().for_each(|&engine| site.platform.set_silent(engine, false));
+    for (index, reply) in ended(streams).iter().enumerate() {
+        assert!(reply.is_complete(EVENTS), "stream {index}: {reply:?}");
+        assert!(reply.elapsed < BEGIN_LIMIT, "stream {index}: {reply:?}");
+    }
+}
+
+/// Requests to three targets that are silent.
+const SAFE_CALLS: usize = 9;
+/// Times at which the targets go on, one after another. The second attempt is made after 0.45 of the
+/// time that the callers grant.
+const SILENCES: [Duration; 3] = [ms(2300), ms(300), ms(300)];
+/// Time that the callers grant.
+const SAFE_DEADLINE: Duration = Duration::from_millis(4000);
+
+// Guards against a plain call at more targets than its route allows: the first of two silent targets
+// failed, and a third one was tried while the second still had the request.
+#[test]
+fn plain_call_runs_at_no_more_targets_than_allowed() {
+    let document = Document { attempts: 2, ..Document::default() };
+    let site = Site::start(179, 1, &document);
+    let setup = Setup { id: "p3".into(), service: PLAIN, domain: "a", events: 0 };
+    let third = site.platform.start_target("127.82.179.1", setup);
+    let targets = [site.plain[0], site.plain[1], third];
+    sleep(BEFORE_LOSS * 5);
+    site.set_fault(&targets, Fault::Fails);
+    targets.iter().for_each(|&target| site.platform.set_silent(target, true));
+    let call = |index: usize| {
+        let call = Call::new(Route::Safe, &format!("p{index}-"));
+        spawn_call(site.nodes[0].front, Call { deadline: SAFE_DEADLINE, ..call })
+    };
+    let calls: Vec<_> = (0..SAFE_CALLS).map(call).collect();
+    for (target, silence) in targets.into_iter().zip(SILENCES) {
+        sleep(silence);
+        site.platform.set_silent(target, false);
+    }
+    ended(calls);
+    for index in 0..SAFE_CALLS {
+        let runs = site.runs(&format!("p{index}-"));
+        let used: BTreeSet<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+        assert!(used.len() <= document.attempts as usize, "call {index} ran at {used:?}");
+    }
+}
