Streams: all attempts that wait are looked at; one that counts as ended may count again

Of the attempts of a stream before its first event only the last one was read: an answer of an earlier one, or the loss of its engine, was seen when the others had ended, and a refusal read late was taken for a stalled engine. A node that had lost its targets gave such a request up although no other node could take it; a silent prompt kept the link between failure domains from others; an engine that had only been out of reach never counted again among those at which the request had run; a refusal of other nodes was told to a caller whose request may have run here.

The reason for which a request was sent to no further path stands beside an unknown outcome. One attempt has a file of its own (attempt.rs).

--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -11,7 +11,7 @@
 pub struct Attempts {
     /// The first engine of each path that accepted the request.
     engines: Vec<Stage>,
-    /// Those that have ended without notice. It stays known when their entries are replaced.
+    /// Those that have ended without notice. It stays known when their entries are removed.
     ended: RefCell<BTreeSet<TargetKey>>,
     /// Number of attempts that were left to other nodes, which may have used them.
     forwarded: u32,
@@ -52,6 +52,11 @@
         counted as u32 + self.forwarded + u32::from(is_new)
     }
 
+    /// Counts the engines again that are known to run: they were only out of reach for a while.
+    pub fn recount(&self, is_running: impl Fn(&TargetKey) -> bool) {
+        self.ended.borrow_mut().retain(|engine| !is_running(engine));
+    }
+
     /// Returns the engines that no longer count.
     pub fn ended(&self) -> Vec<TargetKey> {
         self.ended.borrow().iter().cloned().collect()
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -2,26 +2,25 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use path::{Fault, Path, Query, Stage};
 use site::{Model, TargetKey};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::Answer;
+use crate::attempt::{Accepted, Attempt, InFlight, Outcome, next_answer};
 use crate::attempts::Attempts;
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::{RETRIED, UNCOUNTED};
 use crate::forward::{self, Forward, MAX_UNSENT};
 use crate::node::Node;
-use crate::pool::{Connection, Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::quarantine::QUARANTINED;
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough};
 use crate::resumed::{is_signed, is_stream};
@@ -40,6 +39,8 @@
 /// Time for which a retry that was taken and not used may be used for another offer: it counts in the
 /// window in which it was taken.
 const RETRY_VALIDITY: Duration = Duration::from_millis(1000);
+/// Reason of a request to which another node has given no answer.
+const NODE_FAILED: &str = "no answer of another node";
 /// Reason of a stream that other nodes refuse to resume.
 const REFUSED_BY_NODES: &str = "refused by other nodes";
 /// Reason of a request for which no path is available.
@@ -55,92 +56,12 @@
 /// A refusal that takes longer than this indicates that the engine had stalled.
 const SLOW_REFUSAL: Duration = Duration::from_millis(800);
 
-/// A request that is counted as running at the engines of a path. Dropping it ends the count.
-pub(crate) struct InFlight {
-    node: Rc<Node>,
-    pub(crate) path: Path,
-    /// Time at which the request was sent.
-    pub(crate) sent_at: Duration,
-    tokens: f64,
-    /// Tokens that the engines process before the first event.
-    prefill: f64,
-    /// Whether the prompt counts as one that crosses failure domains.
-    crossing: bool,
-}
-
-impl InFlight {
-    fn start(node: &Rc<Node>, path: Path, tokens: f64, prefill: f64) -> Self {
-        let mut table = node.table.borrow_mut();
-        for stage in &path.stages {
-            table.add_request(&stage.target, tokens);
-            table.request_sent(node.now(), &stage.target);
-            table.add_prefill(&stage.target, prefill);
-        }
-        let crossing = path.crosses;
-        if crossing {
-            table.crossing_started();
-        }
-        drop(table);
-        Self { node: node.clone(), path, sent_at: node.now(), tokens, prefill, crossing }
-    }
-
-    /// Records that the engines have accepted the request.
-    fn record_accepted(&self) {
-        let mut table = self.node.table.borrow_mut();
-        for stage in &self.path.stages {
-            table.request_accepted(self.node.now(), &stage.target);
-        }
-    }
-
-    /// Records that the engines have processed the prompt.
-    fn record_prefill_done(&mut self) {
-        let prefill = std::mem::take(&mut self.prefill);
-        let mut table = self.node.table.borrow_mut();
-        for stage in &self.path.stages {
-            table.add_prefill(&stage.target, -prefill);
-        }
-        if std::mem::take(&mut self.crossing) {
-            table.crossing_ended();
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.record_prefill_done();
-        let mut table = self.node.table.borrow_mut();
-        for stage in &self.path.stages {
-            table.remove_request(&stage.target, self.tokens);
-        }
-    }
-}
-
-/// A request that was sent to a path and has no answer yet. Dropping it closes the connection, which
-/// cancels the request at the engines.
-struct Attempt {
-    in_flight: InFlight,
-    answer: Pin<Box<dyn Future<Output = Result<Exchange, Unanswered>>>>,
-}
-
-impl Attempt {
-    fn path(&self) -> &Path {
-        &self.in_flight.path
-    }
-}
-
-/// An answer whose head has arrived.
-pub(crate) struct Accepted {
-    pub(crate) response: Response<Incoming>,
-    pub(crate) connection: Connection,
-    pub(crate) in_flight: InFlight,
-}
-
 /// Why no path gave an answer.
 pub(crate) enum Failure {
     /// The request has not run.
     NotRun(&'static str),
-    /// The request may have run.
-    Unknown,
+    /// The request may have run. States why it was sent to no further path.
+    Unknown(&'static str),
     /// The engine answered with a failure status.
     Failed(Response<Answer>),
 }
@@ -149,8 +70,7 @@
     /// Returns what prevented an answer, for the log.
     pub(crate) fn reason(&self) -> &'static str {
         match self {
-            Failure::NotRun(reason) => reason,
-            Failure::Unknown => "no answer",
+            Failure::NotRun(reason) | Failure::Unknown(reason) => reason,
             Failure::Failed(_) => "another target failed",
         }
     }
@@ -161,44 +81,12 @@
             Failure::NotRun(NO_RETRY) => "cut, no retry left",
             Failure::NotRun(NO_ATTEMPT) => "cut, no attempt left",
             Failure::NotRun(_) => "cut, no other path",
-            Failure::Unknown => "cut, lost on other paths too",
+            Failure::Unknown(_) => "cut, lost on other paths too",
             Failure::Failed(_) => "cut, another target failed",
         }
     }
 }
 
-/// Outcome of an attempt at one path.
-enum Outcome {
-    Accepted(Accepted),
-    /// No connection to the first engine could be established.
-    NotSent,
-    /// This engine refused the request.
-    NotRun(TargetKey),
-    Unknown,
-    /// An engine of the path is lost, or this node has lost its targets.
-    Lost,
-    /// An engine of the path does not respond, and there is another path.
-    Stalled(Attempt),
-    Failed(Response<Answer>),
-    TimedOut,
-}
-
-impl Outcome {
-    /// Returns the reason of a failed attempt and whether the request can have run, for the log.
-    fn failure(&self) -> Option<(&'static str, &'static str)> {
-        match self {
-            Outcome::Accepted(_) => None,
-            Outcome::NotSent => Some(("no connection", "no")),
-            Outcome::NotRun(_) => Some(("refused", "no")),
-            Outcome::Unknown => Some(("connection lost, or invalid answer", "unknown")),
-            Outcome::Lost => Some(("an engine of the path was lost", "unknown")),
-            Outcome::Stalled(_) => Some(("an engine of the path does not respond", "unknown")),
-            Outcome::Failed(_) => Some(("failure status", "yes")),
-            Outcome::TimedOut => Some(("no answer in time", "unknown")),
-        }
-    }
-}
-
 /// An answer to a streaming request, whose head has arrived.
 pub(crate) enum Opened {
     /// From the first engine of a path.
@@ -226,7 +114,7 @@
     pub(crate) has_begun: bool,
     /// Segment of a stalled stream that continues if no other path accepts the request.
     pub(crate) fallback: Option<Segment>,
-    /// Attempts at silent paths, which go on if no other path accepts the request.
+    /// Attempts without an answer: the last one, and those at silent paths, which may go on.
     waiting: Vec<Attempt>,
     /// Share of memory in use on the best path of the last search.
     pub(crate) pressure: f64,
@@ -276,6 +164,13 @@
 
     /// Returns at how many further engines the request may run.
     fn attempts_left(&self, next: Option<&Stage>) -> u32 {
+        let table = self.node.table.borrow();
+        let is_running = |id: &TargetKey| {
+            let entry = table.entry(id);
+            entry.is_some_and(|entry| !entry.health.is_down())
+        };
+        self.ran.recount(is_running);
+        drop(table);
         let counted = self.ran.count(next, |engine| self.node.has_ended(engine));
         self.call.attempts.saturating_sub(counted)
     }
@@ -315,11 +210,7 @@
     /// there is no other. A request without an attempt left, also one whose stream was cut before
     /// its first event, may run only at engines where it has run.
     fn find_path(&self, now: Duration) -> Result<Path, &'static str> {
-        let path = self.find_path_after(now, None)?;
-        if !self.ran.contains(path.first()) {
-            self.log_uncounted(&path.first().target);
-        }
-        Ok(path)
+        self.find_path_after(now, None)
     }
 
     /// Returns the path that [`Dispatch::find_path`] returns once the request has also run at
@@ -339,19 +230,26 @@
         path.or_else(|| if self.has_begun { find(&[], allowed_first) } else { None }).ok_or(missing)
     }
 
-    /// Returns whether to try another path while the request waits at `path`, of which an engine is
-    /// down. Takes the retry for it.
-    async fn may_try_another(&self, path: &Path) -> bool {
+    /// Returns whether to try another path beside the last attempt, on whose path an engine is down.
+    /// Takes the retry for it.
+    async fn may_try_another(&self) -> bool {
+        let Some(attempt) = self.waiting.last() else { return false };
+        let path = attempt.path();
+        if !self.node.is_broken(path) || self.offers >= self.max_offers {
+            return false;
+        }
         let next = self.find_path_after(self.node.now(), Some(path.first()));
         let may_be_sent = match next {
-            // Below, only a stream that resumes is sent without an attempt left or to full engines.
+            // A stream that has begun is sent without an attempt left and to full engines too.
             Ok(_) if self.has_begun => true,
             Ok(next) => {
-                next.pressure <= MAX_PRESSURE && !self.would_exhaust_attempts(Some(path.first()))
+                let has_room = next.pressure <= MAX_PRESSURE;
+                let may_cross = !next.crosses || self.node.table.borrow().may_cross();
+                has_room && may_cross && !self.would_exhaust_attempts(Some(path.first()))
             }
             Err(_) => false,
         };
-        if !may_be_sent || self.offers >= self.max_offers {
+        if !may_be_sent {
             return false;
         }
         let taken = self.take_retry().await;
@@ -429,9 +327,9 @@
         self.log_uncounted("another node");
         let forward = Forward { call: &call, attempts, last_event };
         match forward.send(&node).await {
-            Ok(exchange) if last_event.is_some() && !is_stream(&exchange.response) => {
+            Ok(exchange) if self.has_begun && !is_stream(&exchange.response) => {
                 // The connection is closed: its answer is of no use to a stream that has begun.
-                Some(Err(Failure::Unknown))
+                Some(Err(Failure::Unknown(NODE_FAILED)))
             }
             Ok(exchange) => {
                 self.ran.record_forwarded(attempts);
@@ -446,10 +344,14 @@
                 self.keep_retry();
                 Some(Err(Failure::NotRun(REFUSED_BY_NODES)))
             }
+            Err(forward::Failure::Refused(_)) if has_run => {
+                // The refusal promises only that the request has not run there.
+                Some(Err(Failure::Unknown(REFUSED_BY_NODES)))
+            }
             Err(forward::Failure::Refused(response)) => Some(Err(Failure::Failed(response))),
             Err(forward::Failure::Unknown) => {
                 self.ran.record_forwarded(attempts);
-                Some(Err(Failure::Unknown))
+                Some(Err(Failure::Unknown(NODE_FAILED)))
             }
         }
     }
@@ -470,21 +372,24 @@
         let mut failure = None;
         let unsent_before = self.unsent;
         let reason = loop {
+            // At most one attempt at a time is not known to be silent.
+            let is_due = self.waiting.iter().all(|attempt| attempt.is_silent);
             let may_run_elsewhere =
                 !unknown && failure.is_none() || self.has_begun || !self.attempts_exhausted();
-            let next = match may_run_elsewhere {
+            let next = match is_due && may_run_elsewhere {
                 true => self.next_path(unsent_before, last_event).await,
                 false => Err(NO_ATTEMPT),
             };
-            let attempt = match next {
+            match next {
                 Ok(path) => self.start(path, last_event),
-                Err(reason) => match self.waiting.pop() {
-                    Some(attempt) => attempt,
-                    None => break reason,
-                },
+                Err(reason) if self.waiting.is_empty() => break reason,
+                Err(_) => {}
+            }
+            let Some((in_flight, outcome)) = self.await_outcome().await else {
+                unknown = true;
+                continue;
             };
-            let (path, sent_at) = (attempt.path().clone(), attempt.in_flight.sent_at);
-            let outcome = self.finish(attempt).await;
+            let path = in_flight.path.clone();
             let first = path.first().address;
             if let Some((reason, ran)) = outcome.failure() {
                 // A later engine of the path may have refused the request.
@@ -492,10 +397,14 @@
                     Outcome::NotRun(target) => target,
                     _ => &path.first().target,
                 };
+                let sent_at = in_flight.sent_at;
                 log_failed_attempt(&self.node, &self.call, target, reason, ran, sent_at);
             }
             match outcome {
-                Outcome::Accepted(accepted) => return Ok(accepted),
+                Outcome::Accepted(answer) => {
+                    let (response, connection) = *answer;
+                    return Ok(Accepted { response, connection, in_flight });
+                }
                 Outcome::NotSent => {
                     self.unsent += 1;
                     continue;
@@ -505,15 +414,6 @@
                     unknown = true;
                     self.record_run(&path);
                 }
-                Outcome::Stalled(attempt) => {
-                    unknown = true;
-                    self.record_run(&path);
-                    self.waiting.push(attempt);
-                    // A stalled segment is kept instead: its stream goes on without a new prefill.
-                    if self.fallback.is_some() {
-                        self.give_up_waiting(|_| true);
-                    }
-                }
                 Outcome::Unknown => {
                     unknown = true;
                     self.record_run(&path);
@@ -526,6 +426,7 @@
                 }
                 Outcome::TimedOut => {
                     unknown = true;
+                    self.record_run(&path);
                     break NO_PATH;
                 }
             }
@@ -535,7 +436,7 @@
         };
         match failure {
             Some(response) => Err(Failure::Failed(response)),
-            None if unknown => Err(Failure::Unknown),
+            None if unknown => Err(Failure::Unknown(reason)),
             None => Err(Failure::NotRun(reason)),
         }
     }
@@ -554,7 +455,8 @@
         if now >= self.call.deadline || self.offers >= self.max_offers {
             return Err(NO_PATH);
         }
-        if self.unsent >= unsent_before + MAX_UNSENT && self.node.may_forward(&self.call) {
+        let has_failed = self.unsent >= unsent_before + MAX_UNSENT;
+        if has_failed && self.node.may_forward(&self.call) || self.offers > 0 && self.is_cut_off() {
             // Another node can serve the request at once.
             return Err(NO_PATH);
         }
@@ -597,7 +499,7 @@
             if !path.crosses || self.has_begun || self.node.table.borrow().may_cross() {
                 return Ok(path);
             }
-            if now.saturating_sub(called_at) >= MAX_CROSSING_WAIT {
+            if now.saturating_sub(called_at) >= MAX_CROSSING_WAIT || !self.waiting.is_empty() {
                 return Err(LINK_BUSY);
             }
             sleep(CROSSING_POLL_INTERVAL).await;
@@ -611,78 +513,138 @@
 
     /// Sends the request to a path. Gives up what waits at its first engine, which must not run two
     /// attempts at the same request at a time.
-    fn start(&mut self, path: Path, last_event: Option<u64>) -> Attempt {
+    fn start(&mut self, path: Path, last_event: Option<u64>) {
         let first = path.first().clone();
+        if !self.ran.contains(&first) {
+            self.log_uncounted(&first.target);
+        }
         self.offers += 1;
         self.give_up_waiting(|path| path.first().address == first.address);
         if self.is_fallback_at(first.address) {
             self.fallback = None;
         }
-        let (node, call) = (self.node.clone(), self.call.clone());
-        let request = call.request(node.now(), &first.target, Some(&path), last_event);
-        let in_flight = InFlight::start(&node, path, call.tokens, call.prompt_tokens);
-        let answer = Box::pin(async move { node.send(first.address, request, &call.used).await });
-        Attempt { in_flight, answer }
+        self.waiting.push(Attempt::start(&self.node, &self.call, path, last_event));
     }
 
     /// Gives up the waiting attempts at these paths.
     fn give_up_waiting(&mut self, is_given_up: impl Fn(&Path) -> bool) {
-        for attempt in std::mem::take(&mut self.waiting) {
+        for mut attempt in std::mem::take(&mut self.waiting) {
             if is_given_up(attempt.path()) {
-                self.record_interruption(attempt.path(), attempt.in_flight.sent_at, true);
+                self.record_unanswered(&mut attempt);
             } else {
                 self.waiting.push(attempt);
             }
         }
     }
 
-    /// Waits for the head of the answer to an attempt. A silent engine may go on at any moment, so
-    /// the attempt is given up only for another path, or if an engine is lost.
-    async fn finish(&self, mut attempt: Attempt) -> Outcome {
-        let node = &self.node;
-        let call = &self.call;
-        let sent_at = attempt.in_flight.sent_at;
-        let first = attempt.path().first().clone();
-        let answer = loop {
+    /// Waits until an attempt ends. Returns `None` if another path is to be tried meanwhile: a silent
+    /// engine may go on at any moment, so the attempts at it go on too.
+    async fn await_outcome(&mut self) -> Option<(InFlight, Outcome)> {
+        loop {
             let left = self.time_left();
             if left.is_zero() {
-                self.record_interruption(attempt.path(), sent_at, true);
-                return Outcome::TimedOut;
+                return self.take_unanswered(0, Outcome::TimedOut);
             }
-            match timeout(STALL_TIMEOUT.min(left), &mut attempt.answer).await {
-                Ok(answer) => break answer,
-                Err(_) if !self.check_stalled(attempt.path()) || !call.kind.is_idempotent() => {}
+            match timeout(STALL_TIMEOUT.min(left), next_answer(&mut self.waiting)).await {
+                Ok((attempt, answer)) => return Some(self.conclude(attempt, answer).await),
+                Err(_) if !self.call.kind.is_idempotent() => self.check_waiting(),
                 Err(_) => {
-                    let path = attempt.path();
-                    let is_cut_off = !node.reaches_targets() && node.may_forward(call);
-                    if is_cut_off || node.is_lost(path) {
-                        self.record_interruption(path, sent_at, true);
-                        return Outcome::Lost;
+                    self.check_waiting();
+                    if let Some(index) = self.lost_attempt() {
+                        return self.take_unanswered(index, Outcome::Lost);
                     }
-                    if self.may_try_another(path).await {
-                        return Outcome::Stalled(attempt);
+                    if self.may_try_another().await {
+                        self.record_silent();
+                        return None;
                     }
                 }
             }
-        };
-        let mut in_flight = attempt.in_flight;
-        let exchange = match answer {
-            Ok(exchange) => exchange,
+        }
+    }
+
+    /// Looks for the engine at fault on each path that gives no answer.
+    fn check_waiting(&self) {
+        for attempt in &self.waiting {
+            self.check_stalled(attempt.path());
+        }
+    }
+
+    /// Returns the index of an attempt that cannot end with an answer: an engine of its path is lost,
+    /// or this node has lost its targets and another one may handle the request.
+    fn lost_attempt(&self) -> Option<usize> {
+        self.waiting.iter().position(|attempt| {
+            let path = attempt.path();
+            let may_forward = self.is_cut_off() && self.attempts_left(Some(path.first())) > 0;
+            may_forward || self.node.is_lost(path)
+        })
+    }
+
+    /// Returns whether another node is to handle the request, because this one has lost its targets.
+    fn is_cut_off(&self) -> bool {
+        !self.node.reaches_targets() && self.node.may_forward(&self.call)
+    }
+
+    /// Takes an attempt that has ended without its answer.
+    fn take_unanswered(&mut self, index: usize, outcome: Outcome) -> Option<(InFlight, Outcome)> {
+        let mut attempt = self.waiting.remove(index);
+        self.record_unanswered(&mut attempt);
+        Some((attempt.in_flight, outcome))
+    }
+
+    /// Records that the last attempt is silent, so that another path is tried beside it.
+    fn record_silent(&mut self) {
+        if let Some(mut attempt) = self.waiting.pop() {
+            if !std::mem::replace(&mut attempt.is_silent, true) {
+                let (target, sent_at) = (&attempt.path().first().target, attempt.in_flight.sent_at);
+                let reason = "an engine of the path does not respond";
+                log_failed_attempt(&self.node, &self.call, target, reason, "unknown", sent_at);
+            }
+            self.record_unanswered(&mut attempt);
+            self.record_run(attempt.path());
+            // The link is free for other prompts while this one makes no progress.
+            attempt.in_flight.end_crossing();
+            self.waiting.push(attempt);
+        }
+        if self.fallback.is_some() {
+            // The stalled segment is kept instead: its stream goes on without a new prefill.
+            self.waiting.clear();
+        }
+    }
+
+    /// Returns what an answer, or its loss, says of an attempt.
+    async fn conclude(
+        &self,
+        attempt: Attempt,
+        answer: Result<Exchange, Unanswered>,
+    ) -> (InFlight, Outcome) {
+        let Attempt { mut in_flight, is_recorded, .. } = attempt;
+        in_flight.record_prefill_done();
+        let outcome = match answer {
+            Ok(exchange) => self.evaluate(&in_flight, exchange).await,
             Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
                 let fault = probe_fault(probe_failure(unsent));
-                node.record_fault(first.address, fault, "no connection");
-                return Outcome::NotSent;
+                self.node.record_fault(in_flight.path.first().address, fault, "no connection");
+                Outcome::NotSent
             }
             Err(Unanswered::Unknown) => {
                 // A single lost connection does not show that an engine is gone; an engine that is
                 // gone gives no report.
-                node.record_fault(first.address, Fault::Failed, "connection lost");
+                let first = in_flight.path.first().address;
+                self.node.record_fault(first, Fault::Failed, "connection lost");
                 self.check_stalled(&in_flight.path);
-                self.record_interruption(&in_flight.path, sent_at, true);
-                return Outcome::Unknown;
+                if !is_recorded {
+                    self.record_interruption(&in_flight.path, in_flight.sent_at, true);
+                }
+                Outcome::Unknown
             }
         };
-        in_flight.record_prefill_done();
+        (in_flight, outcome)
+    }
+
+    /// Returns what the answer to an attempt says of it.
+    async fn evaluate(&self, in_flight: &InFlight, exchange: Exchange) -> Outcome {
+        let (node, call) = (&self.node, &self.call);
+        let first = in_flight.path.first();
         let (response, connection) = exchange.split();
         if !matches_request(response.headers(), call) {
             node.record_fault(first.address, Fault::Failed, "answer to another request");
@@ -691,7 +653,7 @@
         let status = response.status();
         if is_not_run(status, response.headers()) {
             let address = platform::faulty_engine(response.headers()).unwrap_or(first.address);
-            let slow = node.now().saturating_sub(sent_at) > SLOW_REFUSAL;
+            let slow = node.now().saturating_sub(in_flight.sent_at) > SLOW_REFUSAL;
             match status {
                 StatusCode::MISDIRECTED_REQUEST => {
                     node.record_fault(address, Fault::WrongTarget, "refused")
@@ -703,12 +665,12 @@
             }
             node.pool.drain(response.into_body(), connection).await;
             let at_fault = in_flight.path.stages.iter().find(|stage| stage.address == address);
-            return Outcome::NotRun(at_fault.map_or(first.target, |stage| stage.target.clone()));
+            return Outcome::NotRun(at_fault.unwrap_or(first).target.clone());
         }
         if status != StatusCode::OK {
             node.record_fault(first.address, Fault::Failed, "failure status");
             let (parts, body) = response.into_parts();
-            if last_event.is_some() {
+            if self.has_begun {
                 // Its text is of no use to a stream that has begun.
                 node.pool.drain(body, connection).await;
                 return Outcome::Failed(passthrough(status, &parts.headers, Bytes::new()));
@@ -719,16 +681,21 @@
             node.pool.release(connection);
             return Outcome::Failed(passthrough(status, &parts.headers, body));
         }
-        let is_answer = match last_event {
-            Some(_) => is_stream(&response),
-            None => is_signed(response.headers()),
-        };
+        let is_answer =
+            if self.has_begun { is_stream(&response) } else { is_signed(response.headers()) };
         if !is_answer {
             node.record_fault(first.address, Fault::Failed, "success without a stream");
             return Outcome::Unknown;
         }
         in_flight.record_accepted();
-        Outcome::Accepted(Accepted { response, connection, in_flight })
+        Outcome::Accepted(Box::new((response, connection)))
+    }
+
+    /// Records, at most once, that an attempt has given no answer so far.
+    fn record_unanswered(&self, attempt: &mut Attempt) {
+        if !std::mem::replace(&mut attempt.is_recorded, true) {
+            self.record_interruption(attempt.path(), attempt.in_flight.sent_at, true);
+        }
     }
 
     /// Records that an attempt ended without its answer; `fresh` if no part of one had arrived.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod ask;
+mod attempt;
 mod attempts;
 mod call;
 mod claim;
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -153,7 +153,7 @@
                 }
                 Err(failure) => failure,
             },
-            false => Failure::Unknown,
+            false => Failure::Unknown("not resumable"),
         };
         // A silent path is kept as long as none of its engines is lost: a draining engine may still
         // continue the stream.
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::answer::Broken;
-use crate::dispatch::{Accepted, Dispatch, InFlight};
+use crate::attempt::{Accepted, InFlight};
+use crate::dispatch::Dispatch;
 use crate::node::Node;
 use crate::pool::Connection;
 use crate::quarantine::CLEARING_EVENTS;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -71,6 +71,6 @@
             metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
             retry_later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
         }
-        Err(Failure::Unknown) => unknown_outcome(node, &dispatch.call),
+        Err(Failure::Unknown(_)) => unknown_outcome(node, &dispatch.call),
     }
 }
