Store: a key that is no text leaves the others

Cause: one key of another writer that is not UTF-8 made the whole listing fail, so that no desired state was read.

Change: such a key is left out of listings; all keys of this system are text.

Guard: effects.rs, key_that_is_no_text_leaves_the_others.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -229,7 +229,8 @@
         let answer = self.call::<_, RangeResponse>("/v3/kv/range", purpose, &range);
         // A read has no effect, whether or not it was answered.
         let answer = answer.map_err(|error| Error::none(error.cause))?;
-        let entries = answer.kvs.into_iter().map(entry).collect::<Result<Vec<_>, _>>()?;
+        // A key that is no text is another writer's: all those of this system are.
+        let entries = answer.kvs.into_iter().filter_map(|kv| entry(kv).ok()).collect();
         Ok(Listing { revision: answer.header.revision.0, entries })
     }
 
--- a/crates/store/tests/effects.rs
+++ b/crates/store/tests/effects.rs
@@ -127,6 +127,19 @@
     }
 }
 
+// Guards against a key of another writer hiding those of this system.
+#[test]
+fn key_that_is_no_text_leaves_the_others() {
+    let row = |key: &str| format!(r#"{{"key": "{key}", "value": "dg==", "mod_revision": "5"}}"#);
+    let rows = [row("//79"), row("aw==")].join(",");
+    let answer = Response::Answer(200, format!(r#"{{"kvs": [{rows}]}}"#));
+    let (address, server) = serve(vec![answer]);
+    let listing = client(address).list(Purpose::Order, "k").expect("a listing");
+    server.join().expect("no panic");
+    let keys: Vec<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(keys, ["k"]);
+}
+
 #[test]
 fn write_without_a_connection_did_not_take_effect() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
