Member: an odd row of the list of VMs leaves the others

Cause: the list was decoded as a whole. One row with a deeply nested value, a number out of range, a port of 65536 or an unknown state made the list unreadable for as long as it was there: targets were neither added nor seen to leave.

Change: rows are decoded one by one; one that cannot be read is logged (once per change, event 910) and left out.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod event;
 mod fact;
+mod list;
 mod membership;
 mod message;
 mod peer;
@@ -16,6 +17,7 @@
 mod target;
 
 pub use event::EVENTS;
+pub use list::List;
 pub use membership::Membership;
 pub use message::*;
 pub use settings::{Builder, Settings};
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -53,11 +53,11 @@
     name: "node-stopped",
     meaning: "The node has stopped; `cut` requests were cut off.",
 };
-/// Logged when the platform's list of VMs cannot be read.
+/// Logged when the platform's list of VMs, or a row of it, cannot be read.
 pub(crate) const VM_LIST_UNREADABLE: EventKind = EventKind {
     number: 910,
     name: "list-down",
-    meaning: "The platform's list of VMs could not be read.",
+    meaning: "The platform's list of VMs, or a row of it, could not be read.",
 };
 /// Logged when an operator drains a target.
 pub(crate) const DRAIN_REQUESTED: EventKind = EventKind {
--- a/crates/node/src/shell/store.rs
+++ b/crates/node/src/shell/store.rs
@@ -7,10 +7,10 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::Vm;
 use kernel::Threads;
 use ledger::{Reply, ShardId, StoreResult, Ticket};
-use serde::Deserialize;
+use member::List;
+use smol_str::{SmolStr, ToSmolStr};
 use store::{Cas, Cause, Client, Effect, Entry, Follower, Purpose, Update, Write};
 
 use super::shared::{Inbox, Input, Shared};
@@ -160,11 +160,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct List {
-    vms: Vec<Vm>,
-}
-
 /// Polls the platform's VM list until the process stops.
 pub(crate) fn poll_list(shared: &Shared) {
     let settings = &shared.settings;
@@ -174,12 +169,18 @@
         .build();
     let agent = ureq::Agent::new_with_config(config);
     let url = format!("http://{}/vms", settings.platform);
+    let mut rejected = Vec::new();
     while !shared.stopping() {
         match read_list(&agent, &url) {
-            Ok(list) => shared.inbox.post(Message::Member(member::Message::Listed(list.vms))),
+            Ok(list) => {
+                if list.rejected != rejected {
+                    list.rejected.iter().for_each(|reason| log_unreadable(shared, reason));
+                    rejected = list.rejected;
+                }
+                shared.inbox.post(Message::Member(member::Message::Listed(list.vms)));
+            }
             Err(error) => {
-                let event = fleet::Event::new(&event::VM_LIST_UNREADABLE).with("reason", error);
-                shared.inbox.send(Input::Log(event));
+                log_unreadable(shared, &error.to_smolstr());
                 shared.inbox.post(Message::Member(member::Message::ListUnavailable));
             }
         }
@@ -187,9 +188,16 @@
     }
 }
 
+/// Logs that the list, or a row of it, cannot be read.
+fn log_unreadable(shared: &Shared, reason: &SmolStr) {
+    let event = fleet::Event::new(&event::VM_LIST_UNREADABLE).with("reason", reason);
+    shared.inbox.send(Input::Log(event));
+}
+
 fn read_list(agent: &ureq::Agent, url: &str) -> Result<List, ureq::Error> {
     let mut answer = agent.get(url).call()?;
-    answer.body_mut().with_config().limit(MAX_LIST_BYTES).read_json()
+    let bytes = answer.body_mut().with_config().limit(MAX_LIST_BYTES).read_to_vec()?;
+    List::decode(&bytes).map_err(ureq::Error::from)
 }
 
 /// Sleeps for `time`, or until the process stops.
