Store: a node accepts keys only by a configuration proved to be the operators' newest after a return from a copy

Cause: after a change of era, or at a start, a node took the copy's configuration for the newest and accepted keys withdrawn after the copy until the operators had written again. So did all nodes where none had received the withdrawal before the store left.

Change: `edge::Recency`. What the store answers within 2.2 s of the first answer of a later era proves nothing about keys, unless the node sees the configuration written in that era, or the store holds the mark of that era, which the leader writes once an era above 0. A node whose configuration is later than the store's states its version (new last variant of the messages between nodes). A node that has started is ready once it may accept keys.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -39,4 +39,5 @@
     CONTACT_LOST = 1136, "targets-out-of-reach", "This node reaches no target any more: `silent` targets gave no answer one after another, with none in between for `silent_ms`, or `unconnected` targets could not be connected to one after another. Its callers' requests are forwarded to other nodes.";
     CONTACT_BACK = 1137, "targets-in-reach", "A target answered again after this node had reached none for `after_ms`.";
     FORWARDED = 1138, "request-forwarded", "A request is sent to another node, because this one does not reach the targets.";
+    ERA_SETTLED = 1148, "era-settled", "The configuration in force is the operators' newest in this era of the store. The store states so from now on, for nodes that start.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::Event;
+use fleet::{Event, Version};
 use platform::kv::{Item, Page};
 use platform::{CONFIG_KEY, TARGET_PREFIX};
 use site::{Config, Service};
@@ -14,6 +14,7 @@
 
 use crate::event::{CONFIGURED, HISTORY_LOST, RELAYED, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
 use crate::lead::{LEADER_KEY, Leadership, NODE_PREFIX};
+use crate::mark::MARK_KEY;
 use crate::node::{Node, UNREADY_AFTER};
 use crate::persistence::QUARANTINE_PREFIX;
 use crate::replica::Listing;
@@ -127,12 +128,17 @@
                         return;
                     }
                     let has_changes = !page.items.is_empty();
-                    self.record_synced(watch.known_until(self.node.now(), has_changes));
+                    let known_until = watch.known_until(self.node.now(), has_changes);
+                    self.record_synced(known_until);
                     (pause, has_failed) = (RETRY_PAUSE, false);
                     let changes_leader = page.items.iter().any(|item| item.key == LEADER_KEY);
+                    let changes_config = page.items.iter().any(|item| item.key == CONFIG_KEY);
                     for item in page.items {
                         self.apply_item(item);
                     }
+                    if changes_config {
+                        self.record_config_write(known_until);
+                    }
                     if has_changes && !changes_leader {
                         let vms = self.node.table.borrow().vms;
                         sleep(batch_pause(vms, self.node.max_store_age())).await;
@@ -198,6 +204,14 @@
         }
     }
 
+    /// Records that the configuration was written at the time `at` or later, in the present era.
+    fn record_config_write(&self, at: Duration) {
+        // An older one is not the last that the operators write.
+        if self.node.version_unknown_to_store().is_none() {
+            self.node.recency.borrow_mut().record_write(at);
+        }
+    }
+
     /// Records that the state up to the time `at` is known.
     fn record_synced(&mut self, at: Duration) {
         let before = self.node.synced.get().unwrap_or_default();
@@ -208,6 +222,7 @@
             log::info!("{}", event.with("age_ms", age.as_millis()));
         }
         self.node.synced.set(Some(before.max(at)));
+        self.node.recency.borrow_mut().record_synced(at);
         let window = self.node.settings.bounds.retry_window;
         self.node.sharers.borrow_mut().confirm_present(at, window);
     }
@@ -224,6 +239,8 @@
             self.apply_config(&item);
         } else if let Some(id) = item.key.strip_prefix(TARGET_PREFIX) {
             self.apply_target(id, &item);
+        } else if item.key == MARK_KEY {
+            self.node.apply_mark(&item);
         } else if item.key == LEADER_KEY {
             self.leadership.update_leader(&self.node, &item);
         } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
@@ -251,12 +268,13 @@
     }
 
     fn apply_config(&self, item: &Item) {
-        let Some(value) = &item.value else { return };
+        let Some(value) = &item.value else { return self.set_stored_version(0) };
         let config = match platform::decode_config(value) {
             Ok(config) => config,
             Err(error) => return log_undecodable(&item.key, &error),
         };
-        let current = self.node.config().map_or(0, |config| config.version);
+        self.set_stored_version(config.version);
+        let current = self.node.config_version();
         if config.version <= current && current > 0 {
             return;
         }
@@ -271,6 +289,14 @@
         self.node.routing_changed.notify_waiters();
     }
 
+    fn set_stored_version(&self, version: Version) {
+        self.node.recency.borrow_mut().set_stored(version);
+        if self.node.version_unknown_to_store().is_some() {
+            // Other nodes may know only the store's.
+            self.node.alarm.notify_one();
+        }
+    }
+
     fn apply_target(&self, id: &str, item: &Item) {
         let now = self.node.now();
         let Some(value) = &item.value else {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::Event;
+use fleet::{Event, Version};
 use path::{Budget, Entry, Fault, Participants, Share, Table};
 use platform::Settings;
 use rand::rngs::SmallRng;
@@ -27,6 +27,7 @@
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
+use crate::recency::Recency;
 use crate::relay::Relay;
 use crate::replica::Replica;
 
@@ -63,6 +64,8 @@
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
     pub(crate) synced: Cell<Option<Duration>>,
+    /// Up to what time the configuration is known to be the operators' newest.
+    pub(crate) recency: RefCell<Recency>,
     /// The store's era, and the positions that are in force on this node.
     pub(crate) replica: RefCell<Replica>,
     /// Notified when the store states a later era.
@@ -116,6 +119,7 @@
             pool: Pool::new(clock),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
+            recency: RefCell::default(),
             replica: RefCell::default(),
             era_changed: Notify::new(),
             relay: RefCell::default(),
@@ -156,14 +160,29 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the version of the configuration in force; 0 without one.
+    pub(crate) fn config_version(&self) -> Version {
+        self.config.borrow().as_ref().map_or(0, |config| config.version)
+    }
+
     /// Returns whether the configuration is recent enough to accept keys.
     pub(crate) fn may_honour_keys(&self) -> bool {
-        let Some(synced) = self.synced.get() else { return false };
-        let age = self.now().saturating_sub(synced);
-        self.key_check_age().is_none_or(|limit| age < limit)
+        if self.synced.get().is_none() {
+            return false;
+        }
+        let Some(limit) = self.key_check_age() else { return true };
+        let age = self.recency.borrow().age(self.now(), self.config_version());
+        age.is_some_and(|age| age < limit)
     }
 
-    /// Returns the age of the store's state at which this node refuses keys; `None` if it accepts
+    /// Returns the version of the configuration in force if the store's is older, so that other
+    /// nodes may not know it.
+    pub(crate) fn version_unknown_to_store(&self) -> Option<Version> {
+        let version = self.config_version();
+        self.recency.borrow().is_stored_older(version).then_some(version)
+    }
+
+    /// Returns the age of the configuration at which this node refuses keys; `None` if it accepts
     /// them at any age.
     fn key_check_age(&self) -> Option<Duration> {
         let bounds = &self.settings.bounds;
@@ -202,7 +221,15 @@
     pub(crate) fn is_ready(&self) -> bool {
         let Some(synced) = self.synced.get() else { return false };
         let is_fresh = self.now().saturating_sub(synced) < UNREADY_AFTER;
-        is_fresh && !self.stopping.get() && self.config.borrow().is_some()
+        is_fresh && !self.stopping.get() && self.has_usable_config()
+    }
+
+    /// Returns whether there is a configuration that lets callers in: after a start, one with keys
+    /// may have to be proved to be the newest.
+    fn has_usable_config(&self) -> bool {
+        let is_proven = self.key_check_age().is_none() || self.recency.borrow().is_proven();
+        let config = self.config.borrow();
+        config.as_ref().is_some_and(|config| is_proven || !config.requires_keys())
     }
 
     /// Records a fault of a target. If the target is down as a result, logs it and notifies the
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::Event;
+use fleet::{Event, Version};
 use path::Fault;
 use serde::{Deserialize, Serialize};
 use site::TargetKey;
@@ -51,6 +51,8 @@
     FreshnessQuery(u64),
     /// Answers a freshness query.
     Freshness(Freshness),
+    /// The version of the configuration in force on the sender, while the store's is older.
+    ConfigVersion(Version),
 }
 
 /// One node's view of itself and the targets.
@@ -97,6 +99,9 @@
         }
         let view = Message::View(view(&node, interval(peers.len()) * 2));
         send_to_all(&socket, &view, &peers);
+        if let Some(version) = node.version_unknown_to_store() {
+            send_to_all(&socket, &Message::ConfigVersion(version), &peers);
+        }
         let evidence = node.quarantine.outbox.borrow_mut().take_batch();
         if !evidence.is_empty() {
             send_to_all(&socket, &Message::Evidence(evidence), &peers);
@@ -184,6 +189,7 @@
             Ok(Message::LoanGrant(loan)) => loan::handle_grant(&node, from, &loan),
             Ok(Message::FreshnessQuery(query)) => answer_query(&node, &socket, from, query),
             Ok(Message::Freshness(freshness)) => apply_freshness(&node, from, &freshness),
+            Ok(Message::ConfigVersion(version)) => apply_version(&node, version),
             Ok(Message::Evidence(evidence)) => {
                 evidence.into_iter().for_each(|evidence| node.apply_evidence(evidence))
             }
@@ -221,12 +227,21 @@
     }
 }
 
+fn apply_version(node: &Node, version: Version) {
+    node.recency.borrow_mut().record_stated(version, valid_until(node));
+}
+
+/// Returns the time until which a message that is sent with each view counts.
+fn valid_until(node: &Node) -> Duration {
+    node.now() + interval(node.peers.borrow().len()) * 5
+}
+
 fn apply_view(node: &Node, from: SocketAddr, view: View) {
     node.claim.borrow_mut().observe_fence(view.fence);
     let now = node.now();
     node.reachability.borrow_mut().record(now, view.checks_keys);
     node.reachability.borrow_mut().record_contact(now, from, view.reaches_targets);
-    let until = now + interval(node.peers.borrow().len()) * 5;
+    let until = valid_until(node);
     node.table.borrow_mut().record_peer_load(from, view.loads, until);
     for id in &view.declining {
         node.table.borrow_mut().deprioritise(id, until);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -25,7 +25,7 @@
 use crate::node::Node;
 use crate::orders::Orders;
 use crate::store::Store;
-use crate::{diagnose, front, loan, peers, persistence, ready};
+use crate::{diagnose, front, loan, mark, peers, persistence, ready};
 
 const METRICS_PORT: u16 = 9464;
 /// Upper bounds of the latency buckets, in seconds: latency goals of routes lie between 0.1 and
@@ -135,6 +135,7 @@
     tokio::task::spawn_local(follower.run());
     tokio::task::spawn_local(maintain_presence(node.clone(), store.clone(), leadership.clone()));
     tokio::task::spawn_local(maintain_leadership(node.clone(), store.clone(), leadership.clone()));
+    tokio::task::spawn_local(mark::maintain_mark(node.clone(), store.clone()));
     tokio::task::spawn_local(persistence::persist_quarantine(node.clone(), store.clone()));
     tokio::task::spawn_local(Orders::new(node.clone(), leadership.clone()).run());
     tokio::task::spawn_local(peers::broadcast(node.clone(), socket.clone()));
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -147,6 +147,8 @@
 
     fn begin_era(&self, era: Era, before: Era) {
         metrics::gauge!("magnolia_store_era").set(era as f64);
+        // A node that starts cannot know when the store came back.
+        self.node.recency.borrow_mut().begin_era(self.node.now());
         if self.node.synced.get().is_none() {
             return;
         }
