Orders: no order by a plan made before the engine's report, none while an order may still take effect

Cause: the reports of engines with an unknown number of orders were fetched after the plan, and the order was sent with the number of the report, although the report named the layers already. And an order whose effect was not seen was given up when the leader's lease had lapsed for a moment, or when the engine gave no report, with the number of orders counted on.

A leader whose lease is renewed asks for the reports of engines with pending orders; an engine without a report stays paused.

Shown: started_leader_repeats_no_order_after_a_copy fails on the code before with `Placement { target: "a3", layers: 0..8, before: Some(0..8) }` and passes now; order_outlasts_a_change_of_the_leader in edge tests/book.rs. The second part was not reproduced with processes (one try with a copy right after an order passed on the code before).

--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -11,7 +11,7 @@
 use place::{Engine, Move, Planner, Registration};
 use platform::Order;
 use platform::kv::Revision;
-use site::{Model, Service, TargetKey};
+use site::{Model, Report, Service, TargetKey};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
@@ -65,7 +65,7 @@
             let fence = lead::fence(&self.node);
             if self.leads != fence.is_some() {
                 self.leads = fence.is_some();
-                self.tracker.clear_pending();
+                self.tracker.recheck_pending(self.node.now());
                 let fence = fence.unwrap_or(0);
                 log::info!(
                     "{}",
@@ -89,28 +89,51 @@
     }
 
     /// Removes orders whose effect is visible, and fetches the reports of engines whose orders are
-    /// overdue. An engine that is still busy with an order is paused.
+    /// overdue. An engine that is still busy with an order, or gives no report, is paused: its order
+    /// may still take effect.
     async fn refresh_overdue(&mut self) {
         let now = self.node.now();
-        let overdue: Vec<_> = {
+        let mut asked = Vec::new();
+        {
             let table = self.node.table.borrow();
             let held = |id: &TargetKey| table.entry(id).map(|entry| entry.layers);
-            let overdue = self.tracker.take_overdue(now, held).into_iter();
-            let addresses = overdue.filter_map(|id| {
-                let entry = table.entry(&id)?;
-                let may_ask = !entry.availability.is_backing_off(now);
-                may_ask.then_some((id, entry.target.address))
-            });
-            addresses.collect()
-        };
-        for (id, address) in overdue {
-            let report = self.node.refresh(&id, address).await;
-            if report.is_ok_and(|report| report.order_in_progress) {
+            for id in self.tracker.take_overdue(now, held) {
+                let Some(entry) = table.entry(&id) else { continue };
+                if entry.availability.is_backing_off(now) || entry.health.is_down() {
+                    self.tracker.pause(id, now);
+                } else {
+                    asked.push((id, entry.target.address));
+                }
+            }
+        }
+        for (id, report) in self.fetch_reports(asked).await {
+            if report.is_none_or(|report| report.order_in_progress) {
                 self.tracker.pause(id, now);
             }
         }
     }
 
+    /// Fetches the reports of engines at the same time. There is none of an engine that does not
+    /// answer.
+    async fn fetch_reports(
+        &self,
+        engines: Vec<(TargetKey, SocketAddr)>,
+    ) -> Vec<(TargetKey, Option<Report>)> {
+        let fetch = |(id, address): (TargetKey, SocketAddr)| {
+            let (node, engine) = (self.node.clone(), id.clone());
+            let task =
+                tokio::task::spawn_local(async move { node.refresh(&engine, address).await.ok() });
+            (id, task)
+        };
+        let tasks: Vec<_> = engines.into_iter().map(fetch).collect();
+        let mut reports = Vec::new();
+        for (id, task) in tasks {
+            // A task that failed has fetched no report.
+            reports.push((id, task.await.ok().flatten()));
+        }
+        reports
+    }
+
     fn plan(&mut self, service: &Service, model: &Model) -> Vec<Move> {
         let now = self.node.now();
         let table = self.node.table.borrow();
@@ -160,30 +183,23 @@
         self.planners.entry(service.name.clone()).or_default().plan(engines, model)
     }
 
-    /// Fetches the reports of engines whose number of accepted orders is unknown.
-    async fn refresh_order_counts(&self, moves: &[Move]) {
-        let unknown = moves.iter().filter_map(|change| {
-            let table = self.node.table.borrow();
-            let entry = table.entry(&change.target)?;
-            let address = entry.target.address;
-            entry.orders.is_none().then(|| (change.target.clone(), address))
-        });
-        let tasks: Vec<_> = unknown
-            .map(|(id, address)| {
-                let node = self.node.clone();
-                tokio::task::spawn_local(async move { node.refresh(&id, address).await })
-            })
-            .collect();
-        for task in tasks {
-            // The order count stays unknown if the task failed.
-            task.await.ok();
-        }
+    /// Returns the engines of moves whose number of accepted orders is unknown.
+    fn uncounted(&self, moves: &[Move]) -> Vec<(TargetKey, SocketAddr)> {
+        let table = self.node.table.borrow();
+        let entries = moves.iter().filter_map(|change| table.entry(&change.target));
+        let uncounted = entries.filter(|entry| entry.orders.is_none());
+        uncounted.map(|entry| (entry.target.id.clone(), entry.target.address)).collect()
     }
 
     async fn send_orders(&mut self, moves: &[Move], model: &Model, fence: Revision) {
-        self.refresh_order_counts(moves).await;
+        let uncounted = self.uncounted(moves);
+        // These engines may hold other layers than the plan assumes: the next plan goes by the
+        // reports.
+        let reports = self.fetch_reports(uncounted).await;
+        let is_counted = |change: &&Move| reports.iter().all(|(id, _)| *id != change.target);
         let tasks: Vec<_> = moves
             .iter()
+            .filter(is_counted)
             .filter_map(|change| {
                 let table = self.node.table.borrow();
                 let entry = table.entry(&change.target)?;
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -67,9 +67,12 @@
 }
 
 impl Tracker {
-    /// Removes all pending orders, because this node has begun or ceased to lead.
-    pub fn clear_pending(&mut self) {
-        self.pending.clear();
+    /// Makes the reports of engines with pending orders due, because this node has begun or ceased
+    /// to lead: another node may have sent orders meanwhile.
+    pub fn recheck_pending(&mut self, now: Duration) {
+        for pending in self.pending.values_mut() {
+            pending.until = pending.until.min(now + REORDER_PAUSE);
+        }
     }
 
     /// Returns the layers that an engine will hold after its pending order.
@@ -82,7 +85,7 @@
         self.paused.contains_key(id)
     }
 
-    /// Excludes an engine from orders for the pause that follows a refused order.
+    /// Excludes an engine from orders until its report is fetched: what it holds is not known.
     pub fn pause(&mut self, id: TargetKey, now: Duration) {
         self.paused.insert(id, now + REORDER_PAUSE);
     }
@@ -121,7 +124,8 @@
     }
 
     /// Removes orders whose effect is visible in `held`, the layers that an engine holds, and
-    /// orders to engines that are gone. Returns the engines whose reports are to be fetched now.
+    /// orders to engines that are gone. Returns the engines whose reports are to be fetched now. An
+    /// engine without a report has to be paused again.
     pub fn take_overdue(
         &mut self,
         now: Duration,
--- a/crates/edge/tests/book.rs
+++ b/crates/edge/tests/book.rs
@@ -58,3 +58,18 @@
     assert!(tracker.take_overdue(NOW, |_| held).is_empty());
     assert_eq!(tracker.pending(ID), None);
 }
+
+// Guards against an engine that is ordered to load the layers that it loads already, because the
+// leader had lost its lease for a moment and forgotten the order.
+#[test]
+fn order_outlasts_a_change_of_the_leader() {
+    let mut tracker = Tracker::default();
+    let layers = Layers::new(0, 8);
+    let sent = Sent { layers, load: ms(1000), is_empty: true };
+    tracker.record(&ID.into(), sent, Outcome::Accepted, NOW);
+    tracker.recheck_pending(NOW + ms(100));
+    assert_eq!(tracker.pending(ID), Some(layers));
+    let held = |_: &_| Some(None);
+    assert!(tracker.take_overdue(NOW + ms(599), held).is_empty());
+    assert_eq!(tracker.take_overdue(NOW + ms(600), held), [ID], "its report is fetched");
+}
--- a/crates/node/tests/copy.rs
+++ b/crates/node/tests/copy.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use platform_standin::{
-    Call, Document, Impairment, PLAIN, Proxy, Route, Setup, StatedEra, StoreCopy, send_call,
-    spawn_call,
+    Call, Document, Impairment, PLAIN, Placement, Proxy, Route, Setup, StatedEra, StoreCopy,
+    send_call, spawn_call,
 };
 use site::{EVENTS, STATE_TIMEOUT, Site, ended, start_node, start_node_at};
 use yare::parameterized;
@@ -129,9 +129,37 @@
     sleep(Duration::from_millis(1500));
     site.platform.register_targets();
     sleep(REWRITE_LIMIT);
-    let repeated = site.platform.placements().into_iter();
-    let repeated: Vec<_> = repeated.filter(|order| order.before == Some(order.layers)).collect();
-    assert!(repeated.is_empty(), "{repeated:#?}");
+    assert_eq!(repeated(&site), []);
+}
+
+/// Returns the orders for layers that their engines held already.
+fn repeated(site: &Site) -> Vec<Placement> {
+    let orders = site.platform.placements().into_iter();
+    orders.filter(|order| order.before == Some(order.layers)).collect()
+}
+
+// Guards against an engine being ordered to load the layers that it holds by a node that was started
+// after the copy: its entry states earlier layers, and its report was read after the plan.
+#[test]
+fn started_leader_repeats_no_order_after_a_copy() {
+    let mut site = Site::start(244, 1, &Document::default());
+    let copy = site.platform.copy_store();
+    let placed = site.platform.placements().len();
+    for engine in &site.engines[..2] {
+        site.platform.kill(*engine);
+        site.platform.deregister(*engine);
+    }
+    let is_replaced = || site.platform.placements().len() > placed;
+    assert!(site.platform.wait(STATE_TIMEOUT, is_replaced), "other engines take the layers");
+    sleep(Duration::from_secs(1));
+    site.nodes.clear();
+    site.platform.restore_content(copy);
+    site.engines[..2].iter().for_each(|engine| site.platform.deregister(*engine));
+    site.nodes.push(start_node(&site.platform, 244, 0));
+    sleep(REWRITE_LIMIT);
+    site.platform.register_targets();
+    sleep(REWRITE_LIMIT);
+    assert_eq!(repeated(&site), []);
 }
 
 // Guards against what the nodes keep in the store being lost with a copy.
@@ -411,9 +439,7 @@
     site.configure(&["k1", "k3"]);
     assert!(site.site.all_answer("k3", 200), "the next configuration is in force");
     assert!(site.site.all_answer("k2", 401));
-    let repeated = site.site.platform.placements().into_iter();
-    let repeated = repeated.filter(|order| order.before == Some(order.layers));
-    found.extend(repeated.map(|order| format!("repeated {order:?}")));
+    found.extend(repeated(&site.site).iter().map(|order| format!("repeated {order:?}")));
     found.extend(site.exits());
     assert!(found.is_empty(), "{} of {found:#?}", found.len());
 }
