Quarantine: losses under an answered request count against its parts each for itself

Cause: a part is quarantined for losses under two different requests at least, as what repeats with one request may be due to the rest of it. A request that was answered recently is itself no suspect.

Change: the rest of an answered request crashes no targets, so that each target lost under it is an incident of its own against its parts. How many incidents are needed stays as it is.

Shown: part_of_one_request_is_quarantined, case `answered`, does not compile on the code before (the subject always named a request); the same with that request fails there by construction (case `not_answered`).

--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -254,7 +254,8 @@
         let now = self.now();
         let passes = self.quarantine.passes.borrow();
         let mut suspected = Vec::new();
-        if self.quarantine.answered.borrow().contains(load.request) {
+        let is_answered = self.quarantine.answered.borrow().contains(load.request);
+        if is_answered {
             if !own {
                 let finding = Finding::Answered;
                 self.queue_evidence(Evidence { fingerprint: load.request, finding });
@@ -262,7 +263,8 @@
         } else if own || load.fresh {
             suspected.push(Subject::request(load.request));
         }
-        for subject in Subject::parts(load.request, load.parts, &passes) {
+        let request = (!is_answered).then_some(load.request);
+        for subject in Subject::parts(request, load.parts, &passes) {
             let fingerprint = subject.fingerprint;
             if let Some(last) = passes.last(fingerprint).filter(|_| !own) {
                 let finding = Finding::Passed(now.saturating_sub(last));
@@ -568,9 +570,11 @@
 }
 
 fn log_suspected(subject: &Subject, target: &TargetName, fresh: bool, own: bool) {
+    let request = subject.request.map(|request| hex(request).to_string());
+    let request = request.unwrap_or_else(|| "answered".to_owned());
     let event = Event::new(REQUEST_SUSPECTED)
         .with("fingerprint", hex(subject.fingerprint))
-        .with("request_fingerprint", hex(subject.request))
+        .with("request_fingerprint", request)
         .with("breadth", subject.breadth)
         .with("target", target)
         .with("fresh", fresh)
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -31,8 +31,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Evidence {
     pub(crate) loss: Loss,
-    /// Request that ran on the target.
-    pub(crate) request: Fingerprint,
+    /// Request that ran on the target; `None` if it was answered recently.
+    pub(crate) request: Option<Fingerprint>,
     pub(crate) until: Duration,
     pub(crate) weight: f64,
     /// Whether a decision found that the loss may have had another cause.
@@ -73,7 +73,7 @@
 
     /// Returns whether the evidence holds this loss already. A part also counts each further
     /// request that a target ran when it was lost.
-    pub(crate) fn holds(&self, loss: &Loss, request: Fingerprint) -> bool {
+    pub(crate) fn holds(&self, loss: &Loss, request: Option<Fingerprint>) -> bool {
         self.evidence.iter().any(|evidence| {
             evidence.loss.target == loss.target
                 && (!evidence.set_aside || evidence.loss.at == loss.at)
@@ -97,14 +97,19 @@
 }
 
 /// Returns the number of separate incidents in evidence: each needs a target and a request of its
-/// own, because what repeats with one request may be due to the rest of it.
+/// own, because what repeats with one request may be due to the rest of it, unless that request was
+/// answered.
 pub(crate) fn incidents<'a>(evidence: impl Iterator<Item = &'a Evidence>) -> usize {
     let (mut targets, mut requests) = (BTreeSet::new(), BTreeSet::new());
+    let mut answered = BTreeSet::new();
     for one in evidence {
         targets.insert(&one.loss.target);
-        requests.insert(one.request);
+        match one.request {
+            Some(request) => requests.insert(request),
+            None => answered.insert(&one.loss.target),
+        };
     }
-    targets.len().min(requests.len())
+    targets.len().min(requests.len() + answered.len())
 }
 
 /// Returns the number of different moments of losses, at least `window` apart.
--- a/crates/suspect/src/subject.rs
+++ b/crates/suspect/src/subject.rs
@@ -7,8 +7,9 @@
 pub struct Subject {
     /// Fingerprint of the request or of the part.
     pub fingerprint: Fingerprint,
-    /// Fingerprint of the request that ran on the target.
-    pub request: Fingerprint,
+    /// Fingerprint of the request that ran on the target; `None` if that request was answered
+    /// recently, so that the rest of it crashes no targets.
+    pub request: Option<Fingerprint>,
     /// How widely it is shared: 0 for the request itself, 1 for the last shared part of the prompt,
     /// and one more for each part before it.
     pub breadth: u8,
@@ -19,13 +20,13 @@
 impl Subject {
     /// Returns the subject of a request itself.
     pub fn request(fingerprint: Fingerprint) -> Self {
-        Self { fingerprint, request: fingerprint, breadth: 0, has_run: false }
+        Self { fingerprint, request: Some(fingerprint), breadth: 0, has_run: false }
     }
 
-    /// Returns the subjects of the shared parts of a request's prompt. `parts` are in the order of
-    /// the prompt.
+    /// Returns the subjects of the shared parts of a request's prompt, which are in the order of the
+    /// prompt. `request` is `None` for a request that was answered recently.
     pub fn parts(
-        request: Fingerprint,
+        request: Option<Fingerprint>,
         parts: &[Fingerprint],
         passes: &Passes,
     ) -> impl Iterator<Item = Self> {
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -91,7 +91,7 @@
         }
         let loss = record_loss(&mut suspects, format!("t{number}"), now, &settings);
         for &(request, parts) in lost.under {
-            let subjects = Subject::parts(request, parts, &passes);
+            let subjects = Subject::parts(Some(request), parts, &passes);
             for subject in subjects.chain([Subject::request(request)]) {
                 suspects.add_evidence(subject, loss.clone(), lost.before_output, &settings);
             }
@@ -122,6 +122,33 @@
     suspects.record_loss(Loss { target: target.into(), place, at: now }, settings)
 }
 
+// Guards against a part that begins to crash targets and is never quarantined, because only one
+// request has it, and that one was answered before.
+#[parameterized(
+    answered = { None, &["t0", "t1"], true },
+    answered_once = { None, &["t0"], false },
+    not_answered = { Some(1), &["t0", "t1"], false },
+)]
+fn part_of_one_request_is_quarantined(
+    request: Option<Fingerprint>,
+    lost: &[&str],
+    quarantined: bool,
+) {
+    let settings = Settings::default();
+    let (mut suspects, passes) = (Suspects::default(), Passes::default());
+    let mut now = STEP;
+    for target in lost {
+        let loss = record_loss(&mut suspects, (*target).to_owned(), now, &settings);
+        for subject in Subject::parts(request, &[FIRST, CRASHING], &passes) {
+            suspects.add_evidence(subject, loss.clone(), true, &settings);
+        }
+        now += STEP;
+    }
+    assert_eq!(suspects.take_due_decisions(now, &settings).contains(&CRASHING), quarantined);
+    let decision = suspects.decide(CRASHING, now, &settings);
+    assert_eq!(matches!(decision, Decision::Quarantined(_)), quarantined);
+}
+
 // Guards against evidence on a part being lost when a request with it is quarantined.
 #[parameterized(request = { Scope::Request, true }, part = { Scope::Part, false })]
 fn quarantine_elsewhere_keeps_evidence_on_parts(scope: Scope, kept: bool) {
@@ -129,7 +156,7 @@
     let (mut suspects, passes) = (Suspects::default(), Passes::default());
     for (number, request) in [1, 2].into_iter().enumerate() {
         let loss = record_loss(&mut suspects, format!("t{number}"), STEP, &settings);
-        for subject in Subject::parts(request, &[CRASHING], &passes) {
+        for subject in Subject::parts(Some(request), &[CRASHING], &passes) {
             suspects.add_evidence(subject, loss.clone(), true, &settings);
         }
     }
