Placement: new engines take missing copies at once

Cause: where a domain holds its layers several times, the engine that followed one that had left was kept free for 3 s, so that the next one that left could leave a gap. A copy is only missing once an engine has left, so that nothing is gained by the wait.

Test: place/tests/release.rs, on the code before: new_engine_takes_a_missing_copy_at_once ...

--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -194,7 +194,7 @@
         }
         for copies in 2..=self.copies {
             while let Some(range) = first_undercovered(&self.held, self.whole, copies) {
-                let Some(index) = self.fastest_surplus_engine(first_layout) else { return };
+                let Some(index) = self.fastest_surplus_engine(true) else { return };
                 let layers = fit_to_gap(range, self.usual_layers[index]);
                 self.assign(index, layers);
             }
--- a/crates/place/tests/release.rs
+++ b/crates/place/tests/release.rs
@@ -71,3 +71,17 @@
     let targets: Vec<_> = moves.iter().map(|change| change.target.as_str()).collect();
     assert_eq!(targets, ["a-h100-100"]);
 }
+
+// Guards against a domain that misses a copy for 3 s because the engine that is to hold it is new:
+// the next engine that leaves then leaves a gap.
+#[test]
+fn new_engine_takes_a_missing_copy_at_once() {
+    let mut all = settled(&[("l4", 30)]);
+    let old = all.remove(0);
+    for engine in all.iter_mut().filter(|engine| engine.layers.is_none()) {
+        engine.new = true;
+    }
+    let moves = plan(&all, &model());
+    let layers: Vec<_> = moves.iter().map(|change| Some(change.layers)).collect();
+    assert_eq!(layers, [old.layers]);
+}
