--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -1,7 +1,6 @@
 //! No request runs at more engines than its route allows, as long as those at which it has run are
 //! sound.
 
-#[allow(dead_code, reason = "no signals are sent here")]
 mod entry;
 mod site;
 
