--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -131,7 +131,7 @@
     log::info!("{event}");
     segment.record_interruption(dispatch, progress);
     dispatch.record_run(&path);
-    let is_cut_empty = ended == Ended::Cut && segment.is_empty(progress);
+    let is_cut_empty = ended != Ended::Stalled && segment.is_empty(progress);
     progress.empty_segments = if is_cut_empty { progress.empty_segments + 1 } else { 0 };
     if ended == Ended::Stalled {
         dispatch.fallback = Some(segment);
