Table: only a target that was registered as ready is replaced by the next one at its address

A request could run at one engine more than its route allows: an engine that had left as planned no longer counted once its address was used again, as if it had ended without notice.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -226,7 +226,7 @@
             true => table.is_lost(&engine.target),
             false => table.is_silent(self.now(), &engine.target),
         };
-        is_gone || table.is_replaced(&engine.target, engine.address)
+        is_gone || table.is_replaced(&engine.target)
     }
 
     /// Returns whether an engine of a path is down.
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -23,6 +23,8 @@
 /// Time for which the availability of a removed target is kept: as long as store outages, during
 /// which entries of running targets lapse.
 const AVAILABILITY_TTL: Duration = Duration::from_secs(600);
+/// Time for which it is known that a target was replaced: longer than requests last.
+const REPLACED_TTL: Duration = Duration::from_secs(60);
 /// Requests that are added to the apparent load of a service target in another failure domain.
 const REMOTE_LOAD: f64 = 0.3;
 
@@ -64,6 +66,9 @@
     entries: HashMap<TargetKey, Entry>,
     /// Availability of removed targets: an entry can lapse and reappear.
     removed: HashMap<TargetKey, Removed>,
+    /// Targets whose addresses others have taken while they were registered as ready, with the time
+    /// until which this is known.
+    replaced: HashMap<TargetKey, Duration>,
     home: DomainName,
     /// Load of other VMs as they report it, with the time until which it counts.
     peer_loads: HashMap<SocketAddr, PeerLoad>,
@@ -79,6 +84,7 @@
         Self {
             entries: HashMap::new(),
             removed: HashMap::new(),
+            replaced: HashMap::new(),
             home,
             peer_loads: HashMap::new(),
             vms: 1,
@@ -115,9 +121,10 @@
         self.entry(id).is_some_and(|entry| entry.health.is_silent(now) && !entry.is_draining())
     }
 
-    /// Returns whether another target has taken the address of one that has no entry any more.
-    pub fn is_replaced(&self, id: &str, address: SocketAddr) -> bool {
-        self.entry(id).is_none() && self.entries().any(|entry| entry.target.address == address)
+    /// Returns whether another target has taken the address of one that was registered as ready. The
+    /// address of one that drained says nothing: the requests that it ran count as run.
+    pub fn is_replaced(&self, id: &str) -> bool {
+        self.replaced.contains_key(id) && self.entry(id).is_none()
     }
 
     /// Records that something came from a target.
@@ -139,11 +146,14 @@
             self.entries.remove(&target.id);
             return false;
         }
-        self.entries.retain(|id, entry| {
-            *id == target.id
-                || entry.target.address != target.address
-                || entry.target.started_unix_ms >= target.started_unix_ms
+        let older = self.entries.extract_if(|id, entry| {
+            *id != target.id
+                && entry.target.address == target.address
+                && entry.target.started_unix_ms < target.started_unix_ms
         });
+        let ended = older.filter(|(_, entry)| !entry.is_draining() && entry.removed_at.is_none());
+        let until = now + REPLACED_TTL;
+        self.replaced.extend(ended.map(|(id, _)| (id, until)));
         let Some(entry) = self.entries.get_mut(&target.id) else {
             let removed = self
                 .removed
@@ -226,6 +236,7 @@
     pub fn expire(&mut self, now: Duration) -> Vec<Target> {
         self.expire_peer_loads(now);
         self.removed.retain(|_, removed| removed.until > now);
+        self.replaced.retain(|_, until| *until > now);
         let lapsed = self.entries.values_mut().filter(|entry| {
             !entry.removed && entry.removed_at.is_some_and(|removed_at| removed_at <= now)
         });
