--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
-use site::{Bounds, Config, Target, TargetKey};
+use site::{Bounds, Config, Rate, Target, TargetKey};
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
@@ -60,6 +60,8 @@
     pub(crate) quarantine: Quarantine,
     /// The known holder of the leader key, and this node's lease on it.
     pub(crate) claim: RefCell<Claim>,
+    /// Limits that targets name at present, by address.
+    pub(crate) limits: RefCell<HashMap<SocketAddr, Rate>>,
     pub(crate) pool: Pool,
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
@@ -116,6 +118,7 @@
             loans: Loans::default(),
             quarantine: Quarantine::default(),
             claim: RefCell::default(),
+            limits: RefCell::default(),
             pool: Pool::new(clock),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
