Permits: the requests to a target that names a limit are one sum over all nodes

Class of fault: a bound on a sum, without an owner of the sum.

Change: limit::permit, a state machine without clock or socket: one issuer for each target, chosen by a hash among the nodes that are heard, grants or denies each request; what nodes sent before they knew the limit counts; a portion stays with nodes that are not heard. Three messages between nodes, one field at the end of View.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -98,6 +98,9 @@
             return;
         }
         self.diagnoses.last_asked.borrow_mut().insert(first, now);
+        if !self.may_call(first).await {
+            return;
+        }
         match self.fetch_report(first).await {
             Err(failure) => self.record_fault(first, probe_fault(failure), "no report"),
             Ok(report) => {
@@ -118,6 +121,9 @@
         for (id, address) in due {
             let node = self.clone();
             tokio::task::spawn_local(async move {
+                if !node.may_call(address).await {
+                    return;
+                }
                 if let Err(failure) = node.responds_in_time(&id, address).await {
                     let fault = match failure {
                         ProbeFailure::Refused => Fault::Refused,
@@ -141,6 +147,9 @@
         for (id, address) in self.sample_engines(count) {
             let node = self.clone();
             tokio::task::spawn_local(async move {
+                if !node.may_call(address).await {
+                    return;
+                }
                 if node.refresh(&id, address).await.is_err() {
                     node.record_fault(address, Fault::ReportTimeout, "no report on a quiet node");
                 }
@@ -165,6 +174,10 @@
     async fn refresh_hedged(&self, id: &str, address: SocketAddr) -> Result<Report, ProbeFailure> {
         let first = self.refresh(id, address);
         pin!(first);
+        if self.permits.borrow().limit(address).is_some() {
+            // The permit is for one call.
+            return first.await;
+        }
         if let Ok(report) = timeout(HEDGE_AFTER, &mut first).await {
             return report;
         }
@@ -298,7 +311,11 @@
         for (id, address) in due {
             let node = node.clone();
             tokio::task::spawn_local(async move {
-                let answer = if node.is_engine(&id) {
+                let is_engine = node.is_engine(&id);
+                if is_engine && !node.may_call(address).await {
+                    return;
+                }
+                let answer = if is_engine {
                     node.refresh(&id, address).await.map(drop)
                 } else {
                     let connected = crate::pool::connect(address).await;
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -115,7 +115,7 @@
     /// Segment of a stalled stream that continues if no other path accepts the request.
     pub(crate) fallback: Option<Segment>,
     /// Attempts without an answer: the last one, and those at silent paths, which may go on.
-    waiting: Vec<Attempt>,
+    pub(crate) waiting: Vec<Attempt>,
     /// Share of memory in use on the best path of the last search.
     pub(crate) pressure: f64,
 }
@@ -216,9 +216,20 @@
     /// Returns the path that [`Dispatch::find_path`] returns once the request has also run at
     /// `next`.
     fn find_path_after(&self, now: Duration, next: Option<&Stage>) -> Result<Path, &'static str> {
+        self.find_open_path(now, next, Duration::ZERO)
+    }
+
+    /// Returns the path that [`Dispatch::find_path_after`] returns if it may start at engines whose
+    /// limits are used up for up to `patience`.
+    pub(crate) fn find_open_path(
+        &self,
+        now: Duration,
+        next: Option<&Stage>,
+        patience: Duration,
+    ) -> Result<Path, &'static str> {
+        let closed = self.node.permits.borrow().closed(now, self.class(), patience);
         let find = |avoid: &[SocketAddr], first: Option<&[SocketAddr]>| {
-            let (service, tokens) = (&self.call.service, self.call.tokens);
-            let criteria = Query { service, excluded: avoid, allowed_first: first, tokens };
+            let criteria = self.criteria(avoid, first, &closed);
             self.node.table.borrow().path(now, &self.model, &criteria)
         };
         let ran = self.ran.iter().chain(next).map(|stage| stage.address).collect::<Vec<_>>();
@@ -230,6 +241,16 @@
         path.or_else(|| if self.has_begun { find(&[], allowed_first) } else { None }).ok_or(missing)
     }
 
+    fn criteria<'a>(
+        &'a self,
+        excluded: &'a [SocketAddr],
+        allowed_first: Option<&'a [SocketAddr]>,
+        closed_first: &'a [SocketAddr],
+    ) -> Query<'a> {
+        let (service, tokens) = (&self.call.service, self.call.tokens);
+        Query { service, excluded, allowed_first, closed_first, tokens }
+    }
+
     /// Returns whether to try another path beside the last attempt, on whose path an engine is down.
     /// Takes the retry for it.
     async fn may_try_another(&self) -> bool {
@@ -261,7 +282,7 @@
 
     /// Takes a retry for another offer, unless none has been sent yet. Uses one that was taken a
     /// moment ago for an offer that was not made.
-    async fn take_retry(&self) -> bool {
+    pub(crate) async fn take_retry(&self) -> bool {
         if self.offers == self.unsent {
             return true;
         }
@@ -274,7 +295,7 @@
     }
 
     /// Keeps a retry that was taken for an offer that did not arrive anywhere.
-    fn keep_retry(&self) {
+    pub(crate) fn keep_retry(&self) {
         if self.offers > self.unsent {
             self.retry_taken_at.set(Some(self.node.now()));
         }
@@ -282,8 +303,7 @@
 
     /// Returns the time until a path is available, if paused engines are the only obstacle.
     pub(crate) fn time_to_path(&self) -> Option<Duration> {
-        let (service, tokens) = (&self.call.service, self.call.tokens);
-        let criteria = Query { service, excluded: &[], allowed_first: None, tokens };
+        let criteria = self.criteria(&[], None, &[]);
         self.node.table.borrow().path_available_in(self.node.now(), &self.model, &criteria)
     }
 
@@ -463,11 +483,8 @@
         if self.node.admit(&self.call).await.is_err() {
             return Err(QUARANTINED);
         }
-        let path = self.await_path().await?;
+        let path = self.await_permitted_path().await?;
         if self.offers > 0 {
-            if !self.take_retry().await {
-                return Err(NO_RETRY);
-            }
             let event = self
                 .call
                 .event(RETRIED)
@@ -486,11 +503,14 @@
     /// # Errors
     ///
     /// Returns why there is none.
-    async fn await_path(&mut self) -> Result<Path, &'static str> {
+    pub(crate) async fn await_path(&mut self) -> Result<Path, &'static str> {
         let called_at = self.node.now();
         loop {
             let now = self.node.now();
-            let path = self.find_path(now)?;
+            let path = match self.find_path(now) {
+                Ok(path) => path,
+                Err(reason) => self.find_limited_path(now, reason)?,
+            };
             self.pressure = path.pressure;
             if path.pressure > MAX_PRESSURE && !self.has_begun {
                 return Err(FULL);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -265,6 +265,7 @@
             .sharers
             .borrow_mut()
             .set_present(self.node.now(), peers.iter().copied().collect());
+        self.node.permits.borrow_mut().set_registered(peers.iter().copied().collect());
         self.node.relay.borrow_mut().set_nodes(own, &peers);
         *self.node.peers.borrow_mut() = peers;
     }
@@ -340,7 +341,10 @@
                     log::info!("{event}");
                     self.node.routing_changed.notify_waiters();
                 }
-                replaced.iter().for_each(|target| self.node.record_target_loss(target));
+                for target in &replaced {
+                    self.node.record_target_loss(target);
+                    self.node.permits.borrow_mut().forget(now, target.address);
+                }
             }
             Err(error) => log_undecodable(&item.key, &error),
         }
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 
 use fleet::Version;
+use limit::permit;
 use serde::{Deserialize, Serialize};
 use site::TargetKey;
 
@@ -33,6 +34,12 @@
     Freshness(Freshness),
     /// The version of the configuration in force on the sender, while the store's is older.
     ConfigVersion(Version),
+    /// Asks the issuer of a target's permits for one.
+    PermitRequest(permit::Request),
+    /// Answers such a request.
+    PermitAnswer(permit::Answer),
+    /// Tells of the limit of a target.
+    Limit(permit::Limit),
 }
 
 /// One node's view of itself and the targets. New fields are added at the end.
@@ -53,6 +60,9 @@
     pub checks_keys: bool,
     /// Whether the sender reaches targets. Appended: views of builds before 4c39794 end before it.
     pub reaches_targets: bool,
+    /// Whether the sender issues permits. Appended: views of builds before 8bd7f1a and of that build
+    /// end before it.
+    pub issues_permits: bool,
 }
 
 /// Properties of a variant of [`Message`].
@@ -70,14 +80,17 @@
 }
 
 /// All variants, in order.
-const KINDS: [Kind; 7] = [
-    Kind { name: "view", appended_bytes: 1 },
+const KINDS: [Kind; 10] = [
+    Kind { name: "view", appended_bytes: 2 },
     Kind::new("loan-request"),
     Kind::new("loan-grant"),
     Kind::new("evidence"),
     Kind::new("freshness-query"),
     Kind::new("freshness"),
     Kind::new("config-version"),
+    Kind::new("permit-request"),
+    Kind::new("permit-answer"),
+    Kind::new("limit"),
 ];
 
 /// Why a message cannot be read.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use fleet::{Event, Version};
+use limit::permit::Permits;
 use path::{Budget, Entry, Fault, Participants, Share, Table};
 use platform::Settings;
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
-use site::{Bounds, Config, Rate, Target, TargetKey};
+use site::{Bounds, Config, Target, TargetKey};
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
@@ -24,6 +25,7 @@
 use crate::event::{CONTACT_BACK, CONTACT_LOST, TARGET_DOWN, TARGET_PAUSED, TARGET_UP};
 use crate::forward::Origin;
 use crate::loan::Loans;
+use crate::permit::Answers;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
@@ -60,8 +62,10 @@
     pub(crate) quarantine: Quarantine,
     /// The known holder of the leader key, and this node's lease on it.
     pub(crate) claim: RefCell<Claim>,
-    /// Limits that targets name at present, by address.
-    pub(crate) limits: RefCell<HashMap<SocketAddr, Rate>>,
+    /// Limits that targets name, and the permits for requests to them.
+    pub(crate) permits: RefCell<Permits>,
+    /// Requests for permits that wait for answers of other nodes.
+    pub(crate) permit_answers: Answers,
     pub(crate) pool: Pool,
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
@@ -108,6 +112,8 @@
     pub(crate) fn new(settings: Settings) -> Self {
         let clock = Clock::start();
         let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let internal = SocketAddr::new(settings.front.ip(), settings.internal_ports.0);
+        let permits = Permits::new(internal, settings.bounds.contact);
         Self {
             table: RefCell::new(Table::new(settings.domain.clone())),
             settings,
@@ -118,7 +124,8 @@
             loans: Loans::default(),
             quarantine: Quarantine::default(),
             claim: RefCell::default(),
-            limits: RefCell::default(),
+            permits: RefCell::new(permits),
+            permit_answers: Answers::default(),
             pool: Pool::new(clock),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -8,9 +8,9 @@
 use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
-use site::Rate;
+use platform::head;
 
-use crate::event::{BACKED_OFF, TARGET_LEAVES, TARGET_LIMITED};
+use crate::event::{BACKED_OFF, TARGET_LEAVES};
 use crate::node::Node;
 use crate::pool::{Exchange, Unanswered};
 use crate::store::log_undecodable;
@@ -31,9 +31,12 @@
         request: Request<Full<Bytes>>,
         used: &Used,
     ) -> Result<Exchange, Unanswered> {
+        let (sent_at, id) = (self.now(), request.headers().get(head::REQUEST_ID).cloned());
+        self.permits.borrow_mut().record_sent(sent_at, address);
         let exchange = self.pool.send(address, request, used).await.inspect_err(|unanswered| {
             if matches!(unanswered, Unanswered::Refused | Unanswered::NotSent) {
                 self.contact.borrow_mut().record_no_connection(address);
+                self.permits.borrow_mut().give_back(self.now(), address);
             }
         })?;
         self.record_contact(self.now());
@@ -41,7 +44,11 @@
             self.record_connection();
         }
         self.apply_notice(address, exchange.response.status(), exchange.response.headers());
-        self.apply_limit(address, exchange.response.headers());
+        let headers = exchange.response.headers();
+        // The answer to another request may be an old one.
+        if headers.get(head::REQUEST_ID) == id.as_ref() {
+            self.apply_limit(address, sent_at, headers);
+        }
         Ok(exchange)
     }
 
@@ -73,29 +80,6 @@
         }
     }
 
-    /// Logs and counts a limit that the target at `address` names, if it is another one than before.
-    fn apply_limit(&self, address: SocketAddr, headers: &HeaderMap) {
-        let limit = match platform::limit(headers) {
-            Ok(limit) => limit,
-            Err(error) => return log_undecodable(&address.to_string(), &error),
-        };
-        let mut limits = self.limits.borrow_mut();
-        let before = match limit {
-            Some(limit) => limits.insert(address, limit),
-            None => limits.remove(&address),
-        };
-        metrics::gauge!("magnolia_limited_targets").set(limits.len() as f64);
-        if before == limit {
-            return;
-        }
-        let show = |limit: Option<Rate>| limit.map_or("none".to_owned(), |limit| limit.to_string());
-        let event = Event::new(TARGET_LIMITED)
-            .with("address", address)
-            .with("per_second", show(limit))
-            .with("before", show(before));
-        log::info!("{event}");
-    }
-
     fn apply_draining(&self, address: SocketAddr) {
         let Some(target) = self.table.borrow_mut().mark_draining(address) else { return };
         let event = Event::new(TARGET_LEAVES).with("target", target).with("address", address);
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -7,6 +7,7 @@
 
 use fleet::{DomainName, Event, Layers};
 use hyper::StatusCode;
+use limit::permit::Class;
 use path::Fault;
 use place::{Engine, Move, Planner, Registration};
 use platform::Order;
@@ -124,8 +125,10 @@
     ) -> Vec<(TargetKey, Option<Report>)> {
         let fetch = |(id, address): (TargetKey, SocketAddr)| {
             let (node, engine) = (self.node.clone(), id.clone());
-            let task =
-                tokio::task::spawn_local(async move { node.refresh(&engine, address).await.ok() });
+            let task = tokio::task::spawn_local(async move {
+                let may_call = node.may_call(address).await;
+                if may_call { node.refresh(&engine, address).await.ok() } else { None }
+            });
             (id, task)
         };
         let tasks: Vec<_> = engines.into_iter().map(fetch).collect();
@@ -246,7 +249,9 @@
                 FollowUp::CountAccepted => self.node.table.borrow_mut().record_order(now, &id),
                 FollowUp::Refresh => {
                     // Without a report the next plan goes by what is known.
-                    self.node.refresh(&id, address).await.ok();
+                    if self.node.may_call(address).await {
+                        self.node.refresh(&id, address).await.ok();
+                    }
                 }
                 FollowUp::MarkDown => {
                     self.node.record_fault(address, Fault::ReportTimeout, "no answer to an order")
@@ -258,6 +263,8 @@
 
 async fn send_order(node: &Node, address: SocketAddr, order: Order) -> Outcome {
     let exchange = async {
+        // An order is sent in any case; it is only counted.
+        node.permit(address, Class::Order, Duration::ZERO).await.ok();
         let answer = node.ask(address, platform::order_request(address, order)).await.ok()?;
         let (response, connection) = answer.split();
         let status = response.status();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::loan;
 use crate::message::{MAX_MESSAGE_BYTES, Message, Refusals, Unreadable, View, decode, encode};
 use crate::node::Node;
+use crate::permit;
 use crate::relay::Freshness;
 
 /// Minimum interval between views sent to one peer.
@@ -117,7 +118,8 @@
     let declining = marked.map(|entry| entry.target.id.clone()).take(MAX_DECLINING).collect();
     let fence = node.claim.borrow().highest();
     let (checks_keys, reaches_targets) = (node.may_honour_keys(), node.reaches_targets());
-    View { loads, down, refusing, declining, fence, checks_keys, reaches_targets }
+    let issues_permits = node.issues_permits();
+    View { loads, down, refusing, declining, fence, checks_keys, reaches_targets, issues_permits }
 }
 
 /// Receives messages until the process ends.
@@ -141,6 +143,9 @@
             Ok(Message::FreshnessQuery(query)) => answer_query(&node, &socket, from, query),
             Ok(Message::Freshness(freshness)) => apply_freshness(&node, from, &freshness),
             Ok(Message::ConfigVersion(version)) => apply_version(&node, version),
+            Ok(Message::PermitRequest(request)) => permit::answer(&node, &socket, from, &request),
+            Ok(Message::PermitAnswer(answer)) => node.permit_answers.deliver(from, answer),
+            Ok(Message::Limit(limit)) => node.record_limit(from, &limit),
             Ok(Message::Evidence(evidence)) => {
                 evidence.into_iter().for_each(|evidence| node.apply_evidence(evidence))
             }
@@ -204,6 +209,7 @@
     node.reachability.borrow_mut().record(now, view.checks_keys);
     node.reachability.borrow_mut().record_contact(now, from, view.reaches_targets);
     let until = valid_until(node);
+    node.record_issuing(from, view.issues_permits, until);
     node.table.borrow_mut().record_peer_load(from, view.loads, until);
     for id in &view.declining {
         node.table.borrow_mut().deprioritise(id, until);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -25,7 +25,7 @@
 use crate::node::Node;
 use crate::orders::Orders;
 use crate::store::Store;
-use crate::{diagnose, front, loan, mark, peers, persistence, ready};
+use crate::{diagnose, front, loan, mark, peers, permit, persistence, ready};
 
 const METRICS_PORT: u16 = 9464;
 /// Upper bounds of the latency buckets, in seconds: latency goals of routes lie between 0.1 and
@@ -141,6 +141,7 @@
     tokio::task::spawn_local(peers::broadcast(node.clone(), socket.clone()));
     tokio::task::spawn_local(peers::receive(node.clone(), socket.clone()));
     tokio::task::spawn_local(peers::query_followers(node.clone(), socket.clone()));
+    tokio::task::spawn_local(permit::send_messages(node.clone(), socket.clone()));
     tokio::task::spawn_local(loan::request_loans(node.clone(), socket));
     tokio::task::spawn_local(diagnose::probe(node.clone()));
     let accepting = tokio::task::spawn_local(front::serve_callers(node.clone(), callers));
@@ -171,6 +172,7 @@
         if node.now().saturating_sub(last_sweep) >= SWEEP_INTERVAL {
             last_sweep = node.now();
             node.pool.close_expired();
+            node.permits.borrow_mut().expire(node.now());
             node.quarantine.expire(node.now());
             node.quarantine.entries.remove_obsolete();
         }
@@ -193,6 +195,9 @@
     let stop_started = Instant::now();
     log::info!("{}", Event::new(STOPPING).with("connections", node.connections.get()));
     node.stopping.set(true);
+    // The other nodes issue the permits from now on.
+    node.issues_permits();
+    node.alarm.notify_one();
     node.stop_requested.notify_waiters();
     release_leases(node, store, leadership).await;
     sleep_until(stop_started + ROTATION_DELAY).await;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::{Dispatch, Failure, NO_PATH, NO_RETRY, Opened};
 use crate::event::REFUSED;
 use crate::forward::{name_target, stream_head, whole_answer};
+use crate::limited::LIMITED;
 use crate::node::Node;
 use crate::pump::pump;
 use crate::quarantine::QUARANTINED;
@@ -56,6 +57,7 @@
                 NO_RETRY => node.other_node_retry_after(),
                 QUARANTINED => node.quarantined_for(&dispatch.call),
                 NO_PATH if let Some(left) = dispatch.time_to_path() => node.after_backoff(left),
+                LIMITED => node.after_limits(&dispatch.call),
                 _ => node.retry_after(&dispatch.call, OVERLOAD_RETRY_AFTER),
             };
             let event = dispatch
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
+use limit::permit::Class;
 use path::{Fault, Query};
 use site::TargetKey;
 use tokio::time::timeout;
@@ -19,13 +20,21 @@
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
 use crate::forward::{MAX_UNSENT, forward_unary, is_refusal, name_target};
+use crate::limited::LIMITED;
 use crate::node::Node;
+use crate::permit::Remedy;
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
 use crate::resumed::is_signed;
 
 /// Maximum number of targets that a request is sent to, including those that refused it.
 const MAX_OFFERS: u32 = 4;
+/// Maximum number of targets whose permits are denied to a request in a row.
+const MAX_DENIALS: u32 = 4;
+/// Maximum wait of a request for a permit.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(300);
+/// Maximum share of the time left that a request waits for one.
+const MAX_PERMIT_WAIT_SHARE: u32 = 4;
 /// Share of the remaining time that one attempt of an idempotent request may take while another
 /// attempt is allowed.
 const ATTEMPT_SHARE: f64 = 0.45;
@@ -136,6 +145,11 @@
         None if let Some(left) = quarantined => node.refuse_quarantined(call, left),
         None => {
             let left = node.table.borrow().service_available_in(node.now(), &call.service);
+            if left.is_none() && node.is_limited(&call.service) {
+                let after = node.after_limits(call);
+                node.log_limited(call, None, after, Remedy::Refused);
+                return retry_later(StatusCode::SERVICE_UNAVAILABLE, LIMITED, after);
+            }
             let after = left.map(|left| node.after_backoff(left));
             let after = after.unwrap_or_else(|| node.retry_after(call, MIN_RETRY_AFTER));
             retry_later(StatusCode::SERVICE_UNAVAILABLE, "no target", after)
@@ -207,11 +221,7 @@
         if self.quarantined.is_some() || self.time_left().is_zero() {
             return None;
         }
-        let target = self.best_target()?;
-        let taken = std::mem::take(&mut self.retry_taken) || self.offers == self.unsent;
-        if !taken && !self.node.take_retry(&self.call.service).await {
-            return None;
-        }
+        let target = self.permitted_target().await?;
         if self.offers > 0 {
             let event = self.call.event(RETRIED).with("target", &target.0);
             log::info!("{event}");
@@ -219,10 +229,48 @@
         Some(target)
     }
 
+    /// Returns the best target, with a permit for it and the retry for another offer.
+    async fn permitted_target(&mut self) -> Option<(TargetKey, SocketAddr)> {
+        for _ in 0..MAX_DENIALS {
+            let open = self.best_target();
+            let patience = if open.is_some() { Duration::ZERO } else { self.patience() };
+            let target = open.or_else(|| self.best_target_within(patience))?;
+            let taken = std::mem::take(&mut self.retry_taken) || self.offers == self.unsent;
+            if !taken && !self.node.take_retry(&self.call.service).await {
+                return None;
+            }
+            match self.node.permit(target.1, Class::Request, patience).await {
+                Ok(()) => return Some(target),
+                Err(wait) => {
+                    self.node.log_limited(self.call, Some(target.1), wait, Remedy::Elsewhere);
+                    self.retry_taken = self.offers > self.unsent;
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the time for which the request can wait for a permit: none beside another attempt.
+    fn patience(&self) -> Duration {
+        match self.pending.is_empty() {
+            true => MAX_PERMIT_WAIT.min(self.time_left() / MAX_PERMIT_WAIT_SHARE),
+            false => Duration::ZERO,
+        }
+    }
+
     fn best_target(&self) -> Option<(TargetKey, SocketAddr)> {
-        let (service, excluded) = (&self.call.service, &self.excluded);
-        let criteria = Query { service, excluded, allowed_first: None, tokens: 0.0 };
-        self.node.table.borrow().best_target(self.node.now(), &criteria)
+        self.best_target_within(Duration::ZERO)
+    }
+
+    /// Returns the best target, also one whose limit is used up for up to `patience`.
+    fn best_target_within(&self, patience: Duration) -> Option<(TargetKey, SocketAddr)> {
+        let now = self.node.now();
+        let mut excluded = self.node.permits.borrow().closed(now, Class::Request, patience);
+        excluded.extend(&self.excluded);
+        let (service, excluded) = (&self.call.service, excluded.as_slice());
+        let criteria =
+            Query { service, excluded, allowed_first: None, closed_first: &[], tokens: 0.0 };
+        self.node.table.borrow().best_target(now, &criteria)
     }
 
     fn start(&mut self, target: TargetKey, address: SocketAddr) {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -12,7 +12,9 @@
 //! is predicted to hold, and the fleet offers its slots. Each node uses the fraction
 //! of an organisation's share that its own callers demand; nodes share no counter.
 //!
-//! [`Limiter`] is a state machine without clock, thread or socket.
+//! Targets may limit the requests per second that they take from all VMs together: [`permit`].
+//!
+//! [`Limiter`] and [`permit::Permits`] are state machines without clock, thread or socket.
 
 mod capacity;
 mod class;
@@ -22,6 +24,7 @@
 mod limiter;
 mod message;
 mod organisation;
+pub mod permit;
 mod pool;
 mod queue;
 mod rate;
@@ -29,6 +32,7 @@
 mod settings;
 mod share;
 mod tolerance;
+mod window;
 
 pub use class::Class;
 pub use estimate::Estimate;
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -37,6 +37,8 @@
     pub excluded: &'a [SocketAddr],
     /// Engines at which a path may start; `None` allows all.
     pub allowed_first: Option<&'a [SocketAddr]>,
+    /// Engines at which no path may start, because they take no more requests for now.
+    pub closed_first: &'a [SocketAddr],
     /// Length of the prompt and the expected answer, tokens.
     pub tokens: f64,
 }
@@ -511,7 +513,8 @@
         let usable = usable.map(|entry| {
             let held = entry.tokens * assumed_vms + entry.peer_tokens;
             let address = &entry.target.address;
-            let may_start = query.allowed_first.is_none_or(|first| first.contains(address));
+            let is_allowed = query.allowed_first.is_none_or(|first| first.contains(address));
+            let may_start = is_allowed && !query.closed_first.contains(address);
             Candidate { entry, held, deprioritised: entry.is_deprioritised(now), may_start }
         });
         let usable: Vec<Candidate<'_>> = usable.collect();
--- a/crates/site/src/bounds.rs
+++ b/crates/site/src/bounds.rs
@@ -23,6 +23,8 @@
     pub fenced: bool,
     /// Time after which an engine gives up a request that hangs at a dead stage.
     pub stall: Duration,
+    /// Time that VMs have to learn of a change and to act by it.
+    pub contact: Duration,
 }
 
 impl Default for Bounds {
@@ -37,6 +39,7 @@
             retry_window: Duration::from_secs(10),
             fenced: false,
             stall: Duration::from_secs(2),
+            contact: Duration::from_secs(3),
         }
     }
 }
--- a/crates/site/src/rate.rs
+++ b/crates/site/src/rate.rs
@@ -17,7 +17,7 @@
     /// Returns a rate; `None` for a negative number or one that is no number.
     pub fn new(per_second: f64) -> Option<Self> {
         // Conversion of a float saturates.
-        (per_second >= 0.0).then(|| Self((per_second * SCALE) as u64))
+        (per_second >= 0.0).then_some(Self((per_second * SCALE) as u64))
     }
 
     /// Returns the number of requests per second.
