Placement: another engine gets the first layers while a domain's first engines are used up

Change: place::entries; the leader has an engine that is not needed load the first layers too, as long as all that hold the first one are used up.

--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -7,9 +7,9 @@
 
 use fleet::{DomainName, Event, Layers};
 use hyper::StatusCode;
-use limit::permit::Class;
+use limit::permit::{Class, Permits};
 use path::Fault;
-use place::{Engine, Move, Planner, Registration};
+use place::{Engine, Limit, Move, Planner, Registration};
 use platform::Order;
 use platform::kv::Revision;
 use site::{Model, Report, Service, TargetKey};
@@ -142,7 +142,7 @@
 
     fn plan(&mut self, service: &Service, model: &Model) -> Vec<Move> {
         let now = self.node.now();
-        let table = self.node.table.borrow();
+        let (table, permits) = (self.node.table.borrow(), self.node.permits.borrow());
         let usable = table.entries().filter(|entry| {
             // Moving layers takes seconds. An engine that may only be unreachable is kept in the
             // plan.
@@ -164,6 +164,7 @@
                     order_pending: pending.is_some() || self.tracker.is_paused(&id) || down,
                     slow: entry.is_slow(),
                     new: now.saturating_sub(entry.registered_at) < REPLACEMENT_WAIT,
+                    limit: limit(&permits, now, entry.target.address),
                     id,
                 }
             })
@@ -261,6 +262,15 @@
     }
 }
 
+/// Returns whether an engine limits the requests that it takes.
+fn limit(permits: &Permits, now: Duration, engine: SocketAddr) -> Limit {
+    match permits.limit(engine) {
+        None => Limit::None,
+        Some(_) if permits.is_used_up(now, engine) => Limit::UsedUp,
+        Some(_) => Limit::Named,
+    }
+}
+
 async fn send_order(node: &Node, address: SocketAddr, order: Order) -> Outcome {
     let exchange = async {
         // An order is sent in any case; it is only counted.
--- a/crates/limit/src/permit.rs
+++ b/crates/limit/src/permit.rs
@@ -543,6 +543,12 @@
         known.map_or(Duration::ZERO, |target| target.closed_until(class).saturating_sub(now))
     }
 
+    /// Returns whether this VM has lately been denied permits for requests to a target.
+    pub fn is_used_up(&self, now: Duration, target: Address) -> bool {
+        let known = self.targets.get(&target).filter(|target| target.statement.rate.is_some());
+        known.is_some_and(|target| target.requests_closed_until + IN_USE_TIME > now)
+    }
+
     /// Decides on a call that can wait for `patience`.
     pub fn decide(
         &mut self,
--- a/crates/place/src/cover.rs
+++ b/crates/place/src/cover.rs
@@ -163,6 +163,7 @@
         self.add_copies();
         self.balance();
         self.upgrade();
+        self.add_entry();
         self.moves
     }
 
@@ -233,7 +234,7 @@
 
     /// Compares engines by speed, those of one kind by the number of layers that they usually hold.
     /// Of equal engines the first is the greatest.
-    fn compare_speed(&self, a: usize, b: usize) -> Ordering {
+    pub(crate) fn compare_speed(&self, a: usize, b: usize) -> Ordering {
         let factor = |index: usize| step_factor(self.engines[index], self.model);
         let by_size = self.usual_layers[a].cmp(&self.usual_layers[b]);
         factor(b).total_cmp(&factor(a)).then(by_size).then(b.cmp(&a))
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -22,6 +22,20 @@
     /// Whether the engine has registered only now. If there is another one of its kind, it probably
     /// replaces that one, and only gets layers that would be missing otherwise.
     pub new: bool,
+    /// Whether the engine limits the requests that it takes.
+    pub limit: Limit,
+}
+
+/// Whether an engine limits the requests per second that it takes as the first one of their paths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Limit {
+    /// It names no limit.
+    #[default]
+    None,
+    /// It names a limit that is not used up.
+    Named,
+    /// More requests are to be sent than it takes.
+    UsedUp,
 }
 
 /// A new layer range for an engine.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,12 +8,13 @@
 mod balance;
 mod cover;
 mod engine;
+mod entries;
 mod planner;
 mod rate;
 mod registration;
 mod upgrade;
 
 pub use cover::{gaps, plan};
-pub use engine::{Engine, Move};
+pub use engine::{Engine, Limit, Move};
 pub use planner::Planner;
 pub use registration::Registration;
--- a/crates/place/tests/odd.rs
+++ b/crates/place/tests/odd.rs
@@ -42,6 +42,7 @@
         order_pending: false,
         slow: false,
         new: false,
+        limit: place::Limit::None,
     }
 }
 
--- a/crates/sample/src/lib.rs
+++ b/crates/sample/src/lib.rs
@@ -48,6 +48,7 @@
         order_pending: false,
         slow: false,
         new: false,
+        limit: place::Limit::None,
     }
 }
 
