Stop: a request whose body comes late in the grace is refused

Cause: whether the node still takes requests was asked when the head arrived, not when the request was whole. Change: asked again then; the caller gets 503 with the time of another node, nothing has run.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -190,9 +190,7 @@
     origin: Origin,
 ) -> Result<(Call, Rc<Config>), Refusal> {
     let received_at = node.now();
-    if node.closed.get() {
-        return Err(Refusal::RetryLater("stopping", node.other_node_retry_after()));
-    }
+    refuse_if_closed(node)?;
     let config = node
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
@@ -215,6 +213,8 @@
     let deadline = platform::deadline(&parts.headers);
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let body = read_request_body(body, &config, allowed).await?;
+    // The body may have come late.
+    refuse_if_closed(node)?;
     let size = platform::tokens(&parts.headers);
     let statement = Statement::read(origin, &parts.headers);
     let attempts = statement.attempts.map_or(route.attempts, |left| left.min(route.attempts));
@@ -248,6 +248,14 @@
     Ok((call, config))
 }
 
+/// Refuses a request that could not be completed before the process ends.
+fn refuse_if_closed(node: &Node) -> Result<(), Refusal> {
+    match node.closed.get() {
+        true => Err(Refusal::RetryLater("stopping", node.other_node_retry_after())),
+        false => Ok(()),
+    }
+}
+
 fn find_route<'a>(config: &'a Config, parts: &hyper::http::request::Parts) -> Option<&'a Route> {
     let host = parts.uri.host().map(str::to_owned).or_else(|| {
         let value = parts.headers.get(HOST)?.to_str().ok()?;
