Stop: requests in progress at the end of the grace are answered

Reproduced: crates/node/tests/grace.rs, 4 of 4 cases got no answer. Cause: the process ended with its connections open. Change: 0.3 s before the kill, each request that has no head of an answer yet gets one: 503 if it was sent over no connection, else 502 (it may run). Streams that have begun are cut as before.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use site::{Config, Kind, Organisation, Route};
+use site::{Config, Kind, Model, Organisation, Route};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::pin;
@@ -25,6 +26,7 @@
 use crate::forward::{Origin, Statement};
 use crate::node::Node;
 use crate::pool::set_socket_timeouts;
+use crate::reply::unknown_outcome;
 use crate::used::Used;
 use crate::{stream, unary};
 
@@ -131,15 +133,39 @@
     };
     let model = config.service(&call.service).and_then(|service| service.model.clone());
     let call = Rc::new(call);
+    let ending = node.ending.notified();
+    tokio::select! {
+        response = serve_call(&node, call.clone(), model) => response,
+        () = ending => end_call(&node, &call),
+    }
+}
+
+/// Returns the answer to a request that is still in progress when the process ends.
+fn end_call(node: &Node, call: &Call) -> Response<Answer> {
+    if call.used.is_empty() {
+        let refusal = Refusal::RetryLater("stopping", node.other_node_retry_after());
+        return refuse(node, &call.id, refusal);
+    }
+    let response = unknown_outcome(node, call);
+    log_answer(node, call, response.status());
+    response
+}
+
+/// Answers a request by its targets.
+async fn serve_call(
+    node: &Rc<Node>,
+    call: Rc<Call>,
+    model: Option<Arc<Model>>,
+) -> Response<Answer> {
     if let (Kind::Stream { .. }, Some(model)) = (call.kind, model) {
-        let response = stream::forward(&node, call.clone(), model).await;
+        let response = stream::forward(node, call.clone(), model).await;
         if response.status() != StatusCode::OK {
-            log_answer(&node, &call, response.status());
+            log_answer(node, &call, response.status());
         }
         return response;
     }
-    let response = unary::forward(&node, &call).await;
-    log_answer(&node, &call, response.status());
+    let response = unary::forward(node, &call).await;
+    log_answer(node, &call, response.status());
     response
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -90,6 +90,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused because the process is about to end.
     pub(crate) closed: Cell<bool>,
+    /// Notified when the process is about to end: requests in progress are answered.
+    pub(crate) ending: Notify,
     /// Notified when `stopping` is set.
     pub(crate) stop_requested: Notify,
     /// Notified when the state of targets or the configuration changes.
@@ -139,6 +141,7 @@
             contact: RefCell::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
+            ending: Notify::new(),
             stop_requested: Notify::new(),
             routing_changed: Notify::new(),
             alarm: Notify::new(),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -37,6 +37,8 @@
 const ROTATION_DELAY: Duration = Duration::from_millis(2600);
 /// Margin before the platform's kill at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time within which the requests that are then still in progress are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
 /// Interval at which expired connections and quarantine state are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -205,6 +207,13 @@
     accepting.abort();
     node.closed.set(true);
     let latest = stop_started + node.settings.bounds.grace.saturating_sub(END_MARGIN);
+    await_connections(node, latest).await;
+    node.ending.notify_waiters();
+    await_connections(node, latest + ANSWER_TIME).await;
+}
+
+/// Waits until the last caller has disconnected, `latest` at the most.
+async fn await_connections(node: &Node, latest: Instant) {
     while Instant::now() < latest && node.connections.get() > 0 {
         sleep(Duration::from_millis(50)).await;
     }
--- a/crates/edge/src/used.rs
+++ b/crates/edge/src/used.rs
@@ -19,6 +19,11 @@
         self.0.borrow_mut().push(connection);
     }
 
+    /// Returns whether the request has not been sent over any connection.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
     /// Returns whether the request has been sent over a connection.
     pub(crate) fn contains(&self, connection: ConnectionNumber) -> bool {
         self.0.borrow().contains(&connection)
--- a/crates/node/tests/grace.rs
+++ b/crates/node/tests/grace.rs
@@ -8,7 +8,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use platform_standin::{Document, Route};
+use platform_standin::{Call, Document, Route, spawn_call};
 use site::Site;
 use yare::parameterized;
 
@@ -18,6 +18,8 @@
 const GRACE: Duration = Duration::from_secs(8);
 /// Longest wait for an answer that needs no target.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
+/// Time that callers grant a request: longer than the grace.
+const DEADLINE: Duration = Duration::from_secs(20);
 
 /// Sends the head of a request and half of its body.
 fn begin(site: &Site, route: Route) -> TcpStream {
@@ -53,3 +55,28 @@
     assert!(at.elapsed() < REFUSAL_TIME, "{:?}", at.elapsed());
     assert!(site.runs("slow").is_empty(), "it has not run");
 }
+
+// Guards against a request that has run, or may run, and whose connection is closed without an
+// answer at the end of the grace (LOST).
+#[parameterized(
+    at_most_once = { 223, Route::Unsafe },
+    idempotent = { 224, Route::Safe },
+    stream = { 225, Route::Stream },
+    resumable = { 226, Route::Resumable },
+)]
+fn request_in_progress_at_the_end_of_the_grace_is_answered(number: u8, route: Route) {
+    let mut site = Site::start(number, 1, &Document::default());
+    for &target in site.plain.iter().chain(&site.engines) {
+        site.platform.set_silent(target, true);
+    }
+    let at = Instant::now();
+    let call = Call { deadline: DEADLINE, ..Call::new(route, "r") };
+    let caller = spawn_call(site.nodes[0].front, call);
+    sleep(REFUSAL_TIME);
+    site.nodes[0].signal("TERM");
+    let reply = caller.join().expect("a caller ends");
+    // The targets may still run it.
+    assert!(matches!(reply.status, Some(502 | 504)), "{reply:?}");
+    assert!(at.elapsed() < GRACE + REFUSAL_TIME, "before the process is killed");
+    assert_eq!(site.nodes[0].child.wait().expect("it ends").code(), Some(0));
+}
