Edge: dispatch of streams in four files

Moved as it was: the search of a path (search.rs), what an answer says of an attempt (evaluate.rs), at how many engines a request may run and the retries for it (allowance.rs).

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -6,55 +6,38 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::{Response, StatusCode};
-use path::{Fault, Path, Query, Stage};
-use site::{Model, TargetKey};
-use tokio::time::{Instant, sleep, timeout};
+use hyper::Response;
+use path::Path;
+use site::Model;
+use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
 use crate::attempt::{Accepted, Attempt, InFlight, Outcome, next_answer};
 use crate::attempts::Attempts;
 use crate::call::Call;
-use crate::diagnose::{probe_failure, probe_fault};
-use crate::event::{RETRIED, UNCOUNTED};
+use crate::event::RETRIED;
 use crate::forward::{self, Forward, MAX_UNSENT};
 use crate::node::Node;
-use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::pool::Exchange;
 use crate::quarantine::QUARANTINED;
-use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough};
-use crate::resumed::{is_signed, is_stream};
+use crate::reply::log_failed_attempt;
+use crate::resumed::is_stream;
+use crate::search::MAX_PRESSURE;
 use crate::segment::Segment;
 use crate::watchdog::STALL_TIMEOUT;
 
 /// Maximum number of paths that one call of [`Dispatch::open_stream`] tries.
 const MAX_OFFERS: u32 = 5;
-/// Share of an engine's memory above which new requests are refused.
-const MAX_PRESSURE: f64 = 1.0;
-/// Maximum wait for the link between failure domains. Engines mostly load layers that are missing
-/// in a domain in less time.
-const MAX_CROSSING_WAIT: Duration = Duration::from_millis(800);
-/// Interval at which a waiting request looks for a path that does not cross, or for a free link.
-const CROSSING_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which a retry that was taken and not used may be used for another offer: it counts in the
-/// window in which it was taken.
-const RETRY_VALIDITY: Duration = Duration::from_millis(1000);
 /// Reason of a request to which another node has given no answer.
 const NODE_FAILED: &str = "no answer of another node";
 /// Reason of a stream that other nodes refuse to resume.
 const REFUSED_BY_NODES: &str = "refused by other nodes";
 /// Reason of a request for which no path is available.
 pub(crate) const NO_PATH: &str = "no path";
-/// Reason of a request whose best path has no memory left.
-const FULL: &str = "full";
 /// Reason of a request that has a path but no retry left in the budget.
 pub(crate) const NO_RETRY: &str = "no retry left";
-/// Reason of a request whose paths all cross failure domains, while the link is in use.
-const LINK_BUSY: &str = "link busy";
 /// Reason of a stream that has a path but may not run at any further engine.
-const NO_ATTEMPT: &str = "no attempt left";
-/// A refusal that takes longer than this indicates that the engine had stalled.
-const SLOW_REFUSAL: Duration = Duration::from_millis(800);
+pub(crate) const NO_ATTEMPT: &str = "no attempt left";
 
 /// Why no path gave an answer.
 pub(crate) enum Failure {
@@ -99,17 +82,17 @@
 pub(crate) struct Dispatch {
     pub(crate) node: Rc<Node>,
     pub(crate) call: Rc<Call>,
-    model: Arc<Model>,
-    excluded: Vec<SocketAddr>,
+    pub(crate) model: Arc<Model>,
+    pub(crate) excluded: Vec<SocketAddr>,
     pub(crate) offers: u32,
     /// Number of offers that were not sent. They are no load on any engine and take no retry.
-    unsent: u32,
+    pub(crate) unsent: u32,
     /// When a retry was taken from the budget that has not been used.
-    retry_taken_at: Cell<Option<Duration>>,
+    pub(crate) retry_taken_at: Cell<Option<Duration>>,
     /// Number of offers after which the present call of [`Dispatch::open_stream`] ends.
     max_offers: u32,
     /// Engines at which the request may have run.
-    ran: Attempts,
+    pub(crate) ran: Attempts,
     /// Whether the caller has received the head of the answer, so that the stream has to go on.
     pub(crate) has_begun: bool,
     /// Segment of a stalled stream that continues if no other path accepts the request.
@@ -139,118 +122,6 @@
         }
     }
 
-    /// Records that the request may have run at the first engine of `path`, and excludes that
-    /// engine from further attempts unless another engine of the path is down.
-    pub(crate) fn record_run(&mut self, path: &Path) {
-        let first = path.first();
-        self.ran.record(first);
-        // If no engine of the path is down, only the first one, which ended the answer, can be at
-        // fault.
-        if !self.node.is_broken(path) {
-            self.excluded.push(first.address);
-        }
-    }
-
-    /// Returns whether the request has run at as many engines as its route allows. Engines that
-    /// ended without notice do not count; those that drained do.
-    fn attempts_exhausted(&self) -> bool {
-        self.would_exhaust_attempts(None)
-    }
-
-    /// Returns the same for the case that the request has also run at `next`.
-    fn would_exhaust_attempts(&self, next: Option<&Stage>) -> bool {
-        self.attempts_left(next) == 0
-    }
-
-    /// Returns at how many further engines the request may run.
-    fn attempts_left(&self, next: Option<&Stage>) -> u32 {
-        let table = self.node.table.borrow();
-        let is_running = |id: &TargetKey| {
-            let entry = table.entry(id);
-            entry.is_some_and(|entry| !entry.health.is_down())
-        };
-        self.ran.recount(is_running);
-        drop(table);
-        let counted = self.ran.count(next, |engine| self.node.has_ended(engine));
-        self.call.attempts.saturating_sub(counted)
-    }
-
-    /// Logs that the request is sent `to` one more engine than its route allows, because some of those
-    /// at which it has run have ended.
-    fn log_uncounted(&self, to: &str) {
-        if self.ran.iter().count() < self.call.attempts as usize {
-            return;
-        }
-        let ran: Vec<&str> = self.ran.iter().map(|engine| engine.target.as_str()).collect();
-        let event = self
-            .call
-            .event(UNCOUNTED)
-            .with("to", to)
-            .with("ran", ran.join(","))
-            .with("ended", self.ran.ended().join(","))
-            .with("reaches_targets", self.node.reaches_targets());
-        log::info!("{event}");
-    }
-
-    /// Returns whether a stream that could not resume because of `failure` may resume later: it is
-    /// not quarantined, and some engine at which it may run has not ended.
-    pub(crate) fn may_resume_later(&self, failure: &Failure) -> bool {
-        if matches!(failure, Failure::NotRun(QUARANTINED)) {
-            return false;
-        }
-        let table = self.node.table.borrow();
-        let stays = |stage: &Stage| {
-            let entry = table.entry(&stage.target);
-            entry.is_some_and(|entry| !entry.is_draining())
-        };
-        !self.attempts_exhausted() || self.ran.iter().any(stays)
-    }
-
-    /// Returns the best path at `now`. A stream that was cut may resume at an excluded target if
-    /// there is no other. A request without an attempt left, also one whose stream was cut before
-    /// its first event, may run only at engines where it has run.
-    fn find_path(&self, now: Duration) -> Result<Path, &'static str> {
-        self.find_path_after(now, None)
-    }
-
-    /// Returns the path that [`Dispatch::find_path`] returns once the request has also run at
-    /// `next`.
-    fn find_path_after(&self, now: Duration, next: Option<&Stage>) -> Result<Path, &'static str> {
-        self.find_open_path(now, next, Duration::ZERO)
-    }
-
-    /// Returns the path that [`Dispatch::find_path_after`] returns if it may start at engines whose
-    /// limits are used up for up to `patience`.
-    pub(crate) fn find_open_path(
-        &self,
-        now: Duration,
-        next: Option<&Stage>,
-        patience: Duration,
-    ) -> Result<Path, &'static str> {
-        let closed = self.node.permits.borrow().closed(now, self.class(), patience);
-        let find = |avoid: &[SocketAddr], first: Option<&[SocketAddr]>| {
-            let criteria = self.criteria(avoid, first, &closed);
-            self.node.table.borrow().path(now, &self.model, &criteria)
-        };
-        let ran = self.ran.iter().chain(next).map(|stage| stage.address).collect::<Vec<_>>();
-        let (allowed_first, missing) = match self.would_exhaust_attempts(next) {
-            true => (Some(ran.as_slice()), NO_ATTEMPT),
-            false => (None, NO_PATH),
-        };
-        let path = find(&self.excluded, allowed_first);
-        path.or_else(|| if self.has_begun { find(&[], allowed_first) } else { None }).ok_or(missing)
-    }
-
-    fn criteria<'a>(
-        &'a self,
-        excluded: &'a [SocketAddr],
-        allowed_first: Option<&'a [SocketAddr]>,
-        closed_first: &'a [SocketAddr],
-    ) -> Query<'a> {
-        let (service, tokens) = (&self.call.service, self.call.tokens);
-        Query { service, excluded, allowed_first, closed_first, tokens }
-    }
-
     /// Returns whether to try another path beside the last attempt, on whose path an engine is down.
     /// Takes the retry for it.
     async fn may_try_another(&self) -> bool {
@@ -280,33 +151,6 @@
         taken
     }
 
-    /// Takes a retry for another offer, unless none has been sent yet. Uses one that was taken a
-    /// moment ago for an offer that was not made.
-    pub(crate) async fn take_retry(&self) -> bool {
-        if self.offers == self.unsent {
-            return true;
-        }
-        let now = self.node.now();
-        let unused = self.retry_taken_at.take();
-        if unused.is_some_and(|at| now.saturating_sub(at) < RETRY_VALIDITY) {
-            return true;
-        }
-        self.node.take_retry(&self.call.service).await
-    }
-
-    /// Keeps a retry that was taken for an offer that did not arrive anywhere.
-    pub(crate) fn keep_retry(&self) {
-        if self.offers > self.unsent {
-            self.retry_taken_at.set(Some(self.node.now()));
-        }
-    }
-
-    /// Returns the time until a path is available, if paused engines are the only obstacle.
-    pub(crate) fn time_to_path(&self) -> Option<Duration> {
-        let criteria = self.criteria(&[], None, &[]);
-        self.node.table.borrow().path_available_in(self.node.now(), &self.model, &criteria)
-    }
-
     /// Sends the request to paths, or to another node if this one does not reach the engines. A
     /// stream resumes after `last_event`.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Opened, Failure> {
@@ -497,35 +341,6 @@
         Ok(path)
     }
 
-    /// Returns the best path that has room for the request. Waits if it crosses failure domains while
-    /// the link between them is in use.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is none.
-    pub(crate) async fn await_path(&mut self) -> Result<Path, &'static str> {
-        let called_at = self.node.now();
-        loop {
-            let now = self.node.now();
-            let path = match self.find_path(now) {
-                Ok(path) => path,
-                Err(reason) => self.find_limited_path(now, reason)?,
-            };
-            self.pressure = path.pressure;
-            if path.pressure > MAX_PRESSURE && !self.has_begun {
-                return Err(FULL);
-            }
-            // A stream that resumes does not wait: its caller has been waiting for some time.
-            if !path.crosses || self.has_begun || self.node.table.borrow().may_cross() {
-                return Ok(path);
-            }
-            if now.saturating_sub(called_at) >= MAX_CROSSING_WAIT || !self.waiting.is_empty() {
-                return Err(LINK_BUSY);
-            }
-            sleep(CROSSING_POLL_INTERVAL).await;
-        }
-    }
-
     /// Returns whether the stalled segment is kept at an engine.
     fn is_fallback_at(&self, first: SocketAddr) -> bool {
         self.fallback.as_ref().is_some_and(|kept| kept.path().first().address == first)
@@ -631,86 +446,6 @@
         }
     }
 
-    /// Returns what an answer, or its loss, says of an attempt.
-    async fn conclude(
-        &self,
-        attempt: Attempt,
-        answer: Result<Exchange, Unanswered>,
-    ) -> (InFlight, Outcome) {
-        let Attempt { mut in_flight, is_recorded, .. } = attempt;
-        in_flight.record_prefill_done();
-        let outcome = match answer {
-            Ok(exchange) => self.evaluate(&in_flight, exchange).await,
-            Err(unsent @ (Unanswered::Refused | Unanswered::NotSent)) => {
-                let fault = probe_fault(probe_failure(unsent));
-                self.node.record_fault(in_flight.path.first().address, fault, "no connection");
-                Outcome::NotSent
-            }
-            Err(Unanswered::Unknown) => {
-                // A single lost connection does not show that an engine is gone; an engine that is
-                // gone gives no report.
-                let first = in_flight.path.first().address;
-                self.node.record_fault(first, Fault::Failed, "connection lost");
-                self.check_stalled(&in_flight.path);
-                if !is_recorded {
-                    self.record_interruption(&in_flight.path, in_flight.sent_at, true);
-                }
-                Outcome::Unknown
-            }
-        };
-        (in_flight, outcome)
-    }
-
-    /// Returns what the answer to an attempt says of it.
-    async fn evaluate(&self, in_flight: &InFlight, exchange: Exchange) -> Outcome {
-        let (node, call) = (&self.node, &self.call);
-        let first = in_flight.path.first();
-        let (response, connection) = exchange.split();
-        if !matches_request(response.headers(), call) {
-            node.record_fault(first.address, Fault::Failed, "answer to another request");
-            return Outcome::Unknown;
-        }
-        let status = response.status();
-        if is_not_run(status, response.headers()) {
-            let address = platform::faulty_engine(response.headers()).unwrap_or(first.address);
-            let slow = node.now().saturating_sub(in_flight.sent_at) > SLOW_REFUSAL;
-            match status {
-                StatusCode::MISDIRECTED_REQUEST => {
-                    node.record_fault(address, Fault::WrongTarget, "refused")
-                }
-                _ if slow => {
-                    node.record_fault(address, Fault::Unresponsive, "refused after a long wait")
-                }
-                _ => node.record_refusal(address),
-            }
-            node.pool.drain(response.into_body(), connection).await;
-            let at_fault = in_flight.path.stages.iter().find(|stage| stage.address == address);
-            return Outcome::NotRun(at_fault.unwrap_or(first).target.clone());
-        }
-        if status != StatusCode::OK {
-            node.record_fault(first.address, Fault::Failed, "failure status");
-            let (parts, body) = response.into_parts();
-            if self.has_begun {
-                // Its text is of no use to a stream that has begun.
-                node.pool.drain(body, connection).await;
-                return Outcome::Failed(passthrough(status, &parts.headers, Bytes::new()));
-            }
-            let left = call.deadline.saturating_sub(node.now());
-            let body = timeout(left, read_body(body, MAX_ANSWER_BYTES)).await;
-            let Some(body) = body.ok().flatten() else { return Outcome::Unknown };
-            node.pool.release(connection);
-            return Outcome::Failed(passthrough(status, &parts.headers, body));
-        }
-        let is_answer =
-            if self.has_begun { is_stream(&response) } else { is_signed(response.headers()) };
-        if !is_answer {
-            node.record_fault(first.address, Fault::Failed, "success without a stream");
-            return Outcome::Unknown;
-        }
-        in_flight.record_accepted();
-        Outcome::Accepted(Box::new((response, connection)))
-    }
-
     /// Records, at most once, that an attempt has given no answer so far.
     fn record_unanswered(&self, attempt: &mut Attempt) {
         if !std::mem::replace(&mut attempt.is_recorded, true) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 //! A single thread serves callers' connections, connections to targets and the store, and runs the
 //! decisions of `path` and `place`. Only formatted log lines are handed to another thread.
 
+mod allowance;
 mod answer;
 mod ask;
 mod attempt;
@@ -14,6 +15,7 @@
 mod contact;
 mod diagnose;
 mod dispatch;
+mod evaluate;
 mod event;
 mod evidence;
 mod follow;
@@ -43,6 +45,7 @@
 mod replica;
 mod reply;
 mod resumed;
+mod search;
 mod segment;
 mod split;
 mod store;
