Soak: targets name limits beside the other faults

In runs with drills a target names a limit of 0, 1.5 or 6 requests a second for 0.5 to 4 s, drawn by numbers of its own, so that the other faults of each seed stay.

--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -28,6 +28,14 @@
 const FAULT_INTERVAL_MS: (u64, u64) = (100, 700);
 /// Shortest and longest duration of a fault, milliseconds.
 const FAULT_DURATION_MS: (u64, u64) = (200, 2000);
+/// Shortest and longest time for which a target names a limit, milliseconds.
+const LIMIT_DURATION_MS: (u64, u64) = (500, 4000);
+/// Shortest and longest time between two such targets, milliseconds.
+const LIMIT_INTERVAL_MS: (u64, u64) = (300, 1500);
+/// Limits that targets name, requests per second.
+const LIMITS: [&str; 3] = ["0", "1.5", "6"];
+/// Distinguishes the numbers drawn for limits from those of the other faults.
+const LIMIT_SEED_MASK: u64 = 0x11417;
 /// Time from the end of a target until its store entry is removed.
 const DEREGISTER_DELAY: Duration = Duration::from_millis(600);
 /// Time from an engine's announcement that it leaves until it ends.
@@ -131,6 +139,8 @@
     actions: Vec<(Instant, Action)>,
     /// `None` in runs without drills.
     drills: Option<Drills>,
+    /// Draws the limits that targets name; `None` in runs without drills.
+    limits: Option<SmallRng>,
     /// Nodes that were started again, and when.
     restarts: Vec<(usize, Instant)>,
     ended: Vec<String>,
@@ -271,6 +281,7 @@
             nodes,
             targets: BTreeMap::new(),
             actions: Vec::new(),
+            limits: drills.is_some().then(|| SmallRng::seed_from_u64(seed ^ LIMIT_SEED_MASK)),
             drills,
             restarts: Vec::new(),
             ended: Vec::new(),
@@ -298,8 +309,12 @@
     fn inject_faults(&mut self) {
         let until = Instant::now() + FAULT_PERIOD;
         let mut next = Instant::now();
+        let mut next_limit = Instant::now();
         while Instant::now() < until || !self.are_drills_done() {
             self.run_due_actions();
+            if Instant::now() >= next_limit {
+                next_limit = self.limit_target();
+            }
             if Instant::now() >= next {
                 self.inject_fault();
                 let pause = self.rng.random_range(FAULT_INTERVAL_MS.0..FAULT_INTERVAL_MS.1);
@@ -336,6 +351,22 @@
         self.nodes.iter().filter(|node| !serves(node)).count()
     }
 
+    /// Lets a target name a limit, in runs with drills. Returns when the next one does.
+    fn limit_target(&mut self) -> Instant {
+        let Some(rng) = &mut self.limits else { return Instant::now() + FAULT_PERIOD };
+        let mut millis = |(shortest, longest)| {
+            Instant::now() + Duration::from_millis(rng.random_range(shortest..longest))
+        };
+        let (ends, next) = (millis(LIMIT_DURATION_MS), millis(LIMIT_INTERVAL_MS));
+        let targets: Vec<SocketAddr> = self.targets.keys().copied().collect();
+        let target = targets[rng.random_range(0..targets.len())];
+        let fault = Fault::Limits(LIMITS[rng.random_range(0..LIMITS.len())]);
+        self.platform.set_fault(target, fault);
+        self.actions.push((ends, Action::ClearFault(target)));
+        self.record(format!("target {target}: {fault:?}"));
+        next
+    }
+
     fn fault_end(&mut self) -> Instant {
         Instant::now()
             + Duration::from_millis(self.rng.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1))
