Permits: numbers in a message hold a request no longer than it can wait

A grant whose time is beyond the patience of the request would have held it until its caller left (limit/tests/permits.rs, absurd_answers_are_bounded::granted failed); a denial counts for ten seconds at the most. Only nodes of this system send such messages; an error in one should not reach the callers of all.

--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -60,8 +60,8 @@
     outbox: RefCell<Vec<(SocketAddr, Message)>>,
     /// Notified when there is a message to be sent.
     posted: Notify,
-    /// Number of targets whose invalid limits are logged already.
-    invalid: Cell<usize>,
+    /// Whether a limit that cannot be read has been logged.
+    has_logged_invalid: Cell<bool>,
 }
 
 impl Answers {
@@ -117,7 +117,7 @@
             Ok(limit) => limit,
             Err(error) => {
                 metrics::counter!("magnolia_limits_invalid").increment(1);
-                if self.permit_answers.invalid.replace(1) == 0 {
+                if !self.permit_answers.has_logged_invalid.replace(true) {
                     log_undecodable(&address.to_string(), &error);
                 }
                 return;
--- a/crates/limit/src/permit.rs
+++ b/crates/limit/src/permit.rs
@@ -50,6 +50,8 @@
 const TOLERATED_EXTRA: f64 = 3.0;
 /// Time for which a target is left alone whose issuer does not answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for which a VM does not ask again for a permit that it was denied.
+const MAX_PAUSE: Duration = Duration::from_secs(10);
 /// Time for which a permit that was not used serves another request.
 const SPARE_TIME: Duration = Duration::from_millis(200);
 /// Time in which the VMs tell an issuer that begins to count what they have sent.
@@ -639,7 +641,13 @@
         if answer.verdict != Verdict::NotIssuer {
             target.told = Some(issuer);
         }
-        self.apply(now, request.target, request.class, answer.verdict)
+        match self.apply(now, request.target, request.class, answer.verdict) {
+            // A call waits no longer than it can, whatever the issuer says.
+            Decision::Granted(wait) => {
+                Decision::Granted(wait.min(Duration::from_millis(request.patience_ms)))
+            }
+            decision => decision,
+        }
     }
 
     /// Records that the issuer of a target has not answered a request.
@@ -705,7 +713,7 @@
         let wait = match verdict {
             Verdict::Granted(wait) => return Decision::Granted(Duration::from_millis(wait)),
             Verdict::Unlimited => return Decision::Free,
-            Verdict::Denied(wait) => Duration::from_millis(wait),
+            Verdict::Denied(wait) => Duration::from_millis(wait).min(MAX_PAUSE),
             Verdict::NotIssuer => SILENCE_PAUSE,
         };
         target.close(class, now + wait);
--- a/crates/limit/tests/permits.rs
+++ b/crates/limit/tests/permits.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use limit::permit::{Answer, Class, Decision, Permits, Verdict};
+use limit::permit::{Answer, Class, Decision, Permits, Request, Verdict, Word};
 use permits::network::{CONTACT, Network, Plan};
 use site::Rate;
 use yare::parameterized;
@@ -256,6 +256,31 @@
     assert!(matches!(answer, Answer { verdict: Verdict::Denied(_), .. }), "{answer:?}");
 }
 
+// Guards against numbers in a message that end the process or keep a request forever.
+#[parameterized(
+    granted = { Verdict::Granted(u64::MAX) },
+    denied = { Verdict::Denied(u64::MAX) },
+)]
+fn absurd_answers_are_bounded(verdict: Verdict) {
+    let [mut first, mut second] = pair();
+    let now = ms(12_000);
+    let Decision::Ask(_, request) = second.decide(now, target(), Class::Request, ms(100)) else {
+        panic!("the issuer is asked")
+    };
+    let word = Word { rate: Rate::new(1e300), age_ms: u64::MAX, named_ms: u64::MAX };
+    let answer = Answer { target: target(), number: request.number, verdict, word };
+    match second.accept(now, vm(0), &request, &answer) {
+        Decision::Granted(wait) => assert!(wait <= ms(100)),
+        decision => assert!(matches!(decision, Decision::Denied(wait) if wait <= ms(10_000))),
+    }
+    let sent = vec![u16::MAX; 600];
+    let absurd = Request { patience_ms: u64::MAX, word, sent, ..request };
+    for _ in 0..3 {
+        first.answer(now, &absurd);
+    }
+    assert!(matches!(first.decide(now, target(), Class::Request, ms(0)), Decision::Denied(_)));
+}
+
 /// A simulated fleet under a limit.
 struct Fleet {
     plan: Plan,
