Permits: own calls and trials go on at low limits

At a limit of 1 that requests used, a call of a node's own was granted every 8 s, at 0 every 32 s: a target that is left out is used again only after such a call. Now every 4 s (limit/tests/permits.rs, own_calls_go_on_beside_requests_at_a_low_ limit failed). A node that hears only a part of the others permits a trial every 8 s at the latest; a denial counts for 4 s at the longest. The soak keeps its logs in MAGNOLIA_TEST_LOGS now.

--- a/crates/limit/src/permit.rs
+++ b/crates/limit/src/permit.rs
@@ -39,6 +39,9 @@
 const RESUMPTION_EXTRA: u32 = 2;
 /// Requests for each own call of a VM, while callers' requests use the limit.
 const REQUESTS_PER_CALL: u32 = 8;
+/// Longest time between two own calls that requests leave: a target that is left out is used again
+/// only after one.
+const MAX_CALL_PAUSE: Duration = Duration::from_secs(4);
 /// Time since the last request within which callers' requests are said to use the limit.
 const IN_USE_TIME: Duration = Duration::from_secs(1);
 /// Span over which the calls that reach a target are counted.
@@ -51,7 +54,7 @@
 /// Time for which a target is left alone whose issuer does not answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for which a VM does not ask again for a permit that it was denied.
-const MAX_PAUSE: Duration = Duration::from_secs(10);
+const MAX_PAUSE: Duration = Duration::from_secs(4);
 /// Time for which a permit that was not used serves another request.
 const SPARE_TIME: Duration = Duration::from_millis(200);
 /// Time in which the VMs tell an issuer that begins to count what they have sent.
@@ -301,7 +304,10 @@
         };
         let wait = self.next.saturating_sub(now + ahead);
         match self.last_call.filter(|_| class == Class::Call && is_in_use) {
-            Some(last) => wait.max((last + interval * REQUESTS_PER_CALL).saturating_sub(now)),
+            Some(last) => {
+                let pause = (interval * REQUESTS_PER_CALL).min(MAX_CALL_PAUSE).max(interval);
+                wait.max((last + pause).saturating_sub(now))
+            }
             None => wait,
         }
     }
@@ -354,7 +360,8 @@
     /// Returns the time between two requests if this VM issues a portion of the limit.
     fn interval(&self, portion: f64) -> Duration {
         let whole = self.statement.rate.map(|rate| rate.interval(TRIAL_INTERVAL));
-        whole.unwrap_or_default().div_f64(portion.max(f64::EPSILON))
+        let interval = whole.unwrap_or_default().div_f64(portion.max(f64::EPSILON));
+        interval.min(TRIAL_INTERVAL * 2)
     }
 
     /// Returns the time until which the limit is used up for a class.
--- a/crates/limit/tests/permits.rs
+++ b/crates/limit/tests/permits.rs
@@ -139,6 +139,19 @@
     assert!(requests >= 30 && (2..=9).contains(&calls), "{requests} requests, {calls} calls");
 }
 
+// Guards against a target with a low limit that stays left out, because requests use the limit and
+// its probes get no permit.
+#[test]
+fn own_calls_go_on_beside_requests_at_a_low_limit() {
+    let mut permits = single(1.0);
+    let calls = (0..4500).filter(|step| {
+        let now = ms(10_000 + step);
+        permits.decide(now, target(), Class::Request, ms(0));
+        is_granted(&permits.decide(now, target(), Class::Call, ms(0)))
+    });
+    assert!(calls.count() >= 2);
+}
+
 #[test]
 fn orders_are_counted_and_never_denied() {
     let mut permits = single(1.0);
@@ -271,7 +284,7 @@
     let answer = Answer { target: target(), number: request.number, verdict, word };
     match second.accept(now, vm(0), &request, &answer) {
         Decision::Granted(wait) => assert!(wait <= ms(100)),
-        decision => assert!(matches!(decision, Decision::Denied(wait) if wait <= ms(10_000))),
+        decision => assert!(matches!(decision, Decision::Denied(wait) if wait <= ms(4_000))),
     }
     let sent = vec![u16::MAX; 600];
     let absurd = Request { patience_ms: u64::MAX, word, sent, ..request };
--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -68,7 +68,7 @@
 }
 
 /// Folder that keeps the logs of processes, for tracing a test that fails.
-const LOGS_VARIABLE: &str = "MAGNOLIA_TEST_LOGS";
+pub(crate) const LOGS_VARIABLE: &str = "MAGNOLIA_TEST_LOGS";
 
 /// Returns where the process `name` writes its log: to a file if [`LOGS_VARIABLE`] is set.
 fn log(name: &str) -> Stdio {
--- a/crates/node/tests/limit.rs
+++ b/crates/node/tests/limit.rs
@@ -27,6 +27,8 @@
 const BEFORE: Duration = Duration::from_secs(1);
 /// Time for which callers use up the limits while a stream resumes.
 const LOAD_PERIOD: Duration = Duration::from_secs(4);
+/// Time for which engines are silent.
+const SILENCE: Duration = Duration::from_millis(1500);
 /// Longest time in which nodes learn that a limit has ended.
 const END_TIME: Duration = Duration::from_secs(10);
 
@@ -159,6 +161,27 @@
     assert_eq!(refused, 0, "of {} requests", replies.len());
 }
 
+// Guards against engines that stay out of use long after their limits have ended, because probes of
+// those that are left out need permits too.
+#[parameterized(few = { 8, "1" }, none = { 9, "0" })]
+fn engines_left_out_are_used_again_after_their_limits(number: u8, limit: &'static str) {
+    let site = Site::start(200 + number, 2, &Document::default());
+    site.set_fault(&site.engines, Fault::Limits(limit));
+    ended(send_for(&site, Route::Resumable, "limited", Duration::from_secs(3)));
+    let set_silent = |silent| {
+        site.engines.iter().for_each(|&engine| site.platform.set_silent(engine, silent));
+    };
+    set_silent(true);
+    let silent = send_for(&site, Route::Resumable, "silent", SILENCE);
+    set_silent(false);
+    site.set_fault(&site.engines, Fault::None);
+    ended(silent);
+    ended(send_for(&site, Route::Resumable, "ending", END_TIME));
+    let replies = ended(send_for(&site, Route::Resumable, "free", Duration::from_secs(1)));
+    let refused = replies.iter().filter(|reply| reply.status != Some(200)).count();
+    assert_eq!(refused, 0, "of {} requests", replies.len());
+}
+
 // Guards against a value that is no limit and stops the service.
 #[parameterized(
     text = { 3, "many" },
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -17,7 +17,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::drill::{Drills, VALID_KEY, WITHDRAWN_KEYS, Withdrawal};
-use crate::entry::Entry;
+use crate::entry::{Entry, LOGS_VARIABLE};
 
 /// Events of each stream; they take 10 ms each.
 pub(crate) const EVENTS: u64 = 40;
@@ -269,7 +269,9 @@
             let proxy = Proxy::start(&host, platform.store());
             let settings = Settings::new(&format!("n{index}"), "a", &host, proxy.address());
             let name = format!("soak-{slot}-{index}");
-            let log = std::env::temp_dir().join(format!("{}-{name}.log", std::process::id()));
+            let folder = std::env::var_os(LOGS_VARIABLE).map(PathBuf::from);
+            let folder = folder.unwrap_or_else(std::env::temp_dir);
+            let log = folder.join(format!("{}-{seed}-{name}.log", std::process::id()));
             let entry = Entry::start_logged(&name, &settings, &log);
             Node { name, log, settings, proxy, entry, state: State::Running }
         };
@@ -508,7 +510,9 @@
             let id =
                 |line: &str| Some(line.split_once("request=")?.1.split(' ').next()?.to_owned());
             ids.extend(lines.filter_map(id));
-            fs::remove_file(&node.log).ok();
+            if std::env::var_os(LOGS_VARIABLE).is_none() {
+                fs::remove_file(&node.log).ok();
+            }
         }
         ids
     }
