Permits: an issuer counts once what a node sent before it knew the limit

Found when reading the change again: the answer to a notice reached no waiting call and was dropped, so that the node told its issuer the same calls once more with its first request. They counted twice for 4.5 s, and permits were denied longer than the limit asks. Change: each answer of an issuer records that it knows them. Test issuer_is_told_once_what_was_sent (there was no way to record such an answer before).

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -144,7 +144,7 @@
             Ok(Message::Freshness(freshness)) => apply_freshness(&node, from, &freshness),
             Ok(Message::ConfigVersion(version)) => apply_version(&node, version),
             Ok(Message::PermitRequest(request)) => permit::answer(&node, &socket, from, &request),
-            Ok(Message::PermitAnswer(answer)) => node.permit_answers.deliver(from, answer),
+            Ok(Message::PermitAnswer(answer)) => node.record_permit_answer(from, answer),
             Ok(Message::Limit(limit)) => node.record_limit(from, &limit),
             Ok(Message::Evidence(evidence)) => {
                 evidence.into_iter().for_each(|evidence| node.apply_evidence(evidence))
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -67,7 +67,7 @@
 impl Answers {
     /// Passes an answer to the request that waits for it. One that comes from another node or too
     /// late is ignored: its permit is lost.
-    pub(crate) fn deliver(&self, from: SocketAddr, answer: Answer) {
+    fn deliver(&self, from: SocketAddr, answer: Answer) {
         let mut waiting = self.waiting.borrow_mut();
         if waiting.get(&answer.number).is_none_or(|(issuer, _)| *issuer != from) {
             return;
@@ -128,6 +128,12 @@
         self.log_limit(address, before, limit, None);
     }
 
+    /// Records an answer to a request for a permit, and passes it to the call that waits for it.
+    pub(crate) fn record_permit_answer(&self, issuer: SocketAddr, answer: Answer) {
+        self.permits.borrow_mut().record_answer(issuer, &answer);
+        self.permit_answers.deliver(issuer, answer);
+    }
+
     /// Applies what the issuer of a target's permits tells of its limit.
     pub(crate) fn record_limit(&self, issuer: SocketAddr, limit: &Limit) {
         let before = self.permits.borrow_mut().record_limit(self.now(), issuer, limit);
--- a/crates/limit/src/permit.rs
+++ b/crates/limit/src/permit.rs
@@ -635,6 +635,16 @@
         Answer { target: address, number: request.number, verdict, word }
     }
 
+    /// Records an answer, also one that nobody waits for: its issuer knows what this VM has sent.
+    pub fn record_answer(&mut self, issuer: Vm, answer: &Answer) {
+        if answer.verdict == Verdict::NotIssuer {
+            return;
+        }
+        if let Some(target) = self.targets.get_mut(&answer.target) {
+            target.told = Some(issuer);
+        }
+    }
+
     /// Applies the answer of an issuer to a request of this VM.
     pub fn accept(
         &mut self,
@@ -643,11 +653,9 @@
         request: &Request,
         answer: &Answer,
     ) -> Decision {
+        self.record_answer(issuer, answer);
         let target = self.targets.entry(request.target).or_default();
         target.statement.merge(Statement::from_word(answer.word, now));
-        if answer.verdict != Verdict::NotIssuer {
-            target.told = Some(issuer);
-        }
         match self.apply(now, request.target, request.class, answer.verdict) {
             // A call waits no longer than it can, whatever the issuer says.
             Decision::Granted(wait) => {
--- a/crates/limit/tests/permits.rs
+++ b/crates/limit/tests/permits.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use limit::permit::{Answer, Class, Decision, Permits, Request, Verdict, Word};
+use limit::permit::{Answer, Class, Decision, Outgoing, Permits, Request, Verdict, Word};
 use permits::network::{CONTACT, Network, Plan};
 use site::Rate;
 use yare::parameterized;
@@ -294,6 +294,30 @@
     assert!(matches!(first.decide(now, target(), Class::Request, ms(0)), Decision::Denied(_)));
 }
 
+/// Returns the calls that a VM tells the issuer of with a request.
+fn sent_with_request(permits: &mut Permits) -> Vec<u16> {
+    match permits.decide(ms(10_220), target(), Class::Request, ms(0)) {
+        Decision::Ask(_, request) => request.sent,
+        decision => panic!("{decision:?}"),
+    }
+}
+
+// Guards against calls that an issuer counts twice, once told of them when the limit was named and
+// once with the first request: it denied permits for seconds.
+#[test]
+fn issuer_is_told_once_what_was_sent() {
+    let [mut first, mut second] = pair();
+    second.record_sent(ms(10_100), target());
+    second.record_statement(ms(10_200), target(), ms(10_100), rate(6.0));
+    let outbox = second.take_outbox();
+    let Some((issuer, Outgoing::Notice(notice))) = outbox.last() else { panic!("{outbox:?}") };
+    assert_eq!(notice.sent, [1]);
+    let answer = first.answer(ms(10_210), notice);
+    assert_eq!(sent_with_request(&mut second), [1], "without an answer, they are told again");
+    second.record_answer(*issuer, &answer);
+    assert!(sent_with_request(&mut second).is_empty());
+}
+
 /// A simulated fleet under a limit.
 struct Fleet {
     plan: Plan,
--- a/crates/limit/tests/permits/network.rs
+++ b/crates/limit/tests/permits/network.rs
@@ -304,6 +304,7 @@
                 vm.permits.record_limit(now, from, &limit);
             }
             Content::Answer(answer) => {
+                vm.permits.record_answer(from, &answer);
                 let Some((request, asked_at)) = vm.asked.take() else { return };
                 if answer.number != request.number {
                     vm.asked = Some((request, asked_at));
