Tests: a port that is tried as free stays free until a process takes it

Cause: tests find free ports by binding and closing them, and start processes from many threads. Until a new process has replaced its program it holds copies of all sockets of the test, also one that another thread has just closed, so that the port stays in use for a moment (longer on a busy machine). Change: ports are tried and processes started under one lock.

--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -48,7 +48,7 @@
     /// Starts a process by a command with these settings and waits until its readiness port
     /// listens.
     pub(crate) fn start_command(command: &mut Command, settings: &Settings) -> Self {
-        let child = command.spawn().expect("the process starts");
+        let child = platform_standin::spawn(command).expect("the process starts");
         let entry = Self { child, front: settings.front, ready: settings.ready };
         let limit = Instant::now() + START_LIMIT;
         while status(entry.ready, "/ready").is_none() {
@@ -62,7 +62,8 @@
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let signal = format!("-{name}");
-        let sent = Command::new("kill").args([&signal, &pid]).status().expect("a signal is sent");
+        let sent = platform_standin::spawn(Command::new("kill").args([&signal, &pid]));
+        let sent = sent.and_then(|mut kill| kill.wait()).expect("a signal is sent");
         assert!(sent.success());
     }
 }
