Tests: the ports of one process differ

Cause: the settings of a process took three free ports one after the other, each closed before the next was sought, so that the system gave the same port twice in about one of 2,600 processes. Change: the listeners of all three ports stay open until the last is bound, as crates/scenario did already; the same in the support of its examples.

--- a/crates/scenario/examples/support/mod.rs
+++ b/crates/scenario/examples/support/mod.rs
@@ -35,7 +35,7 @@
             .ok()
             .and_then(|path| Some(path.parent()?.parent()?.join("magnoliarun")))
             .expect("the path of the running example is known and has two parents");
-        let [caller_address, operator_address, peer_address] = [(); 3].map(|()| free_address());
+        let [caller_address, operator_address, peer_address] = free_addresses();
         let logging = match std::env::var_os(LOG_VARIABLE) {
             Some(_) => ("--log-level=info", Stdio::inherit()),
             None => ("--log-level=warn", Stdio::null()),
@@ -95,9 +95,11 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// Returns three free addresses. The listeners stay open until the last is bound, so that the
+/// addresses differ.
+fn free_addresses() -> [SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
 /// Counts of requests and tokens over all callers, during the measurement only.
