Platform: the limit in a head is decoded in one place

Each answer's limit was decoded twice: by Node::apply_limit, which reports a limit that cannot be read, and for Notice::limit, which only a test read.

--- a/crates/site/src/notice.rs
+++ b/crates/site/src/notice.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use crate::rate::Rate;
-
 /// Requests that a target is willing to accept from now on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notice {
@@ -11,13 +9,11 @@
     pub draining: bool,
     /// Time for which the target wants no requests.
     pub backoff: Option<Duration>,
-    /// Requests per second that the target takes from all VMs together.
-    pub limit: Option<Rate>,
 }
 
 impl Notice {
     /// Returns whether the notice announces nothing.
     pub fn is_empty(&self) -> bool {
-        !self.draining && self.backoff.is_none() && self.limit.is_none()
+        !self.draining && self.backoff.is_none()
     }
 }
