Permits: one place takes over what a target names; plain and streaming requests take permits by one rule

The search of a path looked through all targets each time, also when none names a limit; the limit before and after a message was compared in three places; the wait for a permit and its log lines stood twice, and a plain request that waited was not logged as held. One difference: what a node learns of another limit from a request or an answer now opens all classes again, as from a broadcast.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -44,6 +44,6 @@
     ERA_SETTLED = 1148, "era-settled", "The configuration in force is the operators' newest in this era of the store. The store states so from now on, for nodes that start.";
     UNCOUNTED = 1151, "attempts-uncounted", "A request that has run at as many engines as its route allows is sent `to` a further one, or to another node, because the engines `ended` must have ended or been cut off, and do not count. `reaches_targets` states whether this node reaches its targets.";
     DECISION_WAITS = 1152, "decision-waits", "A decision whether to quarantine a request, or requests with this part in their prompts, is due and waits, because the targets that it rests on may only be silent.";
-    TARGET_LIMITED = 1155, "target-limited", "A target named another limit on the requests per second that it takes from all nodes together (`per_second`), or none any more, in an answer to this node or to the `issuer` of its permits. `before` is the one that this node knew.";
+    TARGET_LIMITED = 1155, "target-limited", "A target named another limit on the requests per second that it takes from all nodes together (`per_second`), or none any more, in an answer to this node or to the `issuer` of its permits; or one that named a limit was replaced. `before` is the one that this node knew.";
     REQUEST_LIMITED = 1156, "request-limited", "The limit of a target, or of all of its service, is used up for `wait_ms`, so that the request goes `elsewhere`, is `held` until the target takes it, or is `refused`.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -345,6 +345,7 @@
                     self.node.record_target_loss(target);
                     self.node.permits.borrow_mut().forget(now, target.address);
                 }
+                self.node.publish_limits(None);
             }
             Err(error) => log_undecodable(&item.key, &error),
         }
--- a/crates/edge/src/limited.rs
+++ b/crates/edge/src/limited.rs
@@ -6,7 +6,7 @@
 use path::Path;
 
 use crate::dispatch::{Dispatch, NO_PATH, NO_RETRY};
-use crate::permit::Remedy;
+use crate::permit::patience;
 
 /// Reason of a request for which the limits of all engines are used up at which a path can start.
 pub(crate) const LIMITED: &str = "limit used up";
@@ -14,8 +14,6 @@
 const MAX_WAIT: Duration = Duration::from_millis(400);
 /// Maximum wait of a stream that resumes, whose caller leaves after a gap of some seconds.
 const MAX_RESUMPTION_WAIT: Duration = Duration::from_millis(1000);
-/// Maximum share of the time left that a request waits.
-const MAX_WAIT_SHARE: u32 = 4;
 /// Maximum number of engines whose permits are denied to a request in a row.
 const MAX_DENIALS: u32 = 8;
 
@@ -31,7 +29,7 @@
             return Duration::ZERO;
         }
         let max = if self.has_begun { MAX_RESUMPTION_WAIT } else { MAX_WAIT };
-        max.min(self.time_left() / MAX_WAIT_SHARE)
+        patience(max, self.time_left())
     }
 
     /// Returns the best path whose first engine takes the request after a wait, because there is no
@@ -76,15 +74,7 @@
 
     /// Takes a permit for the first engine of a path. Returns whether there is one.
     async fn take_permit(&self, path: &Path) -> bool {
-        let (address, class) = (path.first().address, self.class());
-        let closed_for = self.node.permits.borrow().opens_in(self.node.now(), class, address);
-        let patience = if closed_for.is_zero() { Duration::ZERO } else { self.patience() };
-        let taken = self.node.permit(address, class, patience).await;
-        match taken {
-            Ok(()) if closed_for.is_zero() => {}
-            Ok(()) => self.node.log_limited(&self.call, Some(address), closed_for, Remedy::Held),
-            Err(wait) => self.node.log_limited(&self.call, Some(address), wait, Remedy::Elsewhere),
-        }
-        taken.is_ok()
+        let address = path.first().address;
+        self.node.take_permit(&self.call, address, self.class(), self.patience()).await
     }
 }
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -9,7 +9,7 @@
 
 use fleet::Event;
 use hyper::header::HeaderMap;
-use limit::permit::{Answer, Class, Decision, Limit, Outgoing, Request};
+use limit::permit::{Answer, Change, Class, Decision, Limit, Outgoing, Request};
 use site::Rate;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
@@ -29,9 +29,16 @@
 const ATTEMPTS: usize = 2;
 /// Minimum retry delay of a caller whose request the limits do not allow.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Maximum share of the time left that a request waits for a permit.
+const MAX_WAIT_SHARE: u32 = 4;
 /// Minimum validity of a node's word that it issues permits.
 const MIN_VALIDITY: Duration = Duration::from_millis(1000);
 
+/// Returns the time for which a request can wait for a permit, up to `max`.
+pub(crate) fn patience(max: Duration, time_left: Duration) -> Duration {
+    max.min(time_left / MAX_WAIT_SHARE)
+}
+
 /// What is to be done with a request whose target has used up its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Remedy {
@@ -123,9 +130,8 @@
                 return;
             }
         };
-        let now = self.now();
-        let before = self.permits.borrow_mut().record_statement(now, address, sent_at, limit);
-        self.log_limit(address, before, limit, None);
+        self.permits.borrow_mut().record_statement(self.now(), address, sent_at, limit);
+        self.publish_limits(None);
     }
 
     /// Records an answer to a request for a permit, and passes it to the call that waits for it.
@@ -136,27 +142,19 @@
 
     /// Applies what the issuer of a target's permits tells of its limit.
     pub(crate) fn record_limit(&self, issuer: SocketAddr, limit: &Limit) {
-        let before = self.permits.borrow_mut().record_limit(self.now(), issuer, limit);
-        self.log_limit(limit.target, before, limit.word.rate, Some(issuer));
+        self.permits.borrow_mut().record_limit(self.now(), issuer, limit);
+        self.publish_limits(Some(issuer));
     }
 
-    fn log_limit(
-        &self,
-        address: SocketAddr,
-        before: Option<Option<Rate>>,
-        limit: Option<Rate>,
-        issuer: Option<SocketAddr>,
-    ) {
+    /// Posts what the permits have to tell other nodes, and logs the limits that have changed;
+    /// `source` is the node that told of them, if it was not the target itself.
+    pub(crate) fn publish_limits(&self, source: Option<SocketAddr>) {
         self.post_permit_messages();
-        let Some(before) = before else { return };
-        metrics::gauge!("magnolia_limited_targets").set(self.permits.borrow().limited() as f64);
-        let show = |limit: Option<Rate>| limit.map_or("none".to_owned(), |limit| limit.to_string());
-        let event = Event::new(TARGET_LIMITED)
-            .with("address", address)
-            .with("per_second", show(limit))
-            .with("before", show(before))
-            .with("issuer", issuer.map_or("none".to_owned(), |issuer| issuer.to_string()));
-        log::info!("{event}");
+        let changes = self.permits.borrow_mut().take_changes();
+        for change in changes {
+            metrics::gauge!("magnolia_limited_targets").set(self.permits.borrow().limited() as f64);
+            log_change(change, source);
+        }
     }
 
     /// Posts what the permits have to tell other nodes.
@@ -205,6 +203,26 @@
         }
     }
 
+    /// Takes a permit for a request of a caller, which waits up to `patience` if the limit is used up
+    /// already. Returns whether there is one.
+    pub(crate) async fn take_permit(
+        &self,
+        call: &Call,
+        address: SocketAddr,
+        class: Class,
+        patience: Duration,
+    ) -> bool {
+        let closed_for = self.permits.borrow().opens_in(self.now(), class, address);
+        let patience = if closed_for.is_zero() { Duration::ZERO } else { patience };
+        let taken = self.permit(address, class, patience).await;
+        match taken {
+            Ok(()) if closed_for.is_zero() => {}
+            Ok(()) => self.log_limited(call, Some(address), closed_for, Remedy::Held),
+            Err(wait) => self.log_limited(call, Some(address), wait, Remedy::Elsewhere),
+        }
+        taken.is_ok()
+    }
+
     /// Returns whether a call of this node's own may be sent to a target.
     pub(crate) async fn may_call(&self, address: SocketAddr) -> bool {
         self.permit(address, Class::Call, Duration::ZERO).await.is_ok()
@@ -220,11 +238,8 @@
             self.permit_answers.post(issuer, Message::PermitRequest(request.clone()));
             if let Ok(Ok(answer)) = timeout(RESEND_AFTER, &mut receiver).await {
                 let now = self.now();
-                let before = self.permits.borrow().limit(request.target);
                 let decision = self.permits.borrow_mut().accept(now, issuer, &request, &answer);
-                let limit = self.permits.borrow().limit(request.target);
-                let changed = (limit != before).then_some(before);
-                self.log_limit(request.target, changed, limit, Some(issuer));
+                self.publish_limits(Some(issuer));
                 return decision;
             }
         }
@@ -271,12 +286,20 @@
     }
 }
 
+fn log_change(change: Change, source: Option<SocketAddr>) {
+    let show = |limit: Option<Rate>| limit.map_or("none".to_owned(), |limit| limit.to_string());
+    let event = Event::new(TARGET_LIMITED)
+        .with("address", change.target)
+        .with("per_second", show(change.rate))
+        .with("before", show(change.before))
+        .with("issuer", source.map_or("none".to_owned(), |source| source.to_string()));
+    log::info!("{event}");
+}
+
 /// Answers a request for a permit.
 pub(crate) fn answer(node: &Node, socket: &UdpSocket, from: SocketAddr, request: &Request) {
-    let before = node.permits.borrow().limit(request.target);
     let answer = node.permits.borrow_mut().answer(node.now(), request);
-    let limit = node.permits.borrow().limit(request.target);
-    node.log_limit(request.target, (limit != before).then_some(before), limit, Some(from));
+    node.publish_limits(Some(from));
     metrics::counter!("magnolia_permit_requests").increment(1);
     send(socket, &Message::PermitAnswer(answer), from);
 }
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -22,7 +22,7 @@
 use crate::forward::{MAX_UNSENT, forward_unary, is_refusal, name_target};
 use crate::limited::LIMITED;
 use crate::node::Node;
-use crate::permit::Remedy;
+use crate::permit::{Remedy, patience};
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
 use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
 use crate::resumed::is_signed;
@@ -33,8 +33,6 @@
 const MAX_DENIALS: u32 = 4;
 /// Maximum wait of a request for a permit.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(300);
-/// Maximum share of the time left that a request waits for one.
-const MAX_PERMIT_WAIT_SHARE: u32 = 4;
 /// Share of the remaining time that one attempt of an idempotent request may take while another
 /// attempt is allowed.
 const ATTEMPT_SHARE: f64 = 0.45;
@@ -232,20 +230,16 @@
     /// Returns the best target, with a permit for it and the retry for another offer.
     async fn permitted_target(&mut self) -> Option<(TargetKey, SocketAddr)> {
         for _ in 0..MAX_DENIALS {
-            let open = self.best_target();
-            let patience = if open.is_some() { Duration::ZERO } else { self.patience() };
-            let target = open.or_else(|| self.best_target_within(patience))?;
+            let patience = self.patience();
+            let target = self.best_target().or_else(|| self.best_target_within(patience))?;
             let taken = std::mem::take(&mut self.retry_taken) || self.offers == self.unsent;
             if !taken && !self.node.take_retry(&self.call.service).await {
                 return None;
             }
-            match self.node.permit(target.1, Class::Request, patience).await {
-                Ok(()) => return Some(target),
-                Err(wait) => {
-                    self.node.log_limited(self.call, Some(target.1), wait, Remedy::Elsewhere);
-                    self.retry_taken = self.offers > self.unsent;
-                }
+            if self.node.take_permit(self.call, target.1, Class::Request, patience).await {
+                return Some(target);
             }
+            self.retry_taken = self.offers > self.unsent;
         }
         None
     }
@@ -253,7 +247,7 @@
     /// Returns the time for which the request can wait for a permit: none beside another attempt.
     fn patience(&self) -> Duration {
         match self.pending.is_empty() {
-            true => MAX_PERMIT_WAIT.min(self.time_left() / MAX_PERMIT_WAIT_SHARE),
+            true => patience(MAX_PERMIT_WAIT, self.time_left()),
             false => Duration::ZERO,
         }
     }
--- a/crates/limit/src/permit.rs
+++ b/crates/limit/src/permit.rs
@@ -18,15 +18,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use site::Rate;
 
 use crate::window::{SPAN, Window};
 
-/// Address at which a VM receives messages.
-pub type Vm = SocketAddr;
-/// Address of a target.
-pub type Address = SocketAddr;
+mod message;
+
+pub use message::{Address, Answer, Class, Limit, Outgoing, Request, Verdict, Vm, Word};
 
 /// Longest time between two requests to a target that takes fewer, or none: without any request,
 /// nobody would learn that its limit has ended.
@@ -62,21 +60,6 @@
 /// Time after which a target that has said nothing is forgotten.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// What a call to a target is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Class {
-    /// A stream that resumes: its caller has been waiting for some time.
-    Resumption,
-    /// A request that has not begun.
-    Request,
-    /// A call of the VM's own, which can be left out.
-    Call,
-    /// An order, which is sent in any case and only counted.
-    Order,
-    /// No call: the VM only tells what it knows and has sent.
-    Notice,
-}
-
 /// Latest statement of a target on its limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Statement {
@@ -88,17 +71,6 @@
     named_at: Duration,
 }
 
-/// A statement as VMs tell it to each other, whose clocks differ.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
-    /// The limit; `None` if the target takes any number of requests.
-    pub rate: Option<Rate>,
-    /// Age of the statement, milliseconds.
-    pub age_ms: u64,
-    /// Time since the target first named this limit or a higher one, milliseconds.
-    pub named_ms: u64,
-}
-
 impl Statement {
     fn word(&self, now: Duration) -> Word {
         let age = |at: Duration| now.saturating_sub(at).as_millis() as u64;
@@ -110,79 +82,26 @@
         Self { rate: word.rate, at: time(word.age_ms), named_at: time(word.named_ms) }
     }
 
-    /// Takes over a later statement. Returns whether it names another limit.
-    fn merge(&mut self, other: Statement) -> bool {
+    /// Returns this statement, or the other one if that is later.
+    fn merged(self, other: Statement) -> Self {
         if other.at <= self.at {
-            return false;
+            return self;
         }
-        let is_other = self.rate != other.rate;
         let is_same = self.rate.is_some() && other.rate >= self.rate;
         let named_at = if is_same { self.named_at.min(other.named_at) } else { other.named_at };
-        *self = Statement { named_at, ..other };
-        is_other
+        Statement { named_at, ..other }
     }
 }
 
-/// Asks the issuer of a target for a permit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Request {
+/// Another limit of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
     /// The target.
     pub target: Address,
-    /// Number of the request, unique at the VM that asks.
-    pub number: u64,
-    /// What the permit is for.
-    pub class: Class,
-    /// Longest time that the call can wait, milliseconds.
-    pub patience_ms: u64,
-    /// What the VM knows of the limit.
-    pub word: Word,
-    /// Calls that the VM has sent, if the issuer does not know them: one number for each quarter of
-    /// a second, the latest first.
-    pub sent: Vec<u16>,
-}
-
-/// Answer of an issuer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// The target.
-    pub target: Address,
-    /// Number of the request.
-    pub number: u64,
-    /// Whether the call may be sent.
-    pub verdict: Verdict,
-    /// What the issuer knows of the limit.
-    pub word: Word,
-}
-
-/// Whether a call may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    /// It may be sent after this time, milliseconds.
-    Granted(u64),
-    /// The limit is used up for this time, milliseconds.
-    Denied(u64),
-    /// The target has no limit any more.
-    Unlimited,
-    /// The VM that was asked does not issue permits for the target.
-    NotIssuer,
-}
-
-/// What an issuer tells all VMs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Limit {
-    /// The target.
-    pub target: Address,
-    /// What the issuer knows of the limit.
-    pub word: Word,
-}
-
-/// A message for another VM that nobody waits for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outgoing {
-    /// Tells an issuer what this VM knows and has sent.
-    Notice(Request),
-    /// Tells another VM of a limit.
-    Limit(Limit),
+    /// The limit that was known before; `None` if the target took any number of requests.
+    pub before: Option<Rate>,
+    /// The limit.
+    pub rate: Option<Rate>,
 }
 
 /// What a VM does with a call.
@@ -395,8 +314,11 @@
     /// Time that VMs have to learn of a limit.
     contact: Duration,
     targets: HashMap<Address, Target>,
+    /// Targets that name a limit: few of many.
+    limited: BTreeSet<Address>,
     newest: u64,
     outbox: Vec<(Vm, Outgoing)>,
+    changes: Vec<Change>,
 }
 
 impl Permits {
@@ -405,7 +327,9 @@
     pub fn new(own: Vm, contact: Duration) -> Self {
         let (registered, issuing) = Default::default();
         let members = Members { own, issues: false, registered, issuing };
-        Self { members, contact, targets: HashMap::new(), newest: 0, outbox: Vec::new() }
+        let (targets, limited) = Default::default();
+        let (newest, outbox, changes) = Default::default();
+        Self { members, contact, targets, limited, newest, outbox, changes }
     }
 
     /// Sets whether this VM issues permits.
@@ -432,31 +356,54 @@
         self.targets.entry(target).or_default().sent.add(now, 1);
     }
 
-    /// Records what an answer to a call sent at `sent_at` says of the target's limit. Returns the
-    /// limit that was known before, if it is another one.
+    /// Records what an answer to a call sent at `sent_at` says of the target's limit.
     pub fn record_statement(
         &mut self,
         now: Duration,
         target: Address,
         sent_at: Duration,
         rate: Option<Rate>,
-    ) -> Option<Option<Rate>> {
-        let address = target;
-        let target = self.targets.entry(address).or_default();
-        let Statement { rate: before, at, named_at } = target.statement;
+    ) {
+        let Statement { rate: before, at, named_at } = self.statement(target);
         if rate.is_none() && sent_at < at {
             // Answers may overtake each other: this one may be older than the limit.
-            return None;
+            return;
         }
         let is_same = before.is_some() && rate >= before;
         let named_at = if is_same { named_at } else { now };
-        target.statement = Statement { rate, at: now, named_at };
+        if self.state(target, Statement { rate, at: now, named_at }) {
+            self.tell(now, target);
+        }
+    }
+
+    /// Returns the latest statement of a target.
+    fn statement(&self, target: Address) -> Statement {
+        self.targets.get(&target).map(|target| target.statement).unwrap_or_default()
+    }
+
+    /// Takes over a statement of a target. Returns whether it names another limit: then requests of
+    /// all classes may ask again.
+    fn state(&mut self, address: Address, statement: Statement) -> bool {
+        let target = self.targets.entry(address).or_default();
+        let before = std::mem::replace(&mut target.statement, statement).rate;
+        let rate = statement.rate;
         if rate == before {
-            return None;
+            return false;
         }
         target.open();
-        self.tell(now, address);
-        Some(before)
+        match rate {
+            Some(_) => self.limited.insert(address),
+            None => self.limited.remove(&address),
+        };
+        self.changes.push(Change { target: address, before, rate });
+        true
+    }
+
+    /// Takes over the word of another VM if it is later than what is known. Returns whether it names
+    /// another limit.
+    fn merge(&mut self, now: Duration, target: Address, word: Word) -> bool {
+        let statement = self.statement(target).merged(Statement::from_word(word, now));
+        self.state(target, statement)
     }
 
     /// Tells of another limit of a target: all VMs if this one issues its permits, else the issuer.
@@ -491,31 +438,26 @@
         std::mem::take(&mut self.outbox)
     }
 
-    /// Records what the issuer of a target's permits tells of its limit. Returns the limit that was
-    /// known before, if it is another one.
-    pub fn record_limit(
-        &mut self,
-        now: Duration,
-        issuer: Vm,
-        limit: &Limit,
-    ) -> Option<Option<Rate>> {
+    /// Returns the limits that have changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Records what the issuer of a target's permits tells of its limit.
+    pub fn record_limit(&mut self, now: Duration, issuer: Vm, limit: &Limit) {
+        self.merge(now, limit.target, limit.word);
         let target = self.targets.entry(limit.target).or_default();
-        let before = target.statement.rate;
-        let is_other = target.statement.merge(Statement::from_word(limit.word, now));
-        if is_other {
-            target.open();
-        }
         if target.statement.rate.is_some() && target.told != Some(issuer) {
             self.notify(now, limit.target, issuer);
         }
-        is_other.then_some(before)
     }
 
     /// Forgets a target that has ended: the next one at its address has named no limit yet.
     pub fn forget(&mut self, now: Duration, target: Address) {
-        let statement = Statement { rate: None, at: now, named_at: now };
-        if let Some(known) = self.targets.get_mut(&target) {
-            *known = Target { statement, ..Target::default() };
+        if self.targets.contains_key(&target) {
+            let statement = Statement { rate: None, at: now, named_at: now };
+            self.state(target, statement);
+            self.targets.insert(target, Target { statement, ..Target::default() });
         }
     }
 
@@ -527,6 +469,7 @@
             let retention = if rate.is_some() { RETENTION } else { SPAN };
             at + retention > now || target.sent.clears(now.saturating_sub(SPAN), 0).is_some()
         });
+        self.limited.retain(|target| self.targets.contains_key(target));
     }
 
     /// Returns the limit of a target.
@@ -536,14 +479,13 @@
 
     /// Returns the number of targets that name a limit.
     pub fn limited(&self) -> usize {
-        self.targets.values().filter(|target| target.statement.rate.is_some()).count()
+        self.limited.len()
     }
 
     /// Returns the targets whose limits are used up for a class for longer than `patience`.
     pub fn closed(&self, now: Duration, class: Class, patience: Duration) -> Vec<Address> {
-        let limited = self.targets.iter().filter(|(_, target)| target.statement.rate.is_some());
-        let closed = limited.filter(|(_, target)| target.closed_until(class) > now + patience);
-        closed.map(|(address, _)| *address).collect()
+        let limited = self.limited.iter().copied();
+        limited.filter(|target| self.opens_in(now, class, *target) > patience).collect()
     }
 
     /// Returns the time until the limit of a target is no longer used up for a class.
@@ -616,8 +558,7 @@
     /// Answers a request of another VM.
     pub fn answer(&mut self, now: Duration, request: &Request) -> Answer {
         let address = request.target;
-        let target = self.targets.entry(address).or_default();
-        let is_other = target.statement.merge(Statement::from_word(request.word, now));
+        let is_other = self.merge(now, address, request.word);
         let is_issuer = self.members.issuer(now, address) == Some(self.members.own);
         let verdict = if is_issuer {
             self.ledger(now, address).calls.merge(now, &request.sent);
@@ -627,11 +568,10 @@
             let patience = Duration::from_millis(request.patience_ms);
             self.issue(now, address, request.class, patience)
         } else {
-            target.ledger = None;
+            self.targets.entry(address).or_default().ledger = None;
             Verdict::NotIssuer
         };
-        let statement = self.targets.get(&address).map(|target| target.statement);
-        let word = statement.unwrap_or_default().word(now);
+        let word = self.statement(address).word(now);
         Answer { target: address, number: request.number, verdict, word }
     }
 
@@ -654,8 +594,7 @@
         answer: &Answer,
     ) -> Decision {
         self.record_answer(issuer, answer);
-        let target = self.targets.entry(request.target).or_default();
-        target.statement.merge(Statement::from_word(answer.word, now));
+        self.merge(now, request.target, answer.word);
         match self.apply(now, request.target, request.class, answer.verdict) {
             // A call waits no longer than it can, whatever the issuer says.
             Decision::Granted(wait) => {
