Streams: one that another node answers goes on when that node ends

Cause: all attempts that were left went to the other node, and its end was taken for that of the stream. It runs at no more engines than its route allows. Shown by cut.rs end_of_the_node_that_helps_cuts_nothing: failed before (a stream closed after 9 of 40 events), passes; the file 9 of 9.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -8,7 +8,7 @@
 
 use hyper::Response;
 use path::Path;
-use site::Model;
+use site::{Kind, Model};
 use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
@@ -180,7 +180,7 @@
     async fn forward(&mut self, last_event: Option<u64>) -> Option<Result<Opened, Failure>> {
         let (node, call) = (self.node.clone(), self.call.clone());
         let has_run = !self.ran.is_empty();
-        let attempts = self.attempts_left(None);
+        let attempts = self.attempts_for_node();
         let is_allowed = !has_run || call.kind.is_idempotent();
         if attempts == 0 || !is_allowed || !node.may_forward(&call) {
             return None;
@@ -220,6 +220,14 @@
         }
     }
 
+    /// Returns at how many engines another node may run the request. Of several, a stream that can
+    /// resume keeps one in case that node is lost.
+    fn attempts_for_node(&self) -> u32 {
+        let left = self.attempts_left(None);
+        let may_resume = matches!(self.call.kind, Kind::Stream { resumable: true });
+        if may_resume && left > 1 { left - 1 } else { left }
+    }
+
     /// Sends the request to one path after another until one answers. A stream resumes after
     /// `last_event`.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Result<Accepted, Failure> {
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use path::Path;
 use site::Kind;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
@@ -11,6 +12,7 @@
 use crate::dispatch::{Dispatch, Failure, Opened};
 use crate::event::{ANSWERED, INTERRUPTED, KEPT};
 use crate::forward;
+use crate::pool::Exchange;
 use crate::segment::{Ended, Progress, Segment};
 
 /// First pause between attempts to find a path.
@@ -18,12 +20,29 @@
 /// Maximum pause between attempts to find a path: callers wait two seconds for an event.
 const MAX_RESUME_PAUSE: Duration = Duration::from_millis(600);
 
-/// How a stream continues.
-enum Continuation {
-    /// On another path, or from another node.
-    Moved(Opened),
-    /// On the path that it had.
-    Kept(Segment),
+/// Where the events of a stream come from.
+enum Source {
+    Path(Segment),
+    /// Another node, to which the request was forwarded.
+    Node(Exchange),
+}
+
+impl Source {
+    /// Returns the source of an answer whose head has arrived.
+    fn begin(dispatch: &Dispatch, opened: Opened, progress: &mut Progress) -> Self {
+        progress.begin_segment();
+        match opened {
+            Opened::Path(accepted) => {
+                let segment = Segment::new(&dispatch.node, accepted, progress.events);
+                progress.path = segment.path().to_string();
+                Self::Path(segment)
+            }
+            Opened::Node(exchange) => {
+                progress.path = "another node".to_owned();
+                Self::Node(exchange)
+            }
+        }
+    }
 }
 
 /// Forwards events until the stream is complete. Resumes on other paths if one is cut or stalls.
@@ -49,39 +68,69 @@
     progress: &mut Progress,
 ) -> &'static str {
     dispatch.has_begun = true;
-    let mut next = Continuation::Moved(opened);
+    let mut source = Source::begin(dispatch, opened, progress);
     loop {
-        let mut segment = match next {
-            Continuation::Kept(segment) => segment,
-            Continuation::Moved(Opened::Path(accepted)) => {
-                progress.begin_segment();
-                let segment = Segment::new(&dispatch.node, accepted, progress.events);
-                progress.path = segment.path().to_string();
-                segment
+        let events_before = progress.events;
+        let (ended, segment) = match source {
+            Source::Path(mut segment) => {
+                let ended = segment.forward_events(dispatch, sender, progress).await;
+                (ended, Some(segment))
             }
-            Continuation::Moved(Opened::Node(exchange)) => {
-                progress.begin_segment();
-                progress.path = "another node".to_owned();
-                let ended = forward::relay_events(dispatch, exchange, sender, progress).await;
-                return ended.outcome().unwrap_or("cut by another node");
+            Source::Node(exchange) => {
+                (forward::relay_events(dispatch, exchange, sender, progress).await, None)
             }
         };
-        let ended = segment.forward_events(dispatch, sender, progress).await;
         if let Some(outcome) = ended.outcome() {
             return outcome;
         }
+        log_interruption(dispatch, ended, segment.as_ref(), progress);
+        let is_empty = match &segment {
+            Some(segment) => segment.is_empty(progress),
+            None => progress.events == events_before,
+        };
+        let is_cut_empty = is_empty && ended != Ended::Stalled;
+        progress.empty_segments = if is_cut_empty { progress.empty_segments + 1 } else { 0 };
+        let path = segment.map(|segment| leave(dispatch, segment, ended, progress));
         let resumed = tokio::select! {
-            resumed = resume(dispatch, segment, ended, progress) => resumed,
+            resumed = resume(dispatch, path, progress) => resumed,
             () = sender.closed() => return "caller left",
         };
-        next = match resumed {
-            Ok(next) => next,
+        source = match resumed {
+            Ok(source) => source,
             Err(failure) => return failure.stream_outcome(),
         };
-        progress.moves += u32::from(matches!(next, Continuation::Moved(_)));
     }
 }
 
+/// Logs that the stream is to go on elsewhere.
+fn log_interruption(
+    dispatch: &Dispatch,
+    ended: Ended,
+    segment: Option<&Segment>,
+    progress: &Progress,
+) {
+    let is_broken = segment.is_some_and(|segment| dispatch.node.is_broken(segment.path()));
+    let event = dispatch
+        .call
+        .event(INTERRUPTED)
+        .with("ended", format_args!("{ended:?}"))
+        .with("events", progress.events)
+        .with("is_broken", is_broken)
+        .with("left_ms", dispatch.time_left().as_millis())
+        .with("path", &progress.path);
+    log::info!("{event}");
+}
+
+/// Leaves a path that has ended or stalled, and returns it. One that has stalled may go on.
+fn leave(dispatch: &mut Dispatch, mut segment: Segment, ended: Ended, progress: &Progress) -> Path {
+    let path = segment.path().clone();
+    segment.record_interruption(dispatch, progress);
+    dispatch.record_run(&path);
+    // Dropping a segment frees its memory at the engines for the next path.
+    dispatch.fallback = Some(segment).filter(|_| ended == Ended::Stalled);
+    path
+}
+
 fn log_end(dispatch: &Dispatch, outcome: &'static str, progress: &Progress) {
     let node = &dispatch.node;
     let since = |at: Duration| at.saturating_sub(dispatch.call.received_at).as_millis();
@@ -108,37 +157,17 @@
     }
 }
 
-/// Resumes a stream whose segment has ended: on another path, or on the same one if that has only
-/// stalled and no other is available. An attempt that fails says nothing about the next one, so a
-/// path is sought until the caller leaves, its deadline passes, or no engine may run the request.
+/// Resumes a stream that has left `path`, or was lost by another node: on another path, or on the
+/// same one if that has only stalled and no other is available. An attempt that fails says nothing
+/// about the next one, so a path is sought until the caller leaves, its deadline passes, or no engine
+/// may run the request.
 async fn resume(
     dispatch: &mut Dispatch,
-    mut segment: Segment,
-    ended: Ended,
+    path: Option<Path>,
     progress: &mut Progress,
-) -> Result<Continuation, Failure> {
+) -> Result<Source, Failure> {
     let resumable =
         matches!(dispatch.call.kind, Kind::Stream { resumable: true }) && !progress.is_unnumbered;
-    let path = segment.path().clone();
-    let event = dispatch
-        .call
-        .event(INTERRUPTED)
-        .with("ended", format_args!("{ended:?}"))
-        .with("events", progress.events)
-        .with("is_broken", dispatch.node.is_broken(&path))
-        .with("left_ms", dispatch.time_left().as_millis())
-        .with("path", &path);
-    log::info!("{event}");
-    segment.record_interruption(dispatch, progress);
-    dispatch.record_run(&path);
-    let is_cut_empty = ended != Ended::Stalled && segment.is_empty(progress);
-    progress.empty_segments = if is_cut_empty { progress.empty_segments + 1 } else { 0 };
-    if ended == Ended::Stalled {
-        dispatch.fallback = Some(segment);
-    } else {
-        // Dropping the segment frees its memory at the engines for the next path.
-        drop(segment);
-    }
     if progress.empty_segments > 1 {
         // Engines that accept a stream and break it off at once would use up the retries of others.
         sleep(MAX_RESUME_PAUSE.min(dispatch.time_left())).await;
@@ -149,7 +178,8 @@
             true => match dispatch.open(progress.last_event).await {
                 Ok(opened) => {
                     dispatch.fallback = None;
-                    return Ok(Continuation::Moved(opened));
+                    progress.moves += 1;
+                    return Ok(Source::begin(dispatch, opened, progress));
                 }
                 Err(failure) => failure,
             },
@@ -157,12 +187,13 @@
         };
         // A silent path is kept as long as none of its engines is lost: a draining engine may still
         // continue the stream.
-        if let Some(mut kept) = dispatch.fallback.take().filter(|_| !dispatch.node.is_lost(&path)) {
+        let is_lost = path.as_ref().is_none_or(|path| dispatch.node.is_lost(path));
+        if let Some(mut kept) = dispatch.fallback.take().filter(|_| !is_lost) {
             let event =
-                dispatch.call.event(KEPT).with("lacks", failure.reason()).with("path", &path);
+                dispatch.call.event(KEPT).with("lacks", failure.reason()).with("path", kept.path());
             log::info!("{event}");
             kept.defer_checks(dispatch.node.now());
-            return Ok(Continuation::Kept(kept));
+            return Ok(Source::Path(kept));
         }
         let left = dispatch.time_left();
         if !resumable || left.is_zero() || !dispatch.may_resume_later(&failure) {
--- a/crates/node/tests/cut.rs
+++ b/crates/node/tests/cut.rs
@@ -4,7 +4,7 @@
 mod entry;
 mod site;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -131,3 +131,26 @@
         assert!(reply.is_complete(EVENTS), "{reply:?}");
     }
 }
+
+/// Streams that other nodes answer when one of these nodes ends.
+const FORWARDED: usize = 8;
+
+// Guards against streams being cut because the node that answers them for another one ends, although
+// a third node reaches the targets.
+#[test]
+fn end_of_the_node_that_helps_cuts_nothing() {
+    let document = Document { attempts: 2, ..Document::default() };
+    let site = Site::start_with_views(166, NODES, &document);
+    set_cut(&site, 1, Some(Cut::Silent));
+    sleep(CONTACT_TIME);
+    let streams = site.streams(0, "s", FORWARDED);
+    assert!(site.platform.wait(CONTACT_TIME, || site.runs("s").len() >= FORWARDED), "they run");
+    sleep(Duration::from_millis(100));
+    site.nodes[1].signal("KILL");
+    for (index, reply) in ended(streams).iter().enumerate() {
+        assert!(reply.is_complete(EVENTS), "stream {index}: {reply:?}");
+        let runs = site.runs(&format!("s{index}"));
+        let targets: BTreeSet<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+        assert!(targets.len() <= document.attempts as usize, "stream {index} ran at {targets:?}");
+    }
+}
