Retries: a plain call at a silent target asks again for another one

Cause: it asked once, after 0.45 of its time, whether there is another target and a retry; without either at that moment it waited for its silent target until the deadline. Change: it asks again after 0.45 of the time that is left each time, down to 50 ms.

--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -36,6 +36,8 @@
 /// Share of the remaining time that one attempt of an idempotent request may take while another
 /// attempt is allowed.
 const ATTEMPT_SHARE: f64 = 0.45;
+/// Minimum time left in which another attempt is of use.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 /// Minimum retry delay of a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -278,14 +280,15 @@
     /// Waits until an attempt ends. Returns `None` if the request is to be sent to another target
     /// too, or its deadline has passed.
     async fn wait(&mut self) -> Option<(Attempt<'a>, Outcome)> {
-        let left = self.time_left();
         let are_all_counted = self.pending.iter().all(|attempt| attempt.counted);
         let may_repeat = match are_all_counted {
             true => self.may_offer(),
             false => self.call.kind.is_idempotent() && self.ran + 1 < self.call.attempts,
         };
-        if may_repeat {
-            let ended = timeout(left.mul_f64(ATTEMPT_SHARE), next_ended(&mut self.pending)).await;
+        // Another target, or a retry, may be there a moment later.
+        while may_repeat && self.time_left() > MIN_ATTEMPT_TIME {
+            let patience = self.time_left().mul_f64(ATTEMPT_SHARE);
+            let ended = timeout(patience, next_ended(&mut self.pending)).await;
             if let Ok(ended) = ended {
                 return Some(ended);
             }
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -213,3 +213,29 @@
         assert!(used.len() <= document.attempts as usize, "call {index} ran at {used:?}");
     }
 }
+
+/// Time from the start of plain calls until another target is there. The first time at which they
+/// could be sent elsewhere has passed: 0.45 of the time that their callers grant.
+const UNTIL_OTHER_TARGET: Duration = Duration::from_millis(2200);
+
+// Guards against a plain call that asks only once for another target than its silent one, and waits
+// for that until its deadline although another one is there a moment later.
+#[test]
+fn plain_call_at_a_silent_target_is_sent_to_one_that_comes_later() {
+    let site = Site::start(180, 1, &Document { attempts: 2, ..Document::default() });
+    site.platform.kill(site.plain[1]);
+    site.platform.deregister(site.plain[1]);
+    sleep(BEFORE_LOSS * 5);
+    site.platform.set_silent(site.plain[0], true);
+    let call = |index: usize| {
+        let call = Call::new(Route::Safe, &format!("l{index}"));
+        spawn_call(site.nodes[0].front, Call { deadline: SAFE_DEADLINE, ..call })
+    };
+    let calls: Vec<_> = (0..STREAMS).map(call).collect();
+    sleep(UNTIL_OTHER_TARGET);
+    let setup = Setup { id: "p3".into(), service: PLAIN, domain: "a", events: 0 };
+    site.platform.start_target("127.82.180.1", setup);
+    for (index, reply) in ended(calls).iter().enumerate() {
+        assert_eq!(reply.status, Some(200), "call {index}: {reply:?}");
+    }
+}
