Placement: a silent engine keeps its layers for 1.2 s

Cause: placement went by two unanswered probes. Change: an engine that does not answer keeps its layers until it refuses a connection or has been silent for 1.2 s.

--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -29,6 +29,9 @@
 /// Time between two plans above which the VM must have been suspended: waiting for orders takes
 /// less.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(1500);
+/// Time for which a silent engine keeps its layers. Sound engines are silent for a second; beyond
+/// that a missing layer costs more than a move.
+const MAX_SILENCE: Duration = Duration::from_millis(1200);
 /// Maximum wait for an engine's answer to an order. The next plan waits for the slowest answer, and
 /// orders to engines that are cut off run into this timeout one after another.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -144,9 +147,10 @@
         let now = self.node.now();
         let (table, permits) = (self.node.table.borrow(), self.node.permits.borrow());
         let usable = table.entries().filter(|entry| {
-            // Moving layers takes seconds. An engine that may only be unreachable is kept in the
-            // plan.
-            let lost = entry.health.is_unresponsive();
+            // Moving layers takes seconds. An engine that may only be unreachable, or silent, is kept
+            // in the plan.
+            let health = &entry.health;
+            let lost = health.is_unresponsive() && health.is_presumed_ended(now, MAX_SILENCE);
             // An empty engine that does not accept orders cannot take part in the plan.
             let is_unusable = entry.layers.is_none() && self.tracker.is_paused(&entry.target.id);
             let ready = !entry.is_draining() && !lost && !is_unusable;
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -146,3 +146,27 @@
     let again = send_call(site.nodes[0].front, &unseen("q2"));
     assert!(again.is_complete(EVENTS), "{again:?}");
 }
+
+/// Time for which an engine is silent that keeps its layers.
+const SHORT_SILENCE: Duration = Duration::from_millis(1000);
+/// Time until orders that follow from a silence would have been sent.
+const AFTER_SILENCE: Duration = Duration::from_millis(500);
+
+// Guards against layers that are moved off their engines because one of these was silent for a
+// second: streams that pass them wait, and the loads delay others.
+#[parameterized(first = { 181, 0 }, last = { 182, 1 })]
+fn silent_engine_keeps_its_layers(number: u8, stage: usize) {
+    let site = Site::start(number, 1, &Document::default());
+    let streams = site.streams(0, "k", STREAMS);
+    assert!(site.platform.wait(START_LIMIT, || site.runs("k").len() == STREAMS), "streams run");
+    let path = site.path("k");
+    let engine = path[stage.min(path.len() - 1)];
+    let before = site.platform.placements().len();
+    site.platform.set_silent(engine, true);
+    sleep(SHORT_SILENCE);
+    site.platform.set_silent(engine, false);
+    sleep(AFTER_SILENCE);
+    let orders = site.platform.placements();
+    assert_eq!(orders.len(), before, "{:?}", &orders[before..]);
+    ended(streams);
+}
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -267,6 +267,13 @@
         self.down.is_some_and(|down| now.saturating_sub(down.silent_since) >= LOSS_TIMEOUT)
     }
 
+    /// Returns whether a target out of use is presumed to have ended: it has refused a connection, or
+    /// nothing has come from it for `silence`.
+    pub fn is_presumed_ended(&self, now: Duration, silence: Duration) -> bool {
+        let is_silent = |down: Down| now.saturating_sub(down.silent_since) >= silence;
+        self.down.is_some_and(|down| down.refused || down.lost || is_silent(down))
+    }
+
     /// Returns whether a target out of use may be sound: it has refused no connection, and has been
     /// silent for no longer than a sound one is.
     pub fn may_be_silent(&self, now: Duration) -> bool {
