Edge: one wait for the first of several attempts, one check of whether another node handles a request

Left over from an earlier read-through, without a change of behaviour: attempt::next_answer and unary::next_ended were one polling loop (now first::take_first); is_cut_off stood in dispatch.rs and unary.rs (now Node::leaves_to_others, beside may_forward); is_signed stood with the streams that resume though plain calls use it too (now reply.rs).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,9 +1,7 @@
 //! One attempt to send a streaming request to a path.
 
-use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use hyper::Response;
@@ -13,6 +11,7 @@
 
 use crate::answer::Answer;
 use crate::call::Call;
+use crate::first::take_first;
 use crate::node::Node;
 use crate::pool::{Connection, Exchange, Unanswered};
 
@@ -118,15 +117,7 @@
 pub(crate) async fn next_answer(
     attempts: &mut Vec<Attempt>,
 ) -> (Attempt, Result<Exchange, Unanswered>) {
-    poll_fn(|context| {
-        for index in 0..attempts.len() {
-            if let Poll::Ready(answer) = attempts[index].answer.as_mut().poll(context) {
-                return Poll::Ready((attempts.remove(index), answer));
-            }
-        }
-        Poll::Pending
-    })
-    .await
+    take_first(attempts, |attempt, context| attempt.answer.as_mut().poll(context)).await
 }
 
 /// An answer whose head has arrived.
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -328,7 +328,9 @@
             return Err(NO_PATH);
         }
         let has_failed = self.unsent >= unsent_before + MAX_UNSENT;
-        if has_failed && self.node.may_forward(&self.call) || self.offers > 0 && self.is_cut_off() {
+        if has_failed && self.node.may_forward(&self.call)
+            || self.offers > 0 && self.node.leaves_to_others(&self.call)
+        {
             // Another node can serve the request at once.
             return Err(NO_PATH);
         }
@@ -417,16 +419,12 @@
     fn lost_attempt(&self) -> Option<usize> {
         self.waiting.iter().position(|attempt| {
             let path = attempt.path();
-            let may_forward = self.is_cut_off() && self.attempts_left(Some(path.first())) > 0;
+            let may_forward = self.node.leaves_to_others(&self.call)
+                && self.attempts_left(Some(path.first())) > 0;
             may_forward || self.node.is_lost(path)
         })
     }
 
-    /// Returns whether another node is to handle the request, because this one has lost its targets.
-    fn is_cut_off(&self) -> bool {
-        !self.node.reaches_targets() && self.node.may_forward(&self.call)
-    }
-
     /// Takes an attempt that has ended without its answer.
     fn take_unanswered(&mut self, index: usize, outcome: Outcome) -> Option<(InFlight, Outcome)> {
         let mut attempt = self.waiting.remove(index);
--- a/crates/edge/src/evaluate.rs
+++ b/crates/edge/src/evaluate.rs
@@ -11,8 +11,8 @@
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::dispatch::Dispatch;
 use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
-use crate::reply::{is_not_run, matches_request, passthrough};
-use crate::resumed::{is_signed, is_stream};
+use crate::reply::{is_not_run, is_signed, matches_request, passthrough};
+use crate::resumed::is_stream;
 
 /// A refusal that takes longer than this indicates that the engine had stalled.
 const SLOW_REFUSAL: Duration = Duration::from_millis(800);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod evaluate;
 mod event;
 mod evidence;
+mod first;
 mod follow;
 mod forward;
 mod front;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -366,6 +366,11 @@
         call.origin == Origin::Caller && self.reachability.borrow().any_reaching(self.now())
     }
 
+    /// Returns whether another node is to handle a request, because this one has lost its targets.
+    pub(crate) fn leaves_to_others(&self, call: &Call) -> bool {
+        !self.reaches_targets() && self.may_forward(call)
+    }
+
     /// Returns up to `max` engines that may be asked for reports, at random, those in use first.
     pub(crate) fn sample_engines(&self, max: usize) -> Vec<(TargetKey, SocketAddr)> {
         let now = self.now();
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_ENCODING, HeaderMap};
 use hyper::{Response, StatusCode};
 use platform::head;
 
@@ -22,6 +22,11 @@
     headers.contains_key(head::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST
 }
 
+/// Returns whether a body can be that of a target: it is signed, and not encoded on the way.
+pub(crate) fn is_signed(headers: &HeaderMap) -> bool {
+    headers.contains_key(head::STAMP) && !headers.contains_key(CONTENT_ENCODING)
+}
+
 /// Returns a target's complete answer as an answer to the caller.
 pub(crate) fn passthrough(
     status: StatusCode,
--- a/crates/edge/src/resumed.rs
+++ b/crates/edge/src/resumed.rs
@@ -2,17 +2,13 @@
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap};
-use platform::head;
+use hyper::header::CONTENT_TYPE;
+
+use crate::reply::is_signed;
 
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Returns whether a body can be that of a target: it is signed, and not encoded on the way.
-pub(crate) fn is_signed(headers: &HeaderMap) -> bool {
-    headers.contains_key(head::STAMP) && !headers.contains_key(CONTENT_ENCODING)
-}
-
 /// Returns whether the head of an answer is that of a stream with which another stream can go on.
 pub(crate) fn is_stream<T>(response: &Response<T>) -> bool {
     let headers = response.headers();
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -1,10 +1,8 @@
 //! Requests with a single answer.
 
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,13 +17,15 @@
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
+use crate::first::take_first;
 use crate::forward::{MAX_UNSENT, forward_unary, is_refusal, name_target};
 use crate::limited::LIMITED;
 use crate::node::Node;
 use crate::permit::{Remedy, patience};
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
-use crate::reply::{is_not_run, log_failed_attempt, matches_request, passthrough, unknown_outcome};
-use crate::resumed::is_signed;
+use crate::reply::{
+    is_not_run, is_signed, log_failed_attempt, matches_request, passthrough, unknown_outcome,
+};
 
 /// Maximum number of targets that a request is sent to, including those that refused it.
 const MAX_OFFERS: u32 = 4;
@@ -177,7 +177,7 @@
     /// `None` if no target gives one.
     async fn run(&mut self) -> Option<Response<Answer>> {
         loop {
-            let is_left_to_others = self.retry_taken && self.is_cut_off();
+            let is_left_to_others = self.retry_taken && self.node.leaves_to_others(self.call);
             let may_offer = self.may_offer() && !is_left_to_others;
             let next = if may_offer { self.next_target().await } else { None };
             match next {
@@ -308,7 +308,7 @@
     /// Takes a retry for another target, if there is one. A request that cannot be sent elsewhere
     /// waits on: its target may be silent for a while and go on.
     async fn take_alternative(&self) -> bool {
-        let is_available = self.best_target().is_some() || self.is_cut_off();
+        let is_available = self.best_target().is_some() || self.node.leaves_to_others(self.call);
         is_available && self.node.take_retry(&self.call.service).await
     }
 
@@ -384,12 +384,6 @@
         }
     }
 
-    /// Returns whether the request is to be forwarded to another node, because this one has lost its
-    /// targets.
-    fn is_cut_off(&self) -> bool {
-        !self.node.reaches_targets() && self.node.may_forward(self.call)
-    }
-
     /// Returns whether the request is to be forwarded to another node, because none of its offers
     /// could be sent.
     fn is_forwardable(&self) -> bool {
@@ -400,15 +394,7 @@
 
 /// Waits until one of the attempts ends, and takes it from the list.
 async fn next_ended<'a>(attempts: &mut Vec<Attempt<'a>>) -> (Attempt<'a>, Outcome) {
-    poll_fn(|context| {
-        for index in 0..attempts.len() {
-            if let Poll::Ready(outcome) = attempts[index].outcome.as_mut().poll(context) {
-                return Poll::Ready((attempts.remove(index), outcome));
-            }
-        }
-        Poll::Pending
-    })
-    .await
+    take_first(attempts, |attempt, context| attempt.outcome.as_mut().poll(context)).await
 }
 
 async fn try_target(
