Forwarding: the node that answers a stream leaves an attempt, in place of the one that forwards it

What callers saw after: a request that another node handles got a target's failure (500) though its route allows another attempt: the forwarding node had kept it, and the other one, which knows the targets that failed, had one too few. Found by reading, shown by cut.rs forwarded_request_uses_all_its_attempts: failed on ("500" after two of three attempts), passes. Change: the other node gets all attempts; once it has begun a resumable stream it leaves one, if any is left, and states in the head of its answer (magnolia-attempts) at how many targets the request will have run at the most.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use path::{Path, Stage};
-use site::TargetKey;
+use site::{Kind, TargetKey};
 
 use crate::dispatch::{Dispatch, Failure};
 use crate::event::UNCOUNTED;
@@ -47,13 +47,21 @@
         self.ran.recount(is_running);
         drop(table);
         let counted = self.ran.count(next, |engine| self.node.has_ended(engine));
-        self.call.attempts.saturating_sub(counted)
+        self.max_attempts.saturating_sub(counted)
+    }
+
+    /// Leaves one attempt to the node that forwards this stream, in case it loses this node, unless
+    /// all are used.
+    pub(crate) fn spare_attempt(&mut self, first: &Stage) {
+        if matches!(self.call.kind, Kind::Stream { resumable: true }) {
+            self.max_attempts -= self.attempts_left(Some(first)).min(1);
+        }
     }
 
     /// Logs that the request is sent `to` one more engine than its route allows, because some of those
     /// at which it has run have ended.
     pub(crate) fn log_uncounted(&self, to: &str) {
-        if self.ran.iter().count() < self.call.attempts as usize {
+        if self.ran.iter().count() < self.max_attempts as usize {
             return;
         }
         let ran: Vec<&str> = self.ran.iter().map(|engine| engine.target.as_str()).collect();
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -8,7 +8,7 @@
 
 use hyper::Response;
 use path::Path;
-use site::{Kind, Model};
+use site::Model;
 use tokio::time::{Instant, timeout};
 
 use crate::answer::Answer;
@@ -93,6 +93,8 @@
     max_offers: u32,
     /// Engines at which the request may have run.
     pub(crate) ran: Attempts,
+    /// Number of engines at which it may run.
+    pub(crate) max_attempts: u32,
     /// Whether the caller has received the head of the answer, so that the stream has to go on.
     pub(crate) has_begun: bool,
     /// Segment of a stalled stream that continues if no other path accepts the request.
@@ -105,6 +107,7 @@
 
 impl Dispatch {
     pub(crate) fn new(node: &Rc<Node>, call: Rc<Call>, model: Arc<Model>) -> Self {
+        let max_attempts = call.attempts;
         Self {
             node: node.clone(),
             call,
@@ -115,6 +118,7 @@
             retry_taken_at: Cell::new(None),
             max_offers: 0,
             ran: Attempts::default(),
+            max_attempts,
             has_begun: false,
             fallback: None,
             waiting: Vec::new(),
@@ -180,7 +184,7 @@
     async fn forward(&mut self, last_event: Option<u64>) -> Option<Result<Opened, Failure>> {
         let (node, call) = (self.node.clone(), self.call.clone());
         let has_run = !self.ran.is_empty();
-        let attempts = self.attempts_for_node();
+        let attempts = self.attempts_left(None);
         let is_allowed = !has_run || call.kind.is_idempotent();
         if attempts == 0 || !is_allowed || !node.may_forward(&call) {
             return None;
@@ -196,7 +200,7 @@
                 Some(Err(Failure::Unknown(NODE_FAILED)))
             }
             Ok(exchange) => {
-                self.ran.record_forwarded(attempts);
+                self.ran.record_forwarded(forward::used_attempts(&exchange).min(attempts));
                 self.offers += 1;
                 Some(Ok(Opened::Node(exchange)))
             }
@@ -220,14 +224,6 @@
         }
     }
 
-    /// Returns at how many engines another node may run the request. Of several, a stream that can
-    /// resume keeps one in case that node is lost.
-    fn attempts_for_node(&self) -> u32 {
-        let left = self.attempts_left(None);
-        let may_resume = matches!(self.call.kind, Kind::Stream { resumable: true });
-        if may_resume && left > 1 { left - 1 } else { left }
-    }
-
     /// Sends the request to one path after another until one answers. A stream resumes after
     /// `last_event`.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Result<Accepted, Failure> {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use path::Stage;
 use platform::head;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{sleep_until, timeout};
@@ -29,7 +30,8 @@
 pub(crate) const MAX_UNSENT: u32 = 2;
 /// Maximum number of nodes to which one request is forwarded in turn.
 const MAX_NODES: usize = 3;
-/// Number of targets at which a forwarded request may still run.
+/// Number of targets at which a forwarded request may still run; on the answer, the number at which it
+/// will have run at the most.
 const ATTEMPTS: HeaderName = HeaderName::from_static("magnolia-attempts");
 /// Present if the forwarding node has counted the request for the retry budget.
 const COUNTED: HeaderName = HeaderName::from_static("magnolia-counted");
@@ -147,6 +149,23 @@
     }
 }
 
+/// Returns at how many targets another node will have run a request at the most, as it states in the
+/// head of its answer.
+pub(crate) fn used_attempts(exchange: &Exchange) -> u32 {
+    let value = exchange.response.headers().get(ATTEMPTS);
+    // Builds up to 8bd7f1a state nothing, and may use all.
+    value.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(u32::MAX)
+}
+
+/// States at how many targets this node will have run a stream at the most, if the caller is another
+/// node.
+pub(crate) fn state_attempts(dispatch: &mut Dispatch, first: &Stage, headers: &mut HeaderMap) {
+    if dispatch.call.origin == Origin::Node {
+        dispatch.spare_attempt(first);
+        headers.insert(ATTEMPTS, dispatch.max_attempts.into());
+    }
+}
+
 /// Returns whether a node itself refused a request: targets sign their answers.
 pub(crate) fn is_refusal<B>(response: &Response<B>) -> bool {
     let refuses = response.status() == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -12,7 +12,7 @@
 use crate::call::{Call, returned_headers};
 use crate::dispatch::{Dispatch, Failure, NO_PATH, NO_RETRY, Opened};
 use crate::event::REFUSED;
-use crate::forward::{name_target, stream_head, whole_answer};
+use crate::forward::{name_target, state_attempts, stream_head, whole_answer};
 use crate::limited::LIMITED;
 use crate::node::Node;
 use crate::pump::pump;
@@ -40,9 +40,10 @@
             let mut response = Response::new(Answer::Events(receiver));
             match &opened {
                 Opened::Path(accepted) => {
-                    let first = accepted.in_flight.path.first().address;
+                    let first = accepted.in_flight.path.first();
                     *response.headers_mut() = returned_headers(accepted.response.headers());
-                    name_target(&dispatch.call, first, &mut response);
+                    name_target(&dispatch.call, first.address, &mut response);
+                    state_attempts(&mut dispatch, first, response.headers_mut());
                 }
                 Opened::Node(exchange) => *response.headers_mut() = stream_head(exchange),
             }
--- a/crates/node/tests/cut.rs
+++ b/crates/node/tests/cut.rs
@@ -8,7 +8,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use platform_standin::{Call, Cut, Document, Reply, Route, spawn_call};
+use platform_standin::{Call, Cut, Document, Fault, Reply, Route, spawn_call};
 use site::{EVENTS, Site, ended, view};
 use yare::parameterized;
 
@@ -154,3 +154,21 @@
         assert!(targets.len() <= document.attempts as usize, "stream {index} ran at {targets:?}");
     }
 }
+
+// Guards against a request that another node answers with a target's failure, although its route
+// allows another attempt.
+#[test]
+fn forwarded_request_uses_all_its_attempts() {
+    // Two engines of the nodes' failure domain hold the first layers.
+    let document = Document { attempts: 3, ..Document::default() };
+    let site = Site::start_with_views(167, NODES, &document);
+    set_cut(&site, 1, Some(Cut::Silent));
+    sleep(CONTACT_TIME);
+    site.set_fault(&site.engines[..3], Fault::Fails);
+    for (index, reply) in ended(site.streams(0, "f", FORWARDED)).iter().enumerate() {
+        assert!(reply.is_complete(EVENTS), "stream {index}: {reply:?}");
+        let runs = site.runs(&format!("f{index}"));
+        let targets: BTreeSet<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+        assert!(targets.len() <= document.attempts as usize, "stream {index} ran at {targets:?}");
+    }
+}
