Connections: each end is logged with its cause; a request cannot end unseen

Callers had requests cut on kept connections of which no line told. Added before any change of logic: 1157 connection-ended with its cause (closed by the caller, lost, idle, invalid head, last answer, request not read, broken answer, stop), and a receipt for each request, which is counted at its arrival and, also when it is dropped, at its end: answered, refused, left by its caller or cut by this node; the last two are logged as 1158 request-ended. Nothing else changes.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +12,8 @@
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc::Receiver;
 
+use crate::receipt::Receipt;
+
 /// The body ended before the answer was complete. The caller's connection is closed in this case,
 /// so that the answer is not taken for a complete one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,14 +27,42 @@
 
 impl Error for Broken {}
 
-/// Body of an answer.
-pub(crate) enum Answer {
+/// What an answer consists of.
+enum Content {
     /// A complete body; `None` once it has been sent.
     Whole(Option<Bytes>),
     /// A stream of events.
     Events(Receiver<Result<Bytes, Broken>>),
 }
 
+/// Body of an answer.
+pub(crate) struct Answer {
+    content: Content,
+    /// The request that is answered.
+    receipt: Option<Receipt>,
+}
+
+impl Answer {
+    /// Returns a complete body.
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        Self { content: Content::Whole(Some(bytes)), receipt: None }
+    }
+
+    /// Returns a stream of events.
+    pub(crate) fn events(receiver: Receiver<Result<Bytes, Broken>>) -> Self {
+        Self { content: Content::Events(receiver), receipt: None }
+    }
+
+    /// Attaches the request that is answered. It ends with the answer.
+    pub(crate) fn attach(&mut self, mut receipt: Receipt) {
+        // A complete body is written together with its head, and left out if the request is a HEAD.
+        if matches!(self.content, Content::Whole(_)) {
+            receipt.record_whole();
+        }
+        self.receipt = Some(receipt);
+    }
+}
+
 impl Body for Answer {
     type Data = Bytes;
     type Error = Broken;
@@ -41,31 +71,36 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        match self.get_mut() {
-            Answer::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Answer::Events(receiver) => {
-                receiver.poll_recv(context).map(|next| next.map(|result| result.map(Frame::data)))
+        let answer = self.get_mut();
+        match &mut answer.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Content::Events(receiver) => {
+                let next = ready!(receiver.poll_recv(context));
+                if let (None, Some(receipt)) = (&next, &mut answer.receipt) {
+                    receipt.record_whole();
+                }
+                Poll::Ready(next.map(|result| result.map(Frame::data)))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Answer::Whole(None))
+        matches!(self.content, Content::Whole(None))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Answer::Whole(bytes) => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Answer::Events(_) => SizeHint::default(),
+            Content::Events(_) => SizeHint::default(),
         }
     }
 }
 
 /// Returns a plain-text answer of this node.
 pub(crate) fn text(status: StatusCode, reason: &'static str) -> Response<Answer> {
-    let mut response = Response::new(Answer::Whole(Some(Bytes::from_static(reason.as_bytes()))));
+    let mut response = Response::new(Answer::whole(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
     let content_type = hyper::header::HeaderValue::from_static("text/plain");
     response.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -216,7 +216,7 @@
                 // The refusal promises only that the request has not run there.
                 Some(Err(Failure::Unknown(REFUSED_BY_NODES)))
             }
-            Err(forward::Failure::Refused(response)) => Some(Err(Failure::Failed(response))),
+            Err(forward::Failure::Refused(response)) => Some(Err(Failure::Failed(*response))),
             Err(forward::Failure::Unknown) => {
                 self.ran.record_forwarded(attempts);
                 Some(Err(Failure::Unknown(NODE_FAILED)))
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -46,4 +46,6 @@
     DECISION_WAITS = 1152, "decision-waits", "A decision whether to quarantine a request, or requests with this part in their prompts, is due and waits, because the targets that it rests on may only be silent.";
     TARGET_LIMITED = 1155, "target-limited", "A target named another limit on the requests per second that it takes from all nodes together (`per_second`), or none any more, in an answer to this node or to the `issuer` of its permits; or one that named a limit was replaced. `before` is the one that this node knew.";
     REQUEST_LIMITED = 1156, "request-limited", "The limit of a target, or of all of its service, is used up for `wait_ms`, so that the request goes `elsewhere`, is `held` until the target takes it, or is `refused`.";
+    CONNECTION_ENDED = 1157, "connection-ended", "A connection of a caller or of another node ended, for this cause, after this number of requests; `error` is that of the HTTP library.";
+    REQUEST_ENDED = 1158, "request-ended", "A request ended without a whole answer: its caller has `left`, or this node has `cut` it.";
 }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -86,7 +86,7 @@
     /// No other node reaches the targets, or none could be connected to.
     NoNode,
     /// The other nodes refused the request, which has not run.
-    Refused(Response<Answer>),
+    Refused(Box<Response<Answer>>),
     /// The request may have run.
     Unknown,
 }
@@ -145,7 +145,7 @@
                 Ok(Err(Unanswered::Unknown)) | Err(_) => return Err(Failure::Unknown),
             }
         }
-        Err(refused.map_or(Failure::NoNode, Failure::Refused))
+        Err(refused.map_or(Failure::NoNode, |response| Failure::Refused(Box::new(response))))
     }
 }
 
@@ -234,7 +234,7 @@
     let forward = Forward { call, attempts, last_event: None };
     match forward.send(node).await {
         Ok(exchange) => Some(whole_answer(node, call, exchange).await),
-        Err(Failure::Refused(response)) => Some(response),
+        Err(Failure::Refused(response)) => Some(*response),
         Err(Failure::Unknown) => Some(unknown_outcome(node, call)),
         Err(Failure::NoNode) => None,
     }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,7 +1,6 @@
 //! The port for callers.
 
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,28 +9,24 @@
 use fleet::Event;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{AUTHORIZATION, HOST};
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::header::{AUTHORIZATION, CONNECTION, HOST};
+use hyper::{Request, Response, StatusCode, Version};
 use site::{Config, Kind, Model, Organisation, Route};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::pin;
 use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later, text};
 use crate::call::{self, Call};
+use crate::connection::{self, State};
 use crate::event::{ANSWERED, REFUSED};
-use crate::forward::{Origin, Statement};
+use crate::forward::{Origin, Statement, is_refusal};
 use crate::node::Node;
-use crate::pool::set_socket_timeouts;
+use crate::receipt::Receipt;
 use crate::reply::unknown_outcome;
 use crate::used::Used;
 use crate::{stream, unary};
 
-/// Minimum size of the read buffer that `hyper` accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Maximum wait for the first configuration: callers give up a connection after a second.
 const MAX_CONFIG_WAIT: Duration = Duration::from_millis(700);
 /// Interval of checks for the first configuration.
@@ -59,7 +54,7 @@
 async fn serve(node: Rc<Node>, listener: TcpListener, origin: Origin) {
     loop {
         let stream = accept(&listener).await;
-        tokio::task::spawn_local(handle_connection(node.clone(), stream, origin));
+        tokio::task::spawn_local(connection::serve(node.clone(), stream, origin));
     }
 }
 
@@ -75,49 +70,6 @@
     }
 }
 
-/// Counts an open connection of a caller.
-struct ConnectionGuard(Rc<Node>);
-
-impl ConnectionGuard {
-    fn new(node: &Rc<Node>) -> Self {
-        node.connections.set(node.connections.get() + 1);
-        Self(node.clone())
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
-async fn handle_connection(node: Rc<Node>, stream: TcpStream, origin: Origin) {
-    let _guard = ConnectionGuard::new(&node);
-    set_socket_timeouts(&stream);
-    let limits = node.config().map(|config| config.limits.clone()).unwrap_or_default();
-    let service = {
-        let node = node.clone();
-        service_fn(move |request| {
-            let node = node.clone();
-            async move { Ok::<_, Infallible>(handle(node, request, origin).await) }
-        })
-    };
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .keep_alive(!node.stopping.get())
-        .serve_connection(TokioIo::new(stream), service);
-    pin!(connection);
-    tokio::select! {
-        // A failed connection needs no shutdown.
-        _ = connection.as_mut() => return,
-        () = node.stop_requested.notified() => connection.as_mut().graceful_shutdown(),
-    }
-    // The error of a failed connection is of no use here.
-    connection.await.ok();
-}
-
 /// Why a request is refused before it is sent to a target.
 enum Refusal {
     Status(StatusCode, &'static str),
@@ -125,19 +77,48 @@
     RetryLater(&'static str, Duration),
 }
 
-async fn handle(node: Rc<Node>, request: Request<Incoming>, origin: Origin) -> Response<Answer> {
+/// Answers a request.
+pub(crate) async fn handle(
+    node: Rc<Node>,
+    connection: &Rc<State>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Response<Answer> {
     let id = request_id(&request);
-    let (call, config) = match prepare(&node, request, origin).await {
-        Ok(prepared) => prepared,
-        Err(refusal) => return refuse(&node, &id, refusal),
+    let mut receipt = Receipt::new(&node, connection, id.clone());
+    let is_last = is_last(&node, &request);
+    let (mut response, is_refused) = match prepare(&node, request, origin).await {
+        Ok((call, config)) => answer(&node, call, &config).await,
+        Err(refusal) => (refuse(&node, &id, refusal), true),
     };
+    connection.set_last(is_last);
+    if is_refused {
+        receipt.record_refusal();
+    }
+    response.body_mut().attach(receipt);
+    response
+}
+
+/// Returns whether the answer to a request is the last one on its connection.
+fn is_last(node: &Node, request: &Request<Incoming>) -> bool {
+    let values = request.headers().get_all(CONNECTION).iter();
+    let options = values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+    let mut options = options.map(str::trim);
+    let is_closed = options.any(|option| option.eq_ignore_ascii_case("close"));
+    is_closed || node.stopping.get() || request.version() != Version::HTTP_11
+}
+
+/// Returns the answer to a request, and whether it is a refusal of this node.
+async fn answer(node: &Rc<Node>, call: Call, config: &Config) -> (Response<Answer>, bool) {
     let model = config.service(&call.service).and_then(|service| service.model.clone());
     let call = Rc::new(call);
     let ending = node.ending.notified();
-    tokio::select! {
-        response = serve_call(&node, call.clone(), model) => response,
-        () = ending => end_call(&node, &call),
-    }
+    let response = tokio::select! {
+        response = serve_call(node, call.clone(), model) => response,
+        () = ending => end_call(node, &call),
+    };
+    let is_refused = is_refusal(&response);
+    (response, is_refused)
 }
 
 /// Returns the answer to a request that is still in progress when the process ends.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -104,6 +104,8 @@
     pub(crate) peers: RefCell<Vec<SocketAddr>>,
     /// Number of open caller connections.
     pub(crate) connections: Cell<usize>,
+    /// Number of caller connections accepted so far.
+    accepted: Cell<u64>,
     /// Distinguishes this start of the process from others at the same address.
     pub(crate) instance: u64,
     rng: RefCell<SmallRng>,
@@ -148,6 +150,7 @@
             last_refusal_alarm: Cell::default(),
             peers: RefCell::default(),
             connections: Cell::new(0),
+            accepted: Cell::new(0),
             instance: rng.random(),
             rng: RefCell::new(rng),
         }
@@ -163,6 +166,12 @@
         SocketAddr::new(self.settings.front.ip(), self.settings.internal_ports.0)
     }
 
+    /// Returns the number of a connection that has just been accepted.
+    pub(crate) fn next_connection(&self) -> u64 {
+        self.accepted.set(self.accepted.get() + 1);
+        self.accepted.get()
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -33,7 +33,7 @@
     headers: &HeaderMap,
     body: Bytes,
 ) -> Response<Answer> {
-    let mut response = Response::new(Answer::Whole(Some(body)));
+    let mut response = Response::new(Answer::whole(body));
     *response.status_mut() = status;
     *response.headers_mut() = returned_headers(headers);
     response
--- /dev/null
+++ b/crates/edge/src/socket.rs
@@ -0,0 +1,97 @@
+//! The socket of a caller, which records what ends it.
+
+use std::cell::Cell;
+use std::io::{self, ErrorKind, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What has been seen at a socket.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    /// Whether the other side has closed its sending side.
+    is_ended: Cell<bool>,
+    /// The error that has ended the connection.
+    error: Cell<Option<ErrorKind>>,
+}
+
+impl Traffic {
+    /// Returns whether the other side has closed its sending side.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.is_ended.get()
+    }
+
+    /// Returns the error that has ended the connection.
+    pub(crate) fn error(&self) -> Option<ErrorKind> {
+        self.error.get()
+    }
+}
+
+/// A socket.
+pub(crate) struct Socket {
+    stream: TcpStream,
+    traffic: Rc<Traffic>,
+}
+
+impl Socket {
+    pub(crate) fn new(stream: TcpStream, traffic: Rc<Traffic>) -> Self {
+        Self { stream, traffic }
+    }
+
+    fn record<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Err(error)) = &result {
+            self.traffic.error.set(Some(error.kind()));
+        }
+        result
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Poll::Ready(Ok(())) = &result {
+            self.traffic.is_ended.set(buffer.filled().len() == before);
+        }
+        self.record(result)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -37,7 +37,7 @@
         }
         Ok(opened) => {
             let (sender, receiver) = channel(EVENT_QUEUE_LENGTH);
-            let mut response = Response::new(Answer::Events(receiver));
+            let mut response = Response::new(Answer::events(receiver));
             match &opened {
                 Opened::Path(accepted) => {
                     let first = accepted.in_flight.path.first();
