Connections: answers announce for how long a connection may be used again

Cause: the node closed a connection that had been idle for the configured idle_timeout_ms (15 s), without having told the caller this time. Callers were measured to use connections that have been idle for up to 20 s; a request that crosses the close is lost, and stood in no log line. The limits were read once, when a connection was accepted: a longer idle timeout took no force on open connections, so callers that went by it lost requests too, header_timeout_ms was used nowhere, and a head that never ended was bounded by the idle timeout.

Change: each answer bears Keep-Alive with a time in whole seconds, 0.8 of the idle timeout and at most half of the grace of a planned stop. The node closes a connection only after the idle timeout, and a second or more after the announced time, by the limits now in force or those in force when the caller began to wait, whichever are longer, and looks once more for bytes before it does. A head that does not end within header_timeout_ms is answered 408; the size of heads is checked by the limit in force.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -1,27 +1,38 @@
 //! A connection of a caller or of another node: serves its requests, and records why it ends.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::fmt;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use fleet::Event;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::{self, Builder};
+use hyper::service::Service;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::pin;
+use tokio::task::yield_now;
 
+use crate::answer::Answer;
 use crate::event::CONNECTION_ENDED;
+use crate::expiry::{Expiry, Reason};
 use crate::forward::Origin;
 use crate::front::handle;
 use crate::node::Node;
 use crate::pool::set_socket_timeouts;
 use crate::socket::{Socket, Traffic};
+use crate::timer::Timer;
 
-/// Minimum size of the read buffer that `hyper` accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Size of the read buffer, unless the configuration allows larger heads. A later configuration may.
+const BUFFER_BYTES: usize = 64 << 10;
+/// Answer to a head that does not end in time.
+const SLOW_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,8 +41,10 @@
     Caller,
     /// It was lost: reset, or without a sign of the other side for too long.
     Lost,
-    /// No request came for too long, or the head of one did not end in time.
+    /// No request came for too long.
     Idle,
+    /// The head of a request did not end in time.
+    SlowHead,
     /// What came is no request.
     InvalidHead,
     /// The last answer was the last one on the connection, as it said or as the caller asked.
@@ -50,6 +63,7 @@
             Cause::Caller => "closed by the caller",
             Cause::Lost => "lost",
             Cause::Idle => "idle",
+            Cause::SlowHead => "slow head",
             Cause::InvalidHead => "invalid head",
             Cause::LastAnswer => "last answer",
             Cause::Unread => "request not read",
@@ -76,12 +90,19 @@
     in_progress: Cell<u64>,
     /// Whether the last answer was said to be the last one.
     is_last: Cell<bool>,
+    expiry: RefCell<Expiry>,
+    /// Number of bytes read up to the begin or the end of the last request.
+    bytes_before: Cell<u64>,
 }
 
 impl State {
-    fn new(number: u64) -> Self {
+    fn new(node: &Node) -> Self {
+        let limits = node.limits();
+        let announced = node.announced_time(&limits);
         Self {
-            number,
+            number: node.next_connection(),
+            expiry: RefCell::new(Expiry::new(node.now(), announced, limits)),
+            bytes_before: Cell::new(0),
             traffic: Rc::default(),
             requests: Cell::new(0),
             in_progress: Cell::new(0),
@@ -98,11 +119,27 @@
     pub(crate) fn begin_request(&self) {
         self.requests.set(self.requests.get() + 1);
         self.in_progress.set(self.in_progress.get() + 1);
+        self.bytes_before.set(self.traffic.bytes_read());
+        self.expiry.borrow_mut().begin_request();
     }
 
     /// Records that a request has ended.
-    pub(crate) fn end_request(&self) {
+    pub(crate) fn end_request(&self, node: &Node) {
         self.in_progress.set(self.in_progress.get() - 1);
+        self.bytes_before.set(self.traffic.bytes_read());
+        let limits = node.limits();
+        let announced = node.announced_time(&limits);
+        self.expiry.borrow_mut().end_request(node.now(), announced, limits);
+    }
+
+    /// Returns when the connection is to be closed, and why.
+    fn expires_at(&self, node: &Node) -> Option<(Duration, Reason)> {
+        let limits = node.limits();
+        let mut expiry = self.expiry.borrow_mut();
+        if self.traffic.bytes_read() > self.bytes_before.get() {
+            expiry.record_bytes(node.now(), limits.clone());
+        }
+        expiry.expires_at(&limits)
     }
 
     /// Records whether the next answer is the last one on the connection.
@@ -116,7 +153,6 @@
             return Cause::Lost;
         }
         match result {
-            Err(error) if error.is_timeout() => Cause::Idle,
             Err(error) if error.is_parse() => Cause::InvalidHead,
             Err(error) if error.is_user() || error.is_body_write_aborted() => Cause::BrokenAnswer,
             Ok(()) | Err(_) if self.traffic.is_ended() => Cause::Caller,
@@ -149,30 +185,87 @@
     let _guard = Guard::new(&node);
     set_socket_timeouts(&stream);
     let accepted_at = node.now();
-    let state = Rc::new(State::new(node.next_connection()));
-    let limits = node.config().map(|config| config.limits.clone()).unwrap_or_default();
-    let service = {
-        let (node, state) = (node.clone(), state.clone());
-        service_fn(move |request| {
-            let (node, state) = (node.clone(), state.clone());
-            async move { Ok::<_, Infallible>(handle(node, &state, request, origin).await) }
-        })
-    };
-    let connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+    let state = Rc::new(State::new(&node));
+    let handler = Handler { node: node.clone(), state: state.clone(), origin };
+    let mut connection = Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(node.limits().head_bytes.max(BUFFER_BYTES))
         .keep_alive(!node.stopping.get())
-        .serve_connection(TokioIo::new(Socket::new(stream, state.traffic.clone())), service);
-    pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = node.stop_requested.notified() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        .serve_connection(TokioIo::new(Socket::new(stream, state.traffic.clone())), handler);
+    let (cause, error) = match drive(&node, &state, &mut connection).await {
+        Ended::Http(result) => {
+            let cause = state.cause(&result, node.stopping.get());
+            (cause, result.err().map(|error| error.to_string()))
+        }
+        Ended::Expired(Reason::Idle) => (Cause::Idle, None),
+        Ended::Expired(Reason::SlowHead) => {
+            connection.into_parts().io.inner().answer(SLOW_HEAD);
+            (Cause::SlowHead, None)
         }
     };
-    log_end(&node, &state, origin, accepted_at, result);
+    log_end(&node, &state, origin, accepted_at, cause, &error.unwrap_or_default());
+}
+
+/// Handles the requests on one connection.
+struct Handler {
+    node: Rc<Node>,
+    state: Rc<State>,
+    origin: Origin,
+}
+
+impl Service<Request<Incoming>> for Handler {
+    type Response = Response<Answer>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<Answer>, Infallible>>>>;
+
+    fn call(&self, request: Request<Incoming>) -> Self::Future {
+        let (node, state, origin) = (self.node.clone(), self.state.clone(), self.origin);
+        Box::pin(async move { Ok(handle(node, &state, request, origin).await) })
+    }
+}
+
+type Connection = http1::Connection<TokioIo<Socket>, Handler>;
+
+/// How the work on a connection ended.
+enum Ended {
+    /// By the HTTP library.
+    Http(hyper::Result<()>),
+    /// The connection is to be closed.
+    Expired(Reason),
+}
+
+/// Drives a connection until it ends or is to be closed.
+async fn drive(node: &Node, state: &State, connection: &mut Connection) -> Ended {
+    let mut timer = Timer::new();
+    loop {
+        let ended = poll_fn(|context| {
+            if let Poll::Ready(result) = Pin::new(&mut *connection).poll(context) {
+                return Poll::Ready(Ended::Http(result));
+            }
+            let Some((at, reason)) = state.expires_at(node) else { return Poll::Pending };
+            timer.poll_until(context, node.now(), at).map(|()| Ended::Expired(reason))
+        });
+        let ended = tokio::select! {
+            ended = ended => Some(ended),
+            () = node.stop_requested.notified() => None,
+        };
+        let Some(ended) = ended else {
+            Pin::new(&mut *connection).graceful_shutdown();
+            continue;
+        };
+        if let Ended::Http(_) = ended {
+            return ended;
+        }
+        // A request may have arrived that has not been seen: sockets are checked before this goes on.
+        yield_now().await;
+        let polled = poll_fn(|context| Poll::Ready(Pin::new(&mut *connection).poll(context))).await;
+        if let Poll::Ready(result) = polled {
+            return Ended::Http(result);
+        }
+        if state.expires_at(node).is_some_and(|(at, _)| at <= node.now()) {
+            return ended;
+        }
+    }
 }
 
 fn log_end(
@@ -180,10 +273,9 @@
     state: &State,
     origin: Origin,
     accepted_at: Duration,
-    result: hyper::Result<()>,
+    cause: Cause,
+    error: &str,
 ) {
-    let cause = state.cause(&result, node.stopping.get());
-    let error = result.err().map(|error| error.to_string()).unwrap_or_default();
     let event = Event::new(CONNECTION_ENDED)
         .with("connection", state.number)
         .with("origin", format_args!("{origin:?}"))
--- /dev/null
+++ b/crates/edge/src/expiry.rs
@@ -0,0 +1,97 @@
+//! How long a connection stays open while no request on it is in progress. Uses neither a clock nor
+//! a socket.
+//!
+//! A caller that uses a kept connection at the moment at which the node closes it loses its request.
+//! So each answer announces for how long the connection may be used again, and the node closes it
+//! only some time later.
+
+use std::time::Duration;
+
+use site::Limits;
+
+/// Time after the end of the announced time for which a connection stays open: a request may be on
+/// its way, and its first packet may have been lost.
+const MARGIN: Duration = Duration::from_secs(1);
+/// Share of the idle timeout that is announced.
+const ANNOUNCED_SHARE: f64 = 0.8;
+/// Share of the grace of a planned stop that is announced: a node that stops can wait until no
+/// caller may use its connections again.
+const ANNOUNCED_GRACE_SHARE: f64 = 0.5;
+/// Minimum time that can be announced; it is announced in whole seconds.
+const MIN_ANNOUNCED: Duration = Duration::from_secs(1);
+
+/// Returns the time for which callers may use a connection again after an answer, in whole seconds.
+pub fn announced_time(idle_timeout: Duration, grace: Duration) -> Duration {
+    let time = idle_timeout.mul_f64(ANNOUNCED_SHARE).min(grace.mul_f64(ANNOUNCED_GRACE_SHARE));
+    Duration::from_secs(time.as_secs()).max(MIN_ANNOUNCED)
+}
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The next request.
+    Idle,
+    /// The rest of a head.
+    Head,
+    /// The answer to a request.
+    Request,
+}
+
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// No request came for too long.
+    Idle,
+    /// The head of a request did not end in time.
+    SlowHead,
+}
+
+/// The time at which a connection is closed.
+#[derive(Clone, Debug)]
+pub struct Expiry {
+    phase: Phase,
+    since: Duration,
+    /// Time for which the caller may use the connection again.
+    announced: Duration,
+    /// Limits in force when the phase began, which the caller may go by.
+    limits: Limits,
+}
+
+impl Expiry {
+    /// Returns the expiry of a connection that has been accepted.
+    pub fn new(now: Duration, announced: Duration, limits: Limits) -> Self {
+        Self { phase: Phase::Idle, since: now, announced, limits }
+    }
+
+    /// Records that bytes of a head have arrived.
+    pub fn record_bytes(&mut self, now: Duration, limits: Limits) {
+        if self.phase == Phase::Idle {
+            *self = Self { phase: Phase::Head, since: now, announced: self.announced, limits };
+        }
+    }
+
+    /// Records that a request has arrived.
+    pub fn begin_request(&mut self) {
+        self.phase = Phase::Request;
+    }
+
+    /// Records that a request was answered with this announcement.
+    pub fn end_request(&mut self, now: Duration, announced: Duration, limits: Limits) {
+        *self = Self::new(now, announced, limits);
+    }
+
+    /// Returns when the connection is closed, by the limits now in force, and why; `None` while a
+    /// request is in progress. A caller may go by the limits that were in force when it began to
+    /// wait.
+    pub fn expires_at(&self, limits: &Limits) -> Option<(Duration, Reason)> {
+        let (time, reason) = match self.phase {
+            Phase::Request => return None,
+            Phase::Idle => {
+                let idle_timeout = self.limits.idle_timeout.max(limits.idle_timeout);
+                (idle_timeout.max(self.announced + MARGIN), Reason::Idle)
+            }
+            Phase::Head => (self.limits.head_timeout.max(limits.head_timeout), Reason::SlowHead),
+        };
+        Some((self.since + time, reason))
+    }
+}
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -9,7 +9,8 @@
 use fleet::Event;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{AUTHORIZATION, CONNECTION, HOST};
+use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Version};
 use site::{Config, Kind, Model, Organisation, Route};
 use smol_str::SmolStr;
@@ -22,6 +23,7 @@
 use crate::event::{ANSWERED, REFUSED};
 use crate::forward::{Origin, Statement, is_refusal};
 use crate::node::Node;
+use crate::pool::KEEP_ALIVE;
 use crate::receipt::Receipt;
 use crate::reply::unknown_outcome;
 use crate::used::Used;
@@ -36,6 +38,9 @@
 /// Retry delay of a request whose route has no known service.
 const UNKNOWN_SERVICE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Bytes that the separator and the end of a field take in a head.
+const FIELD_BYTES: usize = 4;
+
 /// Accepts callers until the process ends. Waits for the first configuration, so that early callers
 /// are delayed for a moment rather than refused.
 pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
@@ -95,10 +100,31 @@
     if is_refused {
         receipt.record_refusal();
     }
+    if !is_last {
+        announce_time(&node, response.headers_mut());
+    }
     response.body_mut().attach(receipt);
     response
 }
 
+/// Announces for how long the caller may use the connection again.
+fn announce_time(node: &Node, headers: &mut HeaderMap) {
+    let time = node.announced_time(&node.limits()).as_secs();
+    // A number is always a valid header value.
+    if let Ok(value) = HeaderValue::from_str(&format!("timeout={time}")) {
+        headers.insert(KEEP_ALIVE, value);
+    }
+}
+
+/// Returns the size of the head of a request, bytes.
+fn head_size(parts: &Parts) -> usize {
+    let target = parts.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let fields = parts.headers.iter();
+    let fields: usize =
+        fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES).sum();
+    parts.method.as_str().len() + target + fields
+}
+
 /// Returns whether the answer to a request is the last one on its connection.
 fn is_last(node: &Node, request: &Request<Incoming>) -> bool {
     let values = request.headers().get_all(CONNECTION).iter();
@@ -202,6 +228,10 @@
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
     let (parts, body) = request.into_parts();
+    if head_size(&parts) > config.limits.head_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Refusal::Status(status, "head too large"));
+    }
     let route =
         find_route(&config, &parts).ok_or(Refusal::Status(StatusCode::NOT_FOUND, "no route"))?;
     let service = route
@@ -263,7 +293,7 @@
     }
 }
 
-fn find_route<'a>(config: &'a Config, parts: &hyper::http::request::Parts) -> Option<&'a Route> {
+fn find_route<'a>(config: &'a Config, parts: &Parts) -> Option<&'a Route> {
     let host = parts.uri.host().map(str::to_owned).or_else(|| {
         let value = parts.headers.get(HOST)?.to_str().ok()?;
         Some(value.split(':').next().unwrap_or_default().to_ascii_lowercase())
@@ -276,7 +306,7 @@
     node: &Node,
     config: &'a Config,
     route: &Route,
-    headers: &hyper::HeaderMap,
+    headers: &HeaderMap,
 ) -> Result<Option<&'a Organisation>, Refusal> {
     if route.public || !config.requires_keys() {
         return Ok(None);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
-use site::{Bounds, Config, Target, TargetKey};
+use site::{Bounds, Config, Limits, Target, TargetKey};
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
@@ -23,6 +23,7 @@
 use crate::contact::Contact;
 use crate::diagnose::Diagnoses;
 use crate::event::{CONTACT_BACK, CONTACT_LOST, TARGET_DOWN, TARGET_PAUSED, TARGET_UP};
+use crate::expiry::announced_time;
 use crate::forward::Origin;
 use crate::loan::Loans;
 use crate::permit::Answers;
@@ -187,6 +188,16 @@
         self.config.borrow().as_ref().map_or(0, |config| config.version)
     }
 
+    /// Returns the limits in force on what callers send.
+    pub(crate) fn limits(&self) -> Limits {
+        self.config.borrow().as_ref().map(|config| config.limits.clone()).unwrap_or_default()
+    }
+
+    /// Returns the time for which callers may use a connection again.
+    pub(crate) fn announced_time(&self, limits: &Limits) -> Duration {
+        announced_time(limits.idle_timeout, self.settings.bounds.grace)
+    }
+
     /// Returns whether the configuration is recent enough to accept keys.
     pub(crate) fn may_honour_keys(&self) -> bool {
         if self.synced.get().is_none() {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -48,7 +48,7 @@
 /// Maximum size of an answer that is held in memory as a whole: many are read at a time.
 pub(crate) const MAX_ANSWER_BYTES: usize = 4 << 20;
 
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/edge/src/receipt.rs
+++ b/crates/edge/src/receipt.rs
@@ -89,7 +89,7 @@
     fn drop(&mut self) {
         let end = self.end();
         metrics::counter!("magnolia_requests_ended", "end" => end.name()).increment(1);
-        self.connection.end_request();
+        self.connection.end_request(&self.node);
         if self.is_whole {
             return;
         }
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -16,6 +16,10 @@
     is_ended: Cell<bool>,
     /// The error that has ended the connection.
     error: Cell<Option<ErrorKind>>,
+    /// Number of bytes read.
+    bytes_read: Cell<u64>,
+    /// Whether the other side does not read what is to be written.
+    is_write_blocked: Cell<bool>,
 }
 
 impl Traffic {
@@ -24,6 +28,11 @@
         self.is_ended.get()
     }
 
+    /// Returns the number of bytes read.
+    pub(crate) fn bytes_read(&self) -> u64 {
+        self.bytes_read.get()
+    }
+
     /// Returns the error that has ended the connection.
     pub(crate) fn error(&self) -> Option<ErrorKind> {
         self.error.get()
@@ -41,6 +50,19 @@
         Self { stream, traffic }
     }
 
+    /// Writes an answer of this node, unless a part of an earlier one is still to be written.
+    pub(crate) fn answer(&self, answer: &[u8]) {
+        if !self.traffic.is_write_blocked.get() {
+            // The connection is closed next: an answer that does not fit is lost with it.
+            self.stream.try_write(answer).ok();
+        }
+    }
+
+    fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.traffic.is_write_blocked.set(result.is_pending());
+        self.record(result)
+    }
+
     fn record<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if let Poll::Ready(Err(error)) = &result {
             self.traffic.error.set(Some(error.kind()));
@@ -58,7 +80,9 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         if let Poll::Ready(Ok(())) = &result {
-            self.traffic.is_ended.set(buffer.filled().len() == before);
+            let bytes = buffer.filled().len() - before;
+            self.traffic.is_ended.set(bytes == 0);
+            self.traffic.bytes_read.set(self.traffic.bytes_read.get() + bytes as u64);
         }
         self.record(result)
     }
@@ -71,7 +95,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record(result)
+        self.record_write(result)
     }
 
     fn poll_write_vectored(
@@ -80,7 +104,7 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.record(result)
+        self.record_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
