Connections: one on which a request was answered before its body can be used again

What callers saw: after a 401, 404 or 503 that was given before the body of the request had arrived, the next request on the connection got no answer.

Cause: the HTTP library reads once more after such an answer and closes the connection if the body has not come to its end. The answer did not say so. After 413 and 408 the same; there the unread rest resets the connection, which can take the answer with it.

Change: the rest of a request that is answered without it is read and discarded, up to the maximum body and the idle timeout, and the connection stays. An answer to a request that is too large, too slow, or that waits for 100 Continue says Connection: close, and what still comes is discarded for a second after it.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -6,11 +6,12 @@
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
 use fleet::Event;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::{self, Builder};
 use hyper::service::Service;
 use hyper::{Request, Response};
@@ -49,7 +50,7 @@
     InvalidHead,
     /// The last answer was the last one on the connection, as it said or as the caller asked.
     LastAnswer,
-    /// A request was answered before all of it had arrived.
+    /// A request was answered before all of it had arrived, and the rest was not read to its end.
     Unread,
     /// An answer ended before it was complete.
     BrokenAnswer,
@@ -93,6 +94,31 @@
     expiry: RefCell<Expiry>,
     /// Number of bytes read up to the begin or the end of the last request.
     bytes_before: Cell<u64>,
+    /// The rest of a request that was answered before all of it had arrived.
+    rest: RefCell<Option<Rest>>,
+    /// Whether the rest of an answered request is left unread.
+    is_unread: Cell<bool>,
+}
+
+/// The rest of a request, which is read and discarded: the connection can be used again after it.
+struct Rest {
+    body: Incoming,
+    /// Number of bytes that are still read.
+    bytes_left: usize,
+}
+
+impl Rest {
+    /// Reads what has arrived. Ready at the end, or if the rest is too large.
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while let Some(Ok(frame)) = ready!(Pin::new(&mut self.body).poll_frame(context)) {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            if bytes > self.bytes_left {
+                break;
+            }
+            self.bytes_left -= bytes;
+        }
+        Poll::Ready(())
+    }
 }
 
 impl State {
@@ -103,6 +129,8 @@
             number: node.next_connection(),
             expiry: RefCell::new(Expiry::new(node.now(), announced, limits)),
             bytes_before: Cell::new(0),
+            rest: RefCell::default(),
+            is_unread: Cell::new(false),
             traffic: Rc::default(),
             requests: Cell::new(0),
             in_progress: Cell::new(0),
@@ -129,7 +157,35 @@
         self.bytes_before.set(self.traffic.bytes_read());
         let limits = node.limits();
         let announced = node.announced_time(&limits);
-        self.expiry.borrow_mut().end_request(node.now(), announced, limits);
+        let mut expiry = self.expiry.borrow_mut();
+        expiry.end_request(node.now(), announced, limits);
+        if self.rest.borrow().is_some() {
+            expiry.begin_rest();
+        }
+    }
+
+    /// Leaves the body of a request that is answered without it, to be read and discarded.
+    pub(crate) fn leave_rest(&self, node: &Node, body: Incoming) {
+        if !body.is_end_stream() {
+            let bytes_left = node.limits().body_bytes;
+            *self.rest.borrow_mut() = Some(Rest { body, bytes_left });
+        }
+    }
+
+    /// Records that the rest of the request is not read: the answer is the last one.
+    pub(crate) fn leave_unread(&self) {
+        self.is_unread.set(true);
+    }
+
+    /// Reads what has arrived of the rest of an answered request.
+    fn poll_rest(&self, node: &Node, context: &mut Context<'_>) {
+        let mut rest = self.rest.borrow_mut();
+        let polled = rest.as_mut().map(|rest| rest.poll(context));
+        if polled.is_some_and(|polled| polled.is_ready()) {
+            *rest = None;
+            self.bytes_before.set(self.traffic.bytes_read());
+            self.expiry.borrow_mut().end_rest(node.now());
+        }
     }
 
     /// Returns when the connection is to be closed, and why.
@@ -198,12 +254,17 @@
             (cause, result.err().map(|error| error.to_string()))
         }
         Ended::Expired(Reason::Idle) => (Cause::Idle, None),
-        Ended::Expired(Reason::SlowHead) => {
-            connection.into_parts().io.inner().answer(SLOW_HEAD);
-            (Cause::SlowHead, None)
-        }
+        Ended::Expired(Reason::SlowHead) => (Cause::SlowHead, None),
+        Ended::Expired(Reason::SlowRest) => (Cause::Unread, None),
     };
     log_end(&node, &state, origin, accepted_at, cause, &error.unwrap_or_default());
+    let mut socket = connection.into_parts().io.into_inner();
+    if cause == Cause::SlowHead {
+        socket.answer(SLOW_HEAD);
+    }
+    if state.is_unread.get() {
+        socket.discard().await;
+    }
 }
 
 /// Handles the requests on one connection.
@@ -242,6 +303,7 @@
             if let Poll::Ready(result) = Pin::new(&mut *connection).poll(context) {
                 return Poll::Ready(Ended::Http(result));
             }
+            state.poll_rest(node, context);
             let Some((at, reason)) = state.expires_at(node) else { return Poll::Pending };
             timer.poll_until(context, node.now(), at).map(|()| Ended::Expired(reason))
         });
--- a/crates/edge/src/expiry.rs
+++ b/crates/edge/src/expiry.rs
@@ -35,6 +35,8 @@
     Head,
     /// The answer to a request.
     Request,
+    /// The rest of a request that was answered before all of it had arrived.
+    Rest,
 }
 
 /// Why a connection is closed.
@@ -44,6 +46,8 @@
     Idle,
     /// The head of a request did not end in time.
     SlowHead,
+    /// The rest of a request that was answered did not arrive in time.
+    SlowRest,
 }
 
 /// The time at which a connection is closed.
@@ -80,6 +84,19 @@
         *self = Self::new(now, announced, limits);
     }
 
+    /// Records that a request was answered of which a part has not arrived.
+    pub fn begin_rest(&mut self) {
+        self.phase = Phase::Rest;
+    }
+
+    /// Records that all of an answered request has arrived.
+    pub fn end_rest(&mut self, now: Duration) {
+        if self.phase == Phase::Rest {
+            self.phase = Phase::Idle;
+            self.since = now;
+        }
+    }
+
     /// Returns when the connection is closed, by the limits now in force, and why; `None` while a
     /// request is in progress. A caller may go by the limits that were in force when it began to
     /// wait.
@@ -90,6 +107,8 @@
                 let idle_timeout = self.limits.idle_timeout.max(limits.idle_timeout);
                 (idle_timeout.max(self.announced + MARGIN), Reason::Idle)
             }
+            // Until then the caller sends no other request.
+            Phase::Rest => (self.limits.idle_timeout, Reason::SlowRest),
             Phase::Head => (self.limits.head_timeout.max(limits.head_timeout), Reason::SlowHead),
         };
         Some((self.since + time, reason))
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -5,17 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fleet::Event;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Version};
 use site::{Config, Kind, Model, Organisation, Route};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later, text};
 use crate::call::{self, Call};
@@ -26,6 +23,7 @@
 use crate::pool::KEEP_ALIVE;
 use crate::receipt::Receipt;
 use crate::reply::unknown_outcome;
+use crate::upload::{self, Rest, Upload};
 use crate::used::Used;
 use crate::{stream, unary};
 
@@ -91,11 +89,22 @@
 ) -> Response<Answer> {
     let id = request_id(&request);
     let mut receipt = Receipt::new(&node, connection, id.clone());
-    let is_last = is_last(&node, &request);
-    let (mut response, is_refused) = match prepare(&node, request, origin).await {
+    let mut is_last = is_last(&node, &request);
+    let (parts, body) = request.into_parts();
+    let mut body = Upload::new(&parts, body);
+    let (mut response, is_refused) = match prepare(&node, parts, &mut body, origin).await {
         Ok((call, config)) => answer(&node, call, &config).await,
         Err(refusal) => (refuse(&node, &id, refusal), true),
     };
+    match body.into_rest() {
+        Rest::None => {}
+        Rest::Body(body) => connection.leave_rest(&node, body),
+        Rest::Unread => {
+            connection.leave_unread();
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            is_last = true;
+        }
+    }
     connection.set_last(is_last);
     if is_refused {
         receipt.record_refusal();
@@ -219,7 +228,8 @@
 /// Finds the route, checks the key and reads the body of a request.
 async fn prepare(
     node: &Node,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Upload,
     origin: Origin,
 ) -> Result<(Call, Rc<Config>), Refusal> {
     let received_at = node.now();
@@ -227,7 +237,6 @@
     let config = node
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
-    let (parts, body) = request.into_parts();
     if head_size(&parts) > config.limits.head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(Refusal::Status(status, "head too large"));
@@ -249,7 +258,7 @@
     let id = id.ok_or(Refusal::Status(StatusCode::BAD_REQUEST, "no request id"))?;
     let deadline = platform::deadline(&parts.headers);
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let body = read_request_body(body, &config, allowed).await?;
+    let body = body.read(config.limits.body_bytes, allowed).await.map_err(upload_refusal)?;
     // The body may have come late.
     refuse_if_closed(node)?;
     let size = platform::tokens(&parts.headers);
@@ -319,20 +328,12 @@
     holder.map(Some).ok_or(Refusal::Status(StatusCode::UNAUTHORIZED, "unknown key"))
 }
 
-async fn read_request_body(
-    body: Incoming,
-    config: &Config,
-    allowed: Duration,
-) -> Result<Bytes, Refusal> {
-    let limit = config.limits.body_bytes;
-    let too_large = Refusal::Status(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large);
-    }
-    match timeout(allowed, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large),
-        Ok(Err(_)) => Err(Refusal::Status(StatusCode::BAD_REQUEST, "body cut")),
-        Err(_) => Err(Refusal::Status(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+fn upload_refusal(failure: upload::Failure) -> Refusal {
+    match failure {
+        upload::Failure::TooLarge => {
+            Refusal::Status(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+        }
+        upload::Failure::Cut => Refusal::Status(StatusCode::BAD_REQUEST, "body cut"),
+        upload::Failure::TooSlow => Refusal::Status(StatusCode::REQUEST_TIMEOUT, "body too slow"),
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -60,6 +60,7 @@
 mod tracker;
 mod unary;
 mod unnamed;
+mod upload;
 mod used;
 mod watch;
 mod watchdog;
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -1,13 +1,21 @@
 //! The socket of a caller, which records what ends it.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time for which bytes are discarded after the last answer.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are discarded at a time.
+const DISCARD_BYTES: usize = 4 << 10;
 
 /// What has been seen at a socket.
 #[derive(Debug, Default)]
@@ -58,6 +66,26 @@
         }
     }
 
+    /// Closes the sending side, then reads and discards what the other side still sends. Closing a
+    /// socket with unread bytes resets it, which can take the last answer with it.
+    pub(crate) async fn discard(&mut self) {
+        let discarding = async {
+            poll_fn(|context| Pin::new(&mut *self).poll_shutdown(context)).await?;
+            poll_fn(|context| self.poll_discard(context)).await
+        };
+        // The other side has its answer, or has closed the connection: nothing is left to be done.
+        timeout(DISCARD_TIME, discarding).await.ok();
+    }
+
+    /// Discards what arrives, until the other side has closed its sending side.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; DISCARD_BYTES];
+        while !self.traffic.is_ended() {
+            ready!(Pin::new(&mut *self).poll_read(context, &mut ReadBuf::new(&mut bytes)))?;
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.traffic.is_write_blocked.set(result.is_pending());
         self.record(result)
--- /dev/null
+++ b/crates/edge/src/upload.rs
@@ -0,0 +1,78 @@
+//! The body of a request, which may be answered before all of it has arrived.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::EXPECT;
+use hyper::http::request::Parts;
+use tokio::time::timeout;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// It is larger than allowed.
+    TooLarge,
+    /// The connection ended before it.
+    Cut,
+    /// It did not arrive in time.
+    TooSlow,
+}
+
+/// What is left of a request when it is answered.
+pub(crate) enum Rest {
+    /// Nothing.
+    None,
+    /// The body, which the caller may still send.
+    Body(Incoming),
+    /// A part that is not read: the connection cannot be used again.
+    Unread,
+}
+
+/// The body of a request.
+pub(crate) struct Upload {
+    rest: Rest,
+    /// Whether the caller sends the body only when it is asked to.
+    is_expected: bool,
+}
+
+impl Upload {
+    pub(crate) fn new(parts: &Parts, body: Incoming) -> Self {
+        let rest = if body.is_end_stream() { Rest::None } else { Rest::Body(body) };
+        Self { rest, is_expected: parts.headers.contains_key(EXPECT) }
+    }
+
+    /// Reads the body, of at most `max_bytes`, within `max_time`.
+    pub(crate) async fn read(
+        &mut self,
+        max_bytes: usize,
+        max_time: Duration,
+    ) -> Result<Bytes, Failure> {
+        let body = match std::mem::replace(&mut self.rest, Rest::Unread) {
+            Rest::Body(body) => body,
+            rest => {
+                self.rest = rest;
+                return Ok(Bytes::new());
+            }
+        };
+        if body.size_hint().lower() > max_bytes as u64 {
+            return Err(Failure::TooLarge);
+        }
+        let body = timeout(max_time, Limited::new(body, max_bytes).collect()).await;
+        let body = body.map_err(|_| Failure::TooSlow)?.map_err(|error| {
+            if error.is::<LengthLimitError>() { Failure::TooLarge } else { Failure::Cut }
+        })?;
+        self.rest = Rest::None;
+        Ok(body.to_bytes())
+    }
+
+    /// Returns what is left of the request.
+    pub(crate) fn into_rest(self) -> Rest {
+        match self.rest {
+            // Whether the caller sends it after an answer is not known.
+            Rest::Body(_) if self.is_expected => Rest::Unread,
+            rest => rest,
+        }
+    }
+}
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -145,3 +145,109 @@
         serve(&mut connection, Route::ALL[index % 4], &format!("r{index}"));
     }
 }
+
+/// Time between the head of a request and its body.
+const BODY_DELAY: Duration = Duration::from_millis(150);
+/// A key that nobody holds.
+const UNKNOWN_KEY: &str = "unknown";
+const KEY: &str = "k";
+/// Path without a route, in the place of that of a route.
+const NO_ROUTE: &str = "POST /none/";
+
+/// How the body of a request is sent.
+#[derive(Clone, Copy)]
+enum Framing {
+    Length,
+    Chunks,
+}
+
+impl Framing {
+    fn field(self, bytes: usize) -> String {
+        match self {
+            Framing::Length => format!("Content-Length: {bytes}\r\n"),
+            Framing::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+        }
+    }
+
+    /// Sends a body in several pieces. Returns whether all of it could be sent.
+    fn send(self, connection: &mut Connection, bytes: usize) -> bool {
+        let body = vec![b'x'; bytes];
+        let mut sent = body.chunks(bytes.div_ceil(3)).all(|piece| {
+            let head = match self {
+                Framing::Length => String::new(),
+                Framing::Chunks => format!("{:x}\r\n", piece.len()),
+            };
+            let end = if matches!(self, Framing::Chunks) { "\r\n" } else { "" };
+            connection.send(&[head.as_bytes(), piece, end.as_bytes()].concat()).is_ok()
+        });
+        if matches!(self, Framing::Chunks) {
+            sent &= connection.send(b"0\r\n\r\n").is_ok();
+        }
+        sent
+    }
+}
+
+// Guards against a connection that is closed after an answer that was given before the body of its
+// request, without a word, so that the next request on it gets no answer (LOST).
+#[parameterized(
+    unknown_key_small = { 240, 401, Framing::Length, 4 },
+    unknown_key_large = { 241, 401, Framing::Length, 300_000 },
+    unknown_key_chunks = { 242, 401, Framing::Chunks, 9_000 },
+    no_route_small = { 243, 404, Framing::Length, 4 },
+    no_route_chunks = { 244, 404, Framing::Chunks, 300_000 },
+)]
+fn connection_is_kept_after_an_answer_before_the_body(
+    number: u8,
+    status: u16,
+    framing: Framing,
+    bytes: usize,
+) {
+    let document = Document { keys: vec![KEY], ..Document::default() };
+    let site = Site::start(number, 1, &document);
+    for is_answered_first in [true, false] {
+        let mut connection = connect(&site);
+        let key = if status == 401 { UNKNOWN_KEY } else { KEY };
+        let call = Call { key: Some(key), ..Call::new(Route::Safe, "early") };
+        let mut head = Connection::head(&call, &framing.field(bytes));
+        if status == 404 {
+            head = head.replacen("POST /read/", NO_ROUTE, 1);
+        }
+        connection.send(head.as_bytes()).expect("it is sent");
+        let mut answer = None;
+        if is_answered_first {
+            answer = Some(connection.read_answer().expect("an answer"));
+        }
+        sleep(BODY_DELAY);
+        assert!(framing.send(&mut connection, bytes), "the body is sent");
+        let answer = answer.unwrap_or_else(|| connection.read_answer().expect("an answer"));
+        assert_eq!((answer.status, answer.is_last()), (status, false), "{answer:?}");
+        let next = Call { key: Some(KEY), ..Call::new(Route::Safe, "next") };
+        let answer = connection.exchange(&next).expect("an answer to the next request");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+// Guards against an answer to a request that is too large, or comes too slowly, that does not say
+// that it is the last one, or is lost because the rest of the request is not read.
+#[parameterized(
+    too_large = { 245, 413, Framing::Length, 40_000 },
+    too_large_in_chunks = { 246, 413, Framing::Chunks, 40_000 },
+)]
+fn answer_to_a_request_that_is_not_read_is_the_last_one(
+    number: u8,
+    status: u16,
+    framing: Framing,
+    bytes: usize,
+) {
+    let limits = Limits { body_bytes: 10_000, ..Limits::default() };
+    let site = Site::start(number, 1, &document(1, limits));
+    let mut connection = connect(&site);
+    let head = Connection::head(&Call::new(Route::Safe, "large"), &framing.field(bytes));
+    connection.send(head.as_bytes()).expect("it is sent");
+    sleep(BODY_DELAY);
+    framing.send(&mut connection, bytes);
+    sleep(BODY_DELAY);
+    let answer = connection.read_answer().expect("an answer");
+    assert_eq!((answer.status, answer.is_last()), (status, true), "{answer:?}");
+    assert!(site.runs("large").is_empty());
+}
