Stop: a request that crosses the beginning of a planned stop is answered

Connections that waited to be accepted at the end of the time in which callers still come were reset with the port.

Cause: the stop closed every connection without a request in progress at once.

Change: the answers of a node that stops say Connection: close. The connections that wait when the port is closed are accepted first. Those that are left when the process ends are closed with a line.

front.rs asserted that an idle connection is closed at once; that is the fault. It now asserts that a request on it is answered, that the answer says that it is the last one, and that the connection ends then.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -195,7 +195,7 @@
         if self.traffic.bytes_read() > self.bytes_before.get() {
             expiry.record_bytes(node.now(), limits.clone());
         }
-        expiry.expires_at(&limits)
+        expiry.expires_at(&limits, node.stopping.get())
     }
 
     /// Records whether the next answer is the last one on the connection.
@@ -204,7 +204,7 @@
     }
 
     /// Returns why the connection ended, by the result of the HTTP library.
-    fn cause(&self, result: &hyper::Result<()>, is_stopping: bool) -> Cause {
+    fn cause(&self, result: &hyper::Result<()>) -> Cause {
         if self.traffic.error().is_some() {
             return Cause::Lost;
         }
@@ -214,7 +214,6 @@
             Ok(()) | Err(_) if self.traffic.is_ended() => Cause::Caller,
             Err(_) => Cause::Lost,
             Ok(()) if self.is_last.get() => Cause::LastAnswer,
-            Ok(()) if is_stopping => Cause::Stop,
             Ok(()) => Cause::Unread,
         }
     }
@@ -246,13 +245,14 @@
     let mut connection = Builder::new()
         .header_read_timeout(None)
         .max_buf_size(node.limits().head_bytes.max(BUFFER_BYTES))
-        .keep_alive(!node.stopping.get())
         .serve_connection(TokioIo::new(Socket::new(stream, state.traffic.clone())), handler);
     let (cause, error) = match drive(&node, &state, &mut connection).await {
         Ended::Http(result) => {
-            let cause = state.cause(&result, node.stopping.get());
+            let cause = state.cause(&result);
             (cause, result.err().map(|error| error.to_string()))
         }
+        Ended::Stopped => (Cause::Stop, None),
+        Ended::Expired(Reason::Idle) if node.stopping.get() => (Cause::Stop, None),
         Ended::Expired(Reason::Idle) => (Cause::Idle, None),
         Ended::Expired(Reason::SlowHead) => (Cause::SlowHead, None),
         Ended::Expired(Reason::SlowRest) => (Cause::Unread, None),
@@ -293,6 +293,8 @@
     Http(hyper::Result<()>),
     /// The connection is to be closed.
     Expired(Reason),
+    /// The process ends.
+    Stopped,
 }
 
 /// Drives a connection until it ends or is to be closed.
@@ -308,16 +310,12 @@
             timer.poll_until(context, node.now(), at).map(|()| Ended::Expired(reason))
         });
         let ended = tokio::select! {
-            ended = ended => Some(ended),
-            () = node.stop_requested.notified() => None,
+            ended = ended => ended,
+            // The connection may be closed earlier from now on.
+            () = node.stop_requested.notified() => continue,
+            () = node.ended.notified() => Ended::Stopped,
         };
-        let Some(ended) = ended else {
-            Pin::new(&mut *connection).graceful_shutdown();
-            continue;
-        };
-        if let Ended::Http(_) = ended {
-            return ended;
-        }
+        let Ended::Expired(_) = ended else { return ended };
         // A request may have arrived that has not been seen: sockets are checked before this goes on.
         yield_now().await;
         let polled = poll_fn(|context| Poll::Ready(Pin::new(&mut *connection).poll(context))).await;
--- a/crates/edge/src/expiry.rs
+++ b/crates/edge/src/expiry.rs
@@ -99,10 +99,11 @@
 
     /// Returns when the connection is closed, by the limits now in force, and why; `None` while a
     /// request is in progress. A caller may go by the limits that were in force when it began to
-    /// wait.
-    pub fn expires_at(&self, limits: &Limits) -> Option<(Duration, Reason)> {
+    /// wait. A node that stops waits only until no caller uses the connection by what was announced.
+    pub fn expires_at(&self, limits: &Limits, is_stopping: bool) -> Option<(Duration, Reason)> {
         let (time, reason) = match self.phase {
             Phase::Request => return None,
+            Phase::Idle if is_stopping => (self.announced + MARGIN, Reason::Idle),
             Phase::Idle => {
                 let idle_timeout = self.limits.idle_timeout.max(limits.idle_timeout);
                 (idle_timeout.max(self.announced + MARGIN), Reason::Idle)
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -13,6 +13,7 @@
 use site::{Config, Kind, Model, Organisation, Route};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later, text};
 use crate::call::{self, Call};
@@ -39,8 +40,8 @@
 /// Bytes that the separator and the end of a field take in a head.
 const FIELD_BYTES: usize = 4;
 
-/// Accepts callers until the process ends. Waits for the first configuration, so that early callers
-/// are delayed for a moment rather than refused.
+/// Accepts callers until the node takes no more. Waits for the first configuration, so that early
+/// callers are delayed for a moment rather than refused.
 pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
     let started = node.now();
     while node.config().is_none() && node.now().saturating_sub(started) < MAX_CONFIG_WAIT {
@@ -49,14 +50,21 @@
     serve(node, listener, Origin::Caller).await;
 }
 
-/// Accepts other nodes, which forward requests of their callers, until the process ends.
+/// Accepts other nodes, which forward requests of their callers, until the node takes no more.
 pub(crate) async fn serve_nodes(node: Rc<Node>, listener: TcpListener) {
     serve(node, listener, Origin::Node).await;
 }
 
 async fn serve(node: Rc<Node>, listener: TcpListener, origin: Origin) {
-    loop {
-        let stream = accept(&listener).await;
+    while !node.closed.get() {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = node.close_requested.notified() => break,
+        };
+        tokio::task::spawn_local(connection::serve(node.clone(), stream, origin));
+    }
+    // Closing the port resets the connections that wait to be accepted.
+    while let Ok(stream) = timeout(Duration::ZERO, accept(&listener)).await {
         tokio::task::spawn_local(connection::serve(node.clone(), stream, origin));
     }
 }
@@ -89,7 +97,7 @@
 ) -> Response<Answer> {
     let id = request_id(&request);
     let mut receipt = Receipt::new(&node, connection, id.clone());
-    let mut is_last = is_last(&node, &request);
+    let mut is_last = is_last(&request);
     let (parts, body) = request.into_parts();
     let mut body = Upload::new(&parts, body);
     let (mut response, is_refused) = match prepare(&node, parts, &mut body, origin).await {
@@ -101,10 +109,13 @@
         Rest::Body(body) => connection.leave_rest(&node, body),
         Rest::Unread => {
             connection.leave_unread();
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             is_last = true;
         }
     }
+    if is_last || node.stopping.get() {
+        is_last = true;
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     connection.set_last(is_last);
     if is_refused {
         receipt.record_refusal();
@@ -134,13 +145,13 @@
     parts.method.as_str().len() + target + fields
 }
 
-/// Returns whether the answer to a request is the last one on its connection.
-fn is_last(node: &Node, request: &Request<Incoming>) -> bool {
+/// Returns whether the caller uses its connection no more after this request.
+fn is_last(request: &Request<Incoming>) -> bool {
     let values = request.headers().get_all(CONNECTION).iter();
     let options = values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
     let mut options = options.map(str::trim);
     let is_closed = options.any(|option| option.eq_ignore_ascii_case("close"));
-    is_closed || node.stopping.get() || request.version() != Version::HTTP_11
+    is_closed || request.version() != Version::HTTP_11
 }
 
 /// Returns the answer to a request, and whether it is a refusal of this node.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -93,8 +93,12 @@
     pub(crate) closed: Cell<bool>,
     /// Notified when the process is about to end: requests in progress are answered.
     pub(crate) ending: Notify,
+    /// Notified when the process ends: the connections that are left are closed.
+    pub(crate) ended: Notify,
     /// Notified when `stopping` is set.
     pub(crate) stop_requested: Notify,
+    /// Notified when `closed` is set.
+    pub(crate) close_requested: Notify,
     /// Notified when the state of targets or the configuration changes.
     pub(crate) routing_changed: Notify,
     /// Notified when this node itself has observed a target fail or refuse.
@@ -145,7 +149,9 @@
             stopping: Cell::new(false),
             closed: Cell::new(false),
             ending: Notify::new(),
+            ended: Notify::new(),
             stop_requested: Notify::new(),
+            close_requested: Notify::new(),
             routing_changed: Notify::new(),
             alarm: Notify::new(),
             last_refusal_alarm: Cell::default(),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -39,6 +39,8 @@
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// Time within which the requests that are then still in progress are answered.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// Time within which the connections that are then left are closed, and logged.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
 /// Interval at which expired connections and quarantine state are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -204,12 +206,16 @@
     release_leases(node, store, leadership).await;
     sleep_until(stop_started + ROTATION_DELAY).await;
     // Requests that arrive from now on could not be completed. Callers find another node at once.
-    accepting.abort();
     node.closed.set(true);
+    node.close_requested.notify_waiters();
     let latest = stop_started + node.settings.bounds.grace.saturating_sub(END_MARGIN);
     await_connections(node, latest).await;
     node.ending.notify_waiters();
     await_connections(node, latest + ANSWER_TIME).await;
+    node.ended.notify_waiters();
+    await_connections(node, latest + ANSWER_TIME + CLOSE_TIME).await;
+    // The port for callers is closed, unless no configuration has come.
+    accepting.abort();
 }
 
 /// Waits until the last caller has disconnected, `latest` at the most.
--- a/crates/node/tests/front.rs
+++ b/crates/node/tests/front.rs
@@ -2,7 +2,7 @@
 
 mod entry;
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -73,11 +73,12 @@
     assert_eq!(status(front.ready, "/ready"), Some(503));
     let mut held = TcpStream::connect(front.front).expect("a connection");
     held.set_read_timeout(Some(Duration::from_secs(2))).expect("a timeout");
-    // An idle connection is closed at once, so that its caller moves on.
-    match kept.read(&mut answer) {
-        Ok(read) => assert_eq!(read, 0, "closed without an answer"),
-        Err(error) => assert_eq!(error.kind(), ErrorKind::ConnectionReset),
-    }
+    // A request on an idle connection may be on its way, and is answered; it is the last one.
+    kept.write_all(REQUEST).expect("it is sent");
+    let read = kept.read(&mut answer).expect("an answer");
+    let text = String::from_utf8_lossy(&answer[..read]).into_owned();
+    assert!(text.starts_with("HTTP/1.1 503") && text.contains("connection: close"), "{text}");
+    assert_eq!(kept.read(&mut answer).expect("a regular end"), 0);
     sleep((ROTATION + Duration::from_millis(600)).saturating_sub(stopped.elapsed()));
     assert!(front.child.try_wait().expect("its state").is_none(), "a caller is still connected");
     assert_eq!(status(front.front, "/a/"), None, "nobody listens any more");
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -251,3 +251,67 @@
     assert_eq!((answer.status, answer.is_last()), (status, true), "{answer:?}");
     assert!(site.runs("large").is_empty());
 }
+
+/// Time after the stop signal within which the platform still sends callers.
+const ROTATION: Duration = Duration::from_millis(2600);
+/// Time after the stop signal within which a process without requests in progress ends: the time
+/// that was announced, and as long as a request may be on its way.
+const STOP_TIME: Duration = Duration::from_millis(5500);
+
+/// What a connection has carried before the stop signal.
+#[derive(Clone, Copy)]
+enum Before {
+    Nothing,
+    Request,
+    PartOfHead,
+}
+
+struct Stop {
+    before: Before,
+    /// Time from the stop signal to the request.
+    delay: Duration,
+    status: u16,
+}
+
+// Guards against a request that crosses the beginning of a planned stop, or the end of the time in
+// which callers still come, and whose connection is closed without an answer (LOST).
+#[parameterized(
+    first_at_once = { 250, Stop { before: Before::Nothing, delay: Duration::ZERO, status: 200 } },
+    first = { 251, Stop { before: Before::Nothing, delay: REFUSAL_TIME, status: 200 } },
+    next_at_once = { 252, Stop { before: Before::Request, delay: Duration::ZERO, status: 200 } },
+    next = { 253, Stop { before: Before::Request, delay: REFUSAL_TIME, status: 200 } },
+    rest_of_head = { 254, Stop { before: Before::PartOfHead, delay: REFUSAL_TIME, status: 200 } },
+    after_rotation = { 229, Stop {
+        before: Before::Request,
+        delay: ROTATION.saturating_add(REFUSAL_TIME),
+        status: 503,
+    } },
+)]
+fn request_that_crosses_a_planned_stop_is_answered(number: u8, stop: Stop) {
+    let mut site = Site::start(number, 1, &Document::default());
+    let mut connection = connect(&site);
+    let mut idle = connect(&site);
+    serve(&mut idle, Route::Safe, "idle");
+    let request = Connection::head(&Call::new(Route::Unsafe, "r"), "Content-Length: 0\r\n");
+    let mut sent = 0;
+    match stop.before {
+        Before::Nothing => sleep(BODY_DELAY),
+        Before::Request => drop(serve(&mut connection, Route::Safe, "before")),
+        Before::PartOfHead => {
+            sent = request.len() / 2;
+            connection.send(&request.as_bytes()[..sent]).expect("it is sent");
+            sleep(BODY_DELAY);
+        }
+    }
+    let at = Instant::now();
+    site.nodes[0].signal("TERM");
+    sleep(stop.delay);
+    connection.send(&request.as_bytes()[sent..]).expect("it is sent");
+    let answer = connection.read_answer().expect("an answer");
+    assert_eq!((answer.status, answer.is_last()), (stop.status, true), "{answer:?}");
+    assert_eq!(connection.read_to_end().expect("a regular end"), b"");
+    // The caller of the other connection uses it no more.
+    assert_eq!(idle.read_to_end().expect("a regular end"), b"");
+    assert_eq!(site.nodes[0].child.wait().expect("it ends").code(), Some(0));
+    assert!(at.elapsed() < STOP_TIME, "{:?}", at.elapsed());
+}
