--- a/crates/edge/src/receipt.rs
+++ b/crates/edge/src/receipt.rs
@@ -77,9 +77,10 @@
 
     fn end(&self) -> End {
         match (self.is_whole, self.is_refused) {
+            // An answer that is there may not have been read any more.
+            _ if self.connection.is_left() => End::Left,
             (true, true) => End::Refused,
             (true, false) => End::Answered,
-            (false, _) if self.connection.is_left() => End::Left,
             (false, _) => End::Cut,
         }
     }
@@ -90,7 +91,7 @@
         let end = self.end();
         metrics::counter!("magnolia_requests_ended", "end" => end.name()).increment(1);
         self.connection.end_request(&self.node);
-        if self.is_whole {
+        if matches!(end, End::Answered | End::Refused) {
             return;
         }
         let event = Event::new(REQUEST_ENDED)
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -36,6 +36,43 @@
     answer
 }
 
+/// Returns the sum of a metric of a node over all its labels.
+fn metric(site: &Site, name: &str) -> u64 {
+    let metrics = site.metrics(0);
+    let lines = metrics.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+// Guards against a request that ends without being counted, by whatever way.
+#[test]
+fn each_request_that_is_received_is_counted_at_its_end() {
+    let site = Site::start(228, 1, &Document::default());
+    let ended = |end: &str| format!(r#"magnolia_requests_ended{{end="{end}"}}"#);
+    let before = ["answered", "refused", "left", "cut"].map(|end| metric(&site, &ended(end)));
+    let mut connection = connect(&site);
+    for route in Route::ALL {
+        serve(&mut connection, route, "served");
+    }
+    let head = Connection::head(&Call::new(Route::Safe, "early"), "Content-Length: 0\r\n");
+    let head = head.replacen("POST /read/", NO_ROUTE, 1);
+    connection.send(head.as_bytes()).expect("it is sent");
+    assert_eq!(connection.read_answer().expect("an answer").status, 404);
+    // Callers that leave before the head, in the middle and before the body of their requests.
+    for &target in site.plain.iter().chain(&site.engines) {
+        site.platform.set_silent(target, true);
+    }
+    for route in [Route::Safe, Route::Resumable] {
+        connect(&site).send_call(&Call::new(route, "left")).expect("it is sent");
+    }
+    let half = Connection::head(&Call::new(Route::Unsafe, "half"), "Content-Length: 9\r\n");
+    connect(&site).send(half.as_bytes()).expect("it is sent");
+    let expected = [before[0] + 4, before[1] + 1, before[2] + 3, before[3]];
+    let counts = || ["answered", "refused", "left", "cut"].map(|end| metric(&site, &ended(end)));
+    assert!(site.platform.wait(CONFIG_TIME, || counts() == expected), "{before:?} {:?}", counts());
+    let received = metric(&site, "magnolia_requests_received");
+    assert_eq!(received, expected.iter().sum::<u64>());
+}
+
 // Guards against a caller that uses a kept connection at the moment at which the node closes it as
 // idle, because it does not know for how long it may be used (LOST).
 #[parameterized(
