Connections: the rest of an answered request ends with its last byte

The end of a body with a length is known with its last byte, and no frame of the HTTP library tells of it before the next request begins: the connection counted as waiting for the rest, was closed after the idle timeout though a longer time was announced, and held a planned stop. A rest that is too large to be read, and one that does not come, were closed with unread bytes, as was a connection after 408 or 400: the reset can take the answer with it. Such answers say Connection: close where the size is known before, and what still comes is discarded.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -108,16 +108,21 @@
 }
 
 impl Rest {
-    /// Reads what has arrived. Ready at the end, or if the rest is too large.
-    fn poll(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while let Some(Ok(frame)) = ready!(Pin::new(&mut self.body).poll_frame(context)) {
+    /// Reads what has arrived. Ready at the end, with whether all of it was read: a rest that is too
+    /// large is not.
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<bool> {
+        // The end of a body with a length is known with its last byte, and no frame tells of it.
+        while !self.body.is_end_stream() {
+            let Some(Ok(frame)) = ready!(Pin::new(&mut self.body).poll_frame(context)) else {
+                break;
+            };
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             if bytes > self.bytes_left {
-                break;
+                return Poll::Ready(false);
             }
             self.bytes_left -= bytes;
         }
-        Poll::Ready(())
+        Poll::Ready(true)
     }
 }
 
@@ -166,10 +171,8 @@
 
     /// Leaves the body of a request that is answered without it, to be read and discarded.
     pub(crate) fn leave_rest(&self, node: &Node, body: Incoming) {
-        if !body.is_end_stream() {
-            let bytes_left = node.limits().body_bytes;
-            *self.rest.borrow_mut() = Some(Rest { body, bytes_left });
-        }
+        let bytes_left = node.limits().body_bytes;
+        *self.rest.borrow_mut() = Some(Rest { body, bytes_left });
     }
 
     /// Records that the rest of the request is not read: the answer is the last one.
@@ -181,8 +184,11 @@
     fn poll_rest(&self, node: &Node, context: &mut Context<'_>) {
         let mut rest = self.rest.borrow_mut();
         let polled = rest.as_mut().map(|rest| rest.poll(context));
-        if polled.is_some_and(|polled| polled.is_ready()) {
+        if let Some(Poll::Ready(is_read)) = polled {
             *rest = None;
+            if !is_read {
+                self.leave_unread();
+            }
             self.bytes_before.set(self.traffic.bytes_read());
             self.expiry.borrow_mut().end_rest(node.now());
         }
@@ -255,14 +261,18 @@
         Ended::Expired(Reason::Idle) if node.stopping.get() => (Cause::Stop, None),
         Ended::Expired(Reason::Idle) => (Cause::Idle, None),
         Ended::Expired(Reason::SlowHead) => (Cause::SlowHead, None),
-        Ended::Expired(Reason::SlowRest) => (Cause::Unread, None),
+        Ended::Expired(Reason::SlowRest) => {
+            state.leave_unread();
+            (Cause::Unread, None)
+        }
     };
     log_end(&node, &state, origin, accepted_at, cause, &error.unwrap_or_default());
     let mut socket = connection.into_parts().io.into_inner();
     if cause == Cause::SlowHead {
         socket.answer(SLOW_HEAD);
     }
-    if state.is_unread.get() {
+    // The caller may still send.
+    if state.is_unread.get() || matches!(cause, Cause::SlowHead | Cause::InvalidHead) {
         socket.discard().await;
     }
 }
--- a/crates/edge/src/expiry.rs
+++ b/crates/edge/src/expiry.rs
@@ -103,15 +103,19 @@
     pub fn expires_at(&self, limits: &Limits, is_stopping: bool) -> Option<(Duration, Reason)> {
         let (time, reason) = match self.phase {
             Phase::Request => return None,
-            Phase::Idle if is_stopping => (self.announced + MARGIN, Reason::Idle),
-            Phase::Idle => {
-                let idle_timeout = self.limits.idle_timeout.max(limits.idle_timeout);
-                (idle_timeout.max(self.announced + MARGIN), Reason::Idle)
-            }
-            // Until then the caller sends no other request.
-            Phase::Rest => (self.limits.idle_timeout, Reason::SlowRest),
+            Phase::Idle => (self.idle_time(limits, is_stopping), Reason::Idle),
+            Phase::Rest => (self.idle_time(limits, is_stopping), Reason::SlowRest),
             Phase::Head => (self.limits.head_timeout.max(limits.head_timeout), Reason::SlowHead),
         };
         Some((self.since + time, reason))
     }
+
+    /// Returns for how long the connection stays open without a sign of its caller.
+    fn idle_time(&self, limits: &Limits, is_stopping: bool) -> Duration {
+        let usable = self.announced + MARGIN;
+        if is_stopping {
+            return usable;
+        }
+        self.limits.idle_timeout.max(limits.idle_timeout).max(usable)
+    }
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -104,7 +104,7 @@
         Ok((call, config)) => answer(&node, call, &config).await,
         Err(refusal) => (refuse(&node, &id, refusal), true),
     };
-    match body.into_rest() {
+    match body.into_rest(node.limits().body_bytes) {
         Rest::None => {}
         Rest::Body(body) => connection.leave_rest(&node, body),
         Rest::Unread => {
--- a/crates/edge/src/upload.rs
+++ b/crates/edge/src/upload.rs
@@ -67,11 +67,12 @@
         Ok(body.to_bytes())
     }
 
-    /// Returns what is left of the request.
-    pub(crate) fn into_rest(self) -> Rest {
+    /// Returns what is left of the request, of which at most `max_bytes` can be read.
+    pub(crate) fn into_rest(self, max_bytes: usize) -> Rest {
         match self.rest {
             // Whether the caller sends it after an answer is not known.
             Rest::Body(_) if self.is_expected => Rest::Unread,
+            Rest::Body(body) if body.size_hint().lower() > max_bytes as u64 => Rest::Unread,
             rest => rest,
         }
     }
--- a/crates/edge/tests/expiry.rs
+++ b/crates/edge/tests/expiry.rs
@@ -99,6 +99,19 @@
         expected: Some((24_000, Reason::SlowRest)),
         ..SAME
     } },
+    rest_with_a_short_idle_timeout = { Case {
+        events: &[Event::Request, Event::AnswerBeforeBody(9_000)],
+        before: (100, 3_000),
+        now: (100, 3_000),
+        expected: Some((14_000, Reason::SlowRest)),
+        ..SAME
+    } },
+    rest_while_stopping = { Case {
+        events: &[Event::Request, Event::AnswerBeforeBody(9_000)],
+        is_stopping: true,
+        expected: Some((14_000, Reason::SlowRest)),
+        ..SAME
+    } },
     body_after_the_answer = { Case {
         events: &[Event::Request, Event::AnswerBeforeBody(9_000), Event::Body(11_000)],
         expected: Some((26_000, Reason::Idle)),
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -264,6 +264,26 @@
     }
 }
 
+// Guards against a connection that counts as waiting for the rest of a request of which all has
+// arrived, so that it is closed earlier than announced.
+#[parameterized(
+    length = { 226, Framing::Length },
+    chunks = { 227, Framing::Chunks },
+)]
+fn connection_is_idle_after_the_body_of_an_answered_request(number: u8, framing: Framing) {
+    let idle_timeout = Duration::from_millis(300);
+    let site = Site::start(number, 1, &document(1, idle_limits(idle_timeout)));
+    let mut connection = connect(&site);
+    let head = Connection::head(&Call::new(Route::Safe, "early"), &framing.field(9));
+    connection.send(head.replacen("POST /read/", NO_ROUTE, 1).as_bytes()).expect("it is sent");
+    assert_eq!(connection.read_answer().expect("an answer").status, 404);
+    assert!(framing.send(&mut connection, 9), "the body is sent");
+    sleep(idle_timeout + REFUSAL_TIME);
+    serve(&mut connection, Route::Safe, "next");
+    let cause = "magnolia_connections_ended{cause=\"idle\"}";
+    assert!(site.platform.wait(CLOSE_TIME * 2, || metric(&site, cause) > 0), "it ends as idle");
+}
+
 // Guards against an answer to a request that is too large, or comes too slowly, that does not say
 // that it is the last one, or is lost because the rest of the request is not read.
 #[parameterized(
