Connections: the time of a caller begins when it has the whole answer

The HTTP library lets go of an answer when it has taken it over, not when it is written: a large answer whose caller reads slowly was cut as if the connection were idle, after five seconds in a planned stop. While a part of an answer is still to be written, the connection does not expire, and the caller's time begins after it.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -98,6 +98,8 @@
     rest: RefCell<Option<Rest>>,
     /// Whether the rest of an answered request is left unread.
     is_unread: Cell<bool>,
+    /// Whether a part of an answer was still to be written when the expiry was last looked at.
+    was_blocked: Cell<bool>,
 }
 
 /// The rest of a request, which is read and discarded: the connection can be used again after it.
@@ -136,6 +138,7 @@
             bytes_before: Cell::new(0),
             rest: RefCell::default(),
             is_unread: Cell::new(false),
+            was_blocked: Cell::new(false),
             traffic: Rc::default(),
             requests: Cell::new(0),
             in_progress: Cell::new(0),
@@ -198,6 +201,14 @@
     fn expires_at(&self, node: &Node) -> Option<(Duration, Reason)> {
         let limits = node.limits();
         let mut expiry = self.expiry.borrow_mut();
+        // The caller's time begins when it has the whole answer.
+        if self.traffic.is_write_blocked() {
+            self.was_blocked.set(true);
+            return None;
+        }
+        if self.was_blocked.take() {
+            expiry.restart(node.now());
+        }
         if self.traffic.bytes_read() > self.bytes_before.get() {
             expiry.record_bytes(node.now(), limits.clone());
         }
--- a/crates/edge/src/expiry.rs
+++ b/crates/edge/src/expiry.rs
@@ -84,6 +84,11 @@
         *self = Self::new(now, announced, limits);
     }
 
+    /// Records that the time of the present phase begins only now.
+    pub fn restart(&mut self, now: Duration) {
+        self.since = now;
+    }
+
     /// Records that a request was answered of which a part has not arrived.
     pub fn begin_rest(&mut self) {
         self.phase = Phase::Rest;
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -36,6 +36,11 @@
         self.is_ended.get()
     }
 
+    /// Returns whether a part of an answer is still to be written, which the other side does not read.
+    pub(crate) fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.get()
+    }
+
     /// Returns the number of bytes read.
     pub(crate) fn bytes_read(&self) -> u64 {
         self.bytes_read.get()
@@ -60,7 +65,7 @@
 
     /// Writes an answer of this node, unless a part of an earlier one is still to be written.
     pub(crate) fn answer(&self, answer: &[u8]) {
-        if !self.traffic.is_write_blocked.get() {
+        if !self.traffic.is_write_blocked() {
             // The connection is closed next: an answer that does not fit is lost with it.
             self.stream.try_write(answer).ok();
         }
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use platform_standin::{Answer, Call, Connection, Document, Limits, Route};
+use platform_standin::{Answer, Call, Connection, Document, Fault, Limits, Route};
 use site::Site;
 use yare::parameterized;
 
@@ -284,6 +284,31 @@
     assert!(site.platform.wait(CLOSE_TIME * 2, || metric(&site, cause) > 0), "it ends as idle");
 }
 
+/// Size of an answer that does not fit into the buffers of a connection, bytes.
+const LARGE_ANSWER_BYTES: usize = 4 << 20;
+
+// Guards against a large answer that is cut because its caller reads slowly, as if the connection
+// were idle: in a planned stop, and with a short idle timeout.
+#[parameterized(
+    idle = { 220, false },
+    stop = { 221, true },
+)]
+fn answer_that_is_read_slowly_is_not_cut(number: u8, is_stopped: bool) {
+    let idle_timeout = Duration::from_secs(1);
+    let site = Site::start(number, 1, &document(1, idle_limits(idle_timeout)));
+    site.set_fault(&site.plain, Fault::Sends(LARGE_ANSWER_BYTES));
+    let mut connection = connect(&site);
+    connection.send_call(&Call::new(Route::Safe, "r")).expect("it is sent");
+    sleep(REFUSAL_TIME);
+    if is_stopped {
+        site.nodes[0].signal("TERM");
+    }
+    // Longer than the idle timeout, and than the time that is announced and waited for after it.
+    sleep(idle_timeout + CLOSE_TIME);
+    let answer = connection.read_answer().expect("a whole answer");
+    assert_eq!((answer.status, answer.body.len()), (200, LARGE_ANSWER_BYTES));
+}
+
 // Guards against an answer to a request that is too large, or comes too slowly, that does not say
 // that it is the last one, or is lost because the rest of the request is not read.
 #[parameterized(
