Stop: a request that comes later than expected is answered too

A HEAD request for a stream counts as answered.

Evidence: kept.rs first_long_after_the_connection, grace.rs request_whose_body_does_not_come_by_the_end_of_the_grace_is_refused, expiry.rs. The end of a stream after the rotation and the callers at the port of a node without connections are not forced by a test.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -212,7 +212,7 @@
         if self.traffic.bytes_read() > self.bytes_before.get() {
             expiry.record_bytes(node.now(), limits.clone());
         }
-        expiry.expires_at(&limits, node.stopping.get())
+        expiry.expires_at(&limits, node.stopping_since.get())
     }
 
     /// Records whether the next answer is the last one on the connection.
@@ -237,10 +237,10 @@
 }
 
 /// Counts an open connection.
-struct Guard(Rc<Node>);
+pub(crate) struct Guard(Rc<Node>);
 
 impl Guard {
-    fn new(node: &Rc<Node>) -> Self {
+    pub(crate) fn new(node: &Rc<Node>) -> Self {
         node.connections.set(node.connections.get() + 1);
         Self(node.clone())
     }
@@ -253,8 +253,8 @@
 }
 
 /// Serves the requests on a connection until it ends.
-pub(crate) async fn serve(node: Rc<Node>, stream: TcpStream, origin: Origin) {
-    let _guard = Guard::new(&node);
+pub(crate) async fn serve(guard: Guard, stream: TcpStream, origin: Origin) {
+    let node = guard.0.clone();
     set_socket_timeouts(&stream);
     let accepted_at = node.now();
     let state = Rc::new(State::new(&node));
@@ -323,6 +323,11 @@
     let mut timer = Timer::new();
     loop {
         let ended = poll_fn(|context| {
+            // No later request on the connection could be served.
+            if node.closed.get() && state.in_progress.get() > 0 {
+                state.set_last(true);
+                Pin::new(&mut *connection).graceful_shutdown();
+            }
             if let Poll::Ready(result) = Pin::new(&mut *connection).poll(context) {
                 return Poll::Ready(Ended::Http(result));
             }
@@ -334,6 +339,7 @@
             ended = ended => ended,
             // The connection may be closed earlier from now on.
             () = node.stop_requested.notified() => continue,
+            () = node.close_requested.notified() => continue,
             () = node.ended.notified() => Ended::Stopped,
         };
         let Ended::Expired(_) = ended else { return ended };
--- a/crates/edge/src/expiry.rs
+++ b/crates/edge/src/expiry.rs
@@ -17,12 +17,16 @@
 /// Share of the grace of a planned stop that is announced: a node that stops can wait until no
 /// caller may use its connections again.
 const ANNOUNCED_GRACE_SHARE: f64 = 0.5;
+/// Time of the grace in which an answer may still announce a time, with the margin and the time that
+/// the end of a process takes.
+const STOP_TIME: Duration = Duration::from_secs(4);
 /// Minimum time that can be announced; it is announced in whole seconds.
 const MIN_ANNOUNCED: Duration = Duration::from_secs(1);
 
 /// Returns the time for which callers may use a connection again after an answer, in whole seconds.
 pub fn announced_time(idle_timeout: Duration, grace: Duration) -> Duration {
-    let time = idle_timeout.mul_f64(ANNOUNCED_SHARE).min(grace.mul_f64(ANNOUNCED_GRACE_SHARE));
+    let fitting = grace.mul_f64(ANNOUNCED_GRACE_SHARE).min(grace.saturating_sub(STOP_TIME));
+    let time = idle_timeout.mul_f64(ANNOUNCED_SHARE).min(fitting);
     Duration::from_secs(time.as_secs()).max(MIN_ANNOUNCED)
 }
 
@@ -57,6 +61,8 @@
     since: Duration,
     /// Time for which the caller may use the connection again.
     announced: Duration,
+    /// Whether the caller has been told this time.
+    has_answer: bool,
     /// Limits in force when the phase began, which the caller may go by.
     limits: Limits,
 }
@@ -64,13 +70,15 @@
 impl Expiry {
     /// Returns the expiry of a connection that has been accepted.
     pub fn new(now: Duration, announced: Duration, limits: Limits) -> Self {
-        Self { phase: Phase::Idle, since: now, announced, limits }
+        Self { phase: Phase::Idle, since: now, announced, has_answer: false, limits }
     }
 
     /// Records that bytes of a head have arrived.
     pub fn record_bytes(&mut self, now: Duration, limits: Limits) {
         if self.phase == Phase::Idle {
-            *self = Self { phase: Phase::Head, since: now, announced: self.announced, limits };
+            self.phase = Phase::Head;
+            self.since = now;
+            self.limits = limits;
         }
     }
 
@@ -81,7 +89,7 @@
 
     /// Records that a request was answered with this announcement.
     pub fn end_request(&mut self, now: Duration, announced: Duration, limits: Limits) {
-        *self = Self::new(now, announced, limits);
+        *self = Self { has_answer: true, ..Self::new(now, announced, limits) };
     }
 
     /// Records that the time of the present phase begins only now.
@@ -104,23 +112,30 @@
 
     /// Returns when the connection is closed, by the limits now in force, and why; `None` while a
     /// request is in progress. A caller may go by the limits that were in force when it began to
-    /// wait. A node that stops waits only until no caller uses the connection by what was announced.
-    pub fn expires_at(&self, limits: &Limits, is_stopping: bool) -> Option<(Duration, Reason)> {
+    /// wait. A node that stops at `stop` waits only until no caller uses the connection by what was
+    /// announced.
+    pub fn expires_at(
+        &self,
+        limits: &Limits,
+        stop: Option<Duration>,
+    ) -> Option<(Duration, Reason)> {
         let (time, reason) = match self.phase {
             Phase::Request => return None,
-            Phase::Idle => (self.idle_time(limits, is_stopping), Reason::Idle),
-            Phase::Rest => (self.idle_time(limits, is_stopping), Reason::SlowRest),
+            Phase::Idle => (self.idle_time(limits, stop), Reason::Idle),
+            Phase::Rest => (self.idle_time(limits, stop), Reason::SlowRest),
             Phase::Head => (self.limits.head_timeout.max(limits.head_timeout), Reason::SlowHead),
         };
         Some((self.since + time, reason))
     }
 
     /// Returns for how long the connection stays open without a sign of its caller.
-    fn idle_time(&self, limits: &Limits, is_stopping: bool) -> Duration {
+    fn idle_time(&self, limits: &Limits, stop: Option<Duration>) -> Duration {
         let usable = self.announced + MARGIN;
-        if is_stopping {
-            return usable;
+        match stop {
+            None => self.limits.idle_timeout.max(limits.idle_timeout).max(usable),
+            Some(_) if self.has_answer => usable,
+            // Its caller has been told no time, and may send its first request at any moment.
+            Some(stop) => stop.saturating_sub(self.since) + usable,
         }
-        self.limits.idle_timeout.max(limits.idle_timeout).max(usable)
     }
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use site::{Config, Kind, Model, Organisation, Route};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
@@ -17,7 +17,7 @@
 
 use crate::answer::{Answer, retry_later, text};
 use crate::call::{self, Call};
-use crate::connection::{self, State};
+use crate::connection::{self, Guard, State};
 use crate::event::{ANSWERED, REFUSED};
 use crate::forward::{Origin, Statement, is_refusal};
 use crate::node::Node;
@@ -61,11 +61,11 @@
             stream = accept(&listener) => stream,
             () = node.close_requested.notified() => break,
         };
-        tokio::task::spawn_local(connection::serve(node.clone(), stream, origin));
+        tokio::task::spawn_local(connection::serve(Guard::new(&node), stream, origin));
     }
     // Closing the port resets the connections that wait to be accepted.
     while let Ok(stream) = timeout(Duration::ZERO, accept(&listener)).await {
-        tokio::task::spawn_local(connection::serve(node.clone(), stream, origin));
+        tokio::task::spawn_local(connection::serve(Guard::new(&node), stream, origin));
     }
 }
 
@@ -100,7 +100,13 @@
     let mut is_last = is_last(&request);
     let (parts, body) = request.into_parts();
     let mut body = Upload::new(&parts, body);
-    let (mut response, is_refused) = match prepare(&node, parts, &mut body, origin).await {
+    let is_head = parts.method == Method::HEAD;
+    let prepared = tokio::select! {
+        prepared = prepare(&node, parts, &mut body, origin) => prepared,
+        // The rest of the request would come too late.
+        () = node.ending.notified() => Err(stopping(&node)),
+    };
+    let (mut response, is_refused) = match prepared {
         Ok((call, config)) => answer(&node, call, &config).await,
         Err(refusal) => (refuse(&node, &id, refusal), true),
     };
@@ -120,6 +126,9 @@
     if is_refused {
         receipt.record_refusal();
     }
+    if is_head {
+        receipt.record_whole();
+    }
     if !is_last {
         announce_time(&node, response.headers_mut());
     }
@@ -170,8 +179,7 @@
 /// Returns the answer to a request that is still in progress when the process ends.
 fn end_call(node: &Node, call: &Call) -> Response<Answer> {
     if call.used.is_empty() {
-        let refusal = Refusal::RetryLater("stopping", node.other_node_retry_after());
-        return refuse(node, &call.id, refusal);
+        return refuse(node, &call.id, stopping(node));
     }
     let response = unknown_outcome(node, call);
     log_answer(node, call, response.status());
@@ -305,10 +313,15 @@
     Ok((call, config))
 }
 
+/// Returns the refusal of a node that stops.
+fn stopping(node: &Node) -> Refusal {
+    Refusal::RetryLater("stopping", node.other_node_retry_after())
+}
+
 /// Refuses a request that could not be completed before the process ends.
 fn refuse_if_closed(node: &Node) -> Result<(), Refusal> {
     match node.closed.get() {
-        true => Err(Refusal::RetryLater("stopping", node.other_node_retry_after())),
+        true => Err(stopping(node)),
         false => Ok(()),
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -89,6 +89,8 @@
     pub(crate) contact: RefCell<Contact>,
     /// Whether the process was asked to stop.
     pub(crate) stopping: Cell<bool>,
+    /// Time at which the process was asked to stop.
+    pub(crate) stopping_since: Cell<Option<Duration>>,
     /// Whether new requests are refused because the process is about to end.
     pub(crate) closed: Cell<bool>,
     /// Notified when the process is about to end: requests in progress are answered.
@@ -147,6 +149,7 @@
             reachability: RefCell::default(),
             contact: RefCell::default(),
             stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             closed: Cell::new(false),
             ending: Notify::new(),
             ended: Notify::new(),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -16,7 +16,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinHandle, LocalSet};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::event::{RELOADED, STARTED, STOPPED, STOPPING};
 use crate::follow::Follower;
@@ -39,7 +39,7 @@
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// Time within which the requests that are then still in progress are answered.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
-/// Time within which the connections that are then left are closed, and logged.
+/// Time within which the port for callers is closed, and the connections that are left at the end.
 const CLOSE_TIME: Duration = Duration::from_millis(50);
 /// Interval at which expired connections and quarantine state are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -195,10 +195,16 @@
 
 /// Serves the remaining callers, and new ones until the platform no longer routes callers to the
 /// node.
-async fn stop(node: &Rc<Node>, store: &Store, leadership: &Leadership, accepting: JoinHandle<()>) {
+async fn stop(
+    node: &Rc<Node>,
+    store: &Store,
+    leadership: &Leadership,
+    mut accepting: JoinHandle<()>,
+) {
     let stop_started = Instant::now();
     log::info!("{}", Event::new(STOPPING).with("connections", node.connections.get()));
     node.stopping.set(true);
+    node.stopping_since.set(Some(node.now()));
     // The other nodes issue the permits from now on.
     node.issues_permits();
     node.alarm.notify_one();
@@ -208,14 +214,16 @@
     // Requests that arrive from now on could not be completed. Callers find another node at once.
     node.closed.set(true);
     node.close_requested.notify_waiters();
+    // The callers that wait at the port are accepted, unless no configuration has come.
+    if timeout(CLOSE_TIME, &mut accepting).await.is_err() {
+        accepting.abort();
+    }
     let latest = stop_started + node.settings.bounds.grace.saturating_sub(END_MARGIN);
     await_connections(node, latest).await;
     node.ending.notify_waiters();
     await_connections(node, latest + ANSWER_TIME).await;
     node.ended.notify_waiters();
     await_connections(node, latest + ANSWER_TIME + CLOSE_TIME).await;
-    // The port for callers is closed, unless no configuration has come.
-    accepting.abort();
 }
 
 /// Waits until the last caller has disconnected, `latest` at the most.
--- a/crates/edge/tests/expiry.rs
+++ b/crates/edge/tests/expiry.rs
@@ -18,6 +18,7 @@
     by_the_grace = { ms(15_000), ms(8_000), 4 },
     by_the_idle_timeout = { ms(2_600), ms(8_000), 2 },
     whole_seconds = { ms(15_000), ms(7_900), 3 },
+    by_what_a_stop_takes = { ms(15_000), ms(6_500), 2 },
     at_least_a_second = { ms(100), ms(8_000), 1 },
     no_timeout = { ms(0), ms(0), 1 },
 )]
@@ -41,7 +42,8 @@
     before: (u64, u64),
     /// Those in force now.
     now: (u64, u64),
-    is_stopping: bool,
+    /// Time at which the node was asked to stop, milliseconds.
+    stop: Option<u64>,
     expected: Option<(u64, Reason)>,
 }
 
@@ -49,7 +51,7 @@
     events: &[],
     before: (15_000, 3_000),
     now: (15_000, 3_000),
-    is_stopping: false,
+    stop: None,
     expected: Some((16_000, Reason::Idle)),
 };
 
@@ -87,10 +89,20 @@
         expected: Some((13_000, Reason::SlowHead)),
         ..SAME
     } },
-    stopping = { Case { is_stopping: true, expected: Some((6_000, Reason::Idle)), ..SAME } },
+    stopping = { Case {
+        events: &[Event::Request, Event::Answer(2_000)],
+        stop: Some(3_000),
+        expected: Some((7_000, Reason::Idle)),
+        ..SAME
+    } },
+    stopping_before_the_first_request = { Case {
+        stop: Some(9_000),
+        expected: Some((14_000, Reason::Idle)),
+        ..SAME
+    } },
     head_while_stopping = { Case {
         events: &[Event::Bytes(7_000)],
-        is_stopping: true,
+        stop: Some(9_000),
         expected: Some((10_000, Reason::SlowHead)),
         ..SAME
     } },
@@ -108,7 +120,7 @@
     } },
     rest_while_stopping = { Case {
         events: &[Event::Request, Event::AnswerBeforeBody(9_000)],
-        is_stopping: true,
+        stop: Some(9_000),
         expected: Some((14_000, Reason::SlowRest)),
         ..SAME
     } },
@@ -141,5 +153,5 @@
     }
     let now = limits(ms(case.now.0), ms(case.now.1));
     let expected = case.expected.map(|(at, reason)| (ms(at), reason));
-    assert_eq!(expiry.expires_at(&now, case.is_stopping), expected);
+    assert_eq!(expiry.expires_at(&now, case.stop.map(ms)), expected);
 }
--- a/crates/node/tests/grace.rs
+++ b/crates/node/tests/grace.rs
@@ -80,3 +80,19 @@
     assert!(at.elapsed() < GRACE + REFUSAL_TIME, "before the process is killed");
     assert_eq!(site.nodes[0].child.wait().expect("it ends").code(), Some(0));
 }
+
+// Guards against a request whose body does not come by the end of the grace, and whose connection is
+// closed without an answer although it has not run (LOST).
+#[test]
+fn request_whose_body_does_not_come_by_the_end_of_the_grace_is_refused() {
+    let mut site = Site::start(227, 1, &Document::default());
+    let mut stream = begin(&site, Route::Unsafe);
+    let at = Instant::now();
+    site.nodes[0].signal("TERM");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("an answer");
+    let text = String::from_utf8_lossy(&answer);
+    assert!(text.starts_with("HTTP/1.1 503") && text.contains("connection: close"), "{text}");
+    assert!(at.elapsed() < GRACE + REFUSAL_TIME, "before the process is killed");
+    assert_eq!(site.nodes[0].child.wait().expect("it ends").code(), Some(0));
+}
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -344,6 +344,8 @@
 #[derive(Clone, Copy)]
 enum Before {
     Nothing,
+    /// Nothing, for longer than answers announce.
+    Pause,
     Request,
     PartOfHead,
 }
@@ -362,6 +364,11 @@
     first = { 251, Stop { before: Before::Nothing, delay: REFUSAL_TIME, status: 200 } },
     next_at_once = { 252, Stop { before: Before::Request, delay: Duration::ZERO, status: 200 } },
     next = { 253, Stop { before: Before::Request, delay: REFUSAL_TIME, status: 200 } },
+    first_long_after_the_connection = { 225, Stop {
+        before: Before::Pause,
+        delay: REFUSAL_TIME,
+        status: 200,
+    } },
     rest_of_head = { 254, Stop { before: Before::PartOfHead, delay: REFUSAL_TIME, status: 200 } },
     after_rotation = { 229, Stop {
         before: Before::Request,
@@ -372,12 +379,11 @@
 fn request_that_crosses_a_planned_stop_is_answered(number: u8, stop: Stop) {
     let mut site = Site::start(number, 1, &Document::default());
     let mut connection = connect(&site);
-    let mut idle = connect(&site);
-    serve(&mut idle, Route::Safe, "idle");
     let request = Connection::head(&Call::new(Route::Unsafe, "r"), "Content-Length: 0\r\n");
     let mut sent = 0;
     match stop.before {
         Before::Nothing => sleep(BODY_DELAY),
+        Before::Pause => sleep(STOP_TIME),
         Before::Request => drop(serve(&mut connection, Route::Safe, "before")),
         Before::PartOfHead => {
             sent = request.len() / 2;
@@ -385,6 +391,8 @@
             sleep(BODY_DELAY);
         }
     }
+    let mut idle = connect(&site);
+    serve(&mut idle, Route::Safe, "idle");
     let at = Instant::now();
     site.nodes[0].signal("TERM");
     sleep(stop.delay);
