Callers: a refusal before the whole body ends the connection by its word, and arrives

What callers saw, at the node's own interface: a refusal because of the head (401, 403, 404, 405, 400 for a header) while the body was still on its way, then a closed connection; the refusal did not say that it was the last answer, so the next request on the connection was lost. A caller that was still sending its body got a reset (broken pipe), also beside a 413, which did say so, and when it was above the limit of connections (503).

Cause: such a refusal is given before the body is read. The HTTP library then reads once more and closes the connection if the body has not come to its end; only 408 and 413 said `Connection: close`. A socket that is closed while bytes wait in it is reset, which may also take the answer from the caller.

Change: a rejection knows whether a part of the body has not been read, and its answer then bears `Connection: close`. A refusal of the head with a body that came whole is now the last answer too. After a last answer, and after what is no request, the node ends its side and drops what the caller still sends, for at most 1 s; as many rejected connections as the limit allows open ones are ended so, further ones at once as before. An error of TCP_NODELAY, or of the write of a rejection, was dropped without a line; it is logged, and the connection served.

--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -1,22 +1,21 @@
 //! The port for callers: HTTP/1.1 with bounded connections, heads and bodies.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use hyper::body::Incoming;
-use hyper::service::service_fn;
+use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
 use hyper::{Method, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use smol_str::SmolStr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use super::intake::{self, Rejection, reject};
+use super::connection;
+use super::intake::{self, Caller, Rejection, reject};
 use super::relay::{self, Call, Params};
 use super::reply::{Payload, Reply};
 use super::shared::{Input, Shared};
@@ -40,6 +39,7 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let permits = Arc::new(Semaphore::new(shared.settings.connections));
+    let rejections = Arc::new(Semaphore::new(shared.settings.connections));
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -52,7 +52,8 @@
             continue;
         };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            reject_connection(stream, &shared, &mut connections);
+            let permit = Arc::clone(&rejections).try_acquire_owned().ok();
+            reject_connection(stream, &shared, permit, &mut connections);
             continue;
         };
         let (shared, agent, stop) = (Arc::clone(&shared), agent.clone(), stop.clone());
@@ -67,13 +68,24 @@
     while connections.join_next().await.is_some() {}
 }
 
-fn reject_connection(mut stream: TcpStream, shared: &Arc<Shared>, connections: &mut JoinSet<()>) {
+/// Answers a connection above the limit. The request on it is dropped only while `permit` is there,
+/// so that the number of these connections is limited too.
+fn reject_connection(
+    mut stream: TcpStream,
+    shared: &Arc<Shared>,
+    permit: Option<OwnedSemaphorePermit>,
+    connections: &mut JoinSet<()>,
+) {
     record_rejection(shared, "connections");
     let limit = shared.settings.peer_timeout;
     connections.spawn(async move {
-        if timeout(limit, stream.write_all(BUSY_RESPONSE)).await.is_err() {
-            log::debug!("a rejected connection did not accept its response in time");
+        match timeout(limit, stream.write_all(BUSY_RESPONSE)).await {
+            Err(_) => log::debug!("a rejected connection did not accept its response in time"),
+            Ok(Err(error)) => log::debug!("a rejected connection was lost: {error}"),
+            Ok(Ok(())) if permit.is_some() => connection::end(stream).await,
+            Ok(Ok(())) => {}
         }
+        drop(permit);
     });
 }
 
@@ -81,31 +93,10 @@
     stream: TcpStream,
     shared: &Arc<Shared>,
     agent: ureq::Agent,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let service = service_fn(|request| {
-        let (shared, agent) = (Arc::clone(shared), agent.clone());
-        async move { Ok::<_, Infallible>(respond(request, shared, agent).await) }
-    });
-    let serving = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(shared.settings.head_timeout)
-        .max_buf_size(shared.settings.head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(serving);
-    let served = tokio::select! {
-        served = &mut serving => served,
-        _ = stop.changed() => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
-    };
-    if let Err(error) = served {
-        log::debug!("connection to a caller failed: {error}");
-    }
+    let respond = |request| respond(request, Arc::clone(shared), agent.clone());
+    connection::serve(stream, shared, stop, respond).await;
 }
 
 fn record_rejection(shared: &Shared, reason: &str) {
@@ -131,40 +122,60 @@
                 reply = reply.retry_after(Duration::from_secs(1));
             }
             let mut response = reply.into_response();
-            if matches!(rejection.status, 408 | 413) {
+            if rejection.is_unread {
                 // The rest of the body is not read, so the connection cannot be reused.
-                let close = hyper::header::HeaderValue::from_static("close");
-                response.headers_mut().insert(hyper::header::CONNECTION, close);
+                connection::set_last(&mut response);
             }
             response
         }
     }
 }
 
-async fn handle(
-    request: hyper::Request<Incoming>,
-    shared: &Arc<Shared>,
-    agent: ureq::Agent,
-) -> Result<Reply, Rejection> {
-    let path = request.uri().path();
+/// What a request calls.
+enum Target {
+    Model(Form),
+    Service(SmolStr),
+}
+
+/// Returns what a request calls and who sends it, by its head.
+fn check_head(head: &Parts, shared: &Shared) -> Result<(Target, Caller), Rejection> {
+    let path = head.uri.path();
     let form = [Form::Chat, Form::Text].into_iter().find(|form| form.path() == path);
-    let plain = path.strip_prefix("/services/").map(|rest| {
+    let service = path.strip_prefix("/services/").map(|rest| {
         let (name, _) = rest.split_once('/').unwrap_or((rest, ""));
         SmolStr::new(name)
     });
-    if form.is_none() && plain.as_ref().is_none_or(SmolStr::is_empty) {
-        return Err(reject(404, "no_such_path", "no such path; docs/PROTOCOLS.md lists the calls"));
-    }
-    if form.is_some() && request.method() != Method::POST {
+    let target = match (form, service) {
+        (Some(form), _) => Target::Model(form),
+        (None, Some(service)) if !service.is_empty() => Target::Service(service),
+        (None, _) => {
+            let message = "no such path; docs/PROTOCOLS.md lists the calls";
+            return Err(reject(404, "no_such_path", message));
+        }
+    };
+    if form.is_some() && head.method != Method::POST {
         return Err(reject(405, "method", "model calls must use POST"));
     }
-    let caller = intake::parse_caller(request.headers(), shared)?;
+    Ok((target, intake::parse_caller(&head.headers, shared)?))
+}
+
+async fn handle(
+    request: hyper::Request<Incoming>,
+    shared: &Arc<Shared>,
+    agent: ureq::Agent,
+) -> Result<Reply, Rejection> {
     let (head, body) = request.into_parts();
-    let body = intake::read_body(body, &head.headers, shared).await?;
-    let (call, arrival, reply_key) = match (form, plain) {
-        (Some(form), _) => intake::model_call(form, caller, &body, shared)?,
-        (None, Some(service)) => intake::service_call(service, caller, head, body, shared)?,
-        (None, None) => return Err(reject(404, "no_such_path", "no such path")),
+    let has_body = !body.is_end_stream();
+    let (target, caller) = check_head(&head, shared).map_err(|rejection| {
+        // A rejection because of the head is sent before the body is read.
+        Rejection { is_unread: has_body, ..rejection }
+    })?;
+    let body = intake::read_body(body, &head.headers, shared)
+        .await
+        .map_err(|rejection| Rejection { is_unread: true, ..rejection })?;
+    let (call, arrival, reply_key) = match target {
+        Target::Model(form) => intake::model_call(form, caller, &body, shared)?,
+        Target::Service(service) => intake::service_call(service, caller, head, body, shared)?,
     };
     let reply = relay_call(call, arrival, shared, agent).await;
     Ok(match reply_key {
--- /dev/null
+++ b/crates/node/src/shell/connection.rs
@@ -0,0 +1,104 @@
+//! A connection of a caller: serves its requests, so that none is lost when the connection ends.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::reply::Payload;
+use super::shared::Shared;
+
+/// Maximum time for which bytes of a caller are dropped after the last answer. A connection that is
+/// closed before its caller has sent everything is reset, and the caller may lose the answer.
+const DROP_TIME: Duration = Duration::from_secs(1);
+/// Size of the buffer for bytes that are dropped.
+const DROP_BUFFER_BYTES: usize = 16 << 10;
+
+/// What is known of an open connection.
+#[derive(Default)]
+struct State {
+    /// Whether the last answer was said to be the last one.
+    is_last: AtomicBool,
+}
+
+impl State {
+    /// Records whether an answer is the last one on the connection.
+    fn record(&self, response: &Response<Payload>) {
+        self.is_last.store(is_last(response), Ordering::Relaxed);
+    }
+}
+
+/// Sets that an answer is the last one on its connection.
+pub(crate) fn set_last(response: &mut Response<Payload>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+fn is_last(response: &Response<Payload>) -> bool {
+    response.headers().get(CONNECTION).is_some_and(|value| value == "close")
+}
+
+/// Serves the requests on a connection until it ends or, after `stop` has changed, until no request
+/// is in progress.
+pub(crate) async fn serve<F>(
+    stream: TcpStream,
+    shared: &Shared,
+    mut stop: watch::Receiver<bool>,
+    respond: impl Fn(Request<Incoming>) -> F,
+) where
+    F: Future<Output = Response<Payload>>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY was not set on a connection of a caller: {error}");
+    }
+    let state = Arc::new(State::default());
+    let service = service_fn(|request| {
+        let (state, response) = (Arc::clone(&state), respond(request));
+        async move {
+            let response = response.await;
+            state.record(&response);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut serving = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(shared.settings.head_timeout)
+        .max_buf_size(shared.settings.head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let served = tokio::select! {
+        served = &mut serving => served,
+        _ = stop.changed() => {
+            Pin::new(&mut serving).graceful_shutdown();
+            (&mut serving).await
+        }
+    };
+    if let Err(error) = &served {
+        log::debug!("connection to a caller failed: {error}");
+    }
+    let is_invalid = served.is_err_and(|error| error.is_parse());
+    if is_invalid || state.is_last.load(Ordering::Relaxed) {
+        end(serving.into_parts().io.into_inner()).await;
+    }
+}
+
+/// Ends a connection after its last answer: drops what the caller still sends, for a limited time.
+pub(crate) async fn end(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut dropped = vec![0; DROP_BUFFER_BYTES];
+    let reading = async { while matches!(stream.read(&mut dropped).await, Ok(1..)) {} };
+    if timeout(DROP_TIME, reading).await.is_err() {
+        log::debug!("a caller did not close its connection in time after the last answer");
+    }
+}
--- a/crates/node/src/shell/intake.rs
+++ b/crates/node/src/shell/intake.rs
@@ -46,10 +46,12 @@
     pub(crate) status: u16,
     pub(crate) kind: &'static str,
     pub(crate) message: String,
+    /// Whether a part of the body has not been read.
+    pub(crate) is_unread: bool,
 }
 
 pub(crate) fn reject(status: u16, kind: &'static str, message: impl Into<String>) -> Rejection {
-    Rejection { status, kind, message: message.into() }
+    Rejection { status, kind, message: message.into(), is_unread: false }
 }
 
 /// Values of the headers that the node interprets.
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod callers;
+mod connection;
 mod convert;
 mod core;
 mod explain;
--- /dev/null
+++ b/crates/node/tests/callers.rs
@@ -0,0 +1,169 @@
+//! Connections of callers: no request on one gets neither an answer nor a refusal.
+
+mod common;
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use common::{Bench, Scripted, WAIT_LIMIT, engine};
+use node::settings::Arguments;
+use yare::parameterized;
+
+const CHAT: &str = "POST /v1/chat/completions";
+const ORGANISATION: &str = "openai-organization: cascade\r\n";
+const BODY: &str = r#"{"model":"plank","messages":[{"role":"user","content":"x"}]}"#;
+/// Size of a body that does not fit into the buffers of a connection.
+const LARGE_BYTES: usize = 16 << 20;
+
+/// An answer as it came on the connection.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    headers: HashMap<String, String>,
+}
+
+impl Answer {
+    fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    fn is_last(&self) -> bool {
+        self.header("connection") == "close"
+    }
+}
+
+/// A connection of a caller.
+struct Caller(BufReader<TcpStream>);
+
+impl Caller {
+    fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(WAIT_LIMIT)).expect("timeout");
+        stream.set_write_timeout(Some(WAIT_LIMIT)).expect("timeout");
+        Self(BufReader::new(stream))
+    }
+
+    fn send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.0.get_mut().write_all(bytes)
+    }
+
+    /// Sends a head that states the size of the body.
+    fn send_head(&mut self, line: &str, headers: &str, size: usize) {
+        let head = format!("{line} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {size}\r\n\r\n");
+        self.send(head.as_bytes()).expect("it is sent");
+    }
+
+    /// Returns the answer; `None` if the connection ended before its head was complete.
+    fn read_answer(&mut self) -> Option<Answer> {
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            match line.trim() {
+                "" => break,
+                text => lines.push(text.to_owned()),
+            }
+        }
+        let status = lines.first()?.split(' ').nth(1)?.parse().ok()?;
+        let fields = lines.iter().filter_map(|line| line.split_once(": "));
+        let headers: HashMap<String, String> =
+            fields.map(|(name, value)| (name.to_lowercase(), value.to_owned())).collect();
+        let size = headers.get("content-length").and_then(|size| size.parse().ok()).unwrap_or(0);
+        self.0.read_exact(&mut vec![0; size]).ok()?;
+        Some(Answer { status, headers })
+    }
+
+    /// Sends a whole call and returns its answer.
+    fn exchange(&mut self) -> Option<Answer> {
+        self.send_head(CHAT, ORGANISATION, BODY.len());
+        self.send(BODY.as_bytes()).ok()?;
+        self.read_answer()
+    }
+
+    /// Returns whether the connection ends without further bytes.
+    fn is_at_end(&mut self) -> bool {
+        matches!(self.0.read(&mut [0]), Ok(0))
+    }
+}
+
+fn bench(adjust: impl FnOnce(&mut Arguments)) -> (Bench, Scripted) {
+    let target = Scripted::start(|call, back| {
+        back.start_events();
+        back.tokens(call, call.first_token(), 3, true);
+    });
+    let bench = Bench::start_with(vec![engine("e1", target.address, [0, 8], 8)], adjust);
+    (bench, target)
+}
+
+fn open(bench: &Bench) -> Caller {
+    Caller::open(bench.node.ports().callers)
+}
+
+// Guards against a refusal that does not say that the connection ends with it, though the body has
+// not been read, so that the next request on the connection is lost.
+#[parameterized(
+    path = { "POST /v2/chat", ORGANISATION, 404 },
+    method = { "PUT /v1/chat/completions", ORGANISATION, 405 },
+    no_organisation = { CHAT, "", 401 },
+    unknown_organisation = { CHAT, "openai-organization: nobody\r\n", 403 },
+    key = { CHAT, "openai-organization: cascade\r\nidempotency-key: \r\n", 400 },
+)]
+fn refusal_before_the_whole_body_is_the_last_answer(line: &str, headers: &str, status: u16) {
+    let (bench, _target) = bench(|_| {});
+    let mut caller = open(&bench);
+    caller.send_head(line, headers, 100);
+    caller.send(b"{\"mod").expect("it is sent");
+    let answer = caller.read_answer().expect("an answer");
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert!(answer.is_last(), "{answer:?}");
+    assert!(caller.is_at_end());
+}
+
+// Guards against a refusal that ends the connection though there is nothing left to read on it.
+#[parameterized(
+    path = { "GET /v2/chat", ORGANISATION, 404 },
+    method = { "GET /v1/chat/completions", ORGANISATION, 405 },
+    no_organisation = { CHAT, "", 401 },
+)]
+fn refusal_without_a_body_leaves_the_connection_open(line: &str, headers: &str, status: u16) {
+    let (bench, _target) = bench(|_| {});
+    let mut caller = open(&bench);
+    caller.send_head(line, headers, 0);
+    let answer = caller.read_answer().expect("an answer");
+    assert!(answer.status == status && !answer.is_last(), "{answer:?}");
+    assert_eq!(caller.exchange().expect("an answer").status, 200);
+}
+
+// Guards against a refusal that is followed by a reset, because the node does not take the rest of
+// the body: a caller that is still sending fails before it reads the refusal.
+#[parameterized(
+    no_organisation = { "", 401 },
+    too_large = { ORGANISATION, 413 },
+)]
+fn refusal_reaches_a_caller_that_is_still_sending(headers: &str, status: u16) {
+    let (bench, _target) = bench(|_| {});
+    let mut caller = open(&bench);
+    caller.send_head(CHAT, headers, LARGE_BYTES);
+    caller.send(&vec![b'x'; LARGE_BYTES]).expect("the body is taken");
+    let answer = caller.read_answer().expect("an answer");
+    assert!(answer.status == status && answer.is_last(), "{answer:?}");
+    assert!(caller.is_at_end());
+}
+
+// Guards against a refusal of a connection above the limit that is followed by a reset, because
+// the node does not take the request that comes on it.
+#[test]
+fn refusal_of_a_connection_reaches_a_caller_that_is_still_sending() {
+    let (bench, _target) = bench(|text| text.connections = "1".to_owned());
+    let mut first = open(&bench);
+    assert_eq!(first.exchange().expect("an answer").status, 200);
+    let mut second = open(&bench);
+    second.send_head(CHAT, ORGANISATION, LARGE_BYTES);
+    second.send(&vec![b'x'; LARGE_BYTES]).expect("the body is taken");
+    let answer = second.read_answer().expect("an answer");
+    assert!(answer.status == 503 && answer.is_last(), "{answer:?}");
+    assert!(second.is_at_end());
+}
