Callers: answers of a node announce for how long a connection may be used again

What callers saw, at the node's own interface: a kept connection that had been idle for head_ms (30 s unless set) was closed without a word; a request that crosses the close gets neither an answer nor a refusal.

The HTTP library counts the time of a head from the end of the last answer, so head_ms bounds the time without a request too, and no answer named it.

Change: each answer, also a streamed one and a refusal, bears Keep-Alive with a time in whole seconds: 0.8 of head_ms, and at least 1 s less than it. If that is below a second, the answer is the last one on its connection. head_ms itself keeps its meaning.

--- a/crates/node/src/shell/connection.rs
+++ b/crates/node/src/shell/connection.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -19,6 +19,13 @@
 use super::reply::Payload;
 use super::shared::Shared;
 
+/// Header that announces for how long a connection may be used again.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Share of the idle timeout that is announced.
+const ANNOUNCED_SHARE: f64 = 0.8;
+/// Minimum time from the end of the announced time to the idle timeout: a request may be on its
+/// way, and its first packet may have been lost.
+const MARGIN: Duration = Duration::from_secs(1);
 /// Maximum time for which bytes of a caller are dropped after the last answer. A connection that is
 /// closed before its caller has sent everything is reset, and the caller may lose the answer.
 const DROP_TIME: Duration = Duration::from_secs(1);
@@ -39,6 +46,28 @@
     }
 }
 
+/// Returns the time for which callers may use a connection again after an answer, in whole seconds;
+/// `None` if it is too short to be announced.
+fn announced_time(idle_timeout: Duration) -> Option<u64> {
+    let time = idle_timeout.mul_f64(ANNOUNCED_SHARE).min(idle_timeout.saturating_sub(MARGIN));
+    Some(time.as_secs()).filter(|seconds| *seconds > 0)
+}
+
+/// Announces in an answer for how long its connection may be used again, unless it is the last one.
+/// A caller that did not know would lose a request that crosses the end of the connection.
+fn announce(response: &mut Response<Payload>, idle_timeout: Duration) {
+    if is_last(response) {
+        return;
+    }
+    let Some(seconds) = announced_time(idle_timeout) else {
+        set_last(response);
+        return;
+    };
+    if let Ok(value) = HeaderValue::from_str(&format!("timeout={seconds}")) {
+        response.headers_mut().insert(KEEP_ALIVE, value);
+    }
+}
+
 /// Sets that an answer is the last one on its connection.
 pub(crate) fn set_last(response: &mut Response<Payload>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -62,17 +91,21 @@
         log::debug!("TCP_NODELAY was not set on a connection of a caller: {error}");
     }
     let state = Arc::new(State::default());
+    // The HTTP library counts the time of a head from the end of the last answer, so that this
+    // bounds the time without a request too.
+    let idle_timeout = shared.settings.head_timeout;
     let service = service_fn(|request| {
         let (state, response) = (Arc::clone(&state), respond(request));
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            announce(&mut response, idle_timeout);
             state.record(&response);
             Ok::<_, Infallible>(response)
         }
     });
     let mut serving = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(shared.settings.head_timeout)
+        .header_read_timeout(idle_timeout)
         .max_buf_size(shared.settings.head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let served = tokio::select! {
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -5,11 +5,15 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
+use std::time::Duration;
 
 use common::{Bench, Scripted, WAIT_LIMIT, engine};
 use node::settings::Arguments;
 use yare::parameterized;
 
+/// Time within which an answer that needs no target is there.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
 const CHAT: &str = "POST /v1/chat/completions";
 const ORGANISATION: &str = "openai-organization: cascade\r\n";
 const BODY: &str = r#"{"model":"plank","messages":[{"role":"user","content":"x"}]}"#;
@@ -167,3 +171,44 @@
     assert!(answer.status == 503 && answer.is_last(), "{answer:?}");
     assert!(second.is_at_end());
 }
+
+// Guards against a caller that uses a kept connection at the moment at which the node closes it as
+// idle, because it does not know for how long it may be used.
+#[parameterized(
+    default = { "30000", Some(24) },
+    short = { "2500", Some(1) },
+    below_a_second = { "1500", None },
+)]
+fn answers_announce_for_how_long_a_connection_may_be_used(head_ms: &str, announced_s: Option<u64>) {
+    let (bench, _target) = bench(|text| text.head_ms = head_ms.to_owned());
+    let mut caller = open(&bench);
+    for _ in 0..2 {
+        let answer = caller.exchange().expect("an answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let Some(announced_s) = announced_s else {
+            assert!(answer.is_last(), "{answer:?}");
+            return;
+        };
+        assert_eq!(answer.header("keep-alive"), format!("timeout={announced_s}"));
+        // A request that is sent at the end of the time may arrive later.
+        if announced_s == 1 {
+            sleep(Duration::from_secs(announced_s) + REFUSAL_TIME);
+        }
+    }
+}
+
+// Guards against answers of one kind that do not announce the time.
+#[parameterized(
+    whole = { BODY.to_owned(), 200 },
+    stream = { BODY.replace("}]}", r#"}],"stream":true}"#), 200 },
+    refusal = { "{}".to_owned(), 400 },
+    unknown_model = { BODY.replace("plank", "oak"), 404 },
+)]
+fn answers_of_all_kinds_announce_the_time(body: String, status: u16) {
+    let (bench, _target) = bench(|_| {});
+    let mut caller = open(&bench);
+    caller.send_head(CHAT, ORGANISATION, body.len());
+    caller.send(body.as_bytes()).expect("it is sent");
+    let answer = caller.read_answer().expect("an answer");
+    assert_eq!((answer.status, answer.header("keep-alive")), (status, "timeout=24"));
+}
