Callers: no first request, and no next one, is lost when a node stops

What callers saw, at the node's own interface: a request sent on a connection that was accepted before a planned stop, and whose first request arrived after its begin, got neither an answer nor a refusal. Answers during the stop did not say that their connection would be closed, so that the next request on it was lost too.

Cause: when the stop signal reaches the callers' port, the HTTP library closes connections on which nothing has come. Answers were the same before and after the begin of a stop.

Change: a connection without a request stays open for up to 1 s after the signal; a first request gets its refusal (503, not-run) as the last answer. Each answer that begins after the begin of a stop is the last one on its connection. Connections that wait to be accepted at the signal are accepted, not reset (read; not forced by a test). A connection on which no request has come counts for no cut answer.

Evidence: callers.rs: the first request that crosses a stop without a byte before, and the answer after the begin of a stop, failed on the code before, and pass; half a head before the stop, a stop without requests and a forced stop pass, as guards of the change.

--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -42,7 +42,9 @@
     let rejections = Arc::new(Semaphore::new(shared.settings.connections));
     let mut connections = JoinSet::new();
     loop {
+        // Connections that wait to be accepted when a stop begins are accepted: they would be reset.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stop.changed() => break,
         };
--- a/crates/node/src/shell/connection.rs
+++ b/crates/node/src/shell/connection.rs
@@ -1,7 +1,7 @@
 //! A connection of a caller: serves its requests, so that none is lost when the connection ends.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -26,6 +26,9 @@
 /// Minimum time from the end of the announced time to the idle timeout: a request may be on its
 /// way, and its first packet may have been lost.
 const MARGIN: Duration = Duration::from_secs(1);
+/// Time for which a connection on which no request has come stays open after a stop: its first
+/// request may be on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Maximum time for which bytes of a caller are dropped after the last answer. A connection that is
 /// closed before its caller has sent everything is reset, and the caller may lose the answer.
 const DROP_TIME: Duration = Duration::from_secs(1);
@@ -33,19 +36,47 @@
 const DROP_BUFFER_BYTES: usize = 16 << 10;
 
 /// What is known of an open connection.
-#[derive(Default)]
-struct State {
+struct State<'a> {
+    shared: &'a Shared,
+    /// Whether a request has come.
+    is_used: AtomicBool,
     /// Whether the last answer was said to be the last one.
     is_last: AtomicBool,
 }
 
-impl State {
-    /// Records whether an answer is the last one on the connection.
-    fn record(&self, response: &Response<Payload>) {
+impl<'a> State<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.unused_connections.fetch_add(1, Ordering::SeqCst);
+        Self { shared, is_used: AtomicBool::new(false), is_last: AtomicBool::new(false) }
+    }
+
+    /// Records that a request has come, or that none will.
+    fn set_used(&self) {
+        if !self.is_used.swap(true, Ordering::SeqCst) {
+            self.shared.unused_connections.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    fn is_used(&self) -> bool {
+        self.is_used.load(Ordering::SeqCst)
+    }
+
+    /// Completes the head of an answer.
+    fn complete(&self, response: &mut Response<Payload>) {
+        if self.shared.draining.load(Ordering::SeqCst) {
+            set_last(response);
+        }
+        announce(response, self.shared.settings.head_timeout);
         self.is_last.store(is_last(response), Ordering::Relaxed);
     }
 }
 
+impl Drop for State<'_> {
+    fn drop(&mut self) {
+        self.set_used();
+    }
+}
+
 /// Returns the time for which callers may use a connection again after an answer, in whole seconds;
 /// `None` if it is too short to be announced.
 fn announced_time(idle_timeout: Duration) -> Option<u64> {
@@ -78,7 +109,7 @@
 }
 
 /// Serves the requests on a connection until it ends or, after `stop` has changed, until no request
-/// is in progress.
+/// is in progress. If none has come yet, the first one is waited for.
 pub(crate) async fn serve<F>(
     stream: TcpStream,
     shared: &Shared,
@@ -90,27 +121,34 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY was not set on a connection of a caller: {error}");
     }
-    let state = Arc::new(State::default());
-    // The HTTP library counts the time of a head from the end of the last answer, so that this
-    // bounds the time without a request too.
-    let idle_timeout = shared.settings.head_timeout;
+    let state = State::new(shared);
     let service = service_fn(|request| {
-        let (state, response) = (Arc::clone(&state), respond(request));
+        state.set_used();
+        let (state, response) = (&state, respond(request));
         async move {
             let mut response = response.await;
-            announce(&mut response, idle_timeout);
-            state.record(&response);
+            state.complete(&mut response);
             Ok::<_, Infallible>(response)
         }
     });
+    // The HTTP library counts the time of a head from the end of the last answer, so that this
+    // bounds the time without a request too.
     let mut serving = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .header_read_timeout(shared.settings.head_timeout)
         .max_buf_size(shared.settings.head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let served = tokio::select! {
-        served = &mut serving => served,
-        _ = stop.changed() => {
+        served = &mut serving => Some(served),
+        _ = stop.changed() => None,
+    };
+    let served = match served {
+        None if !state.is_used() => timeout(FIRST_REQUEST_TIME, &mut serving).await.ok(),
+        served => served,
+    };
+    let served = match served {
+        Some(served) => served,
+        None => {
             Pin::new(&mut serving).graceful_shutdown();
             (&mut serving).await
         }
--- a/crates/node/src/shell/process.rs
+++ b/crates/node/src/shell/process.rs
@@ -294,7 +294,9 @@
         self.wait_until(left, || !cut.is_empty() || shared.connections.load(Ordering::SeqCst) == 0);
         self.shared.inbox.post(Message::Member(member::Message::Leave));
         thread::sleep(LEAVE_NOTICE_TIME);
-        let unread = shared.connections.load(Ordering::SeqCst);
+        // A connection without a request has no answer that could be cut.
+        let unused = shared.unused_connections.load(Ordering::SeqCst);
+        let unread = shared.connections.load(Ordering::SeqCst).saturating_sub(unused);
         let held = shared.held_claims.load(Ordering::SeqCst);
         let cut = cut.len().max(unread).max(held);
         self.shut_down();
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -118,6 +118,8 @@
     pub(crate) held_claims: AtomicUsize,
     /// Number of open connections from callers.
     pub(crate) connections: AtomicUsize,
+    /// Number of open connections from callers on which no request has come yet.
+    pub(crate) unused_connections: AtomicUsize,
 }
 
 fn read<T: Clone>(lock: &RwLock<T>) -> T {
@@ -145,6 +147,7 @@
             in_flight: Mutex::default(),
             held_claims: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            unused_connections: AtomicUsize::new(0),
         }
     }
 
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -5,11 +5,13 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::thread::sleep;
+use std::sync::atomic::Ordering;
+use std::thread::{self, JoinHandle, sleep};
 use std::time::Duration;
 
-use common::{Bench, Scripted, WAIT_LIMIT, engine};
+use common::{Bench, Scripted, WAIT_LIMIT, engine, wait_for};
 use node::settings::Arguments;
+use node::shell::Process;
 use yare::parameterized;
 
 /// Time within which an answer that needs no target is there.
@@ -212,3 +214,90 @@
     let answer = caller.read_answer().expect("an answer");
     assert_eq!((answer.status, answer.header("keep-alive")), (status, "timeout=24"));
 }
+
+/// Begins the stop of a node, and waits until it is not ready.
+fn begin_stop(node: Process) -> JoinHandle<usize> {
+    let url = format!("http://{}/readyz", node.ports().operators);
+    let stopping = thread::spawn(move || node.stop());
+    wait_for("unreadiness", || {
+        common::agent().get(&url).call().is_ok_and(|answer| answer.status().as_u16() == 503)
+    });
+    stopping
+}
+
+// Guards against answers after the begin of a stop that do not say that the connection will be
+// closed, so that the caller sends its next request on it.
+#[test]
+fn answers_after_the_begin_of_a_stop_are_the_last_ones() {
+    let (bench, _target) = bench(|text| text.stop_lag_ms = "1500".to_owned());
+    let Bench { platform: _platform, node } = bench;
+    let mut caller = Caller::open(node.ports().callers);
+    let answer = caller.exchange().expect("an answer");
+    assert!(answer.status == 200 && !answer.is_last(), "{answer:?}");
+    let stopping = begin_stop(node);
+    let answer = caller.exchange().expect("an answer");
+    assert!(answer.status == 200 && answer.is_last(), "{answer:?}");
+    assert!(caller.is_at_end());
+    assert_eq!(stopping.join().expect("stop"), 0);
+}
+
+/// When the connection on which a request crosses a stop was opened.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Opened {
+    /// Before the stop; the request comes after its begin.
+    Before,
+    /// Before the stop; the second half of the head comes after its begin.
+    WithinHead,
+}
+
+// Guards against a stop that closes a connection that was accepted before, and whose first request
+// is on its way, without an answer.
+#[parameterized(
+    no_byte = { Opened::Before },
+    half_a_head = { Opened::WithinHead },
+)]
+fn first_request_that_crosses_a_stop_is_refused(opened: Opened) {
+    let (bench, target) = bench(|_| {});
+    let Bench { platform: _platform, node } = bench;
+    let mut caller = Caller::open(node.ports().callers);
+    let request = format!(
+        "{CHAT} HTTP/1.1\r\nhost: x\r\n{ORGANISATION}content-length: {}\r\n\r\n{BODY}",
+        BODY.len()
+    );
+    let (begin, rest) = request.split_at(if opened == Opened::WithinHead { 20 } else { 0 });
+    caller.send(begin.as_bytes()).expect("it is sent");
+    // The node has accepted the connection.
+    sleep(REFUSAL_TIME);
+    let callers = node.ports().callers;
+    let stopping = thread::spawn(move || node.stop());
+    wait_for("the end of the port", || TcpStream::connect(callers).is_err());
+    caller.send(rest.as_bytes()).expect("it is sent");
+    let answer = caller.read_answer().expect("an answer");
+    assert_eq!(answer.header("magnolia-run"), "not-run", "{answer:?}");
+    assert!(answer.status == 503 && answer.is_last(), "{answer:?}");
+    assert!(caller.is_at_end());
+    assert_eq!(stopping.join().expect("stop"), 0);
+    assert!(target.calls("/v1").is_empty());
+}
+
+// Guards against a stop that waits for connections that no request comes on.
+#[test]
+fn stop_ends_connections_without_a_request() {
+    let (bench, _target) = bench(|_| {});
+    let Bench { platform: _platform, node } = bench;
+    let mut caller = Caller::open(node.ports().callers);
+    sleep(REFUSAL_TIME);
+    assert_eq!(node.stop(), 0);
+    assert!(caller.is_at_end());
+}
+
+// Guards against counting connections without a request as cut by a forced stop.
+#[test]
+fn forced_stop_counts_no_connection_without_a_request() {
+    let (bench, _target) = bench(|_| {});
+    let Bench { platform: _platform, node } = bench;
+    let _caller = Caller::open(node.ports().callers);
+    sleep(REFUSAL_TIME);
+    node.force_stop().store(true, Ordering::SeqCst);
+    assert_eq!(node.stop(), 0);
+}
