Callers: the end of a connection is logged and counted with its cause

What callers and operators saw, at the node's own interface: a connection that the node ended, idle, invalid, or with a last answer, left no trace: the error of the HTTP library went to a debug line, a regular end to none.

Change: event 915 caller-connection-ended with the cause (closed by the caller, no head in time, invalid head, lost, last answer, stop), the number of requests and the library's error; a counter by cause on /metrics. An idle end and a head that does not end in time are one cause: the HTTP library does not tell them apart.

--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -86,6 +86,13 @@
     meaning: "The stored desired state of a target cannot be parsed and is ignored.",
 };
 
+/// Logged when a connection of a caller has ended.
+pub(crate) const CALLER_CONNECTION_ENDED: EventKind = EventKind {
+    number: 915,
+    name: "caller-connection-ended",
+    meaning: "A connection of a caller has ended; `cause` tells why.",
+};
+
 /// All events of this crate.
 pub const EVENTS: &[&EventKind] = &[
     &STARTED,
@@ -102,4 +109,5 @@
     &PRESET_IN_FORCE,
     &REQUEST_CUT,
     &DESIRED_MALFORMED,
+    &CALLER_CONNECTION_ENDED,
 ];
--- a/crates/node/src/shell/connection.rs
+++ b/crates/node/src/shell/connection.rs
@@ -2,9 +2,10 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use fleet::Event;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::server::conn::http1::Builder;
@@ -17,7 +18,8 @@
 use tokio::time::timeout;
 
 use super::reply::Payload;
-use super::shared::Shared;
+use super::shared::{Input, Shared};
+use crate::event;
 
 /// Header that announces for how long a connection may be used again.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -40,6 +42,8 @@
     shared: &'a Shared,
     /// Whether a request has come.
     is_used: AtomicBool,
+    /// Number of requests so far.
+    requests: AtomicUsize,
     /// Whether the last answer was said to be the last one.
     is_last: AtomicBool,
 }
@@ -47,7 +51,18 @@
 impl<'a> State<'a> {
     fn new(shared: &'a Shared) -> Self {
         shared.unused_connections.fetch_add(1, Ordering::SeqCst);
-        Self { shared, is_used: AtomicBool::new(false), is_last: AtomicBool::new(false) }
+        Self {
+            shared,
+            is_used: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            is_last: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that a request has come.
+    fn begin_request(&self) {
+        self.requests.fetch_add(1, Ordering::SeqCst);
+        self.set_used();
     }
 
     /// Records that a request has come, or that none will.
@@ -71,6 +86,31 @@
     }
 }
 
+impl State<'_> {
+    /// Returns why the connection ended, by the result of the HTTP library.
+    fn cause(&self, served: &hyper::Result<()>) -> &'static str {
+        match served {
+            Err(error) if error.is_timeout() => "no head in time",
+            Err(error) if error.is_parse() => "invalid head",
+            Err(_) => "lost",
+            Ok(()) if self.is_last.load(Ordering::Relaxed) => "last answer",
+            Ok(()) if self.shared.draining.load(Ordering::SeqCst) => "stop",
+            Ok(()) => "closed by the caller",
+        }
+    }
+
+    fn log_end(&self, served: &hyper::Result<()>) {
+        let cause = self.cause(served);
+        let error = served.as_ref().err().map(ToString::to_string).unwrap_or_default();
+        let event = Event::new(&event::CALLER_CONNECTION_ENDED)
+            .with("cause", cause)
+            .with("requests", self.requests.load(Ordering::SeqCst))
+            .with("error", error);
+        self.shared.inbox.send(Input::Log(event));
+        metrics::counter!("magnolia_caller_connections_ended", "cause" => cause).increment(1);
+    }
+}
+
 impl Drop for State<'_> {
     fn drop(&mut self) {
         self.set_used();
@@ -123,7 +163,7 @@
     }
     let state = State::new(shared);
     let service = service_fn(|request| {
-        state.set_used();
+        state.begin_request();
         let (state, response) = (&state, respond(request));
         async move {
             let mut response = response.await;
@@ -153,9 +193,7 @@
             (&mut serving).await
         }
     };
-    if let Err(error) = &served {
-        log::debug!("connection to a caller failed: {error}");
-    }
+    state.log_end(&served);
     let is_invalid = served.is_err_and(|error| error.is_parse());
     if is_invalid || state.is_last.load(Ordering::Relaxed) {
         end(serving.into_parts().io.into_inner()).await;
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -301,3 +301,39 @@
     node.force_stop().store(true, Ordering::SeqCst);
     assert_eq!(node.stop(), 0);
 }
+
+/// How a connection ends.
+#[derive(Clone, Copy)]
+enum Way {
+    Closed,
+    Idle,
+    Invalid,
+    Refused,
+}
+
+// Guards against a connection that ends without a trace of why.
+#[parameterized(
+    closed = { Way::Closed, "closed by the caller" },
+    idle = { Way::Idle, "no head in time" },
+    invalid = { Way::Invalid, "invalid head" },
+    refused = { Way::Refused, "last answer" },
+)]
+fn end_of_a_connection_is_counted_by_its_cause(way: Way, cause: &str) {
+    let (bench, _target) = bench(|text| text.head_ms = "2500".to_owned());
+    let line = format!("magnolia_caller_connections_ended{{cause=\"{cause}\"}} ");
+    let count = || {
+        let text = common::agent().get(bench.operators("/metrics")).call().expect("metrics");
+        let text = common::Answer::read(text).body;
+        let count = text.lines().find_map(|text| text.strip_prefix(&line)?.parse::<u64>().ok());
+        count.unwrap_or(0)
+    };
+    let before = count();
+    let mut caller = open(&bench);
+    match way {
+        Way::Closed => drop(caller),
+        Way::Idle => assert!(caller.is_at_end()),
+        Way::Invalid => caller.send(b"no request\r\n\r\n").expect("it is sent"),
+        Way::Refused => caller.send_head("POST /v2/chat", ORGANISATION, 100),
+    }
+    wait_for("the count", || count() > before);
+}
