Connections: one state for the stop, one decision on the last answer

Read again as a newcomer; behaviour as before. Whether a node stops follows from the time since which it does, so the flag beside that time goes. In front::handle the last answer was decided in three places with a variable that changed; it is decided once, and either Connection: close or Keep-Alive follows from it. Causes and ends are written by their names only.

Clippy of edge; kept.rs 28, grace.rs 8 and front.rs 4 cases pass.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::fmt;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -75,12 +74,6 @@
     }
 }
 
-impl fmt::Display for Cause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
 /// What is known of an open connection.
 pub(crate) struct State {
     /// Number of the connection, in the order in which they were accepted.
@@ -229,7 +222,7 @@
         match result {
             Err(error) if error.is_parse() => Cause::InvalidHead,
             Err(error) if error.is_user() || error.is_body_write_aborted() => Cause::BrokenAnswer,
-            Ok(()) | Err(_) if self.traffic.is_ended() => Cause::Caller,
+            _ if self.traffic.is_ended() => Cause::Caller,
             Err(_) => Cause::Lost,
             Ok(()) if self.is_last.get() => Cause::LastAnswer,
             Ok(()) => Cause::Unread,
@@ -270,7 +263,7 @@
             (cause, result.err().map(|error| error.to_string()))
         }
         Ended::Stopped => (Cause::Stop, None),
-        Ended::Expired(Reason::Idle) if node.stopping.get() => (Cause::Stop, None),
+        Ended::Expired(Reason::Idle) if node.is_stopping() => (Cause::Stop, None),
         Ended::Expired(Reason::Idle) => (Cause::Idle, None),
         Ended::Expired(Reason::SlowHead) => (Cause::SlowHead, None),
         Ended::Expired(Reason::SlowRest) => {
@@ -369,7 +362,7 @@
     let event = Event::new(CONNECTION_ENDED)
         .with("connection", state.number)
         .with("origin", format_args!("{origin:?}"))
-        .with("cause", cause)
+        .with("cause", cause.name())
         .with("requests", state.requests.get())
         .with("in_progress", state.in_progress.get())
         .with("error", error)
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -97,7 +97,7 @@
     origin: Origin,
 ) -> Response<Answer> {
     let id = request_id(&request);
-    let mut is_last = is_last(&request);
+    let is_last_request = is_last(&request);
     let (parts, body) = request.into_parts();
     let mut body = Upload::new(&parts, body);
     let is_head = parts.method == Method::HEAD;
@@ -110,28 +110,26 @@
         Ok((call, config)) => answer(&node, call, &config).await,
         Err(refusal) => (refuse(&node, &id, refusal), true),
     };
-    match body.into_rest(node.limits().body_bytes) {
+    let rest = body.into_rest(node.limits().body_bytes);
+    let is_last = is_last_request || matches!(rest, Rest::Unread) || node.is_stopping();
+    match rest {
         Rest::None => {}
         Rest::Body(body) => connection.leave_rest(&node, body),
-        Rest::Unread => {
-            connection.leave_unread();
-            is_last = true;
-        }
-    }
-    if is_last || node.stopping.get() {
-        is_last = true;
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        Rest::Unread => connection.leave_unread(),
     }
     connection.set_last(is_last);
+    match is_last {
+        true => {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        false => announce_time(&node, response.headers_mut()),
+    }
     if is_refused {
         receipt.record_refusal();
     }
     if is_head {
         receipt.record_whole();
     }
-    if !is_last {
-        announce_time(&node, response.headers_mut());
-    }
     response.body_mut().attach(receipt);
     response
 }
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -95,7 +95,7 @@
     store: Rc<Store>,
     leadership: Rc<Leadership>,
 ) {
-    while !node.stopping.get() {
+    while !node.is_stopping() {
         let pause = match leadership.presence.get() {
             None => register(&node, &store, &leadership).await,
             Some(lease) => match store.renew(lease).await {
@@ -128,7 +128,7 @@
     store: Rc<Store>,
     leadership: Rc<Leadership>,
 ) {
-    while !node.stopping.get() {
+    while !node.is_stopping() {
         let unable = node.contact.borrow().lost_for(node.now());
         let unable = unable.is_some_and(|lost_for| lost_for >= RESIGN_AFTER);
         if let Some(lease) = leadership.lease.get().filter(|_| unable) {
@@ -152,7 +152,7 @@
 
 /// Returns whether the store was listed and the leader key is vacant.
 fn is_vacant(node: &Node) -> bool {
-    let able = node.reaches_targets() && !node.stopping.get();
+    let able = node.reaches_targets() && !node.is_stopping();
     able && node.synced.get().is_some() && node.claim.borrow().is_vacant()
 }
 
--- a/crates/edge/src/mark.rs
+++ b/crates/edge/src/mark.rs
@@ -37,7 +37,7 @@
 /// Writes the mark while this node leads, until the process ends.
 pub(crate) async fn maintain_mark(node: Rc<Node>, store: Rc<Store>) {
     // Without the bound on withdrawn keys no node needs the mark.
-    while node.settings.bounds.strict_revoke && !node.stopping.get() {
+    while node.settings.bounds.strict_revoke && !node.is_stopping() {
         sleep(CHECK_INTERVAL).await;
         let era = node.replica.borrow().era();
         let needs_mark = node.recency.borrow().needs_mark(era, node.config_version());
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -87,8 +87,6 @@
     pub(crate) reachability: RefCell<Reachability>,
     /// Whether this node reaches its targets.
     pub(crate) contact: RefCell<Contact>,
-    /// Whether the process was asked to stop.
-    pub(crate) stopping: Cell<bool>,
     /// Time at which the process was asked to stop.
     pub(crate) stopping_since: Cell<Option<Duration>>,
     /// Whether new requests are refused because the process is about to end.
@@ -97,7 +95,7 @@
     pub(crate) ending: Notify,
     /// Notified when the process ends: the connections that are left are closed.
     pub(crate) ended: Notify,
-    /// Notified when `stopping` is set.
+    /// Notified when `stopping_since` is set.
     pub(crate) stop_requested: Notify,
     /// Notified when `closed` is set.
     pub(crate) close_requested: Notify,
@@ -148,7 +146,6 @@
             proof_received: Notify::new(),
             reachability: RefCell::default(),
             contact: RefCell::default(),
-            stopping: Cell::new(false),
             stopping_since: Cell::new(None),
             closed: Cell::new(false),
             ending: Notify::new(),
@@ -197,6 +194,11 @@
         self.config.borrow().as_ref().map_or(0, |config| config.version)
     }
 
+    /// Returns whether the process was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
+    }
+
     /// Returns the limits in force on what callers send.
     pub(crate) fn limits(&self) -> Limits {
         self.config.borrow().as_ref().map(|config| config.limits.clone()).unwrap_or_default()
@@ -263,7 +265,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         let Some(synced) = self.synced.get() else { return false };
         let is_fresh = self.now().saturating_sub(synced) < UNREADY_AFTER;
-        is_fresh && !self.stopping.get() && self.has_usable_config()
+        is_fresh && !self.is_stopping() && self.has_usable_config()
     }
 
     /// Returns whether there is a configuration that lets callers in: after a start, one with keys
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -107,7 +107,7 @@
     /// Returns whether this node issues permits, and applies it: it knows the other nodes, and goes
     /// on.
     pub(crate) fn issues_permits(&self) -> bool {
-        let issues = self.synced.get().is_some() && !self.stopping.get();
+        let issues = self.synced.get().is_some() && !self.is_stopping();
         self.permits.borrow_mut().set_issuing(issues);
         issues
     }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -203,7 +203,6 @@
 ) {
     let stop_started = Instant::now();
     log::info!("{}", Event::new(STOPPING).with("connections", node.connections.get()));
-    node.stopping.set(true);
     node.stopping_since.set(Some(node.now()));
     // The other nodes issue the permits from now on.
     node.issues_permits();
--- a/crates/edge/src/receipt.rs
+++ b/crates/edge/src/receipt.rs
@@ -1,6 +1,5 @@
 //! A request from its arrival to its end, which cannot pass without a trace.
 
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,12 +34,6 @@
     }
 }
 
-impl fmt::Display for End {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
 /// Counts a request at its arrival, and at its end by how it ended: also one that is dropped.
 pub(crate) struct Receipt {
     node: Rc<Node>,
@@ -97,7 +90,7 @@
         let event = Event::new(REQUEST_ENDED)
             .with("request", &self.id)
             .with("connection", self.connection.number)
-            .with("end", end)
+            .with("end", end.name())
             .with("ms", self.node.now().saturating_sub(self.received_at).as_millis());
         log::info!("{event}");
     }
