Review, case 1: no node leads again after the final fault (RECOVER)

A claim of the leader's key that gets no answer and is not done leaves its lease set. The node renews that lease for ever and claims no more. After one such claim at each node nobody leads, and an engine that crashes gets no layers.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# LIMIT: several nodes issue permits after registrations that the store did late.
+# CONFIG: a key is honoured after a configuration took it away.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/magnoliarun ] || exit 2
-exec target/review/standin limit review/2
+exec target/review/standin means review/2
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# BUDGET: a request that was answered before crashes engines.
+# BUDGET: a part with a long id crashes engines.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/magnoliarun ] || exit 2
-exec target/review/standin repeat review/5
+exec target/review/standin long-id review/5
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -186,6 +186,12 @@
         world.engines[index].alive && world.engines[index].starts == start
     }
 
+    /// Returns the layers that each engine holds.
+    pub fn layers(&self) -> Vec<Option<(u64, u64)>> {
+        let world = self.world.lock().unwrap();
+        world.engines.iter().map(|engine| engine.layers.filter(|_| engine.alive)).collect()
+    }
+
     /// Ends an engine without notice. It is back, empty and under another id, some time later.
     pub fn crash(&self, index: usize) {
         let (address, key, back_after) = {
--- a/review/standin/limit.rs
+++ b/review/standin/limit.rs
@@ -13,7 +13,7 @@
 use crate::http;
 use crate::node::{Node, Record, free_hosts};
 use crate::plain::Plain;
-use crate::store::Store;
+use crate::store::{Lost, Store};
 
 const NODES: u8 = 4;
 /// Number of nodes whose first registration is done late and not answered.
@@ -74,7 +74,7 @@
             let index = keys.iter().position(|hit| hit == key)?;
             let in_time = started.elapsed() < LOSS_TIME;
             keys.remove(index);
-            in_time.then_some(LATE)
+            in_time.then_some(Lost::Late(LATE))
         })));
     }
     nodes.iter_mut().for_each(Node::start);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod http;
 mod json;
+mod leader;
 mod limit;
 mod means;
 mod node;
@@ -35,6 +36,7 @@
         "parts" => parts::run(&folder, &temporary, trouble, parts::FAR_BACK),
         "long-id" => parts::run(&folder, &temporary, trouble, parts::LONG_ID),
         "usual-parts" => parts::run(&folder, &temporary, trouble, parts::USUAL),
+        "leader" => leader::run(&folder, &temporary, trouble),
         "means" => means::run(&folder, &temporary, trouble),
         "repeat" => repeat::run(&folder, &temporary, trouble),
         _ => Verdict::CouldNotRun,
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -58,7 +58,8 @@
         self.child = Some(child.expect("the program starts"));
     }
 
-    fn kill(&mut self) {
+    /// Kills the process.
+    pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().ok();
             child.wait().ok();
--- a/review/standin/parts.rs
+++ b/review/standin/parts.rs
@@ -41,7 +41,8 @@
 /// Requests with the part that may reach engines after that.
 const ALLOWED: usize = 3;
 
-pub fn config() -> String {
+/// Returns the configuration; each engine has memory of `mb`, of which a layer takes 100.
+pub fn config(mb: f64) -> String {
     format!(
         r#"{{"version":3,"routes":[{{"name":"draft","host":"desk.example","prefix":"/draft/",
 "service":"llm","kind":"streaming","resumable":true,"sticky":true,"timeout_ms":20000,
@@ -49,7 +50,7 @@
 "services":[{{"name":"llm","max_connections":1000,"engine":{{"slots":64,"kv_bytes":8000.0,
 "step_ms":1.0,"read_per_s":100000.0,"usual":{{"prompt":100,"answer":50}},"layers":{DEPTH},
 "layer_mb":100.0,"models":[{{"name":"m","load_s":0.1}}],
-"kinds":[{{"name":"card","mb":1000.0,"pace":1.0,"read_x":1.0}}]}}}}],
+"kinds":[{{"name":"card","mb":{mb:.1},"pace":1.0,"read_x":1.0}}]}}}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
 "idle_timeout_ms":15000}}}}"#
     )
@@ -99,7 +100,7 @@
     let mut record = Record::create(&folder.join("record.txt"));
     let hosts = free_hosts(NODES);
     let store = Store::start(&format!("{hosts}1"));
-    store.put("op/config", &config());
+    store.put("op/config", &config(1000.0));
     let zones = ["a", "a", "a", "b", "b", "b"];
     let engines = Engines::start(&format!("{hosts}1"), "llm", &zones, EVENTS, &store);
     let mut nodes: Vec<Node> = (0..NODES)
--- a/review/standin/repeat.rs
+++ b/review/standin/repeat.rs
@@ -33,7 +33,7 @@
     let is_new = std::env::var_os("NEW").is_some();
     let hosts = free_hosts(NODES);
     let store = Store::start(&format!("{hosts}1"));
-    store.put("op/config", &config());
+    store.put("op/config", &config(1000.0));
     let zones = ["a", "a", "a", "b", "b", "b"];
     let engines = Engines::start(&format!("{hosts}1"), "llm", &zones, EVENTS, &store);
     let mut nodes: Vec<Node> = (0..NODES)
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's metadata store: keys, revisions, leases, watches.
 //!
-//! Answers to single write calls can be lost: such a call is carried out later if its condition and
-//! its lease still hold, and its connection returns nothing further.
+//! Answers to single write calls can be lost: such a call is carried out later, if its condition and
+//! its lease still hold, or never, and its connection returns nothing further.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -24,8 +24,17 @@
     lease: u64,
 }
 
-/// Decides about a write call to a key: the delay after which it is done without an answer.
-pub type Loss = Box<dyn FnMut(&str) -> Option<Duration> + Send>;
+/// What becomes of a write call without an answer.
+#[derive(Clone, Copy, Debug)]
+pub enum Lost {
+    /// It is done after this time.
+    Late(Duration),
+    /// It is not done.
+    Undone,
+}
+
+/// Decides whether a write call to a key gets no answer.
+pub type Loss = Box<dyn FnMut(&str) -> Option<Lost> + Send>;
 
 #[derive(Default)]
 struct State {
@@ -189,18 +198,21 @@
                 let key = call.get("writes").list().first().map(|write| write.get("key").text());
                 let key = key.unwrap_or_default().to_owned();
                 let lost = state.loss.as_mut().and_then(|loss| loss(&key));
-                if let Some(delay) = lost {
+                if let Some(lost) = lost {
                     state.lost += 1;
-                    state.log.push((Instant::now(), format!("no answer to write of {key}")));
+                    let line = format!("no answer to write of {key}: {lost:?}");
+                    state.log.push((Instant::now(), line));
                     drop(state);
-                    let store = self.clone();
-                    thread::spawn(move || {
-                        sleep(delay);
-                        let mut state = store.state.lock().unwrap();
-                        let (status, _) = state.commit(&call);
-                        let line = format!("late write of {key}: {status}");
-                        state.log.push((Instant::now(), line));
-                    });
+                    if let Lost::Late(delay) = lost {
+                        let store = self.clone();
+                        thread::spawn(move || {
+                            sleep(delay);
+                            let mut state = store.state.lock().unwrap();
+                            let (status, _) = state.commit(&call);
+                            let line = format!("late write of {key}: {status}");
+                            state.log.push((Instant::now(), line));
+                        });
+                    }
                     // The connection returns nothing further.
                     sleep(Duration::from_secs(20));
                     return Err(io::ErrorKind::TimedOut.into());
