--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -23,15 +23,17 @@
     child: Option<Child>,
 }
 
-fn free(host: &str) -> SocketAddr {
-    let listener = TcpListener::bind((host, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+/// Returns addresses with free ports of a host. All are held until the last is found, so that the
+/// ports differ.
+fn free<const N: usize>(host: &str) -> [SocketAddr; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind((host, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
 impl Node {
     /// Prepares a node on free ports of a host of its own.
     pub fn new(name: &str, zone: &str, host: &str, store: SocketAddr, folder: &Path) -> Self {
-        let (front, ready, internal) = (free(host), free(host), free(host));
+        let [front, ready, internal] = free(host);
         let port = internal.port();
         let text = format!(
             "node={name}\nrole=entry\nmachine_class=front\nserves=front,control\nip={host}\n\
