--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -135,9 +135,8 @@
 /// Returns the seconds that a request takes at an engine that runs all layers.
 fn run_time(entry: &Entry, model: &Model) -> f64 {
     let Some(card) = model.card(&entry.target.card) else { return f64::INFINITY };
-    let step = model.step.as_secs_f64() * card.step_factor * f64::from(model.answer_tokens);
-    step + f64::from(model.prompt_tokens) / model.prefill_tokens_per_s.max(1.0)
-        * card.prefill_factor
+    let step = model.step.as_secs_f64() * card.step_factor * model.answer_tokens;
+    step + model.prompt_tokens / model.prefill_tokens_per_s.max(1.0) * card.prefill_factor
 }
 
 /// Returns the seconds that a new prompt waits for the queued prefill of an engine that runs all
--- a/crates/place/src/rate.rs
+++ b/crates/place/src/rate.rs
@@ -57,7 +57,7 @@
         prefill_factor += prefill * taken / depth;
         left -= taken;
     }
-    let (prompt, answer) = (f64::from(model.prompt_tokens), f64::from(model.answer_tokens));
+    let (prompt, answer) = (model.prompt_tokens, model.answer_tokens);
     let tokens = (prompt + answer).max(1.0);
     let running = (capacity / tokens).min(f64::from(model.slots));
     let context = prompt + answer / 2.0;
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -19,9 +19,9 @@
     /// Time to load all layers.
     pub load_time: Duration,
     /// Mean prompt length, tokens.
-    pub prompt_tokens: u32,
+    pub prompt_tokens: f64,
     /// Mean answer length, tokens.
-    pub answer_tokens: u32,
+    pub answer_tokens: f64,
     /// Number of requests that an engine runs at once as the first of a path.
     pub slots: u32,
     /// Time of one token step through all layers on the reference accelerator.
--- a/crates/site/src/route.rs
+++ b/crates/site/src/route.rs
@@ -30,12 +30,12 @@
 }
 
 /// A service that gets a share of the requests of a route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Backend {
     /// Name of the service.
     pub service: SmolStr,
-    /// Weight relative to the other services of the route.
-    pub weight: u32,
+    /// Weight relative to the other services of the route; 0 or more.
+    pub weight: f64,
 }
 
 /// Kind of a request: whether it may be repeated, and the form of its answer.
@@ -62,14 +62,14 @@
 impl Route {
     /// Returns the service for a request with the random number `draw`, from 0 to 1.
     pub fn backend(&self, draw: f64) -> Option<&SmolStr> {
-        let total: f64 = self.backends.iter().map(|backend| f64::from(backend.weight)).sum();
+        let total: f64 = self.backends.iter().map(|backend| backend.weight).sum();
         let mut left = draw * total;
         for backend in &self.backends {
-            left -= f64::from(backend.weight);
+            left -= backend.weight;
             if left < 0.0 {
                 return Some(&backend.service);
             }
         }
-        self.backends.iter().rfind(|backend| backend.weight > 0).map(|backend| &backend.service)
+        self.backends.iter().rfind(|backend| backend.weight > 0.0).map(|backend| &backend.service)
     }
 }
