Edge: no request is handled by the configuration before one that cannot be read

Cause: apply_config returned on an error, while record_synced went on to prove the age of the store's state. The proof is of a revision; that the configuration at that revision was never in force on the node was recorded nowhere. Change: Recency knows the version of a configuration that was not read. While there is one, the configuration in force has no age, so no key is honoured, and no request is handled by it (503 with Retry-After, before routing); the node is not ready, does not write the mark, and tells other nodes that it cannot check keys. Older unreadable documents, as in a copy of the store, change nothing. Operators see 1159, the gauge magnolia_configuration_unreadable, and the reason in each refusal. A node that starts with such a document refuses in the same way.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -48,4 +48,6 @@
     REQUEST_LIMITED = 1156, "request-limited", "The limit of a target, or of all of its service, is used up for `wait_ms`, so that the request goes `elsewhere`, is `held` until the target takes it, or is `refused`.";
     CONNECTION_ENDED = 1157, "connection-ended", "A connection of a caller or of another node ended, for this cause, after this number of requests; `error` is that of the HTTP library.";
     REQUEST_ENDED = 1158, "request-ended", "A request ended without a whole answer: its caller has `left`, or this node has `cut` it.";
+    CONFIG_UNREADABLE = 1159, "configuration-unreadable", "The operators' newest configuration cannot be read by this build. The node refuses all requests until there is one that it can read: those that the unread one allows are not known.";
+    CONFIG_READABLE = 1160, "configuration-readable", "The operators' newest configuration can be read again, and requests are handled by it.";
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,7 +12,10 @@
 use tokio::pin;
 use tokio::time::sleep;
 
-use crate::event::{CONFIGURED, HISTORY_LOST, RELAYED, STORE_BACK, TARGET_CHANGED, TARGET_GONE};
+use crate::event::{
+    CONFIG_READABLE, CONFIG_UNREADABLE, CONFIGURED, HISTORY_LOST, RELAYED, STORE_BACK,
+    TARGET_CHANGED, TARGET_GONE,
+};
 use crate::lead::Leadership;
 use crate::node::{Node, UNREADY_AFTER};
 use crate::replica::Listing;
@@ -274,7 +277,7 @@
         let Some(value) = &item.value else { return self.set_stored_version(0) };
         let config = match platform::decode_config(value) {
             Ok(config) => config,
-            Err(error) => return log_undecodable(&item.key, &error),
+            Err(error) => return self.record_unreadable(item, value, &error),
         };
         self.set_stored_version(config.version);
         let current = self.node.config_version();
@@ -295,8 +298,29 @@
         }
     }
 
+    /// Records a configuration that cannot be read.
+    fn record_unreadable(&self, item: &Item, value: &[u8], error: &platform::Error) {
+        let version = platform::config_version(value);
+        let in_force = self.node.config_version();
+        self.node.recency.borrow_mut().record_unreadable(version, in_force);
+        metrics::gauge!("magnolia_configuration_unreadable")
+            .set(f64::from(self.node.is_outdated()));
+        let event = Event::new(CONFIG_UNREADABLE)
+            .with("version", version.map_or("unknown".to_owned(), |version| version.to_string()))
+            .with("in_force", in_force)
+            .with("refuses", self.node.is_outdated())
+            .with("revision", item.position.revision())
+            .with("reason", error);
+        log::error!("{event}");
+    }
+
     fn set_stored_version(&self, version: Version) {
+        let was_outdated = self.node.is_outdated();
         self.node.recency.borrow_mut().set_stored(version);
+        if was_outdated && !self.node.is_outdated() {
+            metrics::gauge!("magnolia_configuration_unreadable").set(0.0);
+            log::warn!("{}", Event::new(CONFIG_READABLE).with("version", version));
+        }
         if self.node.version_unknown_to_store().is_some() {
             // Other nodes may know only the store's.
             self.node.alarm.notify_one();
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -252,6 +252,7 @@
 ) -> Result<(Call, Rc<Config>), Refusal> {
     let received_at = node.now();
     refuse_if_closed(node)?;
+    refuse_if_outdated(node)?;
     let config = node
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
@@ -279,6 +280,7 @@
     let body = body.read(config.limits.body_bytes, allowed).await.map_err(upload_refusal)?;
     // The body may have come late.
     refuse_if_closed(node)?;
+    refuse_if_outdated(node)?;
     let size = platform::tokens(&parts.headers);
     let statement = Statement::read(origin, &parts.headers);
     let attempts = statement.attempts.map_or(route.attempts, |left| left.min(route.attempts));
@@ -325,6 +327,14 @@
     }
 }
 
+/// Refuses a request that only the configuration before the newest one could decide on.
+fn refuse_if_outdated(node: &Node) -> Result<(), Refusal> {
+    match node.is_outdated() {
+        true => Err(Refusal::RetryLater("configuration unreadable", node.key_check_retry_after())),
+        false => Ok(()),
+    }
+}
+
 fn find_route<'a>(config: &'a Config, parts: &Parts) -> Option<&'a Route> {
     let host = parts.uri.host().map(str::to_owned).or_else(|| {
         let value = parts.headers.get(HOST)?.to_str().ok()?;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -265,7 +265,12 @@
     pub(crate) fn is_ready(&self) -> bool {
         let Some(synced) = self.synced.get() else { return false };
         let is_fresh = self.now().saturating_sub(synced) < UNREADY_AFTER;
-        is_fresh && !self.is_stopping() && self.has_usable_config()
+        is_fresh && !self.is_stopping() && !self.is_outdated() && self.has_usable_config()
+    }
+
+    /// Returns whether the operators' newest configuration cannot be read here.
+    pub(crate) fn is_outdated(&self) -> bool {
+        self.recency.borrow().is_outdated()
     }
 
     /// Returns whether there is a configuration that lets callers in: after a start, one with keys
--- a/crates/edge/src/recency.rs
+++ b/crates/edge/src/recency.rs
@@ -24,6 +24,9 @@
     stored: Version,
     /// Era that the store's mark states as settled.
     marked: Option<Era>,
+    /// Version of a configuration that this node cannot read, and that is newer than the one in force;
+    /// 0 if the version cannot be read either.
+    unread: Option<Version>,
     /// Newest version that another node has stated, and the time until which this counts.
     stated: Option<(Version, Duration)>,
 }
@@ -35,9 +38,30 @@
         self.settled_at = now + REWRITE_TIME;
     }
 
-    /// Records the version of the configuration that the store holds.
+    /// Records the version of the readable configuration that the store holds.
     pub fn set_stored(&mut self, stored: Version) {
         self.stored = stored;
+        self.unread = self.unread.filter(|unread| stored < *unread);
+    }
+
+    /// Records that the store holds a configuration that this node cannot read, of this version if
+    /// that can be read. The version `in_force` and earlier ones are those of a copy of the store.
+    pub fn record_unreadable(&mut self, version: Option<Version>, in_force: Version) {
+        match version {
+            Some(version) => {
+                self.stored = version;
+                if version > in_force {
+                    self.unread = self.unread.max(Some(version));
+                }
+            }
+            None => self.unread = self.unread.max(Some(0)),
+        }
+    }
+
+    /// Returns whether the operators' newest configuration is one that this node cannot read, so that
+    /// it must not handle requests by the one before.
+    pub fn is_outdated(&self) -> bool {
+        self.unread.is_some()
     }
 
     /// Records that the operators have written the configuration in force in the present era, `at`
@@ -72,10 +96,11 @@
     }
 
     /// Returns the age of the proof that the configuration in force, of this version, is the newest;
-    /// `None` if there is none, or if another node has a newer one.
+    /// `None` if there is none, or if there is a newer one that another node has or that cannot be
+    /// read.
     pub fn age(&self, now: Duration, version: Version) -> Option<Duration> {
         let is_newer = |(stated, until): (Version, Duration)| stated > version && now < until;
-        if self.stated.is_some_and(is_newer) {
+        if self.is_outdated() || self.stated.is_some_and(is_newer) {
             return None;
         }
         self.known_until.map(|at| now.saturating_sub(at))
@@ -96,6 +121,7 @@
     /// needs none.
     pub fn needs_mark(&self, era: Era, version: Version) -> bool {
         let is_settled = self.known_until.is_some_and(|at| at >= self.settled_at);
-        era > 0 && is_settled && self.marked != Some(era) && !self.is_stored_older(version)
+        let is_newest = is_settled && !self.is_outdated();
+        era > 0 && is_newest && self.marked != Some(era) && !self.is_stored_older(version)
     }
 }
