Parts of prompts: no part is left out, whatever its place

Cause: call::shared_parts read sixteen entries of the list and took the last one of these for the request's own. No evidence was kept for the parts beyond, so no node and no entry of the store ever named them. Related limits on the way of a part, each of which dropped parts without a word: - Subject::parts counted breadths in a byte: parts before the last 255 were no subjects. - A Suspicion with more than about 110 parts did not fit into a datagram and was not sent at all. It now names the last 96; a new message, FurtherParts, the others with their place, which refuses by its number and counts. - 512 queued items of evidence (now 4,096, four datagrams at a time), 4,096 remembered parts that have run (32,768). - At 65,536 records new evidence was ignored, so that harmless parts of long prompts could hide a crashing one: the records with the oldest losses now make room. - A list in several fields counted its first field only; an empty entry at the end made the request's own part a shared one. Log lines name the last 16 parts of a prompt and the number of the others. Why it works: the parts of a request are all entries but the last, and no step from there to the decision has a limit on their number but the head's, max_header_bytes. All pass. suspect tests/parts.rs and platform tests/decode.rs have cases without a node.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -21,8 +21,8 @@
 use crate::forward::{Origin, remove_internal};
 use crate::used::Used;
 
-/// Maximum parts of a prompt that are considered; further ones are ignored.
-const MAX_PARTS: usize = 16;
+/// Maximum parts of a prompt that a log line lists: the narrowest ones.
+const MAX_LISTED_PARTS: usize = 16;
 
 /// Headers that apply to a single connection.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
@@ -92,9 +92,13 @@
         Event::new(kind).with("request", &self.id).with("fingerprint", hex(self.fingerprint))
     }
 
-    /// Returns the shared parts of the prompt as they appear in log lines.
+    /// Returns the shared parts of the prompt as they appear in log lines: the last ones, after the
+    /// number of those that are not listed.
     pub(crate) fn listed_parts(&self) -> String {
-        self.parts.iter().map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+        let hidden = self.parts.len().saturating_sub(MAX_LISTED_PARTS);
+        let hidden_count = (hidden > 0).then(|| format!("{hidden} more"));
+        let listed = self.parts[hidden..].iter().map(|part| format!("{:x}", part.id));
+        hidden_count.into_iter().chain(listed).collect::<Vec<_>>().join(",")
     }
 
     /// Returns the fingerprints of the shared parts of the prompt.
@@ -141,13 +145,10 @@
     }
 }
 
-/// Returns the parts of the prompt that other requests may share. The last part belongs to the
-/// request or to its session.
+/// Returns the parts of the prompt that other requests may share.
 pub(crate) fn shared_parts(headers: &HeaderMap, service: &str) -> Vec<Part> {
-    let mut ids = platform::prompt_parts(headers, MAX_PARTS);
-    ids.pop();
     let part = |id| Part { id, fingerprint: suspect::part_fingerprint(service, id) };
-    ids.into_iter().map(part).collect()
+    platform::shared_parts(headers).map(part).collect()
 }
 
 /// Formats a fingerprint as it appears in logs and store keys.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -69,7 +69,7 @@
 pub use claim::Claim;
 pub use contact::Contact;
 pub use event::EVENTS;
-pub use evidence::{Evidence, Finding, Suspicion};
+pub use evidence::{Evidence, Finding, FurtherParts, Suspicion};
 pub use expiry::{Expiry, Reason, announced_time};
 pub use forward::{Origin, Statement, remove_internal};
 pub use lines::line_format;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use site::TargetKey;
 
-use crate::evidence::Evidence;
+use crate::evidence::{Evidence, FurtherParts};
 use crate::loan::Loan;
 use crate::relay::Freshness;
 
@@ -40,6 +40,9 @@
     PermitAnswer(permit::Answer),
     /// Tells of the limit of a target.
     Limit(permit::Limit),
+    /// Parts of a prompt for which evidence has no room. Builds up to e9c3740 do not know it, and
+    /// consider only the first sixteen parts of a prompt.
+    FurtherParts(FurtherParts),
 }
 
 /// One node's view of itself and the targets. New fields are added at the end.
@@ -80,7 +83,7 @@
 }
 
 /// All variants, in order.
-const KINDS: [Kind; 10] = [
+const KINDS: [Kind; 11] = [
     Kind { name: "view", appended_bytes: 2 },
     Kind::new("loan-request"),
     Kind::new("loan-grant"),
@@ -91,6 +94,7 @@
     Kind::new("permit-request"),
     Kind::new("permit-answer"),
     Kind::new("limit"),
+    Kind::new("further-parts"),
 ];
 
 /// Why a message cannot be read.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -36,6 +36,9 @@
 /// Maximum number of draining or paused targets in one message.
 const MAX_DECLINING: usize = 8;
 
+/// Maximum number of messages of each kind with evidence that are sent together.
+const MAX_EVIDENCE_MESSAGES: usize = 4;
+
 /// Returns the interval between views sent to one peer.
 pub(crate) fn interval(peers: usize) -> Duration {
     MIN_INTERVAL.max(MESSAGE_SPACING * peers as u32)
@@ -60,9 +63,11 @@
         if let Some(version) = node.version_unknown_to_store() {
             send_to_all(&socket, &Message::ConfigVersion(version), &peers);
         }
-        let evidence = node.quarantine.outbox.borrow_mut().take_batch();
-        if !evidence.is_empty() {
-            send_to_all(&socket, &Message::Evidence(evidence), &peers);
+        let mut outbox = node.quarantine.outbox.borrow_mut();
+        let batches = outbox.take_batches(MAX_EVIDENCE_MESSAGES).into_iter().map(Message::Evidence);
+        let further = outbox.take_further(MAX_EVIDENCE_MESSAGES).into_iter();
+        for message in batches.chain(further.map(Message::FurtherParts)) {
+            send_to_all(&socket, &message, &peers);
         }
     }
 }
@@ -149,6 +154,7 @@
             Ok(Message::Evidence(evidence)) => {
                 evidence.into_iter().for_each(|evidence| node.apply_evidence(evidence))
             }
+            Ok(Message::FurtherParts(further)) => node.apply_further_parts(further),
             Err(unreadable) => refuse(&mut refusals, from, &unreadable),
         }
     }
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -27,7 +27,7 @@
     REFUSED, REQUEST_CLEARED, REQUEST_HELD, REQUEST_ISOLATED, REQUEST_QUARANTINED,
     REQUEST_SUSPECTED,
 };
-use crate::evidence::{Evidence, Finding, Outbox, Suspicion};
+use crate::evidence::{Evidence, Finding, FurtherParts, Outbox, Suspicion};
 use crate::node::Node;
 use crate::persistence::{Change, Entries};
 
@@ -125,6 +125,8 @@
     request: Fingerprint,
     /// Fingerprints of the shared parts of its prompt, in the order of the prompt.
     parts: &'a [Fingerprint],
+    /// Number of further shared parts that follow them.
+    narrower: u32,
     /// Whether no part of an answer had arrived.
     fresh: bool,
 }
@@ -175,7 +177,7 @@
         };
         match lost {
             Some(target) => {
-                let load = Load { request: call.fingerprint, parts: &parts, fresh };
+                let load = Load { request: call.fingerprint, parts: &parts, narrower: 0, fresh };
                 self.record_loss(&load, Source::Observed(&target));
             }
             None => {
@@ -201,6 +203,7 @@
             let load = Load {
                 request: interruption.fingerprint,
                 parts: &interruption.parts,
+                narrower: 0,
                 fresh: interruption.before_output,
             };
             self.record_loss(&load, Source::Observed(target));
@@ -251,9 +254,8 @@
         // A loss after part of an answer is weak evidence against the request itself and is not
         // sent to other nodes for it.
         if is_new && own && (load.fresh || !load.parts.is_empty()) {
-            let parts = load.parts.to_vec();
-            let finding = Finding::Suspected(Suspicion { target, parts, fresh: load.fresh });
-            self.queue_evidence(Evidence { fingerprint: load.request, finding });
+            let suspicion = Suspicion { target, parts: load.parts.to_vec(), fresh: load.fresh };
+            self.quarantine.outbox.borrow_mut().push_suspicion(load.request, suspicion);
             self.alarm.notify_one();
         }
     }
@@ -275,7 +277,7 @@
             suspected.push(Subject::request(load.request));
         }
         let request = (!is_answered).then_some(load.request);
-        for subject in Subject::parts(request, load.parts, &passes) {
+        for subject in Subject::parts(request, load.parts, load.narrower, &passes) {
             let fingerprint = subject.fingerprint;
             if let Some(last) = passes.last(fingerprint).filter(|_| !own) {
                 let finding = Finding::Passed(now.saturating_sub(last));
@@ -539,10 +541,20 @@
             }
         };
         let Suspicion { target, parts, fresh } = suspicion;
+        let load = Load { request: fingerprint, parts: &parts, narrower: 0, fresh };
+        self.record_reported_loss(&load, target);
+    }
+
+    /// Applies the rest of another node's evidence on a request with many parts.
+    pub(crate) fn apply_further_parts(&self, further: FurtherParts) {
+        let FurtherParts { request, target, parts, narrower, fresh } = further;
+        self.record_reported_loss(&Load { request, parts: &parts, narrower, fresh }, target);
+    }
+
+    fn record_reported_loss(&self, load: &Load<'_>, target: TargetName) {
         let id = target.rsplit_once('/').map_or(target.as_str(), |(id, _)| id);
         let domain = self.table.borrow().entry(id).map(|entry| entry.target.domain.clone());
-        let load = Load { request: fingerprint, parts: &parts, fresh };
-        self.record_loss(&load, Source::Reported(domain, target));
+        self.record_loss(load, Source::Reported(domain, target));
     }
 
     /// Applies another node's decision to quarantine a request or a part for the loss of a target.
--- a/crates/edge/tests/layouts.rs
+++ b/crates/edge/tests/layouts.rs
@@ -7,7 +7,9 @@
 
 use edge::message::{Message, Refusals, Unreadable, View, decode, encode};
 use edge::stored::{self, Quarantine};
-use edge::{Evidence, Finding, Freshness, Loan, Origin, Statement, Suspicion, remove_internal};
+use edge::{
+    Evidence, Finding, Freshness, FurtherParts, Loan, Origin, Statement, Suspicion, remove_internal,
+};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use limit::permit::{self, Class, Verdict, Word};
 use platform::kv::Position;
@@ -92,6 +94,11 @@
     permit::Answer { target: some_target(), number: 300, verdict, word: some_word() }
 }
 
+fn some_further_parts() -> FurtherParts {
+    let parts = vec![u64::MAX, 1];
+    FurtherParts { request: 300, target: "i-1/17".into(), parts, narrower: 96, fresh: true }
+}
+
 // Guards against a change of the layout of a message that later builds than c2cc6f3 send.
 #[parameterized(
     config_version = { Encoded { message: Message::ConfigVersion(300), hex: "06ac02" } },
@@ -100,6 +107,7 @@
     permit_denied = { Encoded { message: Message::PermitAnswer(some_answer(Verdict::Denied(600))), hex: "08000a01401a9442ac0201d80401a0f49f08ac02f0a204" } },
     permit_unlimited = { Encoded { message: Message::PermitAnswer(some_answer(Verdict::Unlimited)), hex: "08000a01401a9442ac020201a0f49f08ac02f0a204" } },
     not_issuer = { Encoded { message: Message::PermitAnswer(some_answer(Verdict::NotIssuer)), hex: "08000a01401a9442ac020301a0f49f08ac02f0a204" } },
+    further_parts = { Encoded { message: Message::FurtherParts(some_further_parts()), hex: "0aac0206692d312f313702ffffffffffffffffff01016001" } },
     limit = { Encoded { message: Message::Limit(permit::Limit { target: some_target(), word: some_word() }), hex: "09000a01401a944201a0f49f08ac02f0a204" } },
 )]
 fn later_messages_keep_their_layout(case: Encoded) {
--- a/crates/suspect/src/passes.rs
+++ b/crates/suspect/src/passes.rs
@@ -10,7 +10,7 @@
 /// crash targets is suspected once this has passed.
 const VALIDITY: Duration = Duration::from_secs(2);
 /// Maximum parts in one generation.
-const MAX_PARTS: usize = 4096;
+const MAX_PARTS: usize = 32_768;
 
 /// Time of the latest run with each part. Keeps the last generation of parts and the one before.
 #[derive(Clone, Debug, Default)]
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -19,7 +19,7 @@
 pub(crate) struct Record {
     pub(crate) evidence: Vec<Evidence>,
     /// How widely the fingerprint is shared; 0 for a request.
-    pub(crate) breadth: u8,
+    pub(crate) breadth: u32,
     /// Whether requests with this part have run before.
     pub(crate) has_run: bool,
     /// Whether there is evidence that no decision has considered.
--- a/crates/suspect/src/subject.rs
+++ b/crates/suspect/src/subject.rs
@@ -12,7 +12,7 @@
     pub request: Option<Fingerprint>,
     /// How widely it is shared: 0 for the request itself, 1 for the last shared part of the prompt,
     /// and one more for each part before it.
-    pub breadth: u8,
+    pub breadth: u32,
     /// Whether a request with this part is known to have run before.
     pub has_run: bool,
 }
@@ -23,14 +23,16 @@
         Self { fingerprint, request: Some(fingerprint), breadth: 0, has_run: false }
     }
 
-    /// Returns the subjects of the shared parts of a request's prompt, which are in the order of the
-    /// prompt. `request` is `None` for a request that was answered recently.
+    /// Returns the subjects of shared parts of a request's prompt, which are in the order of the
+    /// prompt and precede `narrower` other shared parts. `request` is `None` for a request that was
+    /// answered recently.
     pub fn parts(
         request: Option<Fingerprint>,
         parts: &[Fingerprint],
+        narrower: u32,
         passes: &Passes,
     ) -> impl Iterator<Item = Self> {
-        let breadths = 1..=u8::MAX;
+        let breadths = narrower.saturating_add(1)..=u32::MAX;
         let narrowest_first = parts.iter().rev().zip(breadths);
         narrowest_first.map(move |(&fingerprint, breadth)| {
             let has_run = passes.last(fingerprint).is_some();
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -40,8 +40,10 @@
 const MAX_LOSSES: usize = 4096;
 /// Time after a supposed loss from which progress of an earlier stream disproves it.
 const PROGRESS_MARGIN: Duration = Duration::from_millis(50);
-/// Maximum records kept.
+/// Maximum records kept, besides those of quarantines.
 const MAX_RECORDS: usize = 65_536;
+/// Number of records that are dropped together.
+const DROPPED_RECORDS: usize = MAX_RECORDS / 4;
 
 /// Status of a fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -186,7 +188,7 @@
         }
         let Subject { fingerprint, request, breadth, has_run } = subject;
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
-            return false;
+            self.drop_oldest();
         }
         let until = loss.at + settings.suspect_ttl;
         let record = self.records.entry(fingerprint).or_default();
@@ -202,6 +204,19 @@
         !known
     }
 
+    /// Drops a share of the records, those with the oldest losses, to make room for others. What
+    /// crashes targets is lost to again and stays. Quarantines stay in force.
+    fn drop_oldest(&mut self) {
+        let last_loss = |record: &Record| record.evidence.iter().map(|one| one.loss.at).max();
+        let suspects = self.records.iter().filter(|(_, record)| record.quarantined_until.is_none());
+        let mut ages: Vec<(Option<Duration>, Fingerprint)> =
+            suspects.map(|(&fingerprint, record)| (last_loss(record), fingerprint)).collect();
+        ages.sort_unstable();
+        for (_, fingerprint) in &ages[..ages.len().min(DROPPED_RECORDS)] {
+            self.records.remove(fingerprint);
+        }
+    }
+
     /// Drops the evidence against a fingerprint. Returns whether there was any.
     pub fn clear_evidence(&mut self, fingerprint: Fingerprint) -> bool {
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -91,7 +91,7 @@
         }
         let loss = record_loss(&mut suspects, format!("t{number}"), now, &settings);
         for &(request, parts) in lost.under {
-            let subjects = Subject::parts(Some(request), parts, &passes);
+            let subjects = Subject::parts(Some(request), parts, 0, &passes);
             for subject in subjects.chain([Subject::request(request)]) {
                 suspects.add_evidence(subject, loss.clone(), lost.before_output, &settings);
             }
@@ -139,7 +139,7 @@
     let mut now = STEP;
     for target in lost {
         let loss = record_loss(&mut suspects, (*target).to_owned(), now, &settings);
-        for subject in Subject::parts(request, &[FIRST, CRASHING], &passes) {
+        for subject in Subject::parts(request, &[FIRST, CRASHING], 0, &passes) {
             suspects.add_evidence(subject, loss.clone(), true, &settings);
         }
         now += STEP;
@@ -156,7 +156,7 @@
     let (mut suspects, passes) = (Suspects::default(), Passes::default());
     for (number, request) in [1, 2].into_iter().enumerate() {
         let loss = record_loss(&mut suspects, format!("t{number}"), STEP, &settings);
-        for subject in Subject::parts(Some(request), &[CRASHING], &passes) {
+        for subject in Subject::parts(Some(request), &[CRASHING], 0, &passes) {
             suspects.add_evidence(subject, loss.clone(), true, &settings);
         }
     }
@@ -190,3 +190,64 @@
     trials.remove(CRASHING);
     assert!(!trials.take_permission(CRASHING));
 }
+
+/// Number of parts of a prompt that a head of 16 KB can name, and more than a byte counts.
+const MANY: u64 = 1_300;
+
+// Guards against a part that is never quarantined, because its prompt has too many narrower ones.
+#[parameterized(
+    first = { 0 },
+    middle = { MANY / 2 },
+    last = { MANY - 1 },
+)]
+fn part_at_any_place_is_quarantined(place: u64) {
+    let settings = Settings::default();
+    let (mut suspects, passes) = (Suspects::default(), Passes::default());
+    let crashing = 10_000 + place;
+    let shared = |harmless: u64| -> Vec<Fingerprint> {
+        let part = |index| if index == place { crashing } else { harmless + index };
+        (0..MANY).map(part).collect()
+    };
+    let mut now = STEP;
+    for request in 1..=2 {
+        let loss = record_loss(&mut suspects, format!("t{request}"), now, &settings);
+        for subject in Subject::parts(Some(request), &shared(request * 100_000), 0, &passes) {
+            suspects.add_evidence(subject, loss.clone(), true, &settings);
+        }
+        now += STEP;
+        for due in suspects.take_due_decisions(now, &settings) {
+            suspects.decide(due, now, &settings);
+        }
+    }
+    assert!(matches!(suspects.status(crashing, now, &settings), Status::Quarantined(_)));
+}
+
+/// Number of requests whose losses fill the records.
+const FILLING: u64 = 60;
+
+// Guards against evidence that is ignored because there are records of many harmless parts.
+#[test]
+fn part_is_quarantined_beside_very_many_others() {
+    let settings = Settings::default();
+    let (mut suspects, passes) = (Suspects::default(), Passes::default());
+    let mut now = STEP;
+    for request in 1..=FILLING {
+        let loss = record_loss(&mut suspects, format!("t{request}"), now, &settings);
+        let parts: Vec<Fingerprint> = (0..MANY).map(|index| request * 100_000 + index).collect();
+        for subject in Subject::parts(Some(request), &parts, 0, &passes) {
+            suspects.add_evidence(subject, loss.clone(), true, &settings);
+        }
+        now += STEP;
+    }
+    for request in [FILLING + 1, FILLING + 2] {
+        let loss = record_loss(&mut suspects, format!("t{request}"), now, &settings);
+        for subject in Subject::parts(Some(request), &[CRASHING], 0, &passes) {
+            suspects.add_evidence(subject, loss.clone(), true, &settings);
+        }
+        now += STEP;
+    }
+    for due in suspects.take_due_decisions(now, &settings) {
+        suspects.decide(due, now, &settings);
+    }
+    assert!(matches!(suspects.status(CRASHING, now, &settings), Status::Quarantined(_)));
+}
