Parts of prompts: an id of any length is one

Cause: an id was a number of 64 bits, and an entry whose id did not fit failed to parse and was left out without a word, so that no evidence was kept for it. Its fingerprint has a field more, so that no text counts as a number. A request keeps the fingerprints only; log lines list the ids from its head. Why it works: no id is left out, and two ids that differ in any place are two parts. Fingerprints are hashes of 64 bits without a key, as before.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -37,21 +37,15 @@
     EXPECT,
 ];
 
-/// A part of a prompt that other requests may share.
-pub(crate) struct Part {
-    pub(crate) id: PartId,
-    /// Identifies the part together with the service that runs it.
-    pub(crate) fingerprint: Fingerprint,
-}
-
 /// A request with its route, service and limits.
 pub(crate) struct Call {
     /// Id of this attempt, given by the caller.
     pub(crate) id: SmolStr,
     /// Fingerprint of the request, equal for all attempts at it.
     pub(crate) fingerprint: Fingerprint,
-    /// Parts of the prompt that other requests may share: all but the last one.
-    pub(crate) parts: Vec<Part>,
+    /// Fingerprints of the parts of the prompt that other requests may share, all but the last one,
+    /// together with the service that runs them.
+    pub(crate) parts: Vec<Fingerprint>,
     /// Whether the request has run past the point at which requests crash targets.
     pub(crate) has_run: Cell<bool>,
     pub(crate) method: Method,
@@ -97,15 +91,10 @@
     pub(crate) fn listed_parts(&self) -> String {
         let hidden = self.parts.len().saturating_sub(MAX_LISTED_PARTS);
         let hidden_count = (hidden > 0).then(|| format!("{hidden} more"));
-        let listed = self.parts[hidden..].iter().map(|part| format!("{:x}", part.id));
+        let listed = platform::shared_parts(&self.headers).skip(hidden).map(|id| id.to_string());
         hidden_count.into_iter().chain(listed).collect::<Vec<_>>().join(",")
     }
 
-    /// Returns the fingerprints of the shared parts of the prompt.
-    pub(crate) fn part_fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
-        self.parts.iter().map(|part| part.fingerprint)
-    }
-
     /// Returns the request in the form in which a target receives it.
     pub(crate) fn request(
         &self,
@@ -145,10 +134,13 @@
     }
 }
 
-/// Returns the parts of the prompt that other requests may share.
-pub(crate) fn shared_parts(headers: &HeaderMap, service: &str) -> Vec<Part> {
-    let part = |id| Part { id, fingerprint: suspect::part_fingerprint(service, id) };
-    platform::shared_parts(headers).map(part).collect()
+/// Returns the fingerprints of the parts of the prompt that other requests may share.
+pub(crate) fn shared_parts(headers: &HeaderMap, service: &str) -> Vec<Fingerprint> {
+    let fingerprint = |id| match id {
+        PartId::Number(number) => suspect::part_fingerprint(service, number),
+        PartId::Text(text) => suspect::named_part_fingerprint(service, &text),
+    };
+    platform::shared_parts(headers).map(fingerprint).collect()
 }
 
 /// Formats a fingerprint as it appears in logs and store keys.
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -173,7 +173,7 @@
         };
         let parts = match call.has_run.get() {
             true => Vec::new(),
-            false => call.part_fingerprints().collect(),
+            false => call.parts.clone(),
         };
         match lost {
             Some(target) => {
@@ -315,7 +315,7 @@
             return;
         }
         let now = self.now();
-        for part in call.part_fingerprints() {
+        for &part in &call.parts {
             self.quarantine.passes.borrow_mut().record(part, now);
             self.clear(part, Finding::Passed(Duration::ZERO), true);
         }
@@ -393,7 +393,7 @@
 
     fn admission(&self, call: &Call, now: Duration) -> Admission {
         let mut quarantined = Vec::new();
-        for part in call.part_fingerprints() {
+        for &part in &call.parts {
             match self.standing(part, now) {
                 Status::Clear | Status::Suspect => {}
                 Status::Quarantined(_) => quarantined.push(part),
@@ -460,7 +460,7 @@
             }
             _ => Duration::ZERO,
         };
-        call.part_fingerprints().map(left).fold(left(call.fingerprint), Duration::max)
+        call.parts.iter().copied().map(left).fold(left(call.fingerprint), Duration::max)
     }
 
     fn standing(&self, fingerprint: Fingerprint, now: Duration) -> Status {
--- a/crates/edge/tests/layouts.rs
+++ b/crates/edge/tests/layouts.rs
@@ -272,6 +272,11 @@
     assert_eq!(suspect::fingerprint("o1", "/text/x?y=1", b"body"), 0xa83e_1fdc_9e28_bee0);
     assert_eq!(suspect::fingerprint("", "/", b""), 0xb1ca_70a7_1131_cf9e);
     assert_eq!(suspect::part_fingerprint("model", 0x5c1e_07a2), 0x8868_5f89_cfb3_17f8);
+    // Builds up to e9c3740 know no parts with such ids.
+    assert_eq!(
+        suspect::named_part_fingerprint("model", b"5f2b7c019d3e4a688b10f7c2e6a95d34"),
+        0x33f4_5e3a_c1ab_d3b4
+    );
 }
 
 /// Returns headers with these names and values.
--- a/crates/node/tests/prompts.rs
+++ b/crates/node/tests/prompts.rs
@@ -40,6 +40,9 @@
     own: &'static str,
 }
 
+/// An id of 128 bits, and another one.
+const LONG: &str = "5f2b7c019d3e4a688b10f7c2e6a95d34";
+const LONG_OTHER: &str = "5f2b7c019d3e4a688b10f7c2e6a95d35";
 const SHORT: Prompt = Prompt { before: 1, after: 0, crashing: "d0", sound: "e0", own: "" };
 
 impl Prompt {
@@ -94,6 +97,10 @@
     last_of_two_hundred = { 132, Prompt { before: 199, ..SHORT } },
     in_the_middle_of_two_hundred = { 133, Prompt { before: 100, after: 99, ..SHORT } },
     first_of_four_hundred = { 134, Prompt { before: 0, after: 399, ..SHORT } },
+    long_id = { 136, Prompt { before: 2, after: 1, crashing: LONG, ..SHORT } },
+    long_ids_that_differ_in_the_last_digit = { 137, Prompt { crashing: LONG, sound: LONG_OTHER, ..SHORT } },
+    own_part_with_a_long_id = { 139, Prompt { own: LONG, ..SHORT } },
+    text_that_is_no_number = { 140, Prompt { crashing: "sha256-x", sound: "sha256-y", ..SHORT } },
     as_many_as_a_head_holds = { 135, Prompt { before: 900, after: 900, ..SHORT } },
 )]
 fn part_of_any_prompt_crashes_few_engines(number: u8, prompt: Prompt) {
--- a/crates/suspect/src/fingerprint.rs
+++ b/crates/suspect/src/fingerprint.rs
@@ -21,6 +21,11 @@
     hash(&[b"prompt part", service.as_bytes(), &part.to_le_bytes()])
 }
 
+/// Returns the fingerprint of a part whose id is a text, as [`part_fingerprint`] does for a number.
+pub fn named_part_fingerprint(service: &str, name: &[u8]) -> Fingerprint {
+    hash(&[b"prompt part", service.as_bytes(), b"named", name])
+}
+
 fn hash(fields: &[&[u8]]) -> Fingerprint {
     let mut hasher = SipHasher24::new();
     for field in fields {
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -17,7 +17,7 @@
 mod trials;
 
 pub use answered::Answered;
-pub use fingerprint::{Fingerprint, fingerprint, part_fingerprint};
+pub use fingerprint::{Fingerprint, fingerprint, named_part_fingerprint, part_fingerprint};
 pub use interruption::{Interruption, Interruptions};
 pub use loss::{Loss, Place};
 pub use passes::Passes;
