Edge: one bound on the bytes of all messages together

Seen (report of other operators; measured with 300 callers at once): bytes without end, in as many answers as there are requests at the targets, filled the memory of a process. A front VM of the small site has 260 MB. Cause: the bound of 4 MB held for each answer, and that of 1 MB for each event, with 32 of these in the queue of each caller; nothing bounded their sum. Bodies were kept as the pieces in which they had come, each of which keeps its read buffer. Change: edge::Memory counts what the process holds of messages, from where bytes are taken from a socket until the last copy is dropped: whole answers of targets and of other nodes, reports, partial events and large ones, until their callers have them (a quarter of limits.memory_mb); answers of the store; bodies of requests (an eighth). A message over 16 KB takes room for all of it first, for the stated length, else for the longest that is allowed, so that each that has begun can end, and the others wait. If nothing ends for 250 ms, the unfinished messages of the source that holds the most end for those of others, and the target is at fault. A request's body without room is refused at once (503, not run). Rests that are drained are no longer kept at all. Events that wait for a slow caller have 64 KB together, or are one. An event is recorded as forwarded once the queue has it, so that ending a stream while its caller is slow loses none. Operators see 1161 and magnolia_memory_full.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -6,13 +6,12 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use crate::queue::Receiver;
+use crate::receipt::Receipt;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use tokio::sync::mpsc::Receiver;
-
-use crate::receipt::Receipt;
 
 /// The body ended before the answer was complete. The caller's connection is closed in this case,
 /// so that the answer is not taken for a complete one.
@@ -32,7 +31,7 @@
     /// A complete body; `None` once it has been sent.
     Whole(Option<Bytes>),
     /// A stream of events.
-    Events(Receiver<Result<Bytes, Broken>>),
+    Events(Receiver),
 }
 
 /// Body of an answer.
@@ -49,7 +48,7 @@
     }
 
     /// Returns a stream of events.
-    pub(crate) fn events(receiver: Receiver<Result<Bytes, Broken>>) -> Self {
+    pub(crate) fn events(receiver: Receiver) -> Self {
         Self { content: Content::Events(receiver), receipt: None }
     }
 
@@ -75,7 +74,7 @@
         match &mut answer.content {
             Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Content::Events(receiver) => {
-                let next = ready!(receiver.poll_recv(context));
+                let next = ready!(receiver.poll_next(context));
                 if let (None, Some(receipt)) = (&next, &mut answer.receipt) {
                     receipt.record_whole();
                 }
--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -13,9 +13,10 @@
 use tokio::pin;
 use tokio::time::{sleep, timeout};
 
+use crate::body::{self, Room};
 use crate::event::TARGET_LOST;
 use crate::node::Node;
-use crate::pool::{Unanswered, read_body};
+use crate::pool::Unanswered;
 
 /// Maximum size of a report.
 const MAX_REPORT_BYTES: usize = 1 << 20;
@@ -61,8 +62,10 @@
             if response.status() != StatusCode::OK {
                 return Err(ProbeFailure::Timeout);
             }
-            let body = read_body(response.into_body(), MAX_REPORT_BYTES).await;
-            let body = body.ok_or(ProbeFailure::Timeout)?;
+            let holding = self.answers.begin(address);
+            let body =
+                body::read(response.into_body(), MAX_REPORT_BYTES, holding, Room::Awaited).await;
+            let body = body.map_err(|_| ProbeFailure::Timeout)?;
             self.pool.release(connection);
             platform::decode_report(&body).map_err(|_| ProbeFailure::Timeout)
         };
--- a/crates/edge/src/evaluate.rs
+++ b/crates/edge/src/evaluate.rs
@@ -8,9 +8,10 @@
 use tokio::time::timeout;
 
 use crate::attempt::{Attempt, InFlight, Outcome};
+use crate::body::{self, Room};
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::dispatch::Dispatch;
-use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered};
 use crate::reply::{is_not_run, is_signed, matches_request, passthrough};
 use crate::resumed::is_stream;
 
@@ -83,8 +84,9 @@
                 return Outcome::Failed(passthrough(status, &parts.headers, Bytes::new()));
             }
             let left = call.deadline.saturating_sub(node.now());
-            let body = timeout(left, read_body(body, MAX_ANSWER_BYTES)).await;
-            let Some(body) = body.ok().flatten() else { return Outcome::Unknown };
+            let holding = node.answers.begin(first.address);
+            let reading = body::read(body, MAX_ANSWER_BYTES, holding, Room::Awaited);
+            let Ok(Ok(body)) = timeout(left, reading).await else { return Outcome::Unknown };
             node.pool.release(connection);
             return Outcome::Failed(passthrough(status, &parts.headers, body));
         }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -13,18 +13,19 @@
 use hyper::{Request, Response, StatusCode};
 use path::Stage;
 use platform::head;
-use tokio::sync::mpsc::Sender;
 use tokio::time::{sleep_until, timeout};
 
-use crate::answer::{Answer, Broken};
+use crate::answer::Answer;
+use crate::body::{self, Room};
 use crate::call::{Call, returned_headers};
 use crate::dispatch::Dispatch;
 use crate::event::FORWARDED;
+use crate::intake::Intake;
 use crate::node::Node;
-use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered};
+use crate::queue::Sender;
 use crate::reply::{passthrough, unknown_outcome};
 use crate::segment::{Ended, Progress};
-use crate::split::Splitter;
 
 /// Number of offers without a connection after which a request is forwarded to another node.
 pub(crate) const MAX_UNSENT: u32 = 2;
@@ -208,12 +209,13 @@
     let (mut parts, body) = response.into_parts();
     remove_internal(&mut parts.headers);
     let left = call.deadline.saturating_sub(node.now());
-    match timeout(left, read_body(body, MAX_ANSWER_BYTES)).await {
-        Ok(Some(body)) => {
+    let holding = node.answers.begin(connection.address());
+    match timeout(left, body::read(body, MAX_ANSWER_BYTES, holding, Room::Awaited)).await {
+        Ok(Ok(body)) => {
             node.pool.release(connection);
             passthrough(parts.status, &parts.headers, body)
         }
-        Ok(None) | Err(_) => unknown_outcome(node, call),
+        Ok(Err(_)) | Err(_) => unknown_outcome(node, call),
     }
 }
 
@@ -244,38 +246,51 @@
 pub(crate) async fn relay_events(
     dispatch: &Dispatch,
     exchange: Exchange,
-    sender: &Sender<Result<Bytes, Broken>>,
+    sender: &Sender,
     progress: &mut Progress,
 ) -> Ended {
     let node = &dispatch.node;
     let deadline = dispatch.deadline();
     let (response, connection) = exchange.split();
     let mut body = response.into_body();
-    let mut splitter = Splitter::default();
+    let mut intake = Intake::new(node.answers.begin(connection.address()));
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = sender.closed() => return Ended::CallerGone,
             () = sleep_until(deadline) => return Ended::TimedOut,
+            () = intake.evicted() => return Ended::NoRoom,
         };
-        match frame {
-            None if splitter.is_partial() => return Ended::Cut,
+        let bytes = match frame {
+            None if intake.is_partial() => return Ended::Cut,
             None => {
                 node.pool.release(connection);
                 return Ended::Complete;
             }
             Some(Err(_)) => return Ended::Cut,
-            Some(Ok(frame)) => {
-                let Ok(bytes) = frame.into_data() else { continue };
-                splitter.push(&bytes);
-            }
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(bytes) => bytes,
+                Err(_) => continue,
+            },
+        };
+        let pushed = tokio::select! {
+            pushed = intake.push(&bytes) => pushed,
+            () = sender.closed() => return Ended::CallerGone,
+            () = sleep_until(deadline) => return Ended::TimedOut,
+        };
+        if pushed.is_err() {
+            return Ended::NoRoom;
         }
-        while let Some(event) = splitter.pop() {
-            if let Some(ended) = progress.deliver(event, node.now(), sender, deadline).await {
+        while let Some(event) = intake.pop() {
+            let ended = tokio::select! {
+                ended = progress.deliver(event, node.now(), sender, deadline) => ended,
+                () = intake.evicted() => Some(Ended::NoRoom),
+            };
+            if let Some(ended) = ended {
                 return ended;
             }
         }
-        if splitter.is_oversized() {
+        if intake.is_oversized() {
             return Ended::Cut;
         }
     }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -277,7 +277,9 @@
     let id = id.ok_or(Refusal::Status(StatusCode::BAD_REQUEST, "no request id"))?;
     let deadline = platform::deadline(&parts.headers);
     let allowed = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let body = body.read(config.limits.body_bytes, allowed).await.map_err(upload_refusal)?;
+    let holding = node.uploads.begin(node.settings.front);
+    let body = body.read(config.limits.body_bytes, allowed, holding).await;
+    let body = body.map_err(|failure| upload_refusal(node, failure))?;
     // The body may have come late.
     refuse_if_closed(node)?;
     refuse_if_outdated(node)?;
@@ -361,12 +363,15 @@
     holder.map(Some).ok_or(Refusal::Status(StatusCode::UNAUTHORIZED, "unknown key"))
 }
 
-fn upload_refusal(failure: upload::Failure) -> Refusal {
+fn upload_refusal(node: &Node, failure: upload::Failure) -> Refusal {
     match failure {
         upload::Failure::TooLarge => {
             Refusal::Status(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
         }
         upload::Failure::Cut => Refusal::Status(StatusCode::BAD_REQUEST, "body cut"),
         upload::Failure::TooSlow => Refusal::Status(StatusCode::REQUEST_TIMEOUT, "body too slow"),
+        upload::Failure::NoRoom => {
+            Refusal::RetryLater("no memory for the body", node.other_node_retry_after())
+        }
     }
 }
--- /dev/null
+++ b/crates/edge/src/memory.rs
@@ -0,0 +1,274 @@
+//! Bound on the bytes of messages that the process holds.
+//!
+//! A bound on each message is none on all of them: a faulty target sends bytes without end in as many
+//! answers as there are requests at it. So the bytes of all messages are counted together, from the
+//! place where they are taken from a socket until they have been written to another one or dropped.
+//!
+//! A message that is larger than usual takes room for all of it before more of it is read: for the
+//! length that its sender states, else for the longest that is allowed. So each message that has begun
+//! can end, and the others wait. If nothing ends for a while, the messages of the source that holds
+//! the most are ended for those of others.
+
+use std::collections::HashMap;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::Event;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::event::MEMORY_FULL;
+
+/// Size up to which a message is not counted, bytes: the usual answers, and those that refuse a
+/// request.
+pub const UNCOUNTED_BYTES: usize = 16 << 10;
+/// Share of the bound above which unfinished messages are the reason that there is no room.
+const UNFINISHED_SHARE: f64 = 0.5;
+/// Time without any room after which the messages of a source are ended.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// Number of sources above which those without messages are forgotten.
+const MAX_ACCOUNTS: usize = 4096;
+
+/// A message must end: its source fills the memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+/// Room that the unfinished messages of one source take.
+#[derive(Debug, Default)]
+struct Account {
+    unfinished: AtomicUsize,
+    /// Bytes among them of messages that had to end and have not been dropped yet.
+    ending: AtomicUsize,
+    /// Number of times that the messages of this source had to end.
+    evictions: AtomicU64,
+    evicted: Notify,
+}
+
+#[derive(Debug)]
+struct Shared {
+    max_bytes: usize,
+    held: AtomicUsize,
+    /// Notified when bytes are released.
+    released: Notify,
+    accounts: Mutex<HashMap<SocketAddr, Arc<Account>>>,
+}
+
+/// Counts the bytes of messages that the process holds, up to a bound.
+#[derive(Clone, Debug)]
+pub struct Memory(Arc<Shared>);
+
+impl Memory {
+    /// Returns a count with a bound, bytes.
+    pub fn new(max_bytes: usize) -> Self {
+        let (held, released, accounts) = Default::default();
+        Self(Arc::new(Shared { max_bytes, held, released, accounts }))
+    }
+
+    /// Returns the bytes held.
+    pub fn held(&self) -> usize {
+        self.0.held.load(Ordering::Relaxed)
+    }
+
+    /// Returns the holding of a message that this source begins to send.
+    pub fn begin(&self, source: SocketAddr) -> Holding {
+        Holding { memory: self.clone(), source, bytes: 0, entry: None }
+    }
+
+    /// Takes room for `bytes`. Returns whether there is room.
+    fn take(&self, bytes: usize) -> bool {
+        let has_room = self.held().saturating_add(bytes) <= self.0.max_bytes;
+        if has_room {
+            self.0.held.fetch_add(bytes, Ordering::Relaxed);
+        }
+        has_room
+    }
+
+    fn release(&self, bytes: usize) {
+        if bytes > 0 {
+            self.0.held.fetch_sub(bytes, Ordering::Relaxed);
+            self.0.released.notify_waiters();
+        }
+    }
+
+    fn account(&self, source: SocketAddr) -> Arc<Account> {
+        let mut accounts = self.0.accounts.lock().unwrap_or_else(PoisonError::into_inner);
+        if accounts.len() > MAX_ACCOUNTS {
+            accounts.retain(|_, account| Arc::strong_count(account) > 1);
+        }
+        accounts.entry(source).or_default().clone()
+    }
+
+    /// Ends the unfinished messages of the source that holds the most, if that is another one than
+    /// `waiting`, unfinished messages are the reason that there is no room, and none are about to end.
+    fn evict(&self, waiting: SocketAddr) {
+        let accounts = self.0.accounts.lock().unwrap_or_else(PoisonError::into_inner);
+        let unfinished = |account: &Account| account.unfinished.load(Ordering::Relaxed);
+        let total: usize = accounts.values().map(|account| unfinished(account)).sum();
+        let are_ending =
+            accounts.values().any(|account| account.ending.load(Ordering::Relaxed) > 0);
+        if are_ending || (total as f64) < self.0.max_bytes as f64 * UNFINISHED_SHARE {
+            return;
+        }
+        let most = accounts.iter().max_by_key(|(_, account)| unfinished(account));
+        let Some((source, account)) = most.filter(|(source, _)| **source != waiting) else {
+            return;
+        };
+        account.evictions.fetch_add(1, Ordering::Relaxed);
+        account.ending.store(unfinished(account), Ordering::Relaxed);
+        account.evicted.notify_waiters();
+        let event = Event::new(MEMORY_FULL)
+            .with("source", source)
+            .with("bytes", unfinished(account))
+            .with("held", self.held())
+            .with("most", self.0.max_bytes);
+        log::warn!("{event}");
+        metrics::counter!("magnolia_memory_full").increment(1);
+    }
+}
+
+/// The account of a message that is counted.
+#[derive(Debug)]
+struct Entry {
+    account: Arc<Account>,
+    /// Number of evictions when the message was first counted.
+    evictions: u64,
+}
+
+/// What one message holds while it arrives. Dropping it releases its bytes.
+#[derive(Debug)]
+pub struct Holding {
+    memory: Memory,
+    source: SocketAddr,
+    /// Bytes that are counted.
+    bytes: usize,
+    entry: Option<Entry>,
+}
+
+impl Holding {
+    /// Waits for room for a message of `bytes` in all.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message must end, because its source fills the memory.
+    pub async fn reserve(&mut self, bytes: usize) -> Result<(), Full> {
+        loop {
+            let released = self.memory.clone();
+            let released = released.0.released.notified();
+            if self.try_reserve(bytes) {
+                return Ok(());
+            }
+            tokio::select! {
+                () = released => {}
+                () = evicted(&self.entry) => return Err(Full),
+                () = sleep(PATIENCE) => self.memory.evict(self.source),
+            }
+        }
+    }
+
+    /// Takes room for a message of `bytes` in all. Returns whether there is room.
+    pub fn try_reserve(&mut self, bytes: usize) -> bool {
+        if bytes <= UNCOUNTED_BYTES || bytes <= self.bytes {
+            return true;
+        }
+        let entry = self.entry.get_or_insert_with(|| {
+            let account = self.memory.account(self.source);
+            let evictions = account.evictions.load(Ordering::Relaxed);
+            Entry { account, evictions }
+        });
+        let more = bytes - self.bytes;
+        let has_room = !entry.is_evicted() && self.memory.take(more);
+        if has_room {
+            entry.account.unfinished.fetch_add(more, Ordering::Relaxed);
+            self.bytes = bytes;
+        }
+        has_room
+    }
+
+    /// Releases what the message holds beyond `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let kept = if bytes <= UNCOUNTED_BYTES { 0 } else { bytes.min(self.bytes) };
+        drop(self.split(self.bytes - kept));
+        if kept == 0 {
+            self.entry = None;
+        }
+    }
+
+    /// Splits off bytes that have arrived whole.
+    pub fn split(&mut self, bytes: usize) -> Share {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        if let Some(entry) = &self.entry {
+            entry.account.unfinished.fetch_sub(bytes, Ordering::Relaxed);
+            if entry.is_evicted() {
+                entry.account.ending.fetch_sub(bytes, Ordering::Relaxed);
+            }
+        }
+        Share { memory: self.memory.clone(), bytes }
+    }
+
+    /// Waits until the message must end.
+    pub async fn evicted(&self) {
+        evicted(&self.entry).await;
+    }
+}
+
+impl Entry {
+    fn is_evicted(&self) -> bool {
+        self.account.evictions.load(Ordering::Relaxed) != self.evictions
+    }
+}
+
+async fn evicted(entry: &Option<Entry>) {
+    let Some(entry) = entry else { return pending().await };
+    loop {
+        let evicted = entry.account.evicted.notified();
+        if entry.is_evicted() {
+            return;
+        }
+        evicted.await;
+    }
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        drop(self.split(self.bytes));
+    }
+}
+
+/// What whole bytes hold. Dropping it releases them.
+#[derive(Debug)]
+pub struct Share {
+    memory: Memory,
+    bytes: usize,
+}
+
+impl Share {
+    /// Returns the bytes, which keep their share until the last reference to them is dropped.
+    pub fn attach(self, bytes: Bytes) -> Bytes {
+        match self.bytes {
+            0 => bytes,
+            _ => Bytes::from_owner(Attached { bytes, _share: self }),
+        }
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.memory.release(self.bytes);
+    }
+}
+
+struct Attached {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Attached {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -26,13 +26,15 @@
 use crate::expiry::announced_time;
 use crate::forward::Origin;
 use crate::loan::Loans;
+use crate::memory::Memory;
 use crate::permit::Answers;
-use crate::pool::Pool;
+use crate::pool::{MAX_ANSWER_BYTES, Pool};
 use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
 use crate::recency::Recency;
 use crate::relay::Relay;
 use crate::replica::Replica;
+use crate::store::MAX_PAGE_BYTES;
 
 /// Margin before the bound on revoked keys at which a node that cannot reach the store refuses
 /// keys: an accepted request must reach its target and start within the margin.
@@ -49,6 +51,11 @@
 /// Minimum interval between alarms about refusals: under overload many targets refuse.
 const REFUSAL_ALARM_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Part of the process's memory that answers may take.
+const ANSWERS_PART: usize = 4;
+/// Part of the process's memory that the bodies of requests may take.
+const UPLOADS_PART: usize = 8;
+
 /// State of the process.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -68,6 +75,12 @@
     /// Requests for permits that wait for answers of other nodes.
     pub(crate) permit_answers: Answers,
     pub(crate) pool: Pool,
+    /// What the process holds of answers of targets and other nodes, until callers have them.
+    pub(crate) answers: Memory,
+    /// What it holds of answers of the store.
+    pub(crate) store_answers: Memory,
+    /// What it holds of the bodies of requests, until they are answered.
+    pub(crate) uploads: Memory,
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
     pub(crate) synced: Cell<Option<Duration>>,
@@ -123,6 +136,7 @@
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let internal = SocketAddr::new(settings.front.ip(), settings.internal_ports.0);
         let permits = Permits::new(internal, settings.bounds.contact);
+        let memory = settings.memory;
         Self {
             table: RefCell::new(Table::new(settings.domain.clone())),
             settings,
@@ -136,6 +150,9 @@
             permits: RefCell::new(permits),
             permit_answers: Answers::default(),
             pool: Pool::new(clock),
+            answers: Memory::new((memory / ANSWERS_PART).max(2 * MAX_ANSWER_BYTES)),
+            store_answers: Memory::new(2 * MAX_PAGE_BYTES),
+            uploads: Memory::new((memory / UPLOADS_PART).max(2 * MAX_ANSWER_BYTES)),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
             recency: RefCell::default(),
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::body;
 use crate::clock::Clock;
 use crate::used::{ConnectionNumber, Used};
 
@@ -45,7 +46,7 @@
 /// Maximum size of the rest of an answer that is discarded.
 const MAX_DRAINED_BYTES: usize = 64 << 10;
 
-/// Maximum size of an answer that is held in memory as a whole: many are read at a time.
+/// Maximum size of an answer that is held in memory as a whole.
 pub(crate) const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -94,6 +95,13 @@
     idle_timeout: Option<Duration>,
 }
 
+impl Connection {
+    /// Returns the address of the other side.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 impl Exchange {
     /// Returns the answer, and the connection to release after the end of the answer.
     pub(crate) fn split(self) -> (Response<Incoming>, Connection) {
@@ -152,8 +160,8 @@
     /// Reads and discards the rest of an answer, then returns the connection to the pool. Closes
     /// the connection if the rest takes longer than [`DRAIN_TIMEOUT`].
     pub(crate) async fn drain(&self, body: Incoming, connection: Connection) {
-        let rest = timeout(DRAIN_TIMEOUT, read_body(body, MAX_DRAINED_BYTES)).await;
-        if rest.is_ok_and(|rest| rest.is_some()) {
+        let rest = timeout(DRAIN_TIMEOUT, body::discard(body, MAX_DRAINED_BYTES)).await;
+        if rest == Ok(true) {
             self.release(connection);
         }
     }
@@ -212,12 +220,6 @@
     Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT).checked_sub(IDLE_MARGIN)
 }
 
-/// Reads a body to its end. Returns `None` if it is truncated or larger than `max_bytes`.
-pub(crate) async fn read_body(body: Incoming, max_bytes: usize) -> Option<Bytes> {
-    let whole = Limited::new(body, max_bytes).collect().await.ok()?;
-    Some(whole.to_bytes())
-}
-
 /// Opens a connection and spawns the task that drives it.
 ///
 /// # Errors
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -2,17 +2,15 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use path::Path;
 use site::Kind;
-use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
 
-use crate::answer::Broken;
 use crate::dispatch::{Dispatch, Failure, Opened};
 use crate::event::{ANSWERED, INTERRUPTED, KEPT};
 use crate::forward;
 use crate::pool::Exchange;
+use crate::queue::Sender;
 use crate::segment::{Ended, Progress, Segment};
 
 /// First pause between attempts to find a path.
@@ -46,17 +44,12 @@
 }
 
 /// Forwards events until the stream is complete. Resumes on other paths if one is cut or stalls.
-pub(crate) async fn pump(
-    mut dispatch: Dispatch,
-    opened: Opened,
-    sender: Sender<Result<Bytes, Broken>>,
-) {
+pub(crate) async fn pump(mut dispatch: Dispatch, opened: Opened, sender: Sender) {
     let mut progress = Progress::default();
     let outcome = forward_all(&mut dispatch, opened, &sender, &mut progress).await;
     log_end(&dispatch, outcome, &progress);
     if !matches!(outcome, "complete" | "caller left") {
-        // The send fails only if the caller has disconnected, which needs no further action.
-        sender.send(Err(Broken)).await.ok();
+        sender.end_broken().await;
     }
 }
 
@@ -64,7 +57,7 @@
 async fn forward_all(
     dispatch: &mut Dispatch,
     opened: Opened,
-    sender: &Sender<Result<Bytes, Broken>>,
+    sender: &Sender,
     progress: &mut Progress,
 ) -> &'static str {
     dispatch.has_begun = true;
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -3,21 +3,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use path::{Fault, Path};
 use site::TargetKey;
-use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::answer::Broken;
 use crate::attempt::{Accepted, InFlight};
+use crate::body;
 use crate::dispatch::Dispatch;
+use crate::intake::Intake;
 use crate::node::Node;
 use crate::pool::Connection;
 use crate::quarantine::CLEARING_EVENTS;
-use crate::split::{Event, Splitter};
+use crate::queue::Sender;
+use crate::split::Event;
 use crate::watchdog::{Verdict, Watchdog};
 
 /// Counts a stream at the first engine of its path while its events are forwarded.
@@ -77,12 +77,12 @@
 
 impl Progress {
     /// Sends an event to the caller, unless the caller has it already. Returns how the stream ends
-    /// if it cannot be sent.
+    /// if it cannot be sent. Dropping the future before it is ready sends and records nothing.
     pub(crate) async fn deliver(
         &mut self,
         event: Event,
         arrived_at: Duration,
-        sender: &Sender<Result<Bytes, Broken>>,
+        sender: &Sender,
         deadline: Instant,
     ) -> Option<Ended> {
         if !event.is_comment {
@@ -92,14 +92,19 @@
             if event.id.is_some() && event.id <= self.last_event {
                 return None;
             }
-            self.resumes = false;
         }
-        self.record_event(&event, arrived_at);
         tokio::select! {
-            sent = sender.send(Ok(event.bytes)) => sent.err().map(|_| Ended::CallerGone),
+            sent = sender.send(event.bytes.clone()) => {
+                if sent.is_err() {
+                    return Some(Ended::CallerGone);
+                }
+            }
             // The caller reads too slowly to finish before the deadline.
-            () = sleep_until(deadline) => Some(Ended::TimedOut),
+            () = sleep_until(deadline) => return Some(Ended::TimedOut),
         }
+        self.resumes &= event.is_comment;
+        self.record_event(&event, arrived_at);
+        None
     }
 
     /// Starts another segment. The events of its run have to follow those forwarded so far.
@@ -143,6 +148,8 @@
     Cut,
     /// The answer contained something that is no event of this stream, which was not forwarded.
     Foreign,
+    /// The answers of this source fill the memory.
+    NoRoom,
     /// An engine of the path makes no progress. The connection stays open in case no other path
     /// accepts the stream.
     Stalled,
@@ -158,7 +165,7 @@
             Ended::Complete => Some("complete"),
             Ended::CallerGone => Some("caller left"),
             Ended::TimedOut => Some("timed out"),
-            Ended::Cut | Ended::Foreign | Ended::Stalled => None,
+            Ended::Cut | Ended::Foreign | Ended::NoRoom | Ended::Stalled => None,
         }
     }
 }
@@ -168,7 +175,7 @@
     body: Incoming,
     connection: Option<Connection>,
     in_flight: InFlight,
-    splitter: Splitter,
+    intake: Box<Intake>,
     watchdog: Watchdog,
     stream_guard: StreamGuard,
     /// Number of events that were forwarded before this segment.
@@ -181,12 +188,13 @@
     /// Returns the segment of an answer whose head has arrived, after `events_before` events.
     pub(crate) fn new(node: &Rc<Node>, accepted: Accepted, events_before: u64) -> Self {
         let Accepted { response, connection, in_flight } = accepted;
+        let holding = node.answers.begin(in_flight.path.first().address);
         Self {
             body: response.into_body(),
             connection: Some(connection),
             stream_guard: StreamGuard::register(node, &in_flight.path.first().target),
             in_flight,
-            splitter: Splitter::default(),
+            intake: Box::new(Intake::new(holding)),
             watchdog: Watchdog::new(node.now()),
             events_before,
             interruption_recorded: false,
@@ -211,6 +219,13 @@
         }
     }
 
+    /// Records that the first engine of the path fills the memory with its answers.
+    fn end_without_room(&self, node: &Node) -> Ended {
+        let first = self.in_flight.path.first().address;
+        node.record_fault(first, Fault::Failed, body::Failure::NoRoom.reason());
+        Ended::NoRoom
+    }
+
     /// Postpones giving up the stalled path, because there is no other path at present.
     pub(crate) fn defer_checks(&mut self, now: Duration) {
         self.watchdog.defer(now);
@@ -220,7 +235,7 @@
     pub(crate) async fn forward_events(
         &mut self,
         dispatch: &Dispatch,
-        sender: &Sender<Result<Bytes, Broken>>,
+        sender: &Sender,
         progress: &mut Progress,
     ) -> Ended {
         let node = &dispatch.node;
@@ -232,6 +247,7 @@
                 frame = self.body.frame() => frame,
                 () = sender.closed() => return Ended::CallerGone,
                 () = sleep_until(deadline) => return Ended::TimedOut,
+                () = self.intake.evicted() => return self.end_without_room(node),
                 () = node.routing_changed.notified() => {
                     if self.watchdog.should_abandon(node.now(), node.is_broken(path)) {
                         return Ended::Stalled;
@@ -253,7 +269,7 @@
                 }
             };
             let bytes = match frame {
-                None if self.splitter.is_partial() => return Ended::Cut,
+                None if self.intake.is_partial() => return Ended::Cut,
                 None => {
                     if let Some(connection) = self.connection.take() {
                         node.pool.release(connection);
@@ -273,14 +289,25 @@
             let arrived_at = node.now();
             node.record_contact(arrived_at);
             node.table.borrow_mut().record_arrival(arrived_at, &path.first().target);
-            self.splitter.push(&bytes);
-            while let Some(event) = self.splitter.pop() {
+            let pushed = tokio::select! {
+                pushed = self.intake.push(&bytes) => pushed,
+                () = sender.closed() => return Ended::CallerGone,
+                () = sleep_until(deadline) => return Ended::TimedOut,
+            };
+            if pushed.is_err() {
+                return self.end_without_room(node);
+            }
+            while let Some(event) = self.intake.pop() {
                 if !event.is_comment {
                     self.watchdog.record_event(arrived_at);
                     self.stream_guard.set_silent(false);
                 }
                 let delivered = progress.events;
-                if let Some(ended) = progress.deliver(event, arrived_at, sender, deadline).await {
+                let ended = tokio::select! {
+                    ended = progress.deliver(event, arrived_at, sender, deadline) => ended,
+                    () = self.intake.evicted() => Some(self.end_without_room(node)),
+                };
+                if let Some(ended) = ended {
                     if ended == Ended::Foreign {
                         let first = path.first().address;
                         node.record_fault(first, Fault::Failed, "no event of this stream");
@@ -291,7 +318,7 @@
                     node.record_cleared(&dispatch.call);
                 }
             }
-            if self.splitter.is_oversized() {
+            if self.intake.is_oversized() {
                 node.record_fault(
                     path.first().address,
                     Fault::Failed,
--- a/crates/edge/src/split.rs
+++ b/crates/edge/src/split.rs
@@ -1,9 +1,13 @@
 //! Splits a stream of server-sent events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 /// Maximum size of an event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of a buffer: that of an event, and of what arrives at once.
+pub(crate) const MAX_BUFFER_BYTES: usize = MAX_EVENT_BYTES + (64 << 10);
+/// Maximum size of an empty buffer that is kept.
+const MAX_KEPT_BYTES: usize = 16 << 10;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,42 +22,76 @@
     pub is_valid: bool,
 }
 
-/// Collects bytes and returns complete events.
+/// Collects bytes and returns complete events. Events are copies, so that none of them keeps what
+/// arrived with it in memory.
 #[derive(Debug, Default)]
 pub struct Splitter {
-    buffer: BytesMut,
+    buffer: Vec<u8>,
+    /// Number of leading bytes that were returned.
+    returned: usize,
     /// Number of leading bytes known to contain no end of an event.
     searched: usize,
 }
 
 impl Splitter {
+    /// Returns the size of the buffer after `more` bytes are appended.
+    pub fn capacity_with(&self, more: usize) -> usize {
+        let needed = self.buffer.len() - self.returned + more;
+        match needed > self.buffer.capacity() {
+            true => needed.max((self.buffer.capacity() * 2).min(MAX_BUFFER_BYTES)),
+            false => self.buffer.capacity(),
+        }
+    }
+
+    /// Returns the size of the buffer.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Appends bytes to the buffer.
     pub fn push(&mut self, bytes: &[u8]) {
+        let capacity = self.capacity_with(bytes.len());
+        self.buffer.drain(..self.returned);
+        self.searched -= self.returned;
+        self.returned = 0;
+        self.buffer.reserve_exact(capacity - self.buffer.len());
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes and returns the next complete event, if there is one.
     pub fn pop(&mut self) -> Option<Event> {
-        let from = self.searched.saturating_sub(3);
+        let from = self.searched.saturating_sub(3).max(self.returned);
         let Some(end) = end_of_event(&self.buffer, from) else {
             self.searched = self.buffer.len();
             return None;
         };
-        self.searched = 0;
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = Bytes::copy_from_slice(&self.buffer[self.returned..end]);
+        (self.returned, self.searched) = (end, end);
+        if self.returned == self.buffer.len() {
+            self.clear();
+        }
         let (id, is_comment) = (id(&bytes), is_comment(&bytes));
         let is_valid = lines(&bytes).all(is_field);
         Some(Event { id, bytes, is_comment, is_valid })
     }
 
+    /// Empties the buffer, and releases its memory if it has grown beyond the size of usual events.
+    fn clear(&mut self) {
+        self.buffer.clear();
+        if self.buffer.capacity() > MAX_KEPT_BYTES {
+            self.buffer = Vec::new();
+        }
+        (self.returned, self.searched) = (0, 0);
+    }
+
     /// Returns whether the incomplete event in the buffer exceeds the maximum size.
     pub fn is_oversized(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.buffer.len() - self.returned > MAX_EVENT_BYTES
     }
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        self.buffer.len() > self.returned
     }
 }
 
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -12,9 +12,10 @@
 use platform::kv::{self, Era, LeaseId, Page, Revision, Write};
 use tokio::time::timeout;
 
+use crate::body::{self, Room};
 use crate::event::{STORE_BACK, STORE_LOST, STORE_RESTORED, UNDECODABLE};
 use crate::node::Node;
-use crate::pool::{Unanswered, read_body};
+use crate::pool::Unanswered;
 use crate::replica::Stated;
 use crate::used::Used;
 
@@ -22,7 +23,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Maximum size of an answer: a page holds about a megabyte of values, or one larger value.
-const MAX_PAGE_BYTES: usize = 16 << 20;
+pub(crate) const MAX_PAGE_BYTES: usize = 16 << 20;
 
 /// Outcome of a call.
 #[derive(Debug)]
@@ -174,9 +175,9 @@
         let Some(era) = self.accept_era(kv::era(response.headers())) else {
             return Reply::Unknown;
         };
-        let Some(body) = read_body(response.into_body(), MAX_PAGE_BYTES).await else {
-            return Reply::Unknown;
-        };
+        let holding = self.node.store_answers.begin(self.address);
+        let body = body::read(response.into_body(), MAX_PAGE_BYTES, holding, Room::Awaited).await;
+        let Ok(body) = body else { return Reply::Unknown };
         self.node.pool.release(connection);
         match status {
             StatusCode::OK => Reply::Done(body, era),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -6,7 +6,6 @@
 
 use hyper::{Response, StatusCode};
 use site::Model;
-use tokio::sync::mpsc::channel;
 
 use crate::answer::{Answer, retry_later};
 use crate::call::{Call, returned_headers};
@@ -17,10 +16,9 @@
 use crate::node::Node;
 use crate::pump::pump;
 use crate::quarantine::QUARANTINED;
+use crate::queue::queue;
 use crate::reply::unknown_outcome;
 
-/// Number of events buffered for a slow caller.
-const EVENT_QUEUE_LENGTH: usize = 32;
 /// Time until memory becomes free under overload: streams last a few seconds.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1500);
 
@@ -36,7 +34,7 @@
             whole_answer(node, &dispatch.call, exchange).await
         }
         Ok(opened) => {
-            let (sender, receiver) = channel(EVENT_QUEUE_LENGTH);
+            let (sender, receiver) = queue();
             let mut response = Response::new(Answer::events(receiver));
             match &opened {
                 Opened::Path(accepted) => {
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later};
+use crate::body::{self, Room};
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
@@ -22,7 +23,7 @@
 use crate::limited::LIMITED;
 use crate::node::Node;
 use crate::permit::{Remedy, patience};
-use crate::pool::{MAX_ANSWER_BYTES, Unanswered, read_body};
+use crate::pool::{MAX_ANSWER_BYTES, Unanswered};
 use crate::reply::{
     is_not_run, is_signed, log_failed_attempt, matches_request, passthrough, unknown_outcome,
 };
@@ -439,9 +440,13 @@
         node.record_fault(address, Fault::Failed, "success without a signature");
         return Outcome::Unknown("success without a signature");
     }
-    let Some(body) = read_body(body, MAX_ANSWER_BYTES).await else {
-        node.record_fault(address, Fault::Failed, "answer truncated or too large");
-        return Outcome::Unknown("answer truncated or too large");
+    let holding = node.answers.begin(address);
+    let body = match body::read(body, MAX_ANSWER_BYTES, holding, Room::Awaited).await {
+        Ok(body) => body,
+        Err(failure) => {
+            node.record_fault(address, Fault::Failed, failure.reason());
+            return Outcome::Unknown(failure.reason());
+        }
     };
     node.pool.release(connection);
     node.table.borrow_mut().request_accepted(node.now(), &target);
--- a/crates/edge/src/upload.rs
+++ b/crates/edge/src/upload.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::EXPECT;
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 
+use crate::body::{self, Room};
+use crate::memory::Holding;
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -18,6 +20,8 @@
     Cut,
     /// It did not arrive in time.
     TooSlow,
+    /// There is no memory for it.
+    NoRoom,
 }
 
 /// What is left of a request when it is answered.
@@ -43,11 +47,12 @@
         Self { rest, is_expected: parts.headers.contains_key(EXPECT) }
     }
 
-    /// Reads the body, of at most `max_bytes`, within `max_time`.
+    /// Reads the body, of at most `max_bytes`, within `max_time`. It is counted in `holding`.
     pub(crate) async fn read(
         &mut self,
         max_bytes: usize,
         max_time: Duration,
+        holding: Holding,
     ) -> Result<Bytes, Failure> {
         let body = match std::mem::replace(&mut self.rest, Rest::Unread) {
             Rest::Body(body) => body,
@@ -56,15 +61,15 @@
                 return Ok(Bytes::new());
             }
         };
-        if body.size_hint().lower() > max_bytes as u64 {
-            return Err(Failure::TooLarge);
-        }
-        let body = timeout(max_time, Limited::new(body, max_bytes).collect()).await;
-        let body = body.map_err(|_| Failure::TooSlow)?.map_err(|error| {
-            if error.is::<LengthLimitError>() { Failure::TooLarge } else { Failure::Cut }
+        let reading = body::read(body, max_bytes, holding, Room::AtOnce);
+        let body = timeout(max_time, reading).await.map_err(|_| Failure::TooSlow)?;
+        let body = body.map_err(|failure| match failure {
+            body::Failure::TooLarge => Failure::TooLarge,
+            body::Failure::Cut => Failure::Cut,
+            body::Failure::NoRoom => Failure::NoRoom,
         })?;
         self.rest = Rest::None;
-        Ok(body.to_bytes())
+        Ok(body)
     }
 
     /// Returns what is left of the request, of which at most `max_bytes` can be read.
--- /dev/null
+++ b/crates/edge/tests/memory.rs
@@ -0,0 +1,159 @@
+//! The bound on the bytes that the process holds: who waits, who ends, and what is released.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use edge::{Full, Holding, Memory, UNCOUNTED_BYTES};
+use tokio::runtime::Builder;
+use tokio::time::timeout;
+use yare::parameterized;
+
+/// Bound of the tests, bytes.
+const MOST: usize = 1 << 20;
+/// Long enough for messages to be ended for others.
+const LONG: Duration = Duration::from_secs(2);
+/// Too short for that.
+const SHORT: Duration = Duration::from_millis(20);
+
+fn source(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = Builder::new_current_thread().enable_time().build().expect("a runtime");
+    runtime.block_on(test)
+}
+
+/// Returns a message that has room.
+fn holding(memory: &Memory, number: u8, bytes: usize) -> Holding {
+    let mut holding = memory.begin(source(number));
+    assert!(holding.try_reserve(bytes), "{bytes} of {number}");
+    holding
+}
+
+#[test]
+fn small_messages_always_have_room() {
+    let memory = Memory::new(MOST);
+    let _full = holding(&memory, 1, MOST);
+    for number in 0..200 {
+        assert!(memory.begin(source(number)).try_reserve(UNCOUNTED_BYTES));
+    }
+    assert!(!memory.begin(source(2)).try_reserve(UNCOUNTED_BYTES + 1));
+}
+
+/// What is done with a message that fills the bound.
+enum End {
+    Dropped,
+    /// It has arrived, and its bytes are dropped after this number of copies.
+    Arrived(usize),
+    Shrunk,
+}
+
+// Guards against bytes that are counted for ever, or no more although they are held.
+#[parameterized(
+    dropped = { End::Dropped },
+    arrived = { End::Arrived(0) },
+    arrived_and_copied = { End::Arrived(3) },
+    shrunk = { End::Shrunk },
+)]
+fn room_is_released_with_the_last_copy(end: End) {
+    let memory = Memory::new(MOST);
+    let mut full = holding(&memory, 1, MOST);
+    match end {
+        End::Dropped => drop(full),
+        End::Shrunk => full.shrink_to(0),
+        End::Arrived(copies) => {
+            let bytes = full.split(MOST).attach(Bytes::from(vec![7; MOST]));
+            drop(full);
+            let copies: Vec<Bytes> = (0..copies).map(|at| bytes.slice(at..)).collect();
+            drop(bytes);
+            for copy in copies {
+                assert_eq!(memory.held(), MOST);
+                drop(copy);
+            }
+        }
+    }
+    assert_eq!(memory.held(), 0);
+}
+
+#[test]
+fn message_waits_until_there_is_room() {
+    let memory = Memory::new(MOST);
+    run(async {
+        let full = holding(&memory, 1, MOST);
+        let mut next = memory.begin(source(1));
+        assert!(timeout(SHORT, next.reserve(MOST / 2)).await.is_err(), "it waits");
+        drop(full);
+        assert_eq!(timeout(SHORT, next.reserve(MOST / 2)).await, Ok(Ok(())));
+    });
+}
+
+/// Messages that fill the bound, as the source and the part of the bound of each, and the source of
+/// another one.
+struct Case {
+    held: &'static [(u8, f64)],
+    /// Whether they have arrived whole.
+    arrived: bool,
+    next: u8,
+    /// Source whose messages end.
+    ends: Option<u8>,
+}
+
+// Guards against messages that end for another source's, and against those that never get room.
+#[parameterized(
+    one_source_fills_it = { Case { held: &[(1, 1.0)], arrived: false, next: 2, ends: Some(1) } },
+    most_of_it = { Case { held: &[(1, 0.3), (2, 0.3), (2, 0.4)], arrived: false, next: 3, ends: Some(2) } },
+    its_own_messages = { Case { held: &[(1, 1.0)], arrived: false, next: 1, ends: None } },
+    others_hold_less = { Case { held: &[(1, 0.3), (2, 0.7)], arrived: false, next: 2, ends: None } },
+    callers_read_slowly = { Case { held: &[(1, 1.0)], arrived: true, next: 2, ends: None } },
+)]
+fn messages_of_the_source_that_fills_it_end(case: Case) {
+    let memory = Memory::new(MOST);
+    run(async {
+        let part = |part: f64| (MOST as f64 * part) as usize;
+        let mut held: Vec<(u8, Holding)> =
+            case.held.iter().map(|&(at, of)| (at, holding(&memory, at, part(of)))).collect();
+        let shares: Vec<_> = match case.arrived {
+            true => held.iter_mut().map(|(_, holding)| holding.split(MOST)).collect(),
+            false => Vec::new(),
+        };
+        let mut next = memory.begin(source(case.next));
+        let waiting = timeout(LONG, next.reserve(MOST / 4));
+        let evicted = async {
+            let mut ended = Vec::new();
+            for (at, holding) in held {
+                if timeout(LONG / 2, holding.evicted()).await.is_ok() {
+                    ended.push(at);
+                }
+            }
+            ended
+        };
+        let (outcome, ended) = tokio::join!(waiting, evicted);
+        assert!(ended.iter().all(|at| Some(*at) == case.ends), "{ended:?}");
+        assert_eq!(ended.is_empty(), case.ends.is_none());
+        let has_room = outcome.is_ok_and(|outcome| outcome == Ok(()));
+        assert_eq!(has_room, !case.arrived, "those that ended, or were dropped, have made room");
+        drop(shares);
+    });
+}
+
+// Guards against a source that goes on filling the memory with messages that had to wait.
+#[test]
+fn messages_that_wait_end_with_their_source() {
+    let memory = Memory::new(MOST);
+    run(async {
+        let full = holding(&memory, 1, MOST);
+        let mut waits = memory.begin(source(1));
+        let mut other = memory.begin(source(2));
+        let ends = async {
+            full.evicted().await;
+            drop(full);
+        };
+        let (ended, has_room, ()) =
+            tokio::join!(waits.reserve(MOST / 2), other.reserve(MOST), ends);
+        assert_eq!((ended, has_room), (Err(Full), Ok(())));
+        assert_eq!(timeout(SHORT, memory.begin(source(1)).reserve(0)).await, Ok(Ok(())));
+    });
+}
