--- a/crates/edge/src/intake.rs
+++ b/crates/edge/src/intake.rs
@@ -2,9 +2,13 @@
 
 use bytes::Bytes;
 
-use crate::memory::{Full, Holding, UNCOUNTED_BYTES};
+use crate::memory::{Full, Holding};
 use crate::split::{Event, MAX_BUFFER_BYTES, Splitter};
 
+/// Size up to which the buffer of a stream is not counted: usual events of one read, which wait for
+/// a slow caller, are to take no room for the largest one.
+const UNCOUNTED_BYTES: usize = 64 << 10;
+
 /// Splits what arrives of a stream into events, within the bound on all that the process holds.
 pub(crate) struct Intake {
     splitter: Splitter,
