Edge: a forwarded request may have the largest head that a caller may send

Seen (found while looking for limits on the way of a request with many parts): a node that reaches no target forwards a request whose head is as large as max_header_bytes allows, and the other node rejects it with 431, which no caller repeats. Cause: the forwarding node adds its statement to the head (some 40 bytes), and the other one checks the sum against the limit for callers. Change: only a caller's head is checked against the limit; the read buffer has a kilobyte more for what nodes add.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -31,6 +31,8 @@
 
 /// Size of the read buffer, unless the configuration allows larger heads. A later configuration may.
 const BUFFER_BYTES: usize = 64 << 10;
+/// Size of what another node may add to the head of a request that it forwards, bytes.
+const ADDED_BYTES: usize = 1 << 10;
 /// Answer to a head that does not end in time.
 const SLOW_HEAD: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -255,7 +257,7 @@
     let handler = Handler { node: node.clone(), state: state.clone(), origin };
     let mut connection = Builder::new()
         .header_read_timeout(None)
-        .max_buf_size(node.limits().head_bytes.max(BUFFER_BYTES))
+        .max_buf_size(node.limits().head_bytes.max(BUFFER_BYTES) + ADDED_BYTES)
         .serve_connection(TokioIo::new(Socket::new(stream, state.traffic.clone())), handler);
     let (cause, error) = match drive(&node, &state, &mut connection).await {
         Ended::Http(result) => {
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -256,7 +256,8 @@
     let config = node
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
-    if head_size(&parts) > config.limits.head_bytes {
+    // The node that forwards a request has checked its head, and added to it.
+    if origin == Origin::Caller && head_size(&parts) > config.limits.head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(Refusal::Status(status, "head too large"));
     }
--- a/crates/node/tests/cut.rs
+++ b/crates/node/tests/cut.rs
@@ -172,3 +172,33 @@
         assert!(targets.len() <= document.attempts as usize, "stream {index} ran at {targets:?}");
     }
 }
+
+/// Limit on the head of a request in the test below.
+const HEAD_BYTES: usize = 2_000;
+
+// Guards against a request whose head is as large as a caller's may be, and that another node rejects
+// for what the forwarding node has added to it.
+#[test]
+fn forwarded_request_with_the_largest_head_is_served() {
+    let mut document = Document::default();
+    document.limits.head_bytes = HEAD_BYTES;
+    let site = Site::start_with_views(168, 2, &document);
+    let call = |id: String, entries: usize| {
+        let parts = vec!["5c1e07a2:800"; entries].join(",");
+        Call { parts, ..Call::new(Route::Safe, &id) }
+    };
+    let status = |node: usize, id: &str, entries: usize| {
+        spawn_call(site.nodes[node].front, call(format!("{id}{entries}"), entries))
+            .join()
+            .expect("a caller thread ends")
+            .status
+    };
+    let largest = (1..HEAD_BYTES / 10).rev().find(|entries| status(1, "r", *entries) == Some(200));
+    let largest = largest.expect("a head that is small enough");
+    assert_eq!(status(1, "r", largest + 1), Some(431), "the next one is too large");
+    set_cut(&site, 1, Some(Cut::Silent));
+    sleep(CONTACT_TIME);
+    let statuses: Vec<Option<u16>> = (0..=3).map(|less| status(0, "f", largest - less)).collect();
+    assert_eq!(statuses, vec![Some(200); 4]);
+    assert!(forwarded(&site, 0) > 0);
+}
