Lead: a claim without an answer is repeated under its lease

Cause: a claim without an answer may have succeeded, so its lease was kept; and a node with a lease only renewed it. The renewal succeeds for ever, whether or not the key exists under it. One such claim at each node, and nobody claims. Change: a node that holds a lease and sees the key vacant claims it again under the same lease, after each renewal: whichever of the writes is done has the same value and lease, and the others fail on their condition. A node that sees another one lead ends its lease, so that a late write finds none.

--- a/crates/edge/src/claim.rs
+++ b/crates/edge/src/claim.rs
@@ -51,6 +51,11 @@
         self.holder.is_none()
     }
 
+    /// Returns whether another node than `name` is the known leader.
+    pub fn is_held_by_another(&self, name: &str) -> bool {
+        self.holder.as_ref().is_some_and(|(holder, _)| holder != name)
+    }
+
     /// Returns the highest fencing number known.
     pub fn highest(&self) -> Revision {
         self.highest
--- a/crates/edge/src/lead.rs
+++ b/crates/edge/src/lead.rs
@@ -134,7 +134,7 @@
         if let Some(lease) = leadership.lease.get().filter(|_| unable) {
             resign(&node, &store, &leadership, lease).await;
         } else if let Some(lease) = leadership.lease.get() {
-            renew(&node, &store, &leadership, lease).await;
+            hold(&node, &store, &leadership, lease).await;
         } else if is_vacant(&node) {
             // Most nodes see the winner's key before they claim.
             let max_delay = CLAIM_SPREAD * node.table.borrow().vms as u32;
@@ -164,6 +164,24 @@
     log::info!("{}", Event::new(LEADING).with("resigned", true));
 }
 
+/// Renews the lease, as long as this node can hold the leader key under it. Claims the key again if it
+/// is still vacant: a claim without an answer may not have been done.
+async fn hold(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) {
+    if node.claim.borrow().is_held_by_another(&identity(node)) {
+        leadership.step_down(node);
+        // A lease that could not be ended lapses on its own.
+        store.end(lease).await;
+        return;
+    }
+    renew(node, store, leadership, lease).await;
+    if leadership.lease.get() == Some(lease) && is_vacant(node) {
+        let reply = write_claim(node, store, lease).await;
+        if matches!(reply, Reply::Missing) {
+            leadership.step_down(node);
+        }
+    }
+}
+
 async fn renew(node: &Node, store: &Store, leadership: &Leadership, lease: LeaseId) {
     let sent_at = node.now();
     match store.renew(lease).await {
@@ -181,16 +199,20 @@
     let sent_at = node.now();
     let ttl = LEASE_TTL.max(node.settings.min_lease_ttl);
     let Some(lease) = store.lease(ttl).await else { return };
-    let value = identity(node);
-    let lease_id = lease.id;
-    let write =
-        Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease: lease_id };
-    let reply = store.write(write).await;
-    // A write without an answer may have succeeded: the watch shows whether it did.
+    let reply = write_claim(node, store, lease.id).await;
+    // A write without an answer may have succeeded, or do so later: the watch shows whether it did.
     if matches!(reply, Reply::Done(..) | Reply::Unknown) {
-        leadership.lease.set(Some(lease_id));
+        leadership.lease.set(Some(lease.id));
         node.claim.borrow_mut().set_lease_end(sent_at + lease.ttl);
     }
+}
+
+/// Writes the leader key under a lease if it is vacant.
+async fn write_claim(node: &Node, store: &Store, lease: LeaseId) -> Reply {
+    let value = identity(node);
+    let write = Write { key: LEADER_KEY, expected: Some(0), value: value.as_bytes(), lease };
+    let reply = store.write(write).await;
     let event = Event::new(LEADING).with("claimed", matches!(reply, Reply::Done(..)));
     log::info!("{event}");
+    reply
 }
