--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -204,8 +204,8 @@
         !known
     }
 
-    /// Drops a share of the records, those with the oldest losses, to make room for others. What
-    /// crashes targets is lost to again and stays. Quarantines stay in force.
+    /// Drops a share of the records, those whose last loss is the oldest, to make room for others.
+    /// Quarantines stay in force.
     fn drop_oldest(&mut self) {
         let last_loss = |record: &Record| record.evidence.iter().map(|one| one.loss.at).max();
         let suspects = self.records.iter().filter(|(_, record)| record.quarantined_until.is_none());
