Edge: one way to release a holding, one list of why a body cannot be read

Cause: the diff was read once more. Holding::shrink_to was only ever called with nothing to keep, or before split, which leaves the rest to the drop of the holding; upload::Failure named three failures of body::Failure again; MAX_NAMED_PARTS was visible without need; reserve cloned its handle in each turn. Change: release in place of shrink_to, Failure::Unread(body::Failure), the constant is private. Behaviour is the same.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -91,7 +91,6 @@
             data.advance(chunk.len());
         }
     }
-    holding.shrink_to(bytes.capacity());
     let share = holding.split(bytes.capacity());
     Ok(share.attach(Bytes::from(bytes)))
 }
--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -16,7 +16,7 @@
 /// Maximum number of messages on further parts in the queue.
 const MAX_QUEUED_FURTHER: usize = 512;
 /// Maximum number of parts that one message names: those of one datagram, next to the name of a target.
-pub(crate) const MAX_NAMED_PARTS: usize = 96;
+const MAX_NAMED_PARTS: usize = 96;
 
 /// What one node reports of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{Answer, retry_later, text};
+use crate::body;
 use crate::call::{self, Call};
 use crate::connection::{self, Guard, State};
 use crate::event::{ANSWERED, REFUSED};
@@ -366,12 +367,14 @@
 
 fn upload_refusal(node: &Node, failure: upload::Failure) -> Refusal {
     match failure {
-        upload::Failure::TooLarge => {
+        upload::Failure::Unread(body::Failure::TooLarge) => {
             Refusal::Status(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
         }
-        upload::Failure::Cut => Refusal::Status(StatusCode::BAD_REQUEST, "body cut"),
+        upload::Failure::Unread(body::Failure::Cut) => {
+            Refusal::Status(StatusCode::BAD_REQUEST, "body cut")
+        }
         upload::Failure::TooSlow => Refusal::Status(StatusCode::REQUEST_TIMEOUT, "body too slow"),
-        upload::Failure::NoRoom => {
+        upload::Failure::Unread(body::Failure::NoRoom) => {
             Refusal::RetryLater("no memory for the body", node.other_node_retry_after())
         }
     }
--- a/crates/edge/src/intake.rs
+++ b/crates/edge/src/intake.rs
@@ -38,7 +38,7 @@
             event.bytes = self.holding.split(event.bytes.len()).attach(event.bytes);
         }
         if self.splitter.capacity() <= UNCOUNTED_BYTES {
-            self.holding.shrink_to(0);
+            self.holding.release();
         }
         Some(event)
     }
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -155,16 +155,16 @@
     ///
     /// Fails if the message must end, because its source fills the memory.
     pub async fn reserve(&mut self, bytes: usize) -> Result<(), Full> {
+        let memory = self.memory.clone();
         loop {
-            let released = self.memory.clone();
-            let released = released.0.released.notified();
+            let released = memory.0.released.notified();
             if self.try_reserve(bytes) {
                 return Ok(());
             }
             tokio::select! {
                 () = released => {}
                 () = evicted(&self.entry) => return Err(Full),
-                () = sleep(PATIENCE) => self.memory.evict(self.source),
+                () = sleep(PATIENCE) => memory.evict(self.source),
             }
         }
     }
@@ -188,13 +188,10 @@
         has_room
     }
 
-    /// Releases what the message holds beyond `bytes`.
-    pub fn shrink_to(&mut self, bytes: usize) {
-        let kept = if bytes <= UNCOUNTED_BYTES { 0 } else { bytes.min(self.bytes) };
-        drop(self.split(self.bytes - kept));
-        if kept == 0 {
-            self.entry = None;
-        }
+    /// Releases what the message holds.
+    pub fn release(&mut self) {
+        drop(self.split(self.bytes));
+        self.entry = None;
     }
 
     /// Splits off bytes that have arrived whole.
@@ -235,7 +232,7 @@
 
 impl Drop for Holding {
     fn drop(&mut self) {
-        drop(self.split(self.bytes));
+        self.release();
     }
 }
 
--- a/crates/edge/src/upload.rs
+++ b/crates/edge/src/upload.rs
@@ -14,14 +14,10 @@
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
-    /// It is larger than allowed.
-    TooLarge,
-    /// The connection ended before it.
-    Cut,
+    /// It could not be read to its end.
+    Unread(body::Failure),
     /// It did not arrive in time.
     TooSlow,
-    /// There is no memory for it.
-    NoRoom,
 }
 
 /// What is left of a request when it is answered.
@@ -63,11 +59,7 @@
         };
         let reading = body::read(body, max_bytes, holding, Room::AtOnce);
         let body = timeout(max_time, reading).await.map_err(|_| Failure::TooSlow)?;
-        let body = body.map_err(|failure| match failure {
-            body::Failure::TooLarge => Failure::TooLarge,
-            body::Failure::Cut => Failure::Cut,
-            body::Failure::NoRoom => Failure::NoRoom,
-        })?;
+        let body = body.map_err(Failure::Unread)?;
         self.rest = Rest::None;
         Ok(body)
     }
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -48,7 +48,7 @@
     Dropped,
     /// It has arrived, and its bytes are dropped after this number of copies.
     Arrived(usize),
-    Shrunk,
+    Released,
 }
 
 // Guards against bytes that are counted for ever, or no more although they are held.
@@ -56,14 +56,14 @@
     dropped = { End::Dropped },
     arrived = { End::Arrived(0) },
     arrived_and_copied = { End::Arrived(3) },
-    shrunk = { End::Shrunk },
+    released = { End::Released },
 )]
 fn room_is_released_with_the_last_copy(end: End) {
     let memory = Memory::new(MOST);
     let mut full = holding(&memory, 1, MOST);
     match end {
         End::Dropped => drop(full),
-        End::Shrunk => full.shrink_to(0),
+        End::Released => full.release(),
         End::Arrived(copies) => {
             let bytes = full.split(MOST).attach(Bytes::from(vec![7; MOST]));
             drop(full);
