--- a/crates/node/tests/pressed.rs
+++ b/crates/node/tests/pressed.rs
@@ -2,27 +2,18 @@
 //! within that of the VM, and what is sound arrives whole.
 
 mod entry;
+mod flood;
 
-use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::thread::{JoinHandle, sleep, spawn};
-use std::time::{Duration, Instant};
-
-use entry::Entry;
-use platform_standin::{
-    Call, Document, Fault, MODEL, PLAIN, Platform, Reply, Route, Settings, Setup, send_call,
-    spawn_call,
-};
+use std::thread::spawn;
+use std::time::Duration;
+
+use flood::{DEADLINE, SOON, Site};
+use platform_standin::{Call, Document, Fault, Reply, Route};
 use yare::parameterized;
 
-/// Events of each stream; they take 10 ms each.
-const EVENTS: u64 = 20;
-/// Longest wait for a state that follows soon.
-const SOON: Duration = Duration::from_secs(15);
-/// How long an answer may take.
-const DEADLINE: Duration = Duration::from_millis(1500);
 /// How much later the last of all answers may end.
 const SLACK: Duration = Duration::from_millis(2500);
 /// Callers at once of the users' smallest VM.
@@ -33,71 +24,34 @@
 /// One case runs at a time: each has hundreds of callers.
 static TURN: Mutex<()> = Mutex::new(());
 
-struct Site {
-    platform: Platform,
-    node: Entry,
-    engines: Vec<SocketAddr>,
-    plain: Vec<SocketAddr>,
-    _turn: MutexGuard<'static, ()>,
+/// Starts a site, once no other case runs.
+fn start(number: u8) -> (Site, MutexGuard<'static, ()>) {
+    let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let memory = format!("limits.memory_mb={MEMORY_MB}\n");
+    let hosts = format!("127.88.{number}");
+    (Site::start(&format!("pressed-{number}"), &hosts, &memory), turn)
 }
 
-impl Site {
-    fn start(number: u8) -> Self {
-        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-        let host = format!("127.88.{number}.1");
-        let platform = Platform::start(&host);
-        platform.configure(&Document::default());
-        let target = |id: &'static str, service, domain| {
-            platform.start_target(&host, Setup { id: id.into(), service, domain, events: EVENTS })
-        };
-        let engines = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
-        let engines = engines.map(|(id, domain)| target(id, MODEL, domain)).into();
-        let plain = ["p1", "p2"].map(|id| target(id, PLAIN, "a")).into();
-        let mut settings = Settings::new("n0", "a", &host, platform.store());
-        settings.text.push_str(&format!("limits.memory_mb={MEMORY_MB}\n"));
-        let node = Entry::start(&format!("pressed-{number}"), &settings);
-        sleep(Settings::STARTUP_WITHOUT_RETRIES);
-        let site = Self { platform, node, engines, plain, _turn: turn };
-        assert!(site.platform.wait(SOON, || site.ask(Route::Resumable).is_complete(EVENTS)));
-        site
-    }
-
-    fn ask(&self, route: Route) -> Reply {
-        send_call(self.node.front, &Call::new(route, "probe"))
-    }
-
-    /// Sends a request of each of `callers` at once; returns their answers, and how long all took.
-    fn press(&self, route: Route, callers: usize, deadline: Duration) -> (Vec<Reply>, Duration) {
-        let begun = Instant::now();
-        let call = |number: usize| {
-            let body: &'static str = format!("body {number}").leak();
-            let id = format!("r{number}");
-            spawn_call(self.node.front, Call { body, deadline, ..Call::new(route, &id) })
-        };
-        let calls: Vec<JoinHandle<Reply>> = (0..callers).map(call).collect();
-        let replies = calls.into_iter().map(|call| call.join().expect("a caller ends"));
-        (replies.collect(), begun.elapsed())
-    }
+/// Sends a request of each of `callers` at once, each with a body of its own; returns their answers,
+/// and how long all took.
+fn press(site: &Site, route: Route, callers: usize, deadline: Duration) -> (Vec<Reply>, Duration) {
+    site.press((0..callers).map(|number| {
+        let body: &'static str = format!("body {number}").leak();
+        Call { body, deadline, ..Call::new(route, &format!("r{number}")) }
+    }))
+}
 
-    /// Asserts that the process has never had more memory than its VM, and that it goes on.
-    fn assert_bounded(&mut self) {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.node.child.id()));
-        let status = status.expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory");
-        let peak: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
-        eprintln!("peak {} MB", peak * 1024 / 1_000_000);
-        assert!(peak * 1024 < MEMORY_MB * 1_000_000, "{peak} kB");
-        for target in self.engines.iter().chain(&self.plain) {
-            self.platform.set_fault(*target, Fault::None);
-        }
-        let serves = || self.ask(Route::Resumable).is_complete(EVENTS);
-        assert!(self.platform.wait(SOON, serves), "streams go on");
-        let serves = || self.ask(Route::Unsafe).status == Some(200);
-        assert!(self.platform.wait(SOON, serves), "plain requests go on");
-        self.node.signal("TERM");
-        let ended = self.node.child.wait().expect("it ends");
-        assert_eq!(ended.code(), Some(0));
+/// Asserts that the process has never had more memory than its VM, and that it goes on.
+fn assert_bounded(site: &mut Site) {
+    let peak = site.memory_kb();
+    eprintln!("peak {} MB", peak * 1024 / 1_000_000);
+    assert!(peak * 1024 < MEMORY_MB * 1_000_000, "{peak} kB");
+    for target in &site.plain {
+        site.platform.set_fault(*target, Fault::None);
     }
+    let serves = || site.ask(Route::Unsafe, "later").status == Some(200);
+    assert!(site.platform.wait(SOON, serves), "plain requests go on");
+    site.assert_goes_on();
 }
 
 struct Case {
@@ -127,15 +81,14 @@
     streams_refused_endlessly = { 12, all(Route::Resumable, Fault::RefusesEndlessly) },
 )]
 fn many_answers_without_end(number: u8, case: Case) {
-    let mut site = Site::start(number);
-    let is_plain = matches!(case.route, Route::Safe | Route::Unsafe);
-    let targets = if is_plain { &site.plain } else { &site.engines };
+    let (mut site, _turn) = start(number);
+    let targets = site.targets(case.route);
     let troubled = if case.all { targets.len() } else { 1 };
     for target in &targets[..troubled] {
         site.platform.set_fault(*target, case.trouble);
     }
-    let last = if is_plain { 0 } else { EVENTS };
-    let (replies, took) = site.press(case.route, CALLERS, DEADLINE);
+    let last = Site::last_event(case.route);
+    let (replies, took) = press(&site, case.route, CALLERS, DEADLINE);
     assert!(took < DEADLINE + SLACK, "{took:?}");
     let whole = replies.iter().filter(|reply| reply.is_complete(last)).count();
     eprintln!("{whole} whole, {took:?}");
@@ -147,7 +100,7 @@
         let is_refused = runs.iter().all(|run| run.request != id);
         assert!(is_refused || case.route == Route::Safe, "{id} was refused and has run");
     }
-    site.assert_bounded();
+    assert_bounded(&mut site);
 }
 
 /// Size of a large sound answer.
@@ -160,15 +113,15 @@
 // Guards against large sound answers that end because others have no end.
 #[test]
 fn large_answers_arrive_whole_beside_floods() {
-    let mut site = Site::start(20);
+    let (mut site, _turn) = start(20);
     site.platform.set_fault(site.plain[0], Fault::Sends(LARGE));
     site.platform.set_fault(site.plain[1], Fault::Floods);
-    let (replies, took) = site.press(Route::Safe, LARGE_CALLERS, LARGE_DEADLINE);
+    let (replies, took) = press(&site, Route::Safe, LARGE_CALLERS, LARGE_DEADLINE);
     let sizes = |reply: &Reply| reply.other_lines.iter().map(String::len).sum::<usize>();
     let whole = replies.iter().filter(|reply| reply.ended && sizes(reply) == LARGE).count();
     let statuses: Vec<_> = replies.iter().map(|reply| reply.status).collect();
     assert_eq!(whole, LARGE_CALLERS, "{took:?} {statuses:?}");
-    site.assert_bounded();
+    assert_bounded(&mut site);
 }
 
 /// Body of a request, within what a caller may send.
@@ -200,7 +153,7 @@
 // Guards against bodies of requests that fill the memory.
 #[parameterized(with_a_length = { 21, false }, in_chunks = { 22, true })]
 fn many_large_requests(number: u8, is_chunked: bool) {
-    let mut site = Site::start(number);
+    let (mut site, _turn) = start(number);
     let front = site.node.front;
     let uploads: Vec<_> =
         (0..CALLERS).map(|number| spawn(move || upload(front, number, is_chunked))).collect();
@@ -209,5 +162,5 @@
     let is_told = |status: &&Option<u16>| matches!(status, None | Some(408 | 503));
     assert!(statuses.iter().all(|status| is_told(&status)), "{statuses:?}");
     assert!(site.platform.runs().iter().all(|run| !run.request.starts_with('u')));
-    site.assert_bounded();
+    assert_bounded(&mut site);
 }
