Tests: the ports of nodes are taken by no other socket while a process starts

Cause: the ports of a node were found by opening and closing listeners. A process that starts meanwhile holds copies of them until it has replaced its program; git and cargo, which build the commit in production, were started without the guard that keeps both apart.

--- a/crates/node/tests/upgrade/production.rs
+++ b/crates/node/tests/upgrade/production.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::OnceLock;
 
 /// The file that names the commit in production.
@@ -35,7 +35,7 @@
 /// Checks that the history holds a commit.
 fn assert_known(commit: &str) {
     let object = format!("{commit}^{{commit}}");
-    let output = git().args(["cat-file", "-e", &object]).output().expect("git runs");
+    let output = output(git().args(["cat-file", "-e", &object]));
     assert!(
         output.status.success(),
         "{DEPLOY_FILE} names the commit {commit} as the one in production, and the history of this \
@@ -82,7 +82,14 @@
 
 /// Runs a command that must succeed.
 fn run(command: &mut Command) {
-    let output = command.output().expect("the command runs");
+    let output = output(command);
     let error = String::from_utf8_lossy(&output.stderr);
     assert!(output.status.success(), "{command:?} failed: {error}");
 }
+
+/// Runs a command to its end. It starts while no port is tried.
+fn output(command: &mut Command) -> Output {
+    let child = platform_standin::spawn(command.stdout(Stdio::piped()).stderr(Stdio::piped()));
+    let output = child.and_then(Child::wait_with_output);
+    output.unwrap_or_else(|error| panic!("{command:?} does not run: {error}"))
+}
