Admission: what is quarantined already is refused before any wait for a decision

Cause: the parts of a prompt were looked at in turn, and the first one with a pending decision made the request wait; a quarantined one behind it counted only after the decision. A request whose own fingerprint is quarantined waited as well.

Change: what is quarantined is refused first, then decisions are waited for. The permission for a trial is taken when the request runs, no longer before a wait that could lose it. Admission has a file of its own.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 //! A single thread serves callers' connections, connections to targets and the store, and runs the
 //! decisions of `path` and `place`. Only formatted log lines are handed to another thread.
 
+mod admission;
 mod allowance;
 mod answer;
 mod ask;
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -18,14 +18,11 @@
     Answered, Decision, Fingerprint, Interruption, Interruptions, Loss, Passes, Place, Scope,
     Settings, Status, Subject, Suspects, Trials,
 };
-use tokio::time::sleep;
 
 use crate::answer::{Answer, retry_later};
 use crate::call::{Call, hex};
-use crate::confirm::CONFIRM_INTERVAL;
 use crate::event::{
-    REFUSED, REQUEST_CLEARED, REQUEST_HELD, REQUEST_ISOLATED, REQUEST_QUARANTINED,
-    REQUEST_SUSPECTED,
+    REFUSED, REQUEST_CLEARED, REQUEST_ISOLATED, REQUEST_QUARANTINED, REQUEST_SUSPECTED,
 };
 use crate::evidence::{Evidence, Finding, FurtherParts, Outbox, Suspicion};
 use crate::node::Node;
@@ -43,15 +40,11 @@
 pub(crate) const TTL: Duration = Duration::from_secs(600);
 /// Number of events of an answer on one path after which its request is no longer a suspect.
 pub(crate) const CLEARING_EVENTS: u64 = 8;
-/// Time after the end of an attempt within which the loss of a target becomes known: engines give
-/// their reports within it.
-const LOSS_DETECTION_TIME: Duration = Duration::from_millis(40);
-
 /// State of the quarantine on this node.
 pub(crate) struct Quarantine {
-    settings: Settings,
-    suspects: RefCell<Suspects>,
-    interruptions: RefCell<Interruptions>,
+    pub(crate) settings: Settings,
+    pub(crate) suspects: RefCell<Suspects>,
+    pub(crate) interruptions: RefCell<Interruptions>,
     answered: RefCell<Answered>,
     passes: RefCell<Passes>,
     /// Trials of quarantined parts of prompts.
@@ -131,17 +124,6 @@
     fresh: bool,
 }
 
-/// What becomes of a request that is about to be sent.
-enum Admission {
-    Run,
-    /// The request must not run for this time.
-    Refuse(Duration),
-    /// A decision on this fingerprint is due.
-    Decide(Fingerprint),
-    /// The request waits until this time.
-    Wait(Duration),
-}
-
 /// Source of the information that a target was lost.
 enum Source<'a> {
     /// This node observed the loss.
@@ -358,87 +340,6 @@
         }
     }
 
-    /// Waits until a request may be sent to a target. A request whose decision is pending waits for
-    /// it; a suspect that runs isolated from other suspects waits for its turn.
-    ///
-    /// # Errors
-    ///
-    /// Returns the remaining time in quarantine if the request must not run.
-    pub(crate) async fn admit(&self, call: &Call) -> Result<(), Duration> {
-        let mut logged = false;
-        loop {
-            let now = self.now();
-            let until = match self.admission(call, now) {
-                Admission::Run => return Ok(()),
-                Admission::Refuse(left) => return Err(left),
-                Admission::Decide(fingerprint) => {
-                    self.decide(fingerprint, now);
-                    continue;
-                }
-                Admission::Wait(until) => until,
-            };
-            if now >= call.deadline {
-                return Ok(());
-            }
-            if !std::mem::replace(&mut logged, true) {
-                let wait = until.saturating_sub(now);
-                log::info!("{}", call.event(REQUEST_HELD).with("wait_ms", wait.as_millis()));
-            }
-            tokio::select! {
-                () = sleep(until.min(call.deadline).saturating_sub(now)) => {}
-                () = self.routing_changed.notified() => {}
-            }
-        }
-    }
-
-    fn admission(&self, call: &Call, now: Duration) -> Admission {
-        let mut quarantined = Vec::new();
-        for &part in &call.parts {
-            match self.standing(part, now) {
-                Status::Clear | Status::Suspect => {}
-                Status::Quarantined(_) => quarantined.push(part),
-                Status::Pending(at) => return self.pending(part, at, now),
-            }
-        }
-        match self.standing(call.fingerprint, now) {
-            Status::Clear if self.may_try(&quarantined) => Admission::Run,
-            Status::Suspect if self.may_try(&quarantined) => {
-                let start = self.earliest_start(call.fingerprint, now);
-                start.map_or(Admission::Run, Admission::Wait)
-            }
-            Status::Pending(at) => self.pending(call.fingerprint, at, now),
-            _ => Admission::Refuse(self.quarantined_for(call)),
-        }
-    }
-
-    /// Returns what becomes of a request while a decision that is due at `at` is pending.
-    fn pending(&self, fingerprint: Fingerprint, at: Duration, now: Duration) -> Admission {
-        if now < at {
-            return Admission::Wait(at);
-        }
-        match self.awaits_confirmation(fingerprint) {
-            true => Admission::Wait(now + CONFIRM_INTERVAL),
-            false => Admission::Decide(fingerprint),
-        }
-    }
-
-    /// Returns whether a request with these quarantined parts may run: if there are none, or as
-    /// their trial. Requests the permission for a trial that is due.
-    fn may_try(&self, quarantined: &[Fingerprint]) -> bool {
-        let now = self.now();
-        let mut trials = self.quarantine.trials.borrow_mut();
-        let permitted = quarantined.iter().filter(|part| trials.take_permission(**part)).count();
-        if permitted == quarantined.len() {
-            return true;
-        }
-        for &part in quarantined {
-            if trials.time_left(part, now).is_some_and(|left| left.is_zero()) {
-                self.quarantine.entries.request(part, Change::Try);
-            }
-        }
-        false
-    }
-
     /// Returns the refusal of a request that stays in quarantine for the time `left`.
     pub(crate) fn refuse_quarantined(&self, call: &Call, left: Duration) -> Response<Answer> {
         let event = call.event(REFUSED).with("reason", QUARANTINED);
@@ -463,23 +364,11 @@
         call.parts.iter().copied().map(left).fold(left(call.fingerprint), Duration::max)
     }
 
-    fn standing(&self, fingerprint: Fingerprint, now: Duration) -> Status {
+    pub(crate) fn standing(&self, fingerprint: Fingerprint, now: Duration) -> Status {
         let suspects = self.quarantine.suspects.borrow();
         suspects.status(fingerprint, now, &self.quarantine.settings)
     }
 
-    /// Returns when a suspect may start; `None` if it may start now. A suspect waits while its last
-    /// attempt may still turn out to have ended a target, and for its turn if it runs isolated.
-    fn earliest_start(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
-        let ended = self.quarantine.interruptions.borrow().last_ended(fingerprint);
-        let detected =
-            ended.map(|ended| ended + LOSS_DETECTION_TIME).filter(|detected| *detected > now);
-        let suspects = self.quarantine.suspects.borrow();
-        let isolated = suspects.needs_isolation(fingerprint, now);
-        let turn = suspects.turn_at(fingerprint, &self.quarantine.settings);
-        detected.max(turn.filter(|turn| isolated && *turn > now))
-    }
-
     /// Decides on all requests whose delay is over, also without a new attempt at them, so that the
     /// decisions reach the store for nodes that start later.
     pub(crate) fn decide_due(&self) {
--- a/crates/node/tests/parts.rs
+++ b/crates/node/tests/parts.rs
@@ -117,6 +117,38 @@
     site.assert_harmless_served("h");
 }
 
+/// Maximum time until a request with a part that is quarantined already is refused.
+const QUARANTINED_REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Requests with two parts that are sent while the decision on one of them is pending.
+const PROBES: usize = 40;
+/// Pause between them.
+const PROBE_PAUSE: Duration = Duration::from_millis(25);
+
+// Guards against a request that is refused for one part waiting for the decision on another first.
+#[test]
+fn quarantined_part_is_refused_while_another_awaits_a_decision() {
+    let site = Site::start(121, 2, &Document { attempts: 1, ..Document::default() });
+    site.platform.set_crashing_part("d0", true);
+    let replies = site.send_crashing(&["d0"], "r", 8);
+    assert_eq!(replies.last().and_then(|last| last.status), Some(503));
+    site.platform.set_crashing_part("d1", true);
+    let call = |part, id: String| spawn_call(site.nodes[0].front, site.call(&id, Some(part)));
+    let crashing = (0..2).map(|number| call("d1", format!("s{number}")));
+    let crashing: Vec<_> = crashing.collect();
+    let probe = |number| {
+        sleep(PROBE_PAUSE);
+        call("d1:20,d0", format!("p{number}"))
+    };
+    let probes = ended((0..PROBES).map(probe).collect());
+    ended(crashing);
+    let (_, crashes) = site.runs_with("d1");
+    assert_eq!(crashes.len(), 2, "the other part crashed engines under two requests");
+    for probe in &probes {
+        assert_eq!(probe.status, Some(503), "{probe:?}");
+        assert!(probe.elapsed < QUARANTINED_REFUSAL_TIMEOUT, "{probe:?}");
+    }
+}
+
 /// Trouble after a part was quarantined.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Trouble {
--- a/crates/suspect/src/trials.rs
+++ b/crates/suspect/src/trials.rs
@@ -64,10 +64,16 @@
         }
     }
 
-    /// Takes the permission to run one request with a part. Returns whether there was one.
-    pub fn take_permission(&mut self, part: Fingerprint) -> bool {
-        let trial = self.parts.get_mut(&part);
-        trial.is_some_and(|trial| std::mem::take(&mut trial.permitted))
+    /// Returns whether one request with a part may run.
+    pub fn is_permitted(&self, part: Fingerprint) -> bool {
+        self.parts.get(&part).is_some_and(|trial| trial.permitted)
+    }
+
+    /// Takes the permission to run one request with a part.
+    pub fn take_permission(&mut self, part: Fingerprint) {
+        if let Some(trial) = self.parts.get_mut(&part) {
+            trial.permitted = false;
+        }
     }
 
     /// Removes a part that is no longer quarantined.
