--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -83,7 +83,9 @@
             return Admission::Wait(start);
         }
         let mut trials = self.quarantine.trials.borrow_mut();
-        quarantined.into_iter().for_each(|part| trials.take_permission(part));
+        for part in quarantined {
+            trials.take_permission(part);
+        }
         Admission::Run
     }
 
--- a/crates/suspect/src/trials.rs
+++ b/crates/suspect/src/trials.rs
@@ -69,11 +69,10 @@
         self.parts.get(&part).is_some_and(|trial| trial.permitted)
     }
 
-    /// Takes the permission to run one request with a part.
-    pub fn take_permission(&mut self, part: Fingerprint) {
-        if let Some(trial) = self.parts.get_mut(&part) {
-            trial.permitted = false;
-        }
+    /// Takes the permission to run one request with a part. Returns whether there was one.
+    pub fn take_permission(&mut self, part: Fingerprint) -> bool {
+        let trial = self.parts.get_mut(&part);
+        trial.is_some_and(|trial| std::mem::take(&mut trial.permitted))
     }
 
     /// Removes a part that is no longer quarantined.
