Suspect: targets lost at once in several domains count once against a request

Cause: a loss was explained by others in which the request had no part. A request that runs everywhere has a part in all of them, and each counted by itself.

Change: where several targets in each of several domains are lost within the correlation window, they count as one loss. One more loss under the request, alone, is enough for its quarantine.

--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -36,6 +36,11 @@
 const MIN_RACK_LOSSES: usize = 1;
 /// Number of other losses in the same failure domain at the same time that explain a loss.
 const MIN_DOMAIN_LOSSES: usize = 2;
+/// Number of failure domains with [`MIN_WIDESPREAD_LOSSES`] each at the same time from which a common
+/// cause of them all is likelier than a request that crashes its targets.
+const MIN_WIDESPREAD_DOMAINS: usize = 2;
+/// Number of losses in each of these domains.
+const MIN_WIDESPREAD_LOSSES: usize = 2;
 /// Maximum losses kept.
 const MAX_LOSSES: usize = 4096;
 /// Time after a supposed loss from which progress of an earlier stream disproves it.
@@ -291,6 +296,7 @@
         if settings.correlate_losses {
             let all = evidence.clone();
             evidence.retain(|one| !self.is_correlated(one, &all, settings));
+            self.merge_widespread(&mut evidence, settings);
         }
         let targets: Vec<TargetName> =
             evidence.iter().map(|evidence| evidence.loss.target.clone()).collect();
@@ -486,6 +492,33 @@
             || others.iter().filter(in_domain).count() >= MIN_DOMAIN_LOSSES
     }
 
+    /// Keeps only the first evidence of each widespread loss. The request may run at each target of
+    /// the site, and so have a part in all of its losses.
+    fn merge_widespread(&self, evidence: &mut Vec<Evidence>, settings: &Settings) {
+        let window = settings.correlation_window;
+        evidence.sort_by_key(|one| one.loss.at);
+        let mut merged_until = None;
+        evidence.retain(|one| {
+            let at = one.loss.at;
+            if merged_until.is_some_and(|until| at < until) {
+                return false;
+            }
+            merged_until = self.is_widespread(at, window).then_some(at + window);
+            true
+        });
+    }
+
+    /// Returns whether several targets in each of several failure domains were lost within `window`
+    /// of a time.
+    fn is_widespread(&self, at: Duration, window: Duration) -> bool {
+        let mut domains: BTreeMap<u16, BTreeSet<&TargetName>> = BTreeMap::new();
+        for loss in self.losses.iter().filter(|loss| loss.at.abs_diff(at) < window) {
+            domains.entry(loss.place.domain).or_default().insert(&loss.target);
+        }
+        let lost = domains.values().filter(|targets| targets.len() >= MIN_WIDESPREAD_LOSSES);
+        lost.count() >= MIN_WIDESPREAD_DOMAINS
+    }
+
     /// Returns whether another request has the same losses, so that their cause cannot be
     /// identified.
     fn is_shared(&self, fingerprint: Fingerprint, targets: &[TargetName], now: Duration) -> bool {
--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -86,6 +86,41 @@
     assert_eq!((crashing, other), (case.crashing, case.other));
 }
 
+/// Targets that are lost at once under one request, as the numbers of their failure domains, and what
+/// is decided then and after one more loss under the request alone.
+struct Burst {
+    domains: &'static [u16],
+    at_once: bool,
+    later: bool,
+}
+
+// Guards against the quarantine of a sound request that many callers send, because a trouble of the
+// site ends targets in several domains at once, all of which run it.
+#[parameterized(
+    one_domain = { Burst { domains: &[0, 0], at_once: true, later: true } },
+    two_domains_once = { Burst { domains: &[0, 1], at_once: true, later: true } },
+    two_domains_twice = { Burst { domains: &[0, 0, 1, 1], at_once: false, later: true } },
+    three_domains_twice = { Burst { domains: &[0, 1, 2, 0, 1, 2], at_once: false, later: true } },
+    three_in_one_domain = { Burst { domains: &[0, 0, 0, 1], at_once: true, later: true } },
+)]
+fn targets_lost_at_once_count_once(burst: Burst) {
+    let settings = Settings::default();
+    let mut suspects = Suspects::default();
+    let mut lose = |suspects: &mut Suspects, target: String, domain, now| {
+        let place = Place { domain, rack: Default::default() };
+        let loss = Loss { target: target.into(), place, at: now };
+        let loss = suspects.record_loss(loss, &settings);
+        suspects.add_evidence(Subject::request(CRASHING), loss, true, &settings);
+    };
+    for (number, &domain) in (0_u32..).zip(burst.domains) {
+        let now = STEP + Duration::from_millis(50) * number;
+        lose(&mut suspects, format!("t{number}"), domain, now);
+    }
+    assert_eq!(decided(&mut suspects, CRASHING, STEP * 2, &settings), burst.at_once);
+    lose(&mut suspects, "later".into(), 0, STEP * 3);
+    assert_eq!(decided(&mut suspects, CRASHING, STEP * 4, &settings), burst.later);
+}
+
 // Guards against a decision that is made only when the request is sent again.
 #[test]
 fn decision_is_due_without_another_request() {
