--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -106,7 +106,7 @@
 fn targets_lost_at_once_count_once(burst: Burst) {
     let settings = Settings::default();
     let mut suspects = Suspects::default();
-    let mut lose = |suspects: &mut Suspects, target: String, domain, now| {
+    let lose = |suspects: &mut Suspects, target: String, domain, now| {
         let place = Place { domain, rack: Default::default() };
         let loss = Loss { target: target.into(), place, at: now };
         let loss = suspects.record_loss(loss, &settings);
