Shell: one bound on the bytes of all messages together

What was seen: with 300 callers and targets of as many slots, answers of 1 MB whose last byte never comes grew the process by 393 MB (16 MB allowed, 100 MB for threads and buffers); bodies of requests whose last byte never comes grew it likewise.

Cause: each answer and each body had a bound, their sum had none.

Change: edge::Memory counts them, as on the users' platform.

--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -207,6 +207,11 @@
         Share { memory: self.memory.clone(), bytes }
     }
 
+    /// Returns whether the message must end, because its source fills the memory.
+    pub fn must_end(&self) -> bool {
+        self.entry.as_ref().is_some_and(Entry::is_evicted)
+    }
+
     /// Waits until the message must end.
     pub async fn evicted(&self) {
         evicted(&self.entry).await;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -85,6 +85,10 @@
     /// Maximum size of a plain service's answer, in bytes
     #[bpaf(long("answer-bytes"), env("MAGNOLIA_ANSWER_BYTES"), argument("BYTES"), fallback("1048576".into()), display_fallback)]
     pub answer_bytes: String,
+    /// Maximum size of what is held at a time of the answers of targets, in bytes; half as much of
+    /// the bodies of requests
+    #[bpaf(long("memory-bytes"), env("MAGNOLIA_MEMORY_BYTES"), argument("BYTES"), fallback("134217728".into()), display_fallback)]
+    pub memory_bytes: String,
     /// Timeout for connecting to a target, in milliseconds
     #[bpaf(long("connect-ms"), env("MAGNOLIA_CONNECT_MS"), argument("MS"), fallback("500".into()), display_fallback)]
     pub connect_ms: String,
@@ -179,6 +183,9 @@
     pub write_timeout: Duration,
     /// Maximum size of a plain service's answer, in bytes.
     pub answer_bytes: usize,
+    /// Maximum size of what is held at a time of the answers of targets, in bytes; half as much of
+    /// the bodies of requests. At least two of the largest are held.
+    pub memory_bytes: usize,
     /// Timeout for connecting to a target.
     pub connect_timeout: Duration,
     /// Timeout of one call to the platform.
@@ -235,6 +242,7 @@
             body_timeout: parse_millis("body-ms", &self.body_ms, 10, 600_000)?,
             write_timeout: parse_millis("write-ms", &self.write_ms, 10, 600_000)?,
             answer_bytes: parse_size("answer-bytes", &self.answer_bytes, 256, 16_777_216)?,
+            memory_bytes: parse_size("memory-bytes", &self.memory_bytes, 1_048_576, 1 << 40)?,
             connect_timeout: parse_millis("connect-ms", &self.connect_ms, 10, 60_000)?,
             platform_timeout: parse_millis("platform-ms", &self.platform_ms, 10, 60_000)?,
             list_interval: parse_millis("list-ms", &self.list_ms, 10, 60_000)?,
--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -2,20 +2,23 @@
 //! Each attempt opens a new connection, so that a refused connection proves that
 //! nothing was sent.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufReader, Read};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use edge::{Holding, Memory, Share};
 use fleet::{AttemptId, RequestId, TokenIndex, Trail};
 use serde::Deserialize;
 use smol_str::SmolStr;
 use tokio::sync::mpsc::Sender;
 
+use super::body::{Lines, read_whole};
 use crate::Answer;
 
 /// Maximum length of a line in an engine's stream and of a refusal's body, in bytes.
-const MAX_LINE_BYTES: u64 = 256 * 1024;
+const MAX_LINE_BYTES: usize = 256 * 1024;
 /// Header in which a target states that it did not run a call.
 pub(crate) const RUN_HEADER: &str = "magnolia-run";
 
@@ -34,8 +37,8 @@
     Unreachable,
     /// The answer is missing, invalid or incomplete.
     Broken,
-    /// The plain service sent its complete answer.
-    Answer(Answer),
+    /// The plain service sent its complete answer. It is counted until the share is dropped.
+    Answer(Answer, Share),
 }
 
 /// A token as serialised by an engine.
@@ -68,12 +71,21 @@
 /// Receiver of an attempt's events.
 pub(crate) struct Sink {
     pub(crate) attempt: AttemptId,
+    /// Address of the target.
+    pub(crate) target: SocketAddr,
+    /// What the process holds of answers.
+    pub(crate) answers: Memory,
     pub(crate) events: Sender<(AttemptId, Event)>,
     /// Set when the attempt has been replaced or its caller has disconnected.
     pub(crate) abandoned: Arc<AtomicBool>,
 }
 
 impl Sink {
+    /// Returns the holding of the target's answer.
+    fn holding(&self) -> Holding {
+        self.answers.begin(self.target)
+    }
+
     /// Forwards an event to the relay. Returns false if the attempt was abandoned or the relay has
     /// ended.
     fn send(&self, event: Event) -> bool {
@@ -139,30 +151,24 @@
         }
     };
     if let Some(refused) = refusal(&answer) {
-        sink.send(refused(answer));
+        sink.send(refused(answer, sink.holding(), Instant::now() + io_timeout));
         return;
     }
     if answer.status().as_u16() != 200 {
         sink.send(Event::Broken);
         return;
     }
-    if !read_events(answer.into_body().into_reader(), sink) {
+    if !read_events(answer.into_body().into_reader(), io_timeout, sink) {
         sink.send(Event::Broken);
     }
 }
 
-/// Reads server-sent events. Returns true if the stream ended with a closing or failure event, or
-/// if the sink accepts no more events.
-fn read_events(body: impl Read, sink: &Sink) -> bool {
-    let mut reader = BufReader::new(body);
-    let mut line = String::new();
+/// Reads server-sent events. A long one waits for room for `patience`. Returns true if the stream
+/// ended with a closing or failure event, or if the sink accepts no more events.
+fn read_events(body: impl Read, patience: Duration, sink: &Sink) -> bool {
+    let mut lines = Lines::new(BufReader::new(body), MAX_LINE_BYTES, sink.holding(), patience);
     loop {
-        line.clear();
-        match reader.by_ref().take(MAX_LINE_BYTES).read_line(&mut line) {
-            Ok(0) | Err(_) => return false,
-            Ok(_) if !line.ends_with('\n') => return false,
-            Ok(_) => {}
-        }
+        let Some(line) = lines.read() else { return false };
         let Some(data) = line.strip_prefix("data:") else { continue };
         let data = data.trim();
         if data == "[DONE]" {
@@ -190,7 +196,7 @@
 
 /// Checks whether a response states that the call was not run, and if so returns a function that
 /// converts the response to an event.
-fn refusal(answer: &Response) -> Option<impl FnOnce(Response) -> Event + use<>> {
+fn refusal(answer: &Response) -> Option<impl FnOnce(Response, Holding, Instant) -> Event + use<>> {
     let status = answer.status().as_u16();
     let header = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
     if !matches!(status, 429 | 503) || header(RUN_HEADER) != Some("not-run") {
@@ -198,15 +204,27 @@
     }
     let retry_after =
         header("retry-after").and_then(|seconds| seconds.parse().ok()).map(Duration::from_secs);
-    Some(move |answer: Response| {
-        let body = answer.into_body().into_with_config().limit(MAX_LINE_BYTES).read_to_string();
+    Some(move |answer: Response, holding: Holding, until: Instant| {
+        let body = read_body(answer, MAX_LINE_BYTES, holding, until);
         let body: serde_json::Value =
-            body.ok().and_then(|body| serde_json::from_str(&body).ok()).unwrap_or_default();
+            body.and_then(|(body, _)| serde_json::from_slice(&body).ok()).unwrap_or_default();
         let leaving = body["error"]["type"] == "leaving";
         Event::Refused { leaving, retry_after }
     })
 }
 
+/// Reads the body of a response of at most `max_bytes` to its end.
+fn read_body(
+    answer: Response,
+    max_bytes: usize,
+    holding: Holding,
+    until: Instant,
+) -> Option<(Vec<u8>, Share)> {
+    let length = answer.headers().get("content-length").and_then(|value| value.to_str().ok());
+    let stated = length.and_then(|length| length.parse().ok());
+    read_whole(answer.into_body().into_reader(), stated, max_bytes, holding, until)
+}
+
 /// A call to a plain service, as sent to the target.
 pub(crate) struct ServiceRequest {
     pub(crate) method: hyper::Method,
@@ -245,6 +263,7 @@
         sink.send(Event::Unreachable);
         return;
     }
+    let until = Instant::now() + timeout;
     let answer = match agent.run(request) {
         Ok(answer) => answer,
         Err(error) => {
@@ -253,17 +272,20 @@
         }
     };
     if let Some(refused) = refusal(&answer) {
-        sink.send(refused(answer));
+        sink.send(refused(answer, sink.holding(), until));
         return;
     }
     let status = answer.status().as_u16();
     let content_type = answer.headers().get("content-type").and_then(|value| value.to_str().ok());
     let content_type = SmolStr::new(content_type.unwrap_or("application/octet-stream"));
-    let limit = service.answer_bytes as u64;
-    match answer.into_body().into_with_config().limit(limit).read_to_vec() {
-        Ok(body) => sink.send(Event::Answer(Answer { status, content_type, body })),
-        Err(_) => sink.send(Event::Broken),
-    };
+    match read_body(answer, service.answer_bytes, sink.holding(), until) {
+        Some((body, share)) => {
+            sink.send(Event::Answer(Answer { status, content_type, body }, share));
+        }
+        None => {
+            sink.send(Event::Broken);
+        }
+    }
 }
 
 /// Sends a cancel call to a stage.
--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -176,7 +176,7 @@
         .await
         .map_err(|rejection| Rejection { is_unread: true, ..rejection })?;
     let (call, arrival, reply_key) = match target {
-        Target::Model(form) => intake::model_call(form, caller, &body, shared)?,
+        Target::Model(form) => intake::model_call(form, caller, body, shared)?,
         Target::Service(service) => intake::service_call(service, caller, head, body, shared)?,
     };
     let reply = relay_call(call, arrival, shared, agent).await;
--- a/crates/node/src/shell/intake.rs
+++ b/crates/node/src/shell/intake.rs
@@ -3,8 +3,9 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use edge::{Holding, Share};
 use fleet::OrganisationName;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HeaderMap, HeaderName};
 use smol_str::SmolStr;
@@ -119,24 +120,69 @@
     Ok(Caller { organisation, key: key.map(SmolStr::new), last })
 }
 
+/// Reads the body of a request, and takes room for what has arrived. Returns it with what it holds.
 pub(crate) async fn read_body(
     body: Incoming,
     headers: &HeaderMap,
     shared: &Shared,
-) -> Result<Bytes, Rejection> {
+) -> Result<(Bytes, Share), Rejection> {
     let limit = shared.settings.body_bytes;
     let too_large =
         || reject(413, "body_too_large", format!("the body exceeds the limit of {limit} bytes"));
     let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    if length.and_then(|value| value.parse::<u64>().ok()).is_some_and(|l| l > limit as u64) {
+    let stated = length.and_then(|value| value.parse::<u64>().ok());
+    if stated.is_some_and(|stated| stated > limit as u64) {
         return Err(too_large());
     }
-    match timeout(shared.settings.body_timeout, Limited::new(body, limit).collect()).await {
+    let stated = stated.and_then(|stated| usize::try_from(stated).ok());
+    let mut holding = shared.uploads.begin(shared.settings.callers);
+    match timeout(shared.settings.body_timeout, collect(body, stated, limit, &mut holding)).await {
         Err(_) => Err(reject(408, "body_too_slow", "the body was not received in time")),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(reject(400, "body_broken", "the body could not be read completely")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(Unread::TooLarge)) => Err(too_large()),
+        Ok(Err(Unread::NoRoom)) => {
+            Err(reject(503, "bodies", "the bodies of other requests fill the memory"))
+        }
+        Ok(Err(Unread::Broken)) => {
+            Err(reject(400, "body_broken", "the body could not be read completely"))
+        }
+        Ok(Ok(body)) => {
+            let share = holding.split(body.len());
+            Ok((body, share))
+        }
+    }
+}
+
+/// Why the body of a request could not be read.
+enum Unread {
+    TooLarge,
+    NoRoom,
+    Broken,
+}
+
+/// Reads a body of at most `limit` bytes. Takes room for its `stated` length at once, else for what
+/// arrives.
+async fn collect(
+    mut body: Incoming,
+    stated: Option<usize>,
+    limit: usize,
+    holding: &mut Holding,
+) -> Result<Bytes, Unread> {
+    let mut whole = Vec::new();
+    if !holding.try_reserve(stated.unwrap_or(0)) {
+        return Err(Unread::NoRoom);
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
+        let length = whole.len() + data.len();
+        if length > limit {
+            return Err(Unread::TooLarge);
+        }
+        if !holding.try_reserve(length) {
+            return Err(Unread::NoRoom);
+        }
+        whole.extend_from_slice(&data);
     }
+    Ok(Bytes::from(whole))
 }
 
 /// Generates the identifier of one sending of a request.
@@ -150,11 +196,11 @@
 pub(crate) fn model_call(
     form: Form,
     caller: Caller,
-    body: &[u8],
+    (body, share): (Bytes, Share),
     shared: &Shared,
 ) -> Result<Prepared, Rejection> {
     let completion =
-        api::parse(form, body).map_err(|error| reject(400, "bad_request", error.to_string()))?;
+        api::parse(form, &body).map_err(|error| reject(400, "bad_request", error.to_string()))?;
     if caller.last.is_some() && (!completion.shape.stream || caller.key.is_none()) {
         let message = "Last-Event-ID requires a streamed call and its Idempotency-Key";
         return Err(reject(400, "bad_last_event_id", message));
@@ -162,14 +208,15 @@
     let keyed = caller.key.is_some();
     let key = caller.key.unwrap_or_else(|| hex(request_id()).into());
     let organisation = caller.organisation;
-    let parts = [organisation.as_bytes(), key.as_bytes(), form.path().as_bytes(), body];
+    let parts = [organisation.as_bytes(), key.as_bytes(), form.path().as_bytes(), &body];
     let answer = shared.secret.hash128(identity::ANSWER, &parts);
     if caller.last.is_some_and(|last| last.answer != answer) {
         let message = "Last-Event-ID belongs to another request: organisation, key and body must \
                        be the same";
         return Err(reject(409, "last_event_mismatch", message));
     }
-    let fingerprint = shared.secret.hash64(identity::FINGERPRINT, &[organisation.as_bytes(), body]);
+    let fingerprint =
+        shared.secret.hash64(identity::FINGERPRINT, &[organisation.as_bytes(), &body]);
     let request = fleet::Request {
         id: request_id(),
         organisation,
@@ -186,7 +233,8 @@
     // 53 bits, so that JSON readers that use doubles represent the seed exactly.
     let seed = (answer as u64) >> 11;
     let last = caller.last;
-    let call = Call::Model(Box::new(Model { completion, header, seed, last, keyed }));
+    let model = Model { completion, header, seed, last, keyed, _share: share };
+    let call = Call::Model(Box::new(model));
     Ok((call, Arrival { request, prefixes, claim: None }, None))
 }
 
@@ -204,7 +252,7 @@
     service: SmolStr,
     caller: Caller,
     head: hyper::http::request::Parts,
-    body: Bytes,
+    (body, share): (Bytes, Share),
     shared: &Shared,
 ) -> Result<Prepared, Rejection> {
     if caller.last.is_some() {
@@ -240,6 +288,7 @@
         (!repeatable).then(|| (ledger::Key { organisation, service, text: key.clone() }, digest));
     let reply_key = claim.is_some().then_some(key);
     let headers = forwarded_headers(&head.headers);
+    let body = share.attach(body);
     let call = Service { method: head.method, path, headers, body, repeatable, keyed };
     let arrival = Arrival { request, prefixes: Vec::new(), claim };
     Ok((Call::Service(Box::new(call)), arrival, reply_key))
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -2,6 +2,7 @@
 //! store events into messages, and carry out actions as calls.
 
 mod attempt;
+mod body;
 mod callers;
 mod connection;
 mod convert;
--- a/crates/node/src/shell/relay/answer.rs
+++ b/crates/node/src/shell/relay/answer.rs
@@ -68,7 +68,7 @@
         let model = match &self.call {
             Call::Service(_) => {
                 let reply = match self.answer.take() {
-                    Some(answer) => Reply::answer(answer, self.request),
+                    Some((answer, share)) => Reply::answer(answer, Some(share), self.request),
                     None => reply::for_end(&End::Unknown, self.request, true),
                 };
                 self.send_reply(reply.run("complete"));
--- a/crates/node/src/shell/relay/mod.rs
+++ b/crates/node/src/shell/relay/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::Share;
 use fleet::{AttemptId, Depth, Event as LogEvent, Plan, RequestId, TokenIndex};
 use serde_json::json;
 use smol_str::SmolStr;
@@ -61,6 +62,8 @@
     pub(crate) last: Option<EventId>,
     /// Whether the caller gave an idempotency key, so that it may have sent the call before.
     pub(crate) keyed: bool,
+    /// What the body of the request holds until it is answered.
+    pub(crate) _share: Share,
 }
 
 /// A call to a plain service.
@@ -114,7 +117,8 @@
     texts: Vec<SmolStr>,
     digest: Digest,
     finish_reason: SmolStr,
-    answer: Option<Answer>,
+    /// The answer of a plain service, and what it holds.
+    answer: Option<(Answer, Share)>,
     /// Index at the last progress report.
     last_reported: TokenIndex,
     /// Whether the first token or answer has been reported to the node.
@@ -213,6 +217,8 @@
         let abandoned = Arc::new(AtomicBool::new(false));
         let sink = Sink {
             attempt: dispatch.attempt,
+            target: first.address,
+            answers: self.shared.answers.clone(),
             events: self.events.clone(),
             abandoned: Arc::clone(&abandoned),
         };
@@ -296,7 +302,7 @@
                 let target = matches!(self.call, Call::Service(_)).then_some(first);
                 self.end_attempt(route::Ending::Broken { target });
             }
-            Event::Answer(answer) => self.on_answer(answer),
+            Event::Answer(answer, share) => self.on_answer(answer, share),
         }
     }
 
@@ -340,14 +346,14 @@
         self.notify(Request::CallerDisconnected(self.request));
     }
 
-    fn on_answer(&mut self, answer: Answer) {
+    fn on_answer(&mut self, answer: Answer, share: Share) {
         if !self.started {
             self.started = true;
             self.notify(Request::Started(self.request));
         }
         let Call::Service(service) = &self.call else { return };
         let failed = answer.status >= 500 && service.repeatable;
-        self.answer = Some(answer);
+        self.answer = Some((answer, share));
         self.end_attempt(if failed { route::Ending::Failed } else { route::Ending::Complete });
     }
 
@@ -372,7 +378,7 @@
         let Some(attempt) = self.current.as_ref().map(|current| current.id) else { return };
         self.abandon();
         let (request, next) = (self.request, self.next_index());
-        let answer = self.answer.clone();
+        let answer = self.answer.as_ref().map(|(answer, _)| answer.clone());
         self.notify(Request::Ended { request, attempt, next, ending, answer });
     }
 }
--- a/crates/node/src/shell/reply.rs
+++ b/crates/node/src/shell/reply.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use edge::Share;
 use fleet::RequestId;
 use http_body_util::{Either, Full};
 use hyper::Response;
@@ -93,9 +94,15 @@
             .header(REQUEST_HEADER, &hex(request))
     }
 
-    /// Creates a reply with the answer of a plain service.
-    pub(crate) fn answer(answer: Answer, request: RequestId) -> Self {
-        let payload = Either::Left(Full::new(Bytes::from(answer.body)));
+    /// Creates a reply with the answer of a plain service, which holds its share until the caller
+    /// has it.
+    pub(crate) fn answer(answer: Answer, share: Option<Share>, request: RequestId) -> Self {
+        let body = Bytes::from(answer.body);
+        let body = match share {
+            Some(share) => share.attach(body),
+            None => body,
+        };
+        let payload = Either::Left(Full::new(body));
         Self::new(answer.status, &answer.content_type, payload)
             .header(REQUEST_HEADER, &hex(request))
     }
@@ -221,7 +228,7 @@
 /// determine, so that `not-run` is reported as `attempt-not-run`.
 pub(crate) fn for_end(end: &End, request: RequestId, keyed: bool) -> Reply {
     if let End::Stored(answer) = end {
-        return Reply::answer(answer.clone(), request).run("complete");
+        return Reply::answer(answer.clone(), None, request).run("complete");
     }
     let run = match name(end) {
         "not-run" if keyed => "attempt-not-run",
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Instant;
 
+use edge::Memory;
 use fleet::{Depth, Kind, ModelName, RequestId, Target};
 use smol_str::SmolStr;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
@@ -116,6 +117,10 @@
     in_flight: Mutex<BTreeSet<RequestId>>,
     /// Number of claims held by this node whose outcome is not in the store yet.
     pub(crate) held_claims: AtomicUsize,
+    /// What the process holds of the answers of targets, until callers have them.
+    pub(crate) answers: Memory,
+    /// What it holds of the bodies of requests, until they are answered.
+    pub(crate) uploads: Memory,
     /// Number of open connections from callers.
     pub(crate) connections: AtomicUsize,
     /// Number of open connections from callers on which no request has come yet.
@@ -132,8 +137,12 @@
 
 impl Shared {
     pub(crate) fn new(settings: Settings, inbox: Inbox) -> Self {
+        let answers = Memory::new(settings.memory_bytes.max(2 * settings.answer_bytes));
+        let uploads = Memory::new((settings.memory_bytes / 2).max(2 * settings.body_bytes));
         Self {
             secret: Secret::new(&settings.secret),
+            answers,
+            uploads,
             settings,
             inbox,
             directory: RwLock::default(),
