Admission: one pass over the parts of a prompt, and no list of their standings

Each request that was sent built a list of the standings of all its parts, to look for quarantined ones and then for a pending decision. One pass now keeps the quarantined ones and the first pending decision, so the usual request builds none. No behaviour changes: what is refused, waited for and in which order is the same. Besides: the order of imports in answer.rs, and a blank line in quarantine.rs.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -61,25 +61,28 @@
     }
 
     fn admission(&self, call: &Call, now: Duration) -> Admission {
-        let standings = call.parts.iter().map(|&part| (part, self.standing(part, now)));
-        let standings: Vec<(Fingerprint, Status)> = standings.collect();
+        let (mut quarantined, mut pending) = (Vec::new(), None);
+        for &part in &call.parts {
+            match self.standing(part, now) {
+                Status::Clear | Status::Suspect => {}
+                Status::Quarantined(_) => quarantined.push(part),
+                Status::Pending(at) => pending = pending.or(Some((part, at))),
+            }
+        }
         let request = self.standing(call.fingerprint, now);
-        let quarantined: Vec<Fingerprint> = standings
-            .iter()
-            .filter(|(_, status)| matches!(status, Status::Quarantined(_)))
-            .map(|(part, _)| *part)
-            .collect();
         // Before any wait: what is quarantined already is refused, whatever is decided.
         if matches!(request, Status::Quarantined(_)) || !self.may_try(&quarantined) {
             return Admission::Refuse(self.quarantined_for(call));
         }
-        let is_suspect = request == Status::Suspect;
-        for (fingerprint, status) in standings.into_iter().chain([(call.fingerprint, request)]) {
-            if let Status::Pending(at) = status {
-                return self.pending(fingerprint, at, now);
-            }
+        if let Status::Pending(at) = request {
+            pending = pending.or(Some((call.fingerprint, at)));
+        }
+        if let Some((fingerprint, at)) = pending {
+            return self.pending(fingerprint, at, now);
         }
-        if is_suspect && let Some(start) = self.earliest_start(call.fingerprint, now) {
+        if request == Status::Suspect
+            && let Some(start) = self.earliest_start(call.fingerprint, now)
+        {
             return Admission::Wait(start);
         }
         let mut trials = self.quarantine.trials.borrow_mut();
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -6,13 +6,14 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use crate::queue::Receiver;
-use crate::receipt::Receipt;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+use crate::queue::Receiver;
+use crate::receipt::Receipt;
+
 /// The body ended before the answer was complete. The caller's connection is closed in this case,
 /// so that the answer is not taken for a complete one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -40,6 +40,7 @@
 pub(crate) const TTL: Duration = Duration::from_secs(600);
 /// Number of events of an answer on one path after which its request is no longer a suspect.
 pub(crate) const CLEARING_EVENTS: u64 = 8;
+
 /// State of the quarantine on this node.
 pub(crate) struct Quarantine {
     pub(crate) settings: Settings,
