Suspects: a part of prompts needs losses that one request does not explain

Cause: incidents against a part were counted as the smaller of lost targets and requests on them. One request that crashes three targets, beside a sound one on one of them, made two incidents against the part that both share.

Change: an incident is a request that it takes to explain the losses, so that one request on all targets is one.

suspect/tests/parts.rs one_request_beside_another failed before.

--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -1,6 +1,6 @@
 //! Records of the losses that count against a request or a part of prompts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use fleet::TargetName;
@@ -96,20 +96,30 @@
     evidence.map(|evidence| evidence.weight).sum()
 }
 
-/// Returns the number of separate incidents in evidence: each needs a target and a request of its
-/// own, because what repeats with one request may be due to the rest of it, unless that request was
-/// answered.
+/// Returns the number of separate incidents in evidence: the requests that it takes to explain all
+/// lost targets, because what happens under one request only may be due to the rest of it. Each
+/// target that ran no other request than answered ones is an incident of its own.
+///
+/// The request that explains most of the targets left is taken first, which may count one request
+/// more than the fewest possible, but never two where one explains all.
 pub(crate) fn incidents<'a>(evidence: impl Iterator<Item = &'a Evidence>) -> usize {
-    let (mut targets, mut requests) = (BTreeSet::new(), BTreeSet::new());
-    let mut answered = BTreeSet::new();
+    let mut unexplained = BTreeSet::new();
+    let mut targets_of: BTreeMap<Fingerprint, BTreeSet<&TargetName>> = BTreeMap::new();
     for one in evidence {
-        targets.insert(&one.loss.target);
-        match one.request {
-            Some(request) => requests.insert(request),
-            None => answered.insert(&one.loss.target),
-        };
+        unexplained.insert(&one.loss.target);
+        if let Some(request) = one.request {
+            targets_of.entry(request).or_default().insert(&one.loss.target);
+        }
+    }
+    let mut incidents = 0;
+    while let Some(explained) =
+        targets_of.values().max_by_key(|targets| targets.intersection(&unexplained).count())
+        && !explained.is_disjoint(&unexplained)
+    {
+        unexplained.retain(|target| !explained.contains(target));
+        incidents += 1;
     }
-    targets.len().min(requests.len() + answered.len())
+    incidents + unexplained.len()
 }
 
 /// Returns the number of different moments of losses, at least `window` apart.
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -56,6 +56,9 @@
     two_requests = { case(&[A, B], &[CRASHING]) },
     one_request_twice = { case(&[A, A], &[1]) },
     request_quarantined_first = { case(&[A, A, B], &[1, CRASHING]) },
+    // Guards against a sound part quarantined because requests with it ran beside one that crashed
+    // several targets.
+    one_request_beside_another = { case(&[A_BESIDE, A], &[1]) },
     run_between = { case(&[A, Lost { passes: &[FIRST, CRASHING], ..B }], &[]) },
     run_between_with_the_first_part = { case(&[Lost { passes: &[FIRST], ..A }, B], &[CRASHING]) },
     beside_another_twice = { case(&[A_BESIDE, B_BESIDE], &[]) },
