Suspects: a request that ran on all lost targets is a likelier cause than a part beside it

Cause: only parts were weighed against one another, and the quarantine of a request left its losses as evidence against all parts, also those that are not in its prompt.

Change: a part is not quarantined while one request ran on all these targets before any part of its answer, and the quarantine of a request leaves evidence only against the parts of its own prompt.

Tests read counters in one place (site).

--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -449,7 +449,7 @@
 
     /// Applies another node's decision to quarantine a request or a part for the loss of a target.
     fn apply_quarantine(&self, fingerprint: Fingerprint, target: TargetName, scope: Scope) {
-        self.quarantine.suspects.borrow_mut().drop_evidence_for(&target, scope);
+        self.quarantine.suspects.borrow_mut().drop_evidence_for(&target, (fingerprint, scope));
         self.quarantine_subject((fingerprint, scope), &[target], TTL, "told");
     }
 
--- a/crates/node/tests/cut.rs
+++ b/crates/node/tests/cut.rs
@@ -22,6 +22,8 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(80);
 /// Longest time after the end of a cut until a node uses the targets itself again.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
+/// Counter of requests that a node forwarded to other nodes.
+const FORWARD_COUNTER: &str = "magnolia_forwarded";
 /// Streams in progress at the start of a cut.
 const STREAMS: usize = 4;
 struct Case {
@@ -44,13 +46,6 @@
     }
 }
 
-/// Returns how many requests a node has forwarded to other nodes.
-fn forwarded(site: &Site, node: usize) -> u64 {
-    let metrics = site.metrics(node);
-    let lines = metrics.lines().filter(|line| line.starts_with("magnolia_forwarded"));
-    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
-}
-
 // Guards against a node that reaches no target refusing all its callers, although the nodes beside
 // it reach all targets.
 #[parameterized(
@@ -92,12 +87,16 @@
 
     set_cut(&site, case.nodes, None);
     sleep(RECOVERY_TIME);
-    let before = forwarded(&site, 0);
+    let before = site.counter(0, FORWARD_COUNTER);
     for route in Route::ALL {
         let reply = site.ask(0, route, &format!("after-{route:?}"));
         assert!(is_served(route, &reply), "{reply:?}");
     }
-    assert_eq!(forwarded(&site, 0), before, "the node reaches the targets itself again");
+    assert_eq!(
+        site.counter(0, FORWARD_COUNTER),
+        before,
+        "the node reaches the targets itself again"
+    );
 }
 
 // Guards against streams in progress being cut when their node loses the targets.
@@ -200,5 +199,5 @@
     sleep(CONTACT_TIME);
     let statuses: Vec<Option<u16>> = (0..=3).map(|less| status(0, "f", largest - less)).collect();
     assert_eq!(statuses, vec![Some(200); 4]);
-    assert!(forwarded(&site, 0) > 0);
+    assert!(site.counter(0, FORWARD_COUNTER) > 0);
 }
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -36,19 +36,12 @@
     answer
 }
 
-/// Returns the sum of a metric of a node over all its labels.
-fn metric(site: &Site, name: &str) -> u64 {
-    let metrics = site.metrics(0);
-    let lines = metrics.lines().filter(|line| line.starts_with(name));
-    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
-}
-
 // Guards against a request that ends without being counted, by whatever way.
 #[test]
 fn each_request_that_is_received_is_counted_at_its_end() {
     let site = Site::start(228, 1, &Document::default());
     let ended = |end: &str| format!(r#"magnolia_requests_ended{{end="{end}"}}"#);
-    let before = ["answered", "refused", "left", "cut"].map(|end| metric(&site, &ended(end)));
+    let before = ["answered", "refused", "left", "cut"].map(|end| site.counter(0, &ended(end)));
     let mut connection = connect(&site);
     for route in Route::ALL {
         serve(&mut connection, route, "served");
@@ -67,9 +60,9 @@
     let half = Connection::head(&Call::new(Route::Unsafe, "half"), "Content-Length: 9\r\n");
     connect(&site).send(half.as_bytes()).expect("it is sent");
     let expected = [before[0] + 4, before[1] + 1, before[2] + 3, before[3]];
-    let counts = || ["answered", "refused", "left", "cut"].map(|end| metric(&site, &ended(end)));
+    let counts = || ["answered", "refused", "left", "cut"].map(|end| site.counter(0, &ended(end)));
     assert!(site.platform.wait(CONFIG_TIME, || counts() == expected), "{before:?} {:?}", counts());
-    let received = metric(&site, "magnolia_requests_received");
+    let received = site.counter(0, "magnolia_requests_received");
     assert_eq!(received, expected.iter().sum::<u64>());
 }
 
@@ -281,7 +274,7 @@
     sleep(idle_timeout + REFUSAL_TIME);
     serve(&mut connection, Route::Safe, "next");
     let cause = "magnolia_connections_ended{cause=\"idle\"}";
-    assert!(site.platform.wait(CLOSE_TIME * 2, || metric(&site, cause) > 0), "it ends as idle");
+    assert!(site.platform.wait(CLOSE_TIME * 2, || site.counter(0, cause) > 0), "it ends as idle");
 }
 
 /// Size of an answer that does not fit into the buffers of a connection, bytes.
--- a/crates/node/tests/parts.rs
+++ b/crates/node/tests/parts.rs
@@ -7,7 +7,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use platform_standin::{Call, Document, Reply, Route, send_call, spawn_call};
+use platform_standin::{Call, Document, Fault, Reply, Route, send_call, spawn_call};
 use site::{EVENTS, STATE_TIMEOUT, Site, ended, start_node};
 use yare::parameterized;
 
@@ -193,6 +193,45 @@
     assert!(replies.iter().all(|reply| reply.status == Some(503)), "{replies:?}");
 }
 
+/// Rounds, each with parts of prompts that the nodes do not know.
+const ROUNDS: usize = 4;
+/// Number of requests that begin beside the crashing one in each round.
+const BESIDE: usize = 6;
+/// Pause between events, at which a request shows that its parts are sound only after a decision on
+/// them is due.
+const SLOW: Duration = Duration::from_millis(80);
+
+// Guards against a sound part of prompts that no request has run with yet being quarantined,
+// because requests with it began beside one request that crashed several engines.
+#[test]
+fn sound_parts_are_served_beside_a_request_that_crashes_engines() {
+    let site = Site::start(122, 2, &Document { attempts: 4, ..Document::default() });
+    site.set_fault(&site.engines, Fault::Slows(SLOW));
+    for round in 0..ROUNDS {
+        let (shared, crashing) = (format!("a{round}:40"), format!("d{round}"));
+        site.platform.set_crashing_part(&crashing, true);
+        let call = |id: &str, part: &str| {
+            let own = site.call(id, Some(part));
+            Call { parts: own.parts.replacen(SHARED, &shared, 1), ..own }
+        };
+        let front = site.nodes[round % site.nodes.len()].front;
+        let other = format!("e{round}");
+        let crashes = spawn_call(front, call(&format!("c{round}"), &crashing));
+        let beside = (0..BESIDE)
+            .map(|number| spawn_call(front, call(&format!("w{round}-{number}"), &other)));
+        ended(beside.chain([crashes]).collect());
+        for node in &site.nodes {
+            let sound = call(&format!("h{round}-{}", node.front), &other);
+            let served = || send_call(node.front, &sound).is_complete(EVENTS);
+            assert!(site.platform.wait(STATE_TIMEOUT, served), "round {round} is served");
+        }
+    }
+    // Only the crashing requests.
+    let quarantined = |node| site.counter(node, "magnolia_requests_condemned");
+    let quarantined: Vec<u64> = (0..site.nodes.len()).map(quarantined).collect();
+    assert!(quarantined.iter().all(|number| *number <= ROUNDS as u64), "{quarantined:?}");
+}
+
 /// Time within which a harmless part is served again.
 const RELEASE_LIMIT: Duration = Duration::from_secs(40);
 
--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -113,6 +113,13 @@
         let address = SocketAddr::new(self.nodes[node].front.ip(), METRICS_PORT);
         text(address, "/metrics").expect("metrics are served")
     }
+
+    /// Returns the sum of the counters of a node whose name starts with `name`.
+    pub(crate) fn counter(&self, node: usize, name: &str) -> u64 {
+        let metrics = self.metrics(node);
+        let lines = metrics.lines().filter(|line| line.starts_with(name));
+        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    }
 }
 
 /// Starts a node.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -229,7 +229,7 @@
     }
     let Quarantine { fingerprint, target, confirmed, ttl } = fact;
     if confirmed {
-        state.suspects.drop_evidence_for(&target, Scope::Request);
+        state.suspects.drop_evidence_for(&target, (fingerprint, Scope::Request));
         state.suspects.quarantine(fingerprint, step.now + ttl);
         return end_quarantined(state, step, fingerprint, ttl);
     }
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -81,6 +81,12 @@
         })
     }
 
+    /// Returns whether a target was lost while it ran this request.
+    pub(crate) fn has_lost(&self, target: &TargetName, request: Fingerprint) -> bool {
+        let mut evidence = self.evidence.iter();
+        evidence.any(|one| one.loss.target == *target && one.request == Some(request))
+    }
+
     /// Returns the weight of all unexpired evidence, where evidence within `correlation_window` of
     /// other evidence counts once, at the highest weight.
     pub(crate) fn weight_of_causes(&self, now: Duration, correlation_window: Duration) -> f64 {
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -243,7 +243,7 @@
     /// until `until`.
     pub fn explain_losses(&mut self, targets: &[TargetName], until: Duration) {
         self.explained.extend(targets.iter().map(|target| (target.clone(), until)));
-        self.retain_evidence(|_, evidence| !targets.contains(&evidence.loss.target));
+        self.retain_evidence(|evidence| !targets.contains(&evidence.loss.target));
     }
 
     /// Returns whether a decision has set aside evidence against a fingerprint, which must then run
@@ -257,7 +257,7 @@
     pub fn record_survival(&mut self, target: &str) {
         if self.losses.iter().any(|loss| loss.target == target) {
             self.losses.retain(|loss| loss.target != target);
-            self.retain_evidence(|_, evidence| evidence.loss.target != target);
+            self.retain_evidence(|evidence| evidence.loss.target != target);
         }
     }
 
@@ -275,7 +275,7 @@
             return;
         }
         self.losses.retain(|loss| !is_disproved(loss));
-        self.retain_evidence(|_, evidence| !is_disproved(&evidence.loss));
+        self.retain_evidence(|evidence| !is_disproved(&evidence.loss));
     }
 
     /// Decides on a fingerprint whose confirmation time is over.
@@ -353,7 +353,7 @@
         if !is_cause {
             return Decision::Dropped(Doubt::Correlated);
         }
-        if !is_identified {
+        if !is_identified || self.is_explained_by_request(&all, now) {
             return Decision::Dropped(Doubt::Shared);
         }
         self.quarantine_for_losses(fingerprint, now, settings)
@@ -388,6 +388,18 @@
         rivals.map(|rival| rank(rival).cmp(&rank(record))).min()
     }
 
+    /// Returns whether one request ran on all these targets when they were lost, before any part of
+    /// its answer. It may then be their cause, whatever the others had in common.
+    fn is_explained_by_request(&self, losses: &[Evidence], now: Duration) -> bool {
+        let lost = targets(losses.iter());
+        let explains = |record: &Record| {
+            let fresh = record.unexpired(now).filter(|one| one.weight > HALF_WEIGHT);
+            let under = targets(fresh);
+            lost.iter().all(|target| under.contains(target))
+        };
+        self.records.values().any(|record| !record.is_part() && explains(record))
+    }
+
     /// Quarantines a fingerprint for its losses, which then count against no other.
     fn quarantine_for_losses(
         &mut self,
@@ -397,10 +409,10 @@
     ) -> Decision {
         let record = self.records.get(&fingerprint);
         let is_part = record.is_some_and(Record::is_part);
-        let scope = if is_part { Scope::Part } else { Scope::Request };
+        let cause = (fingerprint, if is_part { Scope::Part } else { Scope::Request });
         let targets = targets(record.into_iter().flat_map(|record| record.unexpired(now)));
         self.quarantine(fingerprint, now + settings.quarantine_ttl);
-        targets.iter().for_each(|target| self.drop_evidence_for(target, scope));
+        targets.iter().for_each(|target| self.drop_evidence_for(target, cause));
         Decision::Quarantined(targets)
     }
 
@@ -412,13 +424,17 @@
             Some(record.quarantined_until.map_or(until, |known| known.max(until)));
     }
 
-    /// Drops the evidence for the loss of a target, because another fingerprint was quarantined for
-    /// it. If that was a request, evidence against parts of prompts stays, as it may be a part that
-    /// makes the request crash its targets.
-    pub fn drop_evidence_for(&mut self, target: &TargetName, scope: Scope) {
-        self.retain_evidence(|record, evidence| {
-            evidence.loss.target != *target || scope == Scope::Request && record.is_part()
-        });
+    /// Drops the evidence for the loss of a target, because a fingerprint was quarantined for it. If
+    /// that is a request, evidence against the parts of its own prompt stays, as it may be one of
+    /// them that makes the request crash its targets.
+    pub fn drop_evidence_for(&mut self, target: &TargetName, (cause, scope): (Fingerprint, Scope)) {
+        for record in self.records.values_mut() {
+            let may_be_its_part = scope == Scope::Request && record.is_part();
+            if !(may_be_its_part && record.has_lost(target, cause)) {
+                record.evidence.retain(|evidence| evidence.loss.target != *target);
+            }
+        }
+        self.drop_empty_records();
     }
 
     /// Drops what has expired.
@@ -533,12 +549,16 @@
         self.records.iter().any(|(other, record)| *other != fingerprint && holds(record))
     }
 
-    fn retain_evidence(&mut self, keep: impl Fn(&Record, &Evidence) -> bool) {
+    fn retain_evidence(&mut self, keep: impl Fn(&Evidence) -> bool) {
         for record in self.records.values_mut() {
             let mut evidence = std::mem::take(&mut record.evidence);
-            evidence.retain(|one| keep(record, one));
+            evidence.retain(&keep);
             record.evidence = evidence;
         }
+        self.drop_empty_records();
+    }
+
+    fn drop_empty_records(&mut self) {
         self.records
             .retain(|_, record| record.quarantined_until.is_some() || !record.evidence.is_empty());
     }
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -37,6 +37,7 @@
 const C: Lost = lost(&[(3, &[FIRST, CRASHING])]);
 const D: Lost = lost(&[(4, &[FIRST, CRASHING])]);
 const A_BESIDE: Lost = lost(&[(1, &[FIRST, CRASHING]), (5, &[FIRST, OTHER])]);
+const A_BESIDE_ANOTHER: Lost = lost(&[(1, &[FIRST, CRASHING]), (6, &[FIRST, OTHER])]);
 const B_BESIDE: Lost = lost(&[(2, &[FIRST, CRASHING]), (6, &[FIRST, OTHER])]);
 const X: Lost = lost(&[(5, &[FIRST, OTHER])]);
 
@@ -59,6 +60,10 @@
     // Guards against a sound part quarantined because requests with it ran beside one that crashed
     // several targets.
     one_request_beside_another = { case(&[A_BESIDE, A], &[1]) },
+    one_request_beside_others_alone = {
+        case(&[A_BESIDE, A_BESIDE_ANOTHER], &[1])
+    },
+    one_request_beside_others = { case(&[A_BESIDE, A_BESIDE_ANOTHER, A], &[1]) },
     run_between = { case(&[A, Lost { passes: &[FIRST, CRASHING], ..B }], &[]) },
     run_between_with_the_first_part = { case(&[Lost { passes: &[FIRST], ..A }, B], &[CRASHING]) },
     beside_another_twice = { case(&[A_BESIDE, B_BESIDE], &[]) },
@@ -153,8 +158,13 @@
 }
 
 // Guards against evidence on a part being lost when a request with it is quarantined.
-#[parameterized(request = { Scope::Request, true }, part = { Scope::Part, false })]
-fn quarantine_elsewhere_keeps_evidence_on_parts(scope: Scope, kept: bool) {
+#[parameterized(
+    request = { (1, Scope::Request), true },
+    // Guards against a sound part quarantined for what requests beside those with it crashed.
+    request_without_the_part = { (3, Scope::Request), false },
+    part = { (OTHER, Scope::Part), false },
+)]
+fn quarantine_elsewhere_keeps_evidence_on_parts(cause: (Fingerprint, Scope), kept: bool) {
     let settings = Settings::default();
     let (mut suspects, passes) = (Suspects::default(), Passes::default());
     for (number, request) in [1, 2].into_iter().enumerate() {
@@ -163,7 +173,7 @@
             suspects.add_evidence(subject, loss.clone(), true, &settings);
         }
     }
-    suspects.drop_evidence_for(&"t0".into(), scope);
+    suspects.drop_evidence_for(&"t0".into(), cause);
     let decision = suspects.decide(CRASHING, STEP * 2, &settings);
     assert_eq!(matches!(decision, Decision::Quarantined(_)), kept);
 }
