Search: a new request waits for engines that may only be silent

Cause: an engine that pauses while streams pass it is left out after 0.1 s, and the search knows only engines in use. Where no other engine holds the layers, it has no path until a probe is answered.

Change: a new request without a path waits for one, up to 0.5 s, if there would be one with the engines that have refused no connection and have been silent for less than a sound one is, and if no other node takes the request. It looks again when an engine is used again.

Not changed: plain targets.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -51,4 +51,5 @@
     CONFIG_UNREADABLE = 1159, "configuration-unreadable", "The operators' newest configuration cannot be read by this build. The node refuses all requests until there is one that it can read: those that the unread one allows are not known.";
     CONFIG_READABLE = 1160, "configuration-readable", "The operators' newest configuration can be read again, and requests are handled by it.";
     MEMORY_FULL = 1161, "memory-full", "The messages that the process holds have reached their bound (`held` of `most` bytes), and none of them ends. The unfinished ones of this source, which hold the most (`bytes`), end for those of others.";
+    REQUEST_AWAITS_PATH = 1162, "request-awaits-path", "A new request without a path waits for one for a moment, because the engines that it lacks may only be silent.";
 }
--- a/crates/edge/src/search.rs
+++ b/crates/edge/src/search.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use path::{Path, Query, Stage};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::call::Call;
 use crate::dispatch::{Dispatch, NO_ATTEMPT, NO_PATH};
+use crate::event::REQUEST_AWAITS_PATH;
 
 /// Share of an engine's memory above which new requests are refused.
 pub(crate) const MAX_PRESSURE: f64 = 1.0;
@@ -15,6 +17,9 @@
 const MAX_CROSSING_WAIT: Duration = Duration::from_millis(800);
 /// Interval at which a waiting request looks for a path that does not cross, or for a free link.
 const CROSSING_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum wait of a new request for engines that may only be silent. A probe reaches them several
+/// times within it.
+const MAX_SILENCE_WAIT: Duration = Duration::from_millis(500);
 /// Reason of a request whose best path has no memory left.
 const FULL: &str = "full";
 /// Reason of a request whose paths all cross failure domains, while the link is in use.
@@ -76,19 +81,47 @@
         self.node.table.borrow().path_available_in(self.node.now(), &self.model, &criteria)
     }
 
-    /// Returns the best path that has room for the request. Waits if it crosses failure domains while
-    /// the link between them is in use.
+    /// Returns whether a new request for which there is no path may wait for one, because the engines
+    /// that it lacks may only be silent. Another node that reaches its targets serves it at once.
+    fn may_await_silent(&self, waited: Duration) -> bool {
+        let (node, now) = (&self.node, self.node.now());
+        let is_new = !self.has_begun && self.waiting.is_empty();
+        let has_time = waited < MAX_SILENCE_WAIT && !self.time_left().is_zero();
+        is_new
+            && has_time
+            && !(node.doubts_targets() && node.may_forward(&self.call))
+            && node.table.borrow().has_path_beyond_silence(
+                now,
+                &self.model,
+                &self.criteria(&self.excluded, None, &[]),
+            )
+    }
+
+    /// Returns the best path that has room for the request. Waits if there is none only because
+    /// engines are silent, or if it crosses failure domains while the link between them is in use.
     ///
     /// # Errors
     ///
     /// Returns why there is none.
     pub(crate) async fn await_path(&mut self) -> Result<Path, &'static str> {
         let called_at = self.node.now();
+        let mut logged = false;
         loop {
             let now = self.node.now();
-            let path = match self.find_path(now) {
+            let waited = now.saturating_sub(called_at);
+            let path = self.find_path(now).or_else(|reason| self.find_limited_path(now, reason));
+            let path = match path {
                 Ok(path) => path,
-                Err(reason) => self.find_limited_path(now, reason)?,
+                Err(NO_PATH) if self.may_await_silent(waited) => {
+                    if !std::mem::replace(&mut logged, true) {
+                        log_awaiting(&self.call);
+                    }
+                    let left = MAX_SILENCE_WAIT.saturating_sub(waited).min(self.time_left());
+                    // Both outcomes lead to another search.
+                    timeout(left, self.node.routing_changed.notified()).await.ok();
+                    continue;
+                }
+                Err(reason) => return Err(reason),
             };
             self.pressure = path.pressure;
             if path.pressure > MAX_PRESSURE && !self.has_begun {
@@ -98,10 +131,17 @@
             if !path.crosses || self.has_begun || self.node.table.borrow().may_cross() {
                 return Ok(path);
             }
-            if now.saturating_sub(called_at) >= MAX_CROSSING_WAIT || !self.waiting.is_empty() {
+            if waited >= MAX_CROSSING_WAIT || !self.waiting.is_empty() {
                 return Err(LINK_BUSY);
             }
             sleep(CROSSING_POLL_INTERVAL).await;
         }
     }
 }
+
+/// Logs that a new request waits for engines that may only be silent.
+fn log_awaiting(call: &Call) {
+    let event = call.event(REQUEST_AWAITS_PATH);
+    log::info!("{}", event.with("service", &call.service));
+    metrics::counter!("magnolia_requests_awaiting_path").increment(1);
+}
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -170,3 +170,41 @@
     assert_eq!(orders.len(), before, "{:?}", &orders[before..]);
     ended(streams);
 }
+
+/// Time for which all engines are silent while new requests come.
+const SHARED_SILENCE: Duration = Duration::from_millis(400);
+/// Time from the start of that silence to the first new request.
+const BEFORE_NEW: Duration = Duration::from_millis(250);
+/// Pause between new requests.
+const NEW_PAUSE: Duration = Duration::from_millis(10);
+/// Number of new requests.
+const NEW: usize = 12;
+
+// Guards against new requests that are refused at once because all first engines, or all last ones,
+// count as silent for a moment, although none has ended.
+#[parameterized(
+    first_engines = { 183, 0 },
+    last_engines = { 184, 1 },
+)]
+fn new_requests_are_served_after_a_short_silence(number: u8, stage: usize) {
+    let site = Site::start(number, 1, &Document::default());
+    let streams = site.streams(0, "w", 4 * STREAMS);
+    assert!(site.platform.wait(START_LIMIT, || site.runs("w").len() == 4 * STREAMS), "they run");
+    sleep(BEFORE_SILENCE);
+    let silent: BTreeSet<SocketAddr> =
+        site.runs("w").iter().map(|run| run.engines[stage]).collect();
+    let until = Instant::now() + SHARED_SILENCE;
+    silent.iter().for_each(|&engine| site.platform.set_silent(engine, true));
+    sleep(BEFORE_NEW);
+    let new = |number: usize| {
+        sleep(NEW_PAUSE);
+        let route = if number < NEW / 2 { Route::Resumable } else { Route::Stream };
+        spawn_call(site.nodes[0].front, Call::new(route, &format!("n{number}")))
+    };
+    let new: Vec<_> = (0..NEW).map(new).collect();
+    sleep(until.saturating_duration_since(Instant::now()));
+    silent.iter().for_each(|&engine| site.platform.set_silent(engine, false));
+    for (index, reply) in ended(new).iter().chain(&ended(streams)).enumerate() {
+        assert!(reply.is_complete(EVENTS), "{index}: {reply:?}");
+    }
+}
--- a/crates/path/src/entry.rs
+++ b/crates/path/src/entry.rs
@@ -120,6 +120,13 @@
         !self.is_draining() && self.availability.is_usable(then) && self.health.is_usable(now)
     }
 
+    /// Returns whether requests may be sent, or may be soon: a target out of use may be sound, and
+    /// silent for a moment.
+    pub(crate) fn may_be_usable_soon(&self, now: Duration) -> bool {
+        let accepts = !self.is_draining() && self.availability.is_usable(now);
+        accepts && (self.health.is_usable(now) || self.health.may_be_silent(now))
+    }
+
     /// Returns whether the target is used less, because it has told another VM to back off.
     pub fn is_deprioritised(&self, now: Duration) -> bool {
         now < self.deprioritised_until
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -494,6 +494,12 @@
         self.path_with_backoff_at(now, now, model, query)
     }
 
+    /// Returns whether there would be a path, if the targets went on that may only be silent for a
+    /// moment.
+    pub fn has_path_beyond_silence(&self, now: Duration, model: &Model, query: &Query<'_>) -> bool {
+        self.path_of(now, model, query, |entry| entry.may_be_usable_soon(now)).is_some()
+    }
+
     /// Returns the best path, with back-offs evaluated at `then` instead of `now`.
     fn path_with_backoff_at(
         &self,
@@ -501,6 +507,17 @@
         then: Duration,
         model: &Model,
         query: &Query<'_>,
+    ) -> Option<Path> {
+        self.path_of(now, model, query, |entry| entry.is_usable_by(now, then))
+    }
+
+    /// Returns the best path through these targets.
+    fn path_of(
+        &self,
+        now: Duration,
+        model: &Model,
+        query: &Query<'_>,
+        is_usable: impl Fn(&Entry) -> bool,
     ) -> Option<Path> {
         // A VM that does not report its load is assumed to place the same load as this one.
         let unreported = self.vms.saturating_sub(1 + self.peer_loads.len());
@@ -508,7 +525,7 @@
         let whole = Layers::new(0, model.depth);
         // The entry of another writer may name layers that the model does not have.
         let usable = self
-            .usable(now, then, query)
+            .chosen(query, is_usable)
             .filter(|entry| entry.layers.is_none_or(|layers| whole.contains(layers)));
         let usable = usable.map(|entry| {
             let held = entry.tokens * assumed_vms + entry.peer_tokens;
@@ -529,7 +546,8 @@
             let busy = 1.0 + f64::from(entry.running_requests) + remote + deprioritised;
             busy * (1.0 + FAILURE_LOAD_FACTOR * entry.health.failure_rate())
         };
-        let best = self.usable(now, now, query).min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
+        let usable = self.chosen(query, |entry| entry.is_usable(now));
+        let best = usable.min_by(|a, b| weight(a).total_cmp(&weight(b)))?;
         Some((best.target.id.clone(), best.target.address))
     }
 
@@ -581,16 +599,15 @@
         }
     }
 
-    /// Returns the targets of a service that accept requests, with back-offs evaluated at `then`.
-    fn usable<'a>(
+    /// Returns those targets of a service that `is_usable` chooses and that are not excluded.
+    fn chosen<'a>(
         &'a self,
-        now: Duration,
-        then: Duration,
         query: &'a Query<'_>,
+        is_usable: impl Fn(&Entry) -> bool + 'a,
     ) -> impl Iterator<Item = &'a Entry> + 'a {
         self.entries.values().filter(move |entry| {
             entry.target.service == query.service
-                && entry.is_usable_by(now, then)
+                && is_usable(entry)
                 && !query.excluded.contains(&entry.target.address)
         })
     }
--- a/crates/path/tests/availability.rs
+++ b/crates/path/tests/availability.rs
@@ -7,6 +7,7 @@
 use path::{Fault, ProbeFailure, Query, Table};
 use proptest::prelude::*;
 use site::{Model, Report, State, Target};
+use yare::parameterized;
 
 const SERVICE: &str = "s";
 const PLAIN: &str = "p";
@@ -197,27 +198,61 @@
     assert_eq!(table.service_available_in(now, PLAIN), Some(Duration::from_secs(4)));
 }
 
+const QUERY: Query<'static> =
+    Query { service: SERVICE, excluded: &[], allowed_first: None, closed_first: &[], tokens: 10.0 };
+
+/// Returns an engine with these layers.
+fn half(number: u8, layers: (u16, u16)) -> Target {
+    let layers = Some(Layers::from(layers));
+    Target { layers, ..target(number, 1, State::Ready) }
+}
+
 #[test]
 fn path_is_available_once_all_engines_it_needs_are() {
     let now = Duration::from_secs(100);
     let mut table = Table::new("a".into());
-    let half = |number, layers| {
-        let layers = Some(Layers::from(layers));
-        Target { layers, ..target(number, 1, State::Ready) }
-    };
     table.set(now, half(0, (0, 40)));
     table.set(now, half(1, (40, 80)));
     table.set(now, half(2, (40, 80)));
     table.back_off(now, address(0), Duration::from_secs(2));
     table.back_off(now, address(1), Duration::from_secs(5));
     table.back_off(now, address(2), Duration::from_secs(9));
-    let query = Query {
-        service: SERVICE,
-        excluded: &[],
-        allowed_first: None,
-        closed_first: &[],
-        tokens: 10.0,
-    };
-    assert!(table.path(now, &model(), &query).is_none());
-    assert_eq!(table.path_available_in(now, &model(), &query), Some(Duration::from_secs(5)));
+    assert!(table.path(now, &model(), &QUERY).is_none());
+    assert_eq!(table.path_available_in(now, &model(), &QUERY), Some(Duration::from_secs(5)));
+}
+
+/// What is observed of both engines of the first half.
+struct Silence {
+    faults: [Fault; 2],
+    /// Time from the faults to the search.
+    after_ms: u64,
+    is_draining: bool,
+    has_path: bool,
+}
+
+// Guards against requests that wait for engines that have ended or leave, or that do not wait for
+// sound ones.
+#[parameterized(
+    silent = { Silence { faults: [Fault::ReportTimeout; 2], after_ms: 10, is_draining: false, has_path: true } },
+    one_silent = { Silence { faults: [Fault::Refused, Fault::ReportTimeout], after_ms: 10, is_draining: false, has_path: true } },
+    ended = { Silence { faults: [Fault::Refused; 2], after_ms: 10, is_draining: false, has_path: false } },
+    silent_for_long = { Silence { faults: [Fault::ReportTimeout; 2], after_ms: 2000, is_draining: false, has_path: false } },
+    full = { Silence { faults: [Fault::Full; 2], after_ms: 10, is_draining: false, has_path: false } },
+    silent_and_leaving = { Silence { faults: [Fault::ReportTimeout; 2], after_ms: 10, is_draining: true, has_path: false } },
+)]
+fn path_beyond_silence(case: Silence) {
+    let now = Duration::from_secs(1);
+    let mut table = Table::new("a".into());
+    table.set(now, half(0, (0, 40)));
+    table.set(now, half(1, (0, 40)));
+    table.set(now, half(2, (40, 80)));
+    for (index, fault) in (0..).zip(case.faults) {
+        table.record_fault(now, address(index), fault);
+        if case.is_draining {
+            table.mark_draining(address(index));
+        }
+    }
+    let then = now + Duration::from_millis(case.after_ms);
+    assert!(table.path(then, &model(), &QUERY).is_none());
+    assert_eq!(table.has_path_beyond_silence(then, &model(), &QUERY), case.has_path);
 }
