Layers: a range that ends before it starts is in no other

Callers would see: no path at all (503) while one entry or report claims layers that start beyond the model and end within it, as (9, 0) of a model of 8: one malformed entry stops a service.

Cause: contains asked only for the start not to be before and the end not to be after. The start became a boundary of the search beyond the last layer, which no path reaches.

Change: such a range is contained in none. path, place, route and the stand-ins ask in one place.

--- a/crates/fleet/src/layers.rs
+++ b/crates/fleet/src/layers.rs
@@ -30,9 +30,10 @@
         self.len() == 0
     }
 
-    /// Returns whether every layer of `other` is in this range.
+    /// Returns whether every layer of `other` is in this range. One that ends before it starts, as an
+    /// entry may claim, is in none.
     pub fn contains(self, other: Layers) -> bool {
-        self.start <= other.start && other.end <= self.end
+        self.start <= other.start && other.start <= other.end && other.end <= self.end
     }
 
     /// Returns whether the two ranges share a layer.
--- a/crates/path/tests/odd.rs
+++ b/crates/path/tests/odd.rs
@@ -76,6 +76,8 @@
     across_the_end = { (4, 9) },
     all_there_can_be = { (0, u16::MAX) },
     last_there_can_be = { (u16::MAX - 1, u16::MAX) },
+    // Guards against its start counting as a boundary beyond the model, which no path reaches.
+    ends_before_it_starts = { (9, 0) },
 )]
 fn layers_beyond_the_model_are_not_used(odd: (u16, u16)) {
     let mut table = table();
