Tests: counters of a node are summed in one place

The fleet of upgrade.rs had the same loop as the site of the other tests. No behaviour changed. Ran: rustfmt, clippy of node with all targets, kept.rs each_request_that, upgrade.rs unreadable (3 passed); not the whole script.

--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -111,3 +111,9 @@
     stream.read_to_string(&mut answer).ok()?;
     Some(answer)
 }
+
+/// Returns the sum of the counters in `metrics` whose line starts with `name`.
+pub(crate) fn sum_of_counters(metrics: &str, name: &str) -> u64 {
+    let lines = metrics.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
--- a/crates/node/tests/site/mod.rs
+++ b/crates/node/tests/site/mod.rs
@@ -11,7 +11,7 @@
     spawn_call,
 };
 
-use crate::entry::{Entry, text};
+use crate::entry::{Entry, sum_of_counters, text};
 
 /// Events of each stream; they take 10 ms each.
 pub(crate) const EVENTS: u64 = 40;
@@ -116,9 +116,7 @@
 
     /// Returns the sum of the counters of a node whose name starts with `name`.
     pub(crate) fn counter(&self, node: usize, name: &str) -> u64 {
-        let metrics = self.metrics(node);
-        let lines = metrics.lines().filter(|line| line.starts_with(name));
-        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+        sum_of_counters(&self.metrics(node), name)
     }
 }
 
--- a/crates/node/tests/upgrade/fleet.rs
+++ b/crates/node/tests/upgrade/fleet.rs
@@ -8,7 +8,7 @@
 
 use platform_standin::{Call, Document, MODEL, PLAIN, Platform, Route, Settings, Setup, send_call};
 
-use crate::entry::{Entry, command_of, status, text};
+use crate::entry::{Entry, command_of, status, sum_of_counters, text};
 use crate::production;
 
 /// Events of each stream; they take 10 ms each.
@@ -103,8 +103,7 @@
     pub(crate) fn counter(&self, name: &str) -> u64 {
         let address = SocketAddr::new(self.entry.front.ip(), METRICS_PORT);
         let metrics = text(address, "/metrics").expect("metrics are served");
-        let lines = metrics.lines().filter(|line| line.starts_with(name));
-        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+        sum_of_counters(&metrics, name)
     }
 
     /// Returns the log lines with an event.
