--- a/crates/edge/src/contact.rs
+++ b/crates/edge/src/contact.rs
@@ -14,6 +14,8 @@
 /// Minimum time without an answer of any target before the node counts as cut off. Targets answer
 /// every few milliseconds under load.
 const MIN_SILENCE: Duration = Duration::from_millis(120);
+/// Ratio of that time to the time that answers take to arrive at this node, if that is longer.
+const SILENCE_FACTOR: u32 = 3;
 /// Time without an answer of any target from which a failed target raises doubt.
 const DOUBT_SILENCE: Duration = Duration::from_millis(50);
 /// Time without an answer of any target after which a quiet node checks whether it still reaches
@@ -86,10 +88,11 @@
     }
 
     /// Returns whether the node counts as cut off from now on because no target answers; `known` is
-    /// the number of targets.
-    pub fn poll_loss(&mut self, now: Duration, known: usize) -> bool {
+    /// the number of targets, `latency` the time within which answers arrive at this node.
+    pub fn poll_loss(&mut self, now: Duration, known: usize, latency: Duration) -> bool {
         let enough = self.silent.len() >= MIN_FAILED.min(known.max(1));
-        if !enough || self.silence(now) < MIN_SILENCE || self.silent_since.is_some() {
+        let min_silence = MIN_SILENCE.max(latency * SILENCE_FACTOR);
+        if !enough || self.silence(now) < min_silence || self.silent_since.is_some() {
             return false;
         }
         let was_lost = self.is_lost();
@@ -154,6 +157,12 @@
         self.lost_since().is_some()
     }
 
+    /// Returns whether the node counts as cut off because no target answers, or none can be
+    /// connected to.
+    pub fn reaches_none(&self) -> bool {
+        self.silent_since.is_some() || self.unconnected_since.is_some()
+    }
+
     fn lost_since(&self) -> Option<Duration> {
         let ways = [self.silent_since, self.unconnected_since, self.most_lost_since];
         ways.into_iter().flatten().min()
--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -22,12 +22,9 @@
 const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Maximum wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum wait for the report of an engine on whose path a stream is silent: engines answer within
-/// a few milliseconds, also under load.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(35);
-/// Time without an answer after which a report is requested on a second connection as well: if
+/// Part of the wait for a report after which it is requested on a second connection as well: if
 /// links lose packets, the first connection retransmits only after 200 ms.
-const HEDGE_AFTER: Duration = Duration::from_millis(12);
+const HEDGE_PART: u32 = 3;
 /// A check that exceeds its timeout by this much shows that the VM was suspended: the report may
 /// have arrived without having been read.
 const TIMER_OVERRUN: Duration = Duration::from_millis(15);
@@ -70,7 +67,11 @@
             platform::decode_report(&body).map_err(|_| ProbeFailure::Timeout)
         };
         metrics::counter!("magnolia_reports").increment(1);
-        timeout(REPORT_TIMEOUT, exchange).await.unwrap_or(Err(ProbeFailure::Timeout))
+        let asked_at = self.now();
+        let report =
+            timeout(REPORT_TIMEOUT, exchange).await.unwrap_or(Err(ProbeFailure::Timeout))?;
+        self.latency.borrow_mut().record(self.now().saturating_sub(asked_at));
+        Ok(report)
     }
 
     /// Fetches an engine's report and applies it.
@@ -127,13 +128,7 @@
                 if !node.may_call(address).await {
                     return;
                 }
-                if let Err(failure) = node.responds_in_time(&id, address).await {
-                    let fault = match failure {
-                        ProbeFailure::Refused => Fault::Refused,
-                        ProbeFailure::Timeout => Fault::ReportTimeout,
-                    };
-                    node.record_fault(address, fault, "no report while streams pause");
-                }
+                node.check_engine(&id, address).await;
             });
         }
     }
@@ -160,28 +155,42 @@
         }
     }
 
-    /// Waits for the report of an engine for [`CHECK_TIMEOUT`].
-    async fn responds_in_time(&self, id: &str, address: SocketAddr) -> Result<(), ProbeFailure> {
-        let asked_at = self.now();
-        let answer = self.refresh_hedged(id, address);
+    /// Asks an engine for its report, and records a fault if it gives none in time.
+    async fn check_engine(&self, id: &str, address: SocketAddr) {
+        let (asked_at, limit) = (self.now(), self.latency.borrow().limit());
+        let answer = self.refresh_hedged(id, address, limit / HEDGE_PART);
         pin!(answer);
-        let mut report = timeout(CHECK_TIMEOUT, &mut answer).await;
-        if report.is_err() && self.now().saturating_sub(asked_at) > CHECK_TIMEOUT + TIMER_OVERRUN {
-            report = timeout(CHECK_TIMEOUT, answer).await;
+        let mut report = timeout(limit, &mut answer).await;
+        if report.is_err() && self.now().saturating_sub(asked_at) > limit + TIMER_OVERRUN {
+            report = timeout(limit, &mut answer).await;
+        }
+        let fault = match report {
+            Ok(Ok(_)) => return,
+            Ok(Err(ProbeFailure::Refused)) => Fault::Refused,
+            Ok(Err(ProbeFailure::Timeout)) | Err(_) => Fault::ReportTimeout,
+        };
+        self.record_fault(address, fault, "no report while streams pause");
+        if report.is_err() {
+            // A late report puts the engine back in use, and shows how late this node is.
+            answer.await.ok();
         }
-        report.unwrap_or(Err(ProbeFailure::Timeout)).map(drop)
     }
 
-    /// Fetches an engine's report, with a second attempt after [`HEDGE_AFTER`]. Returns the first
+    /// Fetches an engine's report, with a second attempt after `hedge_after`. Returns the first
     /// report.
-    async fn refresh_hedged(&self, id: &str, address: SocketAddr) -> Result<Report, ProbeFailure> {
+    async fn refresh_hedged(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        hedge_after: Duration,
+    ) -> Result<Report, ProbeFailure> {
         let first = self.refresh(id, address);
         pin!(first);
         if self.permits.borrow().limit(address).is_some() {
             // The permit is for one call.
             return first.await;
         }
-        if let Ok(report) = timeout(HEDGE_AFTER, &mut first).await {
+        if let Ok(report) = timeout(hedge_after, &mut first).await {
             return report;
         }
         let second = self.refresh(id, address);
@@ -235,12 +244,13 @@
     }
 
     /// Returns whether an engine at which a request has run must have ended without notice, or is cut
-    /// off from this node for longer than a sound engine is silent.
+    /// off from this node for longer than a sound engine is silent. A node that some targets answer
+    /// finds out by probes which of the others have ended.
     pub(crate) fn has_ended(&self, engine: &Stage) -> bool {
         let table = self.table.borrow();
-        let is_gone = match self.reaches_targets() {
-            true => table.is_lost(&engine.target),
-            false => table.is_silent(self.now(), &engine.target),
+        let is_gone = match self.contact.borrow().reaches_none() {
+            true => table.is_silent(self.now(), &engine.target),
+            false => table.is_lost(&engine.target),
         };
         is_gone || table.is_replaced(&engine.target)
     }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -17,6 +17,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::cadence::Cadence;
 use crate::call::Call;
 use crate::claim::Claim;
 use crate::clock::Clock;
@@ -25,6 +26,7 @@
 use crate::event::{CONTACT_BACK, CONTACT_LOST, TARGET_DOWN, TARGET_PAUSED, TARGET_UP};
 use crate::expiry::announced_time;
 use crate::forward::Origin;
+use crate::latency::Latency;
 use crate::loan::Loans;
 use crate::memory::Memory;
 use crate::permit::Answers;
@@ -100,6 +102,10 @@
     pub(crate) reachability: RefCell<Reachability>,
     /// Whether this node reaches its targets.
     pub(crate) contact: RefCell<Contact>,
+    /// The longest usual interval between events of streams.
+    pub(crate) cadence: RefCell<Cadence>,
+    /// How long reports of engines take to arrive here.
+    pub(crate) latency: RefCell<Latency>,
     /// Time at which the process was asked to stop.
     pub(crate) stopping_since: Cell<Option<Duration>>,
     /// Whether new requests are refused because the process is about to end.
@@ -163,6 +169,8 @@
             proof_received: Notify::new(),
             reachability: RefCell::default(),
             contact: RefCell::default(),
+            cadence: RefCell::default(),
+            latency: RefCell::default(),
             stopping_since: Cell::new(None),
             closed: Cell::new(false),
             ending: Notify::new(),
@@ -371,8 +379,16 @@
                 self.record_target_survival(&target);
             }
         }
+        let was_reported = {
+            let table = self.table.borrow();
+            table.entry(id).is_some_and(|entry| entry.health.is_locally_observed())
+        };
         if self.table.borrow_mut().record_report(self.now(), id, report) {
             self.log_target_up(id);
+            if was_reported {
+                // The other nodes may count on what this one has stated of the target.
+                self.alarm.notify_one();
+            }
         }
     }
 
@@ -459,6 +475,18 @@
         self.regain_contact(now, regained);
     }
 
+    /// Returns the silence of a stream that may show a stall.
+    pub(crate) fn max_pause(&self) -> Duration {
+        self.cadence.borrow().limit()
+    }
+
+    /// Records the interval between two events of a stream, if there were two.
+    pub(crate) fn record_interval(&self, interval: Option<Duration>) {
+        if let Some(interval) = interval {
+            self.cadence.borrow_mut().record(interval);
+        }
+    }
+
     /// Records that this node connected to a target.
     pub(crate) fn record_connection(&self) {
         let now = self.now();
@@ -486,7 +514,8 @@
         };
         let regained = self.contact.borrow_mut().record_reached(now, unreached, known);
         self.regain_contact(now, regained);
-        let is_silent = self.contact.borrow_mut().poll_loss(now, known);
+        let latency = self.latency.borrow().limit();
+        let is_silent = self.contact.borrow_mut().poll_loss(now, known, latency);
         let misses_most = self.contact.borrow_mut().record_unreached(now, unreached, known);
         if is_silent || misses_most {
             self.lose_contact();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -36,6 +36,9 @@
 /// Maximum number of draining or paused targets in one message.
 const MAX_DECLINING: usize = 8;
 
+/// Time for which a target is used less whose reports too few other nodes miss.
+const SUSPICION_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum number of messages of each kind with evidence that are sent together.
 const MAX_EVIDENCE_MESSAGES: usize = 4;
 
@@ -58,8 +61,7 @@
             last_count = peers.len();
             log::info!("{}", Event::new(PEERS).with("peers", last_count));
         }
-        let view = Message::View(view(&node, interval(peers.len()) * 2));
-        send_to_all(&socket, &view, &peers);
+        send_to_all(&socket, &view_for_peers(&node), &peers);
         if let Some(version) = node.version_unknown_to_store() {
             send_to_all(&socket, &Message::ConfigVersion(version), &peers);
         }
@@ -92,6 +94,12 @@
     }
 }
 
+/// Returns the message with which this node tells others what it knows of the targets.
+fn view_for_peers(node: &Node) -> Message {
+    let recent = interval(node.peers.borrow().len()) * 2;
+    Message::View(view(node, recent))
+}
+
 fn view(node: &Node, recent: Duration) -> View {
     let now = node.now();
     let table = node.table.borrow();
@@ -142,7 +150,14 @@
             continue;
         }
         match decode(&buffer[..length]) {
-            Ok(Message::View(view)) => apply_view(&node, from, view),
+            Ok(Message::View(view)) => {
+                if !node.table.borrow().has_peer_load(from) {
+                    // A node that has just started knows no loads, and would refuse callers.
+                    let own = view_for_peers(&node);
+                    send(&socket, &own, from);
+                }
+                apply_view(&node, from, view);
+            }
             Ok(Message::LoanRequest(loan)) => loan::handle_request(&node, &socket, from, loan),
             Ok(Message::LoanGrant(loan)) => loan::handle_grant(&node, from, &loan),
             Ok(Message::FreshnessQuery(query)) => answer_query(&node, &socket, from, query),
@@ -221,11 +236,14 @@
         node.table.borrow_mut().deprioritise(id, until);
     }
     let address = |id: &TargetKey| node.table.borrow().entry(id).map(|entry| entry.target.address);
-    for (id, mute) in &view.down {
-        let fault = if *mute { Fault::ReportedTimeout } else { Fault::Reported };
-        if let Some(address) = address(id) {
-            node.record_fault(address, fault, "reported by another node");
-        }
+    let (missed, failed): (Vec<_>, Vec<_>) = view.down.into_iter().partition(|(_, mute)| *mute);
+    for address in failed.iter().filter_map(|(id, _)| address(id)) {
+        node.record_fault(address, Fault::Reported, "reported by another node");
+    }
+    let missed: Vec<TargetKey> = missed.into_iter().map(|(id, _)| id).collect();
+    let silent = node.table.borrow_mut().record_missed_reports(from, &missed, now + SUSPICION_TIME);
+    for address in silent {
+        node.record_fault(address, Fault::ReportedTimeout, "reported by other nodes");
     }
     for address in view.refusing.iter().filter_map(address) {
         node.pause_target(address, false);
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -195,7 +195,7 @@
             stream_guard: StreamGuard::register(node, &in_flight.path.first().target),
             in_flight,
             intake: Box::new(Intake::new(holding)),
-            watchdog: Watchdog::new(node.now()),
+            watchdog: Watchdog::new(node.now(), node.max_pause()),
             events_before,
             interruption_recorded: false,
         }
@@ -299,7 +299,8 @@
             }
             while let Some(event) = self.intake.pop() {
                 if !event.is_comment {
-                    self.watchdog.record_event(arrived_at);
+                    let interval = self.watchdog.record_event(arrived_at, node.max_pause());
+                    node.record_interval(interval);
                     self.stream_guard.set_silent(false);
                 }
                 let delivered = progress.events;
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -2,19 +2,16 @@
 
 use std::time::Duration;
 
-/// Maximum silence before the engines of a path are asked for their reports: events arrive every 30
-/// to 80 ms.
-const MAX_SLOW_LIMIT: Duration = Duration::from_millis(100);
 /// Minimum silence before that, for streams with shorter intervals between events.
 const MIN_SLOW_LIMIT: Duration = Duration::from_millis(75);
-/// Maximum silence before a path with an engine that is down is abandoned: somewhat longer than an
-/// event takes, because the engine may have been marked down by mistake.
-const MAX_BROKEN_LIMIT: Duration = Duration::from_millis(120);
+/// Ratio of the silence before a path with an engine that is down is abandoned to that before its
+/// engines are asked: the engine may have been marked down by mistake.
+const BROKEN_FACTOR: f64 = 1.2;
 /// Minimum silence before that, for streams with shorter intervals between events.
 const MIN_BROKEN_LIMIT: Duration = Duration::from_millis(60);
 /// A silence this many times as long as the longest interval on the path shows that the stream has
 /// stalled.
-const STALL_FACTOR: f64 = 1.15;
+pub(crate) const STALL_FACTOR: f64 = 1.15;
 /// Number of intervals that must be known before they set a stream's limits.
 const MIN_INTERVALS: u32 = 6;
 /// Silence after which the first engine of a path is asked which engine stalls.
@@ -47,6 +44,8 @@
 pub struct Watchdog {
     last_event: Duration,
     next_check: Duration,
+    /// Maximum silence before the engines of a path are asked for their reports.
+    max_slow_limit: Duration,
     /// Number of intervals between events so far.
     intervals: u32,
     /// The longest interval so far.
@@ -58,13 +57,15 @@
 }
 
 impl Watchdog {
-    /// Returns the watchdog of a stream whose last event arrived at `now`.
-    pub fn new(now: Duration) -> Self {
+    /// Returns the watchdog of a stream whose last event arrived at `now`. Its engines are asked for
+    /// their reports after a silence of `max_slow_limit` at the latest.
+    pub fn new(now: Duration, max_slow_limit: Duration) -> Self {
         let (longest, deferred_until, deferral) =
             (Duration::ZERO, Duration::ZERO, INITIAL_DEFERRAL);
         Self {
             last_event: now,
-            next_check: now + MAX_SLOW_LIMIT,
+            next_check: now + max_slow_limit,
+            max_slow_limit,
             intervals: 0,
             longest,
             deferred_until,
@@ -79,23 +80,30 @@
         self.deferral = (self.deferral * 2).min(MAX_DEFERRAL);
     }
 
-    /// Records an event.
-    pub fn record_event(&mut self, now: Duration) {
-        let longest = self.longest.max(now.saturating_sub(self.last_event));
-        *self = Self { intervals: self.intervals + 1, longest, ..Self::new(now) };
+    /// Records an event. Returns the time since the one before, if there was one.
+    pub fn record_event(&mut self, now: Duration, max_slow_limit: Duration) -> Option<Duration> {
+        let has_event = self.intervals > 0;
+        let interval = now.saturating_sub(self.last_event);
+        let longest = self.longest.max(interval);
+        *self = Self { intervals: self.intervals + 1, longest, ..Self::new(now, max_slow_limit) };
         self.next_check = now + self.slow_limit();
+        has_event.then_some(interval)
     }
 
     /// Returns the silence after which the engines are asked for their reports.
     fn slow_limit(&self) -> Duration {
-        self.stall_limit()
-            .map_or(MAX_SLOW_LIMIT, |limit| limit.clamp(MIN_SLOW_LIMIT, MAX_SLOW_LIMIT))
+        let max = self.max_slow_limit;
+        self.stall_limit().map_or(max, |limit| limit.clamp(MIN_SLOW_LIMIT, max))
     }
 
     /// Returns the silence after which a path with an engine that is down is abandoned.
     fn broken_limit(&self) -> Duration {
-        self.stall_limit()
-            .map_or(MAX_BROKEN_LIMIT, |limit| limit.clamp(MIN_BROKEN_LIMIT, MAX_BROKEN_LIMIT))
+        let max = self.max_broken_limit();
+        self.stall_limit().map_or(max, |limit| limit.clamp(MIN_BROKEN_LIMIT, max))
+    }
+
+    fn max_broken_limit(&self) -> Duration {
+        self.max_slow_limit.mul_f64(BROKEN_FACTOR)
     }
 
     /// Returns the silence that shows that the stream has stalled, if enough intervals are known.
@@ -111,7 +119,7 @@
     /// Checks the stream; `is_broken` states whether an engine of its path is down.
     pub fn check(&mut self, now: Duration, is_broken: bool) -> Verdict {
         let silent = now.saturating_sub(self.last_event);
-        let mut limits = [self.slow_limit(), MAX_BROKEN_LIMIT, STALL_TIMEOUT].into_iter();
+        let mut limits = [self.slow_limit(), self.max_broken_limit(), STALL_TIMEOUT].into_iter();
         let next = limits.find(|at| *at > silent).map_or(CHECK_INTERVAL, |at| at - silent);
         self.next_check = now + next;
         match silent {
--- a/crates/edge/tests/contact.rs
+++ b/crates/edge/tests/contact.rs
@@ -9,6 +9,9 @@
 /// Number of known targets.
 const KNOWN: usize = 12;
 
+/// Time within which answers arrive at a node that is not late.
+const LATENCY: Duration = Duration::from_millis(35);
+
 #[derive(Clone, Copy)]
 enum Event {
     /// This target answers.
@@ -79,7 +82,7 @@
         lost -= u32::from(regained.is_some());
     }
     now += Duration::from_millis(200);
-    lost += u32::from(contact.poll_loss(now, KNOWN));
+    lost += u32::from(contact.poll_loss(now, KNOWN, LATENCY));
     assert_eq!(contact.is_lost(), case.lost);
     assert_eq!(lost, u32::from(case.lost), "each change is told once");
     assert_eq!(contact.is_doubtful(now), case.doubtful);
@@ -108,3 +111,27 @@
     assert_eq!(reaching.contains(&target(1)), case.expected);
     assert_eq!(reachability.any_reaching(Duration::from_millis(10_000)), case.expected);
 }
+
+// Guards against a node that takes its own delay for the loss of all targets.
+#[parameterized(
+    prompt = { 35, 120 },
+    late = { 100, 300 },
+)]
+fn late_node_waits_longer_for_any_answer(latency: u64, lost_after: u64) {
+    let (latency, lost_after) = (Duration::from_millis(latency), Duration::from_millis(lost_after));
+    let mut contact = Contact::default();
+    contact.record_answer(Duration::ZERO);
+    (1..=3).for_each(|number| contact.record_silence(target(number)));
+    assert!(!contact.poll_loss(lost_after - Duration::from_millis(1), KNOWN, latency));
+    assert!(contact.poll_loss(lost_after, KNOWN, latency));
+    assert!(contact.reaches_none());
+}
+
+// Guards against attempts at engines that are given back by a node that other targets answer.
+#[test]
+fn node_that_some_targets_answer_reaches_some() {
+    let mut contact = Contact::default();
+    contact.record_unreached(Duration::ZERO, KNOWN / 2 + 1, KNOWN);
+    assert!(contact.is_lost());
+    assert!(!contact.reaches_none());
+}
--- a/crates/edge/tests/silence.rs
+++ b/crates/edge/tests/silence.rs
@@ -9,6 +9,9 @@
     Duration::from_millis(millis)
 }
 
+/// Silence after which engines are asked at the latest, where events come as often as usual.
+const LIMIT: Duration = ms(100);
+
 struct Case {
     silent: u64,
     is_broken: bool,
@@ -27,7 +30,7 @@
     long = { Case { silent: 700, is_broken: false, verdict: Verdict::LocateStall, next: 100 } },
 )]
 fn verdict_depends_on_the_length_of_silence(case: Case) {
-    let mut watchdog = Watchdog::new(ms(1000));
+    let mut watchdog = Watchdog::new(ms(1000), LIMIT);
     let now = ms(1000 + case.silent);
     assert_eq!(watchdog.check(now, case.is_broken), case.verdict);
     assert_eq!(watchdog.next_check(), now + ms(case.next));
@@ -42,7 +45,7 @@
     many = { &[10, 40, 70, 100, 119] },
 )]
 fn stream_of_a_broken_path_moves_as_early_as_allowed(news: &[u64]) {
-    let mut watchdog = Watchdog::new(ms(0));
+    let mut watchdog = Watchdog::new(ms(0), LIMIT);
     let mut news = news.iter().map(|at| ms(*at)).peekable();
     loop {
         let check_at = watchdog.next_check();
@@ -78,10 +81,10 @@
 )]
 fn steady_stream_of_a_broken_path_moves_once_stalled(case: Steady) {
     let mut now = ms(0);
-    let mut watchdog = Watchdog::new(now);
+    let mut watchdog = Watchdog::new(now, LIMIT);
     for interval in case.intervals {
         now += ms(*interval);
-        watchdog.record_event(now);
+        watchdog.record_event(now, LIMIT);
     }
     let moves = now + ms(case.moves);
     let news = now + ms(case.news);
@@ -106,10 +109,10 @@
 )]
 fn engines_are_probed_at_the_first_unusual_pause(intervals: &[u64], asks: u64) {
     let mut now = ms(0);
-    let mut watchdog = Watchdog::new(now);
+    let mut watchdog = Watchdog::new(now, LIMIT);
     for interval in intervals {
         now += ms(*interval);
-        watchdog.record_event(now);
+        watchdog.record_event(now, LIMIT);
     }
     assert_eq!(watchdog.next_check(), now + ms(asks));
     assert_eq!(watchdog.check(now + ms(asks), false), Verdict::ProbeEngines);
@@ -117,9 +120,9 @@
 
 #[test]
 fn event_restarts_the_silence() {
-    let mut watchdog = Watchdog::new(ms(0));
+    let mut watchdog = Watchdog::new(ms(0), LIMIT);
     assert_eq!(watchdog.check(ms(100), false), Verdict::ProbeEngines);
-    watchdog.record_event(ms(115));
+    watchdog.record_event(ms(115), LIMIT);
     assert_eq!(watchdog.next_check(), ms(215));
     assert!(!watchdog.should_abandon(ms(230), true));
 }
@@ -128,7 +131,7 @@
 /// over, whatever becomes known meanwhile. An event ends the pause.
 #[test]
 fn deferred_stream_is_checked_at_growing_intervals() {
-    let mut watchdog = Watchdog::new(ms(0));
+    let mut watchdog = Watchdog::new(ms(0), LIMIT);
     let mut now = ms(500);
     assert_eq!(watchdog.check(now, true), Verdict::Abandon);
     for pause in [50, 100, 200, 400, 400] {
@@ -138,6 +141,19 @@
         now += ms(pause);
         assert_eq!(watchdog.check(now, true), Verdict::Abandon);
     }
-    watchdog.record_event(now);
+    watchdog.record_event(now, LIMIT);
     assert_eq!(watchdog.check(now + ms(500), true), Verdict::Abandon);
 }
+
+/// Guards against engines that are asked for their reports at each event, because all engines of a
+/// deployment take longer for an event than those of another one.
+#[test]
+fn engines_are_asked_later_where_events_are_rarer() {
+    let limit = ms(160);
+    let mut watchdog = Watchdog::new(ms(0), limit);
+    assert_eq!(watchdog.check(ms(150), false), Verdict::Wait);
+    assert_eq!(watchdog.next_check(), limit);
+    assert_eq!(watchdog.check(limit, false), Verdict::ProbeEngines);
+    assert!(!watchdog.should_abandon(ms(191), true));
+    assert!(watchdog.should_abandon(ms(192), true));
+}
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -10,6 +10,7 @@
 use crate::availability::Availability;
 use crate::entry::{Entry, initial_orders};
 use crate::health::{Fault, Health, ProbeFailure};
+use crate::missed::{Agreement, MissedReports};
 use crate::search::{self, Candidate, Path};
 
 /// Weight of the failure rate in the apparent load of a target.
@@ -74,6 +75,8 @@
     home: DomainName,
     /// Load of other VMs as they report it, with the time until which it counts.
     peer_loads: HashMap<SocketAddr, PeerLoad>,
+    /// Targets whose reports other VMs miss.
+    missed: MissedReports,
     /// Number of VMs that share the targets.
     pub vms: usize,
     /// Number of prompts of this VM that are being prefilled on paths that cross failure domains.
@@ -89,6 +92,7 @@
             replaced: HashMap::new(),
             home,
             peer_loads: HashMap::new(),
+            missed: MissedReports::default(),
             vms: 1,
             crossing_prompts: 0,
         }
@@ -323,10 +327,28 @@
         ends.get(first).copied()
     }
 
+    /// Replaces the targets whose reports another VM misses by its latest statement. Returns the
+    /// addresses of those that enough VMs miss; the others are used less until `until`.
+    pub fn record_missed_reports(
+        &mut self,
+        vm: SocketAddr,
+        targets: &[TargetKey],
+        until: Duration,
+    ) -> Vec<SocketAddr> {
+        let mut silent = Vec::new();
+        for (id, agreement) in self.missed.record(vm, targets, self.vms) {
+            match agreement {
+                Agreement::Suspected => self.deprioritise(&id, until),
+                Agreement::Silent => silent.extend(self.entry(&id).map(|e| e.target.address)),
+            }
+        }
+        silent
+    }
+
     /// Lowers the priority of a target until `until`, because it has told another VM to back off.
     pub fn deprioritise(&mut self, id: &str, until: Duration) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.deprioritised_until = until;
+            entry.deprioritised_until = entry.deprioritised_until.max(until);
         }
     }
 
@@ -458,6 +480,11 @@
         stages.map(|stage| (stage.target.clone(), stage.address)).collect()
     }
 
+    /// Returns whether another VM has reported its load.
+    pub fn has_peer_load(&self, vm: SocketAddr) -> bool {
+        self.peer_loads.contains_key(&vm)
+    }
+
     /// Stores the load that another VM reports, in tokens by target. It counts until `until`.
     pub fn record_peer_load(
         &mut self,
@@ -483,9 +510,10 @@
     /// Drops the load of VMs whose last report has expired.
     fn expire_peer_loads(&mut self, now: Duration) {
         let expired = self.peer_loads.extract_if(|_, load| load.until <= now);
-        let expired: Vec<PeerLoad> = expired.map(|(_, load)| load).collect();
-        for load in expired {
+        let expired: Vec<(SocketAddr, PeerLoad)> = expired.collect();
+        for (vm, load) in expired {
             self.add_peer_tokens(&load.loads, -1.0);
+            self.missed.forget(vm);
         }
     }
 
@@ -519,16 +547,17 @@
         query: &Query<'_>,
         is_usable: impl Fn(&Entry) -> bool,
     ) -> Option<Path> {
-        // A VM that does not report its load is assumed to place the same load as this one.
-        let unreported = self.vms.saturating_sub(1 + self.peer_loads.len());
-        let assumed_vms = (1 + unreported) as f64;
+        // A VM that does not report its load is assumed to place the mean load of those that do and
+        // of this one. After a start no VM has reported yet.
+        let reported = 1 + self.peer_loads.len();
+        let scale = self.vms.max(reported) as f64 / reported as f64;
         let whole = Layers::new(0, model.depth);
         // The entry of another writer may name layers that the model does not have.
         let usable = self
             .chosen(query, is_usable)
             .filter(|entry| entry.layers.is_none_or(|layers| whole.contains(layers)));
         let usable = usable.map(|entry| {
-            let held = entry.tokens * assumed_vms + entry.peer_tokens;
+            let held = (entry.tokens + entry.peer_tokens) * scale;
             let address = &entry.target.address;
             let is_allowed = query.allowed_first.is_none_or(|first| first.contains(address));
             let may_start = is_allowed && !query.closed_first.contains(address);
