Check: findings about a configuration before it is sent

Cause: an error in a configuration is known only after it was sent, only the first error is reported, and contradictions (attempts of 0, one key of two organisations, shadowed routes) are not reported.

--- a/crates/preset/src/lib.rs
+++ b/crates/preset/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod check;
 mod commit;
+mod draft;
 mod error;
 mod event;
 mod message;
@@ -17,6 +18,7 @@
 mod stored;
 
 pub use commit::{Commit, Conflict, Input, Outcome, Output, Request, Revision};
+pub use draft::{Draft, Fault};
 pub use error::{Error, Violation};
 pub use event::EVENTS;
 pub use message::*;
