magnoliactl: check finds the errors of a configuration before it is sent

Cause: operators had no command that reads the platform's configuration, lists all errors of a document at once, or shows what a change changes. Change: `magnoliactl check FILE [--against FILE] [--memory-mb N] [--stall-ms N] [--format json]` reads presets and configurations of the platform; exit code 0, 1 for warnings only, 2 for errors. Errors of type in a preset's organisations no longer quote the value, which may be a misplaced key.

--- a/crates/check/tests/preset.rs
+++ b/crates/check/tests/preset.rs
@@ -53,6 +53,7 @@
     list = { &[("queue = 100", "queue = [1]")], &["error [field]: line 2, queue: is a list"] },
     duration = { &[("\"2s\"", "\"soon\"")], &["error [field]: line 3, wait: `soon` is no duration"] },
     key_of_another_type = { &[("[\"secret-one\"]", "\"secret-one\"")], &["error [field]: line 11, organisations[0].keys: is not a list"] },
+    key_in_another_field = { &[("2.0", "\"secret\"")], &["error [field]: line 10, organisations[0].weight: cannot be of type string"] },
     link = { &[("to = \"b\"\n", "")], &["error [field]: line 17, links[0]: missing field `to`"] },
     value = { &[("queue = 100", "queue = 0")], &["error [value]: queue: 0: allowed is 1 to 1000000"] },
     version = { &[("queue", "version = 3\nqueue")], &["error [value]: version: 3: allowed is absent"] },
@@ -68,7 +69,7 @@
         &[("queue = 100", "queue = \"x\""), ("attempts = 3", "attempts = 0"), ("weight = 1.0", "weight = -1"), ("\"plank\"", "7")],
         &[
             "error [field]: line 2, queue: invalid type",
-            "error [field]: line 9, organisations[0].name: invalid type",
+            "error [field]: line 9, organisations[0].name: cannot be of type integer",
             "error [value]: attempts: 0: allowed",
             "error [value]: organisations[1].weight: -1: allowed",
         ],
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' command, `magnoliactl`: its command line and its subcommands.
 
+mod check;
 mod commit;
 mod error;
 mod nodes;
@@ -24,6 +25,8 @@
 pub const EXIT_DONE: u8 = 0;
 /// Exit code when a node, target or request cannot be reached or found.
 pub const EXIT_FAILED: u8 = 1;
+/// Exit code of a check that found warnings only.
+pub const EXIT_WARNINGS: u8 = 1;
 /// Exit code of an invalid command line or document.
 pub const EXIT_INVALID: u8 = 2;
 /// Exit code when another change of the preset came first.
@@ -33,8 +36,8 @@
 
 /// Interval at which `watch` polls the nodes.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
-const FOOTER: &str = "Exit codes: 0 done, 1 not reached or not found, 2 command line or document \
-                      not allowed, 3 another change came first, 4 outcome not known or not in \
+const FOOTER: &str = "Exit codes: 0 done, 1 not reached or not found, or warnings only from \
+                      check, 2 command line or document not allowed, 3 another change came first, 4 outcome not known or not in \
                       force everywhere yet.";
 
 /// magnoliactl: inspects and controls the nodes of magnoliarun
@@ -73,6 +76,10 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Find the errors of a preset or of a configuration of the platform, and its differences from
+    /// the version in force, without changing anything
+    #[bpaf(command)]
+    Check(#[bpaf(external(check::arguments))] check::Arguments),
     /// Put a preset document in force
     #[bpaf(command)]
     Put {
@@ -156,6 +163,7 @@
         let nodes = Nodes::new(self.nodes.clone());
         match &self.action {
             Action::Validate { file } => self.validate(file),
+            Action::Check(arguments) => arguments.run(self.json),
             Action::Put { change, file } => self.put(&nodes, change, read_document(file)?, print),
             Action::Switch { change, presets, name } => {
                 let preset = read_document(&presets.join(format!("{name}.toml")))?;
--- a/crates/preset/src/draft.rs
+++ b/crates/preset/src/draft.rs
@@ -223,8 +223,14 @@
             // Compound values are not decoded: all fields that are read here are scalars.
             DeValue::Array(_) => Err("is a list".to_owned()),
             DeValue::Table(_) => Err("is a table".to_owned()),
-            _ => T::deserialize(value.clone().into_deserializer())
-                .map_err(|error| error.message().to_owned()),
+            other => T::deserialize(value.clone().into_deserializer()).map_err(|error| {
+                // The parser's message quotes the value, which may be a key in the wrong field of an
+                // organisation.
+                match path.is_empty() {
+                    true => error.message().to_owned(),
+                    false => format!("cannot be of type {}", other.type_str()),
+                }
+            }),
         };
         result.map_err(|reason| self.add_fault(value.span().start, &join(path, name), &reason)).ok()
     }
