--- a/crates/node/src/control/check.rs
+++ b/crates/node/src/control/check.rs
@@ -10,7 +10,7 @@
 
 use super::{EXIT_DONE, EXIT_INVALID, EXIT_WARNINGS, Error, Output};
 
-/// Arguments of `check`.
+// A doc comment here would be printed in the help.
 #[derive(Clone, Debug, Bpaf)]
 pub(super) struct Arguments {
     /// Document of the version in force, to list the differences from it
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -76,8 +76,7 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Find the errors of a preset or of a configuration of the platform, and its differences from
-    /// the version in force, without changing anything
+    /// Find all errors of a preset or configuration, and its differences from the one in force
     #[bpaf(command)]
     Check(#[bpaf(external(check::arguments))] check::Arguments),
     /// Put a preset document in force
