--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -169,7 +169,8 @@
         if is_fresh && max_age >= UNREADY_AFTER && relay.has_recent_proof(now) {
             return Watch::long(now);
         }
-        let watch = Watch::new(now, synced, max_age);
+        let vms = self.node.table.borrow().vms;
+        let watch = Watch::new(now, synced, max_age, vms);
         if relay.serves_others() { watch.shortened() } else { watch }
     }
 
