--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -169,8 +169,7 @@
         if is_fresh && max_age >= UNREADY_AFTER && relay.has_recent_proof(now) {
             return Watch::long(now);
         }
-        let vms = self.node.table.borrow().vms;
-        let watch = Watch::new(now, synced, max_age, vms);
+        let watch = Watch::new(now, synced, max_age);
         if relay.serves_others() { watch.shortened() } else { watch }
     }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -20,11 +20,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Minimum pause after changes before the next watch, so that one answer carries several changes.
 const MIN_BATCH_PAUSE: Duration = Duration::from_millis(200);
-/// Maximum pause after changes in a small fleet: delays what targets or operators write by this much.
-const SMALL_BATCH_PAUSE: Duration = Duration::from_millis(800);
-/// Maximum pause after changes in a large fleet, half of the time within which a configuration has to
-/// be in force.
-const MAX_BATCH_PAUSE: Duration = Duration::from_millis(1500);
+/// Maximum pause after changes: delays what targets or operators write by this much.
+const MAX_BATCH_PAUSE: Duration = Duration::from_millis(800);
 /// Share of each node in the pause: the store notifies all nodes of every change.
 const BATCH_PAUSE_PER_NODE: Duration = Duration::from_millis(25);
 
@@ -39,12 +36,12 @@
 
 impl Watch {
     /// Returns a watch sent at `now`, when the state up to the time `known` is known. `max_age` is
-    /// the age of the state at which the node stops serving callers; `vms` nodes watch the store. An
-    /// answer with changes proves little about the state's age, so the next watch waits less.
-    pub fn new(now: Duration, known: Option<Duration>, max_age: Duration, vms: usize) -> Self {
+    /// the age of the state at which the node stops serving callers. An answer with changes proves
+    /// little about the state's age, so the next watch waits less.
+    pub fn new(now: Duration, known: Option<Duration>, max_age: Duration) -> Self {
         let age = now.saturating_sub(known.unwrap_or(now));
         let latest = max_age.saturating_sub(AGE_MARGIN).max(MIN_WAIT);
-        Self { sent_at: now, wait: longest_wait(max_age, vms).min(latest.saturating_sub(age)) }
+        Self { sent_at: now, wait: longest_wait(max_age).min(latest.saturating_sub(age)) }
     }
 
     /// Returns a watch that is answered only on changes, while other nodes prove that there are
@@ -86,14 +83,13 @@
 
 /// Returns the longest wait of a watch that leaves time for the pause after changes and for answers
 /// before the known state is `max_age` old.
-fn longest_wait(max_age: Duration, vms: usize) -> Duration {
-    let pause = (BATCH_PAUSE_PER_NODE * vms as u32).clamp(SMALL_BATCH_PAUSE, MAX_BATCH_PAUSE);
-    max_age.saturating_sub(pause + ANSWER_MARGIN).clamp(MIN_WAIT, MAX_WAIT)
+fn longest_wait(max_age: Duration) -> Duration {
+    max_age.saturating_sub(MAX_BATCH_PAUSE + ANSWER_MARGIN).clamp(MIN_WAIT, MAX_WAIT)
 }
 
 /// Returns the pause after changes if `vms` nodes watch the store and the known state must be
 /// younger than `max_age`.
 pub fn batch_pause(vms: usize, max_age: Duration) -> Duration {
     let pause = (BATCH_PAUSE_PER_NODE * vms as u32).clamp(MIN_BATCH_PAUSE, MAX_BATCH_PAUSE);
-    pause.min(max_age.saturating_sub(longest_wait(max_age, vms) + ANSWER_MARGIN))
+    pause.min(max_age.saturating_sub(longest_wait(max_age) + ANSWER_MARGIN))
 }
