Health views: a large fleet shares the questions to a silent path

Cause: all nodes with streams on a path of 18 engines asked all of them at once when one stalled, and were late for the answers. Change: a node asks 32 in N of the engines of a path, four at least, from a random one on; small fleets ask all, as before.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -121,7 +121,8 @@
 
     /// Checks whether the engines of a path on which a stream is silent still respond in time.
     pub(crate) fn check_slow_engines(self: &Rc<Self>, path: &Path) {
-        let due = self.table.borrow_mut().due_report_requests(self.now(), path);
+        let (now, start) = (self.now(), self.random_fraction());
+        let due = self.table.borrow_mut().due_report_requests(now, path, start);
         for (id, address) in due {
             let node = self.clone();
             tokio::task::spawn_local(async move {
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -17,7 +17,7 @@
 pub use budget::Budget;
 pub use entry::Entry;
 pub use health::{Fault, Health, ProbeFailure};
-pub use missed::{Agreement, MissedReports};
+pub use missed::{Agreement, MissedReports, engines_to_ask};
 pub use participants::{Participants, Share};
 pub use search::{Path, Stage};
 pub use table::{Query, Table};
--- a/crates/path/src/missed.rs
+++ b/crates/path/src/missed.rs
@@ -10,6 +10,8 @@
 
 /// Number of VMs for each one that must miss the reports of a target.
 const VMS_PER_WITNESS: usize = 32;
+/// Minimum number of engines of a silent path that a VM asks for their reports at a time.
+const MIN_ASKED: usize = 4;
 /// Maximum number of VMs that must agree: a target has running requests of only some VMs.
 const MAX_WITNESSES: usize = 8;
 
@@ -66,3 +68,11 @@
 fn witnesses_needed(vms: usize) -> usize {
     (vms / VMS_PER_WITNESS).clamp(1, MAX_WITNESSES)
 }
+
+/// Returns how many of the `stages` engines of a silent path one of `vms` VMs asks for their reports
+/// at a time. The VMs of a large fleet ask some each and tell each other: if all of them asked all
+/// engines of a long path at once, the answers would make them late.
+pub fn engines_to_ask(stages: usize, vms: usize) -> usize {
+    let part = (stages * VMS_PER_WITNESS).div_ceil(vms.max(1));
+    part.max(MIN_ASKED).min(stages)
+}
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -10,7 +10,7 @@
 use crate::availability::Availability;
 use crate::entry::{Entry, initial_orders};
 use crate::health::{Fault, Health, ProbeFailure};
-use crate::missed::{Agreement, MissedReports};
+use crate::missed::{Agreement, MissedReports, engines_to_ask};
 use crate::search::{self, Candidate, Path};
 
 /// Weight of the failure rate in the apparent load of a target.
@@ -466,18 +466,23 @@
         entry.is_some_and(|entry| entry.health.record_unanswered_probe(sent_at, failure))
     }
 
-    /// Returns the engines of a path for which a report request is due.
+    /// Returns engines of a silent path for which a report request is due: as many as this VM asks at
+    /// a time, from the one at `start` (0 to 1 of the path) on.
     pub fn due_report_requests(
         &mut self,
         now: Duration,
         path: &Path,
+        start: f64,
     ) -> Vec<(TargetKey, SocketAddr)> {
-        let stages = path.stages.iter().filter(|stage| {
+        let length = path.stages.len();
+        let first = (start * length as f64) as usize;
+        let stages = path.stages.iter().cycle().skip(first).take(length).filter(|stage| {
             let entry = self.entries.get_mut(&stage.target);
             let entry = entry.filter(|entry| !entry.availability.is_backing_off(now));
             entry.is_some_and(|entry| entry.poll_report_request(now))
         });
-        stages.map(|stage| (stage.target.clone(), stage.address)).collect()
+        let asked = stages.take(engines_to_ask(length, self.vms));
+        asked.map(|stage| (stage.target.clone(), stage.address)).collect()
     }
 
     /// Returns whether another VM has reported its load.
--- a/crates/path/tests/missed.rs
+++ b/crates/path/tests/missed.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use path::{Agreement, MissedReports};
+use path::{Agreement, MissedReports, engines_to_ask};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use site::TargetKey;
@@ -108,3 +108,29 @@
     let allowed = few * vms.min(32) / 10 * 12 / 10;
     assert!(many <= allowed, "{many} false alarms a minute of {vms} VMs, {few} of 10");
 }
+
+struct Asked {
+    /// Engines of the path.
+    stages: usize,
+    vms: usize,
+    expected: usize,
+}
+
+// Guards against many VMs that ask all engines of a long path at once and are late for it, and
+// against engines that too few VMs ask for enough of them to agree.
+#[parameterized(
+    small_fleet = { Asked { stages: 18, vms: 4, expected: 18 } },
+    medium_fleet = { Asked { stages: 9, vms: 32, expected: 9 } },
+    large_fleet = { Asked { stages: 18, vms: 97, expected: 6 } },
+    short_path = { Asked { stages: 3, vms: 97, expected: 3 } },
+    largest_fleet = { Asked { stages: 18, vms: 620, expected: 4 } },
+)]
+fn larger_fleets_share_the_questions(case: Asked) {
+    assert_eq!(engines_to_ask(case.stages, case.vms), case.expected);
+    // Half of the VMs with streams on the path suffice for an agreement.
+    let witnesses = case.vms * case.expected / case.stages / 2;
+    let mut missed = MissedReports::default();
+    let last =
+        (0..witnesses.max(1)).map(|witness| missed.record(vm(witness), &[target(0)], case.vms));
+    assert_eq!(last.last(), Some(vec![(target(0), Agreement::Silent)]));
+}
