Health views: broadcasts of large fleets are spaced

Cause: an alarm is sent to 96 peers, which keeps a node of a twelfth of a core busy for tens of milliseconds; it then misses answers and raises the next alarm. Change: two broadcasts are 1 ms apart for each peer (25 peers: 25 ms).

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -27,6 +27,9 @@
 const MESSAGE_SPACING: Duration = Duration::from_millis(15);
 /// Time in which faults observed together are collected into one message.
 const ALARM_DELAY: Duration = Duration::from_millis(5);
+/// Minimum time between two broadcasts per peer. A broadcast to a hundred peers keeps a node of a
+/// tenth of a core busy for tens of milliseconds, in which it handles no answers.
+const BROADCAST_SPACING: Duration = Duration::from_millis(1);
 /// Interval of queries to a follower of the store.
 const QUERY_INTERVAL: Duration = Duration::from_millis(600);
 /// Maximum number of targets in one message, about 20 bytes each.
@@ -49,14 +52,18 @@
 
 /// Broadcasts this node's view and evidence until the process ends.
 pub(crate) async fn broadcast(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let mut last_count = 0;
+    let (mut last_count, mut sent_at) = (0, Duration::ZERO);
     loop {
         let peers = node.peers.borrow().clone();
         tokio::select! {
             () = sleep(interval(peers.len())) => {}
             // Other nodes need to know at once what this node has just observed to fail.
-            () = node.alarm.notified() => sleep(ALARM_DELAY).await,
+            () = node.alarm.notified() => {
+                let earliest = sent_at + BROADCAST_SPACING * peers.len() as u32;
+                sleep(ALARM_DELAY.max(earliest.saturating_sub(node.now()))).await;
+            }
         }
+        sent_at = node.now();
         if peers.len() != last_count {
             last_count = peers.len();
             log::info!("{}", Event::new(PEERS).with("peers", last_count));
