--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -93,16 +93,17 @@
 }
 
 impl Attempt {
-    /// Sends a request to a path.
+    /// Sends a request to a path whose engines process `prefill` tokens before the first event.
     pub(crate) fn start(
         node: &Rc<Node>,
         call: &Rc<Call>,
         path: Path,
+        prefill: f64,
         last_event: Option<u64>,
     ) -> Self {
         let first = path.first().clone();
         let request = call.request(node.now(), &first.target, Some(&path), last_event);
-        let in_flight = InFlight::start(node, path, call.tokens, call.prompt_tokens);
+        let in_flight = InFlight::start(node, path, call.tokens, prefill);
         let (node, call) = (node.clone(), call.clone());
         let answer = Box::pin(async move { node.send(first.address, request, &call.used).await });
         Self { in_flight, is_silent: false, is_recorded: false, answer }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -12,7 +12,7 @@
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Uri};
-use path::Path;
+use path::{Level, Path};
 use platform::{PartId, head};
 use site::Kind;
 use smol_str::SmolStr;
@@ -69,11 +69,15 @@
     pub(crate) attempts: u32,
     /// Priority, 0 is the most urgent.
     pub(crate) priority: u8,
+    /// Level of the last attempt at the engines, if it was chosen within those of the priority.
+    pub(crate) level: Cell<Option<Level>>,
     pub(crate) organisation: Option<OrganisationName>,
     /// Time at which the head of the request had arrived.
     pub(crate) received_at: Duration,
     /// Time by which the request must be answered: the caller's deadline or the route's timeout.
     pub(crate) deadline: Duration,
+    /// Time to the first event that the caller expects.
+    pub(crate) latency_goal: Duration,
     /// Length of the prompt, tokens.
     pub(crate) prompt_tokens: f64,
     /// Length of the prompt and the expected answer, tokens.
@@ -106,7 +110,7 @@
         let mut request = self.resent(now, last_event);
         let headers = request.headers_mut();
         set(headers, head::EXPECT_TARGET, target);
-        set(headers, head::PRIORITY, &self.priority.min(9).to_string());
+        set(headers, head::PRIORITY, &self.sent_priority().to_string());
         if let Some(organisation) = &self.organisation {
             set(headers, head::ORGANISATION, organisation);
         }
@@ -117,6 +121,11 @@
         request
     }
 
+    /// Returns the priority that targets receive.
+    pub(crate) fn sent_priority(&self) -> Level {
+        self.level.get().unwrap_or(self.priority.min(9))
+    }
+
     /// Returns the caller's request with the time that is left, and for a stream that resumes the
     /// number of the event after which it does.
     pub(crate) fn resent(&self, now: Duration, last_event: Option<u64>) -> Request<Full<Bytes>> {
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -103,6 +103,8 @@
     pub(crate) waiting: Vec<Attempt>,
     /// Share of memory in use on the best path of the last search.
     pub(crate) pressure: f64,
+    /// Number that differs between requests, for the choice among paths.
+    pub(crate) seed: u64,
 }
 
 impl Dispatch {
@@ -123,6 +125,7 @@
             fallback: None,
             waiting: Vec::new(),
             pressure: 0.0,
+            seed: node.random_fraction().to_bits(),
         }
     }
 
@@ -364,7 +367,8 @@
         if self.is_fallback_at(first.address) {
             self.fallback = None;
         }
-        self.waiting.push(Attempt::start(&self.node, &self.call, path, last_event));
+        let prefill = self.prepare_prompt();
+        self.waiting.push(Attempt::start(&self.node, &self.call, path, prefill, last_event));
     }
 
     /// Gives up the waiting attempts at these paths.
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -308,6 +308,8 @@
         origin,
         used: Used::default(),
         priority: priority.unwrap_or(route.priority),
+        level: Cell::default(),
+        latency_goal: route.latency_goal,
         organisation: organisation.map(|organisation| organisation.name.clone()),
         received_at,
         deadline: received_at + allowed,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -29,6 +29,7 @@
 use crate::memory::Memory;
 use crate::permit::Answers;
 use crate::pool::{MAX_ANSWER_BYTES, Pool};
+use crate::prompt::{ConfigRanks, Prompts};
 use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
 use crate::recency::Recency;
@@ -59,6 +60,10 @@
 /// State of the process.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
+    /// How prompts of different lengths share engines.
+    pub(crate) prompts: Prompts,
+    /// The ranks in use by the configuration for which they were last needed.
+    pub(crate) ranks: RefCell<Option<ConfigRanks>>,
     pub(crate) clock: Clock,
     pub(crate) table: RefCell<Table>,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
@@ -131,7 +136,7 @@
 
 impl Node {
     /// Returns a node without configuration or targets.
-    pub(crate) fn new(settings: Settings) -> Self {
+    pub(crate) fn new(settings: Settings, prompts: Prompts) -> Self {
         let clock = Clock::start();
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let internal = SocketAddr::new(settings.front.ip(), settings.internal_ports.0);
@@ -140,6 +145,8 @@
         Self {
             table: RefCell::new(Table::new(settings.domain.clone())),
             settings,
+            prompts,
+            ranks: RefCell::default(),
             clock,
             config: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -24,6 +24,7 @@
 use crate::lines::{BATCH_INTERVAL, Lines};
 use crate::node::Node;
 use crate::orders::Orders;
+use crate::prompt::Prompts;
 use crate::store::Store;
 use crate::{diagnose, front, loan, mark, peers, permit, persistence, ready};
 
@@ -79,12 +80,12 @@
 ///
 /// Returns a [`Failure`] if the settings are invalid, an address cannot be bound, or the operating
 /// system refuses a resource.
-pub fn run() -> Result<(), Failure> {
+pub fn run(prompts: Prompts) -> Result<(), Failure> {
     let settings = read_settings()?;
     let lines = Lines::install().map_err(Failure::System)?;
     let runtime = Builder::new_current_thread().enable_all().build().map_err(Failure::System)?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(settings, lines))
+    local.block_on(&runtime, serve(settings, prompts, lines))
 }
 
 /// Checks the settings.
@@ -114,7 +115,7 @@
     recorder.map_err(|error| Failure::System(io::Error::other(error)))
 }
 
-async fn serve(settings: Settings, lines: Lines) -> Result<(), Failure> {
+async fn serve(settings: Settings, prompts: Prompts, lines: Lines) -> Result<(), Failure> {
     let recorder = recorder()?;
     let callers = bind(settings.front).await?;
     let probes = bind(settings.ready).await?;
@@ -125,12 +126,13 @@
     let socket = Rc::new(socket.map_err(|error| Failure::Bind(internal, error))?);
     let mut terminate = signal(SignalKind::terminate()).map_err(Failure::System)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(Failure::System)?;
-    let node = Rc::new(Node::new(settings));
+    let node = Rc::new(Node::new(settings, prompts));
     let event = Event::new(STARTED)
         .with("node", &node.settings.node)
         .with("domain", &node.settings.domain)
         .with("front", node.settings.front)
-        .with("store", node.settings.store);
+        .with("store", node.settings.store)
+        .with("prompts", node.prompts);
     log::info!("{event}");
 
     let store = Rc::new(Store::new(node.clone()));
--- a/crates/edge/src/pump.rs
+++ b/crates/edge/src/pump.rs
@@ -133,6 +133,8 @@
         .with("route", &dispatch.call.route)
         .with("parts", dispatch.call.listed_parts())
         .with("outcome", outcome)
+        .with("prompt", dispatch.call.prompt_tokens)
+        .with("priority", dispatch.call.sent_priority())
         .with("offers", dispatch.offers)
         .with("moves", progress.moves)
         .with("events", progress.events)
--- a/crates/edge/src/search.rs
+++ b/crates/edge/src/search.rs
@@ -71,8 +71,8 @@
         allowed_first: Option<&'a [SocketAddr]>,
         closed_first: &'a [SocketAddr],
     ) -> Query<'a> {
-        let (service, tokens) = (&self.call.service, self.call.tokens);
-        Query { service, excluded, allowed_first, closed_first, tokens }
+        let (service, tokens, prompt) = (&self.call.service, self.call.tokens, self.prompt());
+        Query { service, excluded, allowed_first, closed_first, tokens, prompt }
     }
 
     /// Returns the time until a path is available, if paused engines are the only obstacle.
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -265,8 +265,14 @@
         let mut excluded = self.node.permits.borrow().closed(now, Class::Request, patience);
         excluded.extend(&self.excluded);
         let (service, excluded) = (&self.call.service, excluded.as_slice());
-        let criteria =
-            Query { service, excluded, allowed_first: None, closed_first: &[], tokens: 0.0 };
+        let criteria = Query {
+            service,
+            excluded,
+            allowed_first: None,
+            closed_first: &[],
+            tokens: 0.0,
+            prompt: None,
+        };
         self.node.table.borrow().best_target(now, &criteria)
     }
 
--- a/crates/node/examples/platform.rs
+++ b/crates/node/examples/platform.rs
@@ -42,7 +42,7 @@
 
 fn main() -> ExitCode {
     if env::args().nth(1).as_deref() == Some("front") {
-        return match edge::run() {
+        return match edge::run(edge::Prompts::default()) {
             Ok(()) => ExitCode::SUCCESS,
             Err(failure) => {
                 eprintln!("Error: {failure}");
--- a/crates/node/src/bin/magnoliarun.rs
+++ b/crates/node/src/bin/magnoliarun.rs
@@ -4,7 +4,10 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
-use node::settings::{EXIT_CUT, EXIT_FAILED, EXIT_PORT, EXIT_SETTINGS, EXIT_STOPPED, options};
+use bpaf::ParseFailure;
+use node::settings::{
+    EXIT_CUT, EXIT_FAILED, EXIT_PORT, EXIT_SETTINGS, EXIT_STOPPED, Front, front_options, options,
+};
 use node::shell::{Process, StartError, logging};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -12,18 +15,12 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    match arguments.as_slice() {
-        ["front"] => return front_exit_code(edge::run()),
-        ["front", "--check"] => return front_exit_code(edge::check()),
-        _ => {}
+    if let ["front", arguments @ ..] = arguments.as_slice() {
+        return run_front(arguments);
     }
     let text = match options().run_inner(bpaf::Args::current_args()) {
         Ok(text) => text,
-        Err(failure) => {
-            failure.print_message(80);
-            let code = failure.exit_code();
-            return ExitCode::from(if code == 0 { EXIT_STOPPED } else { EXIT_SETTINGS });
-        }
+        Err(failure) => return invalid_arguments(failure),
     };
     let settings = match text.check() {
         Ok(settings) => settings,
@@ -65,6 +62,22 @@
     ExitCode::from(if cut == 0 { EXIT_STOPPED } else { EXIT_CUT })
 }
 
+/// Runs `magnoliarun front`.
+fn run_front(arguments: &[&str]) -> ExitCode {
+    match front_options().run_inner(arguments) {
+        Ok(Front { check: true, .. }) => front_exit_code(edge::check()),
+        Ok(Front { prompts, .. }) => front_exit_code(edge::run(prompts)),
+        Err(failure) => invalid_arguments(failure),
+    }
+}
+
+/// Prints why arguments are not allowed, or the help text, and returns the exit code.
+fn invalid_arguments(failure: ParseFailure) -> ExitCode {
+    failure.print_message(80);
+    let code = failure.exit_code();
+    ExitCode::from(if code == 0 { EXIT_STOPPED } else { EXIT_SETTINGS })
+}
+
 /// Returns the exit code of `magnoliarun front`, the entry process on the users' platform, whose
 /// settings come from a file. Prints its error.
 fn front_exit_code(outcome: Result<(), edge::Failure>) -> ExitCode {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use edge::Prompts;
 use fleet::{DomainName, NodeName};
 use log::LevelFilter;
 use smol_str::SmolStr;
@@ -33,6 +34,18 @@
 const FOOTER: &str = "Exit codes: 0 planned stop, 1 internal failure, 2 settings not allowed, \
                       3 port not free, 4 planned stop that had to cut off requests.";
 
+/// magnoliarun front: the entry process on the users' platform, whose settings come in a file
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(front_options))]
+pub struct Front {
+    /// Reads the settings file and ends
+    #[bpaf(long)]
+    pub check: bool,
+    /// How prompts of different lengths share engines: mean or mixed
+    #[bpaf(long, argument("HOW"), fallback(Prompts::Mean), display_fallback)]
+    pub prompts: Prompts,
+}
+
 /// magnoliarun: routes callers' requests to model pipelines and plain services
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(options), usage(USAGE), header(HEADER), footer(FOOTER))]
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod health;
 mod participants;
+mod prompt;
 mod search;
 mod table;
 
@@ -17,5 +18,6 @@
 pub use entry::Entry;
 pub use health::{Fault, Health, ProbeFailure};
 pub use participants::{Participants, Share};
+pub use prompt::{Level, Prompt, Rank, Ranks};
 pub use search::{Path, Stage};
 pub use table::{Query, Table};
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -10,6 +10,7 @@
 use site::{Model, TargetKey};
 
 use crate::entry::Entry;
+use crate::prompt::{Prompt, Shared};
 
 /// Cost of crossing from one failure domain to another, seconds. The activations of a prompt delay
 /// every stream on the link, so that a path that stays in one domain is always cheaper, even one
@@ -132,19 +133,45 @@
     (candidate.held + tokens) / capacity
 }
 
-/// Returns the seconds that a request takes at an engine that runs all layers.
-fn run_time(entry: &Entry, model: &Model) -> f64 {
-    let Some(card) = model.card(&entry.target.card) else { return f64::INFINITY };
-    let step = model.step.as_secs_f64() * card.step_factor * model.answer_tokens;
-    step + model.prompt_tokens / model.prefill_tokens_per_s.max(1.0) * card.prefill_factor
+/// Returns the seconds that the token steps of an answer take at an engine that runs all layers.
+fn decode_time(entry: &Entry, model: &Model) -> f64 {
+    let card = model.card(&entry.target.card);
+    let step_factor = card.map_or(f64::INFINITY, |card| card.step_factor);
+    model.step.as_secs_f64() * step_factor * model.answer_tokens
 }
 
-/// Returns the seconds that a new prompt waits for the queued prefill of an engine that runs all
-/// layers, if all VMs send the same load.
-fn prefill_wait(entry: &Entry, model: &Model, vms: usize) -> f64 {
+/// Returns the seconds that prefill of prompts takes at an engine that runs all layers.
+fn prefill_time(entry: &Entry, model: &Model, tokens: f64) -> f64 {
     let prefill_factor = model.card(&entry.target.card).map_or(1.0, |card| card.prefill_factor);
-    let tokens = entry.prefill_tokens * vms as f64;
-    tokens / model.prefill_tokens_per_s.max(1.0) * prefill_factor * entry.slowdown
+    tokens / model.prefill_tokens_per_s.max(1.0) * prefill_factor
+}
+
+/// Returns the cost of the wait until an engine that runs all layers has prefilled the queued
+/// prompts, if all VMs send the same load.
+fn mean_prompt_wait(entry: &Entry, model: &Model, vms: usize) -> f64 {
+    let queued = entry.prefill_tokens * vms as f64;
+    PREFILL_WAIT_WEIGHT * (prefill_time(entry, model, queued) * entry.slowdown)
+}
+
+/// Returns the seconds until an engine that runs all layers has prefilled the queued prompts and a
+/// new one, if it takes `decode` seconds for an answer.
+fn prompt_time(
+    candidate: Candidate<'_>,
+    model: &Model,
+    vms: usize,
+    decode: f64,
+    prompt: Prompt,
+) -> f64 {
+    let entry = candidate.entry;
+    let shared = Shared {
+        held: candidate.held,
+        own: entry.prefill_tokens,
+        vms,
+        prefill: prefill_time(entry, model, model.prompt_tokens) * entry.slowdown,
+        decode,
+    };
+    let queued = shared.queued_tokens(model);
+    prefill_time(entry, model, queued + prompt.tokens()) * entry.slowdown
 }
 
 /// Costs of an engine, whichever of its layers a path uses.
@@ -158,7 +185,8 @@
     first: f64,
     /// Cost of running all layers, seconds.
     work: f64,
-    /// Cost of the wait until all layers have read the queued prompts, seconds.
+    /// Wait until all layers have read the queued prompts: its cost, or its seconds with the new
+    /// prompt if the path is chosen for that.
     wait: f64,
 }
 
@@ -169,17 +197,23 @@
         model: &Model,
         tokens: f64,
         vms: usize,
+        prompt: Option<Prompt>,
         domains: &[&str],
     ) -> Option<Self> {
         let entry = candidate.entry;
         let layers = entry.layers?;
         let domain = domains.binary_search(&entry.target.domain.as_str()).ok()?;
         let pressure = memory_pressure(candidate, model, tokens);
-        let full = if pressure > 1.0 { FULL_COST * pressure } else { 0.0 };
+        let is_full = pressure > 1.0;
+        let address = entry.target.address;
+        let spread = prompt.map_or(1.0, |prompt| prompt.spread(address, vms, is_full));
+        let full = if is_full { FULL_COST * pressure * spread } else { 0.0 };
         let failing = FAILURE_COST * entry.health.failure_rate();
         let slow = if entry.is_slow() { SLOW_COST * (entry.slowdown - 1.0) } else { 0.0 };
         let backoff = if candidate.deprioritised { BACKOFF_COST } else { 0.0 };
-        let work = run_time(entry, model) * (1.0 + PRESSURE_WEIGHT * pressure);
+        let decode = decode_time(entry, model);
+        let length = prompt.map_or(0.0, Prompt::tokens).max(model.prompt_tokens);
+        let run_time = decode + prefill_time(entry, model, length);
         Some(Self {
             layers,
             domain,
@@ -189,19 +223,24 @@
                 true if entry.has_stalled_streams() => STALLED_COST,
                 true => 0.0,
             },
-            work,
-            wait: PREFILL_WAIT_WEIGHT * prefill_wait(entry, model, vms),
+            work: run_time * (1.0 + PRESSURE_WEIGHT * pressure) * spread,
+            wait: match prompt {
+                None => mean_prompt_wait(entry, model, vms),
+                Some(prompt) => prompt_time(candidate, model, vms, decode, prompt) * spread,
+            },
         })
     }
 }
 
-/// Finds the cheapest path.
+/// Finds the cheapest path, for `prompt` or for the mean prompt.
 pub(crate) fn search(
     candidates: &[Candidate<'_>],
     model: &Model,
     tokens: f64,
     vms: usize,
+    prompt: Option<Prompt>,
 ) -> Option<Path> {
+    let wait_cost = |wait: f64| prompt.map_or(wait, |prompt| prompt.cost(wait));
     let mut boundaries: Vec<Layer> = vec![0, model.depth];
     for layers in candidates.iter().filter_map(|candidate| candidate.entry.layers) {
         boundaries.push(layers.start);
@@ -219,7 +258,7 @@
         .iter()
         .enumerate()
         .filter_map(|(index, candidate)| {
-            Some((index, EngineCost::new(*candidate, model, tokens, vms, &domains)?))
+            Some((index, EngineCost::new(*candidate, model, tokens, vms, prompt, &domains)?))
         })
         .collect();
     engines.sort_by_key(|(_, engine)| engine.layers.start);
@@ -255,7 +294,7 @@
             for end in ends {
                 let share = f64::from(boundaries[end] - boundaries[at]) / f64::from(model.depth);
                 let cost = base.cost + crossing + engine.fixed + first + engine.work * share;
-                let wait = base.wait.max(engine.wait * share);
+                let wait = base.wait.max(wait_cost(engine.wait * share));
                 let partial = &mut best[end][domain];
                 if cost + wait < partial.total() {
                     *partial = PartialPath { cost, wait, from: Some((*index, at, other)) };
--- a/crates/path/src/table.rs
+++ b/crates/path/src/table.rs
@@ -10,6 +10,7 @@
 use crate::availability::Availability;
 use crate::entry::{Entry, initial_orders};
 use crate::health::{Fault, Health, ProbeFailure};
+use crate::prompt::Prompt;
 use crate::search::{self, Candidate, Path};
 
 /// Weight of the failure rate in the apparent load of a target.
@@ -41,6 +42,8 @@
     pub closed_first: &'a [SocketAddr],
     /// Length of the prompt and the expected answer, tokens.
     pub tokens: f64,
+    /// The prompt, if the path is to be chosen for it; with `None`, for the mean prompt.
+    pub prompt: Option<Prompt>,
 }
 
 /// Maximum prompts of all VMs that are sent from one failure domain to another at a time. They
@@ -535,7 +538,7 @@
             Candidate { entry, held, deprioritised: entry.is_deprioritised(now), may_start }
         });
         let usable: Vec<Candidate<'_>> = usable.collect();
-        search::search(&usable, model, query.tokens, self.vms)
+        search::search(&usable, model, query.tokens, self.vms, query.prompt)
     }
 
     /// Returns the best target of a plain service.
--- a/crates/path/tests/availability.rs
+++ b/crates/path/tests/availability.rs
@@ -142,6 +142,7 @@
         allowed_first: None,
         closed_first: &[],
         tokens: 10.0,
+        prompt: None,
     };
     if let Some(path) = table.path(now, &model(), &query(SERVICE)) {
         reached.extend(path.stages.iter().map(|stage| stage.address));
@@ -198,8 +199,14 @@
     assert_eq!(table.service_available_in(now, PLAIN), Some(Duration::from_secs(4)));
 }
 
-const QUERY: Query<'static> =
-    Query { service: SERVICE, excluded: &[], allowed_first: None, closed_first: &[], tokens: 10.0 };
+const QUERY: Query<'static> = Query {
+    service: SERVICE,
+    excluded: &[],
+    allowed_first: None,
+    closed_first: &[],
+    tokens: 10.0,
+    prompt: None,
+};
 
 /// Returns an engine with these layers.
 fn half(number: u8, layers: (u16, u16)) -> Target {
--- a/crates/path/tests/odd.rs
+++ b/crates/path/tests/odd.rs
@@ -64,6 +64,7 @@
         allowed_first: None,
         closed_first: &[],
         tokens: 150.0,
+        prompt: None,
     };
     let path = table.path(NOW, &model(), &query)?;
     Some(path.stages.iter().map(|stage| stage.target.to_string()).collect())
@@ -109,7 +110,7 @@
         let report = Report { slowdown, layers, ..Report::default() };
         table.record_report(NOW + NOW, "t3", &report);
         table.add_request("t1", tokens);
-        let query = Query { service: "s", excluded: &[], allowed_first: None, closed_first: &[], tokens };
+        let query = Query { service: "s", excluded: &[], allowed_first: None, closed_first: &[], tokens, prompt: None };
         let path = table.path(NOW, &model(), &query);
         prop_assert!(path.is_some_and(|path| path.verify(DEPTH)));
     }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -59,7 +59,14 @@
 }
 
 fn query(avoid: &[SocketAddr]) -> Query<'_> {
-    Query { service: "s", excluded: avoid, allowed_first: None, closed_first: &[], tokens: 900.0 }
+    Query {
+        service: "s",
+        excluded: avoid,
+        allowed_first: None,
+        closed_first: &[],
+        tokens: 900.0,
+        prompt: None,
+    }
 }
 
 fn names(path: &Path) -> Vec<String> {
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -6,7 +6,7 @@
 use fleet::{OrganisationName, Version};
 use smol_str::SmolStr;
 
-use crate::{Limits, Model, Route};
+use crate::{Kind, Limits, Model, Route};
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
@@ -89,6 +89,13 @@
         self.services.values()
     }
 
+    /// Returns the priorities that streaming requests can have, some of them several times.
+    pub fn stream_ranks(&self) -> impl Iterator<Item = u8> {
+        let streams = self.routes.iter().filter(|route| matches!(route.kind, Kind::Stream { .. }));
+        let organisations = self.keys.values().filter_map(|organisation| organisation.priority);
+        streams.map(|route| route.priority).chain(organisations)
+    }
+
     /// Returns the owner of a key.
     pub fn key_owner(&self, key: &str) -> Option<&Organisation> {
         self.keys.get(key)
