Prompts: the values that all engines share are computed once for a choice

Change: `path::prompt::Choice` holds what is the same for all engines; the kind of accelerator of an engine is looked up once. Same formulas.

--- a/crates/path/src/prompt.rs
+++ b/crates/path/src/prompt.rs
@@ -88,24 +88,6 @@
         self.tokens.max(self.shortest)
     }
 
-    /// Returns the factor on the costs of an engine, which differs between requests. All VMs see
-    /// about the same loads, which are as old as the views that they exchange. Without it, they
-    /// would all choose the same engine until the next views. An engine whose memory is full has
-    /// the largest factor, so that it does not become cheaper than others by chance.
-    pub(crate) fn spread(self, engine: SocketAddr, vms: usize, is_full: bool) -> f64 {
-        let others = vms.saturating_sub(1) as f64;
-        let fraction = if is_full { 1.0 } else { fraction(self.seed, engine) };
-        1.0 + MAX_SPREAD * others / (others + HALF_SPREAD_VMS) * fraction
-    }
-
-    /// Returns the cost of `time` seconds until all queued prompts and this one have been
-    /// prefilled. It grows with the square of the time: a prompt that meets its goal on each of two
-    /// paths leaves the one with the faster prefill to those that need it.
-    pub(crate) fn cost(self, time: f64) -> f64 {
-        let cost = PREFILL_COST * time * time / self.allowed;
-        cost / (1.0 + cost / MAX_PREFILL_COST)
-    }
-
     /// Returns the place of the prompt in the order of its rank, from 0 to 1. Short prompts go
     /// first, because they delay long ones by little. A prompt that has waited goes ahead of longer
     /// ones that have not, and one whose goal has passed ahead of all.
@@ -187,22 +169,70 @@
     }
 }
 
+/// The prompt for which a path is chosen, with what is the same for all engines.
+pub(crate) struct Choice {
+    prompt: Prompt,
+    /// Cost per square of the seconds until the prompt has been prefilled.
+    cost: f64,
+    /// Largest spread of the costs of engines.
+    spread: f64,
+    /// Number of VMs.
+    vms: f64,
+    /// Mean prompt, tokens.
+    mean_prompt: f64,
+    /// Requests per token that they hold.
+    requests_per_token: f64,
+}
+
 /// Requests at an engine, of all VMs.
 pub(crate) struct Shared {
     /// Tokens that they hold in its memory.
     pub(crate) held: f64,
     /// Prompt tokens of this VM in prefill.
     pub(crate) own: f64,
-    /// Number of VMs.
-    pub(crate) vms: usize,
-    /// Seconds in which the engine prefills a mean prompt.
-    pub(crate) prefill: f64,
+    /// Seconds in which the engine prefills a token.
+    pub(crate) prefill_per_token: f64,
     /// Seconds from the first token of an answer to its last one.
     pub(crate) decode: f64,
 }
 
-impl Shared {
-    /// Returns the prompt tokens of all VMs that the engine is expected to prefill at present.
+impl Choice {
+    /// Returns the choice of a path for a prompt, where `vms` VMs share the engines.
+    pub(crate) fn new(prompt: Prompt, model: &Model, vms: usize) -> Self {
+        let others = vms.saturating_sub(1) as f64;
+        Self {
+            prompt,
+            cost: PREFILL_COST / prompt.allowed,
+            spread: MAX_SPREAD * others / (others + HALF_SPREAD_VMS),
+            vms: vms.max(1) as f64,
+            mean_prompt: model.prompt_tokens.max(1.0),
+            requests_per_token: 1.0 / (model.prompt_tokens + model.answer_tokens).max(1.0),
+        }
+    }
+
+    /// Returns the length of the prompt, tokens.
+    pub(crate) fn tokens(&self) -> f64 {
+        self.prompt.tokens()
+    }
+
+    /// Returns the cost of `time` seconds until all queued prompts and this one have been
+    /// prefilled. It grows with the square of the time: a prompt that meets its goal on each of two
+    /// paths leaves the one with the faster prefill to those that need it.
+    pub(crate) fn cost(&self, time: f64) -> f64 {
+        let cost = self.cost * time * time;
+        MAX_PREFILL_COST * cost / (MAX_PREFILL_COST + cost)
+    }
+
+    /// Returns the factor on the costs of an engine, which differs between requests. All VMs see
+    /// about the same loads, which are as old as the views that they exchange. Without it, they
+    /// would all choose the same engine until the next views. An engine whose memory is full has
+    /// the largest factor, so that it does not become cheaper than others by chance.
+    pub(crate) fn spread(&self, engine: SocketAddr, is_full: bool) -> f64 {
+        let fraction = if is_full { 1.0 } else { fraction(self.prompt.seed, engine) };
+        1.0 + self.spread * fraction
+    }
+
+    /// Returns the prompt tokens of all VMs that an engine is expected to prefill at present.
     ///
     /// VMs report the tokens that their requests hold, and not those in prefill. Requests hold
     /// them for about `decode`, which gives the rate at which prompts arrive, the utilisation and
@@ -210,26 +240,21 @@
     /// present: the number of prompts of a VM is taken to be Poisson, with a mean that varies
     /// exponentially around its part of the mean queue. With a hundred VMs, a single prompt of this
     /// one thus does not count as a hundred.
-    pub(crate) fn queued_tokens(&self, model: &Model) -> f64 {
-        let others = self.vms.saturating_sub(1);
-        if others == 0 || model.prompt_tokens <= 0.0 {
-            return self.own;
+    pub(crate) fn queued_tokens(&self, shared: &Shared) -> f64 {
+        if self.vms <= 1.0 {
+            return shared.own;
         }
-        let requests = self.held / (model.prompt_tokens + model.answer_tokens);
-        let utilisation = requests * self.prefill / self.decode.max(f64::MIN_POSITIVE);
-        let mean = mean_queue(utilisation) / self.vms as f64;
-        let own = self.own / model.prompt_tokens;
-        let each = mean * (1.0 + own) / (1.0 + mean);
-        self.own + each * others as f64 * model.prompt_tokens
-    }
-}
-
-/// Returns the mean number of prompts at an engine (M/M/1), continued as a line from the highest
-/// utilisation for which the mean says anything about the next second.
-fn mean_queue(utilisation: f64) -> f64 {
-    let free = 1.0 - MAX_UTILISATION;
-    match utilisation <= MAX_UTILISATION {
-        true => utilisation / (1.0 - utilisation),
-        false => MAX_UTILISATION / free + (utilisation - MAX_UTILISATION) / (free * free),
+        let prompts_per_s = shared.held * self.requests_per_token / shared.decode;
+        let utilisation = prompts_per_s * self.mean_prompt * shared.prefill_per_token;
+        // The mean queue of an M/M/1 system is `busy / free`. Above the highest utilisation for
+        // which this says anything about the next second, it goes on as a line.
+        let free = (1.0 - utilisation).max(1.0 - MAX_UTILISATION);
+        let busy = match utilisation <= MAX_UTILISATION {
+            true => utilisation,
+            false => MAX_UTILISATION + (utilisation - MAX_UTILISATION) / free,
+        };
+        // For a mean of `m` and `n` own prompts, the mean for each VM becomes `m (1 + n) / (1 + m)`.
+        let own = self.mean_prompt + shared.own;
+        shared.own + (self.vms - 1.0) * busy * own / (free * self.vms + busy)
     }
 }
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -7,10 +7,10 @@
 use std::net::SocketAddr;
 
 use fleet::{Layer, Layers};
-use site::{Model, TargetKey};
+use site::{Card, Model, TargetKey};
 
 use crate::entry::Entry;
-use crate::prompt::{Prompt, Shared};
+use crate::prompt::{Choice, Prompt, Shared};
 
 /// Cost of crossing from one failure domain to another, seconds. The activations of a prompt delay
 /// every stream on the link, so that a path that stays in one domain is always cheaper, even one
@@ -125,55 +125,29 @@
 }
 
 /// Returns the used fraction of an engine's memory with `tokens` more.
-fn memory_pressure(candidate: Candidate<'_>, model: &Model, tokens: f64) -> f64 {
-    let entry = candidate.entry;
-    let held = entry.layers.map_or(0, Layers::len);
-    let mb = model.card(&entry.target.card).map_or(0.0, |card| card.mb);
-    let capacity = model.tokens(mb, held).max(1.0);
+fn memory_pressure(
+    candidate: Candidate<'_>,
+    model: &Model,
+    card: Option<&Card>,
+    tokens: f64,
+) -> f64 {
+    let held = candidate.entry.layers.map_or(0, Layers::len);
+    let capacity = model.tokens(card.map_or(0.0, |card| card.mb), held).max(1.0);
     (candidate.held + tokens) / capacity
 }
 
 /// Returns the seconds that the token steps of an answer take at an engine that runs all layers.
-fn decode_time(entry: &Entry, model: &Model) -> f64 {
-    let card = model.card(&entry.target.card);
-    let step_factor = card.map_or(f64::INFINITY, |card| card.step_factor);
-    model.step.as_secs_f64() * step_factor * model.answer_tokens
+fn decode_time(model: &Model, card: Option<&Card>) -> f64 {
+    let steps = |card: &Card| model.step.as_secs_f64() * card.step_factor * model.answer_tokens;
+    card.map_or(f64::INFINITY, steps)
 }
 
 /// Returns the seconds that prefill of prompts takes at an engine that runs all layers.
-fn prefill_time(entry: &Entry, model: &Model, tokens: f64) -> f64 {
-    let prefill_factor = model.card(&entry.target.card).map_or(1.0, |card| card.prefill_factor);
+fn prefill_time(model: &Model, card: Option<&Card>, tokens: f64) -> f64 {
+    let prefill_factor = card.map_or(1.0, |card| card.prefill_factor);
     tokens / model.prefill_tokens_per_s.max(1.0) * prefill_factor
 }
 
-/// Returns the cost of the wait until an engine that runs all layers has prefilled the queued
-/// prompts, if all VMs send the same load.
-fn mean_prompt_wait(entry: &Entry, model: &Model, vms: usize) -> f64 {
-    let queued = entry.prefill_tokens * vms as f64;
-    PREFILL_WAIT_WEIGHT * (prefill_time(entry, model, queued) * entry.slowdown)
-}
-
-/// Returns the seconds until an engine that runs all layers has prefilled the queued prompts and a
-/// new one, if it takes `decode` seconds for an answer.
-fn prompt_time(
-    candidate: Candidate<'_>,
-    model: &Model,
-    vms: usize,
-    decode: f64,
-    prompt: Prompt,
-) -> f64 {
-    let entry = candidate.entry;
-    let shared = Shared {
-        held: candidate.held,
-        own: entry.prefill_tokens,
-        vms,
-        prefill: prefill_time(entry, model, model.prompt_tokens) * entry.slowdown,
-        decode,
-    };
-    let queued = shared.queued_tokens(model);
-    prefill_time(entry, model, queued + prompt.tokens()) * entry.slowdown
-}
-
 /// Costs of an engine, whichever of its layers a path uses.
 struct EngineCost {
     layers: Layers,
@@ -197,23 +171,38 @@
         model: &Model,
         tokens: f64,
         vms: usize,
-        prompt: Option<Prompt>,
+        choice: Option<&Choice>,
         domains: &[&str],
     ) -> Option<Self> {
         let entry = candidate.entry;
         let layers = entry.layers?;
         let domain = domains.binary_search(&entry.target.domain.as_str()).ok()?;
-        let pressure = memory_pressure(candidate, model, tokens);
+        let card = model.card(&entry.target.card);
+        let pressure = memory_pressure(candidate, model, card, tokens);
         let is_full = pressure > 1.0;
         let address = entry.target.address;
-        let spread = prompt.map_or(1.0, |prompt| prompt.spread(address, vms, is_full));
+        let spread = choice.map_or(1.0, |choice| choice.spread(address, is_full));
         let full = if is_full { FULL_COST * pressure * spread } else { 0.0 };
         let failing = FAILURE_COST * entry.health.failure_rate();
         let slow = if entry.is_slow() { SLOW_COST * (entry.slowdown - 1.0) } else { 0.0 };
         let backoff = if candidate.deprioritised { BACKOFF_COST } else { 0.0 };
-        let decode = decode_time(entry, model);
-        let length = prompt.map_or(0.0, Prompt::tokens).max(model.prompt_tokens);
-        let run_time = decode + prefill_time(entry, model, length);
+        let decode = decode_time(model, card);
+        let length = choice.map_or(0.0, Choice::tokens).max(model.prompt_tokens);
+        let run_time = decode + prefill_time(model, card, length);
+        let own = entry.prefill_tokens;
+        let wait = match choice {
+            // All VMs are taken to send the same load.
+            None => {
+                let queued = prefill_time(model, card, own * vms as f64);
+                PREFILL_WAIT_WEIGHT * (queued * entry.slowdown)
+            }
+            Some(choice) => {
+                let prefill_per_token = prefill_time(model, card, 1.0) * entry.slowdown;
+                let shared = Shared { held: candidate.held, own, prefill_per_token, decode };
+                let ahead = choice.queued_tokens(&shared) + choice.tokens();
+                ahead * prefill_per_token * spread
+            }
+        };
         Some(Self {
             layers,
             domain,
@@ -224,10 +213,7 @@
                 true => 0.0,
             },
             work: run_time * (1.0 + PRESSURE_WEIGHT * pressure) * spread,
-            wait: match prompt {
-                None => mean_prompt_wait(entry, model, vms),
-                Some(prompt) => prompt_time(candidate, model, vms, decode, prompt) * spread,
-            },
+            wait,
         })
     }
 }
@@ -240,7 +226,9 @@
     vms: usize,
     prompt: Option<Prompt>,
 ) -> Option<Path> {
-    let wait_cost = |wait: f64| prompt.map_or(wait, |prompt| prompt.cost(wait));
+    let choice = prompt.map(|prompt| Choice::new(prompt, model, vms));
+    let choice = choice.as_ref();
+    let wait_cost = |wait: f64| choice.map_or(wait, |choice| choice.cost(wait));
     let mut boundaries: Vec<Layer> = vec![0, model.depth];
     for layers in candidates.iter().filter_map(|candidate| candidate.entry.layers) {
         boundaries.push(layers.start);
@@ -258,7 +246,7 @@
         .iter()
         .enumerate()
         .filter_map(|(index, candidate)| {
-            Some((index, EngineCost::new(*candidate, model, tokens, vms, prompt, &domains)?))
+            Some((index, EngineCost::new(*candidate, model, tokens, vms, choice, &domains)?))
         })
         .collect();
     engines.sort_by_key(|(_, engine)| engine.layers.start);
@@ -315,7 +303,9 @@
         crosses |= domain != last_domain;
         let (index, from, other) = best[at][domain].from?;
         let entry = candidates[index].entry;
-        max_pressure = max_pressure.max(memory_pressure(candidates[index], model, tokens));
+        let card = model.card(&entry.target.card);
+        let pressure = memory_pressure(candidates[index], model, card, tokens);
+        max_pressure = max_pressure.max(pressure);
         stages.push(Stage {
             target: entry.target.id.clone(),
             address: entry.target.address,
