Prompts: random factors are discounts, and full engines have none

Cause: factors of up to 4 on the costs of engines, the cost of full ones among them, could make a path of ten full engines dearer than one that crosses failure domains.

Change: the factor is a discount of at most three quarters on the time at an engine, and the cost of prefill is scaled to match. A full engine has no discount.

--- a/crates/path/src/prompt.rs
+++ b/crates/path/src/prompt.rs
@@ -174,8 +174,10 @@
     prompt: Prompt,
     /// Cost per square of the seconds until the prompt has been prefilled.
     cost: f64,
-    /// Largest spread of the costs of engines.
-    spread: f64,
+    /// Maximum of that cost.
+    max_cost: f64,
+    /// Smallest factor on the time at an engine.
+    min_discount: f64,
     /// Number of VMs.
     vms: f64,
     /// Mean prompt, tokens.
@@ -200,10 +202,12 @@
     /// Returns the choice of a path for a prompt, where `vms` VMs share the engines.
     pub(crate) fn new(prompt: Prompt, model: &Model, vms: usize) -> Self {
         let others = vms.saturating_sub(1) as f64;
+        let spread = 1.0 + MAX_SPREAD * others / (others + HALF_SPREAD_VMS);
         Self {
             prompt,
-            cost: PREFILL_COST / prompt.allowed,
-            spread: MAX_SPREAD * others / (others + HALF_SPREAD_VMS),
+            cost: PREFILL_COST * spread / prompt.allowed,
+            max_cost: MAX_PREFILL_COST / spread,
+            min_discount: 1.0 / spread,
             vms: vms.max(1) as f64,
             mean_prompt: model.prompt_tokens.max(1.0),
             requests_per_token: 1.0 / (model.prompt_tokens + model.answer_tokens).max(1.0),
@@ -220,16 +224,16 @@
     /// paths leaves the one with the faster prefill to those that need it.
     pub(crate) fn cost(&self, time: f64) -> f64 {
         let cost = self.cost * time * time;
-        MAX_PREFILL_COST * cost / (MAX_PREFILL_COST + cost)
+        self.max_cost * cost / (self.max_cost + cost)
     }
 
-    /// Returns the factor on the costs of an engine, which differs between requests. All VMs see
-    /// about the same loads, which are as old as the views that they exchange. Without it, they
-    /// would all choose the same engine until the next views. An engine whose memory is full has
-    /// the largest factor, so that it does not become cheaper than others by chance.
-    pub(crate) fn spread(&self, engine: SocketAddr, is_full: bool) -> f64 {
+    /// Returns the factor on the time at an engine, up to 1, which differs between requests. All
+    /// VMs see about the same loads, which are as old as the views that they exchange. Without it,
+    /// they would all choose the same engine until the next views. An engine whose memory is full
+    /// has no discount, so that it does not become cheaper than others by chance.
+    pub(crate) fn discount(&self, engine: SocketAddr, is_full: bool) -> f64 {
         let fraction = if is_full { 1.0 } else { fraction(self.prompt.seed, engine) };
-        1.0 + self.spread * fraction
+        self.min_discount + (1.0 - self.min_discount) * fraction
     }
 
     /// Returns the prompt tokens of all VMs that an engine is expected to prefill at present.
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -181,8 +181,8 @@
         let pressure = memory_pressure(candidate, model, card, tokens);
         let is_full = pressure > 1.0;
         let address = entry.target.address;
-        let spread = choice.map_or(1.0, |choice| choice.spread(address, is_full));
-        let full = if is_full { FULL_COST * pressure * spread } else { 0.0 };
+        let discount = choice.map_or(1.0, |choice| choice.discount(address, is_full));
+        let full = if is_full { FULL_COST * pressure } else { 0.0 };
         let failing = FAILURE_COST * entry.health.failure_rate();
         let slow = if entry.is_slow() { SLOW_COST * (entry.slowdown - 1.0) } else { 0.0 };
         let backoff = if candidate.deprioritised { BACKOFF_COST } else { 0.0 };
@@ -200,7 +200,7 @@
                 let prefill_per_token = prefill_time(model, card, 1.0) * entry.slowdown;
                 let shared = Shared { held: candidate.held, own, prefill_per_token, decode };
                 let ahead = choice.queued_tokens(&shared) + choice.tokens();
-                ahead * prefill_per_token * spread
+                ahead * prefill_per_token * discount
             }
         };
         Some(Self {
@@ -212,7 +212,7 @@
                 true if entry.has_stalled_streams() => STALLED_COST,
                 true => 0.0,
             },
-            work: run_time * (1.0 + PRESSURE_WEIGHT * pressure) * spread,
+            work: run_time * (1.0 + PRESSURE_WEIGHT * pressure) * discount,
             wait,
         })
     }
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::Layers;
-use path::{Fault, Path, ProbeFailure, Query, Table};
+use path::{Fault, Path, ProbeFailure, Prompt, Query, Table};
 use site::{Card, Model, Report, State, Target};
 use yare::parameterized;
 
@@ -481,3 +481,35 @@
     let path = table.path(NOW, &model(), &query(&[address(3)])).expect("a path");
     assert_eq!(names(&path), ["t1", "t2"]);
 }
+
+struct SeedCase {
+    /// Tokens that other VMs hold at each engine; 75,000 fill it.
+    held: [u32; 4],
+    /// First engines of the paths that may be chosen.
+    firsts: &'static [&'static str],
+}
+
+// Guards against a path through full engines, which refuse the request, or through two failure
+// domains, that is chosen because the costs of engines differ between requests.
+#[parameterized(
+    one_chain_full = { SeedCase { held: [80_000, 80_000, 40_000, 40_000], firsts: &["t3"] } },
+    one_engine_full = { SeedCase { held: [0, 80_000, 40_000, 40_000], firsts: &["t3"] } },
+    all_full = { SeedCase { held: [80_000; 4], firsts: &["t1", "t3"] } },
+    very_full = { SeedCase { held: [200_000, 90_000, 90_000, 200_000], firsts: &["t1", "t3"] } },
+    same_load = { SeedCase { held: [40_000; 4], firsts: &["t1", "t3"] } },
+)]
+fn no_request_takes_a_full_or_crossing_path_by_chance(case: SeedCase) {
+    let model = Model { token_bytes: 53_333.0, ..model() };
+    let mut table = table();
+    table.vms = 97;
+    let loads = case.held.iter().enumerate();
+    let loads = loads.map(|(index, &tokens)| (format!("t{}", index + 1).into(), tokens));
+    table.record_peer_load(address(99), loads.collect(), NOW + Duration::from_secs(1));
+    let prompt = Prompt::new(&model, 2_000.0, Duration::from_millis(500));
+    for seed in 0..1000 {
+        let query = Query { prompt: Some(prompt.with_seed(seed)), ..query(&[]) };
+        let path = table.path(NOW, &model, &query).expect("a path");
+        let first = path.first().target.as_str();
+        assert!(!path.crosses && case.firsts.contains(&first), "seed {seed}: {path}");
+    }
+}
