Prompts: the utilisation of an engine counts its own layers only

Cause: the utilisation by prefill was that of an engine that runs all layers, ten times too high for one with a tenth of them.

Change: it is multiplied by the share of layers that the engine holds.

--- a/crates/path/src/prompt.rs
+++ b/crates/path/src/prompt.rs
@@ -192,7 +192,7 @@
     pub(crate) held: f64,
     /// Prompt tokens of this VM in prefill.
     pub(crate) own: f64,
-    /// Seconds in which the engine prefills a token.
+    /// Seconds in which the engine prefills a token in its layers.
     pub(crate) prefill_per_token: f64,
     /// Seconds from the first token of an answer to its last one.
     pub(crate) decode: f64,
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -198,7 +198,13 @@
             }
             Some(choice) => {
                 let prefill_per_token = prefill_time(model, card, 1.0) * entry.slowdown;
-                let shared = Shared { held: candidate.held, own, prefill_per_token, decode };
+                let share = f64::from(layers.len()) / f64::from(model.depth);
+                let shared = Shared {
+                    held: candidate.held,
+                    own,
+                    prefill_per_token: prefill_per_token * share,
+                    decode,
+                };
                 let ahead = choice.queued_tokens(&shared) + choice.tokens();
                 ahead * prefill_per_token * discount
             }
