--- a/crates/path/tests/engines/mod.rs
+++ b/crates/path/tests/engines/mod.rs
@@ -25,6 +25,8 @@
 pub(crate) const GOAL: Duration = Duration::from_millis(500);
 /// Prefill factors of the engines.
 const PREFILL_FACTORS: [f64; 6] = [1.0, 1.0, 2.0, 2.0, 4.0, 4.0];
+/// Number of layers of the model.
+const DEPTH: u16 = 80;
 
 /// A request that arrives.
 #[derive(Clone, Copy, Debug)]
@@ -56,17 +58,18 @@
     outcomes.iter().filter(|outcome| is_counted(&outcome.arrival) && outcome.is_late()).count()
 }
 
-pub(crate) fn model() -> Model {
+/// Returns the model for chains of `stages` engines, which together prefill as fast as one.
+pub(crate) fn model(stages: u16) -> Model {
     let cards = PREFILL_FACTORS.iter().enumerate();
     let cards = cards.map(|(number, &prefill_factor)| Card {
         name: card(number),
-        mb: 80_000.0,
+        mb: 80_000.0 / f64::from(stages),
         step_factor: 1.0,
-        prefill_factor,
+        prefill_factor: prefill_factor * f64::from(stages),
     });
     Model {
         name: "m".into(),
-        depth: 80,
+        depth: DEPTH,
         layer_mb: 100.0,
         token_bytes: 400_000.0,
         load_time: Duration::from_secs(10),
@@ -85,21 +88,23 @@
     format!("c{number}").into()
 }
 
-fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, number as u8], 80))
+fn address(number: usize, stage: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, stage as u8, number as u8], 80))
 }
 
-fn target(number: usize) -> Target {
+/// Returns an engine of a chain. Each chain of several engines is in a domain of its own.
+fn target(number: usize, stage: u16, stages: u16) -> Target {
+    let held = DEPTH / stages;
     Target {
-        id: format!("t{number}").into(),
+        id: format!("t{number}-{stage}").into(),
         service: "s".into(),
-        address: address(number),
-        domain: format!("d{}", number % 2).into(),
+        address: address(number, stage),
+        domain: format!("d{}", if stages > 1 { number } else { number % 2 }).into(),
         state: State::Ready,
         started_unix_ms: 1,
         slots: 192,
         card: card(number),
-        layers: Some(Layers::new(0, 80)),
+        layers: Some(Layers::new(stage * held, (stage + 1) * held)),
     }
 }
 
@@ -151,16 +156,17 @@
 struct Running {
     ends_at: Duration,
     node: usize,
-    target: TargetKey,
+    place: usize,
     tokens: f64,
 }
 
 /// Returns the outcome of each request if `nodes` nodes receive them in turn. `is_mixed` states
 /// whether the nodes look at the lengths of the prompts.
-pub(crate) fn run(nodes: usize, is_mixed: bool, arrivals: &[Arrival]) -> Vec<Outcome> {
-    let model = model();
+pub(crate) fn run(nodes: usize, stages: u16, is_mixed: bool, arrivals: &[Arrival]) -> Vec<Outcome> {
+    let model = model(stages);
+    let ids = |place: usize| (0..stages).map(move |stage| target(place, stage, stages).id);
     let ranks = Ranks::new(arrivals.iter().map(|arrival| arrival.rank));
-    let mut tables: Vec<Table> = (0..nodes).map(|_| table(nodes)).collect();
+    let mut tables: Vec<Table> = (0..nodes).map(|_| table(nodes, stages)).collect();
     let mut engines: Vec<Engine> = PREFILL_FACTORS.iter().map(|factor| engine(*factor)).collect();
     let mut outcomes: Vec<Outcome> =
         arrivals.iter().map(|&arrival| Outcome { arrival, first: None }).collect();
@@ -188,12 +194,15 @@
                 prompt: is_mixed.then_some(prompt),
             };
             let path = table.path(now, &model, &query).expect("a path");
-            let target = path.first().target.clone();
-            let place = (0..engines.len()).find(|&number| address(number) == path.first().address);
+            let place =
+                (0..engines.len()).find(|&number| address(number, 0) == path.first().address);
             let place = place.expect("an engine");
-            table.add_request(&target, tokens);
+            assert_eq!(path.stages.len(), usize::from(stages));
             let prefill = if is_mixed { prompt.tokens() } else { arrival.stated };
-            table.add_prefill(&target, prefill);
+            for id in ids(place) {
+                table.add_request(&id, tokens);
+                table.add_prefill(&id, prefill);
+            }
             prefills.push(prefill);
             let level = match is_mixed {
                 true => ranks.level(arrival.rank, &model, prompt),
@@ -207,16 +216,20 @@
             for (request, node) in engine.run() {
                 let arrival = outcomes[request].arrival;
                 outcomes[request].first = Some(now.saturating_sub(arrival.at));
-                let target = target(places[request]).id;
-                tables[node].add_prefill(&target, -prefills[request]);
+                let place = places[request];
+                for id in ids(place) {
+                    tables[node].add_prefill(&id, -prefills[request]);
+                }
                 let (ends_at, tokens) = (now + DECODE_TIME, arrival.stated + ANSWER_TOKENS);
-                running.push(Running { ends_at, node, target, tokens });
+                running.push(Running { ends_at, node, place, tokens });
             }
         }
         running.retain(|request| {
             let runs = request.ends_at > now;
             if !runs {
-                tables[request.node].remove_request(&request.target, request.tokens);
+                for id in ids(request.place) {
+                    tables[request.node].remove_request(&id, request.tokens);
+                }
             }
             runs
         });
@@ -225,11 +238,13 @@
     outcomes
 }
 
-fn table(vms: usize) -> Table {
+fn table(vms: usize, stages: u16) -> Table {
     let mut table = Table::new("d0".into());
     table.vms = vms;
     for number in 0..PREFILL_FACTORS.len() {
-        table.set(Duration::ZERO, target(number));
+        for stage in 0..stages {
+            table.set(Duration::ZERO, target(number, stage, stages));
+        }
     }
     table
 }
--- a/crates/path/tests/prompts.rs
+++ b/crates/path/tests/prompts.rs
@@ -23,12 +23,15 @@
     prompt: fn(usize) -> f64,
     /// Returns the length that a caller states for a prompt.
     stated: fn(f64) -> f64,
+    /// Engines of each chain.
+    stages: u16,
 }
 
 const ONE_LONG_IN_A_HUNDRED: Load = Load {
     per_second: 300.0,
     prompt: |number| long_if(number % 100 == 50),
     stated: |prompt| prompt,
+    stages: 1,
 };
 const BURST: Load = Load {
     per_second: 250.0,
@@ -40,6 +43,7 @@
 const ONLY_LONG: Load =
     Load { per_second: 40.0, prompt: |_| LONGEST_PROMPT, ..ONE_LONG_IN_A_HUNDRED };
 const UNKNOWN: Load = Load { stated: |_| 0.0, ..STREAM };
+const CHAINS: Load = Load { stages: 4, ..STREAM };
 const UNTRUE: Load = Load { stated: |_| 10.0, ..STREAM };
 
 fn long_if(is_long: bool) -> f64 {
@@ -74,6 +78,9 @@
     only_long_at_some_nodes = { 26, ONLY_LONG },
     unknown_at_some_nodes = { 26, UNKNOWN },
     untrue_at_some_nodes = { 26, UNTRUE },
+    chains_at_four_nodes = { 4, CHAINS },
+    chains_at_some_nodes = { 26, CHAINS },
+    chains_at_many_nodes = { 97, CHAINS },
     only_long_at_one_node = { 1, ONLY_LONG },
     only_long_at_four_nodes = { 4, ONLY_LONG },
     only_long_at_many_nodes = { 97, ONLY_LONG },
@@ -88,8 +95,8 @@
     let arrivals = arrivals(load);
     let counted = |arrival: &Arrival| arrival.at >= WARM_UP;
     let short = |arrival: &Arrival| counted(arrival) && arrival.prompt <= SHORT_PROMPT;
-    let mean = run(nodes, false, &arrivals);
-    let mixed = run(nodes, true, &arrivals);
+    let mean = run(nodes, load.stages, false, &arrivals);
+    let mixed = run(nodes, load.stages, true, &arrivals);
     let (before, after) = (late(&mean, counted), late(&mixed, counted));
     let (short_before, short_after) = (late(&mean, short), late(&mixed, short));
     println!("late: {before} before, {after} after; short: {short_before}, {short_after}");
@@ -101,7 +108,7 @@
 fn prompts() -> Vec<Prompt> {
     let lengths = [0.0, 1.0, SHORT_PROMPT, MEAN_PROMPT, LONGEST_PROMPT, 1e9];
     let waits = [Duration::ZERO, GOAL / 2, GOAL, GOAL * 2];
-    let model = model();
+    let model = model(1);
     let prompt = |tokens| Prompt::new(&model, tokens, GOAL);
     let of_length = |tokens| waits.map(|waited| prompt(tokens).after(waited, GOAL));
     lengths.into_iter().flat_map(of_length).collect()
@@ -111,7 +118,7 @@
 // use, prompts and waits.
 #[test]
 fn ranks_are_never_reversed() {
-    let model = model();
+    let model = model(1);
     for used in 1_u16..1 << 10 {
         let used: Vec<Rank> = (0..10).filter(|rank| used & 1 << rank != 0).collect();
         let ranks = Ranks::new(used.iter().copied());
@@ -137,7 +144,7 @@
     none_in_use = { &[], 5 },
 )]
 fn unused_rank_keeps_the_order(used: &[Rank], rank: Rank) {
-    let model = model();
+    let model = model(1);
     let ranks = Ranks::new(used.iter().copied());
     for prompt in prompts() {
         let level = ranks.level(rank, &model, prompt);
@@ -179,7 +186,7 @@
     all_ranks = { Order { used: &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], rank: 7, level: 7, ..THREE } },
 )]
 fn level_depends_on_length_and_wait(case: Order) {
-    let model = model();
+    let model = model(1);
     let ranks = Ranks::new(case.used.iter().copied());
     let waited = GOAL * case.waited / 100;
     let prompt = Prompt::new(&model, case.tokens, GOAL).after(waited, GOAL);
