--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod missed;
 mod participants;
+mod prompt;
 mod search;
 mod table;
 
@@ -19,5 +20,6 @@
 pub use health::{Fault, Health, ProbeFailure};
 pub use missed::{Agreement, MissedReports, engines_to_ask};
 pub use participants::{Participants, Share};
+pub use prompt::{Level, Prompt, Rank, Ranks};
 pub use search::{Path, Stage};
 pub use table::{Query, Table};
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddr;
 
 use fleet::{Layer, Layers};
-use site::{Model, TargetKey};
+use site::{Card, Model, TargetKey};
 
 use crate::entry::Entry;
+use crate::prompt::{Choice, Prompt, Shared};
 
 /// Cost of crossing from one failure domain to another, seconds. The activations of a prompt delay
 /// every stream on the link, so that a path that stays in one domain is always cheaper, even one
@@ -124,27 +125,27 @@
 }
 
 /// Returns the used fraction of an engine's memory with `tokens` more.
-fn memory_pressure(candidate: Candidate<'_>, model: &Model, tokens: f64) -> f64 {
-    let entry = candidate.entry;
-    let held = entry.layers.map_or(0, Layers::len);
-    let mb = model.card(&entry.target.card).map_or(0.0, |card| card.mb);
-    let capacity = model.tokens(mb, held).max(1.0);
+fn memory_pressure(
+    candidate: Candidate<'_>,
+    model: &Model,
+    card: Option<&Card>,
+    tokens: f64,
+) -> f64 {
+    let held = candidate.entry.layers.map_or(0, Layers::len);
+    let capacity = model.tokens(card.map_or(0.0, |card| card.mb), held).max(1.0);
     (candidate.held + tokens) / capacity
 }
 
-/// Returns the seconds that a request takes at an engine that runs all layers.
-fn run_time(entry: &Entry, model: &Model) -> f64 {
-    let Some(card) = model.card(&entry.target.card) else { return f64::INFINITY };
-    let step = model.step.as_secs_f64() * card.step_factor * model.answer_tokens;
-    step + model.prompt_tokens / model.prefill_tokens_per_s.max(1.0) * card.prefill_factor
+/// Returns the seconds that the token steps of an answer take at an engine that runs all layers.
+fn decode_time(model: &Model, card: Option<&Card>) -> f64 {
+    let steps = |card: &Card| model.step.as_secs_f64() * card.step_factor * model.answer_tokens;
+    card.map_or(f64::INFINITY, steps)
 }
 
-/// Returns the seconds that a new prompt waits for the queued prefill of an engine that runs all
-/// layers, if all VMs send the same load.
-fn prefill_wait(entry: &Entry, model: &Model, vms: usize) -> f64 {
-    let prefill_factor = model.card(&entry.target.card).map_or(1.0, |card| card.prefill_factor);
-    let tokens = entry.prefill_tokens * vms as f64;
-    tokens / model.prefill_tokens_per_s.max(1.0) * prefill_factor * entry.slowdown
+/// Returns the seconds that prefill of prompts takes at an engine that runs all layers.
+fn prefill_time(model: &Model, card: Option<&Card>, tokens: f64) -> f64 {
+    let prefill_factor = card.map_or(1.0, |card| card.prefill_factor);
+    tokens / model.prefill_tokens_per_s.max(1.0) * prefill_factor
 }
 
 /// Costs of an engine, whichever of its layers a path uses.
@@ -158,7 +159,8 @@
     first: f64,
     /// Cost of running all layers, seconds.
     work: f64,
-    /// Cost of the wait until all layers have read the queued prompts, seconds.
+    /// Wait until all layers have read the queued prompts: its cost, or its seconds with the new
+    /// prompt if the path is chosen for that.
     wait: f64,
 }
 
@@ -169,17 +171,44 @@
         model: &Model,
         tokens: f64,
         vms: usize,
+        choice: Option<&Choice>,
         domains: &[&str],
     ) -> Option<Self> {
         let entry = candidate.entry;
         let layers = entry.layers?;
         let domain = domains.binary_search(&entry.target.domain.as_str()).ok()?;
-        let pressure = memory_pressure(candidate, model, tokens);
-        let full = if pressure > 1.0 { FULL_COST * pressure } else { 0.0 };
+        let card = model.card(&entry.target.card);
+        let pressure = memory_pressure(candidate, model, card, tokens);
+        let is_full = pressure > 1.0;
+        let address = entry.target.address;
+        let discount = choice.map_or(1.0, |choice| choice.discount(address, is_full));
+        let full = if is_full { FULL_COST * pressure } else { 0.0 };
         let failing = FAILURE_COST * entry.health.failure_rate();
         let slow = if entry.is_slow() { SLOW_COST * (entry.slowdown - 1.0) } else { 0.0 };
         let backoff = if candidate.deprioritised { BACKOFF_COST } else { 0.0 };
-        let work = run_time(entry, model) * (1.0 + PRESSURE_WEIGHT * pressure);
+        let decode = decode_time(model, card);
+        let length = choice.map_or(0.0, Choice::tokens).max(model.prompt_tokens);
+        let run_time = decode + prefill_time(model, card, length);
+        let own = entry.prefill_tokens;
+        let wait = match choice {
+            // All VMs are taken to send the same load.
+            None => {
+                let queued = prefill_time(model, card, own * vms as f64);
+                PREFILL_WAIT_WEIGHT * (queued * entry.slowdown)
+            }
+            Some(choice) => {
+                let prefill_per_token = prefill_time(model, card, 1.0) * entry.slowdown;
+                let share = f64::from(layers.len()) / f64::from(model.depth);
+                let shared = Shared {
+                    held: candidate.held,
+                    own,
+                    prefill_per_token: prefill_per_token * share,
+                    decode,
+                };
+                let ahead = choice.queued_tokens(&shared) + choice.tokens();
+                ahead * prefill_per_token * discount
+            }
+        };
         Some(Self {
             layers,
             domain,
@@ -189,19 +218,23 @@
                 true if entry.has_stalled_streams() => STALLED_COST,
                 true => 0.0,
             },
-            work,
-            wait: PREFILL_WAIT_WEIGHT * prefill_wait(entry, model, vms),
+            work: run_time * (1.0 + PRESSURE_WEIGHT * pressure) * discount,
+            wait,
         })
     }
 }
 
-/// Finds the cheapest path.
+/// Finds the cheapest path, for `prompt` or for the mean prompt.
 pub(crate) fn search(
     candidates: &[Candidate<'_>],
     model: &Model,
     tokens: f64,
     vms: usize,
+    prompt: Option<Prompt>,
 ) -> Option<Path> {
+    let choice = prompt.map(|prompt| Choice::new(prompt, model, vms));
+    let choice = choice.as_ref();
+    let wait_cost = |wait: f64| choice.map_or(wait, |choice| choice.cost(wait));
     let mut boundaries: Vec<Layer> = vec![0, model.depth];
     for layers in candidates.iter().filter_map(|candidate| candidate.entry.layers) {
         boundaries.push(layers.start);
@@ -219,7 +252,7 @@
         .iter()
         .enumerate()
         .filter_map(|(index, candidate)| {
-            Some((index, EngineCost::new(*candidate, model, tokens, vms, &domains)?))
+            Some((index, EngineCost::new(*candidate, model, tokens, vms, choice, &domains)?))
         })
         .collect();
     engines.sort_by_key(|(_, engine)| engine.layers.start);
@@ -255,7 +288,7 @@
             for end in ends {
                 let share = f64::from(boundaries[end] - boundaries[at]) / f64::from(model.depth);
                 let cost = base.cost + crossing + engine.fixed + first + engine.work * share;
-                let wait = base.wait.max(engine.wait * share);
+                let wait = base.wait.max(wait_cost(engine.wait * share));
                 let partial = &mut best[end][domain];
                 if cost + wait < partial.total() {
                     *partial = PartialPath { cost, wait, from: Some((*index, at, other)) };
@@ -276,7 +309,9 @@
         crosses |= domain != last_domain;
         let (index, from, other) = best[at][domain].from?;
         let entry = candidates[index].entry;
-        max_pressure = max_pressure.max(memory_pressure(candidates[index], model, tokens));
+        let card = model.card(&entry.target.card);
+        let pressure = memory_pressure(candidates[index], model, card, tokens);
+        max_pressure = max_pressure.max(pressure);
         stages.push(Stage {
             target: entry.target.id.clone(),
             address: entry.target.address,
