--- a/crates/edge/src/cadence.rs
+++ b/crates/edge/src/cadence.rs
@@ -6,14 +6,12 @@
 
 use std::time::Duration;
 
-use crate::watchdog::STALL_FACTOR;
-
 /// Minimum silence that may show a stall.
 const MIN_LIMIT: Duration = Duration::from_millis(100);
 /// Maximum silence that shows one: callers notice pauses from then on.
 const MAX_LIMIT: Duration = Duration::from_millis(200);
 /// Fraction of the intervals that are shorter than the estimate.
-const QUANTILE: f64 = 0.99;
+const QUANTILE: f64 = 0.98;
 /// Change of the estimate for an interval that exceeds it, seconds.
 const STEP_S: f64 = 0.001;
 
@@ -30,12 +28,11 @@
             true => QUANTILE,
             false => QUANTILE - 1.0,
         };
-        let max = MAX_LIMIT.as_secs_f64() / STALL_FACTOR;
-        self.estimate = (self.estimate + step * STEP_S).clamp(0.0, max);
+        self.estimate = (self.estimate + step * STEP_S).clamp(0.0, MAX_LIMIT.as_secs_f64());
     }
 
     /// Returns the silence of a stream that may show a stall.
     pub fn limit(&self) -> Duration {
-        Duration::from_secs_f64(self.estimate * STALL_FACTOR).clamp(MIN_LIMIT, MAX_LIMIT)
+        Duration::from_secs_f64(self.estimate).clamp(MIN_LIMIT, MAX_LIMIT)
     }
 }
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -4,14 +4,14 @@
 
 /// Minimum silence before that, for streams with shorter intervals between events.
 const MIN_SLOW_LIMIT: Duration = Duration::from_millis(75);
-/// Ratio of the silence before a path with an engine that is down is abandoned to that before its
-/// engines are asked: the engine may have been marked down by mistake.
-const BROKEN_FACTOR: f64 = 1.2;
+/// Silence before a path with an engine that is down is abandoned, unless events are rarer: somewhat
+/// longer than an event takes, because the engine may have been marked down by mistake.
+const BROKEN_LIMIT: Duration = Duration::from_millis(120);
 /// Minimum silence before that, for streams with shorter intervals between events.
 const MIN_BROKEN_LIMIT: Duration = Duration::from_millis(60);
 /// A silence this many times as long as the longest interval on the path shows that the stream has
 /// stalled.
-pub(crate) const STALL_FACTOR: f64 = 1.15;
+const STALL_FACTOR: f64 = 1.15;
 /// Number of intervals that must be known before they set a stream's limits.
 const MIN_INTERVALS: u32 = 6;
 /// Silence after which the first engine of a path is asked which engine stalls.
@@ -103,7 +103,7 @@
     }
 
     fn max_broken_limit(&self) -> Duration {
-        self.max_slow_limit.mul_f64(BROKEN_FACTOR)
+        self.max_slow_limit.max(BROKEN_LIMIT)
     }
 
     /// Returns the silence that shows that the stream has stalled, if enough intervals are known.
