Admission of streaming requests by rank where engine memory is short

Cause: a node refused each new request whose best path had no memory left, whatever its rank, organisation or latency goal. Change: limit::admission::Room decides by rank, organisation share, size and slack; edge::room waits in its queue and logs request-queued (1170) and request-admitted (1171); the refusal line states rank, organisation and threshold; counters by rank; Retry-After by rank. A request waits only if its route states a latency goal below its timeout.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -78,6 +78,8 @@
         for stage in &self.path.stages {
             table.remove_request(&stage.target, self.tokens);
         }
+        drop(table);
+        self.node.room_changed.notify_waiters();
     }
 }
 
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -74,6 +74,8 @@
     pub(crate) received_at: Duration,
     /// Time by which the request must be answered: the caller's deadline or the route's timeout.
     pub(crate) deadline: Duration,
+    /// Time to the first event that callers of the route expect; `None` if it states none.
+    pub(crate) latency_goal: Option<Duration>,
     /// Length of the prompt, tokens.
     pub(crate) prompt_tokens: f64,
     /// Length of the prompt and the expected answer, tokens.
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -103,6 +103,12 @@
     pub(crate) waiting: Vec<Attempt>,
     /// Share of memory in use on the best path of the last search.
     pub(crate) pressure: f64,
+    /// Pressure up to which the request is admitted, by the last decision on it.
+    pub(crate) threshold: f64,
+    /// Whether the request counts as demand for the memory of engines.
+    pub(crate) is_counted: bool,
+    /// Retry delay of the last decision to refuse the request.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl Dispatch {
@@ -123,6 +129,9 @@
             fallback: None,
             waiting: Vec::new(),
             pressure: 0.0,
+            threshold: MAX_PRESSURE,
+            is_counted: false,
+            retry_after: None,
         }
     }
 
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -52,4 +52,6 @@
     CONFIG_READABLE = 1160, "configuration-readable", "The operators' newest configuration can be read again, and requests are handled by it.";
     MEMORY_FULL = 1161, "memory-full", "The messages that the process holds have reached their bound (`held` of `most` bytes), and none of them ends. The unfinished ones of this source, which hold the most (`bytes`), end for those of others.";
     REQUEST_AWAITS_PATH = 1162, "request-awaits-path", "A new request without a path waits for one for a moment, because the engines that it lacks may only be silent.";
+    REQUEST_QUEUED = 1170, "request-queued", "A new request waits for engines whose memory is full, for `left_ms` at the most. `queued` requests wait at this node.";
+    REQUEST_ADMITTED = 1171, "request-admitted", "A queued request is sent to engines after `waited_ms`: the used part of their memory (`pressure`) is at most the `threshold` of the request.";
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -311,6 +311,7 @@
         organisation: organisation.map(|organisation| organisation.name.clone()),
         received_at,
         deadline: received_at + allowed,
+        latency_goal: Some(route.latency_goal).filter(|goal| *goal < route.timeout),
         prompt_tokens: size.prompt,
         tokens: size.prompt + size.answer,
         headers: call::forwarded_headers(parts.headers),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -54,6 +54,7 @@
 mod replica;
 mod reply;
 mod resumed;
+mod room;
 mod search;
 mod segment;
 mod socket;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fleet::{Event, Version};
+use limit::admission::Room;
 use limit::permit::Permits;
 use path::{Budget, Entry, Fault, Participants, Share, Table};
 use platform::Settings;
@@ -74,6 +75,10 @@
     pub(crate) permits: RefCell<Permits>,
     /// Requests for permits that wait for answers of other nodes.
     pub(crate) permit_answers: Answers,
+    /// Requests that wait for engines whose memory is full.
+    pub(crate) room: RefCell<Room>,
+    /// Notified when memory of engines may have become free, or the queue for it has changed.
+    pub(crate) room_changed: Notify,
     pub(crate) pool: Pool,
     /// What the process holds of answers of targets and other nodes, until callers have them.
     pub(crate) answers: Memory,
@@ -149,6 +154,8 @@
             claim: RefCell::default(),
             permits: RefCell::new(permits),
             permit_answers: Answers::default(),
+            room: RefCell::default(),
+            room_changed: Notify::new(),
             pool: Pool::new(clock),
             answers: Memory::new((memory / ANSWERS_PART).max(2 * MAX_ANSWER_BYTES)),
             store_answers: Memory::new(2 * MAX_PAGE_BYTES),
--- a/crates/edge/src/search.rs
+++ b/crates/edge/src/search.rs
@@ -9,9 +9,10 @@
 use crate::call::Call;
 use crate::dispatch::{Dispatch, NO_ATTEMPT, NO_PATH};
 use crate::event::REQUEST_AWAITS_PATH;
+use crate::room::Admission;
 
 /// Share of an engine's memory above which new requests are refused.
-pub(crate) const MAX_PRESSURE: f64 = 1.0;
+pub(crate) const MAX_PRESSURE: f64 = limit::admission::FULL_PRESSURE;
 /// Maximum wait for the link between failure domains. Engines mostly load layers that are missing
 /// in a domain in less time.
 const MAX_CROSSING_WAIT: Duration = Duration::from_millis(800);
@@ -21,7 +22,7 @@
 /// times within it.
 const MAX_SILENCE_WAIT: Duration = Duration::from_millis(500);
 /// Reason of a request whose best path has no memory left.
-const FULL: &str = "full";
+pub(crate) const FULL: &str = "full";
 /// Reason of a request whose paths all cross failure domains, while the link is in use.
 const LINK_BUSY: &str = "link busy";
 
@@ -98,7 +99,8 @@
     }
 
     /// Returns the best path that has room for the request. Waits if there is none only because
-    /// engines are silent, or if it crosses failure domains while the link between them is in use.
+    /// engines are silent or have no memory left, or if it crosses failure domains while the link
+    /// between them is in use.
     ///
     /// # Errors
     ///
@@ -106,7 +108,9 @@
     pub(crate) async fn await_path(&mut self) -> Result<Path, &'static str> {
         let called_at = self.node.now();
         let mut logged = false;
+        let mut admission = Admission::default();
         loop {
+            admission.turn().await?;
             let now = self.node.now();
             let waited = now.saturating_sub(called_at);
             let path = self.find_path(now).or_else(|reason| self.find_limited_path(now, reason));
@@ -124,8 +128,8 @@
                 Err(reason) => return Err(reason),
             };
             self.pressure = path.pressure;
-            if path.pressure > MAX_PRESSURE && !self.has_begun {
-                return Err(FULL);
+            if !self.has_begun && !self.admit_to(&path, &mut admission).await? {
+                continue;
             }
             // A stream that resumes does not wait: its caller has been waiting for some time.
             if !path.crosses || self.has_begun || self.node.table.borrow().may_cross() {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::quarantine::QUARANTINED;
 use crate::queue::queue;
 use crate::reply::unknown_outcome;
+use crate::room::{STOPPING, label, ranked};
 
 /// Time until memory becomes free under overload: streams last a few seconds.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1500);
@@ -57,19 +58,24 @@
                 QUARANTINED => node.quarantined_for(&dispatch.call),
                 NO_PATH if let Some(left) = dispatch.time_to_path() => node.after_backoff(left),
                 LIMITED => node.after_limits(&dispatch.call),
-                _ => node.retry_after(&dispatch.call, OVERLOAD_RETRY_AFTER),
+                STOPPING => node.other_node_retry_after(),
+                _ => {
+                    let after = dispatch.retry_after.unwrap_or(OVERLOAD_RETRY_AFTER);
+                    node.retry_after(&dispatch.call, after)
+                }
             };
-            let event = dispatch
-                .call
-                .event(REFUSED)
+            let event = ranked(&dispatch.call, dispatch.call.event(REFUSED))
                 .with("reason", reason)
                 .with("parts", dispatch.call.listed_parts())
                 .with("offers", dispatch.offers)
                 .with("left_ms", dispatch.call.deadline.saturating_sub(node.now()).as_millis())
                 .with("pressure", format_args!("{:.2}", dispatch.pressure))
+                .with("threshold", format_args!("{:.2}", dispatch.threshold))
                 .with("retry_after_ms", after.as_millis());
             log::info!("{event}");
             metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
+            let rank = label(dispatch.call.priority);
+            metrics::counter!("magnolia_stream_refusals", "rank" => rank).increment(1);
             retry_later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
         }
         Err(Failure::Unknown(_)) => unknown_outcome(node, &dispatch.call),
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -14,8 +14,11 @@
 //!
 //! Targets may limit the requests per second that they take from all VMs together: [`permit`].
 //!
-//! [`Limiter`] and [`permit::Permits`] are state machines without clock, thread or socket.
+//! Engines may have memory for fewer requests than arrive: [`admission`].
+//!
+//! [`Limiter`], [`permit::Permits`] and [`admission::Room`] are state machines without clock, thread or socket.
 
+pub mod admission;
 mod capacity;
 mod class;
 mod estimate;
