--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -34,6 +34,9 @@
 /// Pressure above the threshold up to which a request can be queued. Streams last seconds, so that
 /// within a latency goal only a small part of the memory becomes free.
 const QUEUE_REACH: f64 = 0.25;
+/// Part of a blocked request that one counts for when it is queued. Most are admitted in time, and a
+/// reserve that counted them in full kept more memory free than urgent requests used.
+const QUEUED_PART: f64 = 0.25;
 /// Maximum number of queued requests of a node.
 const MAX_QUEUED: usize = 128;
 /// Maximum size of the bodies of all queued requests of a node, bytes.
@@ -187,9 +190,6 @@
             }
             return Verdict { decision: Decision::Admit, threshold };
         }
-        if request.is_new {
-            line.demand.record_blocked(now, rank);
-        }
         let slack = until.saturating_sub(now);
         let is_in_reach = view.is_owed || pressure <= threshold + QUEUE_REACH;
         let pace = line.paces.entry(rank).or_default();
@@ -199,10 +199,14 @@
         let is_likely = !slack.is_zero() && is_in_reach && is_soon;
         let refusal =
             Verdict { decision: Decision::Refuse(line.retry_after(now, rank)), threshold };
-        if !is_likely || !self.make_place(now, request, position) {
+        let is_queued = is_likely && self.make_place(now, request, position);
+        let line = self.lines.entry(request.service.clone()).or_default();
+        if request.is_new {
+            line.demand.record_blocked(now, rank, if is_queued { QUEUED_PART } else { 1.0 });
+        }
+        if !is_queued {
             return refusal;
         }
-        let line = self.lines.entry(request.service.clone()).or_default();
         line.paces.entry(rank).or_default().record_queued(now);
         line.queue.insert(
             position,
@@ -262,6 +266,9 @@
             return Verdict { decision: Decision::Admit, threshold };
         }
         if now >= position.2 {
+            if waiting.is_counted {
+                line.demand.record_blocked(now, rank, 1.0 - QUEUED_PART);
+            }
             let retry_after = line.retry_after(now, rank);
             self.remove(now, ticket, false);
             return refused(retry_after, threshold);
--- a/crates/limit/src/admission/demand.rs
+++ b/crates/limit/src/admission/demand.rs
@@ -9,17 +9,19 @@
 use super::{FULL_PRESSURE, Rank};
 use crate::share::{Claim, max_min_shares};
 
-/// Reserve for each unit of the share of more urgent requests that were blocked.
-const RESERVE_GAIN: f64 = 2.0;
+/// Reserve for each unit of the share of more urgent requests that were blocked. A gain of 2 and a
+/// largest reserve of 0.25 kept more memory free than urgent requests used (docs/design/contention.md).
+const RESERVE_GAIN: f64 = 0.5;
 /// Largest reserve: the rest of the memory remains for the least urgent rank.
-const MAX_RESERVE: f64 = 0.25;
+const MAX_RESERVE: f64 = 0.12;
 /// Largest reserve against an organisation above its share.
 const MAX_SHARE_RESERVE: f64 = 0.1;
-/// Blocked share of a rank from which its organisations are held to their shares.
+/// Blocked share of a rank above which less urgent ranks leave it a reserve, and its organisations
+/// are held to their shares.
 const CONTENTION: f64 = 0.02;
 /// Served share of a rank or organisation, relative to that of all requests, below which it goes
 /// first. It is above the guaranteed quarter, because the shares follow with a delay.
-const MIN_SERVED: f64 = 0.35;
+const MIN_SERVED: f64 = 0.4;
 /// Served share of a size, relative to that of its rank, below which it goes first. It is above the
 /// guaranteed half for the same reason.
 const MIN_SIZE_SERVED: f64 = 0.65;
@@ -141,8 +143,10 @@
         }
     }
 
-    pub(super) fn record_blocked(&mut self, now: Duration, rank: Rank) {
-        self.ranks.entry(rank).or_default().requests.block(now, 1.0);
+    /// Records that a request was not admitted at once. One that is queued counts in part, and in
+    /// full if it is refused after the wait.
+    pub(super) fn record_blocked(&mut self, now: Duration, rank: Rank, part: f64) {
+        self.ranks.entry(rank).or_default().requests.block(now, part);
     }
 
     /// Returns what the demand means for a request.
@@ -186,7 +190,8 @@
     /// Returns the part of the memory that is kept for ranks more urgent than this one.
     fn reserve(&self, now: Duration, rank: Rank) -> f64 {
         let blocked = self.ranks.range(..rank).map(|(_, demand)| demand.requests);
-        let blocked: f64 = blocked.map(|requests| requests.blocked_share(now)).sum();
+        let blocked = blocked.map(|requests| requests.blocked_share(now));
+        let blocked: f64 = blocked.filter(|share| *share > CONTENTION).sum();
         (RESERVE_GAIN * blocked).min(MAX_RESERVE)
     }
 
--- a/crates/limit/src/admission/tally.rs
+++ b/crates/limit/src/admission/tally.rs
@@ -56,7 +56,7 @@
         self.admitted * self.decay(now)
     }
 
-    /// Returns the share of the requests that were not admitted at once.
+    /// Returns the share of the amount that was blocked.
     pub(super) fn blocked_share(&self, now: Duration) -> f64 {
         let decay = self.decay(now);
         (self.blocked * decay / (self.offered * decay + PRIOR)).min(1.0)
