Queue of full engines: bounded searches, not for forwarded requests

Cause: each change of routing woke the first queued request for a search, and a request from another node could wait for its latency goal at both. Change: at most one search in 15 ms of the same queued request; only requests of callers are queued; the wait is also predicted from the rate of admissions.

--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -10,6 +10,7 @@
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::event::{REQUEST_ADMITTED, REQUEST_QUEUED};
+use crate::forward::Origin;
 use crate::node::Node;
 use crate::search::FULL;
 
@@ -21,6 +22,9 @@
 /// Range of the interval beyond that, at random: nodes that see the same memory become free do not
 /// all use it at once.
 const POLL_SPREAD: Duration = Duration::from_millis(30);
+/// Shortest time between two searches of the first queued request, however often routing changes:
+/// many nodes have a tenth of a core.
+const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(15);
 /// Largest part of the latency goal that is kept for reading the prompt.
 const MAX_PREFILL_PART: u32 = 2;
 
@@ -146,6 +150,8 @@
                     let spread = POLL_SPREAD.mul_f64(node.random_fraction());
                     let left = until.saturating_sub(now);
                     pause(&node, left.min(MIN_POLL_INTERVAL + spread)).await;
+                    let passed = node.now().saturating_sub(now);
+                    sleep(MIN_SEARCH_INTERVAL.min(left).saturating_sub(passed)).await;
                 }
                 Ok(false)
             }
@@ -167,9 +173,11 @@
     }
 
     /// Returns whether the request may wait: its route states a latency goal, no attempt at it is in
-    /// progress, and the node does not stop.
+    /// progress, and the node does not stop. How long a request from another node has waited there
+    /// is not known.
     fn may_queue(&self) -> bool {
-        self.call.latency_goal.is_some() && self.waiting.is_empty() && !self.node.is_stopping()
+        let has_goal = self.call.latency_goal.is_some() && self.call.origin == Origin::Caller;
+        has_goal && self.waiting.is_empty() && !self.node.is_stopping()
     }
 
     /// Returns the time until which the request can be admitted and have its prompt read within its
--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -193,7 +193,7 @@
         let slack = until.saturating_sub(now);
         let is_in_reach = view.is_owed || pressure <= threshold + QUEUE_REACH;
         let pace = line.paces.entry(rank).or_default();
-        let wait = pace.expected_wait(now);
+        let wait = pace.expected_wait(now, line.demand.rate(now, rank));
         let ahead = line.ahead(rank, position);
         let is_soon = wait.mul_f64(ahead as f64 + MEDIAN_FIRST) <= slack;
         let is_likely = !slack.is_zero() && is_in_reach && is_soon;
--- a/crates/limit/src/admission/demand.rs
+++ b/crates/limit/src/admission/demand.rs
@@ -5,7 +5,7 @@
 
 use fleet::OrganisationName;
 
-use super::tally::Tally;
+use super::tally::{TIME_CONSTANT_SECONDS, Tally};
 use super::{FULL_PRESSURE, Rank};
 use crate::share::{Claim, max_min_shares};
 
@@ -149,6 +149,12 @@
         self.ranks.entry(rank).or_default().requests.block(now, part);
     }
 
+    /// Returns the requests of a rank that were admitted of late, per second.
+    pub(super) fn rate(&self, now: Duration, rank: Rank) -> f64 {
+        let demand = self.ranks.get(&rank);
+        demand.map_or(0.0, |demand| demand.requests.admitted(now) / TIME_CONSTANT_SECONDS)
+    }
+
     /// Returns what the demand means for a request.
     pub(super) fn view(
         &mut self,
--- a/crates/limit/src/admission/pace.rs
+++ b/crates/limit/src/admission/pace.rs
@@ -44,9 +44,11 @@
         self.is_waiting = others_wait;
     }
 
-    /// Returns the mean time until the next queued request is admitted.
-    pub(super) fn expected_wait(&mut self, now: Duration) -> Duration {
+    /// Returns the mean time until the next queued request is admitted. All requests of the rank
+    /// were admitted at this `rate` of late, per second.
+    pub(super) fn expected_wait(&mut self, now: Duration, rate: f64) -> Duration {
         self.update(now);
-        Duration::from_secs_f64((self.seconds + PRIOR_SECONDS) / (self.admitted + PRIOR_ADMITTED))
+        let prior = PRIOR_ADMITTED.max(rate * PRIOR_SECONDS);
+        Duration::from_secs_f64((self.seconds + PRIOR_SECONDS) / (self.admitted + prior))
     }
 }
--- a/crates/limit/tests/contention.rs
+++ b/crates/limit/tests/contention.rs
@@ -44,11 +44,10 @@
     }
 }
 
-/// Returns a room that is never used up by one request at a time, and has been told of `blocked`
-/// urgent requests that were refused.
-fn room_after_refusals(blocked: u32) -> Room {
+/// Returns a room that has refused this number of urgent requests.
+fn room_after_refusals(refusals: u32) -> Room {
     let mut room = Room::default();
-    for _ in 0..blocked {
+    for _ in 0..refusals {
         let refused = Demanded { until: None, ..request(0, GOAL) };
         room.enter(ms(0), &refused, FULL);
     }
--- a/crates/node/tests/queued.rs
+++ b/crates/node/tests/queued.rs
@@ -5,7 +5,7 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::thread::{JoinHandle, sleep};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use platform_standin::{Call, Document, Reply, Route, spawn_call};
@@ -19,6 +19,7 @@
 /// Longest wait until requests are queued.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(5);
 const QUEUED: &str = "magnolia_admissions{rank=\"1\",outcome=\"queued\"}";
+const LESS_URGENT_QUEUED: &str = "magnolia_admissions{rank=\"2\",outcome=\"queued\"}";
 
 fn document(latency_goal: Option<Duration>) -> Document {
     Document { latency_goal, priorities: Some((1, 2)), ..Document::default() }
@@ -106,7 +107,8 @@
     );
     let mut caller = TcpStream::connect(site.nodes[0].front).expect("a connection");
     caller.write_all(request.as_bytes()).expect("a request is sent");
-    sleep(Duration::from_millis(50));
+    let is_queued = || site.counter(0, LESS_URGENT_QUEUED) > 0;
+    assert!(site.platform.wait(QUEUE_TIMEOUT, is_queued), "the request is queued");
     drop(caller);
     let replies = ended(others);
     assert!(queued_others > before && check(&site, "o", &replies) > 0);
