Queue of full engines: a request that never fits does not wait

Cause: a request larger than the memory of any engine could wait at the head of the queue at pressures just above 1, and hold up requests with room behind it. Change: Path::share states the part of an engine's memory that the request takes alone; a request with a share above its threshold is refused at once. A request that was served too rarely is queued up to 0.5 above its threshold only.

--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -166,6 +166,7 @@
             organisation: &organisation,
             tokens: self.call.tokens,
             bytes: self.call.body.len(),
+            share: path.share,
             until: self.may_queue().then(|| self.queued_until()),
             is_new: !std::mem::replace(&mut self.is_counted, true),
         };
--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -34,6 +34,8 @@
 /// Pressure above the threshold up to which a request can be queued. Streams last seconds, so that
 /// within a latency goal only a small part of the memory becomes free.
 const QUEUE_REACH: f64 = 0.25;
+/// The same for a request of a rank, organisation or size that was served too rarely.
+const OWED_QUEUE_REACH: f64 = 0.5;
 /// Part of a blocked request that one counts for when it is queued. Most are admitted in time, and a
 /// reserve that counted them in full kept more memory free than urgent requests used.
 const QUEUED_PART: f64 = 0.25;
@@ -64,6 +66,8 @@
     pub tokens: f64,
     /// Size of the body, bytes.
     pub bytes: usize,
+    /// Fraction of the memory of an engine that the request takes alone.
+    pub share: f64,
     /// Time until which the request can wait for admission; `None` if it must not wait.
     pub until: Option<Duration>,
     /// Whether the request asks for the first time, so that it counts as demand.
@@ -191,7 +195,9 @@
             return Verdict { decision: Decision::Admit, threshold };
         }
         let slack = until.saturating_sub(now);
-        let is_in_reach = view.is_owed || pressure <= threshold + QUEUE_REACH;
+        let reach = if view.is_owed { OWED_QUEUE_REACH } else { QUEUE_REACH };
+        // One that no engine ever has memory for would hold up those behind it.
+        let is_in_reach = request.share <= threshold && pressure <= threshold + reach;
         let pace = line.paces.entry(rank).or_default();
         let wait = pace.expected_wait(now, line.demand.rate(now, rank));
         let ahead = line.ahead(rank, position);
--- a/crates/limit/tests/contention.rs
+++ b/crates/limit/tests/contention.rs
@@ -32,6 +32,7 @@
         organisation: &FIRST,
         tokens: TOKENS,
         bytes: 1000,
+        share: 0.025,
         until: Some(until),
         is_new: true,
     }
@@ -166,17 +167,19 @@
 struct Unlikely {
     until: Option<Duration>,
     pressure: f64,
+    share: f64,
     /// Requests that have waited in vain before.
     in_vain: u32,
 }
 
 // Guards against waits that are likely to be in vain: the caller could have gone elsewhere.
 #[parameterized(
-    node_stops_or_no_goal = { Unlikely { until: None, pressure: FULL, in_vain: 0 } },
-    goal_has_passed = { Unlikely { until: Some(ms(0)), pressure: FULL, in_vain: 0 } },
-    short_slack = { Unlikely { until: Some(ms(10)), pressure: FULL, in_vain: 0 } },
-    far_too_full = { Unlikely { until: Some(GOAL), pressure: 2.0, in_vain: 0 } },
-    others_in_vain = { Unlikely { until: Some(GOAL), pressure: FULL, in_vain: 8 } },
+    node_stops_or_no_goal = { Unlikely { until: None, pressure: FULL, share: 0.025, in_vain: 0 } },
+    goal_has_passed = { Unlikely { until: Some(ms(0)), pressure: FULL, share: 0.025, in_vain: 0 } },
+    short_slack = { Unlikely { until: Some(ms(10)), pressure: FULL, share: 0.025, in_vain: 0 } },
+    larger_than_an_engine = { Unlikely { until: Some(GOAL), pressure: FULL, share: 1.02, in_vain: 0 } },
+    far_too_full = { Unlikely { until: Some(GOAL), pressure: 2.0, share: 0.025, in_vain: 0 } },
+    others_in_vain = { Unlikely { until: Some(GOAL), pressure: FULL, share: 0.025, in_vain: 8 } },
 )]
 fn request_that_is_unlikely_to_be_admitted_is_refused(case: Unlikely) {
     let mut room = Room::default();
@@ -192,7 +195,7 @@
         }
     }
     let until = case.until.map(|until| now + until);
-    let asked = Demanded { until, ..request(0, GOAL) };
+    let asked = Demanded { until, share: case.share, ..request(0, GOAL) };
     let verdict = room.enter(now, &asked, case.pressure);
     assert!(matches!(verdict.decision, Decision::Refuse(_)), "{verdict:?}");
     assert!(room.is_empty());
--- a/crates/limit/tests/shortage/mod.rs
+++ b/crates/limit/tests/shortage/mod.rs
@@ -284,6 +284,7 @@
             organisation: &organisation,
             tokens,
             bytes: BODY_BYTES,
+            share: tokens / self.site.memory,
             until: Some(self.now + goal),
             is_new: true,
         };
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -51,6 +51,8 @@
     pub stages: Vec<Stage>,
     /// Largest used fraction of the memory of any engine on the path.
     pub pressure: f64,
+    /// Largest fraction of the memory of any engine on the path that the request takes alone.
+    pub share: f64,
     /// Whether the path leads through more than one failure domain.
     pub crosses: bool,
 }
@@ -125,11 +127,15 @@
 
 /// Returns the used fraction of an engine's memory with `tokens` more.
 fn memory_pressure(candidate: Candidate<'_>, model: &Model, tokens: f64) -> f64 {
+    (candidate.held + tokens) / memory_tokens(candidate, model)
+}
+
+/// Returns the tokens of requests that fit into an engine's memory.
+fn memory_tokens(candidate: Candidate<'_>, model: &Model) -> f64 {
     let entry = candidate.entry;
     let held = entry.layers.map_or(0, Layers::len);
     let mb = model.card(&entry.target.card).map_or(0.0, |card| card.mb);
-    let capacity = model.tokens(mb, held).max(1.0);
-    (candidate.held + tokens) / capacity
+    model.tokens(mb, held).max(1.0)
 }
 
 /// Returns the seconds that a request takes at an engine that runs all layers.
@@ -269,7 +275,7 @@
     let ends = (0..domains.len()).min_by(|&a, &b| total(a).total_cmp(&total(b)));
     let (mut at, mut domain) = (last, ends?);
     let mut stages = Vec::new();
-    let mut max_pressure: f64 = 0.0;
+    let (mut max_pressure, mut max_share): (f64, f64) = (0.0, 0.0);
     let last_domain = domain;
     let mut crosses = false;
     while at > 0 {
@@ -277,6 +283,7 @@
         let (index, from, other) = best[at][domain].from?;
         let entry = candidates[index].entry;
         max_pressure = max_pressure.max(memory_pressure(candidates[index], model, tokens));
+        max_share = max_share.max(tokens / memory_tokens(candidates[index], model));
         stages.push(Stage {
             target: entry.target.id.clone(),
             address: entry.target.address,
@@ -285,7 +292,8 @@
         (at, domain) = (from, other);
     }
     stages.reverse();
-    let path = Path { stages: merge_repeated(stages), pressure: max_pressure, crosses };
+    let stages = merge_repeated(stages);
+    let path = Path { stages, pressure: max_pressure, share: max_share, crosses };
     path.verify(model.depth).then_some(path)
 }
 
--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -203,6 +203,22 @@
     assert!(later.pressure < 0.5, "{}", later.pressure);
 }
 
+/// Guards against a request that waits for memory that no engine has, because the part that it takes
+/// alone is confused with what others hold.
+#[test]
+fn share_of_a_request_does_not_count_the_memory_that_others_hold() {
+    let mut table = table();
+    let idle = table.path(NOW, &model(), &query(&[])).expect("a path");
+    assert!(idle.share > 0.0);
+    assert_eq!(idle.share, idle.pressure);
+    for target in ["t1", "t2", "t3", "t4"] {
+        table.add_request(target, 900.0);
+    }
+    let busy = table.path(NOW, &model(), &query(&[])).expect("a path");
+    assert_eq!(busy.share, idle.share);
+    assert!(busy.pressure > idle.pressure);
+}
+
 #[test]
 fn slow_engine_is_avoided_until_it_reports_its_usual_speed() {
     let mut table = table();
