Admission under contention: large requests are not queued

Counted as demand, they also raised the reserve of their rank. Change: a request that takes more than 0.12 of an engine and is more than 5 times as long as the geometric mean is decided as before the queue and not counted.

--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -34,8 +34,11 @@
 /// Pressure above the threshold up to which a request can be queued. Streams last seconds, so that
 /// within a latency goal only a small part of the memory becomes free.
 const QUEUE_REACH: f64 = 0.25;
-/// The same for a request of a rank, organisation or size that was served too rarely.
-const OWED_QUEUE_REACH: f64 = 0.5;
+/// Fraction of the memory of an engine up to which a request can be queued. One that waits for more
+/// would hold up those behind it for which there is room.
+const MAX_QUEUED_SHARE: f64 = 0.12;
+/// The same in typical requests, where an engine has memory for few of them.
+const MAX_QUEUED_SIZE: f64 = 5.0;
 /// Part of a blocked request that one counts for when it is queued. Most are admitted in time, and a
 /// reserve that counted them in full kept more memory free than urgent requests used.
 const QUEUED_PART: f64 = 0.25;
@@ -181,6 +184,14 @@
         let line = self.lines.entry(request.service.clone()).or_default();
         let Demanded { rank, organisation, tokens, .. } = *request;
         if request.is_new {
+            line.demand.record_size(now, tokens);
+        }
+        let is_large = request.share > MAX_QUEUED_SHARE
+            && tokens > MAX_QUEUED_SIZE * line.demand.typical_tokens();
+        // Large requests are refused whatever their rank, and no reserve helps them: they would make
+        // their rank and organisation appear to be served too rarely.
+        let is_counted = request.is_new && !is_large;
+        if is_counted {
             line.demand.record_offered(now, rank, organisation, tokens);
         }
         let view = line.demand.view(now, rank, organisation, tokens);
@@ -189,15 +200,14 @@
         let position = (view.rank, view.standing, until, ticket);
         let is_first = line.queue.first_key_value().is_none_or(|(first, _)| position < *first);
         if is_first && pressure <= threshold {
-            if request.is_new {
+            if is_counted {
                 line.demand.record_admitted(now, rank, organisation, tokens);
             }
             return Verdict { decision: Decision::Admit, threshold };
         }
         let slack = until.saturating_sub(now);
-        let reach = if view.is_owed { OWED_QUEUE_REACH } else { QUEUE_REACH };
-        // One that no engine ever has memory for would hold up those behind it.
-        let is_in_reach = request.share <= threshold && pressure <= threshold + reach;
+        let is_in_reach =
+            !is_large && request.share <= threshold && pressure <= threshold + QUEUE_REACH;
         let pace = line.paces.entry(rank).or_default();
         let wait = pace.expected_wait(now, line.demand.rate(now, rank));
         let ahead = line.ahead(rank, position);
@@ -207,7 +217,7 @@
             Verdict { decision: Decision::Refuse(line.retry_after(now, rank)), threshold };
         let is_queued = is_likely && self.make_place(now, request, position);
         let line = self.lines.entry(request.service.clone()).or_default();
-        if request.is_new {
+        if is_counted {
             line.demand.record_blocked(now, rank, if is_queued { QUEUED_PART } else { 1.0 });
         }
         if !is_queued {
@@ -221,7 +231,7 @@
                 organisation: organisation.clone(),
                 tokens,
                 bytes: request.bytes,
-                is_counted: request.is_new,
+                is_counted,
             },
         );
         self.issued = ticket;
--- a/crates/limit/src/admission/demand.rs
+++ b/crates/limit/src/admission/demand.rs
@@ -55,8 +55,6 @@
     pub(super) standing: Standing,
     /// Pressure up to which the request is admitted.
     pub(super) threshold: f64,
-    /// Whether the request is of a rank, organisation or size that was served too rarely.
-    pub(super) is_owed: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -98,10 +96,19 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Demand {
     all: Tally,
+    /// All requests, and the binary logarithms of their tokens.
+    sizes: Tally,
+    logarithms: Tally,
     ranks: BTreeMap<Rank, RankDemand>,
 }
 
 impl Demand {
+    /// Records the size of a request.
+    pub(super) fn record_size(&mut self, now: Duration, tokens: f64) {
+        self.sizes.offer(now, 1.0);
+        self.logarithms.offer(now, tokens.max(1.0).log2());
+    }
+
     pub(super) fn record_offered(
         &mut self,
         now: Duration,
@@ -149,6 +156,11 @@
         self.ranks.entry(rank).or_default().requests.block(now, part);
     }
 
+    /// Returns the geometric mean of the tokens of recent requests, which few large ones change little.
+    pub(super) fn typical_tokens(&self) -> f64 {
+        self.logarithms.ratio(&self.sizes).exp2()
+    }
+
     /// Returns the requests of a rank that were admitted of late, per second.
     pub(super) fn rate(&self, now: Duration, rank: Rank) -> f64 {
         let demand = self.ranks.get(&rank);
@@ -176,13 +188,13 @@
             || of.is_some_and(|of| is_below(&of.requests, now, MIN_SERVED * all));
         if is_starved {
             let (standing, threshold) = (Standing::Owed, FULL_PRESSURE);
-            return View { rank: most_urgent, standing, threshold, is_owed: true };
+            return View { rank: most_urgent, standing, threshold };
         }
         let rank_served = demand.requests.served_share();
         let sizes = demand.sizes.get(&size(tokens));
         if sizes.is_some_and(|size| is_below(size, now, MIN_SIZE_SERVED * rank_served)) {
             let threshold = FULL_PRESSURE - reserve;
-            return View { rank, standing: Standing::Owed, threshold, is_owed: true };
+            return View { rank, standing: Standing::Owed, threshold };
         }
         let is_above = contention > CONTENTION && of.is_some_and(|of| of.is_above);
         let (standing, share_reserve) = match is_above {
@@ -190,7 +202,7 @@
             false => (Standing::Within, 0.0),
         };
         let threshold = FULL_PRESSURE - reserve - share_reserve;
-        View { rank, standing, threshold, is_owed: false }
+        View { rank, standing, threshold }
     }
 
     /// Returns the part of the memory that is kept for ranks more urgent than this one.
--- a/crates/limit/src/admission/tally.rs
+++ b/crates/limit/src/admission/tally.rs
@@ -62,6 +62,11 @@
         (self.blocked * decay / (self.offered * decay + PRIOR)).min(1.0)
     }
 
+    /// Returns the amount offered here for each offered there; both were last offered at once.
+    pub(super) fn ratio(&self, other: &Tally) -> f64 {
+        if other.offered > 0.0 { self.offered / other.offered } else { 0.0 }
+    }
+
     /// Returns the share of the amount that was admitted.
     pub(super) fn served_share(&self) -> f64 {
         if self.offered > 0.0 { self.admitted / self.offered } else { 1.0 }
--- a/crates/limit/tests/contention.rs
+++ b/crates/limit/tests/contention.rs
@@ -379,3 +379,48 @@
         assert!(rate * 4.0 >= all, "organisation {name}: {rate} of {all}");
     }
 }
+
+// Guards against requests for most of an engine that hold up those behind them while there is room.
+#[parameterized(
+    never_fit = { 4, 0.5, 0.9 },
+    rarely_fit = { 4, 0.5, 0.6 },
+    fit_at_times = { 4, 0.8, 0.3 },
+    many_nodes = { 26, 0.8, 0.6 },
+)]
+fn large_requests_do_not_hold_up_others(nodes: usize, load: f64, share: f64) {
+    let mut sources = mixed([load / 3.0; 3]);
+    let tokens = share * REQUESTS_PER_ENGINE * MEAN_SIZE;
+    let large = Source { tokens: (tokens, tokens * 1.01), rate: 2.0, ..source("large", 0, 0.0) };
+    sources.push(large);
+    let run = |policy| {
+        let counts = site(nodes, 1, policy).run(&sources).counts;
+        refused(&sum(&counts[..counts.len() - 1]))
+    };
+    let (with, without) = (run(Policy::Room), run(Policy::Refuse));
+    assert!(with <= without + 0.01, "{with} of the others refused, {without} without a queue");
+}
+
+// Guards against a rank that goes first because it is sent large requests, which are refused
+// whatever their rank.
+#[test]
+fn large_requests_do_not_raise_their_rank() {
+    let mut room = Room::default();
+    for round in 0..400 {
+        let now = ms(20 * round);
+        room.enter(now, &request(0, now + GOAL), FREE);
+        room.enter(now, &request(1, now + GOAL), FREE);
+        if round % 4 == 0 {
+            let large = Demanded { tokens: 30.0 * TOKENS, share: 0.75, ..request(1, now + GOAL) };
+            let refused = room.enter(now, &large, 1.2);
+            assert!(matches!(refused.decision, Decision::Refuse(_)), "{refused:?}");
+        }
+    }
+    let now = Duration::from_secs(8);
+    let less_urgent = ticket(room.enter(now, &request(1, now + GOAL), FULL));
+    let urgent = ticket(room.enter(now, &request(0, now + GOAL), FULL));
+    assert_eq!((room.place(urgent), room.place(less_urgent)), (Place::First, Place::Behind));
+    room.leave(now, urgent);
+    room.leave(now, less_urgent);
+    let verdict = room.enter(now, &request(2, now + GOAL), FREE);
+    assert!(verdict.threshold > 0.98, "no reserve for large requests: {verdict:?}");
+}
