--- a/crates/limit/tests/contention.rs
+++ b/crates/limit/tests/contention.rs
@@ -274,6 +274,7 @@
         memory: REQUESTS_PER_ENGINE * MEAN_SIZE,
         time: Duration::from_secs(90),
         warm_up: Duration::from_secs(20),
+        exchange: ms(150),
         seed,
         policy,
     }
@@ -308,14 +309,15 @@
 // Guards against urgent requests that are refused as often as others: of few requests at each of
 // many nodes, with mixed ranks under shortage. Without the decision all ranks are refused alike.
 #[parameterized(
-    few_nodes = { 4, 1.15 },
-    many_nodes = { 26, 1.15 },
-    many_nodes_half_as_much_again = { 26, 1.5 },
-    a_hundred_nodes = { 97, 1.5 },
+    few_nodes = { 4, 1.15, ms(150) },
+    many_nodes = { 26, 1.15, ms(150) },
+    many_nodes_half_as_much_again = { 26, 1.5, ms(150) },
+    a_hundred_nodes = { 97, 1.5, ms(150) },
+    late_messages = { 26, 1.5, ms(300) },
 )]
-fn urgent_ranks_go_first_under_shortage(nodes: usize, load: f64) {
+fn urgent_ranks_go_first_under_shortage(nodes: usize, load: f64, exchange: Duration) {
     let sources = mixed([load / 3.0; 3]);
-    let run = |policy| site(nodes, 1, policy).run(&sources);
+    let run = |policy| Site { exchange, ..site(nodes, 1, policy) }.run(&sources);
     let (with, without) = (run(Policy::Room), run(Policy::Refuse));
     let [first, second, third] = [0, 1, 2].map(|index| refused(&rank(&with, index)));
     assert!(first < second && second < third, "{first} {second} {third}");
--- a/crates/limit/tests/shortage/mod.rs
+++ b/crates/limit/tests/shortage/mod.rs
@@ -9,8 +9,6 @@
 use rand::{RngExt, SeedableRng};
 use smol_str::SmolStr;
 
-/// Interval at which nodes learn each other's loads. What they learn is as old again.
-const EXCHANGE: Duration = Duration::from_millis(150);
 /// Shortest interval at which the first queued request of a node is decided on again.
 const POLL: Duration = Duration::from_millis(30);
 /// Mean time for which a request holds its memory, seconds.
@@ -101,6 +99,8 @@
     pub(crate) time: Duration,
     /// Requests that arrive before are not counted.
     pub(crate) warm_up: Duration,
+    /// Interval at which nodes learn each other's loads. What they learn is as old again.
+    pub(crate) exchange: Duration,
     pub(crate) seed: u64,
     pub(crate) policy: Policy,
 }
@@ -187,7 +187,7 @@
         }
         for node in 0..self.site.nodes {
             let phase = self.rng.random::<f64>();
-            self.push(EXCHANGE.mul_f64(phase), Event::Exchange(node));
+            self.push(self.site.exchange.mul_f64(phase), Event::Exchange(node));
             self.push(POLL.mul_f64(phase), Event::Poll(node));
         }
         while let Some(Reverse((at, _, event))) = self.events.pop() {
@@ -224,7 +224,7 @@
                 let others: Vec<f64> = others.collect();
                 let [known, next] = &mut self.known[node];
                 *known = std::mem::replace(next, others);
-                self.push(self.now + EXCHANGE, Event::Exchange(node));
+                self.push(self.now + self.site.exchange, Event::Exchange(node));
             }
         }
     }
