--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -105,6 +105,12 @@
     pub(crate) pressure: f64,
     /// Number that differs between requests, for the choice among paths.
     pub(crate) seed: u64,
+    /// Pressure up to which the request is admitted, by the last decision on it.
+    pub(crate) threshold: f64,
+    /// Whether the request counts as demand for the memory of engines.
+    pub(crate) is_counted: bool,
+    /// Retry delay of the last decision to refuse the request.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl Dispatch {
@@ -126,6 +132,9 @@
             waiting: Vec::new(),
             pressure: 0.0,
             seed: node.random_fraction().to_bits(),
+            threshold: MAX_PRESSURE,
+            is_counted: false,
+            retry_after: None,
         }
     }
 
--- a/crates/edge/src/prompt.rs
+++ b/crates/edge/src/prompt.rs
@@ -71,7 +71,8 @@
         if self.node.prompts == Prompts::Mean {
             return None;
         }
-        let goal = self.call.latency_goal;
+        let time = self.call.deadline.saturating_sub(self.call.received_at);
+        let goal = self.call.latency_goal.unwrap_or(time);
         let waited = match self.has_begun {
             true => goal,
             false => self.node.now().saturating_sub(self.call.received_at),
--- a/crates/path/src/search.rs
+++ b/crates/path/src/search.rs
@@ -52,6 +52,8 @@
     pub stages: Vec<Stage>,
     /// Largest used fraction of the memory of any engine on the path.
     pub pressure: f64,
+    /// Largest fraction of the memory of any engine on the path that the request takes alone.
+    pub share: f64,
     /// Whether the path leads through more than one failure domain.
     pub crosses: bool,
 }
@@ -131,9 +133,13 @@
     card: Option<&Card>,
     tokens: f64,
 ) -> f64 {
+    (candidate.held + tokens) / memory_tokens(candidate, model, card)
+}
+
+/// Returns the tokens of requests that fit into an engine's memory.
+fn memory_tokens(candidate: Candidate<'_>, model: &Model, card: Option<&Card>) -> f64 {
     let held = candidate.entry.layers.map_or(0, Layers::len);
-    let capacity = model.tokens(card.map_or(0.0, |card| card.mb), held).max(1.0);
-    (candidate.held + tokens) / capacity
+    model.tokens(card.map_or(0.0, |card| card.mb), held).max(1.0)
 }
 
 /// Returns the seconds that the token steps of an answer take at an engine that runs all layers.
@@ -302,7 +308,7 @@
     let ends = (0..domains.len()).min_by(|&a, &b| total(a).total_cmp(&total(b)));
     let (mut at, mut domain) = (last, ends?);
     let mut stages = Vec::new();
-    let mut max_pressure: f64 = 0.0;
+    let (mut max_pressure, mut max_share): (f64, f64) = (0.0, 0.0);
     let last_domain = domain;
     let mut crosses = false;
     while at > 0 {
@@ -312,6 +318,8 @@
         let card = model.card(&entry.target.card);
         let pressure = memory_pressure(candidates[index], model, card, tokens);
         max_pressure = max_pressure.max(pressure);
+        let share = tokens / memory_tokens(candidates[index], model, card);
+        max_share = max_share.max(share);
         stages.push(Stage {
             target: entry.target.id.clone(),
             address: entry.target.address,
@@ -320,7 +328,8 @@
         (at, domain) = (from, other);
     }
     stages.reverse();
-    let path = Path { stages: merge_repeated(stages), pressure: max_pressure, crosses };
+    let stages = merge_repeated(stages);
+    let path = Path { stages, pressure: max_pressure, share: max_share, crosses };
     path.verify(model.depth).then_some(path)
 }
 
