Admission: routes decide between equal organisations, reserves follow the blocked demand

Change: the route's priority decides between requests of one priority; a reserve is the blocked demand of more urgent ranks by all demand; none against organisations, which only go behind others in the queue.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -12,6 +12,7 @@
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Uri};
+use limit::admission::Rank;
 use path::{Level, Path};
 use platform::{PartId, head};
 use site::Kind;
@@ -21,6 +22,8 @@
 use crate::forward::{Origin, remove_internal};
 use crate::used::Used;
 
+/// The least urgent priority.
+const MAX_PRIORITY: u8 = 9;
 /// Maximum parts of a prompt that a log line lists: the narrowest ones.
 const MAX_LISTED_PARTS: usize = 16;
 
@@ -71,6 +74,8 @@
     pub(crate) priority: u8,
     /// Level of the last attempt at the engines, if it was chosen within those of the priority.
     pub(crate) level: Cell<Option<Level>>,
+    /// Priority of the route, which decides between requests of one priority.
+    pub(crate) route_priority: u8,
     pub(crate) organisation: Option<OrganisationName>,
     /// Time at which the head of the request had arrived.
     pub(crate) received_at: Duration,
@@ -85,6 +90,12 @@
 }
 
 impl Call {
+    /// Returns the urgency of the request in the admission to engines, 0 is the most urgent: its
+    /// priority, and the route's between requests of one priority. Organisations often share one.
+    pub(crate) fn rank(&self) -> Rank {
+        self.priority.min(MAX_PRIORITY) * (MAX_PRIORITY + 1) + self.route_priority.min(MAX_PRIORITY)
+    }
+
     /// Returns a log event about this request.
     pub(crate) fn event(&self, kind: &'static EventKind) -> Event {
         Event::new(kind).with("request", &self.id).with("fingerprint", hex(self.fingerprint))
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -308,6 +308,7 @@
         origin,
         used: Used::default(),
         priority: priority.unwrap_or(route.priority),
+        route_priority: route.priority,
         level: Cell::default(),
         organisation: organisation.map(|organisation| organisation.name.clone()),
         received_at,
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use limit::admission::{Decision, Demanded, Place, Ticket, Verdict};
+use limit::admission::{Decision, Demanded, Place, Rank, Ticket, Verdict};
 use path::Path;
 use tokio::time::sleep;
 
@@ -101,7 +101,7 @@
     ) -> Result<bool, &'static str> {
         let node = self.node.clone();
         let now = node.now();
-        let rank = self.call.priority;
+        let rank = self.call.rank();
         if admission.is_admitted {
             // It waits for the link, and is held to what it was admitted with.
             return if path.pressure <= self.threshold { Ok(true) } else { Err(FULL) };
@@ -123,7 +123,7 @@
                 let waited = now.saturating_sub(admission.queued_at);
                 if was_queued {
                     self.log_admitted(waited);
-                    metrics::histogram!("magnolia_queued_seconds", "rank" => label(rank))
+                    metrics::histogram!("magnolia_queued_seconds", "rank" => rank.to_string())
                         .record(waited);
                 }
                 admission.queued = None;
@@ -162,7 +162,7 @@
         let organisation = self.call.organisation.clone().unwrap_or_default();
         let request = Demanded {
             service: &self.call.service,
-            rank: self.call.priority,
+            rank: self.call.rank(),
             organisation: &organisation,
             tokens: self.call.tokens,
             bytes: self.call.body.len(),
@@ -213,17 +213,11 @@
 /// Adds the rank and the organisation of a request to an event about it.
 pub(crate) fn ranked(call: &Call, event: fleet::Event) -> fleet::Event {
     let organisation = call.organisation.as_deref().unwrap_or_default();
-    event.with("rank", call.priority).with("organisation", organisation)
+    event.with("rank", call.rank()).with("organisation", organisation)
 }
 
-/// Counts a decision. The ranks of operators are below 10; others are counted as the last one.
-fn count(rank: u8, outcome: &'static str) {
-    metrics::counter!("magnolia_admissions", "rank" => label(rank), "outcome" => outcome)
+/// Counts a decision.
+fn count(rank: Rank, outcome: &'static str) {
+    metrics::counter!("magnolia_admissions", "rank" => rank.to_string(), "outcome" => outcome)
         .increment(1);
 }
-
-/// Returns a rank as the label of a counter.
-pub(crate) fn label(rank: u8) -> &'static str {
-    const LABELS: [&str; 10] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
-    LABELS[usize::from(rank.min(9))]
-}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::quarantine::QUARANTINED;
 use crate::queue::queue;
 use crate::reply::unknown_outcome;
-use crate::room::{STOPPING, label, ranked};
+use crate::room::{STOPPING, ranked};
 
 /// Time until memory becomes free under overload: streams last a few seconds.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1500);
@@ -74,7 +74,7 @@
                 .with("retry_after_ms", after.as_millis());
             log::info!("{event}");
             metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
-            let rank = label(dispatch.call.priority);
+            let rank = dispatch.call.rank().to_string();
             metrics::counter!("magnolia_stream_refusals", "rank" => rank).increment(1);
             retry_later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
         }
--- a/crates/limit/src/admission/demand.rs
+++ b/crates/limit/src/admission/demand.rs
@@ -9,13 +9,11 @@
 use super::{FULL_PRESSURE, Rank};
 use crate::share::{Claim, max_min_shares};
 
-/// Reserve for each unit of the share of more urgent requests that were blocked. A gain of 2 and a
-/// largest reserve of 0.25 kept more memory free than urgent requests used (docs/design/contention.md).
-const RESERVE_GAIN: f64 = 0.5;
+/// Reserve for more urgent requests that were blocked, in units of their part of all requests. The
+/// reserve then follows what they lack: a few requests of a small organisation keep little free.
+const RESERVE_GAIN: f64 = 1.0;
 /// Largest reserve: the rest of the memory remains for the least urgent rank.
 const MAX_RESERVE: f64 = 0.12;
-/// Largest reserve against an organisation above its share.
-const MAX_SHARE_RESERVE: f64 = 0.1;
 /// Blocked share of a rank above which less urgent ranks leave it a reserve, and its organisations
 /// are held to their shares.
 const CONTENTION: f64 = 0.02;
@@ -197,20 +195,18 @@
             return View { rank, standing: Standing::Owed, threshold };
         }
         let is_above = contention > CONTENTION && of.is_some_and(|of| of.is_above);
-        let (standing, share_reserve) = match is_above {
-            true => (Standing::Above, contention.min(MAX_SHARE_RESERVE)),
-            false => (Standing::Within, 0.0),
-        };
-        let threshold = FULL_PRESSURE - reserve - share_reserve;
+        let standing = if is_above { Standing::Above } else { Standing::Within };
+        let threshold = FULL_PRESSURE - reserve;
         View { rank, standing, threshold }
     }
 
     /// Returns the part of the memory that is kept for ranks more urgent than this one.
     fn reserve(&self, now: Duration, rank: Rank) -> f64 {
-        let blocked = self.ranks.range(..rank).map(|(_, demand)| demand.requests);
-        let blocked = blocked.map(|requests| requests.blocked_share(now));
-        let blocked: f64 = blocked.filter(|share| *share > CONTENTION).sum();
-        (RESERVE_GAIN * blocked).min(MAX_RESERVE)
+        let urgent = self.ranks.range(..rank).map(|(_, demand)| demand.requests);
+        let pressed = urgent.filter(|requests| requests.blocked_share(now) > CONTENTION);
+        let blocked: f64 = pressed.map(|requests| requests.blocked(now)).sum();
+        let offered = self.all.offered(now).max(1.0);
+        (RESERVE_GAIN * blocked / offered).min(MAX_RESERVE)
     }
 
     /// Returns the ranks with recent demand.
--- a/crates/limit/src/admission/tally.rs
+++ b/crates/limit/src/admission/tally.rs
@@ -56,6 +56,10 @@
         self.admitted * self.decay(now)
     }
 
+    pub(super) fn blocked(&self, now: Duration) -> f64 {
+        self.blocked * self.decay(now)
+    }
+
     /// Returns the share of the amount that was blocked.
     pub(super) fn blocked_share(&self, now: Duration) -> f64 {
         let decay = self.decay(now);
