The product's own interface rejects responses with a malformed head

Cause: `node::shell::attempt` took any status from 101 to 999, any transfer coding and a length beside one for an answer. A response that the HTTP library rejected counted as a lost target, so two faulty targets made a sound request count as one that crashes targets.

Change: both kinds of call check the head with `edge::Defect`, and errors of the library about the head are told from lost connections. Such an attempt ends as failed: the target's failure is recorded once, a repeatable request goes elsewhere, and no suspicion falls on it.

--- a/crates/edge/src/defect.rs
+++ b/crates/edge/src/defect.rs
@@ -1,10 +1,14 @@
 //! Defects of responses whose head is not valid by the rules of HTTP (RFC 9110, RFC 9112).
 
 use std::fmt;
+use std::net::SocketAddr;
 
+use fleet::Event;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Error, StatusCode};
 
+use crate::event::RESPONSE_MALFORMED;
+
 /// First number above the status codes of HTTP: a code has one of five classes, 1 to 5.
 const STATUS_CODES_END: u16 = 600;
 /// The only transfer coding that is decoded. No request of this process permits others.
@@ -64,6 +68,13 @@
         }
     }
 
+    /// Logs and counts a response from this address that is not valid.
+    pub fn record(self, address: SocketAddr) {
+        let event = Event::new(RESPONSE_MALFORMED).with("address", address).with("reason", self);
+        log::warn!("{event}");
+        metrics::counter!("magnolia_malformed_responses", "reason" => self.reason()).increment(1);
+    }
+
     /// Returns the defect in words, for the log.
     pub fn reason(self) -> &'static str {
         match self {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::Event;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -22,7 +21,6 @@
 use crate::body;
 use crate::clock::Clock;
 use crate::defect::{Defect, is_bodiless};
-use crate::event::RESPONSE_MALFORMED;
 use crate::tap::{Record, Tap, lacks_field};
 use crate::used::{ConnectionNumber, Used};
 
@@ -242,9 +240,7 @@
 
 /// Logs and counts a response that is not valid.
 fn malformed(address: SocketAddr, defect: Defect) -> Unanswered {
-    let event = Event::new(RESPONSE_MALFORMED).with("address", address).with("reason", defect);
-    log::warn!("{event}");
-    metrics::counter!("magnolia_malformed_responses", "reason" => defect.reason()).increment(1);
+    defect.record(address);
     Unanswered::Malformed(defect)
 }
 
--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use edge::{Holding, Memory, Share};
+use edge::{Defect, Holding, Memory, Share};
 use fleet::{AttemptId, RequestId, TokenIndex, Trail};
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -37,6 +37,9 @@
     Unreachable,
     /// The answer is missing, invalid or incomplete.
     Broken,
+    /// The head of the answer is not valid by the rules of HTTP. The target runs, so this is no
+    /// evidence that the call crashes targets.
+    Malformed,
     /// The plain service sent its complete answer. It is counted until the share is dropped.
     Answer(Answer, Share),
 }
@@ -126,9 +129,29 @@
     }
 }
 
-/// Maps the error of a call without an answer to the event to report.
-fn event_for_error(error: &ureq::Error) -> Event {
-    if never_connected(error) { Event::Unreachable } else { Event::Broken }
+/// Returns the defect of a response that the HTTP library rejected; `None` if there was none, as on
+/// a connection that was closed.
+fn defect_of_error(error: &ureq::Error) -> Option<Defect> {
+    match error {
+        ureq::Error::LargeResponseHeader(..) => Some(Defect::Size),
+        ureq::Error::Http(_) | ureq::Error::Protocol(_) => Some(Defect::Head),
+        _ => None,
+    }
+}
+
+/// Maps the error of a call to the target at `address` without an answer to the event to report.
+fn event_for_error(error: &ureq::Error, address: SocketAddr) -> Event {
+    match defect_of_error(error) {
+        Some(defect) => malformed(defect, address),
+        None if never_connected(error) => Event::Unreachable,
+        None => Event::Broken,
+    }
+}
+
+/// Logs and counts a response that is not valid.
+fn malformed(defect: Defect, address: SocketAddr) -> Event {
+    defect.record(address);
+    Event::Malformed
 }
 
 /// Sends a model call and reports its tokens. `io_timeout` bounds each read and each write.
@@ -146,10 +169,14 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
-            sink.send(event_for_error(&error));
+            sink.send(event_for_error(&error, sink.target));
             return;
         }
     };
+    if let Some(defect) = Defect::of(answer.status(), answer.headers()) {
+        sink.send(malformed(defect, sink.target));
+        return;
+    }
     if let Some(refused) = refusal(&answer) {
         sink.send(refused(answer, sink.holding(), Instant::now() + io_timeout));
         return;
@@ -267,10 +294,14 @@
     let answer = match agent.run(request) {
         Ok(answer) => answer,
         Err(error) => {
-            sink.send(event_for_error(&error));
+            sink.send(event_for_error(&error, sink.target));
             return;
         }
     };
+    if let Some(defect) = Defect::of(answer.status(), answer.headers()) {
+        sink.send(malformed(defect, sink.target));
+        return;
+    }
     if let Some(refused) = refusal(&answer) {
         sink.send(refused(answer, sink.holding(), until));
         return;
--- a/crates/node/src/shell/relay/mod.rs
+++ b/crates/node/src/shell/relay/mod.rs
@@ -302,6 +302,7 @@
                 let target = matches!(self.call, Call::Service(_)).then_some(first);
                 self.end_attempt(route::Ending::Broken { target });
             }
+            Event::Malformed => self.end_attempt(route::Ending::Failed),
             Event::Answer(answer, share) => self.on_answer(answer, share),
         }
     }
