--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -54,4 +54,5 @@
     REQUEST_AWAITS_PATH = 1162, "request-awaits-path", "A new request without a path waits for one for a moment, because the engines that it lacks may only be silent.";
     REQUEST_QUEUED = 1170, "request-queued", "A new request waits for engines whose memory is full, for `left_ms` at the most. `queued` requests wait at this node.";
     REQUEST_ADMITTED = 1171, "request-admitted", "A queued request is sent to engines after `waited_ms`: the used part of their memory (`pressure`) is at most the `threshold` of the request.";
+    RESPONSE_MALFORMED = 1167, "response-malformed", "A target, another node or the store at this address sent a response that is not valid by the rules of HTTP, for this reason. Its connection is closed, and the request counts as one that may have run.";
 }
