Tests: crowds of untrusted callers

Many callers that each hold what one caller may hold take the memory or the descriptors of a process, or keep others out.

--- a/crates/node/tests/entry/mod.rs
+++ b/crates/node/tests/entry/mod.rs
@@ -45,6 +45,17 @@
         Self::start_command(command(name, &settings.text).stdout(file), settings)
     }
 
+    /// Starts a process that may have this number of open files, and waits until its readiness port
+    /// listens.
+    pub(crate) fn start_limited(name: &str, settings: &Settings, max_fds: usize) -> Self {
+        let command = command(name, &settings.text);
+        let mut limited = Command::new("sh");
+        limited.arg("-c").arg(format!("ulimit -n {max_fds}; exec \"$0\" \"$@\""));
+        limited.arg(command.get_program()).args(command.get_args());
+        limited.envs(command.get_envs().filter_map(|(name, value)| Some((name, value?))));
+        Self::start_command(limited.stdout(log(name)), settings)
+    }
+
     /// Starts a process by a command with these settings and waits until its readiness port
     /// listens.
     pub(crate) fn start_command(command: &mut Command, settings: &Settings) -> Self {
--- a/crates/node/tests/flood/mod.rs
+++ b/crates/node/tests/flood/mod.rs
@@ -33,9 +33,21 @@
     /// Starts a site on the hosts that begin like this, with further settings of the node, and waits
     /// until it serves streams.
     pub(crate) fn start(name: &str, hosts: &str, more_settings: &str) -> Self {
+        Self::start_with(hosts, &Document::default(), more_settings, |settings| {
+            Entry::start(name, settings)
+        })
+    }
+
+    /// Starts a site with this configuration, whose node is started like this.
+    pub(crate) fn start_with(
+        hosts: &str,
+        document: &Document,
+        more_settings: &str,
+        start: impl FnOnce(&Settings) -> Entry,
+    ) -> Self {
         let host = format!("{hosts}.1");
         let platform = Platform::start(&host);
-        platform.configure(&Document::default());
+        platform.configure(document);
         let target = |id: &'static str, service, domain| {
             platform.start_target(&host, Setup { id: id.into(), service, domain, events: EVENTS })
         };
@@ -44,7 +56,7 @@
         let plain = ["p1", "p2"].map(|id| target(id, PLAIN, "a")).into();
         let mut settings = Settings::new("n0", "a", &host, platform.store());
         settings.text.push_str(more_settings);
-        let node = Entry::start(name, &settings);
+        let node = start(&settings);
         sleep(Settings::STARTUP_WITHOUT_RETRIES);
         let site = Self { platform, node, engines, plain };
         let serves = || site.ask(Route::Resumable, "probe").is_complete(EVENTS);
