Edge: bound what crowds of callers hold together

Cause: each connection, head and body was bounded and their sum was not; bodies below 16 KB and heads were counted nowhere, a read buffer kept up to 64 KB, and the ports took connections until no descriptor was left.

The ports have a bound by descriptors (limits.max_fds) and memory; heads and bodies are counted from the first byte; events that wait for a caller are counted beyond 4 KB. Without room, the connection without progress for longest is closed (edge::stalest). A read takes less than 8 KB, of callers and of targets. Events 1163 and 1164.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -1,11 +1,17 @@
 //! Reads whole bodies, within the bound on one body and on all that the process holds.
 
+use std::time::Duration;
+
 use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use crate::memory::{Holding, UNCOUNTED_BYTES};
 
+/// Maximum wait of the body of a request for room: longer than the time without progress after which
+/// another caller loses what it holds.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -33,15 +39,15 @@
 pub(crate) enum Room {
     /// It waits for room for all of it, so that nothing keeps it from ending then.
     Awaited,
-    /// It takes room for what arrives, and ends if there is none.
-    AtOnce,
+    /// It takes room for what arrives, and ends if stalled callers do not make room soon.
+    Soon,
 }
 
 impl Room {
     async fn take(self, holding: &mut Holding, bytes: usize) -> Result<(), Failure> {
         let has_room = match self {
             Room::Awaited => holding.reserve(bytes).await.is_ok(),
-            Room::AtOnce => holding.try_reserve(bytes),
+            Room::Soon => holding.reserve_within(bytes, MAX_ROOM_WAIT).await,
         };
         if has_room { Ok(()) } else { Err(Failure::NoRoom) }
     }
@@ -80,7 +86,7 @@
         if length > bytes.capacity() {
             let capacity = (bytes.capacity() * 2).clamp(length, max_bytes);
             let wanted = if room == Room::Awaited { max_bytes } else { capacity };
-            if capacity > UNCOUNTED_BYTES {
+            if room == Room::Soon || capacity > UNCOUNTED_BYTES {
                 room.take(&mut holding, wanted).await?;
             }
             bytes.reserve_exact(capacity - bytes.len());
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -16,13 +16,16 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 
 use crate::answer::Answer;
 use crate::event::CONNECTION_ENDED;
+use crate::eviction::{PROGRESS_BYTES, Phase, Standing};
 use crate::expiry::{Expiry, Reason};
 use crate::forward::Origin;
 use crate::front::{handle, request_id};
+use crate::memory::Holding;
 use crate::node::Node;
 use crate::pool::set_socket_timeouts;
 use crate::receipt::Receipt;
@@ -33,6 +36,11 @@
 const BUFFER_BYTES: usize = 64 << 10;
 /// Size of what another node may add to the head of a request that it forwards, bytes.
 const ADDED_BYTES: usize = 1 << 10;
+/// Bytes of a head that are not counted: they are in the read buffer that each connection has.
+const UNCOUNTED_HEAD_BYTES: usize = 4 << 10;
+/// Answer to a head that has no room.
+const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
+retry-after: 0.10\r\ncontent-length: 0\r\n\r\n";
 /// Answer to a head that does not end in time.
 const SLOW_HEAD: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -56,6 +64,10 @@
     Unread,
     /// An answer ended before it was complete.
     BrokenAnswer,
+    /// It made no progress, and another one had no room.
+    Evicted,
+    /// There is no room for the head of its request.
+    NoRoom,
     /// The process stops.
     Stop,
 }
@@ -71,6 +83,8 @@
             Cause::LastAnswer => "last answer",
             Cause::Unread => "request not read",
             Cause::BrokenAnswer => "broken answer",
+            Cause::Evicted => "closed for another",
+            Cause::NoRoom => "no memory for the head",
             Cause::Stop => "stop",
         }
     }
@@ -96,6 +110,16 @@
     is_unread: Cell<bool>,
     /// Whether a part of an answer was still to be written when the expiry was last looked at.
     was_blocked: Cell<bool>,
+    /// Whether the body of a request is read.
+    is_uploading: Cell<bool>,
+    /// Time of the last progress, and the number of bytes moved until then.
+    progress: Cell<(Duration, u64)>,
+    /// Room for the head of the request.
+    head: RefCell<Holding>,
+    /// Whether the connection ends.
+    is_ending: Cell<bool>,
+    /// Notified when the connection is to be closed for another one.
+    evicted: Notify,
 }
 
 /// The rest of a request, which is read and discarded: the connection can be used again after it.
@@ -135,6 +159,11 @@
             rest: RefCell::default(),
             is_unread: Cell::new(false),
             was_blocked: Cell::new(false),
+            is_uploading: Cell::new(false),
+            progress: Cell::new((node.now(), 0)),
+            head: RefCell::new(node.uploads.begin(node.settings.front)),
+            is_ending: Cell::new(false),
+            evicted: Notify::new(),
             traffic: Rc::default(),
             requests: Cell::new(0),
             in_progress: Cell::new(0),
@@ -148,7 +177,11 @@
     }
 
     /// Records that a request has arrived.
-    pub(crate) fn begin_request(&self) {
+    pub(crate) fn begin_request(&self, node: &Node) {
+        self.progress.set((node.now(), self.traffic.bytes_moved()));
+        // A whole head that finds no room is not refused: its size is bounded, as is the number of
+        // connections.
+        self.reserve_head();
         self.requests.set(self.requests.get() + 1);
         self.in_progress.set(self.in_progress.get() + 1);
         self.bytes_before.set(self.traffic.bytes_read());
@@ -157,6 +190,8 @@
 
     /// Records that a request has ended.
     pub(crate) fn end_request(&self, node: &Node) {
+        self.progress.set((node.now(), self.traffic.bytes_moved()));
+        self.head.borrow_mut().release();
         self.in_progress.set(self.in_progress.get() - 1);
         self.bytes_before.set(self.traffic.bytes_read());
         let limits = node.limits();
@@ -168,6 +203,62 @@
         }
     }
 
+    /// Records whether the body of a request is read.
+    pub(crate) fn set_uploading(&self, is_uploading: bool) {
+        self.is_uploading.set(is_uploading);
+    }
+
+    /// Returns what the connection waits for, and since when; `None` if it ends.
+    pub(crate) fn standing(&self) -> Option<Standing> {
+        if self.is_ending.get() {
+            return None;
+        }
+        let (since, _) = self.progress.get();
+        let is_blocked = self.traffic.is_write_blocked();
+        let has_rest = || self.rest.borrow().is_some();
+        let has_head = || self.traffic.bytes_read() > self.bytes_before.get();
+        let phase = match self.in_progress.get() {
+            _ if self.is_uploading.get() => Phase::Incomplete,
+            _ if is_blocked => Phase::Unread,
+            1.. => Phase::Running,
+            0 if has_rest() || has_head() => Phase::Incomplete,
+            0 if self.expiry.borrow().is_between_requests() => Phase::Idle,
+            0 => Phase::Incomplete,
+        };
+        Some(Standing { phase, since })
+    }
+
+    /// Returns whether a part of a request is held for the connection.
+    pub(crate) fn holds_request(&self) -> bool {
+        self.is_uploading.get() || self.head.borrow().bytes() > 0
+    }
+
+    /// Closes the connection for another one.
+    pub(crate) fn evict(&self) {
+        self.is_ending.set(true);
+        self.evicted.notify_one();
+    }
+
+    /// Records what has been read and written. Returns whether there is room for what has arrived of
+    /// a head.
+    fn record_progress(&self, now: Duration) -> bool {
+        let moved = self.traffic.bytes_moved();
+        if moved - self.progress.get().1 >= PROGRESS_BYTES {
+            self.progress.set((now, moved));
+        }
+        if self.in_progress.get() > 0 || self.rest.borrow().is_some() {
+            return true;
+        }
+        self.reserve_head()
+    }
+
+    /// Takes room for what has arrived of a head. Returns whether there is room.
+    fn reserve_head(&self) -> bool {
+        let bytes = (self.traffic.bytes_read() - self.bytes_before.get()) as usize;
+        bytes <= UNCOUNTED_HEAD_BYTES
+            || self.head.borrow_mut().try_reserve(bytes.next_power_of_two())
+    }
+
     /// Leaves the body of a request that is answered without it, to be read and discarded.
     pub(crate) fn leave_rest(&self, node: &Node, body: Incoming) {
         let bytes_left = node.limits().body_bytes;
@@ -233,27 +324,34 @@
 }
 
 /// Counts an open connection.
-pub(crate) struct Guard(Rc<Node>);
+pub(crate) struct Guard {
+    node: Rc<Node>,
+    origin: Origin,
+    state: Rc<State>,
+}
 
 impl Guard {
-    pub(crate) fn new(node: &Rc<Node>) -> Self {
+    /// Counts a connection that has just been accepted.
+    pub(crate) fn new(node: &Rc<Node>, origin: Origin) -> Self {
         node.connections.set(node.connections.get() + 1);
-        Self(node.clone())
+        let state = Rc::new(State::new(node));
+        node.port(origin).enter(&state);
+        Self { node: node.clone(), origin, state }
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
+        self.node.connections.set(self.node.connections.get() - 1);
+        self.node.port(self.origin).leave(self.state.number);
     }
 }
 
 /// Serves the requests on a connection until it ends.
-pub(crate) async fn serve(guard: Guard, stream: TcpStream, origin: Origin) {
-    let node = guard.0.clone();
+pub(crate) async fn serve(guard: Guard, stream: TcpStream) {
+    let (node, state, origin) = (guard.node.clone(), guard.state.clone(), guard.origin);
     set_socket_timeouts(&stream);
     let accepted_at = node.now();
-    let state = Rc::new(State::new(&node));
     let handler = Handler { node: node.clone(), state: state.clone(), origin };
     let mut connection = Builder::new()
         .header_read_timeout(None)
@@ -268,18 +366,31 @@
         Ended::Expired(Reason::Idle) if node.is_stopping() => (Cause::Stop, None),
         Ended::Expired(Reason::Idle) => (Cause::Idle, None),
         Ended::Expired(Reason::SlowHead) => (Cause::SlowHead, None),
+        Ended::Evicted => (Cause::Evicted, None),
+        Ended::NoRoom => (Cause::NoRoom, None),
         Ended::Expired(Reason::SlowRest) => {
             state.leave_unread();
             (Cause::Unread, None)
         }
     };
     log_end(&node, &state, origin, accepted_at, cause, &error.unwrap_or_default());
+    // What the connection held is released before its last answer is written.
+    state.is_ending.set(true);
+    state.head.borrow_mut().release();
+    state.rest.take();
     let mut socket = connection.into_parts().io.into_inner();
-    if cause == Cause::SlowHead {
-        socket.answer(SLOW_HEAD);
+    match cause {
+        Cause::SlowHead => socket.answer(SLOW_HEAD),
+        Cause::NoRoom => socket.answer(NO_ROOM),
+        _ => {}
     }
-    // The caller may still send.
-    if state.is_unread.get() || matches!(cause, Cause::SlowHead | Cause::InvalidHead) {
+    // A port without room does not wait for what the caller may still send.
+    if cause == Cause::Evicted || node.port(origin).is_full() {
+        return;
+    }
+    if state.is_unread.get()
+        || matches!(cause, Cause::SlowHead | Cause::InvalidHead | Cause::NoRoom)
+    {
         socket.discard().await;
     }
 }
@@ -312,6 +423,10 @@
     Http(hyper::Result<()>),
     /// The connection is to be closed.
     Expired(Reason),
+    /// The connection is closed for another one.
+    Evicted,
+    /// There is no room for the head of a request.
+    NoRoom,
     /// The process ends.
     Stopped,
 }
@@ -329,6 +444,9 @@
             if let Poll::Ready(result) = Pin::new(&mut *connection).poll(context) {
                 return Poll::Ready(Ended::Http(result));
             }
+            if !state.record_progress(node.now()) {
+                return Poll::Ready(Ended::NoRoom);
+            }
             state.poll_rest(node, context);
             let Some((at, reason)) = state.expires_at(node) else { return Poll::Pending };
             timer.poll_until(context, node.now(), at).map(|()| Ended::Expired(reason))
@@ -338,6 +456,7 @@
             // The connection may be closed earlier from now on.
             () = node.stop_requested.notified() => continue,
             () = node.close_requested.notified() => continue,
+            () = state.evicted.notified() => Ended::Evicted,
             () = node.ended.notified() => Ended::Stopped,
         };
         let Ended::Expired(_) = ended else { return ended };
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -52,4 +52,6 @@
     CONFIG_READABLE = 1160, "configuration-readable", "The operators' newest configuration can be read again, and requests are handled by it.";
     MEMORY_FULL = 1161, "memory-full", "The messages that the process holds have reached their bound (`held` of `most` bytes), and none of them ends. The unfinished ones of this source, which hold the most (`bytes`), end for those of others.";
     REQUEST_AWAITS_PATH = 1162, "request-awaits-path", "A new request without a path waits for one for a moment, because the engines that it lacks may only be silent.";
+    CONNECTIONS_EVICTED = 1163, "connections-evicted", "Connections that made no progress for longest were closed, because there was no room for other connections, requests or answers (`shortage`). `evicted` of them since the last such line, which is written once a second at most; `open` of `most` connections of the port are open.";
+    PORT_FULL = 1164, "port-full", "The port for callers or for other nodes has as many connections as it may have, and none of them has stalled; others wait to be accepted. Written once a second at most.";
 }
--- a/crates/edge/src/expiry.rs
+++ b/crates/edge/src/expiry.rs
@@ -87,6 +87,11 @@
         self.phase = Phase::Request;
     }
 
+    /// Returns whether the next request is waited for on a connection whose caller has an answer.
+    pub fn is_between_requests(&self) -> bool {
+        self.phase == Phase::Idle && self.has_answer
+    }
+
     /// Records that a request was answered with this announcement.
     pub fn end_request(&mut self, now: Duration, announced: Duration, limits: Limits) {
         *self = Self { has_answer: true, ..Self::new(now, announced, limits) };
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -62,11 +62,16 @@
             stream = accept(&listener) => stream,
             () = node.close_requested.notified() => break,
         };
-        tokio::task::spawn_local(connection::serve(Guard::new(&node), stream, origin));
+        tokio::select! {
+            () = node.port(origin).await_room(&node, origin) => {}
+            () = node.close_requested.notified() => {}
+        }
+        tokio::task::spawn_local(connection::serve(Guard::new(&node, origin), stream));
     }
     // Closing the port resets the connections that wait to be accepted.
-    while let Ok(stream) = timeout(Duration::ZERO, accept(&listener)).await {
-        tokio::task::spawn_local(connection::serve(Guard::new(&node), stream, origin));
+    while !node.port(origin).is_full() {
+        let Ok(stream) = timeout(Duration::ZERO, accept(&listener)).await else { break };
+        tokio::task::spawn_local(connection::serve(Guard::new(&node, origin), stream));
     }
 }
 
@@ -102,11 +107,13 @@
     let (parts, body) = request.into_parts();
     let mut body = Upload::new(&parts, body);
     let is_head = parts.method == Method::HEAD;
+    connection.set_uploading(true);
     let prepared = tokio::select! {
         prepared = prepare(&node, parts, &mut body, origin) => prepared,
         // The rest of the request would come too late.
         () = node.ending.notified() => Err(stopping(&node)),
     };
+    connection.set_uploading(false);
     let (mut response, is_refused) = match prepared {
         Ok((call, config)) => answer(&node, call, &config).await,
         Err(refusal) => (refuse(&node, &id, refusal), true),
@@ -257,6 +264,7 @@
     let config = node
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
+    node.bound_uploads(&config.limits);
     // The node that forwards a request has checked its head, and added to it.
     if origin == Origin::Caller && head_size(&parts) > config.limits.head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -20,7 +20,7 @@
 use bytes::Bytes;
 use fleet::Event;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::event::MEMORY_FULL;
 
@@ -53,12 +53,16 @@
 
 #[derive(Debug)]
 struct Shared {
-    max_bytes: usize,
+    max_bytes: AtomicUsize,
+    /// Size up to which a message is not counted, bytes.
+    uncounted: usize,
     held: AtomicUsize,
     /// Notified when bytes are released.
     released: Notify,
     /// Number of times that bytes were released.
     releases: AtomicU64,
+    /// Notified when there is no room, and ending unfinished messages of a source would not make it.
+    shortage: Notify,
     accounts: Mutex<HashMap<SocketAddr, Arc<Account>>>,
 }
 
@@ -69,8 +73,41 @@
 impl Memory {
     /// Returns a count with a bound, bytes.
     pub fn new(max_bytes: usize) -> Self {
-        let (held, released, releases, accounts) = Default::default();
-        Self(Arc::new(Shared { max_bytes, held, released, releases, accounts }))
+        Self::with_uncounted(max_bytes, UNCOUNTED_BYTES)
+    }
+
+    /// Returns a count with a bound, bytes, that includes messages of any size.
+    pub fn exact(max_bytes: usize) -> Self {
+        Self::with_uncounted(max_bytes, 0)
+    }
+
+    fn with_uncounted(max_bytes: usize, uncounted: usize) -> Self {
+        let max_bytes = AtomicUsize::new(max_bytes);
+        let (held, released, releases, shortage, accounts) = Default::default();
+        Self(Arc::new(Shared {
+            max_bytes,
+            uncounted,
+            held,
+            released,
+            releases,
+            shortage,
+            accounts,
+        }))
+    }
+
+    /// Returns the bound, bytes.
+    pub fn max_bytes(&self) -> usize {
+        self.0.max_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Replaces the bound. What is held already stays.
+    pub fn set_max_bytes(&self, max_bytes: usize) {
+        self.0.max_bytes.store(max_bytes, Ordering::Relaxed);
+    }
+
+    /// Waits until a message has no room that only the end of other messages can make.
+    pub async fn shortage(&self) {
+        self.0.shortage.notified().await;
     }
 
     /// Returns the bytes held.
@@ -85,13 +122,18 @@
 
     /// Takes room for `bytes`. Returns whether there is room.
     fn take(&self, bytes: usize) -> bool {
-        let has_room = self.held().saturating_add(bytes) <= self.0.max_bytes;
+        let has_room = self.held().saturating_add(bytes) <= self.max_bytes();
         if has_room {
             self.0.held.fetch_add(bytes, Ordering::Relaxed);
         }
         has_room
     }
 
+    /// Takes room for bytes that have arrived whole; `None` if there is none.
+    pub fn try_share(&self, bytes: usize) -> Option<Share> {
+        self.take(bytes).then(|| Share { memory: self.clone(), bytes })
+    }
+
     fn release(&self, bytes: usize) {
         if bytes > 0 {
             self.0.held.fetch_sub(bytes, Ordering::Relaxed);
@@ -116,7 +158,11 @@
         let total: usize = accounts.values().map(|account| unfinished(account)).sum();
         let are_ending =
             accounts.values().any(|account| account.ending.load(Ordering::Relaxed) > 0);
-        if are_ending || (total as f64) < self.0.max_bytes as f64 * UNFINISHED_SHARE {
+        if are_ending {
+            return;
+        }
+        if (total as f64) < self.max_bytes() as f64 * UNFINISHED_SHARE {
+            self.0.shortage.notify_one();
             return;
         }
         let most = accounts.iter().max_by_key(|(_, account)| unfinished(account));
@@ -130,7 +176,7 @@
             .with("source", source)
             .with("bytes", unfinished(account))
             .with("held", self.held())
-            .with("most", self.0.max_bytes);
+            .with("most", self.max_bytes());
         log::warn!("{event}");
         metrics::counter!("magnolia_memory_full").increment(1);
     }
@@ -199,9 +245,31 @@
         }
     }
 
+    /// Waits for room for a message of `bytes` in all, for `max_wait` at the most, while the owner of
+    /// the memory is notified of the shortage. Returns whether there is room.
+    pub async fn reserve_within(&mut self, bytes: usize, max_wait: Duration) -> bool {
+        let memory = self.memory.clone();
+        let reserving = async {
+            loop {
+                let released = memory.0.released.notified();
+                if self.try_reserve(bytes) {
+                    return;
+                }
+                memory.0.shortage.notify_one();
+                released.await;
+            }
+        };
+        timeout(max_wait, reserving).await.is_ok()
+    }
+
+    /// Returns the bytes that are counted.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Takes room for a message of `bytes` in all. Returns whether there is room.
     pub fn try_reserve(&mut self, bytes: usize) -> bool {
-        if bytes <= UNCOUNTED_BYTES || bytes <= self.bytes {
+        if bytes <= self.memory.0.uncounted || bytes <= self.bytes {
             return true;
         }
         let entry = self.entry.get_or_insert_with(|| {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 
 use crate::call::Call;
+use crate::callers::{Callers, Capacity};
 use crate::claim::Claim;
 use crate::clock::Clock;
 use crate::contact::Contact;
@@ -56,6 +57,14 @@
 /// Part of the process's memory that the bodies of requests may take.
 const UPLOADS_PART: usize = 8;
 
+/// Returns the number of descriptors that the process may have open, by its settings and by the
+/// operating system.
+fn max_fds(settings: &Settings) -> usize {
+    let system = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let system = system.and_then(|fds| usize::try_from(fds).ok()).unwrap_or(usize::MAX);
+    settings.max_fds.map_or(system, |fds| fds.min(system))
+}
+
 /// State of the process.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -79,7 +88,7 @@
     pub(crate) answers: Memory,
     /// What it holds of answers of the store.
     pub(crate) store_answers: Memory,
-    /// What it holds of the bodies of requests, until they are answered.
+    /// What it holds of the heads and bodies of requests, until they are answered.
     pub(crate) uploads: Memory,
     pub(crate) diagnoses: Diagnoses,
     /// Time up to which the store's state is known to be in force on this node.
@@ -120,7 +129,11 @@
     last_refusal_alarm: Cell<Duration>,
     /// Addresses at which the other nodes receive messages.
     pub(crate) peers: RefCell<Vec<SocketAddr>>,
-    /// Number of open caller connections.
+    /// Open connections of callers.
+    pub(crate) callers: Callers,
+    /// Open connections of other nodes.
+    pub(crate) nodes: Callers,
+    /// Number of open connections of both.
     pub(crate) connections: Cell<usize>,
     /// Number of caller connections accepted so far.
     accepted: Cell<u64>,
@@ -137,6 +150,7 @@
         let internal = SocketAddr::new(settings.front.ip(), settings.internal_ports.0);
         let permits = Permits::new(internal, settings.bounds.contact);
         let memory = settings.memory;
+        let capacity = Capacity::new(max_fds(&settings), memory);
         Self {
             table: RefCell::new(Table::new(settings.domain.clone())),
             settings,
@@ -152,7 +166,7 @@
             pool: Pool::new(clock),
             answers: Memory::new((memory / ANSWERS_PART).max(2 * MAX_ANSWER_BYTES)),
             store_answers: Memory::new(2 * MAX_PAGE_BYTES),
-            uploads: Memory::new((memory / UPLOADS_PART).max(2 * MAX_ANSWER_BYTES)),
+            uploads: Memory::exact((memory / UPLOADS_PART).max(2 * MAX_ANSWER_BYTES)),
             diagnoses: Diagnoses::default(),
             synced: Cell::new(None),
             recency: RefCell::default(),
@@ -173,6 +187,8 @@
             alarm: Notify::new(),
             last_refusal_alarm: Cell::default(),
             peers: RefCell::default(),
+            callers: Callers::new(capacity.callers),
+            nodes: Callers::new(capacity.nodes),
             connections: Cell::new(0),
             accepted: Cell::new(0),
             instance: rng.random(),
@@ -221,6 +237,21 @@
         self.config.borrow().as_ref().map(|config| config.limits.clone()).unwrap_or_default()
     }
 
+    /// Returns the open connections of a port.
+    pub(crate) fn port(&self, origin: Origin) -> &Callers {
+        match origin {
+            Origin::Caller => &self.callers,
+            Origin::Node => &self.nodes,
+        }
+    }
+
+    /// Bounds the heads and bodies of requests by the limits in force: two of the largest allowed size
+    /// have room.
+    pub(crate) fn bound_uploads(&self, limits: &Limits) {
+        let part = self.settings.memory / UPLOADS_PART;
+        self.uploads.set_max_bytes(part.max(2 * (limits.head_bytes + limits.body_bytes)));
+    }
+
     /// Returns the time for which callers may use a connection again.
     pub(crate) fn announced_time(&self, limits: &Limits) -> Duration {
         announced_time(limits.idle_timeout, self.settings.bounds.grace)
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 
 use crate::body;
 use crate::clock::Clock;
+use crate::socket::Socket;
 use crate::used::{ConnectionNumber, Used};
 
 /// Maximum time to connect: failure domains are less than a millisecond apart, and a lost SYN is
@@ -233,7 +235,7 @@
     set_socket_timeouts(&stream);
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES * 4)
-        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .handshake::<_, Full<Bytes>>(TokioIo::new(Socket::new(stream, Rc::default())))
         .await;
     let (sender, connection) = handshake.map_err(|_| Unanswered::NotSent)?;
     tokio::task::spawn_local(async move {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -18,6 +18,7 @@
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::callers::Shortage;
 use crate::event::{RELOADED, STARTED, STOPPED, STOPPING};
 use crate::follow::Follower;
 use crate::lead::{Leadership, maintain_leadership, maintain_presence, release_leases};
@@ -25,7 +26,7 @@
 use crate::node::Node;
 use crate::orders::Orders;
 use crate::store::Store;
-use crate::{diagnose, front, loan, mark, peers, permit, persistence, ready};
+use crate::{callers, diagnose, front, loan, mark, peers, permit, persistence, ready};
 
 const METRICS_PORT: u16 = 9464;
 /// Upper bounds of the latency buckets, in seconds: latency goals of routes lie between 0.1 and
@@ -152,6 +153,11 @@
     tokio::task::spawn_local(front::serve_nodes(node.clone(), nodes));
     tokio::task::spawn_local(ready::serve_ready(node.clone(), probes));
     tokio::task::spawn_local(ready::serve_metrics(recorder, metrics));
+    for (memory, shortage) in
+        [(&node.uploads, Shortage::Requests), (&node.answers, Shortage::Answers)]
+    {
+        tokio::task::spawn_local(callers::relieve(node.clone(), memory.clone(), shortage));
+    }
     let lines = Rc::new(lines);
     tokio::task::spawn_local(housekeeping(node.clone(), lines.clone()));
 
--- a/crates/edge/src/receipt.rs
+++ b/crates/edge/src/receipt.rs
@@ -47,7 +47,7 @@
 impl Receipt {
     pub(crate) fn new(node: &Rc<Node>, connection: &Rc<State>, id: SmolStr) -> Self {
         metrics::counter!("magnolia_requests_received").increment(1);
-        connection.begin_request();
+        connection.begin_request(node);
         Self {
             node: node.clone(),
             connection: connection.clone(),
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -1,8 +1,9 @@
-//! The socket of a caller, which records what ends it.
+//! The socket of a caller or a target, which records what ends it and bounds each read.
 
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -14,6 +15,9 @@
 
 /// Time for which bytes are discarded after the last answer.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are read at a time: one less than the size of reads at which the HTTP library begins to
+/// double its buffer, which would then keep up to the largest head for each connection.
+const READ_BYTES: usize = (8 << 10) - 1;
 /// Bytes that are discarded at a time.
 const DISCARD_BYTES: usize = 4 << 10;
 
@@ -26,6 +30,8 @@
     error: Cell<Option<ErrorKind>>,
     /// Number of bytes read.
     bytes_read: Cell<u64>,
+    /// Number of bytes written.
+    bytes_written: Cell<u64>,
     /// Whether the other side does not read what is to be written.
     is_write_blocked: Cell<bool>,
 }
@@ -46,6 +52,11 @@
         self.bytes_read.get()
     }
 
+    /// Returns the number of bytes read and written.
+    pub(crate) fn bytes_moved(&self) -> u64 {
+        self.bytes_read.get() + self.bytes_written.get()
+    }
+
     /// Returns the error that has ended the connection.
     pub(crate) fn error(&self) -> Option<ErrorKind> {
         self.error.get()
@@ -93,6 +104,9 @@
 
     fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.traffic.is_write_blocked.set(result.is_pending());
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.traffic.bytes_written.set(self.traffic.bytes_written.get() + *bytes as u64);
+        }
         self.record(result)
     }
 
@@ -110,10 +124,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut bytes = [MaybeUninit::uninit(); READ_BYTES];
+        let most = buffer.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::uninit(&mut bytes[..most]);
+        let result = Pin::new(&mut self.stream).poll_read(context, &mut part);
         if let Poll::Ready(Ok(())) = &result {
-            let bytes = buffer.filled().len() - before;
+            let bytes = part.filled().len();
+            buffer.put_slice(part.filled());
             self.traffic.is_ended.set(bytes == 0);
             self.traffic.bytes_read.set(self.traffic.bytes_read.get() + bytes as u64);
         }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -34,7 +34,7 @@
             whole_answer(node, &dispatch.call, exchange).await
         }
         Ok(opened) => {
-            let (sender, receiver) = queue();
+            let (sender, receiver) = queue(node.answers.clone());
             let mut response = Response::new(Answer::events(receiver));
             match &opened {
                 Opened::Path(accepted) => {
--- a/crates/edge/src/upload.rs
+++ b/crates/edge/src/upload.rs
@@ -57,7 +57,7 @@
                 return Ok(Bytes::new());
             }
         };
-        let reading = body::read(body, max_bytes, holding, Room::AtOnce);
+        let reading = body::read(body, max_bytes, holding, Room::Soon);
         let body = timeout(max_time, reading).await.map_err(|_| Failure::TooSlow)?;
         let body = body.map_err(Failure::Unread)?;
         self.rest = Rest::None;
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -157,3 +157,46 @@
         assert_eq!(timeout(SHORT, memory.begin(source(1)).reserve(0)).await, Ok(Ok(())));
     });
 }
+
+// Guards against many small messages that are counted nowhere.
+#[parameterized(one_byte = { 1 }, small = { UNCOUNTED_BYTES / 2 }, usual = { UNCOUNTED_BYTES })]
+fn exact_memory_counts_messages_of_any_size(bytes: usize) {
+    let memory = Memory::exact(MOST);
+    let held: Vec<_> = (0..MOST / bytes).map(|_| holding(&memory, 1, bytes)).collect();
+    assert_eq!(memory.held(), MOST);
+    assert!(!memory.begin(source(2)).try_reserve(1));
+    drop(held);
+    assert_eq!(memory.held(), 0);
+}
+
+// Guards against a message that waits for ever, or whose wait nobody is told of.
+#[parameterized(room_is_made = { true }, no_room_is_made = { false })]
+fn owner_of_the_memory_is_told_of_a_shortage(is_made: bool) {
+    let memory = Memory::exact(MOST);
+    run(async {
+        let mut full = Some(holding(&memory, 1, MOST));
+        let mut next = memory.begin(source(1));
+        let makes_room = async {
+            timeout(LONG, memory.shortage()).await.expect("it is told");
+            if is_made {
+                full.take();
+            }
+        };
+        let (has_room, ()) = tokio::join!(next.reserve_within(1, SHORT), makes_room);
+        assert_eq!(has_room, is_made);
+        assert_eq!(next.bytes(), usize::from(is_made));
+    });
+}
+
+// Guards against a bound that a later configuration does not change.
+#[test]
+fn bound_can_be_replaced() {
+    let memory = Memory::exact(MOST);
+    let mut held = holding(&memory, 1, MOST);
+    assert!(!held.try_reserve(MOST + 1));
+    memory.set_max_bytes(2 * MOST);
+    assert!(held.try_reserve(2 * MOST));
+    memory.set_max_bytes(MOST);
+    assert!(!memory.begin(source(2)).try_reserve(1));
+    assert_eq!((memory.held(), memory.max_bytes()), (2 * MOST, MOST));
+}
