Tests: stalled bodies at the product's own interface

Cause: bodies that stall hold the memory for bodies until their time-out, and ordinary callers are refused meanwhile.

--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -194,6 +194,41 @@
     common::wait_for("service", || ask(callers, LOOKUP, &"y".repeat(MAX_BYTES)) == Some(200));
 }
 
+/// Time for which a caller may stall: longer than the test takes.
+const STALL: &str = "120000";
+/// Callers with bodies of the largest size that stall, more than there is room for.
+const STALLED_CALLERS: usize = 20;
+
+/// Sends this much of a request with a body of this size. The connection stays open.
+fn stall(callers: SocketAddr, bytes: usize, sent: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(callers).expect("a connection");
+    let head = format!(
+        "POST {LOOKUP} HTTP/1.1\r\nhost: h\r\nopenai-organization: cascade\r\n\
+         content-length: {bytes}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("a head is sent");
+    // The node may have refused it meanwhile.
+    stream.write_all(&FILLING.as_bytes()[..sent]).ok();
+    stream
+}
+
+// Guards against ordinary callers that are refused while stalled bodies hold the memory.
+#[parameterized(nothing_sent = { 0 }, half_sent = { MAX_BYTES / 2 }, end_missing = { MAX_BYTES - 1 })]
+fn stalled_bodies_make_room(sent: usize) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let targets = [Scripted::start(|_, back| back.answer(200, "", "{}"))];
+    let vms = vec![service("b1", targets[0].address, "lookup", true)];
+    let bench = Bench::start_with(vms, |text| {
+        text.memory_bytes = MEMORY_BYTES.to_string();
+        text.body_bytes = MAX_BYTES.to_string();
+        text.body_ms = STALL.to_owned();
+    });
+    let callers = bench.node.ports().callers;
+    let stalled: Vec<_> = (0..STALLED_CALLERS).map(|_| stall(callers, MAX_BYTES, sent)).collect();
+    common::wait_for("service", || ask(callers, LOOKUP, &"y".repeat(MAX_BYTES)) == Some(200));
+    drop(stalled);
+}
+
 /// Callers who get a large sound answer each, more than there is room for at a time.
 const LARGE_CALLERS: usize = 60;
 
