Node: stalled bodies end for others at the product's own interface

Cause: bodies up to 16 KB were not counted, and stalled ones held the memory for bodies until their time-out while ordinary callers got 503.

Change: Memory::evicting counts each body from its first byte, and ends the one that has stalled for longest (edge::stalest) when another waits for room. Capacity of the ports has a table of cases.

--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -68,14 +68,16 @@
 
 /// The largest numbers of connections of callers and of other nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Capacity {
-    pub(crate) callers: usize,
-    pub(crate) nodes: usize,
+pub struct Capacity {
+    /// Connections of callers.
+    pub callers: usize,
+    /// Connections of other nodes.
+    pub nodes: usize,
 }
 
 impl Capacity {
     /// Returns the capacity of a process with this many descriptors and this memory, bytes.
-    pub(crate) fn new(max_fds: usize, memory: usize) -> Self {
+    pub fn new(max_fds: usize, memory: usize) -> Self {
         let sockets = max_fds.saturating_sub(FILE_DESCRIPTORS);
         let fitting = memory / MEMORY_PART / CONNECTION_BYTES;
         let callers = (sockets / CALLERS_PART).min(fitting);
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -54,4 +54,5 @@
     REQUEST_AWAITS_PATH = 1162, "request-awaits-path", "A new request without a path waits for one for a moment, because the engines that it lacks may only be silent.";
     CONNECTIONS_EVICTED = 1163, "connections-evicted", "Connections that made no progress for longest were closed, because there was no room for other connections, requests or answers (`shortage`). `evicted` of them since the last such line, which is written once a second at most; `open` of `most` connections of the port are open.";
     PORT_FULL = 1164, "port-full", "The port for callers or for other nodes has as many connections as it may have, and none of them has stalled; others wait to be accepted. Written once a second at most.";
+    BODY_EVICTED = 1165, "bodies-evicted", "Bodies of requests that made no progress for longest ended for others that had no room: `ended` since the last such line, which is written once a second at most; `unfinished` bodies are being read.";
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -73,6 +73,7 @@
 mod watchdog;
 
 pub use attempts::Attempts;
+pub use callers::Capacity;
 pub use claim::Claim;
 pub use contact::Contact;
 pub use event::EVENTS;
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -13,7 +13,7 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,7 +22,8 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::event::MEMORY_FULL;
+use crate::event::{BODY_EVICTED, MEMORY_FULL};
+use crate::eviction::{PROGRESS_BYTES, Phase, Standing, stalest};
 
 /// Size up to which a message is not counted, bytes: the usual answers, and those that refuse a
 /// request.
@@ -35,6 +36,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of sources above which those without messages are forgotten.
 const MAX_ACCOUNTS: usize = 4096;
+/// Interval at which a message without room looks again for a stalled one.
+const STALL_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum interval of log lines about messages that ended because they had stalled.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A message must end: its source fills the memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +54,67 @@
     /// Number of times that the messages of this source had to end.
     evictions: AtomicU64,
     evicted: Notify,
+    /// Time of the last progress, microseconds since the memory was set up.
+    progressed: AtomicU64,
+}
+
+/// The messages of a memory of which each ends by itself, once it has stalled.
+#[derive(Debug)]
+struct Messages {
+    began: Instant,
+    unfinished: Mutex<Vec<Weak<Account>>>,
+    /// Number of messages that ended since the last log line, and the time of that line.
+    ended: Mutex<(u64, Option<Instant>)>,
+}
+
+impl Messages {
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Returns the account of a message that begins.
+    fn begin(&self) -> Arc<Account> {
+        let account = Arc::new(Account::default());
+        self.record_progress(&account);
+        let mut unfinished = self.unfinished.lock().unwrap_or_else(PoisonError::into_inner);
+        unfinished.retain(|account| account.strong_count() > 0);
+        unfinished.push(Arc::downgrade(&account));
+        account
+    }
+
+    fn record_progress(&self, account: &Account) {
+        account.progressed.store(self.now().as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Ends the message that has stalled for longest.
+    fn evict(&self) {
+        let unfinished = self.unfinished.lock().unwrap_or_else(PoisonError::into_inner);
+        let holding = unfinished.iter().filter_map(Weak::upgrade).filter(|account| {
+            let is_ended = account.evictions.load(Ordering::Relaxed) > 0;
+            account.unfinished.load(Ordering::Relaxed) > 0 && !is_ended
+        });
+        let standings = holding.map(|account| {
+            let since = Duration::from_micros(account.progressed.load(Ordering::Relaxed));
+            (account, Standing { phase: Phase::Incomplete, since })
+        });
+        let Some(account) = stalest(self.now(), standings) else { return };
+        account.evictions.fetch_add(1, Ordering::Relaxed);
+        account.ending.store(account.unfinished.load(Ordering::Relaxed), Ordering::Relaxed);
+        account.evicted.notify_waiters();
+        metrics::counter!("magnolia_bodies_evicted").increment(1);
+        self.log(unfinished.len());
+    }
+
+    fn log(&self, unfinished: usize) {
+        let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        ended.0 += 1;
+        if ended.1.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
+            let event =
+                Event::new(BODY_EVICTED).with("ended", ended.0).with("unfinished", unfinished);
+            log::warn!("{event}");
+            *ended = (0, Some(Instant::now()));
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -63,6 +129,8 @@
     releases: AtomicU64,
     /// Notified when there is no room, and ending unfinished messages of a source would not make it.
     shortage: Notify,
+    /// The messages, if each ends by itself.
+    messages: Option<Messages>,
     accounts: Mutex<HashMap<SocketAddr, Arc<Account>>>,
 }
 
@@ -73,15 +141,23 @@
 impl Memory {
     /// Returns a count with a bound, bytes.
     pub fn new(max_bytes: usize) -> Self {
-        Self::with_uncounted(max_bytes, UNCOUNTED_BYTES)
+        Self::with_uncounted(max_bytes, UNCOUNTED_BYTES, None)
     }
 
     /// Returns a count with a bound, bytes, that includes messages of any size.
     pub fn exact(max_bytes: usize) -> Self {
-        Self::with_uncounted(max_bytes, 0)
+        Self::with_uncounted(max_bytes, 0, None)
     }
 
-    fn with_uncounted(max_bytes: usize, uncounted: usize) -> Self {
+    /// Returns a count as [`Memory::exact`] does, of messages that end one by one: if there is no room
+    /// for one that waits by [`Holding::reserve_within`], the one that has stalled for longest ends.
+    pub fn evicting(max_bytes: usize) -> Self {
+        let (unfinished, ended) = Default::default();
+        let messages = Messages { began: Instant::now(), unfinished, ended };
+        Self::with_uncounted(max_bytes, 0, Some(messages))
+    }
+
+    fn with_uncounted(max_bytes: usize, uncounted: usize, messages: Option<Messages>) -> Self {
         let max_bytes = AtomicUsize::new(max_bytes);
         let (held, released, releases, shortage, accounts) = Default::default();
         Self(Arc::new(Shared {
@@ -91,6 +167,7 @@
             released,
             releases,
             shortage,
+            messages,
             accounts,
         }))
     }
@@ -117,7 +194,7 @@
 
     /// Returns the holding of a message that this source begins to send.
     pub fn begin(&self, source: SocketAddr) -> Holding {
-        Holding { memory: self.clone(), source, bytes: 0, entry: None }
+        Holding { memory: self.clone(), source, bytes: 0, entry: None, unmarked: 0 }
     }
 
     /// Takes room for `bytes`. Returns whether there is room.
@@ -198,6 +275,8 @@
     /// Bytes that are counted.
     bytes: usize,
     entry: Option<Entry>,
+    /// Bytes that have arrived since the last progress.
+    unmarked: u64,
 }
 
 impl Holding {
@@ -255,13 +334,27 @@
                 if self.try_reserve(bytes) {
                     return;
                 }
-                memory.0.shortage.notify_one();
-                released.await;
+                match &memory.0.messages {
+                    Some(messages) => messages.evict(),
+                    None => memory.0.shortage.notify_one(),
+                }
+                timeout(STALL_INTERVAL, released).await.ok();
             }
         };
         timeout(max_wait, reserving).await.is_ok()
     }
 
+    /// Records that bytes of the message have arrived.
+    pub fn record_bytes(&mut self, bytes: usize) {
+        self.unmarked += bytes as u64;
+        if let (Some(entry), Some(messages)) = (&self.entry, &self.memory.0.messages)
+            && self.unmarked >= PROGRESS_BYTES
+        {
+            self.unmarked = 0;
+            messages.record_progress(&entry.account);
+        }
+    }
+
     /// Returns the bytes that are counted.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -273,7 +366,10 @@
             return true;
         }
         let entry = self.entry.get_or_insert_with(|| {
-            let account = self.memory.account(self.source);
+            let account = match &self.memory.0.messages {
+                Some(messages) => messages.begin(),
+                None => self.memory.account(self.source),
+            };
             let evictions = account.evictions.load(Ordering::Relaxed);
             Entry { account, evictions }
         });
@@ -281,6 +377,9 @@
         let has_room = !entry.is_evicted() && self.memory.take(more);
         if has_room {
             entry.account.unfinished.fetch_add(more, Ordering::Relaxed);
+            if let Some(messages) = &self.memory.0.messages {
+                messages.record_progress(&entry.account);
+            }
             self.bytes = bytes;
         }
         has_room
--- a/crates/edge/tests/eviction.rs
+++ b/crates/edge/tests/eviction.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use edge::{Phase, STALL_TIME, Standing, UNREAD_TIME, stalest};
+use edge::{Capacity, Phase, STALL_TIME, Standing, UNREAD_TIME, stalest};
 use yare::parameterized;
 
 /// Time at which a connection is to be closed.
@@ -35,3 +35,17 @@
     let standings = connections.iter().map(|&(phase, age)| Standing { phase, since: NOW - age });
     assert_eq!(stalest(NOW, standings.enumerate()), closed);
 }
+
+// Guards against ports that leave no descriptors for targets, the store and files, or that take more
+// connections than fit into the memory.
+#[parameterized(
+    descriptors_bound = { 500, 260, 150, 37 },
+    memory_bounds = { 2_870, 112, 683, 170 },
+    usual = { 2_870, 260, 1_335, 333 },
+    no_limit_of_descriptors = { usize::MAX, 260, 1_586, 396 },
+    fewer_than_the_reserve = { 100, 260, 16, 16 },
+    no_memory = { 2_870, 0, 16, 16 },
+)]
+fn ports_are_bounded(max_fds: usize, memory_mb: usize, callers: usize, nodes: usize) {
+    assert_eq!(Capacity::new(max_fds, memory_mb * 1_000_000), Capacity { callers, nodes });
+}
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use edge::{Full, Holding, Memory, UNCOUNTED_BYTES};
 use tokio::runtime::Builder;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 /// Bound of the tests, bytes.
@@ -200,3 +200,33 @@
     assert!(!memory.begin(source(2)).try_reserve(1));
     assert_eq!((memory.held(), memory.max_bytes()), (2 * MOST, MOST));
 }
+
+/// Bytes of a message that arrive after it was begun, and its number.
+type Fed = (usize, usize);
+
+// Guards against stalled messages that keep others out, against the end of one that arrives, and
+// against single bytes that count as progress.
+#[parameterized(
+    all_stalled = { LONG / 8, None, Some(0) },
+    first_arrives = { LONG / 8, Some((0, 4 << 10)), Some(1) },
+    first_drips = { LONG / 8, Some((0, 1)), Some(0) },
+    all_recent = { Duration::ZERO, None, None },
+)]
+fn message_that_stalls_ends_for_another(age: Duration, fed: Option<Fed>, ends: Option<usize>) {
+    let memory = Memory::evicting(MOST);
+    run(async {
+        let mut held = vec![holding(&memory, 1, MOST / 2), holding(&memory, 1, MOST / 2)];
+        sleep(age).await;
+        if let Some((number, bytes)) = fed {
+            held[number].record_bytes(bytes);
+        }
+        let mut next = memory.begin(source(1));
+        assert!(!next.reserve_within(1, SHORT).await, "nothing has ended yet");
+        let ended = held.iter().position(Holding::must_end);
+        assert_eq!(ended, ends);
+        if let Some(ended) = ended {
+            drop(held.remove(ended));
+            assert!(next.reserve_within(1, SHORT).await);
+        }
+    });
+}
--- a/crates/node/src/shell/intake.rs
+++ b/crates/node/src/shell/intake.rs
@@ -1,6 +1,6 @@
 //! Parses and validates a caller's HTTP call and converts it to a request.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use edge::{Holding, Share};
@@ -19,6 +19,9 @@
 
 /// Maximum number of prefix hashes of one prompt that are passed to routing.
 const MAX_PREFIXES: usize = 64;
+/// Maximum wait of a body for room: longer than the time without progress after which another body
+/// ends.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
 /// Maximum length of `Idempotency-Key`, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 /// Headers of a plain call that are not forwarded: those of the connection and those that the
@@ -168,17 +171,28 @@
     holding: &mut Holding,
 ) -> Result<Bytes, Unread> {
     let mut whole = Vec::new();
-    if !holding.try_reserve(stated.unwrap_or(0)) {
+    if !holding.reserve_within(stated.unwrap_or(0), MAX_ROOM_WAIT).await {
         return Err(Unread::NoRoom);
     }
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = holding.evicted() => return Err(Unread::NoRoom),
+        };
+        let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
         let length = whole.len() + data.len();
         if length > limit {
             return Err(Unread::TooLarge);
         }
-        if !holding.try_reserve(length) {
-            return Err(Unread::NoRoom);
+        holding.record_bytes(data.len());
+        if length > whole.capacity() {
+            let capacity = (2 * whole.capacity())
+                .clamp(length, stated.map_or(limit, |stated| stated.max(length)));
+            if !holding.reserve_within(stated.unwrap_or(capacity), MAX_ROOM_WAIT).await {
+                return Err(Unread::NoRoom);
+            }
+            whole.reserve_exact(capacity - whole.len());
         }
         whole.extend_from_slice(&data);
     }
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -138,7 +138,7 @@
 impl Shared {
     pub(crate) fn new(settings: Settings, inbox: Inbox) -> Self {
         let answers = Memory::new(settings.memory_bytes.max(2 * settings.answer_bytes));
-        let uploads = Memory::new((settings.memory_bytes / 2).max(2 * settings.body_bytes));
+        let uploads = Memory::evicting((settings.memory_bytes / 2).max(2 * settings.body_bytes));
         Self {
             secret: Secret::new(&settings.secret),
             answers,
