Tests: connections without a request at the product's own interface

Cause: connections on which no request comes take all that are allowed until their time-out, and ordinary callers get 503 meanwhile.

Change: two cases in node/tests/memory.rs, 50 callers with 30 connections allowed.

--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -229,6 +229,34 @@
     drop(stalled);
 }
 
+/// Connections that are allowed, and callers who take all of them and more.
+const CONNECTIONS: usize = 30;
+const SILENT_CALLERS: usize = 50;
+
+// Guards against ordinary callers that are refused while connections without a request take all that
+// are allowed.
+#[parameterized(nothing_sent = { "" }, head_without_end = { "POST / HTTP/1.1\r\nhost: h\r\nx: " })]
+fn stalled_connections_make_room(sent: &str) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let targets = [Scripted::start(|_, back| back.answer(200, "", "{}"))];
+    let vms = vec![service("b1", targets[0].address, "lookup", true)];
+    let bench = Bench::start_with(vms, |text| {
+        text.connections = CONNECTIONS.to_string();
+        text.head_ms = STALL.to_owned();
+    });
+    let callers = bench.node.ports().callers;
+    let stalled: Vec<_> = (0..SILENT_CALLERS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(callers).expect("a connection");
+            // The node may have refused it meanwhile.
+            stream.write_all(sent.as_bytes()).ok();
+            stream
+        })
+        .collect();
+    common::wait_for("service", || ask(callers, LOOKUP, "y") == Some(200));
+    drop(stalled);
+}
+
 /// Callers who get a large sound answer each, more than there is room for at a time.
 const LARGE_CALLERS: usize = 60;
 
