--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -24,6 +24,11 @@
 
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum wait of a connection above the limit for room: longer than the time without a request
+/// after which another one is closed.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which it looks again for a connection to close.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 /// Response to a connection above the connection limit.
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
 retry-after: 1\r\nmagnolia-run: attempt-not-run\r\ncontent-type: application/json\r\n\
@@ -53,13 +58,24 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            let permit = Arc::clone(&rejections).try_acquire_owned().ok();
-            reject_connection(stream, &shared, permit, &mut connections);
-            continue;
-        };
         let (shared, agent, stop) = (Arc::clone(&shared), agent.clone(), stop.clone());
+        let permit = Arc::clone(&permits).try_acquire_owned().ok();
+        let (permits, rejections) = (Arc::clone(&permits), Arc::clone(&rejections));
         connections.spawn(async move {
+            let permit = match permit {
+                Some(permit) => permit,
+                None => {
+                    let rejection = rejections.try_acquire_owned().ok();
+                    let permit = match &rejection {
+                        Some(_) => await_room(&shared, permits).await,
+                        None => None,
+                    };
+                    let Some(permit) = permit else {
+                        return reject_connection(stream, &shared, rejection).await;
+                    };
+                    permit
+                }
+            };
             shared.connections.fetch_add(1, Ordering::Relaxed);
             serve_connection(stream, &shared, agent, stop).await;
             shared.connections.fetch_sub(1, Ordering::Relaxed);
@@ -72,23 +88,36 @@
 
 /// Answers a connection above the limit. The request on it is dropped only while `permit` is there,
 /// so that the number of these connections is limited too.
-fn reject_connection(
+async fn reject_connection(
     mut stream: TcpStream,
-    shared: &Arc<Shared>,
+    shared: &Shared,
     permit: Option<OwnedSemaphorePermit>,
-    connections: &mut JoinSet<()>,
 ) {
     record_rejection(shared, "connections");
     let limit = shared.settings.peer_timeout;
-    connections.spawn(async move {
-        match timeout(limit, stream.write_all(BUSY_RESPONSE)).await {
-            Err(_) => log::debug!("a rejected connection did not accept its response in time"),
-            Ok(Err(error)) => log::debug!("a rejected connection was lost: {error}"),
-            Ok(Ok(())) if permit.is_some() => connection::end(stream).await,
-            Ok(Ok(())) => {}
+    match timeout(limit, stream.write_all(BUSY_RESPONSE)).await {
+        Err(_) => log::debug!("a rejected connection did not accept its response in time"),
+        Ok(Err(error)) => log::debug!("a rejected connection was lost: {error}"),
+        Ok(Ok(())) if permit.is_some() => connection::end(stream).await,
+        Ok(Ok(())) => {}
+    }
+    drop(permit);
+}
+
+/// Closes connections on which no request has come for a while, until there is room for another one.
+/// Returns its permit; `None` if no such connection is left, or none ends in time.
+async fn await_room(shared: &Shared, permits: Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    let waiting = async {
+        while !shared.unused.is_empty() {
+            shared.unused.evict();
+            let acquired = timeout(ROOM_INTERVAL, Arc::clone(&permits).acquire_owned()).await;
+            if let Ok(Ok(permit)) = acquired {
+                return Some(permit);
+            }
         }
-        drop(permit);
-    });
+        None
+    };
+    timeout(MAX_ROOM_WAIT, waiting).await.ok().flatten()
 }
 
 async fn serve_connection(
--- a/crates/node/src/shell/connection.rs
+++ b/crates/node/src/shell/connection.rs
@@ -1,7 +1,9 @@
 //! A connection of a caller: serves its requests, so that none is lost when the connection ends.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -19,6 +21,7 @@
 
 use super::reply::Payload;
 use super::shared::{Input, Shared};
+use super::unused::Opened;
 use crate::event;
 
 /// Header that announces for how long a connection may be used again.
@@ -46,6 +49,7 @@
     requests: AtomicUsize,
     /// Whether the last answer was said to be the last one.
     is_last: AtomicBool,
+    opened: Arc<Opened>,
 }
 
 impl<'a> State<'a> {
@@ -56,6 +60,7 @@
             is_used: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             is_last: AtomicBool::new(false),
+            opened: shared.unused.begin(),
         }
     }
 
@@ -69,6 +74,7 @@
     fn set_used(&self) {
         if !self.is_used.swap(true, Ordering::SeqCst) {
             self.shared.unused_connections.fetch_sub(1, Ordering::SeqCst);
+            self.shared.unused.end(&self.opened);
         }
     }
 
@@ -99,9 +105,20 @@
         }
     }
 
+    /// Waits until the connection is to be closed for another one: never, once a request has come.
+    async fn evicted(&self) {
+        self.opened.evicted().await;
+        if self.is_used() {
+            pending::<()>().await;
+        }
+    }
+
     fn log_end(&self, served: &hyper::Result<()>) {
-        let cause = self.cause(served);
         let error = served.as_ref().err().map(ToString::to_string).unwrap_or_default();
+        self.log_cause(self.cause(served), &error);
+    }
+
+    fn log_cause(&self, cause: &'static str, error: &str) {
         let event = Event::new(&event::CALLER_CONNECTION_ENDED)
             .with("cause", cause)
             .with("requests", self.requests.load(Ordering::SeqCst))
@@ -181,6 +198,10 @@
     let served = tokio::select! {
         served = &mut serving => Some(served),
         _ = stop.changed() => None,
+        () = state.evicted() => {
+            state.log_cause("closed for another", "");
+            return;
+        }
     };
     let served = match served {
         None if !state.is_used() => timeout(FIRST_REQUEST_TIME, &mut serving).await.ok(),
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -19,6 +19,7 @@
 mod reply;
 mod shared;
 mod store;
+mod unused;
 
 pub use process::{Ports, Process, StartError};
 pub use store::PRESET_KEY;
--- a/crates/node/src/shell/shared.rs
+++ b/crates/node/src/shell/shared.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
+use super::unused::Unused;
 use crate::api::Directory;
 use crate::identity::Secret;
 use crate::{Arrival, End, Message, Settings};
@@ -125,6 +126,8 @@
     pub(crate) connections: AtomicUsize,
     /// Number of open connections from callers on which no request has come yet.
     pub(crate) unused_connections: AtomicUsize,
+    /// Those connections.
+    pub(crate) unused: Unused,
 }
 
 fn read<T: Clone>(lock: &RwLock<T>) -> T {
@@ -143,6 +146,7 @@
             secret: Secret::new(&settings.secret),
             answers,
             uploads,
+            unused: Unused::default(),
             settings,
             inbox,
             directory: RwLock::default(),
