--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -55,4 +55,7 @@
     REQUEST_QUEUED = 1170, "request-queued", "A new request waits for engines whose memory is full, for `left_ms` at the most. `queued` requests wait at this node.";
     REQUEST_ADMITTED = 1171, "request-admitted", "A queued request is sent to engines after `waited_ms`: the used part of their memory (`pressure`) is at most the `threshold` of the request.";
     RESPONSE_MALFORMED = 1167, "response-malformed", "A target, another node or the store at this address sent a response that is not valid by the rules of HTTP, for this reason. Its connection is closed, and the request counts as one that may have run.";
+    CONNECTIONS_EVICTED = 1163, "connections-evicted", "Connections that made no progress for longest were closed, because there was no room for other connections, requests or answers (`shortage`). `evicted` of them since the last such line, which is written once a second at most; `open` of `most` connections of the port are open.";
+    PORT_FULL = 1164, "port-full", "The port for callers or for other nodes has as many connections as it may have, and none of them has stalled; others wait to be accepted. Written once a second at most.";
+    BODY_EVICTED = 1165, "bodies-evicted", "Bodies of requests that made no progress for longest ended for others that had no room: `ended` since the last such line, which is written once a second at most; `unfinished` bodies are being read.";
 }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::body;
 use crate::clock::Clock;
 use crate::defect::{Defect, is_bodiless};
+use crate::socket::Socket;
 use crate::tap::{Record, Tap, lacks_field};
 use crate::used::{ConnectionNumber, Used};
 
@@ -279,7 +280,7 @@
     metrics::counter!("magnolia_connections").increment(1);
     set_socket_timeouts(&stream);
     let record = Record::default();
-    let stream = Tap::new(stream, record.clone());
+    let stream = Tap::new(Socket::new(stream, Rc::default()), record.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES * 4)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use edge::{Full, Holding, Memory, UNCOUNTED_BYTES};
 use tokio::runtime::Builder;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 /// Bound of the tests, bytes.
@@ -157,3 +157,76 @@
         assert_eq!(timeout(SHORT, memory.begin(source(1)).reserve(0)).await, Ok(Ok(())));
     });
 }
+
+// Guards against many small messages that are counted nowhere.
+#[parameterized(one_byte = { 1 }, small = { UNCOUNTED_BYTES / 2 }, usual = { UNCOUNTED_BYTES })]
+fn exact_memory_counts_messages_of_any_size(bytes: usize) {
+    let memory = Memory::exact(MOST);
+    let held: Vec<_> = (0..MOST / bytes).map(|_| holding(&memory, 1, bytes)).collect();
+    assert_eq!(memory.held(), MOST);
+    assert!(!memory.begin(source(2)).try_reserve(1));
+    drop(held);
+    assert_eq!(memory.held(), 0);
+}
+
+// Guards against a message that waits for ever, or whose wait nobody is told of.
+#[parameterized(room_is_made = { true }, no_room_is_made = { false })]
+fn owner_of_the_memory_is_told_of_a_shortage(is_made: bool) {
+    let memory = Memory::exact(MOST);
+    run(async {
+        let mut full = Some(holding(&memory, 1, MOST));
+        let mut next = memory.begin(source(1));
+        let makes_room = async {
+            timeout(LONG, memory.shortage()).await.expect("it is told");
+            if is_made {
+                full.take();
+            }
+        };
+        let (has_room, ()) = tokio::join!(next.reserve_within(1, SHORT), makes_room);
+        assert_eq!(has_room, is_made);
+        assert_eq!(next.bytes(), usize::from(is_made));
+    });
+}
+
+// Guards against a bound that a later configuration does not change.
+#[test]
+fn bound_can_be_replaced() {
+    let memory = Memory::exact(MOST);
+    let mut held = holding(&memory, 1, MOST);
+    assert!(!held.try_reserve(MOST + 1));
+    memory.set_max_bytes(2 * MOST);
+    assert!(held.try_reserve(2 * MOST));
+    memory.set_max_bytes(MOST);
+    assert!(!memory.begin(source(2)).try_reserve(1));
+    assert_eq!((memory.held(), memory.max_bytes()), (2 * MOST, MOST));
+}
+
+/// Bytes of a message that arrive after it was begun, and its number.
+type Fed = (usize, usize);
+
+// Guards against stalled messages that keep others out, against the end of one that arrives, and
+// against single bytes that count as progress.
+#[parameterized(
+    all_stalled = { LONG / 8, None, Some(0) },
+    first_arrives = { LONG / 8, Some((0, 4 << 10)), Some(1) },
+    first_drips = { LONG / 8, Some((0, 1)), Some(0) },
+    all_recent = { Duration::ZERO, None, None },
+)]
+fn message_that_stalls_ends_for_another(age: Duration, fed: Option<Fed>, ends: Option<usize>) {
+    let memory = Memory::evicting(MOST);
+    run(async {
+        let mut held = vec![holding(&memory, 1, MOST / 2), holding(&memory, 1, MOST / 2)];
+        sleep(age).await;
+        if let Some((number, bytes)) = fed {
+            held[number].record_bytes(bytes);
+        }
+        let mut next = memory.begin(source(1));
+        assert!(!next.reserve_within(1, SHORT).await, "nothing has ended yet");
+        let ended = held.iter().position(Holding::must_end);
+        assert_eq!(ended, ends);
+        if let Some(ended) = ended {
+            drop(held.remove(ended));
+            assert!(next.reserve_within(1, SHORT).await);
+        }
+    });
+}
