Admission: only where streaming routes have different priorities

Change: admission by rank acts where the configuration gives streaming routes different priorities; queued.rs names the present labels, its checks are as they were.

--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -12,7 +12,7 @@
 use crate::event::{REQUEST_ADMITTED, REQUEST_QUEUED};
 use crate::forward::Origin;
 use crate::node::Node;
-use crate::search::FULL;
+use crate::search::{FULL, MAX_PRESSURE};
 
 /// Reason of a queued request at a node that stops.
 pub(crate) const STOPPING: &str = "stopping";
@@ -52,6 +52,10 @@
 }
 
 impl Admission {
+    fn is_queued(&self) -> bool {
+        self.queued.is_some()
+    }
+
     /// Waits until the request may look for a path: at once unless others are before it in the
     /// queue.
     ///
@@ -88,13 +92,32 @@
 }
 
 impl Dispatch {
+    /// Returns whether a new request may be sent to this path. Where the operators give streaming
+    /// routes one priority, no order of requests serves them better than refusing those that find the
+    /// memory full.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is refused.
+    pub(crate) async fn is_admitted_to(
+        &mut self,
+        path: &Path,
+        admission: &mut Admission,
+    ) -> Result<bool, &'static str> {
+        let config = self.node.config();
+        if config.is_some_and(|config| config.has_ranked_streams()) || admission.is_queued() {
+            return self.admit_to(path, admission).await;
+        }
+        if path.pressure <= MAX_PRESSURE { Ok(true) } else { Err(FULL) }
+    }
+
     /// Decides whether a new request may be sent to this path. Returns whether it may; if not, the
     /// request is queued, and the wait for another search is over.
     ///
     /// # Errors
     ///
     /// Returns why the request is refused.
-    pub(crate) async fn admit_to(
+    async fn admit_to(
         &mut self,
         path: &Path,
         admission: &mut Admission,
--- a/crates/edge/src/search.rs
+++ b/crates/edge/src/search.rs
@@ -128,7 +128,7 @@
                 Err(reason) => return Err(reason),
             };
             self.pressure = path.pressure;
-            if !self.has_begun && !self.admit_to(&path, &mut admission).await? {
+            if !self.has_begun && !self.is_admitted_to(&path, &mut admission).await? {
                 continue;
             }
             // A stream that resumes does not wait: its caller has been waiting for some time.
--- a/crates/node/tests/queued.rs
+++ b/crates/node/tests/queued.rs
@@ -18,8 +18,8 @@
 const GOAL: Duration = Duration::from_millis(1500);
 /// Longest wait until requests are queued.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(5);
-const QUEUED: &str = "magnolia_admissions{rank=\"1\",outcome=\"queued\"}";
-const LESS_URGENT_QUEUED: &str = "magnolia_admissions{rank=\"2\",outcome=\"queued\"}";
+const QUEUED: &str = "magnolia_admissions{rank=\"11\",outcome=\"queued\"}";
+const LESS_URGENT_QUEUED: &str = "magnolia_admissions{rank=\"22\",outcome=\"queued\"}";
 
 fn document(latency_goal: Option<Duration>) -> Document {
     Document { latency_goal, priorities: Some((1, 2)), ..Document::default() }
@@ -61,7 +61,7 @@
     let replies = ended(streams(&site, "q"));
     let served = check(&site, "q", &replies);
     assert!(site.counter(0, QUEUED) > 0, "requests are queued");
-    let admitted = site.counter(0, "magnolia_admissions{rank=\"1\",outcome=\"admitted\"}");
+    let admitted = site.counter(0, "magnolia_admissions{rank=\"11\",outcome=\"admitted\"}");
     assert!(admitted > 0, "of {} queued", site.counter(0, QUEUED));
     assert!(served < REQUESTS, "the engines have memory for fewer requests than arrive");
     assert!(replies.iter().all(|reply| reply.elapsed < GOAL * 2), "nothing waits beyond its goal");
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -22,6 +22,8 @@
     keys: HashMap<SmolStr, Organisation>,
     /// Whether requests must carry a key.
     keys_required: bool,
+    /// Whether streaming routes have different priorities.
+    has_ranked_streams: bool,
 }
 
 /// A service, which targets belong to.
@@ -57,6 +59,9 @@
         for (index, route) in routes.iter().enumerate() {
             hosts.entry(route.host.clone()).or_default().push(index);
         }
+        let mut streams = routes.iter().filter(|route| matches!(route.kind, Kind::Stream { .. }));
+        let first = streams.next().map(|route| route.priority);
+        let has_ranked_streams = streams.any(|route| Some(route.priority) != first);
         for indices in hosts.values_mut() {
             indices.sort_by_key(|&index| std::cmp::Reverse(routes[index].prefix.len()));
         }
@@ -66,6 +71,7 @@
             limits,
             services: services.collect(),
             hosts,
+            has_ranked_streams,
             keys_required: keys.is_some(),
             keys: keys.unwrap_or_default(),
             routes,
@@ -96,6 +102,12 @@
         streams.map(|route| route.priority).chain(organisations)
     }
 
+    /// Returns whether streaming routes have different priorities, so that the order of their requests
+    /// matters where memory is short.
+    pub fn has_ranked_streams(&self) -> bool {
+        self.has_ranked_streams
+    }
+
     /// Returns the owner of a key.
     pub fn key_owner(&self, key: &str) -> Option<&Organisation> {
         self.keys.get(key)
