Paths: the loads of a test are those of all VMs

Cause: no_request_takes_a_full_or_crossing_path_by_chance states the tokens of all other VMs in the view of one of 97. Since, VMs without a view are taken to have the mean load of those with one, so that the test had 48 times the load that it names, and all engines were full. Change: 96 VMs report a part each, of the same sum.

--- a/crates/path/tests/paths.rs
+++ b/crates/path/tests/paths.rs
@@ -518,9 +518,15 @@
     let model = Model { token_bytes: 53_333.0, ..model() };
     let mut table = table();
     table.vms = 97;
+    // Each of the other VMs reports its part: those that report nothing would be taken for more load.
+    let others = (table.vms - 1) as u32;
     let loads = case.held.iter().enumerate();
-    let loads = loads.map(|(index, &tokens)| (format!("t{}", index + 1).into(), tokens));
-    table.record_peer_load(address(99), loads.collect(), NOW + Duration::from_secs(1));
+    let loads: Vec<_> =
+        loads.map(|(index, &tokens)| (format!("t{}", index + 1).into(), tokens / others)).collect();
+    for vm in 0..others as u8 {
+        let until = NOW + Duration::from_secs(1);
+        table.record_peer_load(address(100 + vm), loads.clone(), until);
+    }
     let prompt = Prompt::new(&model, 2_000.0, Duration::from_millis(500));
     for seed in 0..1000 {
         let query = Query { prompt: Some(prompt.with_seed(seed)), ..query(&[]) };
