--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -1,17 +1,12 @@
 //! Reads whole bodies, within the bound on one body and on all that the process holds.
 
-use std::time::Duration;
-
 use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use crate::eviction::MAX_ROOM_WAIT;
 use crate::memory::{Holding, UNCOUNTED_BYTES};
 
-/// Maximum wait of the body of a request for room: longer than the time without progress after which
-/// another caller loses what it holds.
-const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
-
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -134,7 +134,7 @@
 
     /// Returns the priority that targets receive.
     pub(crate) fn sent_priority(&self) -> Level {
-        self.level.get().unwrap_or(self.priority.min(9))
+        self.level.get().unwrap_or(self.priority.min(MAX_PRIORITY))
     }
 
     /// Returns the caller's request with the time that is left, and for a stream that resumes the
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -11,7 +11,7 @@
 
 use crate::connection::State;
 use crate::event::{CONNECTIONS_EVICTED, PORT_FULL};
-use crate::eviction::{Phase, stalest};
+use crate::eviction::{LOG_INTERVAL, Phase, RETRY_INTERVAL, stalest};
 use crate::forward::Origin;
 use crate::memory::Memory;
 use crate::node::Node;
@@ -31,10 +31,6 @@
 const CONNECTION_BYTES: usize = 40 << 10;
 /// Minimum number of connections of a port, whatever the limits.
 const MIN_CONNECTIONS: usize = 16;
-/// Interval at which a port without room looks again for a connection to close.
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Minimum interval of log lines about connections that are closed for others.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a connection is closed for another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/edge/src/defect.rs
+++ b/crates/edge/src/defect.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use fleet::Event;
+use httparse::{EMPTY_HEADER, Response, Status};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Error, StatusCode};
 
@@ -13,6 +14,8 @@
 const STATUS_CODES_END: u16 = 600;
 /// The only transfer coding that is decoded. No request of this process permits others.
 const CHUNKED: &[u8] = b"chunked";
+/// Maximum number of fields in a head that the HTTP library accepts.
+const MAX_FIELDS: usize = 100;
 
 /// Why a response is not valid. Such a response says nothing about whether its request has run, and
 /// its connection must not be used again.
@@ -113,3 +116,17 @@
 fn has_length(headers: &HeaderMap) -> bool {
     headers.get_all(CONTENT_LENGTH).iter().any(|length| length.as_bytes() != b"0")
 }
+
+/// Returns whether these bytes hold the head of a final response without a field of this name: the
+/// HTTP library removes `Content-Length` from the parsed head of a response in chunks. The head is missing if those of informational responses fill the record.
+pub(crate) fn lacks_field(mut bytes: &[u8], name: &str) -> bool {
+    loop {
+        let mut fields = [EMPTY_HEADER; MAX_FIELDS];
+        let mut response = Response::new(&mut fields);
+        let Ok(Status::Complete(length)) = response.parse(bytes) else { return false };
+        if response.code.is_some_and(|code| code >= 200) {
+            return !response.headers.iter().any(|field| field.name.eq_ignore_ascii_case(name));
+        }
+        bytes = &bytes[length..];
+    }
+}
--- a/crates/edge/src/eviction.rs
+++ b/crates/edge/src/eviction.rs
@@ -9,6 +9,12 @@
 /// Time without progress after which a connection whose answer is not read may be closed for another
 /// one: longer than a lost packet takes to be sent again.
 pub const UNREAD_TIME: Duration = Duration::from_secs(1);
+/// Maximum wait for room: longer than the time after which a stalled connection may be closed for it.
+pub const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which one without room looks again for a stalled connection.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum interval of log lines about connections that are closed for others.
+pub(crate) const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Bytes that count as progress: a caller that sends single bytes makes none.
 pub const PROGRESS_BYTES: u64 = 512;
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -292,6 +292,7 @@
             .with("services", list_services(&config));
         log::info!("{event}");
         metrics::gauge!("magnolia_configuration_version").set(config.version as f64);
+        self.node.bound_uploads(&config.limits);
         *self.node.config.borrow_mut() = Some(Rc::new(config));
         self.node.routing_changed.notify_waiters();
         for item in self.unnamed.take_all() {
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -264,7 +264,6 @@
     let config = node
         .config()
         .ok_or(Refusal::RetryLater("no configuration yet", node.other_node_retry_after()))?;
-    node.bound_uploads(&config.limits);
     // The node that forwards a request has checked its head, and added to it.
     if origin == Origin::Caller && head_size(&parts) > config.limits.head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -68,7 +68,6 @@
 mod store;
 pub mod stored;
 mod stream;
-mod tap;
 mod timer;
 mod tracker;
 mod unary;
@@ -85,7 +84,10 @@
 pub use contact::Contact;
 pub use defect::Defect;
 pub use event::EVENTS;
-pub use eviction::{PROGRESS_BYTES, Phase, STALL_TIME, Standing, UNREAD_TIME, stalest};
+pub use eviction::{
+    MAX_ROOM_WAIT, PROGRESS_BYTES, Phase, RETRY_INTERVAL, STALL_TIME, Standing, UNREAD_TIME,
+    stalest,
+};
 pub use evidence::{Evidence, Finding, FurtherParts, Suspicion};
 pub use expiry::{Expiry, Reason, announced_time};
 pub use forward::{Origin, Statement, remove_internal};
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::event::{BODY_EVICTED, MEMORY_FULL};
-use crate::eviction::{PROGRESS_BYTES, Phase, Standing, stalest};
+use crate::eviction::{LOG_INTERVAL, PROGRESS_BYTES, Phase, RETRY_INTERVAL, Standing, stalest};
 
 /// Size up to which a message is not counted, bytes: the usual answers, and those that refuse a
 /// request.
@@ -36,10 +36,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of sources above which those without messages are forgotten.
 const MAX_ACCOUNTS: usize = 4096;
-/// Interval at which a message without room looks again for a stalled one.
-const STALL_INTERVAL: Duration = Duration::from_millis(20);
-/// Minimum interval of log lines about messages that ended because they had stalled.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A message must end: its source fills the memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -338,7 +334,7 @@
                     Some(messages) => messages.evict(),
                     None => memory.0.shortage.notify_one(),
                 }
-                timeout(STALL_INTERVAL, released).await.ok();
+                timeout(RETRY_INTERVAL, released).await.ok();
             }
         };
         timeout(max_wait, reserving).await.is_ok()
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -413,24 +413,22 @@
 
     /// Applies a target's report.
     pub(crate) fn apply_report(&self, id: &str, report: &site::Report) {
-        let target = self.table.borrow().entry(id).map(|entry| entry.target.clone());
-        if let Some(target) = target {
-            let restarted = report.started_unix_ms != 0
-                && target.started_unix_ms != 0
-                && report.started_unix_ms != target.started_unix_ms;
-            if restarted {
-                self.record_target_loss(&target);
-            } else {
-                self.record_target_survival(&target);
-            }
+        let known = self.table.borrow().entry(id).map(|entry| {
+            let is_stated = entry.health.is_locally_observed();
+            (entry.target.clone(), is_stated)
+        });
+        let Some((target, is_stated)) = known else { return };
+        let restarted = report.started_unix_ms != 0
+            && target.started_unix_ms != 0
+            && report.started_unix_ms != target.started_unix_ms;
+        if restarted {
+            self.record_target_loss(&target);
+        } else {
+            self.record_target_survival(&target);
         }
-        let was_reported = {
-            let table = self.table.borrow();
-            table.entry(id).is_some_and(|entry| entry.health.is_locally_observed())
-        };
         if self.table.borrow_mut().record_report(self.now(), id, report) {
             self.log_target_up(id);
-            if was_reported {
+            if is_stated {
                 // The other nodes may count on what this one has stated of the target.
                 self.alarm.notify_one();
             }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -68,7 +68,7 @@
             last_count = peers.len();
             log::info!("{}", Event::new(PEERS).with("peers", last_count));
         }
-        send_to_all(&socket, &view_for_peers(&node), &peers);
+        send_to_all(&socket, &Message::View(view(&node)), &peers);
         if let Some(version) = node.version_unknown_to_store() {
             send_to_all(&socket, &Message::ConfigVersion(version), &peers);
         }
@@ -101,14 +101,10 @@
     }
 }
 
-/// Returns the message with which this node tells others what it knows of the targets.
-fn view_for_peers(node: &Node) -> Message {
-    let recent = interval(node.peers.borrow().len()) * 2;
-    Message::View(view(node, recent))
-}
-
-fn view(node: &Node, recent: Duration) -> View {
+/// Returns what this node tells others of the targets.
+fn view(node: &Node) -> View {
     let now = node.now();
+    let recent = interval(node.peers.borrow().len()) * 2;
     let table = node.table.borrow();
     let mut loads: Vec<(TargetKey, u32)> = table
         .entries()
@@ -160,8 +156,8 @@
             Ok(Message::View(view)) => {
                 if !node.table.borrow().has_peer_load(from) {
                     // A node that has just started knows no loads, and would refuse callers.
-                    let own = view_for_peers(&node);
-                    send(&socket, &own, from);
+                    let own = self::view(&node);
+                    send(&socket, &Message::View(own), from);
                 }
                 apply_view(&node, from, view);
             }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -20,9 +20,8 @@
 
 use crate::body;
 use crate::clock::Clock;
-use crate::defect::{Defect, is_bodiless};
-use crate::socket::Socket;
-use crate::tap::{Record, Tap, lacks_field};
+use crate::defect::{Defect, is_bodiless, lacks_field};
+use crate::socket::{Socket, Traffic};
 use crate::used::{ConnectionNumber, Used};
 
 /// Maximum time to connect: failure domains are less than a millisecond apart, and a lost SYN is
@@ -74,7 +73,7 @@
 /// An open connection.
 struct Link {
     sender: Sender,
-    record: Record,
+    traffic: Rc<Traffic>,
     /// Whether bytes have arrived that belong to no response.
     has_excess: Rc<Cell<bool>>,
 }
@@ -139,7 +138,7 @@
     ) -> Result<Exchange, Unanswered> {
         while let Some((mut link, number)) = self.take_idle(address, used) {
             used.record(number);
-            link.record.start();
+            link.traffic.keep();
             match link.sender.try_send_request(request).await {
                 Ok(response) => return exchange(address, link, number, response, false),
                 Err(mut failed) => match failed.take_message() {
@@ -152,7 +151,7 @@
         let mut link = open(address).await?;
         let number = self.next_number();
         used.record(number);
-        link.record.start();
+        link.traffic.keep();
         match link.sender.try_send_request(request).await {
             Ok(response) => exchange(address, link, number, response, true),
             Err(mut failed) => match failed.take_message() {
@@ -219,11 +218,11 @@
     response: Response<Incoming>,
     is_new_connection: bool,
 ) -> Result<Exchange, Unanswered> {
-    let record = link.record.take();
+    let received = link.traffic.take_kept();
     let (status, headers) = (response.status(), response.headers());
     // The HTTP library has removed the length from a head with both.
     let has_both =
-        headers.contains_key(TRANSFER_ENCODING) && !lacks_field(&record, CONTENT_LENGTH.as_str());
+        headers.contains_key(TRANSFER_ENCODING) && !lacks_field(&received, CONTENT_LENGTH.as_str());
     let has_excess = is_bodiless(status) && link.has_excess.get();
     let unseen = has_both.then_some(Defect::Framing).or(has_excess.then_some(Defect::Body));
     if let Some(defect) = Defect::of(status, headers).or(unseen) {
@@ -279,8 +278,8 @@
     let stream = connecting.await.map_err(|_| Unanswered::NotSent)?.map_err(connect_failure)?;
     metrics::counter!("magnolia_connections").increment(1);
     set_socket_timeouts(&stream);
-    let record = Record::default();
-    let stream = Tap::new(Socket::new(stream, Rc::default()), record.clone());
+    let traffic = Rc::<Traffic>::default();
+    let stream = Socket::new(stream, traffic.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES * 4)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
@@ -294,7 +293,7 @@
             excess.set(is_excess(&error));
         }
     });
-    Ok(Link { sender, record, has_excess })
+    Ok(Link { sender, traffic, has_excess })
 }
 
 /// Returns whether a connection ended because of bytes that belong to no response. The HTTP library
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -1,6 +1,6 @@
 //! The socket of a caller or a target, which records what ends it and bounds each read.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
@@ -18,6 +18,8 @@
 /// Bytes that are read at a time: one less than the size of reads at which the HTTP library begins to
 /// double its buffer, which would then keep up to the largest head for each connection.
 const READ_BYTES: usize = (8 << 10) - 1;
+/// Maximum number of bytes of a response that are kept: the HTTP library accepts no larger head.
+const MAX_KEPT_BYTES: usize = 32 << 10;
 /// Bytes that are discarded at a time.
 const DISCARD_BYTES: usize = 4 << 10;
 
@@ -34,6 +36,8 @@
     bytes_written: Cell<u64>,
     /// Whether the other side does not read what is to be written.
     is_write_blocked: Cell<bool>,
+    /// What has been read since the last request, while the head of its response is awaited.
+    kept: RefCell<Option<Vec<u8>>>,
 }
 
 impl Traffic {
@@ -57,6 +61,25 @@
         self.bytes_read.get() + self.bytes_written.get()
     }
 
+    /// Starts to keep what is read.
+    pub(crate) fn keep(&self) {
+        *self.kept.borrow_mut() = Some(Vec::new());
+    }
+
+    /// Returns what has been kept, and keeps no more.
+    pub(crate) fn take_kept(&self) -> Vec<u8> {
+        self.kept.borrow_mut().take().unwrap_or_default()
+    }
+
+    fn record_read(&self, bytes: &[u8]) {
+        self.is_ended.set(bytes.is_empty());
+        self.bytes_read.set(self.bytes_read.get() + bytes.len() as u64);
+        if let Some(kept) = self.kept.borrow_mut().as_mut() {
+            let left = MAX_KEPT_BYTES - kept.len();
+            kept.extend_from_slice(&bytes[..bytes.len().min(left)]);
+        }
+    }
+
     /// Returns the error that has ended the connection.
     pub(crate) fn error(&self) -> Option<ErrorKind> {
         self.error.get()
@@ -129,10 +152,8 @@
         let mut part = ReadBuf::uninit(&mut bytes[..most]);
         let result = Pin::new(&mut self.stream).poll_read(context, &mut part);
         if let Poll::Ready(Ok(())) = &result {
-            let bytes = part.filled().len();
             buffer.put_slice(part.filled());
-            self.traffic.is_ended.set(bytes == 0);
-            self.traffic.bytes_read.set(self.traffic.bytes_read.get() + bytes as u64);
+            self.traffic.record_read(part.filled());
         }
         self.record(result)
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hyper::{Response, StatusCode};
+use limit::admission::RETRY_AFTER;
 use site::Model;
 
 use crate::answer::{Answer, retry_later};
@@ -20,9 +20,6 @@
 use crate::reply::unknown_outcome;
 use crate::room::{STOPPING, ranked};
 
-/// Time until memory becomes free under overload: streams last a few seconds.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1500);
-
 /// Sends a request to a path and forwards the events of its answer.
 pub(crate) async fn forward(
     node: &Rc<Node>,
@@ -60,7 +57,7 @@
                 LIMITED => node.after_limits(&dispatch.call),
                 STOPPING => node.other_node_retry_after(),
                 _ => {
-                    let after = dispatch.retry_after.unwrap_or(OVERLOAD_RETRY_AFTER);
+                    let after = dispatch.retry_after.unwrap_or(RETRY_AFTER);
                     node.retry_after(&dispatch.call, after)
                 }
             };
--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -2,7 +2,7 @@
 //!
 //! A request is admitted while the pressure of its path, the used fraction of the memory of its
 //! fullest engine, is at most its threshold. The threshold is 1 less a reserve for more urgent
-//! ranks, which grows with the share of their requests that were refused or queued of late. A
+//! ranks, as large a part of the memory as their blocked requests were of all requests of late. A
 //! request above its threshold waits in a bounded queue if it is likely to be admitted within its
 //! latency goal, and is refused otherwise. The queue is ordered by rank, by the organisations'
 //! max-min fair shares and by slack.
@@ -50,7 +50,7 @@
 /// near `n - 1/3` means.
 const MEDIAN_FIRST: f64 = 2.0 / 3.0;
 /// Time until memory becomes free under overload: streams last a few seconds.
-const RETRY_AFTER: Duration = Duration::from_millis(1500);
+pub const RETRY_AFTER: Duration = Duration::from_millis(1500);
 /// Retry delay of the most urgent of several ranks, as a part of [`RETRY_AFTER`].
 const MIN_RETRY_FACTOR: f64 = 0.5;
 /// Retry delay of the least urgent of several ranks, as a multiple of [`RETRY_AFTER`].
@@ -130,11 +130,6 @@
 }
 
 impl Line {
-    /// Returns the queued requests of a rank.
-    fn queued(&self, rank: Rank) -> usize {
-        self.queue.values().filter(|waiting| waiting.rank == rank).count()
-    }
-
     /// Returns the queued requests of a rank before a position.
     fn ahead(&self, rank: Rank, position: Position) -> usize {
         self.queue.range(..position).filter(|(_, waiting)| waiting.rank == rank).count()
@@ -142,7 +137,7 @@
 
     fn remove(&mut self, now: Duration, position: Position, is_admitted: bool) -> Option<Waiting> {
         let waiting = self.queue.remove(&position)?;
-        let is_left = self.queued(waiting.rank) > 0;
+        let is_left = self.queue.values().any(|other| other.rank == waiting.rank);
         let pace = self.paces.entry(waiting.rank).or_default();
         pace.record_left(now, is_admitted, is_left);
         Some(waiting)
@@ -261,10 +256,9 @@
     pub fn poll(&mut self, now: Duration, ticket: Ticket, pressure: f64) -> Verdict {
         let refused =
             |retry_after, threshold| Verdict { decision: Decision::Refuse(retry_after), threshold };
-        let Some((service, position)) = self.tickets.get(&ticket).cloned() else {
-            return refused(RETRY_AFTER, FULL_PRESSURE);
-        };
-        let Some(line) = self.lines.get_mut(&service) else {
+        let place = self.tickets.get(&ticket);
+        let line = place.and_then(|(service, _)| self.lines.get_mut(service));
+        let (Some(&(_, position)), Some(line)) = (place, line) else {
             return refused(RETRY_AFTER, FULL_PRESSURE);
         };
         let Some(waiting) = line.queue.get(&position) else {
--- a/crates/limit/src/admission/demand.rs
+++ b/crates/limit/src/admission/demand.rs
@@ -174,7 +174,7 @@
         tokens: f64,
     ) -> View {
         let all = self.all.served_share();
-        let reserve = self.reserve(now, rank);
+        let threshold = FULL_PRESSURE - self.reserve(now, rank);
         let most_urgent = self.present(now).next().unwrap_or(rank).min(rank);
         let demand = self.ranks.entry(rank).or_default();
         let contention = demand.requests.blocked_share(now);
@@ -185,18 +185,16 @@
         let is_starved = is_below(&demand.requests, now, MIN_SERVED * all)
             || of.is_some_and(|of| is_below(&of.requests, now, MIN_SERVED * all));
         if is_starved {
-            let (standing, threshold) = (Standing::Owed, FULL_PRESSURE);
-            return View { rank: most_urgent, standing, threshold };
+            let standing = Standing::Owed;
+            return View { rank: most_urgent, standing, threshold: FULL_PRESSURE };
         }
         let rank_served = demand.requests.served_share();
         let sizes = demand.sizes.get(&size(tokens));
         if sizes.is_some_and(|size| is_below(size, now, MIN_SIZE_SERVED * rank_served)) {
-            let threshold = FULL_PRESSURE - reserve;
             return View { rank, standing: Standing::Owed, threshold };
         }
         let is_above = contention > CONTENTION && of.is_some_and(|of| of.is_above);
         let standing = if is_above { Standing::Above } else { Standing::Within };
-        let threshold = FULL_PRESSURE - reserve;
         View { rank, standing, threshold }
     }
 
--- a/crates/node/src/shell/callers.rs
+++ b/crates/node/src/shell/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use edge::{MAX_ROOM_WAIT, RETRY_INTERVAL};
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Response};
@@ -24,11 +25,6 @@
 
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Maximum wait of a connection above the limit for room: longer than the time without a request
-/// after which another one is closed.
-const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
-/// Interval at which it looks again for a connection to close.
-const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 /// Response to a connection above the connection limit.
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
 retry-after: 1\r\nmagnolia-run: attempt-not-run\r\ncontent-type: application/json\r\n\
@@ -110,7 +106,7 @@
     let waiting = async {
         while !shared.unused.is_empty() {
             shared.unused.evict();
-            let acquired = timeout(ROOM_INTERVAL, Arc::clone(&permits).acquire_owned()).await;
+            let acquired = timeout(RETRY_INTERVAL, Arc::clone(&permits).acquire_owned()).await;
             if let Ok(Ok(permit)) = acquired {
                 return Some(permit);
             }
--- a/crates/node/src/shell/intake.rs
+++ b/crates/node/src/shell/intake.rs
@@ -1,9 +1,9 @@
 //! Parses and validates a caller's HTTP call and converts it to a request.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use edge::{Holding, Share};
+use edge::{Holding, MAX_ROOM_WAIT, Share};
 use fleet::OrganisationName;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -19,9 +19,6 @@
 
 /// Maximum number of prefix hashes of one prompt that are passed to routing.
 const MAX_PREFIXES: usize = 64;
-/// Maximum wait of a body for room: longer than the time without progress after which another body
-/// ends.
-const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
 /// Maximum length of `Idempotency-Key`, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 /// Headers of a plain call that are not forwarded: those of the connection and those that the
