Do not pass on refusals that prove nothing

Cause: an attempt knew two kinds of answers, those that state "not run" and all others, and passed the others on with their status. 408, 421, 429 and 503 promise to the caller what the target had not stated. 408 and 429 even counted as a success of the target.

Change: `Execution::of_target` says of each answer of a target whether the request has not run, has run, or may have run. One of these statuses without proof is the last kind, for plain calls and for streams: the target has failed a request, its `Retry-After` is still heeded, an idempotent request goes on to another target within its attempts, and the caller gets 502 without the target's signature and without `Retry-After`. 1122 names the status.

Why it works: no status that promises "not run" leaves an attempt unless the target has stated it.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -4,16 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
 use path::Path;
 use site::TargetKey;
 
 use crate::answer::Answer;
 use crate::call::Call;
+use crate::execution::Execution;
 use crate::first::take_first;
 use crate::node::Node;
 use crate::pool::{Connection, Exchange, Unanswered};
+use crate::reply::{Failure, UNPROVEN_REFUSAL};
 
 /// A request that is counted as running at the engines of a path. Dropping it ends the count.
 pub(crate) struct InFlight {
@@ -137,6 +139,9 @@
     NotSent,
     /// This engine refused the request.
     NotRun(TargetKey),
+    /// The first engine answered with a status that promises that the request has not run, but does
+    /// not state that it has not.
+    Unproven(StatusCode),
     /// The engines may have run the request; states why there is no answer.
     Unknown(&'static str),
     /// An engine of the path is lost, or this node has lost its targets.
@@ -146,16 +151,22 @@
 }
 
 impl Outcome {
-    /// Returns the reason of a failed attempt and whether the request can have run, for the log.
-    pub(crate) fn failure(&self) -> Option<(&'static str, &'static str)> {
-        match self {
-            Outcome::Accepted(_) => None,
-            Outcome::NotSent => Some(("no connection", "no")),
-            Outcome::NotRun(_) => Some(("refused", "no")),
-            Outcome::Unknown(reason) => Some((reason, "unknown")),
-            Outcome::Lost => Some(("an engine of the path was lost", "unknown")),
-            Outcome::Failed(_) => Some(("failure status", "yes")),
-            Outcome::TimedOut => Some(("no answer in time", "unknown")),
-        }
+    /// Returns why the attempt failed; `None` if it did not.
+    pub(crate) fn failure(&self) -> Option<Failure> {
+        let failure = match self {
+            Outcome::Accepted(_) => return None,
+            Outcome::NotSent => Failure::new("no connection", Execution::NotRun),
+            Outcome::NotRun(_) => Failure::new("refused", Execution::NotRun),
+            Outcome::Unproven(status) => {
+                Failure::answered(UNPROVEN_REFUSAL, Execution::Unknown, *status)
+            }
+            Outcome::Unknown(reason) => Failure::new(reason, Execution::Unknown),
+            Outcome::Lost => Failure::new("an engine of the path was lost", Execution::Unknown),
+            Outcome::Failed(response) => {
+                Failure::answered("failure status", Execution::Ran, response.status())
+            }
+            Outcome::TimedOut => Failure::new("no answer in time", Execution::Unknown),
+        };
+        Some(failure)
     }
 }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -16,11 +16,12 @@
 use crate::attempts::Attempts;
 use crate::call::Call;
 use crate::event::RETRIED;
+use crate::execution::Execution;
 use crate::forward::{self, Forward, MAX_UNSENT};
 use crate::node::Node;
 use crate::pool::Exchange;
 use crate::quarantine::QUARANTINED;
-use crate::reply::log_failed_attempt;
+use crate::reply;
 use crate::resumed::is_stream;
 use crate::search::MAX_PRESSURE;
 use crate::segment::Segment;
@@ -271,14 +272,13 @@
             };
             let path = in_flight.path.clone();
             let first = path.first().address;
-            if let Some((reason, ran)) = outcome.failure() {
+            if let Some(failure) = outcome.failure() {
                 // A later engine of the path may have refused the request.
                 let target = match &outcome {
                     Outcome::NotRun(target) => target,
                     _ => &path.first().target,
                 };
-                let sent_at = in_flight.sent_at;
-                log_failed_attempt(&self.node, &self.call, target, reason, ran, sent_at);
+                failure.log(&self.node, &self.call, target, in_flight.sent_at);
             }
             match outcome {
                 Outcome::Accepted(answer) => {
@@ -294,7 +294,7 @@
                     unknown = true;
                     self.record_run(&path);
                 }
-                Outcome::Unknown(_) => {
+                Outcome::Unproven(_) | Outcome::Unknown(_) => {
                     unknown = true;
                     self.record_run(&path);
                     self.excluded.push(first);
@@ -447,7 +447,8 @@
             if !std::mem::replace(&mut attempt.is_silent, true) {
                 let (target, sent_at) = (&attempt.path().first().target, attempt.in_flight.sent_at);
                 let reason = "an engine of the path does not respond";
-                log_failed_attempt(&self.node, &self.call, target, reason, "unknown", sent_at);
+                let failure = reply::Failure::new(reason, Execution::Unknown);
+                failure.log(&self.node, &self.call, target, sent_at);
             }
             self.record_unanswered(&mut attempt);
             self.record_run(attempt.path());
--- a/crates/edge/src/evaluate.rs
+++ b/crates/edge/src/evaluate.rs
@@ -11,8 +11,9 @@
 use crate::body::{self, Room};
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::dispatch::Dispatch;
+use crate::execution::Execution;
 use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered};
-use crate::reply::{is_not_run, is_signed, matches_request, passthrough};
+use crate::reply::{UNPROVEN_REFUSAL, is_signed, matches_request, passthrough};
 use crate::resumed::is_stream;
 
 /// A refusal that takes longer than this indicates that the engine had stalled.
@@ -63,7 +64,8 @@
             return Outcome::Unknown("answer to another request");
         }
         let status = response.status();
-        if is_not_run(status, response.headers()) {
+        let execution = Execution::of_target(status, response.headers());
+        if execution == Execution::NotRun {
             let address = platform::faulty_engine(response.headers()).unwrap_or(first.address);
             let slow = node.now().saturating_sub(in_flight.sent_at) > SLOW_REFUSAL;
             match status {
@@ -79,6 +81,11 @@
             let at_fault = in_flight.path.stages.iter().find(|stage| stage.address == address);
             return Outcome::NotRun(at_fault.unwrap_or(first).target.clone());
         }
+        if execution == Execution::Unknown {
+            node.record_fault(first.address, Fault::Failed, UNPROVEN_REFUSAL);
+            node.pool.drain(response.into_body(), connection).await;
+            return Outcome::Unproven(status);
+        }
         if status != StatusCode::OK {
             node.record_fault(first.address, Fault::Failed, "failure status");
             let (parts, body) = response.into_parts();
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -22,7 +22,7 @@
     LINES_LOST = 1119, "lines-lost", "Log lines were dropped because the reader of the output is slow.";
     PEERS = 1120, "peers", "The number of other nodes changed.";
     LAYOUT = 1121, "layout", "The layers that no engine of a failure domain holds have changed.";
-    FAILED = 1122, "attempt-failed", "An attempt at a target gave no usable answer; `ran` states whether the request can have run.";
+    FAILED = 1122, "attempt-failed", "An attempt at a target gave no usable answer; `ran` states whether the request can have run, and `status` what the target answered, if it did.";
     TARGET_PAUSED = 1123, "target-paused", "A target refused a request of this or another node and receives no requests for a while.";
     REQUEST_SUSPECTED = 1124, "request-suspected", "A target was lost during an attempt at the request, as observed by this or another node; `fresh` if no part of an answer had arrived. The fingerprint is that of the request if `breadth` is 0, else of a part of its prompt.";
     REQUEST_QUARANTINED = 1125, "request-condemned", "The request, or all requests with this part in their prompts, crashed targets and do not run for a while, by decision of this node, of another node or of an entry in the store.";
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod event;
 mod eviction;
 mod evidence;
+mod execution;
 mod expiry;
 mod first;
 mod follow;
@@ -89,6 +90,7 @@
     stalest,
 };
 pub use evidence::{Evidence, Finding, FurtherParts, Suspicion};
+pub use execution::{Execution, promises_not_run};
 pub use expiry::{Expiry, Reason, announced_time};
 pub use forward::{Origin, Statement, remove_internal};
 pub use latency::Latency;
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -10,18 +10,18 @@
 use crate::answer::{Answer, text};
 use crate::call::{Call, returned_headers};
 use crate::event::FAILED;
+use crate::execution::Execution;
 use crate::node::Node;
 
+/// Reason of an attempt that the target answered with a status of those that promise that the
+/// request has not run, without a statement that it has not.
+pub(crate) const UNPROVEN_REFUSAL: &str = "refusal without proof";
+
 /// Returns whether an answer belongs to a request.
 pub(crate) fn matches_request(headers: &HeaderMap, call: &Call) -> bool {
     headers.get(head::REQUEST_ID).is_some_and(|id| id.as_bytes() == call.id.as_bytes())
 }
 
-/// Returns whether an answer states that the target has not run the request.
-pub(crate) fn is_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
-    headers.contains_key(head::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST
-}
-
 /// Returns whether a body can be that of a target: it is signed, and not encoded on the way.
 pub(crate) fn is_signed(headers: &HeaderMap) -> bool {
     headers.contains_key(head::STAMP) && !headers.contains_key(CONTENT_ENCODING)
@@ -44,25 +44,40 @@
     if node.now() >= call.deadline {
         text(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
     } else {
-        text(StatusCode::BAD_GATEWAY, "the answer was lost")
+        text(StatusCode::BAD_GATEWAY, "the outcome is unknown")
     }
 }
 
-/// Logs an attempt that gave no usable answer.
-pub(crate) fn log_failed_attempt(
-    node: &Node,
-    call: &Call,
-    target: &str,
-    reason: &str,
-    ran: &str,
-    sent: Duration,
-) {
-    let event = call
-        .event(FAILED)
-        .with("target", target)
-        .with("parts", call.listed_parts())
-        .with("reason", reason)
-        .with("ran", ran)
-        .with("ms", node.now().saturating_sub(sent).as_millis());
-    log::warn!("{event}");
+/// Why an attempt gave no usable answer, for the log.
+pub(crate) struct Failure {
+    reason: &'static str,
+    execution: Execution,
+    /// The status that the target answered, if it did.
+    status: Option<StatusCode>,
+}
+
+impl Failure {
+    pub(crate) fn new(reason: &'static str, execution: Execution) -> Self {
+        Self { reason, execution, status: None }
+    }
+
+    /// Returns the failure of an attempt to which the target answered with this status.
+    pub(crate) fn answered(reason: &'static str, execution: Execution, status: StatusCode) -> Self {
+        Self { reason, execution, status: Some(status) }
+    }
+
+    /// Logs the failure of an attempt at a target.
+    pub(crate) fn log(&self, node: &Node, call: &Call, target: &str, sent_at: Duration) {
+        let mut event = call
+            .event(FAILED)
+            .with("target", target)
+            .with("parts", call.listed_parts())
+            .with("reason", self.reason)
+            .with("ran", self.execution);
+        if let Some(status) = self.status {
+            event = event.with("status", status.as_u16());
+        }
+        let event = event.with("ms", node.now().saturating_sub(sent_at).as_millis());
+        log::warn!("{event}");
+    }
 }
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -18,6 +18,7 @@
 use crate::call::Call;
 use crate::diagnose::{probe_failure, probe_fault};
 use crate::event::RETRIED;
+use crate::execution::Execution;
 use crate::first::take_first;
 use crate::forward::{MAX_UNSENT, forward_unary, is_refusal, name_target};
 use crate::limited::LIMITED;
@@ -25,7 +26,7 @@
 use crate::permit::{Remedy, patience};
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered};
 use crate::reply::{
-    is_not_run, is_signed, log_failed_attempt, matches_request, passthrough, unknown_outcome,
+    Failure, UNPROVEN_REFUSAL, is_signed, matches_request, passthrough, unknown_outcome,
 };
 
 /// Maximum number of targets that a request is sent to, including those that refused it.
@@ -50,22 +51,29 @@
     NotSent,
     /// The target refused the request.
     NotRun,
-    /// The target may have run the request.
+    /// The target answered with a status that promises that the request has not run, but does not
+    /// state that it has not.
+    Unproven(StatusCode),
+    /// The target may have run the request, and its answer is lost.
     Unknown(&'static str),
 }
 
 impl Outcome {
-    /// Returns the reason of a failed attempt and whether the request can have run, for the log.
-    fn failure(&self) -> Option<(&'static str, &'static str)> {
-        match self {
+    /// Returns why the attempt failed; `None` if it did not.
+    fn failure(&self) -> Option<Failure> {
+        let failure = match self {
             Outcome::Answered { status, .. } if status.is_server_error() => {
-                Some(("server error", "yes"))
+                Failure::answered("server error", Execution::Ran, *status)
             }
-            Outcome::Answered { .. } => None,
-            Outcome::NotSent => Some(("no connection", "no")),
-            Outcome::NotRun => Some(("refused", "no")),
-            Outcome::Unknown(reason) => Some((reason, "unknown")),
-        }
+            Outcome::Answered { .. } => return None,
+            Outcome::NotSent => Failure::new("no connection", Execution::NotRun),
+            Outcome::NotRun => Failure::new("refused", Execution::NotRun),
+            Outcome::Unproven(status) => {
+                Failure::answered(UNPROVEN_REFUSAL, Execution::Unknown, *status)
+            }
+            Outcome::Unknown(reason) => Failure::new(reason, Execution::Unknown),
+        };
+        Some(failure)
     }
 }
 
@@ -327,14 +335,8 @@
             attempt.counted = true;
             let reason = "no answer in time";
             self.node.record_fault(attempt.address, Fault::Failed, reason);
-            log_failed_attempt(
-                self.node,
-                self.call,
-                &attempt.target,
-                reason,
-                "unknown",
-                attempt.sent_at,
-            );
+            let failure = Failure::new(reason, Execution::Unknown);
+            failure.log(self.node, self.call, &attempt.target, attempt.sent_at);
             self.node.check_connection(attempt.address);
         }
         self.ran += silent.len() as u32;
@@ -344,8 +346,8 @@
     fn record(&mut self, attempt: Attempt<'a>, outcome: Outcome) -> Option<Response<Answer>> {
         let (node, call) = (self.node, self.call);
         let Attempt { target, address, sent_at, counted, .. } = attempt;
-        if let Some((reason, ran)) = outcome.failure() {
-            log_failed_attempt(node, call, &target, reason, ran, sent_at);
+        if let Some(failure) = outcome.failure() {
+            failure.log(node, call, &target, sent_at);
         }
         match outcome {
             Outcome::Answered { status, headers, body } => {
@@ -371,6 +373,12 @@
                     self.excluded.retain(|excluded| *excluded != address);
                 }
             }
+            Outcome::Unproven(_) => {
+                self.ran += u32::from(!counted);
+                if !call.kind.is_idempotent() {
+                    return Some(unknown_outcome(node, call));
+                }
+            }
             Outcome::Unknown(_) => {
                 node.record_interruption(call, std::iter::once(&target), sent_at, true);
                 node.check_connection(address);
@@ -437,14 +445,22 @@
         node.record_fault(address, Fault::Failed, "answer to another request");
         return Outcome::Unknown("answer to another request");
     }
-    if is_not_run(parts.status, &parts.headers) {
-        node.pool.drain(body, connection).await;
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            node.record_fault(address, Fault::WrongTarget, "refused");
-        } else {
-            node.pause_target(address, true);
+    match Execution::of_target(parts.status, &parts.headers) {
+        Execution::NotRun => {
+            node.pool.drain(body, connection).await;
+            if parts.status == StatusCode::MISDIRECTED_REQUEST {
+                node.record_fault(address, Fault::WrongTarget, "refused");
+            } else {
+                node.pause_target(address, true);
+            }
+            return Outcome::NotRun;
+        }
+        Execution::Unknown => {
+            node.record_fault(address, Fault::Failed, UNPROVEN_REFUSAL);
+            node.pool.drain(body, connection).await;
+            return Outcome::Unproven(parts.status);
         }
-        return Outcome::NotRun;
+        Execution::Ran => {}
     }
     if parts.status.is_success() && !is_signed(&parts.headers) {
         node.record_fault(address, Fault::Failed, "success without a signature");
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -8,7 +8,8 @@
 
 use entry::Entry;
 use platform_standin::{
-    Arrival, Call, Document, Fault, MODEL, PLAIN, Platform, Route, Settings, Setup, send_call,
+    Arrival, Call, Document, Failure, Fault, MODEL, PLAIN, Platform, Route, Settings, Setup,
+    send_call,
 };
 use yare::parameterized;
 
@@ -126,6 +127,8 @@
 }
 
 const LONG: Duration = Duration::from_secs(30);
+/// Asks for the pause without a statement that the request has not run.
+const UNPROVEN: Fault = Fault::FailsWith(Failure { retry_after: Some("30"), ..Failure::new(503) });
 
 // Guards against calls to a target during the pause that it asked for (BUDGET).
 #[parameterized(
@@ -135,6 +138,8 @@
     reports_too = { 13, Pausing { route: Route::Resumable, fault: Fault::BacksOffAll("30"), all: false, pause: LONG } },
     all_engines = { 14, Pausing { route: Route::Resumable, fault: Fault::BacksOff("30"), all: true, pause: LONG } },
     all_plain = { 15, Pausing { route: Route::Safe, fault: Fault::BacksOff("30"), all: true, pause: LONG } },
+    without_proof = { 17, Pausing { route: Route::Safe, fault: UNPROVEN, all: false, pause: LONG } },
+    streams_without_proof = { 18, Pausing { route: Route::Resumable, fault: UNPROVEN, all: false, pause: LONG } },
     absurd = { 16, Pausing { route: Route::Safe, fault: Fault::BacksOff("1e300"), all: false, pause: LONG } },
 )]
 fn pausing_target_gets_no_calls(number: u8, case: Pausing) {
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -176,8 +176,8 @@
     if reply.status == Some(401) && call.key.is_none_or(|key| key == VALID_KEY) {
         return Some("a valid request was answered 401".to_owned());
     }
-    if reply.status == Some(503) && !ran.is_empty() && call.route != Route::Resumable {
-        return Some("answered 503 although the request ran".to_owned());
+    if matches!(reply.status, Some(408 | 421 | 429 | 503)) && !ran.is_empty() {
+        return Some("answered as not run although the request ran".to_owned());
     }
     if reply.status == Some(503) && reply.retry_after.is_none() {
         return Some("answered 503 without Retry-After".to_owned());
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use platform_standin::{
-    Call, Crash, Document, Fault, Impairment, MODEL, PLAIN, Placement, Platform, Proxy, Reply,
-    Route, Settings, Setup, send_call,
+    Call, Crash, Document, Failure, Fault, Impairment, MODEL, PLAIN, Placement, Platform, Proxy,
+    Reply, Route, Settings, Setup, send_call,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +36,16 @@
 const LIMITS: [&str; 3] = ["0", "1.5", "6"];
 /// Distinguishes the numbers drawn for limits from those of the other faults.
 const LIMIT_SEED_MASK: u64 = 0x11417;
+/// Failures of targets that have run a request.
+const FAILURES: [Fault; 5] = [
+    Fault::Fails,
+    Fault::FailsWith(Failure { retry_after: Some("0.4"), ..Failure::new(503) }),
+    Fault::FailsWith(Failure { is_signed: false, ..Failure::new(503) }),
+    Fault::FailsWith(Failure::new(429)),
+    Fault::FailsWith(Failure::new(408)),
+];
+/// Distinguishes the numbers drawn for failures from those of the other faults.
+const FAILURE_SEED_MASK: u64 = 0xfa11ed;
 /// Time from the end of a target until its store entry is removed.
 const DEREGISTER_DELAY: Duration = Duration::from_millis(600);
 /// Time from an engine's announcement that it leaves until it ends.
@@ -139,6 +149,8 @@
     actions: Vec<(Instant, Action)>,
     /// `None` in runs without drills.
     drills: Option<Drills>,
+    /// Draws the failures of targets that have run a request.
+    failures: SmallRng,
     /// Draws the limits that targets name; `None` in runs without drills.
     limits: Option<SmallRng>,
     /// Nodes that were started again, and when.
@@ -283,6 +295,7 @@
             nodes,
             targets: BTreeMap::new(),
             actions: Vec::new(),
+            failures: SmallRng::seed_from_u64(seed ^ FAILURE_SEED_MASK),
             limits: drills.is_some().then(|| SmallRng::seed_from_u64(seed ^ LIMIT_SEED_MASK)),
             drills,
             restarts: Vec::new(),
@@ -468,7 +481,10 @@
             Fault::BacksOff("0.8"),
             Fault::BacksOffAll("0.4"),
         ];
-        let fault = faults[self.rng.random_range(0..faults.len())];
+        let mut fault = faults[self.rng.random_range(0..faults.len())];
+        if fault == Fault::Fails {
+            fault = FAILURES[self.failures.random_range(0..FAILURES.len())];
+        }
         self.platform.set_fault(target, fault);
         self.actions.push((ends, Action::ClearFault(target)));
         self.record(format!("target {target}: {fault:?}"));
