A bare 421 does not prove that a request has not run

Callers saw: where targets answer a booking that they have run with 421, it was sent to the next one, which ran it too, and the caller was told 503 (TWICE, REFUSED). Streams likewise.

Change: `platform::states_not_run` reads the statement: the field `Not-Run`, or a 421 that comes from another target than the one that the request is meant for, as its `Instance-Id` says. Any other 421 is a refusal without proof.

--- a/crates/edge/src/evaluate.rs
+++ b/crates/edge/src/evaluate.rs
@@ -64,7 +64,7 @@
             return Outcome::Unknown("answer to another request");
         }
         let status = response.status();
-        let execution = Execution::of_target(status, response.headers());
+        let execution = Execution::of_target(status, response.headers(), &first.target);
         if execution == Execution::NotRun {
             let address = platform::faulty_engine(response.headers()).unwrap_or(first.address);
             let slow = node.now().saturating_sub(in_flight.sent_at) > SLOW_REFUSAL;
--- a/crates/edge/src/execution.rs
+++ b/crates/edge/src/execution.rs
@@ -4,7 +4,6 @@
 
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
-use platform::head;
 
 /// Whether a request has run, as far as an answer, or its loss, shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,9 +17,10 @@
 }
 
 impl Execution {
-    /// Returns what an answer of a target shows.
-    pub fn of_target(status: StatusCode, headers: &HeaderMap) -> Self {
-        if headers.contains_key(head::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
+    /// Returns what an answer of a target shows about a request that was meant for the target with
+    /// the id `expected`.
+    pub fn of_target(status: StatusCode, headers: &HeaderMap, expected: &str) -> Self {
+        if platform::states_not_run(status, headers, expected) {
             Self::NotRun
         } else if promises_not_run(status) {
             Self::Unknown
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -445,7 +445,7 @@
         node.record_fault(address, Fault::Failed, "answer to another request");
         return Outcome::Unknown("answer to another request");
     }
-    match Execution::of_target(parts.status, &parts.headers) {
+    match Execution::of_target(parts.status, &parts.headers, &target) {
         Execution::NotRun => {
             node.pool.drain(body, connection).await;
             if parts.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/node/tests/unproven.rs
+++ b/crates/node/tests/unproven.rs
@@ -54,6 +54,8 @@
     unavailable_for_a_time = { 52, Failure { retry_after: Some(RETRY_AFTER), ..Failure::new(503) } },
     too_many_requests = { 53, Failure { retry_after: Some(RETRY_AFTER), ..Failure::new(429) } },
     request_timeout = { 54, Failure::new(408) },
+    misdirected = { 55, Failure::new(421) },
+    misdirected_unsigned = { 56, Failure { is_signed: false, ..Failure::new(421) } },
 )]
 fn refusal_without_proof_is_not_passed_on(number: u8, failure: Failure) {
     let site = Site::start(number, 1, &Document::default());
@@ -84,6 +86,7 @@
     unavailable_unsigned = { 61, Failure { is_signed: false, ..Failure::new(503) } },
     too_many_requests = { 62, Failure::new(429) },
     request_timeout = { 63, Failure::new(408) },
+    misdirected = { 64, Failure::new(421) },
 )]
 fn idempotent_request_is_served_by_another_target(number: u8, failure: Failure) {
     let site = Site::start(number, 1, &Document::default());
