Nodes state whether a forwarded request has run

Cause: a node drew "the other node has refused this" from a 503 without `Response-Stamp`, that is, from the absence of something that targets usually send. The other node passes on what its target answers, and a target that fails a request that it has run need not sign the failure. In an answer that came through, nothing said which of the two it was.

Change: an attempt's result travels as `Reply`, the answer together with `Execution` (not run, ran, unknown), from the attempt to the port. A node that answers another node states it in `magnolia-ran`. The forwarding node goes on to the next node only if the header says that the request has not run; 408, 421, 429 and 503 without it count as unknown, and the caller gets 502. `is_refusal` is gone: the end of a request is counted by `Execution` too. Headers between nodes are removed wherever headers are returned, so that a target cannot set them. 1172 logs what the other node answered, 1115 whether the request has run.

Both builds: earlier ones remove headers with this prefix and take the present build's 503, which is sent for refusals only, for what it is. Their own 503 says nothing to the present build; a refusal of theirs costs its caller a retry, or a 502 if the request may run once.

Why it works: "not run" is read in two places, of a target's statement and of a node's, and never from a status or from what is missing.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -187,10 +187,11 @@
     headers
 }
 
-/// Returns the headers of a target's answer that are returned to the caller.
+/// Returns the headers of an answer of a target or another node that are returned to the caller.
 pub(crate) fn returned_headers(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
     remove_connection_headers(&mut headers);
+    remove_internal(&mut headers);
     headers
 }
 
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -6,12 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::Response;
 use path::Path;
 use site::Model;
 use tokio::time::{Instant, timeout};
 
-use crate::answer::Answer;
 use crate::attempt::{Accepted, Attempt, InFlight, Outcome, next_answer};
 use crate::attempts::Attempts;
 use crate::call::Call;
@@ -21,7 +19,7 @@
 use crate::node::Node;
 use crate::pool::Exchange;
 use crate::quarantine::QUARANTINED;
-use crate::reply;
+use crate::reply::{self, Reply};
 use crate::resumed::is_stream;
 use crate::search::MAX_PRESSURE;
 use crate::segment::Segment;
@@ -46,8 +44,8 @@
     NotRun(&'static str),
     /// The request may have run. States why it was sent to no further path.
     Unknown(&'static str),
-    /// The engine answered with a failure status.
-    Failed(Response<Answer>),
+    /// An engine failed the request, or other nodes refused it.
+    Failed(Box<Reply>),
 }
 
 impl Failure {
@@ -226,10 +224,10 @@
                 Some(Err(Failure::NotRun(REFUSED_BY_NODES)))
             }
             Err(forward::Failure::Refused(_)) if has_run => {
-                // The refusal promises only that the request has not run there.
+                // The other nodes state only that the request has not run there.
                 Some(Err(Failure::Unknown(REFUSED_BY_NODES)))
             }
-            Err(forward::Failure::Refused(response)) => Some(Err(Failure::Failed(*response))),
+            Err(forward::Failure::Refused(reply)) => Some(Err(Failure::Failed(reply))),
             Err(forward::Failure::Unknown) => {
                 self.ran.record_forwarded(attempts);
                 Some(Err(Failure::Unknown(NODE_FAILED)))
@@ -302,7 +300,7 @@
                 Outcome::Failed(response) => {
                     self.record_run(&path);
                     self.excluded.push(first);
-                    failure = Some(response);
+                    failure = Some(Box::new(Reply::ran(response)));
                 }
                 Outcome::TimedOut => {
                     unknown = true;
@@ -315,7 +313,7 @@
             }
         };
         match failure {
-            Some(response) => Err(Failure::Failed(response)),
+            Some(reply) => Err(Failure::Failed(reply)),
             None if unknown => Err(Failure::Unknown(reason)),
             None => Err(Failure::NotRun(reason)),
         }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -15,7 +15,7 @@
     TARGET_UP = 1112, "target-used-again", "A target that was down answered a probe and receives requests again.";
     LEADING = 1113, "leading", "This node started or stopped sending orders, or claimed the leader key.";
     ORDERED = 1114, "ordered", "An order was sent to an engine.";
-    ANSWERED = 1115, "request-answered", "A request was answered.";
+    ANSWERED = 1115, "request-answered", "A request was answered. With `status`, `ran` states whether the request has run, as far as this node knows.";
     RETRIED = 1116, "request-retried", "A request is sent to another target.";
     REFUSED = 1117, "request-refused", "A request was refused before it ran.";
     RELOADED = 1118, "settings-reread", "The settings file was read again and checked.";
@@ -39,6 +39,7 @@
     CONTACT_LOST = 1136, "targets-out-of-reach", "This node reaches no target any more: `silent` targets gave no answer one after another, with none in between for `silent_ms`, or `unconnected` targets could not be connected to one after another. Its callers' requests are forwarded to other nodes.";
     CONTACT_BACK = 1137, "targets-in-reach", "A target answered again after this node had reached none for `after_ms`.";
     FORWARDED = 1138, "request-forwarded", "A request is sent to another node, because this one does not reach the targets.";
+    FORWARDED_ANSWERED = 1172, "forwarded-request-answered", "Another node answered a request that this one had forwarded to it, with this status; `ran` states whether the answer shows that the request has run. A status shows nothing by itself.";
     INTERRUPTED = 1139, "stream-interrupted", "A stream on this path was cut, or has stalled (`ended`), after this number of events; another path is sought. `is_broken` states whether an engine of the path was known to be down.";
     MESSAGE_UNREADABLE = 1145, "message-unreadable", "A message of another node cannot be read and is ignored; logged once for each kind. During an upgrade, the other node may run a newer build.";
     ERA_SETTLED = 1148, "era-settled", "The configuration in force is the operators' newest in this era of the store. The store states so from now on, for nodes that start.";
--- a/crates/edge/src/execution.rs
+++ b/crates/edge/src/execution.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 
 use hyper::StatusCode;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+
+/// Whether a forwarded request has run, on the answer of the node that handled it.
+const RAN: HeaderName = HeaderName::from_static("magnolia-ran");
 
 /// Whether a request has run, as far as an answer, or its loss, shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +32,24 @@
         }
     }
 
-    /// Returns the value that stands for this in log lines.
+    /// Returns what the answer of another node shows about a forwarded request.
+    pub fn of_node(status: StatusCode, headers: &HeaderMap) -> Self {
+        match headers.get(RAN).map(HeaderValue::as_bytes) {
+            Some(b"no") => Self::NotRun,
+            Some(b"yes") => Self::Ran,
+            // Builds up to eacf3c2 state nothing, and pass on what their targets answer: their 503
+            // may be that of a target that has run the request.
+            None if status.is_success() => Self::Ran,
+            _ => Self::Unknown,
+        }
+    }
+
+    /// States this in the head of an answer to another node.
+    pub fn state(self, headers: &mut HeaderMap) {
+        headers.insert(RAN, HeaderValue::from_static(self.name()));
+    }
+
+    /// Returns the value that stands for this in log lines and between nodes.
     pub fn name(self) -> &'static str {
         match self {
             Self::NotRun => "no",
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -12,19 +12,19 @@
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use path::Stage;
-use platform::head;
 use tokio::time::{sleep_until, timeout};
 
 use crate::answer::Answer;
 use crate::body::{self, Room};
-use crate::call::{Call, returned_headers};
+use crate::call::Call;
 use crate::dispatch::Dispatch;
-use crate::event::FORWARDED;
+use crate::event::{FORWARDED, FORWARDED_ANSWERED};
+use crate::execution::{Execution, promises_not_run};
 use crate::intake::Intake;
 use crate::node::Node;
 use crate::pool::{Exchange, MAX_ANSWER_BYTES, Unanswered};
 use crate::queue::Sender;
-use crate::reply::{passthrough, unknown_outcome};
+use crate::reply::{Reply, passthrough};
 use crate::segment::{Ended, Progress};
 
 /// Number of offers without a connection after which a request is forwarded to another node.
@@ -86,8 +86,8 @@
 pub(crate) enum Failure {
     /// No other node reaches the targets, or none could be connected to.
     NoNode,
-    /// The other nodes refused the request, which has not run.
-    Refused(Box<Response<Answer>>),
+    /// The other nodes refused the request, which has not run there.
+    Refused(Box<Reply>),
     /// The request may have run.
     Unknown,
 }
@@ -122,24 +122,13 @@
         let mut refused = None;
         for peer in node.reaching_peers(MAX_NODES) {
             let left = self.call.deadline.saturating_sub(node.now());
-            let event = self
-                .call
-                .event(FORWARDED)
-                .with("node", peer)
-                .with("after_event", format_args!("{:?}", self.last_event))
-                .with("attempts", self.attempts)
-                .with("left_ms", left.as_millis());
-            log::info!("{event}");
-            metrics::counter!("magnolia_forwarded").increment(1);
+            self.log_sent(peer, left);
             let sending = node.pool.send(peer, self.request(node.now()), &self.call.used);
             match timeout(left, sending).await {
-                Ok(Ok(exchange)) if is_refusal(&exchange.response) => {
-                    refused = Some(whole_answer(node, self.call, exchange).await);
-                }
-                Ok(Ok(exchange)) => {
-                    apply_notice(node, &exchange);
-                    return Ok(exchange);
-                }
+                Ok(Ok(exchange)) => match self.evaluate(node, peer, exchange).await {
+                    Err(Failure::Refused(reply)) => refused = Some(reply),
+                    result => return result,
+                },
                 Ok(Err(Unanswered::Refused | Unanswered::NotSent)) => {
                     node.reachability.borrow_mut().forget(peer);
                 }
@@ -148,8 +137,60 @@
                 }
             }
         }
-        Err(refused.map_or(Failure::NoNode, |response| Failure::Refused(Box::new(response))))
+        Err(refused.map_or(Failure::NoNode, Failure::Refused))
+    }
+
+    /// Returns the answer of another node, unless its status promises that the request has not run:
+    /// then it is a refusal if the node states the same, and shows nothing if it does not.
+    async fn evaluate(
+        &self,
+        node: &Node,
+        peer: SocketAddr,
+        exchange: Exchange,
+    ) -> Result<Exchange, Failure> {
+        apply_notice(node, &exchange);
+        let (status, execution) = (exchange.response.status(), execution(&exchange));
+        self.log_answered(peer, status, execution);
+        if !promises_not_run(status) {
+            return Ok(exchange);
+        }
+        if execution == Execution::NotRun {
+            let reply = whole_answer(node, self.call, exchange).await;
+            return Err(Failure::Refused(Box::new(reply)));
+        }
+        let (response, connection) = exchange.split();
+        node.pool.drain(response.into_body(), connection).await;
+        Err(Failure::Unknown)
+    }
+
+    /// Logs that the request is sent to another node with this time left.
+    fn log_sent(&self, peer: SocketAddr, left: Duration) {
+        let event = self
+            .call
+            .event(FORWARDED)
+            .with("node", peer)
+            .with("after_event", format_args!("{:?}", self.last_event))
+            .with("attempts", self.attempts)
+            .with("left_ms", left.as_millis());
+        log::info!("{event}");
+        metrics::counter!("magnolia_forwarded").increment(1);
     }
+
+    /// Logs the answer of another node.
+    fn log_answered(&self, peer: SocketAddr, status: StatusCode, execution: Execution) {
+        let event = self
+            .call
+            .event(FORWARDED_ANSWERED)
+            .with("node", peer)
+            .with("status", status.as_u16())
+            .with("ran", execution);
+        log::info!("{event}");
+    }
+}
+
+/// Returns what the answer of another node shows about the execution of a request.
+fn execution(exchange: &Exchange) -> Execution {
+    Execution::of_node(exchange.response.status(), exchange.response.headers())
 }
 
 /// Returns at how many targets another node will have run a request at the most, as it states in the
@@ -169,12 +210,6 @@
     }
 }
 
-/// Returns whether a node itself refused a request: targets sign their answers.
-pub(crate) fn is_refusal<B>(response: &Response<B>) -> bool {
-    let refuses = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    refuses && !response.headers().contains_key(head::STAMP)
-}
-
 /// Applies what the target that gave an answer states about itself.
 fn apply_notice(node: &Node, exchange: &Exchange) {
     let headers = exchange.response.headers();
@@ -206,40 +241,29 @@
 }
 
 /// Reads an answer of another node to its end.
-pub(crate) async fn whole_answer(node: &Node, call: &Call, exchange: Exchange) -> Response<Answer> {
+pub(crate) async fn whole_answer(node: &Node, call: &Call, exchange: Exchange) -> Reply {
+    let execution = execution(&exchange);
     let (response, connection) = exchange.split();
-    let (mut parts, body) = response.into_parts();
-    remove_internal(&mut parts.headers);
+    let (parts, body) = response.into_parts();
     let left = call.deadline.saturating_sub(node.now());
     let holding = node.answers.begin(connection.address());
     match timeout(left, body::read(body, MAX_ANSWER_BYTES, holding, Room::Awaited)).await {
         Ok(Ok(body)) => {
             node.pool.release(connection);
-            passthrough(parts.status, &parts.headers, body)
+            Reply { response: passthrough(parts.status, &parts.headers, body), execution }
         }
-        Ok(Err(_)) | Err(_) => unknown_outcome(node, call),
+        Ok(Err(_)) | Err(_) => Reply::unknown(node, call),
     }
 }
 
-/// Returns the head of a stream that another node sends.
-pub(crate) fn stream_head(exchange: &Exchange) -> HeaderMap {
-    let mut headers = returned_headers(exchange.response.headers());
-    remove_internal(&mut headers);
-    headers
-}
-
 /// Forwards a request with a single answer. Returns `None` if no other node can be reached that
 /// reaches the targets.
-pub(crate) async fn forward_unary(
-    node: &Node,
-    call: &Call,
-    attempts: u32,
-) -> Option<Response<Answer>> {
+pub(crate) async fn forward_unary(node: &Node, call: &Call, attempts: u32) -> Option<Reply> {
     let forward = Forward { call, attempts, last_event: None };
     match forward.send(node).await {
         Ok(exchange) => Some(whole_answer(node, call, exchange).await),
-        Err(Failure::Refused(response)) => Some(*response),
-        Err(Failure::Unknown) => Some(unknown_outcome(node, call)),
+        Err(Failure::Refused(reply)) => Some(*reply),
+        Err(Failure::Unknown) => Some(Reply::unknown(node, call)),
         Err(Failure::NoNode) => None,
     }
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -20,11 +20,12 @@
 use crate::call::{self, Call};
 use crate::connection::{self, Guard, State};
 use crate::event::{ANSWERED, REFUSED};
-use crate::forward::{Origin, Statement, is_refusal};
+use crate::execution::Execution;
+use crate::forward::{Origin, Statement};
 use crate::node::Node;
 use crate::pool::KEEP_ALIVE;
 use crate::receipt::Receipt;
-use crate::reply::unknown_outcome;
+use crate::reply::Reply;
 use crate::upload::{self, Rest, Upload};
 use crate::used::Used;
 use crate::{stream, unary};
@@ -114,10 +115,13 @@
         () = node.ending.notified() => Err(stopping(&node)),
     };
     connection.set_uploading(false);
-    let (mut response, is_refused) = match prepared {
+    let Reply { mut response, execution } = match prepared {
         Ok((call, config)) => answer(&node, call, &config).await,
-        Err(refusal) => (refuse(&node, &id, refusal), true),
+        Err(refusal) => Reply::refused(refuse(&node, &id, refusal)),
     };
+    if origin == Origin::Node {
+        execution.state(response.headers_mut());
+    }
     let rest = body.into_rest(node.limits().body_bytes);
     let is_last = is_last_request || matches!(rest, Rest::Unread) || node.is_stopping();
     match rest {
@@ -132,7 +136,7 @@
         }
         false => announce_time(&node, response.headers_mut()),
     }
-    if is_refused {
+    if execution == Execution::NotRun {
         receipt.record_refusal();
     }
     if is_head {
@@ -169,53 +173,49 @@
     is_closed || request.version() != Version::HTTP_11
 }
 
-/// Returns the answer to a request, and whether it is a refusal of this node.
-async fn answer(node: &Rc<Node>, call: Call, config: &Config) -> (Response<Answer>, bool) {
+/// Returns the answer to a request.
+async fn answer(node: &Rc<Node>, call: Call, config: &Config) -> Reply {
     let model = config.service(&call.service).and_then(|service| service.model.clone());
     let call = Rc::new(call);
     let ending = node.ending.notified();
-    let response = tokio::select! {
-        response = serve_call(node, call.clone(), model) => response,
+    tokio::select! {
+        reply = serve_call(node, call.clone(), model) => reply,
         () = ending => end_call(node, &call),
-    };
-    let is_refused = is_refusal(&response);
-    (response, is_refused)
+    }
 }
 
 /// Returns the answer to a request that is still in progress when the process ends.
-fn end_call(node: &Node, call: &Call) -> Response<Answer> {
+fn end_call(node: &Node, call: &Call) -> Reply {
     if call.used.is_empty() {
-        return refuse(node, &call.id, stopping(node));
+        return Reply::refused(refuse(node, &call.id, stopping(node)));
     }
-    let response = unknown_outcome(node, call);
-    log_answer(node, call, response.status());
-    response
+    let reply = Reply::unknown(node, call);
+    log_answer(node, call, &reply);
+    reply
 }
 
 /// Answers a request by its targets.
-async fn serve_call(
-    node: &Rc<Node>,
-    call: Rc<Call>,
-    model: Option<Arc<Model>>,
-) -> Response<Answer> {
+async fn serve_call(node: &Rc<Node>, call: Rc<Call>, model: Option<Arc<Model>>) -> Reply {
     if let (Kind::Stream { .. }, Some(model)) = (call.kind, model) {
-        let response = stream::forward(node, call.clone(), model).await;
-        if response.status() != StatusCode::OK {
-            log_answer(node, &call, response.status());
+        let reply = stream::forward(node, call.clone(), model).await;
+        if reply.response.status() != StatusCode::OK {
+            log_answer(node, &call, &reply);
         }
-        return response;
+        return reply;
     }
-    let response = unary::forward(node, &call).await;
-    log_answer(node, &call, response.status());
-    response
+    let reply = unary::forward(node, &call).await;
+    log_answer(node, &call, &reply);
+    reply
 }
 
-fn log_answer(node: &Node, call: &Call, status: StatusCode) {
+fn log_answer(node: &Node, call: &Call, reply: &Reply) {
+    let status = reply.response.status();
     let elapsed = node.now().saturating_sub(call.received_at);
     let event = call
         .event(ANSWERED)
         .with("route", &call.route)
         .with("status", status.as_u16())
+        .with("ran", reply.execution)
         .with("ms", elapsed.as_millis());
     log::info!("{event}");
     metrics::counter!("magnolia_answers", "status" => status.as_str().to_owned()).increment(1);
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -27,7 +27,7 @@
     headers.contains_key(head::STAMP) && !headers.contains_key(CONTENT_ENCODING)
 }
 
-/// Returns a target's complete answer as an answer to the caller.
+/// Returns a complete answer of a target or another node as an answer to the caller.
 pub(crate) fn passthrough(
     status: StatusCode,
     headers: &HeaderMap,
@@ -39,12 +39,30 @@
     response
 }
 
-/// Returns the answer to a request that may have run with an unknown outcome.
-pub(crate) fn unknown_outcome(node: &Node, call: &Call) -> Response<Answer> {
-    if node.now() >= call.deadline {
-        text(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-    } else {
-        text(StatusCode::BAD_GATEWAY, "the outcome is unknown")
+/// An answer to a caller or another node, and what is known about the execution of the request.
+pub(crate) struct Reply {
+    pub(crate) response: Response<Answer>,
+    pub(crate) execution: Execution,
+}
+
+impl Reply {
+    /// Returns the refusal of a request that has not run and never will.
+    pub(crate) fn refused(response: Response<Answer>) -> Self {
+        Self { response, execution: Execution::NotRun }
+    }
+
+    /// Returns the answer of a target that has run the request.
+    pub(crate) fn ran(response: Response<Answer>) -> Self {
+        Self { response, execution: Execution::Ran }
+    }
+
+    /// Returns the answer to a request that may have run with an unknown outcome.
+    pub(crate) fn unknown(node: &Node, call: &Call) -> Self {
+        let response = match node.now() >= call.deadline {
+            true => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            false => text(StatusCode::BAD_GATEWAY, "the outcome is unknown"),
+        };
+        Self { response, execution: Execution::Unknown }
     }
 }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,21 +11,17 @@
 use crate::call::{Call, returned_headers};
 use crate::dispatch::{Dispatch, Failure, NO_PATH, NO_RETRY, Opened};
 use crate::event::REFUSED;
-use crate::forward::{name_target, state_attempts, stream_head, whole_answer};
+use crate::forward::{name_target, state_attempts, whole_answer};
 use crate::limited::LIMITED;
 use crate::node::Node;
 use crate::pump::pump;
 use crate::quarantine::QUARANTINED;
 use crate::queue::queue;
-use crate::reply::unknown_outcome;
+use crate::reply::Reply;
 use crate::room::{STOPPING, ranked};
 
 /// Sends a request to a path and forwards the events of its answer.
-pub(crate) async fn forward(
-    node: &Rc<Node>,
-    call: Rc<Call>,
-    model: Arc<Model>,
-) -> Response<Answer> {
+pub(crate) async fn forward(node: &Rc<Node>, call: Rc<Call>, model: Arc<Model>) -> Reply {
     let mut dispatch = Dispatch::new(node, call, model);
     match dispatch.open(None).await {
         Ok(Opened::Node(exchange)) if exchange.response.status() != StatusCode::OK => {
@@ -41,12 +37,14 @@
                     name_target(&dispatch.call, first.address, &mut response);
                     state_attempts(&mut dispatch, first, response.headers_mut());
                 }
-                Opened::Node(exchange) => *response.headers_mut() = stream_head(exchange),
+                Opened::Node(exchange) => {
+                    *response.headers_mut() = returned_headers(exchange.response.headers());
+                }
             }
             tokio::task::spawn_local(pump(dispatch, opened, sender));
-            response
+            Reply::ran(response)
         }
-        Err(Failure::Failed(response)) => response,
+        Err(Failure::Failed(reply)) => *reply,
         Err(Failure::NotRun(reason)) => {
             // Other nodes have retries left. By the time of the retry, this node no longer uses the
             // failed target.
@@ -73,8 +71,8 @@
             metrics::counter!("magnolia_refusals", "reason" => reason).increment(1);
             let rank = dispatch.call.rank().to_string();
             metrics::counter!("magnolia_stream_refusals", "rank" => rank).increment(1);
-            retry_later(StatusCode::SERVICE_UNAVAILABLE, reason, after)
+            Reply::refused(retry_later(StatusCode::SERVICE_UNAVAILABLE, reason, after))
         }
-        Err(Failure::Unknown(_)) => unknown_outcome(node, &dispatch.call),
+        Err(Failure::Unknown(_)) => Reply::unknown(node, &dispatch.call),
     }
 }
--- a/crates/edge/src/unary.rs
+++ b/crates/edge/src/unary.rs
@@ -20,14 +20,12 @@
 use crate::event::RETRIED;
 use crate::execution::Execution;
 use crate::first::take_first;
-use crate::forward::{MAX_UNSENT, forward_unary, is_refusal, name_target};
+use crate::forward::{MAX_UNSENT, forward_unary, name_target};
 use crate::limited::LIMITED;
 use crate::node::Node;
 use crate::permit::{Remedy, patience};
 use crate::pool::{MAX_ANSWER_BYTES, Unanswered};
-use crate::reply::{
-    Failure, UNPROVEN_REFUSAL, is_signed, matches_request, passthrough, unknown_outcome,
-};
+use crate::reply::{Failure, Reply, UNPROVEN_REFUSAL, is_signed, matches_request, passthrough};
 
 /// Maximum number of targets that a request is sent to, including those that refused it.
 const MAX_OFFERS: u32 = 4;
@@ -121,16 +119,16 @@
 }
 
 /// Sends a request to a target, and to further ones if it fails and may be repeated.
-pub(crate) async fn forward(node: &Rc<Node>, call: &Call) -> Response<Answer> {
+pub(crate) async fn forward(node: &Rc<Node>, call: &Call) -> Reply {
     if !node.reaches_targets()
-        && let Some(response) = forward_unary(node, call, call.attempts).await
+        && let Some(reply) = forward_unary(node, call, call.attempts).await
     {
-        return response;
+        return reply;
     }
     node.count_call(call);
     let mut dispatch = Dispatch::new(node, call);
-    if let Some(response) = dispatch.run().await {
-        return response;
+    if let Some(reply) = dispatch.run().await {
+        return reply;
     }
     dispatch.give_up();
     let (ran, retry_taken, quarantined) =
@@ -139,31 +137,34 @@
     let may_run = if has_run { retry_taken } else { quarantined.is_none() };
     if (has_run || dispatch.is_forwardable())
         && may_run
-        && let Some(response) = forward_unary(node, call, call.attempts - ran).await
+        && let Some(reply) = forward_unary(node, call, call.attempts - ran).await
     {
-        // The refusal of another node promises only that the request has not run there.
-        return if ran > 0 && is_refusal(&response) {
-            unknown_outcome(node, call)
-        } else {
-            response
+        // The other node states only that the request has not run there.
+        return match reply.execution {
+            Execution::NotRun if ran > 0 => Reply::unknown(node, call),
+            _ => reply,
         };
     }
-    match dispatch.failed {
-        Some(response) => response,
-        None if ran > 0 => unknown_outcome(node, call),
+    let refusal = match dispatch.failed {
+        Some(response) => return Reply::ran(response),
+        None if ran > 0 => return Reply::unknown(node, call),
         None if let Some(left) = quarantined => node.refuse_quarantined(call, left),
-        None => {
-            let left = node.table.borrow().service_available_in(node.now(), &call.service);
-            if left.is_none() && node.is_limited(&call.service) {
-                let after = node.after_limits(call);
-                node.log_limited(call, None, after, Remedy::Refused);
-                return retry_later(StatusCode::SERVICE_UNAVAILABLE, LIMITED, after);
-            }
-            let after = left.map(|left| node.after_backoff(left));
-            let after = after.unwrap_or_else(|| node.retry_after(call, MIN_RETRY_AFTER));
-            retry_later(StatusCode::SERVICE_UNAVAILABLE, "no target", after)
-        }
+        None => refuse(node, call),
+    };
+    Reply::refused(refusal)
+}
+
+/// Returns the refusal of a request that no target has taken.
+fn refuse(node: &Node, call: &Call) -> Response<Answer> {
+    let left = node.table.borrow().service_available_in(node.now(), &call.service);
+    if left.is_none() && node.is_limited(&call.service) {
+        let after = node.after_limits(call);
+        node.log_limited(call, None, after, Remedy::Refused);
+        return retry_later(StatusCode::SERVICE_UNAVAILABLE, LIMITED, after);
     }
+    let after = left.map(|left| node.after_backoff(left));
+    let after = after.unwrap_or_else(|| node.retry_after(call, MIN_RETRY_AFTER));
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, "no target", after)
 }
 
 impl<'a> Dispatch<'a> {
@@ -184,7 +185,7 @@
 
     /// Sends the request to one target after another. Returns the answer that ends the request;
     /// `None` if no target gives one.
-    async fn run(&mut self) -> Option<Response<Answer>> {
+    async fn run(&mut self) -> Option<Reply> {
         loop {
             let is_left_to_others = self.retry_taken && self.node.leaves_to_others(self.call);
             let may_offer = self.may_offer() && !is_left_to_others;
@@ -200,9 +201,9 @@
                 }
                 continue;
             };
-            if let Some(response) = self.record(attempt, outcome) {
+            if let Some(reply) = self.record(attempt, outcome) {
                 self.give_up();
-                return Some(response);
+                return Some(reply);
             }
         }
     }
@@ -343,7 +344,7 @@
     }
 
     /// Records the end of an attempt. Returns the answer if it ends the request.
-    fn record(&mut self, attempt: Attempt<'a>, outcome: Outcome) -> Option<Response<Answer>> {
+    fn record(&mut self, attempt: Attempt<'a>, outcome: Outcome) -> Option<Reply> {
         let (node, call) = (self.node, self.call);
         let Attempt { target, address, sent_at, counted, .. } = attempt;
         if let Some(failure) = outcome.failure() {
@@ -356,7 +357,7 @@
                 if !status.is_server_error() {
                     node.table.borrow_mut().record_success(address);
                     node.record_completed(call);
-                    return Some(response);
+                    return Some(Reply::ran(response));
                 }
                 node.record_fault(address, Fault::Failed, "server error");
                 self.failed = Some(response);
@@ -376,7 +377,7 @@
             Outcome::Unproven(_) => {
                 self.ran += u32::from(!counted);
                 if !call.kind.is_idempotent() {
-                    return Some(unknown_outcome(node, call));
+                    return Some(Reply::unknown(node, call));
                 }
             }
             Outcome::Unknown(_) => {
@@ -384,7 +385,7 @@
                 node.check_connection(address);
                 self.ran += u32::from(!counted);
                 if !call.kind.is_idempotent() {
-                    return Some(unknown_outcome(node, call));
+                    return Some(Reply::unknown(node, call));
                 }
             }
         }
--- a/crates/edge/tests/execution.rs
+++ b/crates/edge/tests/execution.rs
@@ -25,7 +25,7 @@
     assert_eq!(promising, PROMISES);
 }
 
-/// An answer of a target.
+/// An answer of a target or another node.
 struct Case {
     status: u16,
     fields: &'static [(&'static str, &'static str)],
@@ -72,3 +72,48 @@
         assert_eq!(shown, Execution::Unknown, "{code}");
     }
 }
+
+// Guards against a request that is sent to a further node because of what the answer of another node
+// lacks: nodes of builds that state nothing pass on what their targets answer.
+#[parameterized(
+    served = { Case { status: 200, fields: &[("magnolia-ran", "yes")], shown: Execution::Ran } },
+    refused = { Case { status: 503, fields: &[("magnolia-ran", "no")], shown: Execution::NotRun } },
+    unauthorized = {
+        Case { status: 401, fields: &[("magnolia-ran", "no")], shown: Execution::NotRun }
+    },
+    lost = {
+        Case { status: 502, fields: &[("magnolia-ran", "unknown")], shown: Execution::Unknown }
+    },
+    later_build = {
+        Case { status: 503, fields: &[("magnolia-ran", "in part")], shown: Execution::Unknown }
+    },
+    served_by_an_earlier_build = {
+        Case { status: 200, fields: &[("response-stamp", "s")], shown: Execution::Ran }
+    },
+    refused_by_an_earlier_build = {
+        Case { status: 503, fields: &[("retry-after", "0.06")], shown: Execution::Unknown }
+    },
+    target_of_an_earlier_build = {
+        Case { status: 503, fields: &[("magnolia-target", "10.1.64.9:80")], shown: Execution::Unknown }
+    },
+    lost_by_an_earlier_build = { Case { status: 502, fields: &[], shown: Execution::Unknown } },
+    not_run_at_a_target = {
+        Case { status: 503, fields: &[("not-run", "1")], shown: Execution::Unknown }
+    },
+)]
+fn answer_of_a_node(case: Case) {
+    let shown = Execution::of_node(status(case.status), &headers(case.fields));
+    assert_eq!(shown, case.shown);
+}
+
+// Guards against nodes of one build that do not read what they state.
+#[test]
+fn statement_of_a_node_is_read() {
+    for execution in [Execution::NotRun, Execution::Ran, Execution::Unknown] {
+        for code in [200, 502, 503] {
+            let mut head = headers(&[("magnolia-ran", "set by a target")]);
+            execution.state(&mut head);
+            assert_eq!(Execution::of_node(status(code), &head), execution);
+        }
+    }
+}
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -17,7 +17,7 @@
     ADDED_KEY, Build, EVENTS, Fleet, STATE_TIMEOUT, Stop, VALID_KEY, WITHDRAWN_KEY, document,
 };
 use load::{Ends, Exchange, Load, Rotation, violations};
-use platform_standin::{Call, Cut, Route, send_call, spawn_call};
+use platform_standin::{Call, Cut, Failure, Fault, Route, send_call, spawn_call};
 use yare::parameterized;
 
 /// Number of nodes that are replaced.
@@ -292,6 +292,83 @@
     fleet.assert_sound();
 }
 
+/// Failures of targets that have run a request, with statuses that promise that it has not.
+const FALSE_REFUSALS: [Failure; 3] =
+    [Failure { is_signed: false, ..Failure::new(503) }, Failure::new(503), Failure::new(429)];
+
+/// A node that forwards requests to two others.
+struct Forwarding {
+    cut_off: Build,
+    helpers: Build,
+}
+
+// Guards against a node that takes a target's answer, which another node passes on, for the refusal of
+// that node: the request would run again elsewhere, or its caller would send it again.
+#[parameterized(
+    present_forwards = { 22, Forwarding { cut_off: Present, helpers: Production } },
+    production_forwards = { 23, Forwarding { cut_off: Production, helpers: Present } },
+    same_build = { 24, Forwarding { cut_off: Present, helpers: Present } },
+)]
+fn forwarded_request_that_a_target_fails_runs_once(number: u8, case: Forwarding) {
+    let mut fleet = Fleet::start(number, true);
+    fleet.add_nodes(&[case.cut_off, case.helpers, case.helpers]);
+    fleet.platform.set_cut(&fleet.view(0), Some(Cut::Silent));
+    sleep(CONTACT_TIME);
+    let mut found = Vec::new();
+    for (turn, failure) in FALSE_REFUSALS.into_iter().enumerate() {
+        for &target in fleet.plain.iter().chain(&fleet.engines) {
+            fleet.platform.set_fault(target, Fault::FailsWith(failure));
+        }
+        for route in [Route::Unsafe, Route::Stream] {
+            for index in 0..REQUESTS {
+                let id = format!("{route:?}-{turn}-{index}");
+                let call = Call { key: Some(VALID_KEY), ..Call::new(route, &id) };
+                let reply = send_call(fleet.nodes[0].entry.front, &call);
+                let runs = fleet.platform.runs();
+                let runs = runs.iter().filter(|run| run.request == id).count();
+                let is_false = matches!(reply.status, Some(408 | 421 | 429 | 503)) && runs > 0;
+                if runs > 1 || is_false {
+                    found.push(format!("{id} ran {runs} times: {reply:?}"));
+                }
+            }
+        }
+    }
+    assert!(found.is_empty(), "{found:#?}");
+    let forwarded = fleet.nodes[0].counter("magnolia_forwarded");
+    assert!(forwarded as usize >= REQUESTS, "{forwarded} forwarded");
+    fleet.assert_sound();
+}
+
+// Guards against a booking whose end cannot be told from the logs: what the target answered, and what
+// each node made of it.
+#[test]
+fn end_of_a_forwarded_booking_is_logged_at_both_nodes() {
+    let mut fleet = Fleet::start(25, true);
+    fleet.add_nodes(&[Present, Present]);
+    fleet.platform.set_cut(&fleet.view(0), Some(Cut::Silent));
+    sleep(CONTACT_TIME);
+    for &target in &fleet.plain {
+        fleet.platform.set_fault(target, Fault::FailsWith(FALSE_REFUSALS[0]));
+    }
+    let call = Call { key: Some(VALID_KEY), ..Call::new(Route::Unsafe, "booking") };
+    let reply = send_call(fleet.nodes[0].entry.front, &call);
+    assert_eq!(reply.status, Some(502), "{reply:?}");
+    let is_logged = |node: usize, event: &str, fields: [&str; 2]| {
+        let lines = fleet.nodes[node].logged(event).into_iter();
+        let mut lines = lines.filter(|line| line.contains("request=booking "));
+        lines.any(|line| fields.iter().all(|field| line.contains(field)))
+    };
+    for (node, event, fields) in [
+        (1, "1122", ["status=503", "ran=unknown"]),
+        (1, "1115", ["status=502", "ran=unknown"]),
+        (0, "1172", ["status=502", "ran=unknown"]),
+        (0, "1115", ["status=502", "ran=unknown"]),
+    ] {
+        let logged = || is_logged(node, event, fields);
+        assert!(fleet.platform.wait(STATE_TIMEOUT, logged), "{event} at node {node}");
+    }
+}
+
 /// Nodes of a fleet in which some go by the proofs of others.
 const FOLLOWING_NODES: usize = 8;
 /// Nodes that follow the store closely; the others go by their proofs.
--- a/crates/node/tests/upgrade/fleet.rs
+++ b/crates/node/tests/upgrade/fleet.rs
@@ -141,6 +141,7 @@
     pub(crate) platform: Platform,
     pub(crate) nodes: Vec<Node>,
     pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) plain: Vec<SocketAddr>,
     number: u8,
     has_views: bool,
     /// Number of nodes that were added.
@@ -159,10 +160,8 @@
             platform.start_target(&host, setup)
         };
         let engines = ENGINES.map(|(id, domain)| target(id, MODEL, domain, EVENTS)).into();
-        for id in ["p1", "p2"] {
-            target(id, PLAIN, "a", 0);
-        }
-        Self { platform, nodes: Vec::new(), engines, number, has_views, added: 0 }
+        let plain = ["p1", "p2"].map(|id| target(id, PLAIN, "a", 0)).into();
+        Self { platform, nodes: Vec::new(), engines, plain, number, has_views, added: 0 }
     }
 
     /// Starts nodes of these builds and waits until all serve and have a share of the retry budget.
