Own interface: refusals without proof are not passed on

Callers saw, on the product's own interface: a call to a plain service that its target had run and failed with 503, 429, 408 or 421 was answered with that status. `Magnolia-Run` said `complete`, but a caller or a proxy that goes by the status takes it for "not run" and sends the call again; without a key of its own it then runs twice. Calls that may be repeated ended with the first 429, 408 or 421 in place of another target's answer.

The attempt read the statement right (`Magnolia-Run: not-run`), and passed on what lacked it.

Change: such an answer ends the attempt as failed. A call that may be repeated goes on to another target, others end as `unknown` with 502, and the ledger records them so. 916 names the target and its status.

--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -93,6 +93,13 @@
     meaning: "A connection of a caller has ended; `cause` tells why.",
 };
 
+/// Logged when a target refuses a call without proof that it has not run.
+pub(crate) const REFUSAL_UNPROVEN: EventKind = EventKind {
+    number: 916,
+    name: "refusal-without-proof",
+    meaning: "A target answered a call with a `status` that promises that the call has not run, without stating that it has not. The call counts as one that may have run.",
+};
+
 /// All events of this crate.
 pub const EVENTS: &[&EventKind] = &[
     &STARTED,
@@ -110,4 +117,5 @@
     &REQUEST_CUT,
     &DESIRED_MALFORMED,
     &CALLER_CONNECTION_ENDED,
+    &REFUSAL_UNPROVEN,
 ];
--- a/crates/node/src/shell/attempt.rs
+++ b/crates/node/src/shell/attempt.rs
@@ -8,8 +8,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use edge::{Defect, Holding, Memory, Share};
+use edge::{Defect, Holding, Memory, Share, promises_not_run};
 use fleet::{AttemptId, RequestId, TokenIndex, Trail};
+use hyper::StatusCode;
 use serde::Deserialize;
 use smol_str::SmolStr;
 use tokio::sync::mpsc::Sender;
@@ -40,6 +41,9 @@
     /// The head of the answer is not valid by the rules of HTTP. The target runs, so this is no
     /// evidence that the call crashes targets.
     Malformed,
+    /// The target answered with a status that promises that the call has not run, but did not state
+    /// that it has not.
+    Unproven(StatusCode),
     /// The plain service sent its complete answer. It is counted until the share is dropped.
     Answer(Answer, Share),
 }
@@ -306,6 +310,10 @@
         sink.send(refused(answer, sink.holding(), until));
         return;
     }
+    if promises_not_run(answer.status()) {
+        sink.send(Event::Unproven(answer.status()));
+        return;
+    }
     let status = answer.status().as_u16();
     let content_type = answer.headers().get("content-type").and_then(|value| value.to_str().ok());
     let content_type = SmolStr::new(content_type.unwrap_or("application/octet-stream"));
--- a/crates/node/src/shell/relay/mod.rs
+++ b/crates/node/src/shell/relay/mod.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use edge::Share;
 use fleet::{AttemptId, Depth, Event as LogEvent, Plan, RequestId, TokenIndex};
+use hyper::StatusCode;
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
@@ -303,6 +304,10 @@
                 self.end_attempt(route::Ending::Broken { target });
             }
             Event::Malformed => self.end_attempt(route::Ending::Failed),
+            Event::Unproven(status) => {
+                self.log_unproven(&first, status);
+                self.end_attempt(route::Ending::Failed);
+            }
             Event::Answer(answer, share) => self.on_answer(answer, share),
         }
     }
@@ -347,6 +352,15 @@
         self.notify(Request::CallerDisconnected(self.request));
     }
 
+    /// Logs a target's answer that promises what the target does not state.
+    fn log_unproven(&self, target: &str, status: StatusCode) {
+        let event = LogEvent::new(&event::REFUSAL_UNPROVEN)
+            .with("request", hex(self.request))
+            .with("target", target)
+            .with("status", status.as_u16());
+        self.log(event);
+    }
+
     fn on_answer(&mut self, answer: Answer, share: Share) {
         if !self.started {
             self.started = true;
--- a/crates/node/tests/failure.rs
+++ b/crates/node/tests/failure.rs
@@ -272,6 +272,50 @@
     assert_eq!(target.calls("/book").len(), 2);
 }
 
+// Guards against a caller that is told by a status that its call has not run, although a target has
+// run it and only failed with that status.
+#[parameterized(
+    unavailable = { 503 },
+    too_many_requests = { 429 },
+    request_timeout = { 408 },
+    misdirected = { 421 },
+)]
+fn a_refusal_without_proof_is_unknown(status: u16) {
+    let target = Scripted::start(move |_, back| back.answer(status, "retry-after: 1\r\n", "{}"));
+    let bench = Bench::start(vec![service("b1", target.address, "booking", false)]);
+    for _ in 0..2 {
+        let answer = bench.post("/services/booking/book", "x", &[("idempotency-key", "k")]);
+        assert_eq!((answer.status, answer.header("magnolia-run")), (502, "unknown"));
+    }
+    assert_eq!(target.calls("/book").len(), 1);
+}
+
+// Guards against a call that may be repeated and is not sent to a sound target after such an answer.
+#[parameterized(
+    unavailable = { 503 },
+    too_many_requests = { 429 },
+    request_timeout = { 408 },
+    misdirected = { 421 },
+)]
+fn a_lookup_is_sent_to_another_target_after_a_refusal_without_proof(status: u16) {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let target = || {
+        let calls = calls.clone();
+        Scripted::start(move |_, back| match calls.fetch_add(1, Ordering::SeqCst) {
+            0 => back.answer(status, "", "{}"),
+            _ => back.answer(200, "", r#"{"found":1}"#),
+        })
+    };
+    let (first, second) = (target(), target());
+    let bench = Bench::start(vec![
+        service("s1", first.address, "lookup", true),
+        service("s2", second.address, "lookup", true),
+    ]);
+    let answer = bench.post("/services/lookup/find", "x", &[]);
+    assert_eq!((answer.status, answer.header("magnolia-run")), (200, "complete"));
+    assert_eq!(first.calls("/find").len() + second.calls("/find").len(), 2);
+}
+
 #[test]
 fn a_booking_is_sent_to_another_target_when_no_connection_is_established() {
     // A bound socket that does not listen refuses connections and keeps the port from others.
