Execution: names as beside them

`Execution::write` is named like `Statement::write`, which fills the same heads, and a function no longer bears the name of the value it returns. Found on reading the change once more; no behaviour changes.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -208,7 +208,7 @@
         match forward.send(&node).await {
             Ok(exchange) if self.has_begun && !is_stream(&exchange.response) => {
                 // The connection is closed: its answer is of no use to a stream that has begun.
-                if forward::execution(&exchange) != Execution::NotRun {
+                if forward::shown_execution(&exchange) != Execution::NotRun {
                     self.ran.record_forwarded(attempts);
                 }
                 Some(Err(Failure::Unknown(NODE_FAILED)))
--- a/crates/edge/src/execution.rs
+++ b/crates/edge/src/execution.rs
@@ -45,7 +45,7 @@
     }
 
     /// States this in the head of an answer to another node.
-    pub fn state(self, headers: &mut HeaderMap) {
+    pub fn write(self, headers: &mut HeaderMap) {
         headers.insert(RAN, HeaderValue::from_static(self.name()));
     }
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -149,7 +149,7 @@
         exchange: Exchange,
     ) -> Result<Exchange, Failure> {
         apply_notice(node, &exchange);
-        let (status, execution) = (exchange.response.status(), execution(&exchange));
+        let (status, execution) = (exchange.response.status(), shown_execution(&exchange));
         self.log_answered(peer, status, execution);
         if !promises_not_run(status) {
             return Ok(exchange);
@@ -189,7 +189,7 @@
 }
 
 /// Returns what the answer of another node shows about the execution of a request.
-pub(crate) fn execution(exchange: &Exchange) -> Execution {
+pub(crate) fn shown_execution(exchange: &Exchange) -> Execution {
     Execution::of_node(exchange.response.status(), exchange.response.headers())
 }
 
@@ -242,7 +242,7 @@
 
 /// Reads an answer of another node to its end.
 pub(crate) async fn whole_answer(node: &Node, call: &Call, exchange: Exchange) -> Reply {
-    let execution = execution(&exchange);
+    let execution = shown_execution(&exchange);
     let (response, connection) = exchange.split();
     let (parts, body) = response.into_parts();
     let left = call.deadline.saturating_sub(node.now());
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -120,7 +120,7 @@
         Err(refusal) => Reply::refused(refuse(&node, &id, refusal)),
     };
     if origin == Origin::Node {
-        execution.state(response.headers_mut());
+        execution.write(response.headers_mut());
     }
     let rest = body.into_rest(node.limits().body_bytes);
     let is_last = is_last_request || matches!(rest, Rest::Unread) || node.is_stopping();
--- a/crates/edge/tests/execution.rs
+++ b/crates/edge/tests/execution.rs
@@ -112,7 +112,7 @@
     for execution in [Execution::NotRun, Execution::Ran, Execution::Unknown] {
         for code in [200, 502, 503] {
             let mut head = headers(&[("magnolia-ran", "set by a target")]);
-            execution.state(&mut head);
+            execution.write(&mut head);
             assert_eq!(Execution::of_node(status(code), &head), execution);
         }
     }
--- a/crates/node/tests/unproven.rs
+++ b/crates/node/tests/unproven.rs
@@ -1,5 +1,5 @@
-//! Targets that answer with a status of those that promise that a request has not run, although they
-//! have run it.
+//! Targets that run requests and fail them with statuses that promise the contrary, and do not state
+//! it.
 
 mod entry;
 mod site;
