Test: idle connections are opened again if none is rejected

Cause: the test assumes that the node accepts 200 connections within 150 ms. Later on, idle ones are closed for newer ones, the last one is accepted, and closed after its second without a head.

Change: up to five times, the connections are opened until the last one is rejected; its answer is checked as before.

--- a/crates/node/tests/input.rs
+++ b/crates/node/tests/input.rs
@@ -200,15 +200,24 @@
     assert_serves(&bench);
 }
 
+/// Number of times that connections are opened until one is rejected.
+const MAX_ROUNDS: usize = 5;
+
+// Guards against idle connections that are not bounded, or keep others out for good. A connection
+// that has been idle for 150 ms is closed for a newer one, so the last one is rejected only if the
+// node accepts all of them in less time; otherwise they are opened again.
 #[test]
 fn idle_connections_are_bounded_and_expire() {
     let (bench, _target) = bench(|text| {
         text.connections = "50".to_owned();
         text.head_ms = "1000".to_owned();
     });
-    let mut idle: Vec<TcpStream> = (0..200).map(|_| connect(&bench)).collect();
-    let last = idle.last_mut().expect("a connection");
-    let answer = read_all(last);
+    let mut idle: Vec<TcpStream> = Vec::new();
+    let rejection = (0..MAX_ROUNDS).find_map(|_| {
+        idle = (0..200).map(|_| connect(&bench)).collect();
+        Some(read_all(idle.last_mut()?)).filter(|answer| !answer.is_empty())
+    });
+    let answer = rejection.expect("a connection is rejected");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.ends_with("are open\"}}"), "{answer}");
     wait_for("a free connection", || {
