Review: a ready node takes no connection while its port is full

In a burst the port reaches its bound of connections, all of them with streams that run. For 7 s no new connection is served or refused, and the readiness check says 200: RECOVER.

--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -45,8 +45,13 @@
 
     /// Sends the request on a new connection. Returns the answer; `None` if there was none.
     pub fn send(&self, to: SocketAddr) -> Option<Message> {
+        self.send_within(to, self.deadline + Duration::from_secs(1))
+    }
+
+    /// Sends the request on a new connection, and gives up when nothing comes for `patience`.
+    pub fn send_within(&self, to: SocketAddr, patience: Duration) -> Option<Message> {
         let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-        stream.set_read_timeout(Some(self.deadline + Duration::from_secs(1))).ok()?;
+        stream.set_read_timeout(Some(patience)).ok()?;
         stream.write_all(&self.encode()).ok()?;
         Reader::new(stream).response()
     }
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -42,6 +42,8 @@
     pub layer_mb: u64,
     /// Number of layers of the model of its service.
     pub depth: u64,
+    /// Time by which the events of its streams are further apart than usual.
+    pub slowdown: Duration,
 }
 
 /// How a faulty target answers.
@@ -215,7 +217,9 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        let Ok(input) = stream.try_clone() else { return };
+        let Ok(input) = stream.try_clone() else {
+            return;
+        };
         let mut reader = Reader::new(input);
         while let Some(call) = reader.request() {
             let is_written = match (call.method(), call.path()) {
@@ -340,7 +344,9 @@
         if self.setup.kind.is_empty() {
             return true;
         }
-        let Some((held_from, held_to)) = self.layers() else { return false };
+        let Some((held_from, held_to)) = self.layers() else {
+            return false;
+        };
         let path = call.field("hop-count");
         let own = format!("{}=", self.address);
         let part = path.split(',').find_map(|part| part.strip_prefix(own.as_str()));
@@ -364,7 +370,7 @@
         let after: u64 = after.parse().unwrap_or(0);
         thread::sleep(PREFILL_TIME);
         for number in after + 1..=EVENTS {
-            thread::sleep(EVENT_INTERVAL);
+            thread::sleep(EVENT_INTERVAL + self.setup.slowdown);
             let event = format!("id: {number}\ndata: token {number}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if the case could not run.
 
 mod client;
+mod crowd;
 mod engine;
 mod http;
 mod json;
@@ -89,6 +90,7 @@
     });
     let verdict = match case.as_str() {
         "reuse" => reuse::run(&stage),
+        "crowd" => crowd::run(&stage),
         "parts" => parts::run(&stage),
         "unsigned" => unsigned::run(&stage),
         _ => Verdict::NotRun("no such case"),
--- a/review/standin-3/node.rs
+++ b/review/standin-3/node.rs
@@ -17,6 +17,18 @@
 /// Longest wait until a node is ready.
 const READY_TIME: Duration = Duration::from_secs(15);
 
+/// Limits of a machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Memory that a process may use, megabytes.
+    pub memory_mb: u64,
+    /// Descriptors that a process may have open.
+    pub max_fds: u64,
+}
+
+/// A machine of cpf-floorline.
+const MACHINE: Machine = Machine { memory_mb: 260, max_fds: 4200 };
+
 /// A node process. Dropping it ends the process.
 pub struct Node {
     child: Child,
@@ -28,10 +40,22 @@
 impl Node {
     /// Starts a node at an IP address of its own. `folder` holds its settings and its log.
     pub fn start(ip: &str, store: &Store, program: &Path, folder: &Path) -> Self {
+        Self::start_with(ip, store, program, folder, MACHINE)
+    }
+
+    /// Starts a node on a machine with this memory and these descriptors.
+    pub fn start_with(
+        ip: &str,
+        store: &Store,
+        program: &Path,
+        folder: &Path,
+        machine: Machine,
+    ) -> Self {
         let settings: PathBuf = folder.join(format!("node-{ip}.conf"));
         let front = SocketAddr::new(ip.parse().expect("an address"), FRONT_PORT);
         let ready = SocketAddr::new(front.ip(), READY_PORT);
-        fs::write(&settings, Self::settings(ip, front, ready, store)).expect("a settings file");
+        fs::write(&settings, Self::settings(ip, front, ready, store, machine))
+            .expect("a settings file");
         let log = File::create(folder.join(format!("node-{ip}.log"))).expect("a log file");
         let child = Command::new(program)
             .arg("front")
@@ -46,12 +70,19 @@
     }
 
     /// Returns the settings of a small deployment, as the pages show them.
-    fn settings(ip: &str, front: SocketAddr, ready: SocketAddr, store: &Store) -> String {
+    fn settings(
+        ip: &str,
+        front: SocketAddr,
+        ready: SocketAddr,
+        store: &Store,
+        machine: Machine,
+    ) -> String {
+        let Machine { memory_mb, max_fds } = machine;
         format!(
             "node=front-a-{ip}\nrole=entry\nmachine_class=front\nserves=front,control\nip={ip}\n\
              zone=a\nregion=r\nzones.a=r\nlisten.front={front}\nlisten.ready={ready}\n\
              listen.control={ip}:8229\ninternal_ports=7340,7355\nbootstrap=true\n\
-             limits.cpu_share=0.5\nlimits.cores=1\nlimits.memory_mb=260\nlimits.max_fds=4200\n\
+             limits.cpu_share=0.5\nlimits.cores=1\nlimits.memory_mb={memory_mb}\nlimits.max_fds={max_fds}\n\
              discovery=platform\nentry=vip\nheartbeat_ms=1200\n\
              contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform,layers\n\
              bounds.seed_lag_s=3\nbounds.reuse_after_s=2\nbounds.contact_ms=3000\n\
@@ -72,7 +103,7 @@
     pub fn await_ready(&mut self) -> bool {
         let until = Instant::now() + READY_TIME;
         while Instant::now() < until {
-            if client::status(self.ready, "/ready") == Some(200) {
+            if self.is_ready() {
                 return true;
             }
             thread::sleep(Duration::from_millis(50));
@@ -80,6 +111,11 @@
         false
     }
 
+    /// Returns whether the node says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        client::status(self.ready, "/ready") == Some(200)
+    }
+
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|status| status.is_some())
--- a/review/standin-3/parts.rs
+++ b/review/standin-3/parts.rs
@@ -134,7 +134,15 @@
     store.put("op/config", &configuration());
     let start = |number: u8, id: &str, service: &str, kind: &str| {
         let (id, service, kind) = (id.to_owned(), service.to_owned(), kind.to_owned());
-        let setup = Setup { id, service, kind, mb: ENGINE_MB, layer_mb: LAYER_MB, depth: DEPTH };
+        let setup = Setup {
+            id,
+            service,
+            kind,
+            mb: ENGINE_MB,
+            layer_mb: LAYER_MB,
+            depth: DEPTH,
+            ..Setup::default()
+        };
         Engine::start(setup, &stage.ip(number), &store, &stage.record)
     };
     let engines: Vec<Engine> =
--- a/review/standin-3/reuse.rs
+++ b/review/standin-3/reuse.rs
@@ -65,7 +65,7 @@
         _ => (SMALL_MB, SMALL_DEPTH),
     };
     let (id, service, kind) = (id.to_owned(), service.to_owned(), kind.to_owned());
-    Setup { id, service, kind, mb, layer_mb: LAYER_MB, depth }
+    Setup { id, service, kind, mb, layer_mb: LAYER_MB, depth, ..Setup::default() }
 }
 
 /// Sends a stream, and returns its status.
--- a/review/standin-3/unsigned.rs
+++ b/review/standin-3/unsigned.rs
@@ -95,6 +95,7 @@
             mb: ENGINE_MB,
             layer_mb: LAYER_MB,
             depth: DEPTH,
+            ..Setup::default()
         };
         Engine::start(setup, &stage.ip(10 + number), &store, &stage.record)
     };
