--- a/review/standin-3/crowd.rs
+++ b/review/standin-3/crowd.rs
@@ -150,7 +150,7 @@
         .map(|number| start(10 + number, &format!("i-draft{number}"), "drafts", "large"))
         .collect();
     let _plain_target = start(30, "i-desk", "desk", "");
-    let mut node = Node::start_with(&stage.ip(2), &store, &stage.program, &stage.folder, MACHINE);
+    let node = Node::start_with(&stage.ip(2), &store, &stage.program, &stage.folder, MACHINE);
     if !node.await_ready() {
         return Verdict::NotRun("the node is not ready");
     }
--- a/review/standin-3/reuse.rs
+++ b/review/standin-3/reuse.rs
@@ -91,7 +91,7 @@
     let notes: Vec<Engine> = (0..NOTES)
         .map(|index: u8| start(20 + index, &format!("i-note{index}"), "notes", "small"))
         .collect();
-    let mut node = Node::start(&stage.ip(2), &store, &stage.program, &stage.folder);
+    let node = Node::start(&stage.ip(2), &store, &stage.program, &stage.folder);
     if !node.await_ready() {
         return Verdict::NotRun("the node is not ready");
     }
--- a/review/standin-3/unsigned.rs
+++ b/review/standin-3/unsigned.rs
@@ -100,7 +100,7 @@
         Engine::start(setup, &stage.ip(10 + number), &store, &stage.record)
     };
     let engines: Vec<Engine> = (0..ENGINES).map(start).collect();
-    let mut node = Node::start(&stage.ip(2), &store, &stage.program, &stage.folder);
+    let node = Node::start(&stage.ip(2), &store, &stage.program, &stage.folder);
     if !node.await_ready() {
         return Verdict::NotRun("the node is not ready");
     }
